--- /dev/null
+++ b/crates/sandtrack-drill/src/host.rs
@@ -0,0 +1,349 @@
+//! Hosts many balancers: translates the wire's events and actions, and decides nothing.
+use crate::wire;
+use sandtrack::interface::*;
+use sandtrack::Balancer;
+use std::collections::{HashMap, HashSet};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::rc::Rc;
+
+/// Small numbers for names, in order of first sight.
+#[derive(Default)]
+struct Names {
+    numbers: HashMap<String, u32>,
+    names: Vec<String>,
+}
+
+impl Names {
+    fn intern(&mut self, name: &str) -> u32 {
+        if let Some(&number) = self.numbers.get(name) {
+            return number;
+        }
+        let number = self.names.len() as u32;
+        self.numbers.insert(name.to_owned(), number);
+        self.names.push(name.to_owned());
+        number
+    }
+}
+
+/// One balancer and the names it goes by; shares nothing with its neighbours.
+struct Instance {
+    name: String,
+    balancer: Balancer,
+    classes: Vec<String>,
+    tenants: Vec<String>,
+    upstreams: Names,
+    zones: Names,
+    kinds: Names,
+    wakes: HashSet<u64>,
+    next_wake: u64,
+}
+
+#[derive(Default)]
+pub struct Host {
+    instances: HashMap<String, Instance>,
+    /// The numbered lists are the process's, as the wire has it: they are only read, at their event.
+    pools: HashMap<usize, Rc<Vec<wire::Member>>>,
+    noted_unknown: bool,
+    scratch: Vec<Action>,
+}
+
+impl Host {
+    /// Takes one line and gives its reply; an error says what is wrong with the line.
+    pub fn batch(&mut self, line: &[u8]) -> Result<wire::Reply, String> {
+        let batch: wire::Batch = serde_json::from_slice(line).map_err(|e| e.to_string())?;
+        let mut reply = wire::Reply::default();
+        for event in batch.events {
+            self.event(batch.wall, event, &mut reply)?;
+        }
+        Ok(reply)
+    }
+
+    fn event(&mut self, now: Millis, event: wire::Event, reply: &mut wire::Reply) -> Result<(), String> {
+        let (sidecar, event) = match event {
+            wire::Event::PowerOn { sidecar, prng, config } => {
+                let instance = Instance::new(sidecar.clone(), prng, &config);
+                self.instances.insert(sidecar.clone(), instance);
+                (sidecar, Event::Start)
+            }
+            wire::Event::Pool { list, members } => {
+                self.pools.insert(list, Rc::new(members));
+                return Ok(());
+            }
+            wire::Event::Destroy { sidecar } => {
+                self.instances.remove(&sidecar);
+                return Ok(());
+            }
+            wire::Event::Unknown => {
+                if !std::mem::replace(&mut self.noted_unknown, true) {
+                    eprintln!("sandtrack-drill: an unknown event was skipped, and so will be any other");
+                }
+                return Ok(());
+            }
+            wire::Event::DirectoryUpdate { sidecar, scope, list } => {
+                let kind = match scope {
+                    wire::Scope::Broken => return self.deliver(now, &sidecar, Event::ListBroken, reply),
+                    wire::Scope::Patch => ListKind::Patch,
+                    wire::Scope::Whole => ListKind::Whole,
+                    wire::Scope::StaleCopy => ListKind::Stale,
+                };
+                let Some(instance) = self.instances.get_mut(&sidecar) else { return Ok(()) };
+                let members = self.pools.get(&list).cloned();
+                let members = members.ok_or_else(|| format!("list: no Pool numbered {list}"))?;
+                let entries = members.iter().map(|member| instance.entry(member)).collect();
+                (sidecar, Event::List { kind, entries })
+            }
+            wire::Event::JobIn {
+                sidecar,
+                call,
+                not_after,
+                class,
+                project,
+                retry,
+                partition_key,
+                cost_guess,
+            } => {
+                let Some(instance) = self.instances.get(&sidecar) else { return Ok(()) };
+                let number = instance.classes.iter().position(|name| *name == class);
+                let class = number.ok_or_else(|| format!("class: {class:?} is not in the settings"))?;
+                let tenant = match project {
+                    Some(wire::Tenant::Name(name)) => instance.tenants.iter().position(|t| *t == name),
+                    _ => None,
+                };
+                let arrival = Arrival {
+                    request: RequestId(call.0),
+                    class: ClassId(class),
+                    tenant: tenant.map(TenantId),
+                    not_after,
+                    retry,
+                    key: partition_key,
+                    cost: cost_guess,
+                };
+                (sidecar, Event::Request(arrival))
+            }
+            wire::Event::Sampled { sidecar, elapsed, code, upstream, telemetry } => {
+                let Some(instance) = self.instances.get(&sidecar) else { return Ok(()) };
+                let Some(&number) = instance.upstreams.numbers.get(&upstream) else { return Ok(()) };
+                let ok = matches!(code, wire::Code::Ok);
+                let report = telemetry.map(report);
+                (sidecar, Event::Probed { upstream: UpstreamId(number), elapsed, ok, report })
+            }
+            wire::Event::Opened { sidecar, call, round_no } => {
+                (sidecar, Event::Opened { request: RequestId(call.0), attempt: round_no })
+            }
+            wire::Event::Done { sidecar, call, round_no, code, elapsed, closed, telemetry } => {
+                let event = Event::Finished {
+                    request: RequestId(call.0),
+                    attempt: round_no,
+                    outcome: outcome(code),
+                    elapsed,
+                    closed,
+                    report: telemetry.map(report),
+                };
+                (sidecar, event)
+            }
+            wire::Event::ClientGone { sidecar, call } => (sidecar, Event::ClientGone(RequestId(call.0))),
+            wire::Event::Memo { sidecar, origin_peer, content } => {
+                let content = bytes(&content).ok_or("content: not hex digits")?;
+                (sidecar, Event::Message { from: origin_peer, content })
+            }
+            wire::Event::Due { sidecar, nonce } => {
+                let Some(instance) = self.instances.get_mut(&sidecar) else { return Ok(()) };
+                if !instance.wakes.remove(&nonce) {
+                    return Ok(());
+                }
+                (sidecar, Event::Wake)
+            }
+        };
+        self.deliver(now, &sidecar, event, reply)
+    }
+
+    fn deliver(
+        &mut self,
+        now: Millis,
+        sidecar: &str,
+        event: Event,
+        reply: &mut wire::Reply,
+    ) -> Result<(), String> {
+        let Some(instance) = self.instances.get_mut(sidecar) else { return Ok(()) };
+        let actions = &mut self.scratch;
+        actions.clear();
+        let handled = catch_unwind(AssertUnwindSafe(|| instance.balancer.handle(now, event, actions)));
+        if let Err(panic) = handled {
+            let text = panic.downcast_ref::<&str>().map(|text| (*text).to_owned());
+            let message = text.or_else(|| panic.downcast_ref::<String>().cloned());
+            let message = message.unwrap_or_else(|| "panic".to_owned());
+            reply.decisions.push(wire::Decision::GiveIn { sidecar: sidecar.to_owned(), message });
+            self.instances.remove(sidecar);
+            return Ok(());
+        }
+        for action in self.scratch.drain(..) {
+            reply.decisions.push(instance.decision(action));
+        }
+        Ok(())
+    }
+}
+
+impl Instance {
+    fn new(name: String, seed: u64, config: &wire::Config) -> Self {
+        let mut zones = Names::default();
+        let zone = ZoneId(zones.intern(&config.locality));
+        Instance {
+            name,
+            balancer: Balancer::new(settings(config, zone), seed),
+            classes: config.classes.iter().map(|class| class.name.clone()).collect(),
+            tenants: config.orgs.iter().map(|tenant| tenant.name.clone()).collect(),
+            upstreams: Names::default(),
+            zones,
+            kinds: Names::default(),
+            wakes: HashSet::new(),
+            next_wake: 0,
+        }
+    }
+
+    fn entry(&mut self, member: &wire::Member) -> Entry {
+        Entry {
+            upstream: UpstreamId(self.upstreams.intern(&member.upstream)),
+            standing: match member.health {
+                wire::Health::Ready => Standing::Ready,
+                wire::Health::Terminating => Standing::Draining,
+                wire::Health::Gone => Standing::Gone,
+            },
+            cell: member.pod,
+            kind: self.kinds.intern(&member.shape),
+            scale: member.scale.unwrap_or(1.0),
+            zone: ZoneId(self.zones.intern(&member.locality)),
+            since: member.since.filter(|since| *since != 0.0),
+        }
+    }
+
+    fn decision(&mut self, action: Action) -> wire::Decision {
+        let sidecar = self.name.clone();
+        let upstream = |id: UpstreamId| self.upstreams.names[id.0 as usize].clone();
+        match action {
+            Action::Send { request, upstream: to, cap } => {
+                wire::Decision::Issue { sidecar, call: wire::Call(request.0), cap, upstream: upstream(to) }
+            }
+            Action::Refuse { request, retry_after } => {
+                wire::Decision::Refuse { sidecar, call: wire::Call(request.0), retry_after }
+            }
+            Action::Fail { request } => wire::Decision::GiveUp { sidecar, call: wire::Call(request.0) },
+            Action::Cancel { request, attempt } => {
+                wire::Decision::Recall { sidecar, call: wire::Call(request.0), round_no: attempt }
+            }
+            Action::Probe { upstream: to } => wire::Decision::Check { sidecar, upstream: upstream(to) },
+            Action::Subscribe => wire::Decision::Tail { sidecar, enable: true },
+            Action::Wake { at } => {
+                self.next_wake += 1;
+                self.wakes.insert(self.next_wake);
+                wire::Decision::Schedule { sidecar, instant: at, nonce: self.next_wake }
+            }
+            Action::Log(message) => wire::Decision::Remark { sidecar, message },
+        }
+    }
+}
+
+fn bytes(hex: &str) -> Option<Vec<u8>> {
+    if !hex.is_ascii() || hex.len() % 2 != 0 {
+        return None;
+    }
+    (0..hex.len()).step_by(2).map(|at| u8::from_str_radix(&hex[at..at + 2], 16).ok()).collect()
+}
+
+fn report(telemetry: wire::Telemetry) -> Report {
+    Report {
+        active: telemetry.active,
+        waiting: telemetry.waiting,
+        cpu: telemetry.cpu,
+        service: telemetry.avg_ms,
+    }
+}
+
+fn outcome(code: wire::Code) -> Outcome {
+    match code {
+        wire::Code::Ok => Outcome::Ok,
+        wire::Code::Error => Outcome::Error,
+        wire::Code::Full => Outcome::Full,
+        wire::Code::Timeout => Outcome::Timeout,
+        wire::Code::ConnectFailed => Outcome::ConnectFailed,
+        wire::Code::Reset => Outcome::Reset,
+        wire::Code::Cancelled => Outcome::Cancelled,
+        wire::Code::Moot => Outcome::Moot,
+    }
+}
+
+fn settings(config: &wire::Config, zone: ZoneId) -> Settings {
+    let class = |class: &wire::Class| Class {
+        aim: class.aim,
+        aim_stretch: class.aim_stretch,
+        deadline: class.deadline,
+        effect: match class.effect {
+            wire::EffectName::Repeatable => Effect::Repeatable,
+            wire::EffectName::Once => Effect::Once,
+            wire::EffectName::ByKey => Effect::Keyed {
+                group: match class.key_scope {
+                    Some(wire::ScopeName::All) => Group::All,
+                    Some(wire::ScopeName::Zone) => Group::Zone,
+                    _ => Group::Cell,
+                },
+                window: class.window,
+            },
+        },
+        worth: class.value,
+        late_worth: class.late_worth,
+        stream: class.stream,
+    };
+    let limits = &config.limits;
+    let (prices, rules) = (&config.penalties, &config.rules);
+    Settings {
+        zone,
+        me: config.me,
+        siblings: config.siblings.unwrap_or(1).max(1),
+        classes: config.classes.iter().map(class).collect(),
+        tenants: config
+            .orgs
+            .iter()
+            .map(|org| Tenant { portion: org.portion, quota_rps: org.quota_rps })
+            .collect(),
+        over_share_worth: config.over_share_worth.unwrap_or(1.0),
+        discovery_on_request: config.discovery.as_deref() == Some("on_request"),
+        feedback: match config.feedback.how.as_deref() {
+            Some("inline") => Feedback::Inline,
+            Some("on_probe") => Feedback::OnProbe,
+            _ => Feedback::Off,
+        },
+        weights: match config.weights.as_deref() {
+            Some("nominal") => Weights::Nominal,
+            Some("rough") => Weights::Rough,
+            Some("live") => Weights::Live,
+            _ => Weights::Off,
+        },
+        warm_keys: config.domain.warm_keys,
+        limits: Limits {
+            cancel: limits.cancel,
+            probes: limits.probes,
+            peers: limits.peers,
+            parallel_tries: limits.parallel_tries,
+            max_attempts: limits.max_attempts,
+            max_open: limits.max_open.unwrap_or(u32::MAX),
+            max_retry_after: limits.retry_after.then_some(limits.max_retry_after),
+            connect_timeout: limits.connect_timeout,
+        },
+        penalties: Penalties {
+            cross_zone: prices.cross_zone,
+            probe: prices.probe,
+            waste: prices.waste,
+            late_fail: prices.late_fail,
+            peer: prices.peer,
+        },
+        rules: Rules {
+            answer_slack: rules.answer_slack,
+            ask_within: rules.ask_within,
+            cold_share: rules.cold_share,
+            cold: rules.cold,
+            drain_grace: rules.drain_grace,
+            fall: rules.fall,
+            fall_multiple: rules.fall_multiple,
+        },
+        step: config.step.unwrap_or(1.0),
+    }
+}
--- /dev/null
+++ b/crates/sandtrack-drill/src/main.rs
@@ -0,0 +1,43 @@
+//! Runs the decisions on the simulator's wire: batches on standard input, replies on standard output.
+//!
+//! Exit status: 0 at the end of input, 2 on a malformed line, 1 when a pipe breaks.
+use std::io::{BufRead, Write};
+use std::process::ExitCode;
+
+mod host;
+mod wire;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("sandtrack-drill: {error}");
+            ExitCode::from(1)
+        }
+    }
+}
+
+fn run() -> std::io::Result<ExitCode> {
+    let mut input = std::io::stdin().lock();
+    let mut output = std::io::BufWriter::new(std::io::stdout().lock());
+    let mut host = host::Host::default();
+    let mut line = Vec::new();
+    for number in 1.. {
+        line.clear();
+        if input.read_until(b'\n', &mut line)? == 0 {
+            break;
+        }
+        match host.batch(&line) {
+            Ok(reply) => {
+                serde_json::to_writer(&mut output, &reply)?;
+                output.write_all(b"\n")?;
+                output.flush()?;
+            }
+            Err(wrong) => {
+                eprintln!("sandtrack-drill: line {number}: {wrong}");
+                return Ok(ExitCode::from(2));
+            }
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,291 @@
+//! What a front and the decision module say to each other: settings, events, actions, ids, times.
+//!
+//! A front owns sockets, clocks and names. It interns names to the small ids below, feeds [`Event`]s with
+//! the current time to `Balancer::handle`, and carries out the [`Action`]s that come back, in order.
+
+/// Time and durations in milliseconds; the clock's zero is arbitrary and it never runs backwards.
+pub type Millis = f64;
+
+/// An upstream server, numbered by the front in the order in which it first heard of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct UpstreamId(pub u32);
+
+/// A client's request, unique for the life of a balancer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(pub u64);
+
+/// Index into [`Settings::classes`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClassId(pub usize);
+
+/// Index into [`Settings::tenants`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TenantId(pub usize);
+
+/// A zone; equal numbers are the same zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ZoneId(pub u32);
+
+/// Where the upstreams that discard repeats of one keyed request are found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+/// What a repeat of a request does.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Effect {
+    Repeatable,
+    /// Repeats are discarded within the group for `window` from the send of the first attempt that may have run.
+    Keyed {
+        group: Group,
+        window: Millis,
+    },
+    Once,
+}
+
+#[derive(Clone, Debug)]
+pub struct Class {
+    pub aim: Millis,
+    /// The aim extends by this multiple of the request's own work, not beyond the deadline.
+    pub aim_stretch: f64,
+    pub deadline: Millis,
+    pub effect: Effect,
+    pub worth: f64,
+    /// Fraction of the worth that an answer after the aim still earns.
+    pub late_worth: f64,
+    pub stream: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Tenant {
+    /// Its portion of the service, 0 to 1.
+    pub portion: f64,
+    /// Requests a second, over all balancers, that are within its share.
+    pub quota_rps: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Feedback {
+    Off,
+    OnProbe,
+    Inline,
+}
+
+/// What the `scale` of a listed upstream means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Weights {
+    Off,
+    Nominal,
+    Rough,
+    Live,
+}
+
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub zone: ZoneId,
+    pub me: u32,
+    pub siblings: u32,
+    pub classes: Vec<Class>,
+    pub tenants: Vec<Tenant>,
+    /// Worth of a request past its tenant's share, as a fraction.
+    pub over_share_worth: f64,
+    /// Discovery answers only when asked (subscribe or fetch).
+    pub discovery_on_request: bool,
+    pub feedback: Feedback,
+    pub weights: Weights,
+    /// Upstreams need less work for a key they met recently.
+    pub warm_keys: bool,
+    pub limits: Limits,
+    pub penalties: Penalties,
+    pub rules: Rules,
+    /// Shortest gap between two rounds of events.
+    pub step: Millis,
+}
+
+#[derive(Clone, Debug)]
+pub struct Limits {
+    pub cancel: bool,
+    pub probes: bool,
+    pub peers: bool,
+    /// Two attempts of one request may be out together.
+    pub parallel_tries: bool,
+    pub max_attempts: u32,
+    pub max_open: u32,
+    /// `None`: a refusal carries no advice when to come back.
+    pub max_retry_after: Option<Millis>,
+    pub connect_timeout: Millis,
+}
+
+/// Price of one unit a first try, as a fraction of all worth.
+#[derive(Clone, Debug)]
+pub struct Penalties {
+    pub cross_zone: f64,
+    pub probe: f64,
+    pub waste: f64,
+    pub late_fail: f64,
+    pub peer: f64,
+}
+
+/// Figures of the rules that must never be broken.
+#[derive(Clone, Debug)]
+pub struct Rules {
+    pub answer_slack: Millis,
+    pub ask_within: Millis,
+    /// A cold upstream starts at this fraction of its capacity or above ...
+    pub cold_share: f64,
+    /// ... and is warm within this time.
+    pub cold: Millis,
+    pub drain_grace: Millis,
+    /// Sent more than `fall_multiple` times its present capacity for `fall`, a cold upstream goes down.
+    pub fall: Millis,
+    pub fall_multiple: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub upstream: UpstreamId,
+    pub standing: Standing,
+    pub cell: u32,
+    /// Machine type; equal numbers are alike.
+    pub kind: u32,
+    pub scale: f64,
+    pub zone: ZoneId,
+    /// Its most recent start; `None`: long past.
+    pub since: Option<Millis>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    /// Complete, as last held, possibly stale.
+    Stale,
+    Whole,
+    Patch,
+}
+
+/// A load report; what an upstream does not tell is `None`.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Requests in hand.
+    pub active: Option<f64>,
+    /// Requests waiting.
+    pub waiting: Option<f64>,
+    /// Fraction of the CPU occupied.
+    pub cpu: Option<f64>,
+    /// Recent service time.
+    pub service: Option<Millis>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Ok,
+    Error,
+    Full,
+    Timeout,
+    ConnectFailed,
+    Reset,
+    Cancelled,
+    Moot,
+}
+
+impl Outcome {
+    /// Whether the outcome proves that the attempt never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub request: RequestId,
+    pub class: ClassId,
+    pub tenant: Option<TenantId>,
+    /// When the client abandons this try.
+    pub not_after: Millis,
+    /// The client marked it as a repeat.
+    pub retry: bool,
+    pub key: Option<u64>,
+    /// Anticipated work.
+    pub cost: Option<Millis>,
+}
+
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The balancer starts; discovery's last list follows.
+    Start,
+    List {
+        kind: ListKind,
+        entries: Vec<Entry>,
+    },
+    /// A list call failed or the subscription broke.
+    ListBroken,
+    Request(Arrival),
+    Probed {
+        upstream: UpstreamId,
+        elapsed: Millis,
+        ok: bool,
+        report: Option<Report>,
+    },
+    /// A streamed answer has begun: the attempt belongs to the client.
+    Opened {
+        request: RequestId,
+        attempt: u32,
+    },
+    Finished {
+        request: RequestId,
+        attempt: u32,
+        outcome: Outcome,
+        elapsed: Millis,
+        closed: bool,
+        report: Option<Report>,
+    },
+    ClientGone(RequestId),
+    Message {
+        from: u32,
+        content: Vec<u8>,
+    },
+    /// The time asked for with [`Action::Wake`] has come.
+    Wake,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Start the request's next attempt (they count from 0); `cap` is its time-out, `None` the client's.
+    Send {
+        request: RequestId,
+        upstream: UpstreamId,
+        cap: Option<Millis>,
+    },
+    /// Final answer: a retry does no harm.
+    Refuse {
+        request: RequestId,
+        retry_after: Option<Millis>,
+    },
+    /// Final answer: promises nothing about the effect.
+    Fail {
+        request: RequestId,
+    },
+    /// Cease waiting for one attempt.
+    Cancel {
+        request: RequestId,
+        attempt: u32,
+    },
+    Probe {
+        upstream: UpstreamId,
+    },
+    Subscribe,
+    /// Deliver [`Event::Wake`] at this time or soon after.
+    Wake {
+        at: Millis,
+    },
+    Log(String),
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,7 @@
+//! sandtrack: the decisions of a client-side load balancer, free of wire, I/O and clocks.
+//!
+//! [`interface`] holds the plain types a front speaks to the module; [`rules`] holds every decision.
+pub mod interface;
+pub mod rules;
+
+pub use rules::Balancer;
--- /dev/null
+++ b/src/rules.rs
@@ -0,0 +1,754 @@
+//! Every decision of the balancer. Its types, events and actions are in `src/interface.rs`: read that first.
+//!
+//! The ordinary path follows "extractedprism" (docs/design.md): timed probes, tiers of smoothed probe times,
+//! and a random pick among the healthy servers of the lowest tier that has one, less those far above its mean
+//! load. Everything else is a departure with its own comment, acting only where that path breaks.
+use crate::interface::*;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+
+/// Weight of a new probe time in the average: the design's start value, about three probes of memory.
+const PROBE_WEIGHT: f64 = 0.3;
+/// A sample counts as this many averages at most, and one under its inverse replaces the average (design).
+const PROBE_CAP: f64 = 4.0;
+/// Slack of a tier's limit above the best average, and floor of the sample cap (design).
+const TIER_SLACK: Millis = 2.0;
+/// How far past a tier's limit a member must move before it leaves (design).
+const TIER_MARGIN: f64 = 1.25;
+/// Failures in a row that make an upstream unhealthy (design).
+const FAILURES: u32 = 2;
+/// Longest gap between two probes of an upstream, jitter included (design: 5 s).
+const PROBE_MAX: Millis = 5000.0;
+/// Shortest gap: a fresher figure would say no more than the corrections made for own sends.
+const PROBE_MIN: Millis = 20.0;
+/// Fraction of all worth that probes may cost; with the price it sets the gap between probes.
+const PROBE_SPEND: f64 = 0.005;
+/// Share of each probe gap that is drawn at random, so that balancers do not probe in step.
+const JITTER: f64 = 0.25;
+/// Memory of rates and of what an upstream's answers taught, once nothing new is heard from it.
+const MEMORY: Millis = 5000.0;
+/// Weight of one answer in an upstream's pace: single answers vary as much as their work does.
+const PACE_WEIGHT: f64 = 0.15;
+/// An upstream is far above its tier when it would take this many times the tier's mean time to answer.
+const SKIP: f64 = 1.1;
+/// A tier has no room when an answer from it would take more than this part of the time wanted.
+const SPILL: f64 = 0.5;
+/// Part of the time left that a predicted answer may fill: predictions are means, answers scatter.
+const ADMIT: f64 = 0.9;
+/// What a request of no worth may fill of that; the rest of the range goes by worth.
+const ADMIT_LEAST: f64 = 0.6;
+/// A tenant whose traffic is this far above its portion of what this balancer sees is over its share.
+const OVER_SHARE: f64 = 1.2;
+/// A second copy goes out when the first took this many times its predicted time ...
+const HEDGE: f64 = 2.0;
+/// ... and at least this part of the time wanted.
+const HEDGE_LEAST: f64 = 0.35;
+/// Attempts beyond the first that each request earns, and how many may be saved up: retries amplify overload.
+const RETRY_EARN: f64 = 0.1;
+const RETRY_SAVED: f64 = 10.0;
+/// Part of the cold allowance that is used: a half may be saved and a half flows in within one window, and
+/// the capacity behind it is an estimate.
+const COLD_USE: f64 = 0.35;
+/// Advice to a refused client, as a part of the time wanted: soon enough for its next try to be in time.
+const COME_BACK: f64 = 0.25;
+/// Shortest and longest gap between list calls after a failure, as parts of `ask_within`.
+const ASK_FIRST: f64 = 0.05;
+const ASK_LONGEST: f64 = 0.25;
+
+struct Upstream {
+    entry: Entry,
+    listed: bool,
+    /// Smoothed probe time and the group of upstreams (tier) it belongs to.
+    average: Option<Millis>,
+    group: Option<u32>,
+    tier: usize,
+    failures: u32,
+    probe_sent: Option<Millis>,
+    /// When each of this balancer's attempts that are out was sent.
+    out: Vec<Millis>,
+    /// Requests held by the last report, and own attempts out when it came.
+    report: Option<(f64, usize)>,
+    /// Time that the upstream takes for each request it holds, and when that was last learnt.
+    pace: Option<Millis>,
+    pace_at: Millis,
+    heard: Millis,
+    /// Sends that a cold upstream may still be given, and when that was reckoned.
+    allowance: f64,
+    allowance_at: Millis,
+}
+
+struct Attempt {
+    upstream: usize,
+    sent: Millis,
+    held: f64,
+    outcome: Option<Outcome>,
+}
+
+struct Request {
+    arrival: Arrival,
+    arrived: Millis,
+    open: bool,
+    streaming: bool,
+    attempts: Vec<Attempt>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    Probe(usize),
+    Subscribe,
+    /// The request's client gives up.
+    Expire(RequestId),
+    /// The attempt is late: a second copy may help.
+    Hedge(RequestId, usize),
+}
+
+/// Decisions of one balancer. Deterministic: the same settings, seed and events give the same actions.
+pub struct Balancer {
+    settings: Settings,
+    rng: Pcg32,
+    upstreams: Vec<Upstream>,
+    /// Place of each upstream, by its id.
+    places: HashMap<UpstreamId, usize>,
+    requests: HashMap<RequestId, Request>,
+    timers: BinaryHeap<Reverse<(i64, u64, Timer)>>,
+    timer_count: u64,
+    armed: Option<i64>,
+    next_group: u32,
+    /// Requests a millisecond, all and by tenant, over the last `MEMORY`.
+    rate: Rate,
+    tenant_rates: Vec<Rate>,
+    retries: f64,
+    ask_gap: Millis,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Rate {
+    count: f64,
+    at: Millis,
+}
+
+impl Rate {
+    fn add(&mut self, now: Millis) {
+        self.count = self.at(now) * MEMORY + 1.0;
+        self.at = now;
+    }
+    fn at(&self, now: Millis) -> f64 {
+        self.count * (-(now - self.at) / MEMORY).exp() / MEMORY
+    }
+}
+
+fn micros(at: Millis) -> i64 {
+    (at * 1000.0).round() as i64
+}
+
+impl Upstream {
+    fn new(entry: Entry, now: Millis) -> Self {
+        Upstream {
+            entry,
+            listed: true,
+            average: None,
+            group: None,
+            tier: 0,
+            failures: 0,
+            probe_sent: None,
+            out: Vec::new(),
+            report: None,
+            pace: None,
+            pace_at: now,
+            heard: now,
+            allowance: 0.0,
+            allowance_at: now,
+        }
+    }
+
+    /// New work may go there: rule 3 is kept from the moment a drain or removal is told.
+    fn offered(&self) -> bool {
+        self.listed && self.entry.standing == Standing::Ready
+    }
+
+    fn healthy(&self) -> bool {
+        self.failures < FAILURES
+    }
+
+    /// One success restores an upstream (design).
+    fn succeeded(&mut self, now: Millis) {
+        self.failures = 0;
+        self.heard = now;
+    }
+
+    /// Requests it holds: the last report, corrected by own sends and ends since; else those sent from here.
+    fn held(&self) -> f64 {
+        let own = self.out.len() as f64;
+        self.report.map_or(own, |(held, then)| own.max(held + own - then as f64))
+    }
+
+    fn take_report(&mut self, report: Option<Report>) {
+        let held = report.and_then(|r| r.active.or(r.waiting.map(|waiting| waiting + r.cpu.unwrap_or(0.0))));
+        if let Some(held) = held {
+            self.report = Some((held, self.out.len()));
+        }
+    }
+
+    fn learn_pace(&mut self, sample: Millis, now: Millis) {
+        self.pace = Some(self.pace.map_or(sample, |pace| pace + PACE_WEIGHT * (sample - pace)));
+        self.pace_at = now;
+    }
+
+    /// The design's smoothing: capped above, replaced by a far quicker sample.
+    fn sample(&mut self, elapsed: Millis) {
+        self.average = Some(match self.average {
+            None => elapsed,
+            Some(average) if elapsed < average / PROBE_CAP => elapsed,
+            Some(average) => {
+                let capped = elapsed.min((average * PROBE_CAP).max(TIER_SLACK));
+                average + PROBE_WEIGHT * (capped - average)
+            }
+        });
+    }
+}
+
+impl Request {
+    fn out(&self) -> usize {
+        self.attempts.iter().filter(|a| a.outcome.is_none()).count()
+    }
+
+    /// Attempts that ran, may have run or may yet run.
+    fn may_have_run(&self) -> impl Iterator<Item = &Attempt> {
+        self.attempts.iter().filter(|a| !a.outcome.is_some_and(Outcome::never_ran))
+    }
+}
+
+impl Balancer {
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        Balancer {
+            rng: Pcg32::seed_from_u64(seed),
+            upstreams: Vec::new(),
+            places: HashMap::new(),
+            requests: HashMap::new(),
+            timers: BinaryHeap::new(),
+            timer_count: 0,
+            armed: None,
+            next_group: 0,
+            rate: Rate::default(),
+            tenant_rates: vec![Rate::default(); settings.tenants.len()],
+            retries: RETRY_SAVED,
+            ask_gap: 0.0,
+            settings,
+        }
+    }
+
+    pub fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Start => self.subscribe(actions),
+            Event::List { kind, entries } => self.list(now, kind, entries),
+            Event::ListBroken => {
+                // Keep the old list; ask again, ever less often but within `ask_within`, never in step.
+                let within = self.settings.rules.ask_within.max(1.0);
+                self.ask_gap = (self.ask_gap * 2.0).clamp(within * ASK_FIRST, within * ASK_LONGEST);
+                let gap = self.ask_gap * (1.0 + JITTER * self.rng.gen::<f64>());
+                self.timer(now + gap, Timer::Subscribe);
+            }
+            Event::Request(arrival) => self.arrive(now, arrival, actions),
+            Event::Probed { upstream, elapsed, ok, report } => {
+                self.probed(now, upstream, elapsed, ok, report);
+            }
+            Event::Opened { request, attempt } => self.opened(request, attempt as usize, actions),
+            Event::Finished { request, attempt, outcome, elapsed, closed, report } => {
+                let attempt = attempt as usize;
+                self.finished(now, request, attempt, outcome, elapsed, closed, report, actions);
+            }
+            Event::ClientGone(request) => self.close(request, actions),
+            Event::Message { .. } => {}
+            Event::Wake => {
+                if self.armed.is_some_and(|at| at <= micros(now)) {
+                    self.armed = None;
+                }
+            }
+        }
+        while let Some(&Reverse((at, _, timer))) = self.timers.peek() {
+            if at > micros(now) {
+                break;
+            }
+            self.timers.pop();
+            match timer {
+                Timer::Probe(place) => self.probe(now, place, actions),
+                Timer::Subscribe => self.subscribe(actions),
+                Timer::Expire(request) => self.expire(now, request, actions),
+                Timer::Hedge(request, attempt) => self.hedge(now, request, attempt, actions),
+            }
+        }
+        if let Some(&Reverse((at, ..))) = self.timers.peek() {
+            if self.armed.is_none_or(|armed| at < armed) {
+                self.armed = Some(at);
+                actions.push(Action::Wake { at: at as f64 / 1000.0 });
+            }
+        }
+    }
+
+    fn timer(&mut self, at: Millis, timer: Timer) {
+        self.timer_count += 1;
+        self.timers.push(Reverse((micros(at), self.timer_count, timer)));
+    }
+
+    fn subscribe(&mut self, actions: &mut Vec<Action>) {
+        if self.settings.discovery_on_request {
+            actions.push(Action::Subscribe);
+        }
+    }
+
+    fn list(&mut self, now: Millis, kind: ListKind, entries: Vec<Entry>) {
+        if kind != ListKind::Stale {
+            self.ask_gap = 0.0;
+        }
+        if kind != ListKind::Patch {
+            self.upstreams.iter_mut().for_each(|u| u.listed = false);
+        }
+        for entry in entries {
+            let Some(&place) = self.places.get(&entry.upstream) else {
+                let place = self.upstreams.len();
+                self.places.insert(entry.upstream, place);
+                self.upstreams.push(Upstream::new(entry, now));
+                self.timer(now, Timer::Probe(place));
+                continue;
+            };
+            let upstream = &mut self.upstreams[place];
+            let back = upstream.entry.standing == Standing::Gone || !upstream.listed;
+            if entry.since != upstream.entry.since {
+                // A new process: what the old one taught is void, and it may be cold.
+                let out = std::mem::take(&mut upstream.out);
+                let (average, group, tier) = (upstream.average, upstream.group, upstream.tier);
+                let probe_sent = upstream.probe_sent;
+                *upstream = Upstream::new(entry, now);
+                upstream.out = out;
+                upstream.probe_sent = probe_sent;
+                (upstream.average, upstream.group, upstream.tier) = (average, group, tier);
+            } else {
+                upstream.entry = entry;
+            }
+            upstream.listed = upstream.entry.standing != Standing::Gone;
+            if back && upstream.listed {
+                self.timer(now, Timer::Probe(place));
+            }
+        }
+        self.group_tiers();
+    }
+
+    /// Gap between probes of one upstream: as short as the price allows for the traffic seen, 5 s at most.
+    fn probe_gap(&self, now: Millis) -> Millis {
+        let listed = self.upstreams.iter().filter(|u| u.listed).count() as f64;
+        let affordable = self.rate.at(now) * PROBE_SPEND / self.settings.penalties.probe.max(1e-9);
+        (listed / affordable.max(1e-9)).clamp(PROBE_MIN, PROBE_MAX * (1.0 - JITTER))
+    }
+
+    fn probe(&mut self, now: Millis, place: usize, actions: &mut Vec<Action>) {
+        let upstream = &mut self.upstreams[place];
+        if !upstream.listed || !self.settings.limits.probes {
+            return;
+        }
+        if upstream.probe_sent.is_none() {
+            upstream.probe_sent = Some(now);
+            actions.push(Action::Probe { upstream: upstream.entry.upstream });
+        }
+        let gap = self.probe_gap(now) * (1.0 + JITTER * self.rng.gen::<f64>());
+        self.timer(now + gap, Timer::Probe(place));
+    }
+
+    fn probed(&mut self, now: Millis, id: UpstreamId, elapsed: Millis, ok: bool, report: Option<Report>) {
+        let Some(&place) = self.places.get(&id) else {
+            return;
+        };
+        let upstream = &mut self.upstreams[place];
+        let sent = upstream.probe_sent.take();
+        if ok {
+            upstream.succeeded(now);
+            upstream.sample(elapsed);
+            upstream.take_report(report);
+            self.group_tiers();
+        } else if sent.is_some_and(|sent| upstream.heard <= sent) {
+            // A slow probe of an upstream that answered meanwhile shows load, not death.
+            upstream.failures += 1;
+        }
+    }
+
+    /// Tiers by the design: each takes what lies within max(best + 2 ms, 2 x best) of what the tiers above
+    /// left over; members of the same group stay until 25% past that.
+    fn group_tiers(&mut self) {
+        let mut rest: Vec<(Millis, usize)> = (0..self.upstreams.len())
+            .filter(|&place| self.upstreams[place].listed)
+            .filter_map(|place| Some((self.upstreams[place].average?, place)))
+            .collect();
+        rest.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let mut claimed: Vec<u32> = Vec::new();
+        let mut tier = 0;
+        while let Some(&(best, _)) = rest.first() {
+            let limit = (best + TIER_SLACK).max(best * 2.0);
+            let core = rest.iter().take_while(|(average, _)| *average <= limit);
+            // The group goes on as the one that most of its members were in, so a tier that appears or
+            // vanishes above moves nobody.
+            let mut votes: Vec<(u32, usize)> = Vec::new();
+            for group in core.filter_map(|&(_, place)| self.upstreams[place].group) {
+                match votes.iter_mut().find(|(voted, _)| *voted == group) {
+                    Some((_, count)) => *count += 1,
+                    None if !claimed.contains(&group) => votes.push((group, 1)),
+                    None => {}
+                }
+            }
+            let group = votes.iter().max_by_key(|(group, count)| (*count, Reverse(*group)));
+            let group = group.map_or(self.next_group, |(group, _)| *group);
+            self.next_group = self.next_group.max(group + 1);
+            claimed.push(group);
+            let upstreams = &mut self.upstreams;
+            rest.retain(|&(average, place)| {
+                let upstream = &mut upstreams[place];
+                let stays = upstream.group == Some(group) && average <= limit * TIER_MARGIN;
+                if average <= limit || stays {
+                    upstream.group = Some(group);
+                    upstream.tier = tier;
+                    return false;
+                }
+                true
+            });
+            tier += 1;
+        }
+    }
+
+    /// The part of its capacity that a cold upstream has at least; 1 when it is warm.
+    fn warmth(&self, upstream: &Upstream, now: Millis) -> f64 {
+        let rules = &self.settings.rules;
+        let Some(since) = upstream.entry.since else {
+            return 1.0;
+        };
+        let climb = ((now - since) / rules.cold.max(1.0)).clamp(0.0, 1.0);
+        rules.cold_share + (1.0 - rules.cold_share) * climb
+    }
+
+    /// Middle pace of the warm upstreams of a kind, or of all.
+    fn typical_pace(&self, kind: Option<u32>, now: Millis) -> Option<Millis> {
+        let alike = |u: &&Upstream| u.listed && kind.is_none_or(|kind| u.entry.kind == kind);
+        let warm = self.upstreams.iter().filter(alike).filter(|u| self.warmth(u, now) >= 1.0);
+        let mut paces: Vec<Millis> = warm.filter_map(|u| u.pace).collect();
+        paces.sort_by(f64::total_cmp);
+        paces.get(paces.len() / 2).copied()
+    }
+
+    /// Rule 4: a cold upstream gets from here a sibling's part of what it can be sent without falling over.
+    /// It starts with nothing saved, so that no burst comes before it has done any work.
+    fn refill_allowance(&mut self, place: usize, now: Millis) {
+        let upstream = &self.upstreams[place];
+        let warmth = self.warmth(upstream, now);
+        if warmth >= 1.0 {
+            self.upstreams[place].allowance = f64::INFINITY;
+            return;
+        }
+        let least_aim = self.settings.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
+        let pace = self.typical_pace(Some(upstream.entry.kind), now).unwrap_or(least_aim / 2.0);
+        let rules = &self.settings.rules;
+        let flow =
+            COLD_USE * rules.fall_multiple * warmth / pace.max(0.1) / f64::from(self.settings.siblings);
+        let saved = upstream.allowance.min(1e9) + flow * (now - upstream.allowance_at);
+        let upstream = &mut self.upstreams[place];
+        upstream.allowance = saved.min((flow * rules.fall).max(1.0));
+        upstream.allowance_at = now;
+    }
+
+    /// Time an answer would take, from the pace learnt and the requests held.
+    fn predict(&self, place: usize, typical: Option<Millis>, now: Millis) -> Millis {
+        let upstream = &self.upstreams[place];
+        let cold = typical.map(|pace| pace / self.warmth(upstream, now));
+        let pace = match (upstream.pace, cold) {
+            // Let an upstream back by trials: what it taught fades towards its peers once it is not used.
+            (Some(pace), Some(typical)) => {
+                typical + (pace - typical) * (-(now - upstream.pace_at) / MEMORY).exp()
+            }
+            (Some(pace), None) | (None, Some(pace)) => pace,
+            (None, None) => 1.0,
+        };
+        let predicted = pace * (upstream.held() + 1.0);
+        // An upstream that answers probes but no requests: its eldest unanswered attempt is a lower bound.
+        match upstream.out.first() {
+            Some(&eldest) if upstream.heard <= eldest => predicted.max(now - eldest),
+            _ => predicted,
+        }
+    }
+
+    /// Until when an answer is worth anything.
+    fn useful_until(&self, request: &Request) -> Millis {
+        let class = &self.settings.classes[request.arrival.class.0];
+        if class.late_worth > 0.0 {
+            return request.arrival.not_after;
+        }
+        let stretch = class.aim_stretch * request.arrival.cost.unwrap_or(0.0);
+        let aim = (class.aim + stretch).min(class.deadline.max(class.aim));
+        request.arrival.not_after.min(request.arrived + aim)
+    }
+
+    /// Worth of a request beside the best there is, less when its tenant is past its share.
+    fn worth(&self, request: &Request, now: Millis) -> f64 {
+        let best = self.settings.classes.iter().map(|c| c.worth).fold(0.0, f64::max);
+        let worth = self.settings.classes[request.arrival.class.0].worth / best.max(1e-9);
+        let over = request.arrival.tenant.is_some_and(|tenant| {
+            let portion = self.settings.tenants[tenant.0].portion * self.rate.at(now);
+            self.tenant_rates[tenant.0].at(now) > OVER_SHARE * portion
+        });
+        worth * if over { self.settings.over_share_worth } else { 1.0 }
+    }
+
+    /// The design's pick. `None`: no upstream can answer in time, or none is allowed.
+    fn pick(&mut self, now: Millis, request: &Request) -> Option<usize> {
+        for place in 0..self.upstreams.len() {
+            self.refill_allowance(place, now);
+        }
+        let allowed = |place: &usize| {
+            let upstream = &self.upstreams[*place];
+            upstream.offered() && upstream.allowance >= 1.0 && self.in_group(request, upstream, now)
+        };
+        let mut usable: Vec<usize> = (0..self.upstreams.len()).filter(allowed).collect();
+        // Prefer what the request has not tried, then what is healthy; if nobody is, anyone may be.
+        let tried = |place: &usize| request.attempts.iter().any(|a| a.upstream == *place);
+        for good in [&(|place: &usize| !tried(place)) as &dyn Fn(&usize) -> bool, &|place: &usize| {
+            self.upstreams[*place].healthy()
+        }] {
+            if usable.iter().any(good) {
+                usable.retain(good);
+            }
+        }
+        let typical = self.typical_pace(None, now);
+        let usable: Vec<(usize, Millis)> =
+            usable.into_iter().map(|place| (place, self.predict(place, typical, now))).collect();
+        let class = &self.settings.classes[request.arrival.class.0];
+        let tiers = usable.iter().filter(|(place, _)| self.upstreams[*place].average.is_some());
+        let mut tiers: Vec<usize> = tiers.map(|(place, _)| self.upstreams[*place].tier).collect();
+        tiers.sort_unstable();
+        tiers.dedup();
+        if tiers.is_empty() {
+            tiers.push(0);
+        }
+        let left = self.useful_until(request) - now;
+        let admit = ADMIT_LEAST + (1.0 - ADMIT_LEAST) * self.worth(request, now);
+        // A tier in which every upstream is full has none to offer: the next is asked, and when all are
+        // full, the lowest from which an answer would still be in time.
+        for room in [class.aim * SPILL, left * ADMIT * admit] {
+            let room = room.min(left * ADMIT * admit);
+            for &tier in &tiers {
+                let of_tier = |place: usize| {
+                    let upstream = &self.upstreams[place];
+                    upstream.average.is_none() || upstream.tier == tier
+                };
+                let members = usable.iter().filter(|(place, _)| of_tier(*place));
+                let (count, sum) = members.clone().fold((0.0, 0.0), |(n, sum), (_, t)| (n + 1.0, sum + t));
+                let far = sum / count * SKIP;
+                let near = members.filter(|(_, t)| *t <= room && *t <= far);
+                let near: Vec<usize> = near.map(|(place, _)| *place).collect();
+                if !near.is_empty() {
+                    return Some(near[self.rng.gen_range(0..near.len())]);
+                }
+            }
+        }
+        None
+    }
+
+    /// Rule 2: whether an attempt at this upstream cannot make an effect happen twice.
+    fn in_group(&self, request: &Request, upstream: &Upstream, now: Millis) -> bool {
+        match self.settings.classes[request.arrival.class.0].effect {
+            Effect::Repeatable => true,
+            Effect::Once => request.may_have_run().next().is_none(),
+            Effect::Keyed { group, window } => request.may_have_run().all(|attempt| {
+                let earlier = &self.upstreams[attempt.upstream].entry;
+                let same = match group {
+                    Group::All => true,
+                    Group::Zone => earlier.zone == upstream.entry.zone,
+                    Group::Cell => earlier.cell == upstream.entry.cell,
+                };
+                same && now + self.settings.step < attempt.sent + window
+            }),
+        }
+    }
+
+    /// Rule 2: whether a refusal, which tells the client that a retry is harmless, would be true.
+    fn may_refuse(&self, request: &Request) -> bool {
+        match self.settings.classes[request.arrival.class.0].effect {
+            Effect::Repeatable | Effect::Keyed { group: Group::All, .. } => true,
+            _ => request.may_have_run().next().is_none(),
+        }
+    }
+
+    fn arrive(&mut self, now: Millis, arrival: Arrival, actions: &mut Vec<Action>) {
+        let id = arrival.request;
+        self.rate.add(now);
+        if let Some(tenant) = arrival.tenant {
+            self.tenant_rates[tenant.0].add(now);
+        }
+        self.retries = (self.retries + RETRY_EARN).min(RETRY_SAVED);
+        self.timer(arrival.not_after, Timer::Expire(id));
+        let request = Request { arrival, arrived: now, open: true, streaming: false, attempts: Vec::new() };
+        self.requests.insert(id, request);
+        self.try_once(now, id, false, actions);
+    }
+
+    /// Send the request's next attempt, or answer finally when none can help. `copy`: another is still out.
+    fn try_once(&mut self, now: Millis, id: RequestId, copy: bool, actions: &mut Vec<Action>) {
+        let Some(mut request) = self.requests.remove(&id) else {
+            return;
+        };
+        let limits = &self.settings.limits;
+        let more = (request.attempts.len() as u32) < limits.max_attempts && now < request.arrival.not_after;
+        // Work that may be done twice is paid for from the budget.
+        let repeat = request.may_have_run().next().is_some();
+        let place = if more && (!repeat || self.retries >= 1.0) { self.pick(now, &request) } else { None };
+        if let Some(place) = place {
+            self.send(now, &mut request, place, repeat, actions);
+        }
+        self.requests.insert(id, request);
+        if place.is_none() && !copy {
+            self.give_up(id, actions);
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: Millis,
+        request: &mut Request,
+        place: usize,
+        repeat: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let predicted = self.predict(place, self.typical_pace(None, now), now);
+        let (id, number) = (request.arrival.request, request.attempts.len());
+        let class = &self.settings.classes[request.arrival.class.0];
+        let again = class.effect != Effect::Once && !class.stream;
+        let late = (predicted * HEDGE).max(class.aim * HEDGE_LEAST);
+        let in_time = now + late < self.useful_until(request);
+        let last = number as u32 + 1 >= self.settings.limits.max_attempts;
+        if repeat {
+            self.retries -= 1.0;
+        }
+        let mut cap = None;
+        if again && in_time && !last && self.retries >= 1.0 {
+            if self.settings.limits.parallel_tries {
+                self.timer(now + late, Timer::Hedge(id, number));
+            } else {
+                cap = Some(late);
+            }
+        }
+        let upstream = &mut self.upstreams[place];
+        request.attempts.push(Attempt { upstream: place, sent: now, held: upstream.held(), outcome: None });
+        upstream.out.push(now);
+        upstream.allowance -= 1.0;
+        actions.push(Action::Send { request: id, upstream: upstream.entry.upstream, cap });
+    }
+
+    fn hedge(&mut self, now: Millis, id: RequestId, attempt: usize, actions: &mut Vec<Action>) {
+        let late = |r: &Request| {
+            r.open && !r.streaming && r.attempts.len() == attempt + 1 && r.attempts[attempt].outcome.is_none()
+        };
+        if self.requests.get(&id).is_some_and(late) {
+            self.try_once(now, id, true, actions);
+        }
+    }
+
+    /// The client's time is up. What is out ends by itself with a time-out that closes the request.
+    fn expire(&mut self, _now: Millis, id: RequestId, actions: &mut Vec<Action>) {
+        if self.requests.get(&id).is_some_and(|r| r.open && !r.streaming) {
+            self.give_up(id, actions);
+        }
+    }
+
+    /// The final answer of a request that gets no other.
+    fn give_up(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        if self.may_refuse(request) {
+            let aim = self.settings.classes[request.arrival.class.0].aim;
+            let scatter = 1.0 + JITTER * self.rng.gen::<f64>();
+            let longest = self.settings.limits.max_retry_after;
+            let retry_after = longest.map(|longest| longest.min(aim * COME_BACK * scatter));
+            actions.push(Action::Refuse { request: id, retry_after });
+        } else {
+            actions.push(Action::Fail { request: id });
+        }
+        self.close(id, actions);
+    }
+
+    /// The request has its final answer: nothing more is sent for it, and what is out is called off.
+    fn close(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.open = false;
+        if self.settings.limits.cancel {
+            for (attempt, _) in request.attempts.iter().enumerate().filter(|(_, a)| a.outcome.is_none()) {
+                actions.push(Action::Cancel { request: id, attempt: attempt as u32 });
+            }
+        }
+        if request.out() == 0 {
+            self.requests.remove(&id);
+        }
+    }
+
+    fn opened(&mut self, id: RequestId, attempt: usize, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.streaming = true;
+        if self.settings.limits.cancel {
+            let others = request.attempts.iter().enumerate();
+            for (other, _) in others.filter(|(n, a)| *n != attempt && a.outcome.is_none()) {
+                actions.push(Action::Cancel { request: id, attempt: other as u32 });
+            }
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn finished(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        attempt: usize,
+        outcome: Outcome,
+        elapsed: Millis,
+        closed: bool,
+        report: Option<Report>,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let Some(ended) = request.attempts.get_mut(attempt).filter(|a| a.outcome.is_none()) else {
+            return;
+        };
+        ended.outcome = Some(outcome);
+        let upstream = &mut self.upstreams[ended.upstream];
+        if let Some(n) = upstream.out.iter().position(|sent| *sent == ended.sent) {
+            upstream.out.remove(n);
+        }
+        let silent = upstream.heard <= ended.sent;
+        let sample = elapsed / (ended.held + 1.0);
+        match outcome {
+            Outcome::Ok => {
+                upstream.succeeded(now);
+                upstream.learn_pace(sample, now);
+            }
+            Outcome::Error | Outcome::Full => upstream.heard = now,
+            Outcome::ConnectFailed | Outcome::Reset => upstream.failures += 1,
+            // A time-out tells of death only when nothing was heard meanwhile; of slowness always.
+            Outcome::Timeout => {
+                upstream.failures += u32::from(silent);
+                if upstream.pace.is_none_or(|pace| sample > pace) {
+                    upstream.learn_pace(sample, now);
+                }
+            }
+            Outcome::Cancelled | Outcome::Moot => {}
+        }
+        upstream.take_report(report);
+        if closed || outcome == Outcome::Ok {
+            self.close(id, actions);
+        } else if request.open && request.out() == 0 {
+            self.try_once(now, id, false, actions);
+        } else if !request.open && request.out() == 0 {
+            self.requests.remove(&id);
+        }
+    }
+}
