--- a/src/rules.rs
+++ b/src/rules.rs
@@ -525,7 +525,10 @@
         if tiers.is_empty() {
             tiers.push(0);
         }
-        let left = self.useful_until(request) - now;
+        // A queue that a patient class of little worth may fill would shut out the worthier: it gets no more
+        // room than they have.
+        let worthier = self.settings.classes.iter().filter(|other| other.worth > class.worth);
+        let left = worthier.map(|other| other.aim).fold(self.useful_until(request) - now, f64::min);
         let admit = ADMIT_LEAST + (1.0 - ADMIT_LEAST) * self.worth(request, now);
         // A tier in which every upstream is full has none to offer: the next is asked, and when all are
         // full, the lowest from which an answer would still be in time.
