--- a/src/rules.rs
+++ b/src/rules.rs
@@ -627,27 +627,32 @@
         if repeat {
             self.retries -= 1.0;
         }
-        let mut cap = None;
-        if again && in_time && !last && self.retries >= 1.0 {
-            if self.settings.limits.parallel_tries {
-                self.timer(now + late, Timer::Hedge(id, number));
-            } else {
-                cap = Some(late);
-            }
+        if again && in_time && !last && (self.settings.limits.parallel_tries || self.settings.limits.cancel) {
+            self.timer(now + late, Timer::Hedge(id, number));
         }
         let upstream = &mut self.upstreams[place];
         request.attempts.push(Attempt { upstream: place, sent: now, held: upstream.held(), outcome: None });
         upstream.out.push(now);
         upstream.allowance -= 1.0;
-        actions.push(Action::Send { request: id, upstream: upstream.entry.upstream, cap });
+        actions.push(Action::Send { request: id, upstream: upstream.entry.upstream, cap: None });
     }
 
     fn hedge(&mut self, now: Millis, id: RequestId, attempt: usize, actions: &mut Vec<Action>) {
         let late = |r: &Request| {
             r.open && !r.streaming && r.attempts.len() == attempt + 1 && r.attempts[attempt].outcome.is_none()
         };
-        if self.requests.get(&id).is_some_and(late) {
+        let Some(request) = self.requests.get(&id).filter(|r| late(r)) else {
+            return;
+        };
+        if self.settings.limits.parallel_tries {
             self.try_once(now, id, true, actions);
+        } else if self.retries >= 1.0 {
+            // One attempt at a time: it is called off only when its upstream has been silent since, as the
+            // work may go on all the same; the outcome brings the next attempt.
+            let late = &request.attempts[attempt];
+            if self.upstreams[late.upstream].heard <= late.sent {
+                actions.push(Action::Cancel { request: id, attempt: attempt as u32 });
+            }
         }
     }
 
