--- a/src/rules.rs
+++ b/src/rules.rs
@@ -74,6 +74,8 @@
     pace: Option<Millis>,
     pace_at: Millis,
     heard: Millis,
+    /// When it last turned an attempt away.
+    full_at: Option<Millis>,
     /// Sends that a cold upstream may still be given, and when that was reckoned.
     allowance: f64,
     allowance_at: Millis,
@@ -158,6 +160,7 @@
             pace: None,
             pace_at: now,
             heard: now,
+            full_at: None,
             allowance: 0.0,
             allowance_at: now,
         }
@@ -514,10 +517,14 @@
                 usable.retain(good);
             }
         }
+        let class = &self.settings.classes[request.arrival.class.0];
+        // One that turned work away is full, whatever its last report says, until that queue has had time to
+        // shrink; trying on would only add to its work and use up attempts.
+        let full = |at: Millis| now < at + class.aim * SPILL;
+        usable.retain(|place| !self.upstreams[*place].full_at.is_some_and(full));
         let typical = self.typical_pace(None, now);
         let usable: Vec<(usize, Millis)> =
             usable.into_iter().map(|place| (place, self.predict(place, typical, now))).collect();
-        let class = &self.settings.classes[request.arrival.class.0];
         let tiers = usable.iter().filter(|(place, _)| self.upstreams[*place].average.is_some());
         let mut tiers: Vec<usize> = tiers.map(|(place, _)| self.upstreams[*place].tier).collect();
         tiers.sort_unstable();
@@ -739,7 +746,11 @@
                 upstream.succeeded(now);
                 upstream.learn_pace(sample, now);
             }
-            Outcome::Error | Outcome::Full => upstream.heard = now,
+            Outcome::Error => upstream.heard = now,
+            Outcome::Full => {
+                upstream.heard = now;
+                upstream.full_at = Some(now);
+            }
             Outcome::ConnectFailed | Outcome::Reset => upstream.failures += 1,
             // A time-out tells of death only when nothing was heard meanwhile; of slowness always.
             Outcome::Timeout => {
