--- a/src/rules.rs
+++ b/src/rules.rs
@@ -31,6 +31,8 @@
 const MEMORY: Millis = 5000.0;
 /// Weight of one answer in an upstream's pace: single answers vary as much as their work does.
 const PACE_WEIGHT: f64 = 0.15;
+/// Weight of one answer in judging which load foretells better: hundreds, as the two differ little.
+const ERROR_WEIGHT: f64 = 0.005;
 /// An upstream is far above its tier when it would take this many times the tier's mean time to answer.
 const SKIP: f64 = 1.1;
 /// A tier has no room when an answer from it would take more than this part of the time wanted.
@@ -70,8 +72,8 @@
     out: Vec<Millis>,
     /// Requests held by the last report, and own attempts out when it came.
     report: Option<(f64, usize)>,
-    /// Time that the upstream takes for each request it holds, and when that was last learnt.
-    pace: Option<Millis>,
+    /// Time that the upstream takes for each request it holds, by each load, and when that was last learnt.
+    pace: Option<[Millis; 2]>,
     pace_at: Millis,
     heard: Millis,
     /// When it last turned an attempt away.
@@ -84,7 +86,7 @@
 struct Attempt {
     upstream: usize,
     sent: Millis,
-    held: f64,
+    held: [f64; 2],
     outcome: Option<Outcome>,
 }
 
@@ -122,6 +124,8 @@
     rate: Rate,
     tenant_rates: Vec<Rate>,
     retries: f64,
+    /// How far answers were from what each load foretold, as a part of the time taken; smoothed.
+    error: [f64; 2],
     ask_gap: Millis,
 }
 
@@ -181,10 +185,11 @@
         self.heard = now;
     }
 
-    /// Requests it holds: the last report, corrected by own sends and ends since; else those sent from here.
-    fn held(&self) -> f64 {
+    /// Requests it holds, by each `Load`: those sent from here, and the last report corrected by own sends
+    /// and ends since.
+    fn held(&self) -> [f64; 2] {
         let own = self.out.len() as f64;
-        self.report.map_or(own, |(held, then)| own.max(held + own - then as f64))
+        [own, self.report.map_or(own, |(held, then)| own.max(held + own - then as f64))]
     }
 
     fn take_report(&mut self, report: Option<Report>) {
@@ -194,8 +199,13 @@
         }
     }
 
-    fn learn_pace(&mut self, sample: Millis, now: Millis) {
-        self.pace = Some(self.pace.map_or(sample, |pace| pace + PACE_WEIGHT * (sample - pace)));
+    fn learn_pace(&mut self, elapsed: Millis, held: [f64; 2], now: Millis) {
+        let sample = held.map(|held| elapsed / (held + 1.0));
+        let learn = |load: usize| match self.pace {
+            Some(pace) => pace[load] + PACE_WEIGHT * (sample[load] - pace[load]),
+            None => sample[load],
+        };
+        self.pace = Some([learn(0), learn(1)]);
         self.pace_at = now;
     }
 
@@ -237,6 +247,7 @@
             rate: Rate::default(),
             tenant_rates: vec![Rate::default(); settings.tenants.len()],
             retries: RETRY_SAVED,
+            error: [0.0; 2],
             ask_gap: 0.0,
             settings,
         }
@@ -427,11 +438,17 @@
         rules.cold_share + (1.0 - rules.cold_share) * climb
     }
 
+    /// The load that has foretold answers better: reports may be older than the queue they tell of, and own
+    /// attempts are only a part of it. 0 is own attempts, 1 is reports.
+    fn load(&self) -> usize {
+        usize::from(self.error[1] < self.error[0])
+    }
+
     /// Middle pace of the warm upstreams of a kind, or of all.
     fn typical_pace(&self, kind: Option<u32>, now: Millis) -> Option<Millis> {
         let alike = |u: &&Upstream| u.listed && kind.is_none_or(|kind| u.entry.kind == kind);
         let warm = self.upstreams.iter().filter(alike).filter(|u| self.warmth(u, now) >= 1.0);
-        let mut paces: Vec<Millis> = warm.filter_map(|u| u.pace).collect();
+        let mut paces: Vec<Millis> = warm.filter_map(|u| u.pace).map(|pace| pace[self.load()]).collect();
         paces.sort_by(f64::total_cmp);
         paces.get(paces.len() / 2).copied()
     }
@@ -460,7 +477,8 @@
     fn predict(&self, place: usize, typical: Option<Millis>, now: Millis) -> Millis {
         let upstream = &self.upstreams[place];
         let cold = typical.map(|pace| pace / self.warmth(upstream, now));
-        let pace = match (upstream.pace, cold) {
+        let load = self.load();
+        let pace = match (upstream.pace.map(|pace| pace[load]), cold) {
             // Let an upstream back by trials: what it taught fades towards its peers once it is not used.
             (Some(pace), Some(typical)) => {
                 typical + (pace - typical) * (-(now - upstream.pace_at) / MEMORY).exp()
@@ -468,7 +486,7 @@
             (Some(pace), None) | (None, Some(pace)) => pace,
             (None, None) => 1.0,
         };
-        let predicted = pace * (upstream.held() + 1.0);
+        let predicted = pace * (upstream.held()[load] + 1.0);
         // An upstream that answers probes but no requests: its eldest unanswered attempt is a lower bound.
         match upstream.out.first() {
             Some(&eldest) if upstream.heard <= eldest => predicted.max(now - eldest),
@@ -740,11 +758,16 @@
             upstream.out.remove(n);
         }
         let silent = upstream.heard <= ended.sent;
-        let sample = elapsed / (ended.held + 1.0);
         match outcome {
             Outcome::Ok => {
                 upstream.succeeded(now);
-                upstream.learn_pace(sample, now);
+                if let Some(pace) = upstream.pace {
+                    for (load, error) in self.error.iter_mut().enumerate() {
+                        let off = (pace[load] * (ended.held[load] + 1.0) - elapsed).abs() / elapsed.max(1.0);
+                        *error += ERROR_WEIGHT * (off.min(1.0) - *error);
+                    }
+                }
+                upstream.learn_pace(elapsed, ended.held, now);
             }
             Outcome::Error => upstream.heard = now,
             Outcome::Full => {
@@ -755,8 +778,9 @@
             // A time-out tells of death only when nothing was heard meanwhile; of slowness always.
             Outcome::Timeout => {
                 upstream.failures += u32::from(silent);
-                if upstream.pace.is_none_or(|pace| sample > pace) {
-                    upstream.learn_pace(sample, now);
+                let slower = |pace: [Millis; 2]| elapsed > pace[0] * (ended.held[0] + 1.0);
+                if upstream.pace.is_none_or(slower) {
+                    upstream.learn_pace(elapsed, ended.held, now);
                 }
             }
             Outcome::Cancelled | Outcome::Moot => {}
