--- a/src/rules.rs
+++ b/src/rules.rs
@@ -33,6 +33,8 @@
 const PACE_WEIGHT: f64 = 0.15;
 /// Weight of one answer in judging which load foretells better: hundreds, as the two differ little.
 const ERROR_WEIGHT: f64 = 0.005;
+/// Reports must foretell this much better than own attempts: all balancers that trust a stale one flock.
+const REPORT_GAIN: f64 = 0.85;
 /// An upstream is far above its tier when it would take this many times the tier's mean time to answer.
 const SKIP: f64 = 1.1;
 /// A tier has no room when an answer from it would take more than this part of the time wanted.
@@ -441,7 +443,7 @@
     /// The load that has foretold answers better: reports may be older than the queue they tell of, and own
     /// attempts are only a part of it. 0 is own attempts, 1 is reports.
     fn load(&self) -> usize {
-        usize::from(self.error[1] < self.error[0])
+        usize::from(self.error[1] < self.error[0] * REPORT_GAIN)
     }
 
     /// Middle pace of the warm upstreams of a kind, or of all.
