--- a/src/rules.rs
+++ b/src/rules.rs
@@ -25,6 +25,9 @@
 const PROBE_MIN: Millis = 20.0;
 /// Fraction of all worth that probes may cost; with the price it sets the gap between probes.
 const PROBE_SPEND: f64 = 0.005;
+/// The same for probes sent for one request, and the part of the time wanted that it may wait for them.
+const ASK_SPEND: f64 = 0.01;
+const ASK_WAIT: f64 = 0.02;
 /// Share of each probe gap that is drawn at random, so that balancers do not probe in step.
 const JITTER: f64 = 0.25;
 /// Memory of rates and of what an upstream's answers taught, once nothing new is heard from it.
@@ -74,6 +77,7 @@
     out: Vec<Millis>,
     /// Requests held by the last report, and own attempts out when it came.
     report: Option<(f64, usize)>,
+    report_at: Millis,
     /// Time that the upstream takes for each request it holds, by each load, and when that was last learnt.
     pace: Option<[Millis; 2]>,
     pace_at: Millis,
@@ -97,6 +101,8 @@
     arrived: Millis,
     open: bool,
     streaming: bool,
+    /// When upstreams were probed for it.
+    asked: Option<Millis>,
     attempts: Vec<Attempt>,
 }
 
@@ -106,6 +112,8 @@
     Subscribe,
     /// The request's client gives up.
     Expire(RequestId),
+    /// What was asked for the request has been told.
+    Asked(RequestId),
     /// The attempt is late: a second copy may help.
     Hedge(RequestId, usize),
 }
@@ -163,6 +171,7 @@
             probe_sent: None,
             out: Vec::new(),
             report: None,
+            report_at: f64::NEG_INFINITY,
             pace: None,
             pace_at: now,
             heard: now,
@@ -194,10 +203,11 @@
         [own, self.report.map_or(own, |(held, then)| own.max(held + own - then as f64))]
     }
 
-    fn take_report(&mut self, report: Option<Report>) {
+    fn take_report(&mut self, now: Millis, report: Option<Report>) {
         let held = report.and_then(|r| r.active.or(r.waiting.map(|waiting| waiting + r.cpu.unwrap_or(0.0))));
         if let Some(held) = held {
             self.report = Some((held, self.out.len()));
+            self.report_at = now;
         }
     }
 
@@ -292,6 +302,7 @@
                 Timer::Probe(place) => self.probe(now, place, actions),
                 Timer::Subscribe => self.subscribe(actions),
                 Timer::Expire(request) => self.expire(now, request, actions),
+                Timer::Asked(request) => self.told(now, request, actions),
                 Timer::Hedge(request, attempt) => self.hedge(now, request, attempt, actions),
             }
         }
@@ -380,7 +391,7 @@
         if ok {
             upstream.succeeded(now);
             upstream.sample(elapsed);
-            upstream.take_report(report);
+            upstream.take_report(now, report);
             self.group_tiers();
         } else if sent.is_some_and(|sent| upstream.heard <= sent) {
             // A slow probe of an upstream that answered meanwhile shows load, not death.
@@ -476,10 +487,9 @@
     }
 
     /// Time an answer would take, from the pace learnt and the requests held.
-    fn predict(&self, place: usize, typical: Option<Millis>, now: Millis) -> Millis {
+    fn predict(&self, place: usize, load: usize, typical: Option<Millis>, now: Millis) -> Millis {
         let upstream = &self.upstreams[place];
         let cold = typical.map(|pace| pace / self.warmth(upstream, now));
-        let load = self.load();
         let pace = match (upstream.pace.map(|pace| pace[load]), cold) {
             // Let an upstream back by trials: what it taught fades towards its peers once it is not used.
             (Some(pace), Some(typical)) => {
@@ -518,8 +528,9 @@
         worth * if over { self.settings.over_share_worth } else { 1.0 }
     }
 
-    /// The design's pick. `None`: no upstream can answer in time, or none is allowed.
-    fn pick(&mut self, now: Millis, request: &Request) -> Option<usize> {
+    /// Upstreams that the request may go to by the rules, and of these the ones it should: untried, healthy,
+    /// not full.
+    fn usable(&mut self, now: Millis, request: &Request) -> Vec<usize> {
         for place in 0..self.upstreams.len() {
             self.refill_allowance(place, now);
         }
@@ -542,9 +553,19 @@
         // shrink; trying on would only add to its work and use up attempts.
         let full = |at: Millis| now < at + class.aim * SPILL;
         usable.retain(|place| !self.upstreams[*place].full_at.is_some_and(full));
+        usable
+    }
+
+    /// The design's pick. `None`: no upstream can answer in time, or none is allowed.
+    fn pick(&mut self, now: Millis, request: &Request, usable: &[usize]) -> Option<usize> {
+        let class = &self.settings.classes[request.arrival.class.0];
         let typical = self.typical_pace(None, now);
-        let usable: Vec<(usize, Millis)> =
-            usable.into_iter().map(|place| (place, self.predict(place, typical, now))).collect();
+        let predict = |place: &usize| {
+            let told = request.asked.is_some_and(|asked| self.upstreams[*place].report_at >= asked);
+            let load = if told { 1 } else { self.load() };
+            (*place, self.predict(*place, load, typical, now))
+        };
+        let usable: Vec<(usize, Millis)> = usable.iter().map(predict).collect();
         let tiers = usable.iter().filter(|(place, _)| self.upstreams[*place].average.is_some());
         let mut tiers: Vec<usize> = tiers.map(|(place, _)| self.upstreams[*place].tier).collect();
         tiers.sort_unstable();
@@ -612,9 +633,46 @@
         }
         self.retries = (self.retries + RETRY_EARN).min(RETRY_SAVED);
         self.timer(arrival.not_after, Timer::Expire(id));
-        let request = Request { arrival, arrived: now, open: true, streaming: false, attempts: Vec::new() };
+        let request = Request { arrival, arrived: now, open: true, streaming: false, asked: None, attempts: Vec::new() };
+        let wait = self.ask(now, &request, actions);
         self.requests.insert(id, request);
-        self.try_once(now, id, false, actions);
+        match wait {
+            Some(wait) => {
+                self.requests.entry(id).and_modify(|r| r.asked = Some(now));
+                self.timer(now + wait, Timer::Asked(id));
+            }
+            None => self.try_once(now, id, false, actions),
+        }
+    }
+
+    /// Where probes tell the load and cost little beside a request, a few upstreams drawn at random are probed
+    /// for it before the pick, so that the skip sees their queues as they are. Gives the time to wait.
+    fn ask(&mut self, now: Millis, request: &Request, actions: &mut Vec<Action>) -> Option<Millis> {
+        let affordable = ASK_SPEND / self.settings.penalties.probe.max(1e-9);
+        let told = self.settings.feedback == Feedback::OnProbe && self.settings.limits.probes;
+        if !told || affordable < 2.0 {
+            return None;
+        }
+        let mut usable = self.usable(now, request);
+        let tier = usable.iter().map(|place| self.upstreams[*place].tier).min()?;
+        usable.retain(|place| self.upstreams[*place].tier == tier);
+        let mut wait: Millis = 0.0;
+        for _ in 0..usable.len().min(affordable as usize) {
+            let upstream = &mut self.upstreams[usable.swap_remove(self.rng.gen_range(0..usable.len()))];
+            wait = wait.max(upstream.average? * 2.0);
+            if upstream.probe_sent.is_none() {
+                upstream.probe_sent = Some(now);
+                actions.push(Action::Probe { upstream: upstream.entry.upstream });
+            }
+        }
+        let aim = self.settings.classes[request.arrival.class.0].aim;
+        Some(wait + self.settings.step).filter(|wait| *wait < aim * ASK_WAIT)
+    }
+
+    fn told(&mut self, now: Millis, id: RequestId, actions: &mut Vec<Action>) {
+        if self.requests.get(&id).is_some_and(|r| r.open && r.attempts.is_empty()) {
+            self.try_once(now, id, false, actions);
+        }
     }
 
     /// Send the request's next attempt, or answer finally when none can help. `copy`: another is still out.
@@ -626,7 +684,15 @@
         let more = (request.attempts.len() as u32) < limits.max_attempts && now < request.arrival.not_after;
         // Work that may be done twice is paid for from the budget.
         let repeat = request.may_have_run().next().is_some();
-        let place = if more && (!repeat || self.retries >= 1.0) { self.pick(now, &request) } else { None };
+        let place = if more && (!repeat || self.retries >= 1.0) {
+            let usable = self.usable(now, &request);
+            // Those whose load was asked for come first: what is known of the others is older.
+            let told = |place: &&usize| self.upstreams[**place].report_at >= request.asked.unwrap_or(now);
+            let told: Vec<usize> = usable.iter().filter(told).copied().collect();
+            self.pick(now, &request, &told).or_else(|| self.pick(now, &request, &usable))
+        } else {
+            None
+        };
         if let Some(place) = place {
             self.send(now, &mut request, place, repeat, actions);
         }
@@ -644,7 +710,7 @@
         repeat: bool,
         actions: &mut Vec<Action>,
     ) {
-        let predicted = self.predict(place, self.typical_pace(None, now), now);
+        let predicted = self.predict(place, self.load(), self.typical_pace(None, now), now);
         let (id, number) = (request.arrival.request, request.attempts.len());
         let class = &self.settings.classes[request.arrival.class.0];
         let again = class.effect != Effect::Once && !class.stream;
@@ -787,7 +853,7 @@
             }
             Outcome::Cancelled | Outcome::Moot => {}
         }
-        upstream.take_report(report);
+        upstream.take_report(now, report);
         if closed || outcome == Outcome::Ok {
             self.close(id, actions);
         } else if request.open && request.out() == 0 {
