--- a/src/rules.rs
+++ b/src/rules.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BinaryHeap, HashMap, VecDeque};
 
 /// Weight of a new probe time in the average: the design's start value, about three probes of memory.
 const PROBE_WEIGHT: f64 = 0.3;
@@ -98,7 +98,8 @@
 
 struct Request {
     arrival: Arrival,
-    arrived: Millis,
+    /// When its client began: earlier than its arrival for a marked repeat.
+    began: Millis,
     open: bool,
     streaming: bool,
     /// When upstreams were probed for it.
@@ -134,6 +135,8 @@
     rate: Rate,
     tenant_rates: Vec<Rate>,
     retries: f64,
+    /// Requests that ended unserved and may come again: class, tenant, when the client began.
+    unserved: VecDeque<(ClassId, Option<TenantId>, Millis)>,
     /// How far answers were from what each load foretold, as a part of the time taken; smoothed.
     error: [f64; 2],
     ask_gap: Millis,
@@ -259,6 +262,7 @@
             rate: Rate::default(),
             tenant_rates: vec![Rate::default(); settings.tenants.len()],
             retries: RETRY_SAVED,
+            unserved: VecDeque::new(),
             error: [0.0; 2],
             ask_gap: 0.0,
             settings,
@@ -514,7 +518,7 @@
         }
         let stretch = class.aim_stretch * request.arrival.cost.unwrap_or(0.0);
         let aim = (class.aim + stretch).min(class.deadline.max(class.aim));
-        request.arrival.not_after.min(request.arrived + aim)
+        request.arrival.not_after.min(request.began + aim)
     }
 
     /// Worth of a request beside the best there is, less when its tenant is past its share.
@@ -633,7 +637,9 @@
         }
         self.retries = (self.retries + RETRY_EARN).min(RETRY_SAVED);
         self.timer(arrival.not_after, Timer::Expire(id));
-        let request = Request { arrival, arrived: now, open: true, streaming: false, asked: None, attempts: Vec::new() };
+        let began = self.began(now, &arrival);
+        let request =
+            Request { arrival, began, open: true, streaming: false, asked: None, attempts: Vec::new() };
         let wait = self.ask(now, &request, actions);
         self.requests.insert(id, request);
         match wait {
@@ -645,6 +651,20 @@
         }
     }
 
+    /// A client's repeat has what is left of its first try's time: work for one whose time is over is wasted.
+    /// It is taken for a repeat of the eldest unserved request of its class and tenant.
+    fn began(&mut self, now: Millis, arrival: &Arrival) -> Millis {
+        let deadline = |class: ClassId| self.settings.classes[class.0].deadline;
+        while self.unserved.front().is_some_and(|(class, _, began)| began + deadline(*class) < now) {
+            self.unserved.pop_front();
+        }
+        let same = |(class, tenant, _): &(ClassId, Option<TenantId>, Millis)| {
+            *class == arrival.class && *tenant == arrival.tenant
+        };
+        let eldest = if arrival.retry { self.unserved.iter().position(same) } else { None };
+        eldest.and_then(|place| self.unserved.remove(place)).map_or(now, |(_, _, began)| began)
+    }
+
     /// Where probes tell the load and cost little beside a request, a few upstreams drawn at random are probed
     /// for it before the pick, so that the skip sees their queues as they are. Gives the time to wait.
     fn ask(&mut self, now: Millis, request: &Request, actions: &mut Vec<Action>) -> Option<Millis> {
@@ -779,6 +799,9 @@
             return;
         };
         request.open = false;
+        if !request.attempts.iter().any(|a| a.outcome == Some(Outcome::Ok)) {
+            self.unserved.push_back((request.arrival.class, request.arrival.tenant, request.began));
+        }
         if self.settings.limits.cancel {
             for (attempt, _) in request.attempts.iter().enumerate().filter(|(_, a)| a.outcome.is_none()) {
                 actions.push(Action::Cancel { request: id, attempt: attempt as u32 });
