--- a/crates/sandtrack-drill/src/host.rs
+++ b/crates/sandtrack-drill/src/host.rs
@@ -50,6 +50,10 @@
 impl Host {
     /// Takes one line and gives its reply; an error says what is wrong with the line.
     pub fn batch(&mut self, line: &[u8]) -> Result<wire::Reply, String> {
+        // serde would take an array for the object's fields in order.
+        if line.iter().find(|byte| !byte.is_ascii_whitespace()) == Some(&b'[') {
+            return Err("not a batch: an array in place of an object with wall and events".to_owned());
+        }
         let batch: wire::Batch = serde_json::from_slice(line).map_err(|e| e.to_string())?;
         let mut reply = wire::Reply::default();
         for event in batch.events {
@@ -131,14 +135,14 @@
                 (sidecar, Event::Opened { request: RequestId(call.0), attempt: round_no })
             }
             wire::Event::Done { sidecar, call, round_no, code, elapsed, closed, telemetry } => {
-                let event = Event::Finished {
+                let event = Event::Finished(Finished {
                     request: RequestId(call.0),
                     attempt: round_no,
                     outcome: outcome(code),
                     elapsed,
                     closed,
                     report: telemetry.map(report),
-                };
+                });
                 (sidecar, event)
             }
             wire::Event::ClientGone { sidecar, call } => (sidecar, Event::ClientGone(RequestId(call.0))),
@@ -158,11 +162,7 @@
     }
 
     fn deliver(
-        &mut self,
-        now: Millis,
-        sidecar: &str,
-        event: Event,
-        reply: &mut wire::Reply,
+        &mut self, now: Millis, sidecar: &str, event: Event, reply: &mut wire::Reply,
     ) -> Result<(), String> {
         let Some(instance) = self.instances.get_mut(sidecar) else { return Ok(()) };
         let actions = &mut self.scratch;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -218,6 +218,18 @@
     pub cost: Option<Millis>,
 }
 
+/// How an attempt ended; exactly one for each that was sent.
+#[derive(Clone, Debug)]
+pub struct Finished {
+    pub request: RequestId,
+    pub attempt: u32,
+    pub outcome: Outcome,
+    pub elapsed: Millis,
+    /// The request is closed, by this outcome or before.
+    pub closed: bool,
+    pub report: Option<Report>,
+}
+
 #[derive(Clone, Debug)]
 pub enum Event {
     /// The balancer starts; discovery's last list follows.
@@ -240,14 +252,7 @@
         request: RequestId,
         attempt: u32,
     },
-    Finished {
-        request: RequestId,
-        attempt: u32,
-        outcome: Outcome,
-        elapsed: Millis,
-        closed: bool,
-        report: Option<Report>,
-    },
+    Finished(Finished),
     ClientGone(RequestId),
     Message {
         from: u32,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -75,18 +75,23 @@
     probe_sent: Option<Millis>,
     /// When each of this balancer's attempts that are out was sent.
     out: Vec<Millis>,
-    /// Requests held by the last report, and own attempts out when it came.
-    report: Option<(f64, usize)>,
-    report_at: Millis,
+    heard: Millis,
+    learnt: Learnt,
+    /// Sends that a cold upstream may still be given, and when that was reckoned.
+    allowance: f64,
+    allowance_at: Millis,
+}
+
+/// What a process taught of itself; void when it restarts.
+#[derive(Default)]
+struct Learnt {
+    /// The last report: requests held, own attempts out when it came, when that was.
+    report: Option<(f64, usize, Millis)>,
     /// Time that the upstream takes for each request it holds, by each load, and when that was last learnt.
     pace: Option<[Millis; 2]>,
     pace_at: Millis,
-    heard: Millis,
     /// When it last turned an attempt away.
     full_at: Option<Millis>,
-    /// Sends that a cold upstream may still be given, and when that was reckoned.
-    allowance: f64,
-    allowance_at: Millis,
 }
 
 struct Attempt {
@@ -173,12 +178,8 @@
             failures: 0,
             probe_sent: None,
             out: Vec::new(),
-            report: None,
-            report_at: f64::NEG_INFINITY,
-            pace: None,
-            pace_at: now,
             heard: now,
-            full_at: None,
+            learnt: Learnt::default(),
             allowance: 0.0,
             allowance_at: now,
         }
@@ -203,25 +204,28 @@
     /// and ends since.
     fn held(&self) -> [f64; 2] {
         let own = self.out.len() as f64;
-        [own, self.report.map_or(own, |(held, then)| own.max(held + own - then as f64))]
+        [own, self.learnt.report.map_or(own, |(held, then, _)| own.max(held + own - then as f64))]
+    }
+
+    fn told_since(&self, asked: Millis) -> bool {
+        self.learnt.report.is_some_and(|(.., at)| at >= asked)
     }
 
     fn take_report(&mut self, now: Millis, report: Option<Report>) {
         let held = report.and_then(|r| r.active.or(r.waiting.map(|waiting| waiting + r.cpu.unwrap_or(0.0))));
         if let Some(held) = held {
-            self.report = Some((held, self.out.len()));
-            self.report_at = now;
+            self.learnt.report = Some((held, self.out.len(), now));
         }
     }
 
     fn learn_pace(&mut self, elapsed: Millis, held: [f64; 2], now: Millis) {
         let sample = held.map(|held| elapsed / (held + 1.0));
-        let learn = |load: usize| match self.pace {
+        let learn = |load: usize| match self.learnt.pace {
             Some(pace) => pace[load] + PACE_WEIGHT * (sample[load] - pace[load]),
             None => sample[load],
         };
-        self.pace = Some([learn(0), learn(1)]);
-        self.pace_at = now;
+        self.learnt.pace = Some([learn(0), learn(1)]);
+        self.learnt.pace_at = now;
     }
 
     /// The design's smoothing: capped above, replaced by a far quicker sample.
@@ -242,6 +246,14 @@
         self.attempts.iter().filter(|a| a.outcome.is_none()).count()
     }
 
+    fn call_off(&self, keep: Option<usize>, limits: &Limits, actions: &mut Vec<Action>) {
+        for (n, attempt) in self.attempts.iter().enumerate() {
+            if limits.cancel && attempt.outcome.is_none() && Some(n) != keep {
+                actions.push(Action::Cancel { request: self.arrival.request, attempt: n as u32 });
+            }
+        }
+    }
+
     /// Attempts that ran, may have run or may yet run.
     fn may_have_run(&self) -> impl Iterator<Item = &Attempt> {
         self.attempts.iter().filter(|a| !a.outcome.is_some_and(Outcome::never_ran))
@@ -285,10 +297,7 @@
                 self.probed(now, upstream, elapsed, ok, report);
             }
             Event::Opened { request, attempt } => self.opened(request, attempt as usize, actions),
-            Event::Finished { request, attempt, outcome, elapsed, closed, report } => {
-                let attempt = attempt as usize;
-                self.finished(now, request, attempt, outcome, elapsed, closed, report, actions);
-            }
+            Event::Finished(end) => self.finished(now, end, actions),
             Event::ClientGone(request) => self.close(request, actions),
             Event::Message { .. } => {}
             Event::Wake => {
@@ -305,8 +314,8 @@
             match timer {
                 Timer::Probe(place) => self.probe(now, place, actions),
                 Timer::Subscribe => self.subscribe(actions),
-                Timer::Expire(request) => self.expire(now, request, actions),
-                Timer::Asked(request) => self.told(now, request, actions),
+                Timer::Expire(request) => self.give_up(request, actions),
+                Timer::Asked(request) => self.try_once(now, request, false, actions),
                 Timer::Hedge(request, attempt) => self.hedge(now, request, attempt, actions),
             }
         }
@@ -348,16 +357,11 @@
             let back = upstream.entry.standing == Standing::Gone || !upstream.listed;
             if entry.since != upstream.entry.since {
                 // A new process: what the old one taught is void, and it may be cold.
-                let out = std::mem::take(&mut upstream.out);
-                let (average, group, tier) = (upstream.average, upstream.group, upstream.tier);
-                let probe_sent = upstream.probe_sent;
-                *upstream = Upstream::new(entry, now);
-                upstream.out = out;
-                upstream.probe_sent = probe_sent;
-                (upstream.average, upstream.group, upstream.tier) = (average, group, tier);
-            } else {
-                upstream.entry = entry;
+                upstream.learnt = Learnt::default();
+                upstream.failures = 0;
+                (upstream.allowance, upstream.allowance_at) = (0.0, now);
             }
+            upstream.entry = entry;
             upstream.listed = upstream.entry.standing != Standing::Gone;
             if back && upstream.listed {
                 self.timer(now, Timer::Probe(place));
@@ -387,9 +391,7 @@
     }
 
     fn probed(&mut self, now: Millis, id: UpstreamId, elapsed: Millis, ok: bool, report: Option<Report>) {
-        let Some(&place) = self.places.get(&id) else {
-            return;
-        };
+        let Some(&place) = self.places.get(&id) else { return };
         let upstream = &mut self.upstreams[place];
         let sent = upstream.probe_sent.take();
         if ok {
@@ -465,7 +467,8 @@
     fn typical_pace(&self, kind: Option<u32>, now: Millis) -> Option<Millis> {
         let alike = |u: &&Upstream| u.listed && kind.is_none_or(|kind| u.entry.kind == kind);
         let warm = self.upstreams.iter().filter(alike).filter(|u| self.warmth(u, now) >= 1.0);
-        let mut paces: Vec<Millis> = warm.filter_map(|u| u.pace).map(|pace| pace[self.load()]).collect();
+        let mut paces: Vec<Millis> =
+            warm.filter_map(|u| u.learnt.pace).map(|pace| pace[self.load()]).collect();
         paces.sort_by(f64::total_cmp);
         paces.get(paces.len() / 2).copied()
     }
@@ -494,10 +497,10 @@
     fn predict(&self, place: usize, load: usize, typical: Option<Millis>, now: Millis) -> Millis {
         let upstream = &self.upstreams[place];
         let cold = typical.map(|pace| pace / self.warmth(upstream, now));
-        let pace = match (upstream.pace.map(|pace| pace[load]), cold) {
+        let pace = match (upstream.learnt.pace.map(|pace| pace[load]), cold) {
             // Let an upstream back by trials: what it taught fades towards its peers once it is not used.
             (Some(pace), Some(typical)) => {
-                typical + (pace - typical) * (-(now - upstream.pace_at) / MEMORY).exp()
+                typical + (pace - typical) * (-(now - upstream.learnt.pace_at) / MEMORY).exp()
             }
             (Some(pace), None) | (None, Some(pace)) => pace,
             (None, None) => 1.0,
@@ -556,7 +559,7 @@
         // One that turned work away is full, whatever its last report says, until that queue has had time to
         // shrink; trying on would only add to its work and use up attempts.
         let full = |at: Millis| now < at + class.aim * SPILL;
-        usable.retain(|place| !self.upstreams[*place].full_at.is_some_and(full));
+        usable.retain(|place| !self.upstreams[*place].learnt.full_at.is_some_and(full));
         usable
     }
 
@@ -565,7 +568,7 @@
         let class = &self.settings.classes[request.arrival.class.0];
         let typical = self.typical_pace(None, now);
         let predict = |place: &usize| {
-            let told = request.asked.is_some_and(|asked| self.upstreams[*place].report_at >= asked);
+            let told = request.asked.is_some_and(|asked| self.upstreams[*place].told_since(asked));
             let load = if told { 1 } else { self.load() };
             (*place, self.predict(*place, load, typical, now))
         };
@@ -665,8 +668,8 @@
         eldest.and_then(|place| self.unserved.remove(place)).map_or(now, |(_, _, began)| began)
     }
 
-    /// Where probes tell the load and cost little beside a request, a few upstreams drawn at random are probed
-    /// for it before the pick, so that the skip sees their queues as they are. Gives the time to wait.
+    /// Where probes tell the load and cost little beside a request, a few upstreams drawn at random are
+    /// probed for it before the pick, so that the skip sees their queues as they are. Gives the time to wait.
     fn ask(&mut self, now: Millis, request: &Request, actions: &mut Vec<Action>) -> Option<Millis> {
         let affordable = ASK_SPEND / self.settings.penalties.probe.max(1e-9);
         let told = self.settings.feedback == Feedback::OnProbe && self.settings.limits.probes;
@@ -689,17 +692,9 @@
         Some(wait + self.settings.step).filter(|wait| *wait < aim * ASK_WAIT)
     }
 
-    fn told(&mut self, now: Millis, id: RequestId, actions: &mut Vec<Action>) {
-        if self.requests.get(&id).is_some_and(|r| r.open && r.attempts.is_empty()) {
-            self.try_once(now, id, false, actions);
-        }
-    }
-
     /// Send the request's next attempt, or answer finally when none can help. `copy`: another is still out.
     fn try_once(&mut self, now: Millis, id: RequestId, copy: bool, actions: &mut Vec<Action>) {
-        let Some(mut request) = self.requests.remove(&id) else {
-            return;
-        };
+        let Some(mut request) = self.requests.remove(&id) else { return };
         let limits = &self.settings.limits;
         let more = (request.attempts.len() as u32) < limits.max_attempts && now < request.arrival.not_after;
         // Work that may be done twice is paid for from the budget.
@@ -707,7 +702,8 @@
         let place = if more && (!repeat || self.retries >= 1.0) {
             let usable = self.usable(now, &request);
             // Those whose load was asked for come first: what is known of the others is older.
-            let told = |place: &&usize| self.upstreams[**place].report_at >= request.asked.unwrap_or(now);
+            let asked = request.asked.unwrap_or(f64::INFINITY);
+            let told = |place: &&usize| self.upstreams[**place].told_since(asked);
             let told: Vec<usize> = usable.iter().filter(told).copied().collect();
             self.pick(now, &request, &told).or_else(|| self.pick(now, &request, &usable))
         } else {
@@ -723,12 +719,7 @@
     }
 
     fn send(
-        &mut self,
-        now: Millis,
-        request: &mut Request,
-        place: usize,
-        repeat: bool,
-        actions: &mut Vec<Action>,
+        &mut self, now: Millis, request: &mut Request, place: usize, repeat: bool, actions: &mut Vec<Action>,
     ) {
         let predicted = self.predict(place, self.load(), self.typical_pace(None, now), now);
         let (id, number) = (request.arrival.request, request.attempts.len());
@@ -754,9 +745,7 @@
         let late = |r: &Request| {
             r.open && !r.streaming && r.attempts.len() == attempt + 1 && r.attempts[attempt].outcome.is_none()
         };
-        let Some(request) = self.requests.get(&id).filter(|r| late(r)) else {
-            return;
-        };
+        let Some(request) = self.requests.get(&id).filter(|r| late(r)) else { return };
         if self.settings.limits.parallel_tries {
             self.try_once(now, id, true, actions);
         } else if self.retries >= 1.0 {
@@ -769,18 +758,9 @@
         }
     }
 
-    /// The client's time is up. What is out ends by itself with a time-out that closes the request.
-    fn expire(&mut self, _now: Millis, id: RequestId, actions: &mut Vec<Action>) {
-        if self.requests.get(&id).is_some_and(|r| r.open && !r.streaming) {
-            self.give_up(id, actions);
-        }
-    }
-
     /// The final answer of a request that gets no other.
     fn give_up(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
+        let Some(request) = self.requests.get(&id).filter(|r| r.open && !r.streaming) else { return };
         if self.may_refuse(request) {
             let aim = self.settings.classes[request.arrival.class.0].aim;
             let scatter = 1.0 + JITTER * self.rng.gen::<f64>();
@@ -795,54 +775,28 @@
 
     /// The request has its final answer: nothing more is sent for it, and what is out is called off.
     fn close(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
+        let Some(request) = self.requests.get_mut(&id) else { return };
         request.open = false;
         if !request.attempts.iter().any(|a| a.outcome == Some(Outcome::Ok)) {
             self.unserved.push_back((request.arrival.class, request.arrival.tenant, request.began));
         }
-        if self.settings.limits.cancel {
-            for (attempt, _) in request.attempts.iter().enumerate().filter(|(_, a)| a.outcome.is_none()) {
-                actions.push(Action::Cancel { request: id, attempt: attempt as u32 });
-            }
-        }
+        request.call_off(None, &self.settings.limits, actions);
         if request.out() == 0 {
             self.requests.remove(&id);
         }
     }
 
     fn opened(&mut self, id: RequestId, attempt: usize, actions: &mut Vec<Action>) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
+        let Some(request) = self.requests.get_mut(&id) else { return };
         request.streaming = true;
-        if self.settings.limits.cancel {
-            let others = request.attempts.iter().enumerate();
-            for (other, _) in others.filter(|(n, a)| *n != attempt && a.outcome.is_none()) {
-                actions.push(Action::Cancel { request: id, attempt: other as u32 });
-            }
-        }
+        request.call_off(Some(attempt), &self.settings.limits, actions);
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn finished(
-        &mut self,
-        now: Millis,
-        id: RequestId,
-        attempt: usize,
-        outcome: Outcome,
-        elapsed: Millis,
-        closed: bool,
-        report: Option<Report>,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        let Some(ended) = request.attempts.get_mut(attempt).filter(|a| a.outcome.is_none()) else {
-            return;
-        };
+    fn finished(&mut self, now: Millis, end: Finished, actions: &mut Vec<Action>) {
+        let (id, outcome, elapsed) = (end.request, end.outcome, end.elapsed);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let attempt = request.attempts.get_mut(end.attempt as usize);
+        let Some(ended) = attempt.filter(|a| a.outcome.is_none()) else { return };
         ended.outcome = Some(outcome);
         let upstream = &mut self.upstreams[ended.upstream];
         if let Some(n) = upstream.out.iter().position(|sent| *sent == ended.sent) {
@@ -852,7 +806,7 @@
         match outcome {
             Outcome::Ok => {
                 upstream.succeeded(now);
-                if let Some(pace) = upstream.pace {
+                if let Some(pace) = upstream.learnt.pace {
                     for (load, error) in self.error.iter_mut().enumerate() {
                         let off = (pace[load] * (ended.held[load] + 1.0) - elapsed).abs() / elapsed.max(1.0);
                         *error += ERROR_WEIGHT * (off.min(1.0) - *error);
@@ -863,21 +817,21 @@
             Outcome::Error => upstream.heard = now,
             Outcome::Full => {
                 upstream.heard = now;
-                upstream.full_at = Some(now);
+                upstream.learnt.full_at = Some(now);
             }
             Outcome::ConnectFailed | Outcome::Reset => upstream.failures += 1,
             // A time-out tells of death only when nothing was heard meanwhile; of slowness always.
             Outcome::Timeout => {
                 upstream.failures += u32::from(silent);
                 let slower = |pace: [Millis; 2]| elapsed > pace[0] * (ended.held[0] + 1.0);
-                if upstream.pace.is_none_or(slower) {
+                if upstream.learnt.pace.is_none_or(slower) {
                     upstream.learn_pace(elapsed, ended.held, now);
                 }
             }
             Outcome::Cancelled | Outcome::Moot => {}
         }
-        upstream.take_report(now, report);
-        if closed || outcome == Outcome::Ok {
+        upstream.take_report(now, end.report);
+        if end.closed || outcome == Outcome::Ok {
             self.close(id, actions);
         } else if request.open && request.out() == 0 {
             self.try_once(now, id, false, actions);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -125,14 +125,10 @@
     }
 
     pub fn finish(
-        &mut self,
-        request: RequestId,
-        attempt: u32,
-        outcome: Outcome,
-        elapsed: Millis,
+        &mut self, request: RequestId, attempt: u32, outcome: Outcome, elapsed: Millis,
     ) -> Vec<Action> {
         let closed = outcome == Outcome::Ok;
-        self.feed(Event::Finished { request, attempt, outcome, elapsed, closed, report: None })
+        self.feed(Event::Finished(Finished { request, attempt, outcome, elapsed, closed, report: None }))
     }
 
     /// Sends `count` requests that are answered at once; the upstreams they went to.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -168,14 +168,14 @@
         let mut front = Front::new(settings(Effect::Repeatable), 2);
         let (request, _) = front.request();
         front.now += 1000.0;
-        let timeout = Event::Finished {
+        let timeout = Event::Finished(Finished {
             request,
             attempt: 0,
             outcome: Outcome::Timeout,
             elapsed: 1000.0,
             closed: false,
             report: None,
-        };
+        });
         let events = if timer_first { [Event::Wake, timeout] } else { [timeout, Event::Wake] };
         let actions: Vec<Action> = events.into_iter().flat_map(|event| front.feed(event)).collect();
         assert_eq!((final_answers(&actions), sent_to(&actions)), (1, None));
@@ -242,14 +242,14 @@
     front.feed(Event::Opened { request, attempt: 0 });
     let late = front.at(front.now + 5000.0, Event::Wake);
     assert_eq!(final_answers(&late), 0);
-    let broken = Event::Finished {
+    let broken = Event::Finished(Finished {
         request,
         attempt: 0,
         outcome: Outcome::Reset,
         elapsed: 6000.0,
         closed: true,
         report: None,
-    };
+    });
     let ended = front.feed(broken);
     assert_eq!((final_answers(&ended), sent_to(&ended)), (0, None));
 }
