--- a/src/rules.rs
+++ b/src/rules.rs
@@ -457,6 +457,10 @@
         rules.cold_share + (1.0 - rules.cold_share) * climb
     }
 
+    fn least_aim(&self) -> Millis {
+        self.settings.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min)
+    }
+
     /// The load that has foretold answers better: reports may be older than the queue they tell of, and own
     /// attempts are only a part of it. 0 is own attempts, 1 is reports.
     fn load(&self) -> usize {
@@ -482,8 +486,7 @@
             self.upstreams[place].allowance = f64::INFINITY;
             return;
         }
-        let least_aim = self.settings.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
-        let pace = self.typical_pace(Some(upstream.entry.kind), now).unwrap_or(least_aim / 2.0);
+        let pace = self.typical_pace(Some(upstream.entry.kind), now).unwrap_or(self.least_aim() / 2.0);
         let rules = &self.settings.rules;
         let flow =
             COLD_USE * rules.fall_multiple * warmth / pace.max(0.1) / f64::from(self.settings.siblings);
@@ -498,9 +501,11 @@
         let upstream = &self.upstreams[place];
         let cold = typical.map(|pace| pace / self.warmth(upstream, now));
         let pace = match (upstream.learnt.pace.map(|pace| pace[load]), cold) {
-            // Let an upstream back by trials: what it taught fades towards its peers once it is not used.
+            // Let an upstream back by trials: what it taught fades towards its peers once it is not used, and
+            // to what has room: if all were slow once, none would be tried again and nothing ever learnt.
             (Some(pace), Some(typical)) => {
-                typical + (pace - typical) * (-(now - upstream.learnt.pace_at) / MEMORY).exp()
+                let rested = typical.min(self.least_aim() * SPILL);
+                rested + (pace - rested) * (-(now - upstream.learnt.pace_at) / MEMORY).exp()
             }
             (Some(pace), None) | (None, Some(pace)) => pace,
             (None, None) => 1.0,
