--- a/src/rules.rs
+++ b/src/rules.rs
@@ -90,8 +90,9 @@
     /// Time that the upstream takes for each request it holds, by each load, and when that was last learnt.
     pace: Option<[Millis; 2]>,
     pace_at: Millis,
-    /// When it last turned an attempt away.
-    full_at: Option<Millis>,
+    /// How often in a row it turned attempts away, and until when it is left alone for that.
+    turned_away: i32,
+    rest_until: Millis,
 }
 
 struct Attempt {
@@ -228,6 +229,13 @@
         self.learnt.pace_at = now;
     }
 
+    /// One that turned work away is full or takes no connections, whatever its probes and reports say: it is
+    /// left alone until its queue has had time to shrink, and longer each time it does so again.
+    fn turn_away(&mut self, now: Millis, rest: Millis) {
+        self.learnt.rest_until = now + (rest * f64::powi(2.0, self.learnt.turned_away)).min(MEMORY);
+        self.learnt.turned_away = (self.learnt.turned_away + 1).min(10);
+    }
+
     /// The design's smoothing: capped above, replaced by a far quicker sample.
     fn sample(&mut self, elapsed: Millis) {
         self.average = Some(match self.average {
@@ -560,11 +568,7 @@
                 usable.retain(good);
             }
         }
-        let class = &self.settings.classes[request.arrival.class.0];
-        // One that turned work away is full, whatever its last report says, until that queue has had time to
-        // shrink; trying on would only add to its work and use up attempts.
-        let full = |at: Millis| now < at + class.aim * SPILL;
-        usable.retain(|place| !self.upstreams[*place].learnt.full_at.is_some_and(full));
+        usable.retain(|place| now >= self.upstreams[*place].learnt.rest_until);
         usable
     }
 
@@ -803,6 +807,7 @@
         let attempt = request.attempts.get_mut(end.attempt as usize);
         let Some(ended) = attempt.filter(|a| a.outcome.is_none()) else { return };
         ended.outcome = Some(outcome);
+        let rest = self.settings.classes[request.arrival.class.0].aim * SPILL;
         let upstream = &mut self.upstreams[ended.upstream];
         if let Some(n) = upstream.out.iter().position(|sent| *sent == ended.sent) {
             upstream.out.remove(n);
@@ -811,6 +816,7 @@
         match outcome {
             Outcome::Ok => {
                 upstream.succeeded(now);
+                upstream.learnt.turned_away = 0;
                 if let Some(pace) = upstream.learnt.pace {
                     for (load, error) in self.error.iter_mut().enumerate() {
                         let off = (pace[load] * (ended.held[load] + 1.0) - elapsed).abs() / elapsed.max(1.0);
@@ -822,9 +828,13 @@
             Outcome::Error => upstream.heard = now,
             Outcome::Full => {
                 upstream.heard = now;
-                upstream.learnt.full_at = Some(now);
+                upstream.turn_away(now, rest);
+            }
+            Outcome::ConnectFailed => {
+                upstream.failures += 1;
+                upstream.turn_away(now, rest);
             }
-            Outcome::ConnectFailed | Outcome::Reset => upstream.failures += 1,
+            Outcome::Reset => upstream.failures += 1,
             // A time-out tells of death only when nothing was heard meanwhile; of slowness always.
             Outcome::Timeout => {
                 upstream.failures += u32::from(silent);
