--- a/src/rules.rs
+++ b/src/rules.rs
@@ -41,7 +41,7 @@
 /// An upstream is far above its tier when it would take this many times the tier's mean time to answer.
 const SKIP: f64 = 1.1;
 /// A tier has no room when an answer from it would take more than this part of the time wanted.
-const SPILL: f64 = 0.35;
+const SPILL: f64 = 0.28;
 /// Part of the time left that a predicted answer may fill: predictions are means, answers scatter.
 const ADMIT: f64 = 0.7;
 /// What a request of no worth may fill of that; the rest of the range goes by worth.
