--- a/src/rules.rs
+++ b/src/rules.rs
@@ -44,13 +44,6 @@
 const SPILL: f64 = 0.28;
 /// Part of the time left that a predicted answer may fill: predictions are means, answers scatter.
 const ADMIT: f64 = 0.7;
-/// An answer may be foretold to take this many times a quick one: behind it stands a queue that the fleet cannot
-/// work off, and servers that slow down when crowded stay slow.
-const CROWD: f64 = 4.0;
-/// The quantile of answers that is called quick, and how fast it follows: slowly, for a crowd must not become
-/// the measure of itself.
-const QUICK_PART: f64 = 0.3;
-const QUICK_WEIGHT: f64 = 0.002;
 /// What a request of no worth may fill of that; the rest of the range goes by worth.
 const ADMIT_LEAST: f64 = 0.6;
 /// A tenant whose traffic is this far above its portion of what this balancer sees is over its share.
@@ -152,9 +145,6 @@
     unserved: VecDeque<(ClassId, Option<TenantId>, Millis)>,
     /// How far answers were from what each load foretold, as a part of the time taken; smoothed.
     error: [f64; 2],
-    /// What an answer takes when little waits before it: a low quantile of all answers, and their count.
-    quick: Millis,
-    answers: f64,
     ask_gap: Millis,
 }
 
@@ -294,8 +284,6 @@
             retries: RETRY_SAVED,
             unserved: VecDeque::new(),
             error: [0.0; 2],
-            quick: f64::INFINITY,
-            answers: 0.0,
             ask_gap: 0.0,
             settings,
         }
@@ -605,12 +593,11 @@
         // room than they have.
         let worthier = self.settings.classes.iter().filter(|other| other.worth > class.worth);
         let left = worthier.map(|other| other.aim).fold(self.useful_until(request) - now, f64::min);
-        let most = (left * ADMIT).min(self.quick * CROWD);
         let admit = ADMIT_LEAST + (1.0 - ADMIT_LEAST) * self.worth(request, now);
         // A tier in which every upstream is full has none to offer: the next is asked, and when all are
         // full, the lowest from which an answer would still be in time.
-        for room in [class.aim * SPILL, f64::INFINITY] {
-            let room = room.min(most * admit);
+        for room in [class.aim * SPILL, left * ADMIT * admit] {
+            let room = room.min(left * ADMIT * admit);
             for &tier in &tiers {
                 let of_tier = |place: usize| {
                     let upstream = &self.upstreams[place];
@@ -830,10 +817,6 @@
             Outcome::Ok => {
                 upstream.succeeded(now);
                 upstream.learnt.turned_away = 0;
-                self.answers += 1.0;
-                let step = self.quick.min(elapsed) * (1.0 / self.answers).max(QUICK_WEIGHT);
-                let towards = if elapsed > self.quick { QUICK_PART } else { QUICK_PART - 1.0 };
-                self.quick = if self.answers > 1.0 { self.quick + step * towards } else { elapsed };
                 if let Some(pace) = upstream.learnt.pace {
                     for (load, error) in self.error.iter_mut().enumerate() {
                         let off = (pace[load] * (ended.held[load] + 1.0) - elapsed).abs() / elapsed.max(1.0);
