--- a/src/rules.rs
+++ b/src/rules.rs
@@ -44,9 +44,6 @@
 const SPILL: f64 = 0.28;
 /// Part of the time left that a predicted answer may fill: predictions are means, answers scatter.
 const ADMIT: f64 = 0.7;
-/// strain
-const STRAIN: f64 = 0.6;
-const STRAIN_WEIGHT: f64 = 0.02;
 /// What a request of no worth may fill of that; the rest of the range goes by worth.
 const ADMIT_LEAST: f64 = 0.6;
 /// A tenant whose traffic is this far above its portion of what this balancer sees is over its share.
@@ -148,8 +145,6 @@
     unserved: VecDeque<(ClassId, Option<TenantId>, Millis)>,
     /// How far answers were from what each load foretold, as a part of the time taken; smoothed.
     error: [f64; 2],
-    /// Smoothed share of arrivals that were turned down.
-    strain: f64,
     ask_gap: Millis,
 }
 
@@ -289,7 +284,6 @@
             retries: RETRY_SAVED,
             unserved: VecDeque::new(),
             error: [0.0; 2],
-            strain: 0.0,
             ask_gap: 0.0,
             settings,
         }
@@ -599,8 +593,6 @@
         // room than they have.
         let worthier = self.settings.classes.iter().filter(|other| other.worth > class.worth);
         let left = worthier.map(|other| other.aim).fold(self.useful_until(request) - now, f64::min);
-        let strain = if request.asked.is_some() { 0.0 } else { self.strain };
-        let left = left * (1.0 - STRAIN * strain);
         let admit = ADMIT_LEAST + (1.0 - ADMIT_LEAST) * self.worth(request, now);
         // A tier in which every upstream is full has none to offer: the next is asked, and when all are
         // full, the lowest from which an answer would still be in time.
@@ -716,7 +708,6 @@
         let more = (request.attempts.len() as u32) < limits.max_attempts && now < request.arrival.not_after;
         // Work that may be done twice is paid for from the budget.
         let repeat = request.may_have_run().next().is_some();
-        let first = request.attempts.is_empty();
         let place = if more && (!repeat || self.retries >= 1.0) {
             let usable = self.usable(now, &request);
             // Those whose load was asked for come first: what is known of the others is older.
@@ -727,9 +718,6 @@
         } else {
             None
         };
-        if first {
-            self.strain += STRAIN_WEIGHT * (f64::from(u8::from(place.is_none())) - self.strain);
-        }
         if let Some(place) = place {
             self.send(now, &mut request, place, repeat, actions);
         }
