--- a/src/rules.rs
+++ b/src/rules.rs
@@ -49,9 +49,9 @@
 /// A tenant whose traffic is this far above its portion of what this balancer sees is over its share.
 const OVER_SHARE: f64 = 1.2;
 /// A second copy goes out when the first took this many times its predicted time ...
-const HEDGE: f64 = 2.0;
+const HEDGE: f64 = 3.0;
 /// ... and at least this part of the time wanted.
-const HEDGE_LEAST: f64 = 0.35;
+const HEDGE_LEAST: f64 = 0.5;
 /// Attempts beyond the first that each request earns, and how many may be saved up: retries amplify overload.
 const RETRY_EARN: f64 = 0.1;
 const RETRY_SAVED: f64 = 10.0;
