--- a/src/rules.rs
+++ b/src/rules.rs
@@ -33,7 +33,7 @@
 /// Memory of rates and of what an upstream's answers taught, once nothing new is heard from it.
 const MEMORY: Millis = 5000.0;
 /// Weight of one answer in an upstream's pace: single answers vary as much as their work does.
-const PACE_WEIGHT: f64 = 0.15;
+const PACE_WEIGHT: f64 = 0.3;
 /// Weight of one answer in judging which load foretells better: hundreds, as the two differ little.
 const ERROR_WEIGHT: f64 = 0.005;
 /// Reports must foretell this much better than own attempts: all balancers that trust a stale one flock.
@@ -53,8 +53,8 @@
 /// ... and at least this part of the time wanted.
 const HEDGE_LEAST: f64 = 0.5;
 /// Attempts beyond the first that each request earns, and how many may be saved up: retries amplify overload.
-const RETRY_EARN: f64 = 0.1;
-const RETRY_SAVED: f64 = 10.0;
+const RETRY_EARN: f64 = 0.05;
+const RETRY_SAVED: f64 = 5.0;
 /// Part of the cold allowance that is used: a half may be saved and a half flows in within one window, and
 /// the capacity behind it is an estimate.
 const COLD_USE: f64 = 0.35;
