--- a/src/rules.rs
+++ b/src/rules.rs
@@ -33,7 +33,7 @@
 /// Memory of rates and of what an upstream's answers taught, once nothing new is heard from it.
 const MEMORY: Millis = 5000.0;
 /// Weight of one answer in an upstream's pace: single answers vary as much as their work does.
-const PACE_WEIGHT: f64 = 0.3;
+const PACE_WEIGHT: f64 = 0.15;
 /// Weight of one answer in judging which load foretells better: hundreds, as the two differ little.
 const ERROR_WEIGHT: f64 = 0.005;
 /// Reports must foretell this much better than own attempts: all balancers that trust a stale one flock.
