--- a/src/rules.rs
+++ b/src/rules.rs
@@ -39,7 +39,9 @@
 /// Reports must foretell this much better than own attempts: all balancers that trust a stale one flock.
 const REPORT_GAIN: f64 = 0.85;
 /// An upstream is far above its tier when it would take this many times the tier's mean time to answer.
-const SKIP: f64 = 1.1;
+const SKIP: f64 = 1.3;
+/// A server with more own attempts out than this many times the mean of all, and one, is full (the design's skip).
+const FAR: f64 = 1.5;
 /// A tier has no room when an answer from it would take more than this part of the time wanted.
 const SPILL: f64 = 0.28;
 /// Part of the time left that a predicted answer may fill: predictions are means, answers scatter.
@@ -596,7 +598,9 @@
         let admit = ADMIT_LEAST + (1.0 - ADMIT_LEAST) * self.worth(request, now);
         // A tier in which every upstream is full has none to offer: the next is asked, and when all are
         // full, the lowest from which an answer would still be in time.
-        for room in [class.aim * SPILL, left * ADMIT * admit] {
+        let own = |place: &usize| self.upstreams[*place].out.len() as f64;
+        let mean = usable.iter().map(|(place, _)| own(place)).sum::<f64>() / usable.len().max(1) as f64;
+        for (room, crowd) in [(class.aim * SPILL, (mean + 1.0) * FAR), (f64::INFINITY, f64::INFINITY)] {
             let room = room.min(left * ADMIT * admit);
             for &tier in &tiers {
                 let of_tier = |place: usize| {
@@ -606,7 +610,7 @@
                 let members = usable.iter().filter(|(place, _)| of_tier(*place));
                 let (count, sum) = members.clone().fold((0.0, 0.0), |(n, sum), (_, t)| (n + 1.0, sum + t));
                 let far = sum / count * SKIP;
-                let near = members.filter(|(_, t)| *t <= room && *t <= far);
+                let near = members.filter(|(place, t)| *t <= room && *t <= far && own(place) < crowd);
                 let near: Vec<usize> = near.map(|(place, _)| *place).collect();
                 if !near.is_empty() {
                     return Some(near[self.rng.gen_range(0..near.len())]);
