--- a/src/rules.rs
+++ b/src/rules.rs
@@ -40,7 +40,7 @@
 const REPORT_GAIN: f64 = 0.85;
 /// An upstream is far above its tier when it would take this many times the tier's mean time to answer.
 const SKIP: f64 = 1.3;
-/// A server with more own attempts out than this many times the mean of all, and one, is full (the design's skip).
+/// A server with over this many times the mean own attempts out, plus one, is skipped (the design's skip).
 const FAR: f64 = 1.5;
 /// A tier has no room when an answer from it would take more than this part of the time wanted.
 const SPILL: f64 = 0.28;
@@ -600,7 +600,8 @@
         // full, the lowest from which an answer would still be in time.
         let own = |place: &usize| self.upstreams[*place].out.len() as f64;
         let mean = usable.iter().map(|(place, _)| own(place)).sum::<f64>() / usable.len().max(1) as f64;
-        for (room, crowd) in [(class.aim * SPILL, (mean + 1.0) * FAR), (f64::INFINITY, f64::INFINITY)] {
+        let crowd = (mean + 1.0) * FAR;
+        for room in [class.aim * SPILL, f64::INFINITY] {
             let room = room.min(left * ADMIT * admit);
             for &tier in &tiers {
                 let of_tier = |place: usize| {
