--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -258,3 +258,64 @@
     let ended = front.feed(broken);
     assert_eq!((final_answers(&ended), sent_to(&ended)), (0, None));
 }
+
+/// Requests answered one at a time after `elapsed`, time passing between them.
+fn teach(front: &mut Front, count: usize, elapsed: Millis) {
+    for _ in 0..count {
+        let (request, actions) = front.request();
+        front.now += elapsed;
+        if sent_to(&actions).is_some() {
+            front.finish(request, 0, Outcome::Ok, elapsed);
+        }
+    }
+}
+
+#[test]
+fn all_slow_once_is_not_all_shut_out_for_ever() {
+    let mut front = Front::new(settings(Effect::Repeatable), 3);
+    teach(&mut front, 1, 900.0);
+    assert!(refused(&front.request().1));
+    front.now += 30_000.0;
+    assert!(sent_to(&front.request().1).is_some());
+}
+
+#[test]
+fn one_that_turned_work_away_rests() {
+    for outcome in [Outcome::Full, Outcome::ConnectFailed] {
+        let mut front = Front::new(settings(Effect::Repeatable), 2);
+        let (request, actions) = front.request();
+        let full = sent_to(&actions).unwrap();
+        front.finish(request, 0, outcome, 1.0);
+        front.finish(request, 1, Outcome::Ok, 10.0);
+        assert!(front.spread(30).iter().all(|to| *to != full));
+        front.now += 5000.0;
+        assert!(front.spread(30).contains(&full));
+    }
+}
+
+#[test]
+fn a_patient_class_gets_no_more_room_than_a_worthier_one() {
+    for (worth, sent) in [(1.0, true), (9.0, false)] {
+        let mut both = settings(Effect::Repeatable);
+        both.classes.push(Class { aim: 100.0, worth, ..class(Effect::Repeatable) });
+        let mut front = Front::new(both, 1);
+        teach(&mut front, 1, 120.0);
+        assert_eq!(sent_to(&front.request().1).is_some(), sent);
+    }
+}
+
+#[test]
+fn a_lone_attempt_is_called_off_only_at_a_silent_upstream() {
+    for silent in [true, false] {
+        let mut front = Front::new(settings(Effect::Repeatable), 1);
+        let (request, _) = front.request();
+        front.now += 10.0;
+        if !silent {
+            let (other, _) = front.request();
+            front.finish(other, 0, Outcome::Ok, 10.0);
+        }
+        front.now += 300.0;
+        let called_off = front.feed(Event::Wake).contains(&Action::Cancel { request, attempt: 0 });
+        assert_eq!(called_off, silent);
+    }
+}
