--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -319,3 +319,36 @@
         assert_eq!(called_off, silent);
     }
 }
+
+#[test]
+fn one_slow_probe_is_capped_and_one_quick_probe_replaces_the_average() {
+    let mut front = Front::new(settings(Effect::Repeatable), 3);
+    for (id, elapsed) in [(0, 10.0), (1, 10.0), (1, 1000.0), (2, 100.0), (2, 10.0)] {
+        front.probe(id, elapsed, true);
+    }
+    let sent = front.spread(60);
+    assert!((0..3).all(|id| sent.contains(&id)));
+}
+
+#[test]
+fn a_member_leaves_its_tier_only_well_past_the_limit_and_groups_outlive_a_tier_above() {
+    let mut front = Front::new(settings(Effect::Repeatable), 4);
+    // The limit is 20: upstream 1 drifts to 23.8 and stays, upstream 2 starts there and is left out.
+    for (id, elapsed) in [(0, 10.0), (1, 19.0), (1, 35.0), (2, 23.8), (3, 23.8)] {
+        front.probe(id, elapsed, true);
+    }
+    let sent = front.spread(60);
+    assert!(sent.contains(&1) && !sent.contains(&2) && !sent.contains(&3));
+    // A nearer tier appears, and drains: the group below is as it was.
+    let entries = vec![Entry { standing: Standing::Ready, ..entry(9) }];
+    front.feed(Event::List { kind: ListKind::Patch, entries });
+    front.probe(9, 1.0, true);
+    assert!(front.spread(30).iter().all(|id| *id == 9));
+    let entries = vec![Entry { standing: Standing::Draining, ..entry(9) }];
+    front.feed(Event::List { kind: ListKind::Patch, entries });
+    let sent = front.spread(60);
+    assert!(sent.contains(&1) && !sent.contains(&2));
+    // Past the limit and a quarter it leaves.
+    front.probe(1, 60.0, true);
+    assert!(front.spread(60).iter().all(|id| *id == 0));
+}
