--- a/src/rules.rs
+++ b/src/rules.rs
@@ -203,7 +203,15 @@
         self.heard = now;
     }
 
-    /// Requests it holds, by each `Load`: those sent from here, and the last report corrected by own sends
+    /// Sends a probe unless one is out.
+    fn probe(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        if self.probe_sent.is_none() {
+            self.probe_sent = Some(now);
+            actions.push(Action::Probe { upstream: self.entry.upstream });
+        }
+    }
+
+    /// Requests it holds, by each load: those sent from here, and the last report corrected by own sends
     /// and ends since.
     fn held(&self) -> [f64; 2] {
         let own = self.out.len() as f64;
@@ -299,7 +307,7 @@
                 // Keep the old list; ask again, ever less often but within `ask_within`, never in step.
                 let within = self.settings.rules.ask_within.max(1.0);
                 self.ask_gap = (self.ask_gap * 2.0).clamp(within * ASK_FIRST, within * ASK_LONGEST);
-                let gap = self.ask_gap * (1.0 + JITTER * self.rng.gen::<f64>());
+                let gap = self.ask_gap * self.scatter();
                 self.timer(now + gap, Timer::Subscribe);
             }
             Event::Request(arrival) => self.arrive(now, arrival, actions),
@@ -310,16 +318,10 @@
             Event::Finished(end) => self.finished(now, end, actions),
             Event::ClientGone(request) => self.close(request, actions),
             Event::Message { .. } => {}
-            Event::Wake => {
-                if self.armed.is_some_and(|at| at <= micros(now)) {
-                    self.armed = None;
-                }
-            }
+            Event::Wake => self.armed = self.armed.filter(|at| *at > micros(now)),
         }
-        while let Some(&Reverse((at, _, timer))) = self.timers.peek() {
-            if at > micros(now) {
-                break;
-            }
+        let due = |next: &&Reverse<(i64, u64, Timer)>| next.0 .0 <= micros(now);
+        while let Some(&Reverse((.., timer))) = self.timers.peek().filter(due) {
             self.timers.pop();
             match timer {
                 Timer::Probe(place) => self.probe(now, place, actions),
@@ -342,6 +344,11 @@
         self.timers.push(Reverse((micros(at), self.timer_count, timer)));
     }
 
+    /// A factor of 1 to 1 + JITTER.
+    fn scatter(&mut self) -> f64 {
+        1.0 + JITTER * self.rng.gen::<f64>()
+    }
+
     fn subscribe(&mut self, actions: &mut Vec<Action>) {
         if self.settings.discovery_on_request {
             actions.push(Action::Subscribe);
@@ -392,11 +399,8 @@
         if !upstream.listed || !self.settings.limits.probes {
             return;
         }
-        if upstream.probe_sent.is_none() {
-            upstream.probe_sent = Some(now);
-            actions.push(Action::Probe { upstream: upstream.entry.upstream });
-        }
-        let gap = self.probe_gap(now) * (1.0 + JITTER * self.rng.gen::<f64>());
+        upstream.probe(now, actions);
+        let gap = self.probe_gap(now) * self.scatter();
         self.timer(now + gap, Timer::Probe(place));
     }
 
@@ -500,7 +504,7 @@
         let rules = &self.settings.rules;
         let flow =
             COLD_USE * rules.fall_multiple * warmth / pace.max(0.1) / f64::from(self.settings.siblings);
-        let saved = upstream.allowance.min(1e9) + flow * (now - upstream.allowance_at);
+        let saved = upstream.allowance + flow * (now - upstream.allowance_at);
         let upstream = &mut self.upstreams[place];
         upstream.allowance = saved.min((flow * rules.fall).max(1.0));
         upstream.allowance_at = now;
@@ -563,12 +567,12 @@
         let mut usable: Vec<usize> = (0..self.upstreams.len()).filter(allowed).collect();
         // Prefer what the request has not tried, then what is healthy; if nobody is, anyone may be.
         let tried = |place: &usize| request.attempts.iter().any(|a| a.upstream == *place);
-        for good in [&(|place: &usize| !tried(place)) as &dyn Fn(&usize) -> bool, &|place: &usize| {
-            self.upstreams[*place].healthy()
-        }] {
-            if usable.iter().any(good) {
-                usable.retain(good);
-            }
+        if !usable.iter().all(tried) {
+            usable.retain(|place| !tried(place));
+        }
+        let healthy = |place: &usize| self.upstreams[*place].healthy();
+        if usable.iter().any(healthy) {
+            usable.retain(healthy);
         }
         usable.retain(|place| now >= self.upstreams[*place].learnt.rest_until);
         usable
@@ -576,6 +580,9 @@
 
     /// The design's pick. `None`: no upstream can answer in time, or none is allowed.
     fn pick(&mut self, now: Millis, request: &Request, usable: &[usize]) -> Option<usize> {
+        if usable.is_empty() {
+            return None;
+        }
         let class = &self.settings.classes[request.arrival.class.0];
         let typical = self.typical_pace(None, now);
         let predict = |place: &usize| {
@@ -599,7 +606,7 @@
         // A tier in which every upstream is full has none to offer: the next is asked, and when all are
         // full, the lowest from which an answer would still be in time.
         let own = |place: &usize| self.upstreams[*place].out.len() as f64;
-        let mean = usable.iter().map(|(place, _)| own(place)).sum::<f64>() / usable.len().max(1) as f64;
+        let mean = usable.iter().map(|(place, _)| own(place)).sum::<f64>() / usable.len() as f64;
         let crowd = (mean + 1.0) * FAR;
         for room in [class.aim * SPILL, f64::INFINITY] {
             let room = room.min(left * ADMIT * admit);
@@ -697,10 +704,7 @@
         for _ in 0..usable.len().min(affordable as usize) {
             let upstream = &mut self.upstreams[usable.swap_remove(self.rng.gen_range(0..usable.len()))];
             wait = wait.max(upstream.average? * 2.0);
-            if upstream.probe_sent.is_none() {
-                upstream.probe_sent = Some(now);
-                actions.push(Action::Probe { upstream: upstream.entry.upstream });
-            }
+            upstream.probe(now, actions);
         }
         let aim = self.settings.classes[request.arrival.class.0].aim;
         Some(wait + self.settings.step).filter(|wait| *wait < aim * ASK_WAIT)
@@ -777,7 +781,7 @@
         let Some(request) = self.requests.get(&id).filter(|r| r.open && !r.streaming) else { return };
         if self.may_refuse(request) {
             let aim = self.settings.classes[request.arrival.class.0].aim;
-            let scatter = 1.0 + JITTER * self.rng.gen::<f64>();
+            let scatter = self.scatter();
             let longest = self.settings.limits.max_retry_after;
             let retry_after = longest.map(|longest| longest.min(aim * COME_BACK * scatter));
             actions.push(Action::Refuse { request: id, retry_after });
