--- a/src/rules.rs
+++ b/src/rules.rs
@@ -421,8 +421,8 @@
         self.settings.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min)
     }
 
-    /// The load that foretells answers: 1, reports, where they are asked for each request; else 0, own attempts,
-    /// as reports are then older than the queue they tell of and all that trust one flock.
+    /// The load that foretells answers: 1, reports, where they are asked for each request; else 0, own
+    /// attempts, as reports are then older than the queue they tell of and all that trust one flock.
     fn load(&self) -> usize {
         usize::from(self.asks() >= 2.0)
     }
@@ -447,9 +447,9 @@
         paces.get(paces.len() / 2).copied()
     }
 
-    /// Rule 4: the chance that a cold upstream takes part in a pick. All balancers' picks together then send it
-    /// the part of a warm one's work that it can do at least, however many they are and however they share
-    /// the traffic; what is saved up by none of them cannot come at once.
+    /// Rule 4: the chance that a cold upstream takes part in a pick. All balancers' picks together then send
+    /// it the part of a warm one's work that it can do at least, however many they are and however they share
+    /// the traffic; nothing is saved up that could come at once.
     fn chance(&self, upstream: &Upstream, now: Millis) -> f64 {
         let warmth = self.warmth(upstream, now);
         let used = (COLD_USE * self.settings.rules.fall_multiple).min(1.0);
