--- a/src/rules.rs
+++ b/src/rules.rs
@@ -57,6 +57,8 @@
 const ADMIT_LEAST: f64 = 0.6;
 /// A tenant whose traffic is this far above its portion of what this balancer sees is over its share.
 const OVER_SHARE: f64 = 1.2;
+/// ... by this many requests at least: where few come, one alone is more than any tenant's portion of them.
+const OVER_LEAST: f64 = 3.0;
 /// A second copy goes out when the first took this many times its predicted time ...
 const HEDGE: f64 = 3.0;
 /// ... and at least this part of the time wanted.
@@ -499,7 +501,7 @@
         let worth = self.settings.classes[request.arrival.class.0].worth / best.max(1e-9);
         let over = request.arrival.tenant.is_some_and(|tenant| {
             let portion = self.settings.tenants[tenant.0].portion * self.rate.at(now, MEMORY);
-            self.tenant_rates[tenant.0].at(now, MEMORY) > OVER_SHARE * portion
+            self.tenant_rates[tenant.0].at(now, MEMORY) > OVER_SHARE * portion + OVER_LEAST / MEMORY
         });
         worth * if over { self.settings.over_share_worth } else { 1.0 }
     }
