A pace follows an answer the more, the longer nothing was learnt

Cause: a weight of 0.15 an answer is a memory of seconds in a small fleet and of a minute at a balancer with an answer now and then.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -144,8 +144,10 @@
 
     fn learn_pace(&mut self, elapsed: Millis, held: [f64; 2], now: Millis) {
         let sample = held.map(|held| elapsed / (held + 1.0));
+        // The longer nothing was learnt, the less the old pace says: few answers must not lag behind.
+        let weight = PACE_WEIGHT.max(1.0 - (-(now - self.learnt.pace_at) / MEMORY).exp());
         let learn = |load: usize| match self.learnt.pace {
-            Some(pace) => pace[load] + PACE_WEIGHT * (sample[load] - pace[load]),
+            Some(pace) => pace[load] + weight * (sample[load] - pace[load]),
             None => sample[load],
         };
         self.learnt.pace = Some([learn(0), learn(1)]);
