--- a/src/rules.rs
+++ b/src/rules.rs
@@ -792,8 +792,11 @@
                 upstream.learnt.turned_away = 0;
                 upstream.learn_pace(elapsed, ended.held, now);
             }
-            // One that fails at once looks idle and would draw ever more: it rests as a full one does.
+            // One that fails at once looks idle and would draw ever more: it rests like a full one, but for
+            // a first error, which any may answer now and then.
             Outcome::Full | Outcome::Error => {
+                let rest =
+                    if outcome == Outcome::Full || upstream.learnt.turned_away > 0 { rest } else { 0.0 };
                 upstream.heard = now;
                 upstream.turn_away(now, rest);
             }
