--- a/src/rules.rs
+++ b/src/rules.rs
@@ -26,12 +26,12 @@
 /// Shortest gap: a fresher figure would say no more than the corrections made for own sends.
 const PROBE_MIN: Millis = 20.0;
 /// Fraction of all worth that probes may cost; with the price it sets the gap between probes.
-const PROBE_SPEND: f64 = 0.0025;
+const PROBE_SPEND: f64 = 0.0015;
 /// The same for probes sent for one request, and the part of the time wanted that it may wait for them.
 const ASK_SPEND: f64 = 0.01;
 const ASK_WAIT: f64 = 0.02;
 /// Upstreams in use at least: enough for a random pick, for its tiers and for the loss of some ...
-const PART_LEAST: f64 = 6.0;
+const PART_LEAST: f64 = 4.0;
 /// ... and at most, however much traffic pays for their probes: each is looked at for each request.
 const PART_MOST: f64 = 64.0;
 /// Each upstream is in this many balancers' parts in the mean, or few balancers would load them unevenly.
@@ -51,6 +51,8 @@
 const FAR: f64 = 1.5;
 /// A tier has no room when an answer from it would take more than this part of the time wanted.
 const SPILL: f64 = 0.28;
+/// ... or when all have none, this many times it: a far one with room goes before a near one nearly full.
+const SPILL_MORE: f64 = 1.5;
 /// Part of the time left that a predicted answer may fill: predictions are means, answers scatter.
 const ADMIT: f64 = 0.7;
 /// What a request of no worth may fill of that; the rest of the range goes by worth.
@@ -448,7 +450,7 @@
         let mut paces: Vec<Millis> =
             warm.filter_map(|u| u.learnt.pace).map(|pace| pace[self.load()]).collect();
         paces.sort_by(f64::total_cmp);
-        paces.get(paces.len() / 2).copied()
+        paces.get(paces.len().saturating_sub(1) / 2).copied()
     }
 
     /// Rule 4: the chance that a cold upstream takes part in a pick. All balancers' picks together then send
@@ -561,7 +563,7 @@
         let own = |place: &usize| self.upstreams[*place].out.len() as f64;
         let mean = usable.iter().map(|(place, _)| own(place)).sum::<f64>() / usable.len() as f64;
         let crowd = (mean + 1.0) * FAR;
-        for room in [class.aim * SPILL, f64::INFINITY] {
+        for room in [class.aim * SPILL, class.aim * SPILL * SPILL_MORE, f64::INFINITY] {
             let room = room.min(left * ADMIT * admit);
             for &tier in &tiers {
                 let of_tier = |place: usize| {
