One that still reports a queue is let back more slowly

Cause: what an upstream taught fades in seconds, and the trials of hundreds are together all the work it can do; so it never empties.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,6 +43,9 @@
 const JITTER: f64 = 0.25;
 /// Memory of rates and of what an upstream's answers taught, once nothing new is heard from it.
 const MEMORY: Millis = 5000.0;
+/// One that reports over this many requests held is crowded: it is let back this much more slowly.
+const CROWDED: f64 = 2.0;
+const CROWDED_MEMORY: f64 = 4.0;
 /// Weight of one answer in an upstream's pace: single answers vary as much as their work does.
 const PACE_WEIGHT: f64 = 0.15;
 /// An upstream is far above its tier when it would take this many times the tier's mean time to answer.
@@ -475,7 +478,10 @@
             // to what has room: if all were slow once, none would be tried again and nothing ever learnt.
             (Some(pace), Some(typical)) => {
                 let rested = typical.min(self.least_aim() * SPILL);
-                rested + (pace - rested) * (-(now - upstream.learnt.pace_at) / MEMORY).exp()
+                // One that still reports a queue comes back later: the trials of many would keep it so.
+                let crowded = upstream.learnt.report.is_some_and(|(held, ..)| held > CROWDED);
+                let memory = if crowded { MEMORY * CROWDED_MEMORY } else { MEMORY };
+                rested + (pace - rested) * (-(now - upstream.learnt.pace_at) / memory).exp()
             }
             (Some(pace), None) | (None, Some(pace)) => pace,
             (None, None) => 1.0,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -402,6 +402,23 @@
     assert!(sent_to(&front.request().1).is_some());
 }
 
+#[test]
+fn one_that_still_reports_a_queue_is_let_back_more_slowly() {
+    let back_after = |held: f64| {
+        let mut front = Front::new(settings(Effect::Repeatable), 1);
+        teach(&mut front, 1, 900.0);
+        let began = front.now;
+        (0..200).find(|_| {
+            front.now += 250.0;
+            let report = Some(Report { active: Some(held), ..Report::default() });
+            front.feed(Event::Probed { upstream: UpstreamId(0), elapsed: 1.0, ok: true, report });
+            sent_to(&front.request().1).is_some()
+        });
+        front.now - began
+    };
+    assert!(back_after(9.0) > 3.0 * back_after(0.0), "{} {}", back_after(9.0), back_after(0.0));
+}
+
 #[test]
 fn one_that_turned_work_away_rests() {
     for outcome in [Outcome::Full, Outcome::ConnectFailed] {
