A late outcome of a closed request closes nothing anew; odd settings and lists tested

Closing twice repeated the call-offs and entered the request twice among the unserved. No siblings told would have made the size of the part not a number: taken as one. Tests: both, thousands of lines, lines twice, empty lists, cold figures of 0, a foreign message.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -289,7 +289,7 @@
     fn choose_part(&mut self, now: Millis) {
         self.part_at = now;
         let listed = self.upstreams.iter().filter(|u| u.listed).count() as f64;
-        let least = (listed * COVER / f64::from(self.settings.siblings)).clamp(PART_LEAST, PART_MOST);
+        let least = (listed * COVER / f64::from(self.settings.siblings.max(1))).clamp(PART_LEAST, PART_MOST);
         let wanted = (self.affordable(now) * PROBE_MAX).clamp(least, PART_MOST);
         if wanted > self.part_size * PART_OFF || wanted < self.part_size / PART_OFF {
             self.part_size = wanted;
@@ -764,7 +764,7 @@
 
     /// The request has its final answer: nothing more is sent for it, and what is out is called off.
     fn close(&mut self, id: RequestId, actions: &mut Vec<Action>) {
-        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(request) = self.requests.get_mut(&id).filter(|r| r.open) else { return };
         request.open = false;
         if !request.attempts.iter().any(|a| a.outcome == Some(Outcome::Ok)) {
             self.unserved.push_back((request.arrival.class, request.arrival.tenant, request.began));
@@ -826,7 +826,8 @@
         if failed {
             self.failed(now, place);
         }
-        if end.closed || outcome == Outcome::Ok {
+        // A late outcome of a closed request closes nothing anew: it would be called off and noted twice.
+        if open && (end.closed || outcome == Outcome::Ok) {
             self.close(id, actions);
         } else if open && none_out {
             self.try_once(now, id, false, actions);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -329,6 +329,49 @@
     assert!(gaps.iter().all(|gap| *gap < 10_000.0 / 2.0));
 }
 
+#[test]
+fn a_late_outcome_of_a_closed_request_closes_nothing_anew() {
+    let mut both = settings(Effect::Repeatable);
+    both.limits.parallel_tries = true;
+    let mut front = Front::new(both, 3);
+    let (request, _) = front.request();
+    let copy = front.at(front.now + 200.0, Event::Wake);
+    assert!(sent_to(&copy).is_some());
+    let left = front.feed(Event::ClientGone(request));
+    assert_eq!(left.iter().filter(|a| matches!(a, Action::Cancel { .. })).count(), 2);
+    let late = Finished {
+        request,
+        attempt: 0,
+        outcome: Outcome::Cancelled,
+        elapsed: 201.0,
+        closed: true,
+        report: None,
+    };
+    let late = front.feed(Event::Finished(late));
+    assert!(!late.iter().any(|a| matches!(a, Action::Cancel { .. })), "{late:?}");
+}
+
+#[test]
+fn odd_settings_and_lists_lead_to_sane_decisions() {
+    let mut odd = settings(Effect::Repeatable);
+    (odd.siblings, odd.penalties.probe) = (0, 0.0);
+    odd.rules = Rules { cold: 0.0, cold_share: 0.0, fall: 0.0, fall_multiple: 0.0, ..odd.rules };
+    let mut front = Front::new(odd, 0);
+    front.feed(Event::List { kind: ListKind::Whole, entries: Vec::new() });
+    assert!(refused(&front.request().1));
+    // Thousands of lines, each listed twice, half of them started just now; then none; then one.
+    let since = |id: u32| id.is_multiple_of(2).then_some(front.now);
+    let entries: Vec<Entry> = (0..6000).map(|id| Entry { since: since(id / 2), ..entry(id / 2) }).collect();
+    front.feed(Event::List { kind: ListKind::Whole, entries });
+    front.now += 10.0;
+    front.spread(50);
+    front.feed(Event::Message { from: 77, content: vec![0xff; 300] });
+    front.feed(Event::List { kind: ListKind::Whole, entries: Vec::new() });
+    assert!(refused(&front.request().1));
+    front.feed(Event::List { kind: ListKind::Patch, entries: vec![entry(9)] });
+    assert!(front.spread(20).iter().all(|to| *to == 9));
+}
+
 #[test]
 fn a_begun_stream_outlives_the_deadline_and_is_answered_by_its_end() {
     let mut streamed = settings(Effect::Repeatable);
