--- a/src/rules.rs
+++ b/src/rules.rs
@@ -446,12 +446,17 @@
         }
     }
 
-    /// Middle pace of the warm upstreams in use.
+    /// Middle pace of the warm upstreams in use, as far as it is not long past: one slow answer must not keep
+    /// a balancer for ever from all that taught nothing yet.
     fn typical_pace(&self, now: Millis) -> Option<Millis> {
         let part = self.part.iter().map(|place| &self.upstreams[*place]);
         let warm = part.filter(|u| u.listed && self.warmth(u, now) >= 1.0);
-        let mut paces: Vec<Millis> =
-            warm.filter_map(|u| u.learnt.pace).map(|pace| pace[self.load()]).collect();
+        let faded = |u: &Upstream| {
+            let pace = u.learnt.pace?[self.load()];
+            let rested = pace.min(self.least_aim() * SPILL);
+            Some(rested + (pace - rested) * (-(now - u.learnt.pace_at) / MEMORY).exp())
+        };
+        let mut paces: Vec<Millis> = warm.filter_map(faded).collect();
         paces.sort_by(f64::total_cmp);
         paces.get(paces.len().saturating_sub(1) / 2).copied()
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -445,6 +445,20 @@
     assert!(sent_to(&front.request().1).is_some());
 }
 
+#[test]
+fn one_slow_answer_does_not_shut_out_for_ever_those_that_taught_nothing() {
+    let mut front = Front::new(settings(Effect::Repeatable), 3);
+    let (request, actions) = front.request();
+    let slow = sent_to(&actions).unwrap();
+    front.now += 900.0;
+    front.finish(request, 0, Outcome::Ok, 900.0);
+    let entries = vec![Entry { standing: Standing::Draining, ..entry(slow) }];
+    front.feed(Event::List { kind: ListKind::Patch, entries });
+    assert!(refused(&front.request().1));
+    front.now += 10_000.0;
+    assert!(sent_to(&front.request().1).is_some());
+}
+
 #[test]
 fn one_that_still_reports_a_queue_is_let_back_more_slowly() {
     let back_after = |held: f64| {
