--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -549,3 +549,133 @@
     front.probe(1, 60.0, true);
     assert!(front.spread(60).iter().all(|id| *id == 0));
 }
+
+#[test]
+fn a_full_tier_offers_none_and_the_next_is_asked() {
+    // Near at 150 ms is over what a near one may take while a far one has room, but not over all that is left.
+    for (far, then) in [(20.0, 1), (200.0, 0)] {
+        let mut front = Front::new(settings(Effect::Repeatable), 2);
+        front.probe(0, 1.0, true);
+        front.probe(1, 9.0, true);
+        for (standing, elapsed) in [(Standing::Draining, far), (Standing::Ready, 150.0)] {
+            let entries = vec![Entry { standing, ..entry(0) }];
+            front.feed(Event::List { kind: ListKind::Patch, entries });
+            teach(&mut front, 1, elapsed);
+        }
+        assert_eq!(sent_to(&front.request().1), Some(then));
+    }
+}
+
+#[test]
+fn the_longer_nothing_was_learnt_the_more_an_answer_counts() {
+    for (gap, sent) in [(30_000.0, false), (0.0, true)] {
+        let mut front = Front::new(settings(Effect::Repeatable), 1);
+        teach(&mut front, 1, 100.0);
+        front.now += gap;
+        let (request, _) = front.request();
+        front.finish(request, 0, Outcome::Ok, 800.0);
+        assert_eq!(sent_to(&front.request().1).is_some(), sent);
+    }
+}
+
+#[test]
+fn an_upstream_that_is_silent_since_a_send_is_taken_to_be_that_slow() {
+    let mut front = Front::new(settings(Effect::Repeatable), 1);
+    teach(&mut front, 1, 10.0);
+    assert!(sent_to(&front.request().1).is_some());
+    front.now += 600.0;
+    assert!(refused(&front.request().1));
+}
+
+#[test]
+fn where_probes_are_cheap_the_pick_waits_for_those_of_the_request() {
+    let mut cheap = settings(Effect::Repeatable);
+    cheap.penalties.probe = 0.002;
+    for idle in 0..3 {
+        let mut front = Front::new(cheap.clone(), 3);
+        (0..3).for_each(|id| drop(front.probe(id, 1.0, true)));
+        let (_, actions) = front.request();
+        assert_eq!((probes(&actions).len(), sent_to(&actions)), (3, None));
+        front.now += 1.0;
+        for id in 0..3 {
+            let report =
+                Some(Report { active: Some(if id == idle { 0.0 } else { 5.0 }), ..Report::default() });
+            front.feed(Event::Probed { upstream: UpstreamId(id), elapsed: 1.0, ok: true, report });
+        }
+        front.now += 3.0;
+        assert_eq!(sent_to(&front.feed(Event::Wake)), Some(idle));
+    }
+}
+
+#[test]
+fn a_late_attempt_at_a_quiet_balancer_is_called_off_only_after_an_unanswered_probe() {
+    for answered in [false, true] {
+        let mut front = Front::new(settings(Effect::Repeatable), 1);
+        front.probe(0, 1.0, true);
+        let (request, _) = front.request();
+        let late = front.at(front.now + 200.0, Event::Wake);
+        assert_eq!(probes(&late), [0]);
+        assert!(!late.contains(&Action::Cancel { request, attempt: 0 }));
+        if answered {
+            front.probe(0, 1.0, true);
+        }
+        let later = front.at(front.now + 40.0, Event::Wake);
+        assert_eq!(later.contains(&Action::Cancel { request, attempt: 0 }), !answered);
+    }
+}
+
+fn arrival(front: &Front, request: u64) -> Arrival {
+    Arrival {
+        request: RequestId(request),
+        class: ClassId(0),
+        tenant: None,
+        not_after: front.now + 1000.0,
+        retry: false,
+        key: None,
+        cost: None,
+    }
+}
+
+#[test]
+fn one_request_alone_is_not_past_its_tenants_share() {
+    let mut shared = settings(Effect::Repeatable);
+    shared.tenants = [0.05, 0.95].map(|portion| Tenant { portion, quota_rps: 10.0 }).to_vec();
+    let mut front = Front::new(shared, 1);
+    teach(&mut front, 1, 230.0);
+    let sent: Vec<bool> = (1001..1011)
+        .map(|request| {
+            let arrival = Arrival { tenant: Some(TenantId(0)), ..arrival(&front, request) };
+            let sent = sent_to(&front.feed(Event::Request(arrival))).is_some();
+            front.finish(RequestId(request), 0, Outcome::Ok, 230.0);
+            sent
+        })
+        .collect();
+    // Many are, and are worth too little for what room there is.
+    assert!(sent[0] && sent[1] && !sent[9], "{sent:?}");
+}
+
+#[test]
+fn a_marked_repeat_has_what_is_left_of_its_first_trys_time() {
+    for retry in [true, false] {
+        let mut front = Front::new(settings(Effect::Repeatable), 1);
+        teach(&mut front, 1, 100.0);
+        let first = arrival(&front, 1001);
+        front.feed(Event::Request(first));
+        front.now += 350.0;
+        front.feed(Event::ClientGone(RequestId(1001)));
+        front.finish(RequestId(1001), 0, Outcome::Cancelled, 350.0);
+        let again = Arrival { retry, ..arrival(&front, 1002) };
+        assert_eq!(sent_to(&front.feed(Event::Request(again))).is_some(), !retry);
+    }
+}
+
+#[test]
+fn if_none_is_healthy_anyone_may_be() {
+    let mut front = Front::new(settings(Effect::Repeatable), 1);
+    for _ in 0..3 {
+        let (request, actions) = front.request();
+        assert_eq!(sent_to(&actions), Some(0));
+        front.finish(request, 0, Outcome::Reset, 5.0);
+        front.finish(request, 1, Outcome::Reset, 5.0);
+    }
+}
