--- a/src/rules.rs
+++ b/src/rules.rs
@@ -479,7 +479,8 @@
     /// that was asked for the request; else by load 0, own attempts, as older reports make balancers flock.
     fn predict(&self, place: usize, load: usize, typical: Option<Millis>, now: Millis) -> Millis {
         let upstream = &self.upstreams[place];
-        let cold = typical.map(|pace| pace / self.warmth(upstream, now));
+        // Between its least warmth and a warm one: the least is what rule 4 asks for, most can do more.
+        let cold = typical.map(|pace| pace * 2.0 / (1.0 + self.warmth(upstream, now)));
         let pace = match (upstream.learnt.pace.map(|pace| pace[load]), cold) {
             // Let an upstream back by trials: what it taught fades towards its peers once it is not used, and
             // to what has room: if all were slow once, none would be tried again and nothing ever learnt.
