Tests at size: property test to 400 upstreams and 800 siblings, gaps of many balancers

The property test draws 1 to 400 upstreams and 1 to 800 siblings; fifty balancers probe within 5 s and ask for the list within bounds, not in step.

--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -681,3 +681,35 @@
         front.finish(request, 1, Outcome::Reset, 5.0);
     }
 }
+
+#[test]
+fn many_balancers_probe_and_ask_for_the_list_within_bounds_and_not_in_step() {
+    let mut second_probes = std::collections::BTreeSet::new();
+    let mut second_asks = std::collections::BTreeSet::new();
+    for seed in 0..50 {
+        let quiet = Settings { siblings: 500, ..settings(Effect::Repeatable) };
+        let mut front = Front::seeded(quiet, seed, 60);
+        let first = probes(&front.seen);
+        first.iter().for_each(|id| drop(front.probe(*id, 1.0, true)));
+        let mut last: std::collections::BTreeMap<u32, Millis> =
+            first.iter().map(|id| (*id, front.now)).collect();
+        let began = front.now;
+        let mut next = None;
+        while front.now < began + 30_000.0 {
+            let wake = front.wake;
+            for id in probes(&front.at(wake, Event::Wake)) {
+                assert!(front.now - last.insert(id, front.now).unwrap() <= 5000.0);
+                next.get_or_insert(front.now);
+                front.probe(id, 1.0, true);
+            }
+        }
+        assert!(last.values().all(|at| began + 30_000.0 - at <= 5000.0));
+        second_probes.insert(next.unwrap() as u64);
+        front.feed(Event::ListBroken);
+        let broken = front.now;
+        while !front.at(front.wake, Event::Wake).contains(&Action::Subscribe) {}
+        assert!(front.now - broken < 10_000.0 / 2.0);
+        second_asks.insert((front.now - broken) as u64);
+    }
+    assert!(second_probes.len() > 40 && second_asks.len() > 25, "{second_probes:?} {second_asks:?}");
+}
--- a/tests/invariants.rs
+++ b/tests/invariants.rs
@@ -165,16 +165,18 @@
     #[test]
     fn rules_hold_on_any_legal_sequence(
         steps in proptest::collection::vec(step(), 1..250), parallel: bool, on_probe: bool, cheap_probes: bool,
+        siblings in prop_oneof![1u32..8, 100u32..800], upstreams in prop_oneof![1u32..8, 100u32..400],
     ) {
         let keyed = |group| Effect::Keyed { group, window: 600.0 };
         let mut settings = settings(Effect::Repeatable);
         let effects = [Effect::Once, keyed(Group::All), keyed(Group::Zone), keyed(Group::Cell)];
         settings.classes.extend(effects.map(class));
         settings.limits.parallel_tries = parallel;
+        settings.siblings = siblings;
         settings.feedback = if on_probe { Feedback::OnProbe } else { Feedback::Inline };
         settings.penalties.probe = if cheap_probes { 0.002 } else { 0.02 };
         let classes = settings.classes.clone();
-        let mut front = Front::new(settings, 4);
+        let mut front = Front::new(settings, upstreams);
         front.now += 1.0;
         let mut world = World {
             front, parallel, classes, requests: BTreeMap::new(), closed_to_new: BTreeSet::new(),
@@ -206,7 +208,7 @@
                 }
                 Step::Probe(which, ok) => {
                     let report = Some(Report { active: Some(f64::from(which % 7)), ..Report::default() });
-                    let upstream = UpstreamId(u32::from(which % 4));
+                    let upstream = UpstreamId(u32::from(which) % upstreams);
                     world.feed(Event::Probed { upstream, elapsed: f64::from(which), ok, report });
                 }
                 Step::List(which, standing) => {
