Where no probes are allowed, an unhealthy upstream comes back by a trial; a test of GiveIn

Without probes nothing but the whole fleet failing brought it back: it rests, then one more send is its trial. The adapter's way from a panic to its message is a function of its own, tested.

--- a/crates/sandtrack-drill/src/host.rs
+++ b/crates/sandtrack-drill/src/host.rs
@@ -25,6 +25,15 @@
     }
 }
 
+/// Runs it; a panic becomes its message, so that the day ends with a word and the other instances' replies.
+fn guarded(run: impl FnOnce()) -> Result<(), String> {
+    catch_unwind(AssertUnwindSafe(run)).map_err(|panic| {
+        let text = panic.downcast_ref::<&str>().map(|text| (*text).to_owned());
+        let message = text.or_else(|| panic.downcast_ref::<String>().cloned());
+        message.unwrap_or_else(|| "panic".to_owned())
+    })
+}
+
 /// One balancer and the names it goes by; shares nothing with its neighbours.
 struct Instance {
     name: String,
@@ -167,11 +176,7 @@
         let Some(instance) = self.instances.get_mut(sidecar) else { return Ok(()) };
         let actions = &mut self.scratch;
         actions.clear();
-        let handled = catch_unwind(AssertUnwindSafe(|| instance.balancer.handle(now, event, actions)));
-        if let Err(panic) = handled {
-            let text = panic.downcast_ref::<&str>().map(|text| (*text).to_owned());
-            let message = text.or_else(|| panic.downcast_ref::<String>().cloned());
-            let message = message.unwrap_or_else(|| "panic".to_owned());
+        if let Err(message) = guarded(|| instance.balancer.handle(now, event, actions)) {
             reply.decisions.push(wire::Decision::GiveIn { sidecar: sidecar.to_owned(), message });
             self.instances.remove(sidecar);
             return Ok(());
@@ -347,3 +352,16 @@
         step: config.step.unwrap_or(1.0),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_panic_becomes_its_message_and_ends_nothing_else() {
+        assert_eq!(guarded(|| panic!("plain")), Err("plain".to_owned()));
+        assert_eq!(guarded(|| panic!("with {}", 7)), Err("with 7".to_owned()));
+        assert_eq!(guarded(|| std::panic::panic_any(7)), Err("panic".to_owned()));
+        assert_eq!(guarded(|| ()), Ok(()));
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -378,7 +378,11 @@
     /// One failure more; a lost part is made up for at once.
     fn failed(&mut self, now: Millis, place: usize) {
         self.upstreams[place].failures += 1;
-        if self.upstreams[place].failures == FAILURES {
+        if self.upstreams[place].failures >= FAILURES && !self.settings.limits.probes {
+            // No probe will tell that it is back: it rests, then one more send is its trial.
+            self.upstreams[place].failures = FAILURES - 1;
+            self.upstreams[place].learnt.rest_until = now + MEMORY;
+        } else if self.upstreams[place].failures == FAILURES {
             self.choose_part(now);
         }
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -713,3 +713,23 @@
     }
     assert!(second_probes.len() > 40 && second_asks.len() > 25, "{second_probes:?} {second_asks:?}");
 }
+
+#[test]
+fn where_no_probes_are_allowed_an_unhealthy_upstream_comes_back_by_a_trial() {
+    let mut blind = settings(Effect::Repeatable);
+    blind.limits.probes = false;
+    let mut front = Front::new(blind, 2);
+    let mut failed = 0;
+    while failed < 2 {
+        let (request, actions) = front.request();
+        let failing = sent_to(&actions) == Some(0);
+        if failing {
+            front.finish(request, 0, Outcome::Reset, 5.0);
+            failed += 1;
+        }
+        front.finish(request, u32::from(failing), Outcome::Ok, 10.0);
+    }
+    assert!(front.spread(40).iter().all(|to| *to == 1));
+    front.now += 5001.0;
+    assert!(front.spread(40).contains(&0));
+}
