--- a/crates/sandtrack-drill/src/host.rs
+++ b/crates/sandtrack-drill/src/host.rs
@@ -225,8 +225,8 @@
         let sidecar = self.name.clone();
         let upstream = |id: UpstreamId| self.upstreams.names[id.0 as usize].clone();
         match action {
-            Action::Send { request, upstream: to, cap } => {
-                wire::Decision::Issue { sidecar, call: wire::Call(request.0), cap, upstream: upstream(to) }
+            Action::Send { request, upstream: to } => {
+                wire::Decision::Issue { sidecar, call: wire::Call(request.0), upstream: upstream(to) }
             }
             Action::Refuse { request, retry_after } => {
                 wire::Decision::Refuse { sidecar, call: wire::Call(request.0), retry_after }
--- a/crates/sandtrack-drill/src/wire.rs
+++ b/crates/sandtrack-drill/src/wire.rs
@@ -313,8 +313,6 @@
     Issue {
         sidecar: String,
         call: Call,
-        #[serde(skip_serializing_if = "Option::is_none")]
-        cap: Option<f64>,
         upstream: String,
     },
     Refuse {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -264,11 +264,10 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Start the request's next attempt (they count from 0); `cap` is its time-out, `None` the client's.
+    /// Start the request's next attempt (they count from 0); it runs until the client gives up.
     Send {
         request: RequestId,
         upstream: UpstreamId,
-        cap: Option<Millis>,
     },
     /// Final answer: a retry does no harm.
     Refuse {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -723,7 +723,7 @@
         let upstream = &mut self.upstreams[place];
         request.attempts.push(Attempt { upstream: place, sent: now, held: upstream.held(), outcome: None });
         upstream.out.push(now);
-        actions.push(Action::Send { request: id, upstream: upstream.entry.upstream, cap: None });
+        actions.push(Action::Send { request: id, upstream: upstream.entry.upstream });
     }
 
     fn hedge(&mut self, now: Millis, id: RequestId, attempt: usize, actions: &mut Vec<Action>) {
