--- a/src/rules.rs
+++ b/src/rules.rs
@@ -296,8 +296,11 @@
     /// tier is populated; what is unhealthy stays in and is made up for, so that a lost part hands over.
     fn choose_part(&mut self, now: Millis) {
         self.part_at = now;
-        let listed = self.upstreams.iter().filter(|u| u.listed).count() as f64;
-        let least = (listed * COVER / f64::from(self.settings.siblings.max(1))).clamp(PART_LEAST, PART_MOST);
+        let mut order: Vec<usize> =
+            (0..self.upstreams.len()).filter(|place| self.upstreams[*place].listed).collect();
+        order.sort_unstable_by_key(|place| self.upstreams[*place].rank);
+        let least = (order.len() as f64 * COVER / f64::from(self.settings.siblings.max(1)))
+            .clamp(PART_LEAST, PART_MOST);
         let wanted = (self.affordable(now) * PROBE_MAX).clamp(least, PART_MOST);
         if wanted > self.part_size * PART_OFF || wanted < self.part_size / PART_OFF {
             self.part_size = wanted;
@@ -308,9 +311,6 @@
         if zones.is_empty() {
             zones.push(self.settings.zone);
         }
-        let mut order: Vec<usize> =
-            (0..self.upstreams.len()).filter(|place| self.upstreams[*place].listed).collect();
-        order.sort_unstable_by_key(|place| self.upstreams[*place].rank);
         let before = std::mem::take(&mut self.part);
         before.iter().for_each(|place| self.upstreams[*place].used = false);
         let mut warm = 0.0;
@@ -546,12 +546,13 @@
     }
 
     /// The design's pick. `None`: no upstream can answer in time, or none is allowed.
-    fn pick(&mut self, now: Millis, request: &Request, usable: &[usize]) -> Option<usize> {
+    fn pick(
+        &mut self, now: Millis, request: &Request, usable: &[usize], typical: Option<Millis>,
+    ) -> Option<usize> {
         if usable.is_empty() {
             return None;
         }
         let class = &self.settings.classes[request.arrival.class.0];
-        let typical = self.typical_pace(now);
         let predict = |place: &usize| {
             let told = request.asked.is_some_and(|asked| self.upstreams[*place].told_since(asked));
             (*place, self.predict(*place, usize::from(told), typical, now))
@@ -685,18 +686,22 @@
         let more = (request.attempts.len() as u32) < limits.max_attempts && now < request.arrival.not_after;
         // Work that may be done twice is paid for from the budget; an error's is over, and its server rests.
         let repeat = request.may_have_run().any(|a| a.outcome != Some(Outcome::Error));
+        let typical = self.typical_pace(now);
         let place = if more && (!repeat || self.retries >= 1.0) {
             let usable = self.usable(now, &request);
             // Those whose load was asked for come first: what is known of the others is older.
             let asked = request.asked.unwrap_or(f64::INFINITY);
             let told = |place: &&usize| self.upstreams[**place].told_since(asked);
             let told: Vec<usize> = usable.iter().filter(told).copied().collect();
-            self.pick(now, &request, &told).or_else(|| self.pick(now, &request, &usable))
+            self.pick(now, &request, &told, typical).or_else(|| self.pick(now, &request, &usable, typical))
         } else {
             None
         };
         if let Some(place) = place {
-            self.send(now, &mut request, place, repeat, actions);
+            if repeat {
+                self.retries -= 1.0;
+            }
+            self.send(now, &mut request, place, typical, actions);
         }
         self.requests.insert(id, request);
         if place.is_none() && !copy {
@@ -705,18 +710,16 @@
     }
 
     fn send(
-        &mut self, now: Millis, request: &mut Request, place: usize, repeat: bool, actions: &mut Vec<Action>,
+        &mut self, now: Millis, request: &mut Request, place: usize, typical: Option<Millis>,
+        actions: &mut Vec<Action>,
     ) {
-        let predicted = self.predict(place, 0, self.typical_pace(now), now);
+        let predicted = self.predict(place, 0, typical, now);
         let (id, number) = (request.arrival.request, request.attempts.len());
         let class = &self.settings.classes[request.arrival.class.0];
         let again = class.effect != Effect::Once && !class.stream;
         let late = (predicted * HEDGE).max(class.aim * HEDGE_LEAST);
         let in_time = now + late < self.useful_until(request);
         let last = number as u32 + 1 >= self.settings.limits.max_attempts;
-        if repeat {
-            self.retries -= 1.0;
-        }
         if again && in_time && !last && (self.settings.limits.parallel_tries || self.settings.limits.cancel) {
             self.timers.set(now + late, Timer::Hedge(id, number));
         }
@@ -814,7 +817,6 @@
                 upstream.turn_away(now, rest);
             }
             Outcome::ConnectFailed => upstream.turn_away(now, rest),
-            Outcome::Reset => {}
             // A time-out tells of slowness always; of death, below, only when nothing was heard meanwhile.
             Outcome::Timeout => {
                 let slower = |pace: [Millis; 2]| elapsed > pace[0] * (ended.held[0] + 1.0);
@@ -822,7 +824,7 @@
                     upstream.learn_pace(elapsed, ended.held, now);
                 }
             }
-            Outcome::Cancelled | Outcome::Moot => {}
+            Outcome::Reset | Outcome::Cancelled | Outcome::Moot => {}
         }
         upstream.take_report(now, end.report);
         let died = matches!(outcome, Outcome::ConnectFailed | Outcome::Reset);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -63,6 +63,19 @@
     }
 }
 
+/// A request that its client abandons after 1 s.
+pub fn arrival(request: u64, now: Millis) -> Arrival {
+    Arrival {
+        request: RequestId(request),
+        class: ClassId(0),
+        tenant: None,
+        not_after: now + 1000.0,
+        retry: false,
+        key: None,
+        cost: None,
+    }
+}
+
 pub struct Front {
     pub balancer: Balancer,
     pub now: Millis,
@@ -112,20 +125,9 @@
         self.feed(Event::Probed { upstream: UpstreamId(id), elapsed, ok, report: None })
     }
 
-    /// A request that its client abandons after 1 s.
     pub fn request(&mut self) -> (RequestId, Vec<Action>) {
         self.next += 1;
-        let request = RequestId(self.next);
-        let arrival = Arrival {
-            request,
-            class: ClassId(0),
-            tenant: None,
-            not_after: self.now + 1000.0,
-            retry: false,
-            key: None,
-            cost: None,
-        };
-        (request, self.feed(Event::Request(arrival)))
+        (RequestId(self.next), self.feed(Event::Request(arrival(self.next, self.now))))
     }
 
     pub fn finish(
@@ -155,6 +157,14 @@
     })
 }
 
+pub fn probes(actions: &[Action]) -> Vec<u32> {
+    let upstream = |action: &Action| match action {
+        Action::Probe { upstream } => Some(upstream.0),
+        _ => None,
+    };
+    actions.iter().filter_map(upstream).collect()
+}
+
 pub fn final_answers(actions: &[Action]) -> usize {
     actions.iter().filter(|a| matches!(a, Action::Refuse { .. } | Action::Fail { .. })).count()
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -10,21 +10,14 @@
 #[test]
 fn probes_start_at_once_and_stay_within_five_seconds() {
     let mut front = Front::new(settings(Effect::Repeatable), 3);
-    let probed = |actions: &[Action]| -> Vec<usize> {
-        let probes = actions.iter().filter_map(|action| match action {
-            Action::Probe { upstream } => Some(upstream.0 as usize),
-            _ => None,
-        });
-        probes.collect()
-    };
-    assert_eq!(probed(&front.seen), [0, 1, 2]);
+    assert_eq!(probes(&front.seen), [0, 1, 2]);
     (0..3).for_each(|id| drop(front.probe(id, 1.0, true)));
     let mut last = [front.now; 3];
     for _ in 0..60 {
-        for place in probed(&front.at(front.wake, Event::Wake)) {
-            assert!(front.now - last[place] <= 5000.0);
-            last[place] = front.now;
-            front.probe(place as u32, 1.0, true);
+        for id in probes(&front.at(front.wake, Event::Wake)) {
+            assert!(front.now - last[id as usize] <= 5000.0);
+            last[id as usize] = front.now;
+            front.probe(id, 1.0, true);
         }
     }
     assert!(last.iter().all(|at| *at > 20_000.0));
@@ -241,31 +234,15 @@
     assert!(first > 0 && first * 2 < warm && first < half && half < warm, "{first} {half} {warm}");
 }
 
-fn probes(actions: &[Action]) -> Vec<u32> {
-    let upstream = |action: &Action| match action {
-        Action::Probe { upstream } => Some(upstream.0),
-        _ => None,
-    };
-    actions.iter().filter_map(upstream).collect()
-}
-
-/// A quiet balancer among hundreds, before a fleet of 60, half of it in its own zone, all probed but `dead`.
-fn one_of_hundreds(seed: u64, dead: impl Fn(u32) -> bool) -> Front {
+/// A quiet balancer among hundreds, before a fleet of 60, half of it in its own zone; what it uses is probed.
+fn one_of_hundreds(seed: u64) -> Front {
     let quiet = Settings { siblings: 500, ..settings(Effect::Repeatable) };
     let mut front = Front::seeded(quiet, seed, 0);
-    let zone = |id: u32| ZoneId(id % 2);
-    let entries = (0..60).map(|id| Entry { zone: zone(id), ..entry(id) }).collect();
-    let mut asked = probes(&front.feed(Event::List { kind: ListKind::Whole, entries }));
-    while let Some(id) = asked.pop() {
+    let entries = (0..60).map(|id| Entry { zone: ZoneId(id % 2), ..entry(id) }).collect();
+    let asked = probes(&front.feed(Event::List { kind: ListKind::Whole, entries }));
+    for id in asked {
         front.now += 1.0;
-        let elapsed = if id % 2 == 0 { 1.0 } else { 9.0 };
-        for _ in 0..2 {
-            asked.extend(probes(&front.probe(id, elapsed, !dead(id))));
-            front.now += 5000.0;
-            asked.extend(
-                probes(&front.feed(Event::Wake)).into_iter().filter(|other| dead(id) && *other == id),
-            );
-        }
+        front.probe(id, if id % 2 == 0 { 1.0 } else { 9.0 }, true);
     }
     front
 }
@@ -274,7 +251,7 @@
 fn a_quiet_balancer_among_many_uses_a_part_drawn_by_its_seed_with_near_ones_in_it() {
     let mut used = std::collections::BTreeSet::new();
     for seed in 0..40 {
-        let mut front = one_of_hundreds(seed, |_| false);
+        let mut front = one_of_hundreds(seed);
         let sent: std::collections::BTreeSet<u32> = front.spread(100).into_iter().collect();
         assert!((2..20).contains(&sent.len()), "{}", sent.len());
         // The nearest tier within the part decides, as in a small fleet.
@@ -286,10 +263,9 @@
 
 #[test]
 fn a_part_with_few_siblings_is_the_whole_fleet() {
-    let mut front = Front::new(settings(Effect::Repeatable), 40);
+    let front = Front::new(settings(Effect::Repeatable), 40);
     let asked: std::collections::BTreeSet<u32> = probes(&front.seen).into_iter().collect();
     assert_eq!(asked.len(), 40);
-    front.feed(Event::Wake);
 }
 
 #[test]
@@ -626,18 +602,6 @@
     }
 }
 
-fn arrival(front: &Front, request: u64) -> Arrival {
-    Arrival {
-        request: RequestId(request),
-        class: ClassId(0),
-        tenant: None,
-        not_after: front.now + 1000.0,
-        retry: false,
-        key: None,
-        cost: None,
-    }
-}
-
 #[test]
 fn one_request_alone_is_not_past_its_tenants_share() {
     let mut shared = settings(Effect::Repeatable);
@@ -646,7 +610,7 @@
     teach(&mut front, 1, 230.0);
     let sent: Vec<bool> = (1001..1011)
         .map(|request| {
-            let arrival = Arrival { tenant: Some(TenantId(0)), ..arrival(&front, request) };
+            let arrival = Arrival { tenant: Some(TenantId(0)), ..arrival(request, front.now) };
             let sent = sent_to(&front.feed(Event::Request(arrival))).is_some();
             front.finish(RequestId(request), 0, Outcome::Ok, 230.0);
             sent
@@ -661,12 +625,12 @@
     for retry in [true, false] {
         let mut front = Front::new(settings(Effect::Repeatable), 1);
         teach(&mut front, 1, 100.0);
-        let first = arrival(&front, 1001);
+        let first = arrival(1001, front.now);
         front.feed(Event::Request(first));
         front.now += 350.0;
         front.feed(Event::ClientGone(RequestId(1001)));
         front.finish(RequestId(1001), 0, Outcome::Cancelled, 350.0);
-        let again = Arrival { retry, ..arrival(&front, 1002) };
+        let again = Arrival { retry, ..arrival(1002, front.now) };
         assert_eq!(sent_to(&front.feed(Event::Request(again))).is_some(), !retry);
     }
 }
--- a/tests/invariants.rs
+++ b/tests/invariants.rs
@@ -190,11 +190,9 @@
                     let class = class as usize % world.classes.len();
                     let not_after = world.front.now + 1000.0;
                     world.requests.insert(next, Ledger { class, not_after, ..Ledger::default() });
-                    let request = RequestId(next);
-                    world.feed(Event::Request(Arrival {
-                        request, class: ClassId(class), tenant: None, not_after, retry: next % 3 == 0,
-                        key: None, cost: None,
-                    }));
+                    let arrival = arrival(next, world.front.now);
+                    let (class, retry) = (ClassId(class), next % 3 == 0);
+                    world.feed(Event::Request(Arrival { class, retry, ..arrival }));
                 }
                 Step::Finish(which, outcome) => {
                     let out: Vec<(u64, usize)> = world.requests.iter().flat_map(|(id, ledger)| {
