--- a/crates/sandtrack-drill/src/host.rs
+++ b/crates/sandtrack-drill/src/host.rs
@@ -2,29 +2,11 @@
 use crate::wire;
 use sandtrack::interface::*;
 use sandtrack::Balancer;
+use sandtrack_settings::{Checked, Names};
 use std::collections::{HashMap, HashSet};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
 
-/// Small numbers for names, in order of first sight.
-#[derive(Default)]
-struct Names {
-    numbers: HashMap<String, u32>,
-    names: Vec<String>,
-}
-
-impl Names {
-    fn intern(&mut self, name: &str) -> u32 {
-        if let Some(&number) = self.numbers.get(name) {
-            return number;
-        }
-        let number = self.names.len() as u32;
-        self.numbers.insert(name.to_owned(), number);
-        self.names.push(name.to_owned());
-        number
-    }
-}
-
 /// Runs it; a panic becomes its message, so that the day ends with a word and the other instances' replies.
 fn guarded(run: impl FnOnce()) -> Result<(), String> {
     catch_unwind(AssertUnwindSafe(run)).map_err(|panic| {
@@ -74,7 +56,8 @@
     fn event(&mut self, now: Millis, event: wire::Event, reply: &mut wire::Reply) -> Result<(), String> {
         let (sidecar, event) = match event {
             wire::Event::PowerOn { sidecar, prng, config } => {
-                let instance = Instance::new(sidecar.clone(), prng, &config);
+                let checked = config.checked().map_err(|fault| format!("config.{fault}"))?;
+                let instance = Instance::new(sidecar.clone(), prng, checked);
                 self.instances.insert(sidecar.clone(), instance);
                 (sidecar, Event::Start)
             }
@@ -135,7 +118,7 @@
             }
             wire::Event::Sampled { sidecar, elapsed, code, upstream, telemetry } => {
                 let Some(instance) = self.instances.get(&sidecar) else { return Ok(()) };
-                let Some(&number) = instance.upstreams.numbers.get(&upstream) else { return Ok(()) };
+                let Some(number) = instance.upstreams.number(&upstream) else { return Ok(()) };
                 let ok = matches!(code, wire::Code::Ok);
                 let report = telemetry.map(report);
                 (sidecar, Event::Probed { upstream: UpstreamId(number), elapsed, ok, report })
@@ -189,16 +172,14 @@
 }
 
 impl Instance {
-    fn new(name: String, seed: u64, config: &wire::Config) -> Self {
-        let mut zones = Names::default();
-        let zone = ZoneId(zones.intern(&config.locality));
+    fn new(name: String, seed: u64, checked: Checked) -> Self {
         Instance {
             name,
-            balancer: Balancer::new(settings(config, zone), seed),
-            classes: config.classes.iter().map(|class| class.name.clone()).collect(),
-            tenants: config.orgs.iter().map(|tenant| tenant.name.clone()).collect(),
+            balancer: Balancer::new(checked.settings, seed),
+            classes: checked.classes,
+            tenants: checked.tenants,
             upstreams: Names::default(),
-            zones,
+            zones: checked.zones,
             kinds: Names::default(),
             wakes: HashSet::new(),
             next_wake: 0,
@@ -223,7 +204,7 @@
 
     fn decision(&mut self, action: Action) -> wire::Decision {
         let sidecar = self.name.clone();
-        let upstream = |id: UpstreamId| self.upstreams.names[id.0 as usize].clone();
+        let upstream = |id: UpstreamId| self.upstreams.name(id.0).to_owned();
         match action {
             Action::Send { request, upstream: to } => {
                 wire::Decision::Issue { sidecar, call: wire::Call(request.0), upstream: upstream(to) }
@@ -276,83 +257,6 @@
     }
 }
 
-fn settings(config: &wire::Config, zone: ZoneId) -> Settings {
-    let class = |class: &wire::Class| Class {
-        aim: class.aim,
-        aim_stretch: class.aim_stretch,
-        deadline: class.deadline,
-        effect: match class.effect {
-            wire::EffectName::Repeatable => Effect::Repeatable,
-            wire::EffectName::Once => Effect::Once,
-            wire::EffectName::ByKey => Effect::Keyed {
-                group: match class.key_scope {
-                    Some(wire::ScopeName::All) => Group::All,
-                    Some(wire::ScopeName::Zone) => Group::Zone,
-                    _ => Group::Cell,
-                },
-                window: class.window,
-            },
-        },
-        worth: class.value,
-        late_worth: class.late_worth,
-        stream: class.stream,
-    };
-    let limits = &config.limits;
-    let (prices, rules) = (&config.penalties, &config.rules);
-    Settings {
-        zone,
-        me: config.me,
-        siblings: config.siblings.unwrap_or(1).max(1),
-        classes: config.classes.iter().map(class).collect(),
-        tenants: config
-            .orgs
-            .iter()
-            .map(|org| Tenant { portion: org.portion, quota_rps: org.quota_rps })
-            .collect(),
-        over_share_worth: config.over_share_worth.unwrap_or(1.0),
-        discovery_on_request: config.discovery.as_deref() == Some("on_request"),
-        feedback: match config.feedback.how.as_deref() {
-            Some("inline") => Feedback::Inline,
-            Some("on_probe") => Feedback::OnProbe,
-            _ => Feedback::Off,
-        },
-        weights: match config.weights.as_deref() {
-            Some("nominal") => Weights::Nominal,
-            Some("rough") => Weights::Rough,
-            Some("live") => Weights::Live,
-            _ => Weights::Off,
-        },
-        warm_keys: config.domain.warm_keys,
-        limits: Limits {
-            cancel: limits.cancel,
-            probes: limits.probes,
-            peers: limits.peers,
-            parallel_tries: limits.parallel_tries,
-            max_attempts: limits.max_attempts,
-            max_open: limits.max_open.unwrap_or(u32::MAX),
-            max_retry_after: limits.retry_after.then_some(limits.max_retry_after),
-            connect_timeout: limits.connect_timeout,
-        },
-        penalties: Penalties {
-            cross_zone: prices.cross_zone,
-            probe: prices.probe,
-            waste: prices.waste,
-            late_fail: prices.late_fail,
-            peer: prices.peer,
-        },
-        rules: Rules {
-            answer_slack: rules.answer_slack,
-            ask_within: rules.ask_within,
-            cold_share: rules.cold_share,
-            cold: rules.cold,
-            drain_grace: rules.drain_grace,
-            fall: rules.fall,
-            fall_multiple: rules.fall_multiple,
-        },
-        step: config.step.unwrap_or(1.0),
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/sandtrack-drill/src/wire.rs
+++ b/crates/sandtrack-drill/src/wire.rs
@@ -1,6 +1,7 @@
 //! The simulator's wire as serde types: one batch in, one reply out, a JSON line each.
 //!
 //! What is unknown is skipped; a known event that lacks a required field makes its line malformed.
+use sandtrack_settings::Document;
 use serde::{Deserialize, Deserializer, Serialize};
 
 #[derive(Deserialize)]
@@ -15,7 +16,7 @@
     PowerOn {
         sidecar: String,
         prng: u64,
-        config: Box<Config>,
+        config: Box<Document>,
     },
     Pool {
         list: usize,
@@ -171,137 +172,6 @@
     Gone,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Config {
-    pub classes: Vec<Class>,
-    #[serde(default)]
-    pub locality: String,
-    #[serde(default)]
-    pub me: u32,
-    pub siblings: Option<u32>,
-    #[serde(default)]
-    pub orgs: Vec<Org>,
-    pub over_share_worth: Option<f64>,
-    pub discovery: Option<String>,
-    #[serde(default)]
-    pub feedback: Feedback,
-    pub weights: Option<String>,
-    #[serde(default)]
-    pub domain: Domain,
-    pub limits: Limits,
-    #[serde(default)]
-    pub penalties: Penalties,
-    pub rules: Rules,
-    pub step: Option<f64>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Class {
-    pub name: String,
-    pub aim: f64,
-    #[serde(default)]
-    pub aim_stretch: f64,
-    pub deadline: f64,
-    pub effect: EffectName,
-    pub key_scope: Option<ScopeName>,
-    #[serde(default)]
-    pub window: f64,
-    pub value: f64,
-    #[serde(default)]
-    pub late_worth: f64,
-    #[serde(default)]
-    pub stream: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum EffectName {
-    Repeatable,
-    ByKey,
-    /// The strictest, and so for any effect not known here.
-    #[serde(other)]
-    Once,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum ScopeName {
-    All,
-    Zone,
-    #[serde(other)]
-    Cell,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Org {
-    pub name: String,
-    #[serde(default)]
-    pub portion: f64,
-    #[serde(default)]
-    pub quota_rps: f64,
-}
-
-#[derive(Default, Deserialize)]
-pub struct Feedback {
-    pub how: Option<String>,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Domain {
-    #[serde(default)]
-    pub warm_keys: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Limits {
-    #[serde(default)]
-    pub cancel: bool,
-    #[serde(default)]
-    pub probes: bool,
-    #[serde(default)]
-    pub peers: bool,
-    #[serde(default)]
-    pub parallel_tries: bool,
-    #[serde(default)]
-    pub retry_after: bool,
-    pub max_attempts: u32,
-    pub max_open: Option<u32>,
-    #[serde(default)]
-    pub max_retry_after: f64,
-    #[serde(default)]
-    pub connect_timeout: f64,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "kebab-case", default)]
-pub struct Penalties {
-    pub cross_zone: f64,
-    pub probe: f64,
-    pub waste: f64,
-    pub late_fail: f64,
-    pub peer: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Rules {
-    #[serde(default)]
-    pub answer_slack: f64,
-    #[serde(default)]
-    pub ask_within: f64,
-    pub cold_share: f64,
-    pub cold: f64,
-    #[serde(default)]
-    pub drain_grace: f64,
-    pub fall: f64,
-    pub fall_multiple: f64,
-}
-
 #[derive(Serialize, Default)]
 pub struct Reply {
     pub decisions: Vec<Decision>,
--- /dev/null
+++ b/crates/sandtrack-settings/src/lib.rs
@@ -0,0 +1,337 @@
+//! The one reader of the settings object that a front is given: names, checks, defaults, and messages that name
+//! the faulty key. It owns the object's form and nothing else; it decides nothing and reads no file.
+use sandtrack::interface::*;
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::fmt;
+
+/// Small numbers for names, in order of first sight.
+#[derive(Default)]
+pub struct Names {
+    numbers: HashMap<String, u32>,
+    names: Vec<String>,
+}
+
+impl Names {
+    pub fn intern(&mut self, name: &str) -> u32 {
+        if let Some(&number) = self.numbers.get(name) {
+            return number;
+        }
+        let number = self.names.len() as u32;
+        self.numbers.insert(name.to_owned(), number);
+        self.names.push(name.to_owned());
+        number
+    }
+
+    pub fn number(&self, name: &str) -> Option<u32> {
+        self.numbers.get(name).copied()
+    }
+
+    pub fn name(&self, number: u32) -> &str {
+        &self.names[number as usize]
+    }
+}
+
+/// What is wrong, and with which key.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Fault {
+    pub key: String,
+    pub wrong: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "{}: {}", self.key, self.wrong)
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// Reads any document, naming the key at which reading stopped.
+pub fn read<T: serde::de::DeserializeOwned>(text: &[u8]) -> Result<T, Fault> {
+    let reader = &mut serde_json::Deserializer::from_slice(text);
+    serde_path_to_error::deserialize(reader)
+        .map_err(|error| Fault { key: error.path().to_string(), wrong: error.inner().to_string() })
+}
+
+/// The checked settings: what the module is given, and what a front needs beside it.
+pub struct Checked {
+    pub settings: Settings,
+    pub classes: Vec<String>,
+    pub tenants: Vec<String>,
+    /// Knows the own zone already: it is `settings.zone`.
+    pub zones: Names,
+    /// An upstream closes an idle connection after this time at the latest.
+    pub conn_idle: Option<Millis>,
+}
+
+impl Document {
+    /// Checks what no type tells, and gives the settings in the module's form.
+    pub fn checked(&self) -> Result<Checked, Fault> {
+        let fault = |key: String, wrong: &str| Err(Fault { key, wrong: wrong.to_owned() });
+        if self.classes.is_empty() {
+            return fault("classes".into(), "at least one class is needed");
+        }
+        for (n, class) in self.classes.iter().enumerate() {
+            let key = |name: &str| format!("classes[{n}].{name}");
+            if self.classes[..n].iter().any(|other| other.name == class.name) {
+                return fault(key("name"), "the name of an earlier class");
+            }
+            if class.deadline <= 0.0 {
+                return fault(key("deadline"), "must be over 0 ms");
+            }
+            for (name, figure) in [("aim", class.aim), ("window", class.window), ("value", class.value)] {
+                if figure < 0.0 {
+                    return fault(key(name), "must not be negative");
+                }
+            }
+        }
+        for (n, org) in self.orgs.iter().enumerate() {
+            if self.orgs[..n].iter().any(|other| other.name == org.name) {
+                return fault(format!("orgs[{n}].name"), "the name of an earlier tenant");
+            }
+        }
+        let (limits, rules) = (&self.limits, &self.rules);
+        if limits.max_attempts == 0 {
+            return fault("limits.max-attempts".into(), "at least one attempt is needed");
+        }
+        for (key, figure) in [
+            ("limits.max-retry-after", limits.max_retry_after),
+            ("limits.connect-timeout", limits.connect_timeout),
+            ("limits.conn-idle", limits.conn_idle),
+            ("rules.answer-slack", rules.answer_slack),
+            ("rules.ask-within", rules.ask_within),
+            ("rules.cold-share", rules.cold_share),
+            ("rules.cold", rules.cold),
+            ("rules.drain-grace", rules.drain_grace),
+            ("rules.fall", rules.fall),
+            ("rules.fall-multiple", rules.fall_multiple),
+            ("step", self.step.unwrap_or(0.0)),
+        ] {
+            if figure < 0.0 {
+                return fault(key.into(), "must not be negative");
+            }
+        }
+        let mut zones = Names::default();
+        let zone = ZoneId(zones.intern(&self.locality));
+        Ok(Checked {
+            settings: settings(self, zone),
+            classes: self.classes.iter().map(|class| class.name.clone()).collect(),
+            tenants: self.orgs.iter().map(|tenant| tenant.name.clone()).collect(),
+            zones,
+            conn_idle: Some(limits.conn_idle).filter(|idle| *idle > 0.0),
+        })
+    }
+}
+
+/// The settings object as it is written.
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Document {
+    classes: Vec<ClassDoc>,
+    #[serde(default)]
+    locality: String,
+    #[serde(default)]
+    me: u32,
+    siblings: Option<u32>,
+    #[serde(default)]
+    orgs: Vec<Org>,
+    over_share_worth: Option<f64>,
+    discovery: Option<String>,
+    #[serde(default)]
+    feedback: FeedbackDoc,
+    weights: Option<String>,
+    #[serde(default)]
+    domain: Domain,
+    limits: LimitsDoc,
+    #[serde(default)]
+    penalties: PenaltiesDoc,
+    rules: RulesDoc,
+    step: Option<f64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct ClassDoc {
+    name: String,
+    aim: f64,
+    #[serde(default)]
+    aim_stretch: f64,
+    deadline: f64,
+    effect: EffectName,
+    key_scope: Option<ScopeName>,
+    #[serde(default)]
+    window: f64,
+    value: f64,
+    #[serde(default)]
+    late_worth: f64,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum EffectName {
+    Repeatable,
+    ByKey,
+    /// The strictest, and so for any effect not known here.
+    #[serde(other)]
+    Once,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum ScopeName {
+    All,
+    Zone,
+    #[serde(other)]
+    Cell,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Org {
+    name: String,
+    #[serde(default)]
+    portion: f64,
+    #[serde(default)]
+    quota_rps: f64,
+}
+
+#[derive(Default, Deserialize)]
+struct FeedbackDoc {
+    how: Option<String>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Domain {
+    #[serde(default)]
+    warm_keys: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct LimitsDoc {
+    #[serde(default)]
+    cancel: bool,
+    #[serde(default)]
+    probes: bool,
+    #[serde(default)]
+    peers: bool,
+    #[serde(default)]
+    parallel_tries: bool,
+    #[serde(default)]
+    retry_after: bool,
+    max_attempts: u32,
+    max_open: Option<u32>,
+    #[serde(default)]
+    max_retry_after: f64,
+    #[serde(default)]
+    connect_timeout: f64,
+    /// An idle connection is closed by its upstream after this time at the latest; 0: not told.
+    #[serde(default)]
+    conn_idle: f64,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+struct PenaltiesDoc {
+    cross_zone: f64,
+    probe: f64,
+    waste: f64,
+    late_fail: f64,
+    peer: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct RulesDoc {
+    #[serde(default)]
+    answer_slack: f64,
+    #[serde(default)]
+    ask_within: f64,
+    cold_share: f64,
+    cold: f64,
+    #[serde(default)]
+    drain_grace: f64,
+    fall: f64,
+    fall_multiple: f64,
+}
+
+fn settings(config: &Document, zone: ZoneId) -> Settings {
+    let class = |class: &ClassDoc| Class {
+        aim: class.aim,
+        aim_stretch: class.aim_stretch,
+        deadline: class.deadline,
+        effect: match class.effect {
+            EffectName::Repeatable => Effect::Repeatable,
+            EffectName::Once => Effect::Once,
+            EffectName::ByKey => Effect::Keyed {
+                group: match class.key_scope {
+                    Some(ScopeName::All) => Group::All,
+                    Some(ScopeName::Zone) => Group::Zone,
+                    _ => Group::Cell,
+                },
+                window: class.window,
+            },
+        },
+        worth: class.value,
+        late_worth: class.late_worth,
+        stream: class.stream,
+    };
+    let limits = &config.limits;
+    let (prices, rules) = (&config.penalties, &config.rules);
+    Settings {
+        zone,
+        me: config.me,
+        siblings: config.siblings.unwrap_or(1).max(1),
+        classes: config.classes.iter().map(class).collect(),
+        tenants: config
+            .orgs
+            .iter()
+            .map(|org| Tenant { portion: org.portion, quota_rps: org.quota_rps })
+            .collect(),
+        over_share_worth: config.over_share_worth.unwrap_or(1.0),
+        discovery_on_request: config.discovery.as_deref() == Some("on_request"),
+        feedback: match config.feedback.how.as_deref() {
+            Some("inline") => Feedback::Inline,
+            Some("on_probe") => Feedback::OnProbe,
+            _ => Feedback::Off,
+        },
+        weights: match config.weights.as_deref() {
+            Some("nominal") => Weights::Nominal,
+            Some("rough") => Weights::Rough,
+            Some("live") => Weights::Live,
+            _ => Weights::Off,
+        },
+        warm_keys: config.domain.warm_keys,
+        limits: Limits {
+            cancel: limits.cancel,
+            probes: limits.probes,
+            peers: limits.peers,
+            parallel_tries: limits.parallel_tries,
+            max_attempts: limits.max_attempts,
+            max_open: limits.max_open.unwrap_or(u32::MAX),
+            max_retry_after: limits.retry_after.then_some(limits.max_retry_after),
+            connect_timeout: limits.connect_timeout,
+        },
+        penalties: Penalties {
+            cross_zone: prices.cross_zone,
+            probe: prices.probe,
+            waste: prices.waste,
+            late_fail: prices.late_fail,
+            peer: prices.peer,
+        },
+        rules: Rules {
+            answer_slack: rules.answer_slack,
+            ask_within: rules.ask_within,
+            cold_share: rules.cold_share,
+            cold: rules.cold,
+            drain_grace: rules.drain_grace,
+            fall: rules.fall,
+            fall_multiple: rules.fall_multiple,
+        },
+        step: config.step.unwrap_or(1.0),
+    }
+}
--- /dev/null
+++ b/crates/sandtrack-sidecar/src/catalog.rs
@@ -0,0 +1,122 @@
+//! Discovery: its list's form, and the watch that follows it. It owns the one connection of a watch call, and must
+//! never keep a list, judge an entry or call again by itself: the reducer does.
+use crate::http::{self, Parser, Part, Side};
+use crate::net::{ordered_closed, read_into, write_all, Inputs, Orders};
+use crate::reducer::{CallId, Input};
+use crate::ring::Ring;
+use async_io::Async;
+use futures_lite::future;
+use serde::Deserialize;
+use std::net::{SocketAddr, TcpStream};
+
+/// A list, or what changed in it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Catalog {
+    #[serde(default)]
+    pub generation: u64,
+    /// The whole list, not changes.
+    #[serde(default)]
+    pub reset: bool,
+    #[serde(default)]
+    pub instances: Vec<Instance>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Instance {
+    pub instance_id: String,
+    #[serde(default)]
+    pub host_port: String,
+    #[serde(default)]
+    pub zone: String,
+    #[serde(default)]
+    pub machine_type: String,
+    #[serde(default)]
+    pub cell: u32,
+    pub lifecycle: Lifecycle,
+    pub weight: Option<f64>,
+    #[serde(default)]
+    pub started_at_ms: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "SCREAMING_SNAKE_CASE")]
+pub enum Lifecycle {
+    Serving,
+    Deleted,
+    /// `DRAINING`, and any state not known here: it wants nothing new.
+    #[serde(other)]
+    Draining,
+}
+
+/// The longest line taken: a list of a few thousand upstreams.
+const LINE_MAX: usize = 1 << 20;
+/// The call's buffer.
+const READ_RING: usize = 64 * 1024;
+
+/// Runs one watch call until it ends, and tells the reducer each line.
+pub async fn watch(call: CallId, address: SocketAddr, after: Option<u64>, orders: Orders, inputs: Inputs) {
+    let told = inputs.clone();
+    future::or(ordered_closed(&orders), async {
+        if let Err(error) = follow(call, address, after, &inputs).await {
+            tracing::debug!(call, %error, "watch ended");
+        }
+    })
+    .await;
+    told.send(Input::WatchEnded { call });
+}
+
+async fn follow(
+    call: CallId, address: SocketAddr, after: Option<u64>, inputs: &Inputs,
+) -> std::io::Result<()> {
+    let broken = |what: &str| std::io::Error::new(std::io::ErrorKind::InvalidData, what.to_owned());
+    let stream = Async::<TcpStream>::connect(address).await?;
+    stream.get_ref().set_nodelay(true)?;
+    let target = match after {
+        Some(after) => format!("/catalog/members?watch=1&after={after}"),
+        None => "/catalog/members?watch=1".to_owned(),
+    };
+    let host = address.to_string();
+    let mut out = Ring::new(http::WRITE_RING);
+    if !out.push(&http::request("GET", &target, [("Host", host.as_str())].into_iter(), b"")) {
+        return Err(broken("the call is too long"));
+    }
+    write_all(&stream, &mut out).await?;
+    let mut ring = Ring::new(READ_RING);
+    let mut parser = Parser::new(Side::Response);
+    let mut line: Vec<u8> = Vec::new();
+    loop {
+        if read_into(&stream, &mut ring).await? == 0 {
+            return Err(broken("the connection ended"));
+        }
+        while let Some(part) = parser.next(&mut ring).map_err(|_| broken("not HTTP"))? {
+            match part {
+                Part::Head(head) if head.status == 200 => {}
+                Part::Head(head) => return Err(broken(&format!("status {}", head.status))),
+                Part::End => return Err(broken("the answer ended")),
+                Part::Data(data) => {
+                    for piece in data.split_inclusive(|byte| *byte == b'\n') {
+                        line.extend(piece);
+                        if line.len() > LINE_MAX {
+                            return Err(broken("a line is too long"));
+                        }
+                        if line.last() == Some(&b'\n') {
+                            tell(call, &line, inputs)?;
+                            line.clear();
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn tell(call: CallId, line: &[u8], inputs: &Inputs) -> std::io::Result<()> {
+    if line.iter().all(u8::is_ascii_whitespace) {
+        inputs.send(Input::WatchBeat { call });
+        return Ok(());
+    }
+    let catalog = serde_json::from_slice(line)?;
+    inputs.send(Input::WatchLine { call, catalog });
+    Ok(())
+}
--- /dev/null
+++ b/crates/sandtrack-sidecar/src/client.rs
@@ -0,0 +1,131 @@
+//! The client side: the listener and one task a client connection. It owns those sockets and their buffers, tells
+//! the reducer each request whole, and must never answer of its own accord nor read a second request while one
+//! is unanswered.
+use crate::http::{self, Collector, Side};
+use crate::net::{next, ordered_closed, write_all, Inputs, Next, Order, Orders};
+use crate::reducer::{ConnId, Input};
+use crate::ring::Ring;
+use async_io::{Async, Timer};
+use futures_lite::future;
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::time::Duration;
+
+/// A client that takes no bytes for this long is gone.
+const WRITE_PATIENCE: Duration = Duration::from_secs(5);
+/// How long the last answer may stay unread before the socket is closed under it.
+const LINGER: Duration = Duration::from_millis(200);
+/// Pause of the listener when the process is out of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
+
+/// Accepts until told to stop, then takes what is already waiting, and closes the listener.
+pub async fn accept(
+    listener: Async<TcpListener>, stop: Orders, inputs: Inputs, mut opened: impl FnMut(Async<TcpStream>),
+) {
+    loop {
+        let accepted = future::or(
+            async {
+                ordered_closed(&stop).await;
+                None
+            },
+            async { Some(listener.accept().await) },
+        );
+        match accepted.await {
+            Some(Ok((stream, _))) => opened(stream),
+            Some(Err(error)) => {
+                // Out of descriptors, or a connection that broke while it waited: the listener lives on.
+                tracing::warn!(%error, "accept failed");
+                inputs.send(Input::AcceptFailed);
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+            None => break,
+        }
+    }
+    while let Some(Ok((stream, _))) = future::poll_once(listener.accept()).await {
+        opened(stream);
+    }
+    drop(listener);
+    inputs.send(Input::AcceptStopped);
+}
+
+/// Serves one client connection until it ends.
+pub async fn serve(conn: ConnId, stream: Async<TcpStream>, orders: Orders, inputs: Inputs) {
+    if let Err(error) = stream.get_ref().set_nodelay(true) {
+        tracing::debug!(conn, %error, "no TCP_NODELAY");
+    }
+    exchange(conn, &stream, &orders, &inputs).await;
+    drop(stream);
+    inputs.send(Input::ClientClosed { conn });
+}
+
+async fn exchange(conn: ConnId, stream: &Async<TcpStream>, orders: &Orders, inputs: &Inputs) {
+    let mut input = Ring::new(http::READ_RING);
+    let mut output = Ring::new(http::WRITE_RING);
+    let mut collector = Collector::new(Side::Request);
+    let mut unanswered = false;
+    loop {
+        if !unanswered {
+            let at = inputs.clock.now();
+            match collector.next(&mut input) {
+                Ok(None) => {}
+                Ok(Some(message)) => {
+                    unanswered = true;
+                    inputs.send(Input::ClientRequest { conn, at, message });
+                }
+                Err(bad) => {
+                    unanswered = true;
+                    inputs.send(Input::ClientBad { conn, status: bad.status() });
+                }
+            }
+        }
+        match next(stream, &mut input, orders).await {
+            Next::Order(Order::Write { bytes, close }) => {
+                let wrote = output.push(&bytes) && patiently(stream, &mut output, orders).await;
+                if !wrote {
+                    return;
+                }
+                if close {
+                    return linger(stream).await;
+                }
+                unanswered = false;
+            }
+            Next::Order(Order::Close) => return linger(stream).await,
+            Next::Read(0) | Next::Broken => {
+                // Told at once, while the socket is still held: the request has lost its client.
+                return;
+            }
+            Next::Read(_) => {}
+        }
+    }
+}
+
+/// Writes the buffer; no when the client is gone, takes nothing, or the reducer wants the connection closed.
+async fn patiently(stream: &Async<TcpStream>, output: &mut Ring, orders: &Orders) -> bool {
+    let write = async { write_all(stream, output).await.is_ok() };
+    let closed = async {
+        ordered_closed(orders).await;
+        false
+    };
+    let patience = async {
+        Timer::after(WRITE_PATIENCE).await;
+        false
+    };
+    future::or(write, future::or(closed, patience)).await
+}
+
+/// Ends the sending side and waits a little for the client to end its own: a socket that is closed with bytes
+/// unread resets the connection, and the client could lose the answer that is on its way.
+async fn linger(stream: &Async<TcpStream>) {
+    if stream.get_ref().shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    let mut scrap = Ring::new(http::READ_RING);
+    let ended = async {
+        while crate::net::read_into(stream, &mut scrap).await.is_ok_and(|count| count > 0) {
+            scrap.consume(usize::MAX);
+        }
+    };
+    let enough = async {
+        Timer::after(LINGER).await;
+    };
+    future::or(ended, enough).await;
+}
--- /dev/null
+++ b/crates/sandtrack-sidecar/src/config.rs
@@ -0,0 +1,99 @@
+//! What the sidecar is told when it starts: one JSON file, and the variables that name it. It owns the file's form,
+//! checks and defaults, and must never be read again later nor hold anything that changes.
+use crate::catalog::Catalog;
+use sandtrack_settings::{Checked, Document, Fault};
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+#[derive(Deserialize)]
+struct File {
+    #[serde(default)]
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: Seed,
+    #[serde(default)]
+    limits: Limits,
+    known: Option<Catalog>,
+    settings: Document,
+}
+
+/// A number, or hex digits.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Seed {
+    Number(u64),
+    Digits(String),
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: 1024 }
+    }
+}
+
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    /// File descriptors that the process may hold.
+    pub descriptors: usize,
+    /// The list as this sidecar last had it; it may be old.
+    pub known: Option<Catalog>,
+    pub checked: Checked,
+}
+
+/// The fewest descriptors with which anything can be served.
+const DESCRIPTORS_LEAST: usize = 24;
+
+/// Reads the configuration's text.
+pub fn parse(text: &[u8]) -> Result<Config, Fault> {
+    let file: File = sandtrack_settings::read(text)?;
+    let seed = match file.seed {
+        Seed::Number(seed) => seed,
+        Seed::Digits(digits) => u64::from_str_radix(&digits, 16).map_err(|_| Fault {
+            key: "seed".to_owned(),
+            wrong: format!("{digits:?} is not a number of up to 16 hex digits"),
+        })?,
+    };
+    if file.limits.sockets < DESCRIPTORS_LEAST {
+        let wrong = format!("{} are too few: {DESCRIPTORS_LEAST} are needed", file.limits.sockets);
+        return Err(Fault { key: "limits.sockets".to_owned(), wrong });
+    }
+    let checked = file
+        .settings
+        .checked()
+        .map_err(|fault| Fault { key: format!("settings.{}", fault.key), wrong: fault.wrong })?;
+    Ok(Config {
+        name: file.name,
+        listen: file.listen,
+        discovery: file.discovery,
+        seed,
+        descriptors: file.limits.sockets,
+        known: file.known,
+        checked,
+    })
+}
+
+/// Reads the file that `NODE_CONFIG` names; `NODE_NAME`, `NODE_LISTEN` and `NODE_DISCOVERY` go before it.
+pub fn load(var: impl Fn(&str) -> Option<String>) -> Result<Config, Fault> {
+    let wrong = |key: &str, wrong: String| Fault { key: key.to_owned(), wrong };
+    let path = var("NODE_CONFIG").ok_or_else(|| wrong("NODE_CONFIG", "not set".to_owned()))?;
+    let text = std::fs::read(&path).map_err(|error| wrong("NODE_CONFIG", error.to_string()))?;
+    let mut config = parse(&text)?;
+    let address = |key: &str, told: SocketAddr| match var(key) {
+        Some(text) => text.parse().map_err(|_| wrong(key, format!("{text:?} is not address:port"))),
+        None => Ok(told),
+    };
+    config.listen = address("NODE_LISTEN", config.listen)?;
+    config.discovery = address("NODE_DISCOVERY", config.discovery)?;
+    config.name = var("NODE_NAME").unwrap_or(config.name);
+    Ok(config)
+}
--- /dev/null
+++ b/crates/sandtrack-sidecar/src/http.rs
@@ -0,0 +1,411 @@
+//! HTTP/1.1: an incremental parser and a writer. Both are pure: bytes in, parts of a message out, and back.
+//! They own the rules of framing, and must never read or write a socket, panic on any input, or take a message
+//! whose framing can be read in two ways.
+use crate::ring::Ring;
+
+/// A message's head may be this long ...
+pub const HEAD_MAX: usize = 8 * 1024;
+/// ... and its body this (the protocol's limit).
+pub const BODY_MAX: usize = 64 * 1024;
+/// Bound of a buffer that is read into: a whole head always fits.
+pub const READ_RING: usize = 2 * HEAD_MAX;
+/// Bound of a buffer that is written from: a whole message always fits.
+pub const WRITE_RING: usize = BODY_MAX + 2 * HEAD_MAX;
+/// A chunk's size line may be this long, and so may a trailer.
+const LINE_MAX: usize = 1024;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    Request,
+    Response,
+}
+
+/// Why a message can't be taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bad {
+    Malformed,
+    HeadTooLong,
+    BodyTooLong,
+}
+
+impl Bad {
+    /// The status that a client is told.
+    pub fn status(self) -> u16 {
+        match self {
+            Bad::Malformed => 400,
+            Bad::HeadTooLong => 431,
+            Bad::BodyTooLong => 413,
+        }
+    }
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Headers(pub Vec<(String, String)>);
+
+impl Headers {
+    pub fn get(&self, name: &str) -> Option<&str> {
+        self.0.iter().find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
+    }
+
+    fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
+        let same = move |entry: &&(String, String)| entry.0.eq_ignore_ascii_case(name);
+        self.0.iter().filter(same).map(|(_, value)| value.as_str())
+    }
+
+    fn has_token(&self, name: &str, token: &str) -> bool {
+        self.all(name).flat_map(|value| value.split(',')).any(|word| word.trim().eq_ignore_ascii_case(token))
+    }
+
+    /// Those that concern the two ends and not one connection, in their order.
+    pub fn end_to_end(&self) -> impl Iterator<Item = (&str, &str)> {
+        const HOP: [&str; 10] = [
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "content-length",
+        ];
+        let hop = |name: &str| HOP.iter().any(|hop| name.eq_ignore_ascii_case(hop));
+        let named = |name: &str| self.has_token("connection", name);
+        let kept = self.0.iter().filter(move |(name, _)| !hop(name) && !named(name));
+        kept.map(|(name, value)| (name.as_str(), value.as_str()))
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Head {
+    /// A request's method and target; empty in a response.
+    pub method: String,
+    pub target: String,
+    /// A response's status; 0 in a request.
+    pub status: u16,
+    pub headers: Headers,
+    /// The connection stays open after this message.
+    pub keep_alive: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Message {
+    pub head: Head,
+    pub body: Vec<u8>,
+}
+
+#[derive(Debug, PartialEq, Eq)]
+pub enum Part {
+    Head(Head),
+    Data(Vec<u8>),
+    End,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// Reading a head, of which this much was searched for its end.
+    Head {
+        searched: usize,
+    },
+    Length(usize),
+    ChunkSize,
+    Chunk(usize),
+    /// The line end that closes a chunk's data.
+    ChunkEnd,
+    Trailer,
+    UntilClose,
+    /// The body is over, and `End` is still to be told.
+    Over,
+}
+
+/// Takes one message after another off a ring buffer, however its bytes are split.
+pub struct Parser {
+    side: Side,
+    state: State,
+    trailer: usize,
+}
+
+impl Parser {
+    pub fn new(side: Side) -> Self {
+        Parser { side, state: State::Head { searched: 0 }, trailer: 0 }
+    }
+
+    /// Whether a message has begun that is not over.
+    pub fn within(&self, ring: &Ring) -> bool {
+        !matches!(self.state, State::Head { .. }) || !ring.is_empty()
+    }
+
+    /// The next part, if all of it is there.
+    pub fn next(&mut self, ring: &mut Ring) -> Result<Option<Part>, Bad> {
+        loop {
+            match self.state {
+                State::Head { searched } => {
+                    if searched == 0 && ring.peek().starts_with(b"\r\n") {
+                        ring.consume(2);
+                        continue;
+                    }
+                    let bytes = ring.peek();
+                    let from = searched.saturating_sub(3);
+                    let end = bytes[from..].windows(4).position(|four| four == b"\r\n\r\n");
+                    let Some(end) = end.map(|at| from + at) else {
+                        if bytes.len() > HEAD_MAX {
+                            return Err(Bad::HeadTooLong);
+                        }
+                        self.state = State::Head { searched: bytes.len() };
+                        return Ok(None);
+                    };
+                    if end > HEAD_MAX {
+                        return Err(Bad::HeadTooLong);
+                    }
+                    let head = parse_head(self.side, &bytes[..end])?;
+                    let state = framing(self.side, &head)?;
+                    ring.consume(end + 4);
+                    if self.side == Side::Response && head.status < 200 {
+                        // An interim response: the real one follows.
+                        self.state = State::Head { searched: 0 };
+                        continue;
+                    }
+                    self.state = state;
+                    return Ok(Some(Part::Head(head)));
+                }
+                State::Length(0) | State::Over => {
+                    self.state = State::Head { searched: 0 };
+                    return Ok(Some(Part::End));
+                }
+                State::Length(left) => {
+                    let Some(data) = take(ring, left) else { return Ok(None) };
+                    self.state = State::Length(left - data.len());
+                    return Ok(Some(Part::Data(data)));
+                }
+                State::ChunkSize => {
+                    let Some(line) = take_line(ring)? else { return Ok(None) };
+                    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
+                    let digits = std::str::from_utf8(digits).map_err(|_| Bad::Malformed)?.trim();
+                    let hex = !digits.is_empty() && digits.bytes().all(|byte| byte.is_ascii_hexdigit());
+                    if !hex || digits.len() > 8 {
+                        return Err(Bad::Malformed);
+                    }
+                    let size = usize::from_str_radix(digits, 16).map_err(|_| Bad::Malformed)?;
+                    self.trailer = 0;
+                    self.state = if size == 0 { State::Trailer } else { State::Chunk(size) };
+                }
+                State::Chunk(left) => {
+                    let Some(data) = take(ring, left) else { return Ok(None) };
+                    let left = left - data.len();
+                    self.state = if left == 0 { State::ChunkEnd } else { State::Chunk(left) };
+                    return Ok(Some(Part::Data(data)));
+                }
+                State::ChunkEnd => match take_line(ring)? {
+                    None => return Ok(None),
+                    Some(line) if line.is_empty() => self.state = State::ChunkSize,
+                    Some(_) => return Err(Bad::Malformed),
+                },
+                State::Trailer => match take_line(ring)? {
+                    None => return Ok(None),
+                    Some(line) if line.is_empty() => self.state = State::Over,
+                    Some(line) => {
+                        self.trailer += line.len();
+                        if self.trailer > HEAD_MAX {
+                            return Err(Bad::HeadTooLong);
+                        }
+                    }
+                },
+                State::UntilClose => return Ok(take(ring, usize::MAX).map(Part::Data)),
+            }
+        }
+    }
+
+    /// The connection has ended and all that was read is parsed: whether that ends a message whole.
+    pub fn ended(&mut self) -> bool {
+        std::mem::replace(&mut self.state, State::Head { searched: 0 }) == State::UntilClose
+    }
+}
+
+/// Collects the parts of a message whose body is not too long.
+pub struct Collector {
+    parser: Parser,
+    head: Option<Head>,
+    body: Vec<u8>,
+}
+
+impl Collector {
+    pub fn new(side: Side) -> Self {
+        Collector { parser: Parser::new(side), head: None, body: Vec::new() }
+    }
+
+    pub fn next(&mut self, ring: &mut Ring) -> Result<Option<Message>, Bad> {
+        while let Some(part) = self.parser.next(ring)? {
+            match part {
+                Part::Head(head) => {
+                    if matches!(self.parser.state, State::Length(length) if length > BODY_MAX) {
+                        return Err(Bad::BodyTooLong);
+                    }
+                    self.head = Some(head);
+                }
+                Part::Data(data) => {
+                    if self.body.len() + data.len() > BODY_MAX {
+                        return Err(Bad::BodyTooLong);
+                    }
+                    self.body.extend(data);
+                }
+                Part::End => return Ok(self.whole()),
+            }
+        }
+        Ok(None)
+    }
+
+    /// The connection has ended: the message that this completes, if one.
+    pub fn ended(&mut self) -> Option<Message> {
+        if self.parser.ended() {
+            self.whole()
+        } else {
+            None
+        }
+    }
+
+    pub fn within(&self, ring: &Ring) -> bool {
+        self.parser.within(ring)
+    }
+
+    fn whole(&mut self) -> Option<Message> {
+        let body = std::mem::take(&mut self.body);
+        self.head.take().map(|head| Message { head, body })
+    }
+}
+
+fn take(ring: &mut Ring, most: usize) -> Option<Vec<u8>> {
+    let bytes = ring.peek();
+    let count = bytes.len().min(most);
+    if count == 0 {
+        return None;
+    }
+    let data = bytes[..count].to_vec();
+    ring.consume(count);
+    Some(data)
+}
+
+fn take_line(ring: &mut Ring) -> Result<Option<Vec<u8>>, Bad> {
+    let bytes = ring.peek();
+    let Some(end) = bytes.iter().take(LINE_MAX + 1).position(|byte| *byte == b'\n') else {
+        return if bytes.len() > LINE_MAX { Err(Bad::Malformed) } else { Ok(None) };
+    };
+    let Some(line) = bytes[..end].strip_suffix(b"\r") else { return Err(Bad::Malformed) };
+    let line = line.to_vec();
+    ring.consume(end + 1);
+    Ok(Some(line))
+}
+
+fn is_token(text: &str) -> bool {
+    !text.is_empty()
+        && text.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte))
+}
+
+fn parse_head(side: Side, bytes: &[u8]) -> Result<Head, Bad> {
+    let text = std::str::from_utf8(bytes).map_err(|_| Bad::Malformed)?;
+    let mut lines = text.split("\r\n");
+    let start = lines.next().unwrap_or_default();
+    let mut headers = Headers::default();
+    for line in lines {
+        let (name, value) = line.split_once(':').ok_or(Bad::Malformed)?;
+        let value = value.trim_matches([' ', '\t']);
+        if !is_token(name) || value.chars().any(|c| c.is_control() && c != '\t') {
+            return Err(Bad::Malformed);
+        }
+        headers.0.push((name.to_owned(), value.to_owned()));
+    }
+    let mut words = start.splitn(3, ' ');
+    let mut word = || words.next().ok_or(Bad::Malformed);
+    let mut head =
+        Head { method: String::new(), target: String::new(), status: 0, headers, keep_alive: false };
+    let version = match side {
+        Side::Request => {
+            let (method, target, version) = (word()?, word()?, word()?);
+            let visible = target.bytes().all(|byte| byte.is_ascii_graphic());
+            if !is_token(method) || target.is_empty() || !visible {
+                return Err(Bad::Malformed);
+            }
+            head.method = method.to_owned();
+            head.target = target.to_owned();
+            version
+        }
+        Side::Response => {
+            let (version, status) = (word()?, word()?);
+            let digits = status.len() == 3 && status.bytes().all(|byte| byte.is_ascii_digit());
+            head.status = status.parse().ok().filter(|code| digits && *code >= 100).ok_or(Bad::Malformed)?;
+            version
+        }
+    };
+    head.keep_alive = match version {
+        "HTTP/1.1" => !head.headers.has_token("connection", "close"),
+        "HTTP/1.0" => head.headers.has_token("connection", "keep-alive"),
+        _ => return Err(Bad::Malformed),
+    };
+    Ok(head)
+}
+
+/// How the body is framed; a head that says it in two ways is malformed.
+fn framing(side: Side, head: &Head) -> Result<State, Bad> {
+    let mut length = None;
+    for value in head.headers.all("content-length") {
+        let digits = !value.is_empty() && value.bytes().all(|byte| byte.is_ascii_digit());
+        let value: usize = value.parse().ok().filter(|_| digits).ok_or(Bad::Malformed)?;
+        if length.is_some_and(|earlier| earlier != value) {
+            return Err(Bad::Malformed);
+        }
+        length = Some(value);
+    }
+    let mut codings = head.headers.all("transfer-encoding");
+    match (codings.next(), codings.next(), length) {
+        (Some(coding), None, None) if coding.eq_ignore_ascii_case("chunked") => Ok(State::ChunkSize),
+        (Some(_), ..) => Err(Bad::Malformed),
+        (None, _, _) if head.status == 204 || head.status == 304 => Ok(State::Length(0)),
+        (None, _, Some(length)) => Ok(State::Length(length)),
+        (None, _, None) if side == Side::Request => Ok(State::Length(0)),
+        (None, _, None) => Ok(State::UntilClose),
+    }
+}
+
+pub fn request<'a>(
+    method: &str, target: &str, headers: impl Iterator<Item = (&'a str, &'a str)>, body: &[u8],
+) -> Vec<u8> {
+    // A method that takes no body says nothing of its length.
+    let length = (!body.is_empty() || !matches!(method, "GET" | "DELETE")).then_some(body.len());
+    write(format!("{method} {target} HTTP/1.1\r\n"), headers, length, body)
+}
+
+pub fn response<'a>(
+    status: u16, headers: impl Iterator<Item = (&'a str, &'a str)>, body: &[u8], close: bool,
+) -> Vec<u8> {
+    let reason = match status {
+        200 => "OK",
+        400 => "Bad Request",
+        405 => "Method Not Allowed",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "",
+    };
+    let connection = close.then_some(("Connection", "close"));
+    write(format!("HTTP/1.1 {status} {reason}\r\n"), headers.chain(connection), Some(body.len()), body)
+}
+
+fn write<'a>(
+    start: String, headers: impl Iterator<Item = (&'a str, &'a str)>, length: Option<usize>, body: &[u8],
+) -> Vec<u8> {
+    let mut text = start;
+    for (name, value) in headers {
+        for piece in [name, ": ", value, "\r\n"] {
+            text.push_str(piece);
+        }
+    }
+    if let Some(length) = length {
+        text.push_str(&format!("Content-Length: {length}\r\n"));
+    }
+    text.push_str("\r\n");
+    let mut bytes = text.into_bytes();
+    bytes.extend_from_slice(body);
+    bytes
+}
--- /dev/null
+++ b/crates/sandtrack-sidecar/src/main.rs
@@ -0,0 +1,175 @@
+//! The sidecar's process: the executor, the clock, the signals, and the loop that hands inputs to the reducer and
+//! carries out its effects. It owns the tasks and their order channels, and must never change state by itself.
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use futures_lite::{future, stream, StreamExt};
+use sandtrack_sidecar::config::{self, Config};
+use sandtrack_sidecar::net::{Clock, Inputs, Order};
+use sandtrack_sidecar::reducer::{CallId, ConnId, Effect, Input, Reducer};
+use sandtrack_sidecar::{catalog, client, upstream};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+type Sender = async_channel::Sender<Order>;
+
+/// The ways to the tasks, each by what the reducer calls it.
+struct Tasks<'a> {
+    executor: Rc<LocalExecutor<'a>>,
+    inputs: Inputs,
+    discovery: SocketAddr,
+    clients: HashMap<ConnId, Sender>,
+    upstreams: HashMap<ConnId, Sender>,
+    watches: HashMap<CallId, Sender>,
+    stop_accepting: Sender,
+}
+
+fn main() -> ExitCode {
+    let level = std::env::var("SANDTRACK_LOG").ok().and_then(|level| level.parse().ok());
+    let level = level.unwrap_or(tracing::Level::INFO);
+    tracing_subscriber::fmt().with_max_level(level).with_ansi(false).with_writer(std::io::stderr).init();
+    let config = match config::load(|name| std::env::var(name).ok()) {
+        Ok(config) => config,
+        Err(fault) => {
+            tracing::error!("configuration: {fault}");
+            return ExitCode::from(2);
+        }
+    };
+    match future::block_on(async_io_main(config)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            tracing::error!(%error, "can't serve");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn async_io_main(config: Config) -> std::io::Result<()> {
+    let executor = Rc::new(LocalExecutor::new());
+    let serving = serve(config, executor.clone());
+    executor.run(serving).await
+}
+
+async fn serve(config: Config, executor: Rc<LocalExecutor<'_>>) -> std::io::Result<()> {
+    let clock = Clock::start();
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
+    let epoch = wall - clock.now();
+    let (inputs, received) = Inputs::new(clock);
+    let listener = Async::<TcpListener>::bind(config.listen)?;
+    let signals = Signals::new([Signal::Term, Signal::Int])?;
+    let reducer = Reducer::new(config.checked, config.seed, config.descriptors, epoch.round(), clock.now());
+    let reducer = Rc::new(RefCell::new(reducer));
+    let (stop_accepting, stop) = async_channel::unbounded();
+    let tasks = Tasks {
+        executor: executor.clone(),
+        inputs: inputs.clone(),
+        discovery: config.discovery,
+        clients: HashMap::new(),
+        upstreams: HashMap::new(),
+        watches: HashMap::new(),
+        stop_accepting,
+    };
+    let tasks = Rc::new(RefCell::new(tasks));
+    let effects = reducer.borrow_mut().start(config.known);
+    perform(&tasks, effects);
+    tracing::info!(name = config.name, listen = %config.listen, "serving");
+
+    let opened = {
+        let (tasks, reducer) = (tasks.clone(), reducer.clone());
+        move |stream: Async<TcpStream>| {
+            let conn = reducer.borrow_mut().accepted();
+            tasks.borrow_mut().opened(conn, stream);
+        }
+    };
+    executor.spawn(client::accept(listener, stop, inputs, opened)).detach();
+
+    let terms = signals.filter_map(|signal| signal.ok()).map(|_| Input::Terminate);
+    let mut inputs = Box::pin(stream::or(terms, received));
+    loop {
+        let due = reducer.borrow().next_due();
+        let tick = async {
+            match due {
+                Some(at) => Timer::at(clock.at(at)).await,
+                None => future::pending().await,
+            };
+            Some(Input::Tick)
+        };
+        let input = future::or(inputs.next(), tick).await;
+        let Some(input) = input else { return Ok(()) };
+        tasks.borrow_mut().forget(&input);
+        let effects = reducer.borrow_mut().handle(clock.now(), input);
+        if perform(&tasks, effects) {
+            return Ok(());
+        }
+    }
+}
+
+/// Carries out effects in order; yes when the process is to end.
+fn perform(tasks: &RefCell<Tasks<'_>>, effects: Vec<Effect>) -> bool {
+    let mut tasks = tasks.borrow_mut();
+    let mut exit = false;
+    for effect in effects {
+        match effect {
+            Effect::Answer { conn, bytes, close } => {
+                order(&tasks.clients, conn, Order::Write { bytes, close })
+            }
+            Effect::CloseClient { conn } => order(&tasks.clients, conn, Order::Close),
+            Effect::Connect { conn, address } => tasks.connect(conn, address),
+            Effect::Write { conn, bytes } => {
+                order(&tasks.upstreams, conn, Order::Write { bytes, close: false });
+            }
+            Effect::CloseUpstream { conn } => order(&tasks.upstreams, conn, Order::Close),
+            Effect::Watch { call, after } => tasks.watch(call, after),
+            Effect::CloseWatch { call } => order(&tasks.watches, call, Order::Close),
+            Effect::StopAccepting => {
+                // It fails only when the listener has ended already.
+                let _ = tasks.stop_accepting.try_send(Order::Close);
+            }
+            Effect::Exit => exit = true,
+        }
+    }
+    exit
+}
+
+/// A task that has ended takes no orders; its end is on its way to the reducer.
+fn order(tasks: &HashMap<u64, Sender>, id: u64, order: Order) {
+    if let Some(task) = tasks.get(&id) {
+        let _ = task.try_send(order);
+    }
+}
+
+impl Tasks<'_> {
+    fn opened(&mut self, conn: ConnId, stream: Async<TcpStream>) {
+        let (sender, orders) = async_channel::unbounded();
+        self.clients.insert(conn, sender);
+        self.inputs.send(Input::ClientOpened { conn });
+        self.executor.spawn(client::serve(conn, stream, orders, self.inputs.clone())).detach();
+    }
+
+    fn connect(&mut self, conn: ConnId, address: SocketAddr) {
+        let (sender, orders) = async_channel::unbounded();
+        self.upstreams.insert(conn, sender);
+        self.executor.spawn(upstream::run(conn, address, orders, self.inputs.clone())).detach();
+    }
+
+    fn watch(&mut self, call: CallId, after: Option<u64>) {
+        let (sender, orders) = async_channel::unbounded();
+        self.watches.insert(call, sender);
+        let watch = catalog::watch(call, self.discovery, after, orders, self.inputs.clone());
+        self.executor.spawn(watch).detach();
+    }
+
+    /// Gives back the way to a task that tells its end.
+    fn forget(&mut self, input: &Input) {
+        match input {
+            Input::ClientClosed { conn } => drop(self.clients.remove(conn)),
+            Input::UpstreamClosed { conn, .. } => drop(self.upstreams.remove(conn)),
+            Input::WatchEnded { call } => drop(self.watches.remove(call)),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/sandtrack-sidecar/src/net.rs
@@ -0,0 +1,110 @@
+//! What the connection tasks share: the way to the reducer, the orders that come back, the clock, and the two
+//! moves between a socket and a ring buffer. It owns no connection and keeps no state.
+use crate::reducer::Input;
+use crate::ring::Ring;
+use async_io::Async;
+use futures_lite::future;
+use sandtrack::interface::Millis;
+use std::io::{self, Read, Write};
+use std::net::TcpStream;
+use std::time::Instant;
+
+/// What the reducer tells the task that owns a connection.
+pub enum Order {
+    /// Write the message; `close`: it is the connection's last.
+    Write {
+        bytes: Vec<u8>,
+        close: bool,
+    },
+    Close,
+}
+
+pub type Orders = async_channel::Receiver<Order>;
+
+/// Milliseconds since the process began.
+#[derive(Clone, Copy)]
+pub struct Clock(Instant);
+
+impl Clock {
+    pub fn start() -> Self {
+        Clock(Instant::now())
+    }
+
+    pub fn now(&self) -> Millis {
+        self.0.elapsed().as_secs_f64() * 1000.0
+    }
+
+    /// The instant at which the clock shows this time.
+    pub fn at(&self, time: Millis) -> Instant {
+        self.0 + std::time::Duration::from_secs_f64((time / 1000.0).max(0.0))
+    }
+}
+
+/// The way to the reducer: never full, as all that is sent is bounded by the connections that are open.
+#[derive(Clone)]
+pub struct Inputs {
+    sender: async_channel::Sender<Input>,
+    pub clock: Clock,
+}
+
+impl Inputs {
+    pub fn new(clock: Clock) -> (Self, async_channel::Receiver<Input>) {
+        let (sender, receiver) = async_channel::unbounded();
+        (Inputs { sender, clock }, receiver)
+    }
+
+    pub fn send(&self, input: Input) {
+        // It fails only when the process is on its way out.
+        let _ = self.sender.try_send(input);
+    }
+}
+
+/// What came first at a connection.
+pub enum Next {
+    Order(Order),
+    /// So many bytes were read; 0: the other side has ended.
+    Read(usize),
+    Broken,
+}
+
+/// Waits for an order, or for bytes where the buffer has room for them. Orders go first.
+pub async fn next(stream: &Async<TcpStream>, ring: &mut Ring, orders: &Orders) -> Next {
+    let order = async { orders.recv().await.map_or(Next::Broken, Next::Order) };
+    if ring.room() == 0 {
+        return order.await;
+    }
+    let read = async { read_into(stream, ring).await.map_or(Next::Broken, Next::Read) };
+    future::or(order, read).await
+}
+
+/// Reads what there is, as much as the buffer has room for.
+pub async fn read_into(stream: &Async<TcpStream>, ring: &mut Ring) -> io::Result<usize> {
+    let mut bytes = [0; 8192];
+    let room = ring.room().min(bytes.len());
+    let count = stream.read_with(|mut socket| socket.read(&mut bytes[..room])).await?;
+    if !ring.push(&bytes[..count]) {
+        return Err(io::ErrorKind::OutOfMemory.into());
+    }
+    Ok(count)
+}
+
+/// Writes all that the buffer holds, in one call where the socket takes it.
+pub async fn write_all(stream: &Async<TcpStream>, ring: &mut Ring) -> io::Result<()> {
+    while !ring.is_empty() {
+        let count = stream.write_with(|mut socket| socket.write_vectored(&ring.slices())).await?;
+        if count == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        ring.consume(count);
+    }
+    Ok(())
+}
+
+/// Waits until the connection is ordered closed, or its reducer is gone.
+pub async fn ordered_closed(orders: &Orders) {
+    while let Ok(order) = orders.recv().await {
+        if matches!(order, Order::Close) {
+            break;
+        }
+    }
+}
--- /dev/null
+++ b/crates/sandtrack-sidecar/src/reducer.rs
@@ -0,0 +1,1028 @@
+//! The reducer: all state of the sidecar and every change of it. It takes inputs with the time, drives the decision
+//! module and asks for effects; each table entry, timer and descriptor count is given back in one place here. It
+//! must never do I/O, read a clock, or decide what the module decides: which upstream, when, and whether at all.
+use crate::catalog::{Catalog, Instance, Lifecycle};
+use crate::http::{self, Message};
+use crate::upstream::Written;
+use sandtrack::interface::Effect as Repeats;
+use sandtrack::interface::*;
+use sandtrack::Balancer;
+use sandtrack_settings::{Checked, Names};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::net::SocketAddr;
+
+pub type ConnId = u64;
+pub type CallId = u64;
+
+/// Descriptors that are neither a client's nor an upstream's: standard streams, the poller's, signals, the
+/// listener, the watch, and a reserve for what is accepted before room is made.
+const RESERVE: usize = 16;
+/// Upstream connections may take this part of the others, so that clients always find room.
+const LINKS_PART: f64 = 0.75;
+/// An idle connection is retired at this part of the time after which its upstream may close it ...
+const RETIRE: f64 = 0.5;
+/// ... carries nothing unsafe to repeat from this part of it on ...
+const DOUBTFUL: f64 = 0.25;
+/// ... and where that time is not told it is taken for this.
+const IDLE_UNTOLD: Millis = 20_000.0;
+const SWEEP_EVERY: Millis = 1000.0;
+/// The answer is due this much before the client stops waiting: it has to travel, and the client's time began
+/// before its request was read.
+const MARGIN: Millis = 3.0;
+/// A watch has a line every 2 s (the protocol); one that says nothing for this long is broken.
+const WATCH_SILENCE: Millis = 4500.0;
+/// Where the settings tell no connect time-out.
+const CONNECT_UNTOLD: Millis = 1000.0;
+/// After SIGTERM new connections are awaited for this long, and until none came for `QUIET`.
+const LAST_CALL: Millis = 600.0;
+const QUIET: Millis = 200.0;
+const DRAIN_EVERY: Millis = 25.0;
+
+#[derive(Debug)]
+pub enum Input {
+    ClientOpened {
+        conn: ConnId,
+    },
+    ClientRequest {
+        conn: ConnId,
+        at: Millis,
+        message: Message,
+    },
+    ClientBad {
+        conn: ConnId,
+        status: u16,
+    },
+    ClientClosed {
+        conn: ConnId,
+    },
+    UpstreamConnected {
+        conn: ConnId,
+    },
+    UpstreamAnswered {
+        conn: ConnId,
+        at: Millis,
+        message: Message,
+    },
+    UpstreamClosed {
+        conn: ConnId,
+        written: Written,
+    },
+    WatchLine {
+        call: CallId,
+        catalog: Catalog,
+    },
+    WatchBeat {
+        call: CallId,
+    },
+    WatchEnded {
+        call: CallId,
+    },
+    AcceptFailed,
+    AcceptStopped,
+    Terminate,
+    /// Time has passed.
+    Tick,
+}
+
+#[derive(Debug, PartialEq, Eq)]
+pub enum Effect {
+    Answer { conn: ConnId, bytes: Vec<u8>, close: bool },
+    CloseClient { conn: ConnId },
+    Connect { conn: ConnId, address: SocketAddr },
+    Write { conn: ConnId, bytes: Vec<u8> },
+    CloseUpstream { conn: ConnId },
+    Watch { call: CallId, after: Option<u64> },
+    CloseWatch { call: CallId },
+    StopAccepting,
+    Exit,
+}
+
+/// At one time they fire in this order: an attempt's time-out is told before the module's own timer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Timer {
+    Connect(ConnId),
+    Probe(ConnId),
+    Deadline(RequestId),
+    Wake,
+    WatchSilent,
+    Sweep,
+    Drain,
+}
+
+/// Timers by their time; one of each name, set anew or cleared.
+#[derive(Default)]
+struct Timers {
+    order: BTreeSet<(i64, Timer)>,
+    set: HashMap<Timer, i64>,
+}
+
+impl Timers {
+    fn set(&mut self, timer: Timer, at: Millis) {
+        self.clear(timer);
+        let at = (at * 1000.0).ceil() as i64;
+        self.order.insert((at, timer));
+        self.set.insert(timer, at);
+    }
+
+    fn clear(&mut self, timer: Timer) {
+        if let Some(at) = self.set.remove(&timer) {
+            self.order.remove(&(at, timer));
+        }
+    }
+
+    fn due(&mut self, now: Millis) -> Option<Timer> {
+        let &(at, timer) = self.order.first()?;
+        if at as f64 / 1000.0 > now {
+            return None;
+        }
+        self.clear(timer);
+        Some(timer)
+    }
+
+    fn next(&self) -> Option<Millis> {
+        self.order.first().map(|(at, _)| *at as f64 / 1000.0)
+    }
+}
+
+struct Client {
+    /// Its request that is not answered.
+    request: Option<RequestId>,
+    /// It waits for an answer that the reducer itself gives, or its last answer is on the way.
+    closing: bool,
+    since: Millis,
+    /// Taken beyond the budget: refused, so that it gets an answer all the same.
+    surplus: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Job {
+    Attempt(RequestId, u32),
+    Probe { sent: Millis },
+}
+
+enum Stage {
+    Connecting(Job),
+    Idle,
+    Busy(Job),
+    /// Ordered closed: its end is all that is awaited.
+    Closing,
+}
+
+/// A connection to an upstream.
+struct Link {
+    server: u32,
+    stage: Stage,
+    /// Messages ordered written so far.
+    ordered: u32,
+    since: Millis,
+}
+
+/// An upstream as the list has it.
+struct Server {
+    name: String,
+    address: Option<SocketAddr>,
+    standing: Standing,
+    since: Option<Millis>,
+    /// Idle connections, the one used last at the end.
+    idle: Vec<ConnId>,
+}
+
+struct Attempt {
+    server: u32,
+    sent: Millis,
+    /// The connection that carries it, until its outcome.
+    conn: Option<ConnId>,
+    ended: bool,
+}
+
+struct Request {
+    /// `None` once it is answered or its client is gone.
+    client: Option<ConnId>,
+    keep_alive: bool,
+    message: Message,
+    class: usize,
+    not_after: Millis,
+    attempts: Vec<Attempt>,
+}
+
+pub struct Reducer {
+    balancer: Balancer,
+    settings: Settings,
+    classes: Vec<String>,
+    tenants: Vec<String>,
+    zones: Names,
+    kinds: Names,
+    names: Names,
+    conn_idle: Millis,
+    connect_timeout: Millis,
+    /// Sockets that clients and upstreams may hold together, and upstreams alone.
+    sockets: usize,
+    links_most: usize,
+    /// Wall time (Unix, ms) at the clock's zero.
+    epoch: Millis,
+    now: Millis,
+    servers: Vec<Server>,
+    clients: BTreeMap<ConnId, Client>,
+    links: BTreeMap<ConnId, Link>,
+    requests: BTreeMap<RequestId, Request>,
+    timers: Timers,
+    /// What the module is still to be told, in order.
+    events: VecDeque<Event>,
+    effects: Vec<Effect>,
+    next_conn: ConnId,
+    next_request: u64,
+    next_call: CallId,
+    watch: Option<CallId>,
+    generation: Option<u64>,
+    /// When SIGTERM came, when the last connection did, and whether the listener is closed.
+    draining: Option<Millis>,
+    last_opened: Millis,
+    stopped: bool,
+    exiting: bool,
+}
+
+impl Reducer {
+    /// `epoch`: wall time in Unix milliseconds at the clock's zero, read once.
+    pub fn new(checked: Checked, seed: u64, descriptors: usize, epoch: Millis, now: Millis) -> Self {
+        let mut settings = checked.settings;
+        // On sockets discovery tells only who asks, whatever the settings say of it.
+        settings.discovery_on_request = true;
+        let sockets = descriptors.saturating_sub(RESERVE).max(2);
+        let timeout = settings.limits.connect_timeout;
+        Reducer {
+            balancer: Balancer::new(settings.clone(), seed),
+            connect_timeout: if timeout > 0.0 { timeout } else { CONNECT_UNTOLD },
+            conn_idle: checked.conn_idle.unwrap_or(IDLE_UNTOLD),
+            settings,
+            classes: checked.classes,
+            tenants: checked.tenants,
+            zones: checked.zones,
+            kinds: Names::default(),
+            names: Names::default(),
+            sockets,
+            links_most: ((sockets as f64 * LINKS_PART) as usize).max(1),
+            epoch,
+            now,
+            servers: Vec::new(),
+            clients: BTreeMap::new(),
+            links: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            timers: Timers::default(),
+            events: VecDeque::new(),
+            effects: Vec::new(),
+            next_conn: 0,
+            next_request: 0,
+            next_call: 0,
+            watch: None,
+            generation: None,
+            draining: None,
+            last_opened: now,
+            stopped: false,
+            exiting: false,
+        }
+    }
+
+    /// The sidecar starts with the list it last had.
+    pub fn start(&mut self, known: Option<Catalog>) -> Vec<Effect> {
+        self.events.push_back(Event::Start);
+        if let Some(known) = known {
+            self.generation = Some(known.generation);
+            self.list(ListKind::Stale, known.instances);
+        }
+        self.timers.set(Timer::Sweep, self.now + SWEEP_EVERY);
+        self.settle();
+        std::mem::take(&mut self.effects)
+    }
+
+    /// An id for a connection that was just accepted.
+    pub fn accepted(&mut self) -> ConnId {
+        self.next_conn += 1;
+        self.next_conn
+    }
+
+    /// When `Tick` is wanted at the latest.
+    pub fn next_due(&self) -> Option<Millis> {
+        self.timers.next()
+    }
+
+    /// Whether nothing is held: no connection, request or timer of theirs.
+    pub fn is_empty(&self) -> bool {
+        let kept =
+            |timer: &Timer| !matches!(timer, Timer::Wake | Timer::WatchSilent | Timer::Sweep | Timer::Drain);
+        let idle = self.servers.iter().all(|server| server.idle.is_empty());
+        let timers = !self.timers.set.keys().any(kept);
+        self.clients.is_empty() && self.links.is_empty() && self.requests.is_empty() && timers && idle
+    }
+
+    /// Takes one input; what is due goes before it.
+    pub fn handle(&mut self, now: Millis, input: Input) -> Vec<Effect> {
+        self.now = now.max(self.now);
+        while let Some(timer) = self.timers.due(self.now) {
+            self.fire(timer);
+            self.settle();
+        }
+        self.take(input);
+        self.settle();
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Tells the module all that waits for it, and carries out what it answers.
+    fn settle(&mut self) {
+        let mut actions = Vec::new();
+        while let Some(event) = self.events.pop_front() {
+            self.balancer.handle(self.now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(action);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Send { request, upstream } => self.send(request, upstream.0),
+            Action::Refuse { request, retry_after } => {
+                let seconds = retry_after.map(|wait| format!("{:.3}", wait / 1000.0));
+                let headers = seconds.iter().map(|seconds| ("Retry-After", seconds.as_str()));
+                self.answer(request, 503, headers, b"");
+            }
+            Action::Fail { request } => self.answer(request, 502, std::iter::empty(), b""),
+            Action::Cancel { request, attempt } => self.cancel(request, attempt),
+            Action::Probe { upstream } => self.probe(upstream.0),
+            Action::Subscribe => self.subscribe(),
+            Action::Wake { at } => self.timers.set(Timer::Wake, at),
+            Action::Log(text) => tracing::info!("{text}"),
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::ClientOpened { conn } => self.client_opened(conn),
+            Input::ClientRequest { conn, at, message } => self.client_request(conn, at, message),
+            Input::ClientBad { conn, status } => {
+                tracing::debug!(conn, status, "bad request");
+                self.plain(conn, status, true);
+            }
+            Input::ClientClosed { conn } => self.client_closed(conn),
+            Input::UpstreamConnected { conn } => self.connected(conn),
+            Input::UpstreamAnswered { conn, at, message } => self.answered(conn, at, message),
+            Input::UpstreamClosed { conn, written } => self.upstream_closed(conn, written),
+            Input::WatchLine { call, catalog } => self.watch_line(call, catalog),
+            Input::WatchBeat { call } => {
+                if self.watch == Some(call) {
+                    self.timers.set(Timer::WatchSilent, self.now + WATCH_SILENCE);
+                }
+            }
+            Input::WatchEnded { call } => self.watch_ended(call, "ended"),
+            Input::AcceptFailed => {
+                self.make_room();
+            }
+            Input::AcceptStopped => self.stopped = true,
+            Input::Terminate => self.terminate(),
+            Input::Tick => {}
+        }
+    }
+
+    fn fire(&mut self, timer: Timer) {
+        match timer {
+            Timer::Connect(conn) => {
+                let Some(link) = self.links.get(&conn) else { return };
+                if let Stage::Connecting(job) = link.stage {
+                    self.hang_up(conn);
+                    self.job_failed(job, Outcome::ConnectFailed);
+                }
+            }
+            Timer::Probe(conn) => {
+                let Some(link) = self.links.get(&conn) else { return };
+                if let Stage::Connecting(job @ Job::Probe { .. }) | Stage::Busy(job @ Job::Probe { .. }) =
+                    link.stage
+                {
+                    let server = link.server;
+                    self.hang_up(conn);
+                    self.probe_ended(job, server, false, None);
+                }
+            }
+            Timer::Deadline(request) => self.deadline(request),
+            Timer::Wake => self.events.push_back(Event::Wake),
+            Timer::WatchSilent => {
+                if let Some(call) = self.watch {
+                    self.effects.push(Effect::CloseWatch { call });
+                    self.watch_ended(call, "silent");
+                }
+            }
+            Timer::Sweep => {
+                self.sweep();
+                self.timers.set(Timer::Sweep, self.now + SWEEP_EVERY);
+            }
+            Timer::Drain => self.drain(),
+        }
+    }
+
+    // Clients.
+
+    fn client_opened(&mut self, conn: ConnId) {
+        self.last_opened = self.now;
+        let full = self.clients.len() + self.links.len() >= self.sockets;
+        let surplus = full && !self.make_room();
+        if surplus {
+            tracing::warn!("no descriptor left for a client: it will be refused");
+        }
+        self.clients.insert(conn, Client { request: None, closing: false, since: self.now, surplus });
+    }
+
+    /// Closes what has stood idle longest, upstream connections first; no when there is nothing idle.
+    fn make_room(&mut self) -> bool {
+        let idle = |link: &Link| matches!(link.stage, Stage::Idle);
+        let eldest = self.links.iter().filter(|(_, link)| idle(link));
+        if let Some(conn) = eldest.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(conn, _)| *conn) {
+            self.hang_up(conn);
+            return true;
+        }
+        let idle = |client: &Client| client.request.is_none() && !client.closing;
+        let eldest = self.clients.iter().filter(|(_, client)| idle(client));
+        let eldest = eldest.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(conn, _)| *conn);
+        if let Some(conn) = eldest {
+            self.close_client(conn);
+        }
+        eldest.is_some()
+    }
+
+    fn close_client(&mut self, conn: ConnId) {
+        if let Some(client) = self.clients.get_mut(&conn).filter(|client| !client.closing) {
+            client.closing = true;
+            self.effects.push(Effect::CloseClient { conn });
+        }
+    }
+
+    fn client_closed(&mut self, conn: ConnId) {
+        let Some(client) = self.clients.remove(&conn) else { return };
+        if let Some(id) = client.request {
+            if let Some(request) = self.requests.get_mut(&id) {
+                request.client = None;
+            }
+            self.events.push_back(Event::ClientGone(id));
+            self.request_closed(id);
+        }
+    }
+
+    /// An answer that no upstream or decision is behind.
+    fn plain(&mut self, conn: ConnId, status: u16, close: bool) {
+        let Some(client) = self.clients.get_mut(&conn).filter(|client| !client.closing) else { return };
+        let close = close || self.draining.is_some() || client.surplus;
+        client.closing = close;
+        client.since = self.now;
+        let bytes = http::response(status, std::iter::empty(), b"", close);
+        self.effects.push(Effect::Answer { conn, bytes, close });
+    }
+
+    fn client_request(&mut self, conn: ConnId, at: Millis, message: Message) {
+        let Some(client) = self.clients.get(&conn).filter(|client| client.request.is_none()) else { return };
+        if client.closing {
+            // It crossed the closing of an idle connection: the client sends it once more on a new one.
+            return;
+        }
+        let path = message.head.target.split('?').next().unwrap_or_default();
+        if path == "/_health" {
+            return self.plain(
+                conn,
+                if self.draining.is_some() { 503 } else { 200 },
+                !message.head.keep_alive,
+            );
+        }
+        let refused = client.surplus || self.requests.len() >= self.settings.limits.max_open as usize;
+        if refused {
+            return self.plain(conn, 503, !message.head.keep_alive);
+        }
+        let id = RequestId(self.next_request);
+        match self.arrival(id, at, &message) {
+            Err((status, wrong)) => {
+                tracing::debug!(conn, status, wrong, "bad request");
+                self.plain(conn, status, !message.head.keep_alive);
+            }
+            Ok(arrival) => {
+                self.next_request += 1;
+                self.timers.set(Timer::Deadline(id), arrival.not_after);
+                let request = Request {
+                    client: Some(conn),
+                    keep_alive: message.head.keep_alive,
+                    message,
+                    class: arrival.class.0,
+                    not_after: arrival.not_after,
+                    attempts: Vec::new(),
+                };
+                self.requests.insert(id, request);
+                self.clients.entry(conn).and_modify(|client| client.request = Some(id));
+                self.events.push_back(Event::Request(arrival));
+            }
+        }
+    }
+
+    /// The request in the module's words, and its id; or the status that says what is wrong with it.
+    fn arrival(
+        &self, request: RequestId, at: Millis, message: &Message,
+    ) -> Result<Arrival, (u16, &'static str)> {
+        let head = &message.head;
+        if matches!(head.method.as_str(), "HEAD" | "CONNECT" | "TRACE") {
+            return Err((405, "method"));
+        }
+        let get = |name: &str| head.headers.get(name);
+        get("X-Call-Id").filter(|id| !id.is_empty()).ok_or((400, "X-Call-Id"))?;
+        let class = get("X-Call-Class").ok_or((400, "X-Call-Class"))?;
+        let class = self.classes.iter().position(|name| name == class).ok_or((400, "X-Call-Class"))?;
+        let settings = &self.settings.classes[class];
+        if matches!(settings.effect, Repeats::Keyed { .. }) && get("Idempotency-Key").is_none() {
+            return Err((400, "Idempotency-Key"));
+        }
+        let tenant = match get("X-Caller") {
+            Some(name) if !self.tenants.is_empty() => {
+                let place = self.tenants.iter().position(|tenant| tenant == name);
+                Some(TenantId(place.ok_or((400, "X-Caller"))?))
+            }
+            _ => None,
+        };
+        let budget = match get("X-Budget-Ms") {
+            Some(text) => {
+                let budget: f64 = text.parse().map_err(|_| (400, "X-Budget-Ms"))?;
+                Some(budget).filter(|b| b.is_finite() && *b >= 0.0).ok_or((400, "X-Budget-Ms"))?
+            }
+            None => settings.deadline,
+        };
+        let (mut key, mut cost) = (None, None);
+        for pair in get("X-Call-Info").unwrap_or_default().split(',') {
+            match pair.trim().split_once('=') {
+                Some(("partition-key" | "key", value)) => key = value.parse().ok(),
+                Some(("cost-guess" | "hint", value)) => {
+                    cost = value.parse().ok().filter(|cost: &f64| cost.is_finite() && *cost >= 0.0);
+                }
+                _ => {}
+            }
+        }
+        let arrival = Arrival {
+            request,
+            class: ClassId(class),
+            tenant,
+            not_after: at.min(self.now) + (budget - MARGIN).max(0.0),
+            retry: get("X-Again") == Some("1"),
+            key,
+            cost,
+        };
+        Ok(arrival)
+    }
+
+    /// The one place where a request gets its answer.
+    fn answer<'a>(
+        &mut self, id: RequestId, status: u16, headers: impl Iterator<Item = (&'a str, &'a str)>, body: &[u8],
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let keep_alive = request.keep_alive;
+        let Some(conn) = request.client.take() else { return };
+        let close = !keep_alive || self.draining.is_some();
+        let bytes = http::response(status, headers, body, close);
+        if let Some(client) = self.clients.get_mut(&conn) {
+            client.request = None;
+            client.closing = close;
+            client.since = self.now;
+            self.effects.push(Effect::Answer { conn, bytes, close });
+        }
+        self.request_closed(id);
+    }
+
+    /// It has its answer or lost its client: it is forgotten when its last attempt has ended.
+    fn request_closed(&mut self, id: RequestId) {
+        self.timers.clear(Timer::Deadline(id));
+        let over = |request: &Request| request.client.is_none() && request.attempts.iter().all(|a| a.ended);
+        if self.requests.get(&id).is_some_and(over) {
+            self.requests.remove(&id);
+        }
+    }
+
+    /// The client stops waiting: what is out has timed out. The module answers that; if it did not, the backstop
+    /// does, as no request may go without an answer.
+    fn deadline(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let out = request.attempts.iter().enumerate().filter(|(_, a)| !a.ended);
+        let out: Vec<(u32, Option<ConnId>)> = out.map(|(n, a)| (n as u32, a.conn)).collect();
+        for (n, conn) in out {
+            conn.into_iter().for_each(|conn| self.hang_up(conn));
+            self.attempt_ended(id, n, Outcome::Timeout, self.now, None);
+        }
+        self.settle();
+        self.events.push_back(Event::Wake);
+        self.settle();
+        if self.requests.get(&id).is_some_and(|request| request.client.is_some()) {
+            tracing::warn!(id = id.0, "answered by the backstop");
+            self.events.push_back(Event::ClientGone(id));
+            self.answer(id, 504, std::iter::empty(), b"");
+        }
+    }
+
+    // Upstreams.
+
+    fn send(&mut self, id: RequestId, server: u32) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let n = request.attempts.len() as u32;
+        request.attempts.push(Attempt { server, sent: self.now, conn: None, ended: false });
+        if request.client.is_none() {
+            self.attempt_ended(id, n, Outcome::Moot, self.now, None);
+            return;
+        }
+        let unsafe_ = self.settings.classes[request.class].effect == Repeats::Once;
+        let fresh = self.conn_idle * if unsafe_ { DOUBTFUL } else { RETIRE };
+        self.dispatch(Job::Attempt(id, n), server, Some(fresh));
+    }
+
+    fn probe(&mut self, server: u32) {
+        self.dispatch(Job::Probe { sent: self.now }, server, Some(self.conn_idle * RETIRE));
+    }
+
+    /// Puts the job on an idle connection that is not older than `fresh`, or on a new one.
+    fn dispatch(&mut self, job: Job, server: u32, fresh: Option<Millis>) {
+        let idle = self.servers[server as usize].idle.last().copied();
+        let usable = |conn: &ConnId| {
+            let since = self.links.get(conn).map_or(f64::NEG_INFINITY, |link| link.since);
+            fresh.is_some_and(|fresh| self.now - since < fresh)
+        };
+        if let Some(conn) = idle.filter(usable) {
+            self.servers[server as usize].idle.pop();
+            self.write(conn, job);
+            return;
+        }
+        let address = self.servers[server as usize].address;
+        let full =
+            self.links.len() >= self.links_most || self.links.len() + self.clients.len() >= self.sockets;
+        let room = !full || self.make_room();
+        let Some(address) = address.filter(|_| room) else {
+            self.job_failed_at(job, server, Outcome::ConnectFailed);
+            return;
+        };
+        let conn = self.accepted();
+        self.links.insert(conn, Link { server, stage: Stage::Connecting(job), ordered: 0, since: self.now });
+        self.assign(job, Some(conn));
+        self.timers.set(Timer::Connect(conn), self.now + self.connect_timeout);
+        self.effects.push(Effect::Connect { conn, address });
+    }
+
+    /// Notes which connection carries the attempt.
+    fn assign(&mut self, job: Job, conn: Option<ConnId>) {
+        if let Job::Attempt(id, n) = job {
+            let request = self.requests.get_mut(&id);
+            if let Some(attempt) = request.and_then(|r| r.attempts.get_mut(n as usize)) {
+                attempt.conn = conn;
+            }
+        }
+    }
+
+    /// Writes the job's message; from now on it may have run.
+    fn write(&mut self, conn: ConnId, job: Job) {
+        let Some(link) = self.links.get_mut(&conn) else { return };
+        let bytes = match job {
+            Job::Attempt(id, _) => match self.requests.get(&id) {
+                Some(request) => request_bytes(request, self.now),
+                None => return,
+            },
+            Job::Probe { .. } => {
+                let server = &self.servers[link.server as usize];
+                let host = server.address.map(|address| address.to_string()).unwrap_or_default();
+                let target = if self.settings.feedback == Feedback::Off { "/ping" } else { "/_load" };
+                http::request("GET", target, [("Host", host.as_str())].into_iter(), b"")
+            }
+        };
+        link.stage = Stage::Busy(job);
+        link.ordered += 1;
+        self.assign(job, Some(conn));
+        if let Job::Probe { .. } = job {
+            self.timers.set(Timer::Probe(conn), self.now + self.connect_timeout);
+        }
+        self.effects.push(Effect::Write { conn, bytes });
+    }
+
+    fn connected(&mut self, conn: ConnId) {
+        self.timers.clear(Timer::Connect(conn));
+        let Some(link) = self.links.get(&conn) else { return };
+        let Stage::Connecting(job) = link.stage else { return };
+        let server = link.server;
+        let offered = self.servers[server as usize].standing == Standing::Ready;
+        if matches!(job, Job::Attempt(..)) && !offered {
+            // It began to drain while the connection came up: nothing new is sent there.
+            self.hang_up(conn);
+            self.job_failed_at(job, server, Outcome::Moot);
+            return;
+        }
+        self.write(conn, job);
+    }
+
+    /// Orders the connection closed; its entry goes when its end is told.
+    fn hang_up(&mut self, conn: ConnId) {
+        let Some(link) = self.links.get_mut(&conn) else { return };
+        if matches!(link.stage, Stage::Closing) {
+            return;
+        }
+        link.stage = Stage::Closing;
+        self.servers[link.server as usize].idle.retain(|idle| *idle != conn);
+        self.timers.clear(Timer::Connect(conn));
+        self.timers.clear(Timer::Probe(conn));
+        self.effects.push(Effect::CloseUpstream { conn });
+    }
+
+    fn cancel(&mut self, id: RequestId, n: u32) {
+        let Some(attempt) = self.requests.get(&id).and_then(|r| r.attempts.get(n as usize)) else { return };
+        if attempt.ended {
+            return;
+        }
+        // What was not ordered written never ran.
+        let stage = attempt.conn.and_then(|conn| self.links.get(&conn)).map(|link| &link.stage);
+        let written = !matches!(stage, Some(Stage::Connecting(_)) | None);
+        let outcome = if written { Outcome::Cancelled } else { Outcome::Moot };
+        if let Some(conn) = attempt.conn {
+            self.hang_up(conn);
+        }
+        self.attempt_ended(id, n, outcome, self.now, None);
+    }
+
+    fn answered(&mut self, conn: ConnId, at: Millis, message: Message) {
+        let Some(link) = self.links.get_mut(&conn) else { return };
+        let Stage::Busy(job) = link.stage else { return };
+        let server = link.server;
+        let ready = self.servers[server as usize].standing != Standing::Gone;
+        if message.head.keep_alive && ready {
+            link.stage = Stage::Idle;
+            link.since = self.now;
+            self.servers[server as usize].idle.push(conn);
+            self.timers.clear(Timer::Probe(conn));
+        } else {
+            self.hang_up(conn);
+        }
+        let status = message.head.status;
+        let report = message.head.headers.get("X-Load-Report").map(report);
+        match job {
+            Job::Probe { .. } => {
+                let body = || std::str::from_utf8(&message.body).ok().map(report_of_body);
+                self.probe_answered(job, server, at, status == 200, report.or_else(|| body().flatten()));
+            }
+            Job::Attempt(id, n) => {
+                let rejected = message.head.headers.get("X-Rejected") == Some("1");
+                let outcome = match status {
+                    200 => Outcome::Ok,
+                    503 | 504 if rejected => Outcome::Full,
+                    _ => Outcome::Error,
+                };
+                if outcome == Outcome::Ok {
+                    let headers = message.head.headers.end_to_end();
+                    let headers = headers.filter(|(name, _)| !name.eq_ignore_ascii_case("X-Load-Report"));
+                    // Answered first: the attempt's end then closes the request.
+                    let headers: Vec<(&str, &str)> = headers.collect();
+                    self.answer(id, 200, headers.into_iter(), &message.body);
+                }
+                self.attempt_ended(id, n, outcome, at, report);
+            }
+        }
+    }
+
+    fn upstream_closed(&mut self, conn: ConnId, written: Written) {
+        let Some(link) = self.links.remove(&conn) else { return };
+        let server = link.server;
+        self.timers.clear(Timer::Connect(conn));
+        self.timers.clear(Timer::Probe(conn));
+        self.servers[server as usize].idle.retain(|idle| *idle != conn);
+        match link.stage {
+            Stage::Closing | Stage::Idle => {}
+            Stage::Connecting(job) => self.job_failed_at(job, server, Outcome::ConnectFailed),
+            // It ended while idle, before a byte of this message was written: it goes out on a new one, and
+            // that is still the first time it is sent.
+            Stage::Busy(job) if written.begun < link.ordered => self.redispatch(job, server),
+            Stage::Busy(job) if written.whole < link.ordered => {
+                self.job_failed_at(job, server, Outcome::ConnectFailed);
+            }
+            Stage::Busy(job) => self.job_failed_at(job, server, Outcome::Reset),
+        }
+    }
+
+    fn redispatch(&mut self, job: Job, server: u32) {
+        self.assign(job, None);
+        if let Job::Attempt(id, n) = job {
+            let live = self.requests.get(&id).and_then(|r| r.attempts.get(n as usize));
+            if !live.is_some_and(|attempt| !attempt.ended) {
+                return;
+            }
+            if self.servers[server as usize].standing != Standing::Ready {
+                return self.job_failed_at(job, server, Outcome::Moot);
+            }
+        }
+        self.dispatch(job, server, None);
+    }
+
+    fn job_failed(&mut self, job: Job, outcome: Outcome) {
+        let server = match job {
+            Job::Attempt(id, n) => {
+                let attempt = self.requests.get(&id).and_then(|r| r.attempts.get(n as usize));
+                attempt.map(|attempt| attempt.server)
+            }
+            Job::Probe { .. } => None,
+        };
+        self.job_failed_at(job, server.unwrap_or_default(), outcome);
+    }
+
+    fn job_failed_at(&mut self, job: Job, server: u32, outcome: Outcome) {
+        match job {
+            Job::Attempt(id, n) => self.attempt_ended(id, n, outcome, self.now, None),
+            Job::Probe { .. } => self.probe_ended(job, server, false, None),
+        }
+    }
+
+    fn probe_ended(&mut self, job: Job, server: u32, ok: bool, report: Option<Report>) {
+        self.probe_answered(job, server, self.now, ok, report);
+    }
+
+    fn probe_answered(&mut self, job: Job, server: u32, at: Millis, ok: bool, report: Option<Report>) {
+        if let Job::Probe { sent } = job {
+            let elapsed = (at - sent).max(0.0);
+            self.events.push_back(Event::Probed { upstream: UpstreamId(server), elapsed, ok, report });
+        }
+    }
+
+    /// The one place where an attempt ends.
+    fn attempt_ended(&mut self, id: RequestId, n: u32, outcome: Outcome, at: Millis, report: Option<Report>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(attempt) = request.attempts.get_mut(n as usize).filter(|a| !a.ended) else { return };
+        attempt.ended = true;
+        attempt.conn = None;
+        let elapsed = (at - attempt.sent).max(0.0);
+        let closed = request.client.is_none();
+        let finished = Finished { request: id, attempt: n, outcome, elapsed, closed, report };
+        self.events.push_back(Event::Finished(finished));
+        if closed {
+            self.request_closed(id);
+        }
+    }
+
+    /// Retires idle connections well before their upstreams may close them.
+    fn sweep(&mut self) {
+        let old = |link: &Link| {
+            matches!(link.stage, Stage::Idle) && self.now - link.since >= self.conn_idle * RETIRE
+        };
+        let old: Vec<ConnId> = self.links.iter().filter(|(_, l)| old(l)).map(|(conn, _)| *conn).collect();
+        old.into_iter().for_each(|conn| self.hang_up(conn));
+    }
+
+    // Discovery.
+
+    fn subscribe(&mut self) {
+        if self.watch.is_none() {
+            self.next_call += 1;
+            self.watch = Some(self.next_call);
+            self.timers.set(Timer::WatchSilent, self.now + WATCH_SILENCE);
+            self.effects.push(Effect::Watch { call: self.next_call, after: self.generation });
+        }
+    }
+
+    fn watch_line(&mut self, call: CallId, catalog: Catalog) {
+        if self.watch != Some(call) {
+            return;
+        }
+        self.timers.set(Timer::WatchSilent, self.now + WATCH_SILENCE);
+        self.generation = Some(catalog.generation);
+        let kind = if catalog.reset { ListKind::Whole } else { ListKind::Patch };
+        tracing::info!(generation = catalog.generation, entries = catalog.instances.len(), ?kind, "list");
+        self.list(kind, catalog.instances);
+    }
+
+    fn watch_ended(&mut self, call: CallId, how: &str) {
+        if self.watch == Some(call) {
+            self.watch = None;
+            self.timers.clear(Timer::WatchSilent);
+            tracing::warn!(how, "watch broken");
+            self.events.push_back(Event::ListBroken);
+        }
+    }
+
+    fn list(&mut self, kind: ListKind, instances: Vec<Instance>) {
+        let mut before: Vec<bool> = vec![false; self.servers.len()];
+        if kind != ListKind::Patch {
+            for (server, was) in self.servers.iter_mut().zip(&mut before) {
+                *was = server.standing != Standing::Gone;
+                server.standing = Standing::Gone;
+            }
+        }
+        let entries = instances.into_iter().map(|instance| self.entry(instance)).collect();
+        for place in 0..self.servers.len() {
+            let left = before.get(place) == Some(&true) && self.servers[place].standing == Standing::Gone;
+            if left {
+                tracing::info!(upstream = self.servers[place].name, "left the list");
+                self.drop_idle(place);
+            }
+        }
+        self.events.push_back(Event::List { kind, entries });
+    }
+
+    fn entry(&mut self, instance: Instance) -> Entry {
+        let number = self.names.intern(&instance.instance_id);
+        let place = number as usize;
+        let address: Option<SocketAddr> = instance.host_port.parse().ok();
+        let standing = match instance.lifecycle {
+            Lifecycle::Serving => Standing::Ready,
+            Lifecycle::Draining => Standing::Draining,
+            Lifecycle::Deleted => Standing::Gone,
+        };
+        // Wall time is mapped to the clock by its zero alone, so that one start always gives one figure.
+        let started = instance.started_at_ms;
+        let since = Some(started - self.epoch).filter(|_| started.is_finite() && started != 0.0);
+        if place == self.servers.len() {
+            let name = instance.instance_id.clone();
+            self.servers.push(Server { name, address, standing, since, idle: Vec::new() });
+        }
+        let server = &mut self.servers[place];
+        let address = address.or(server.address);
+        // Connections to a former address or process, or to one that takes nothing more, are of no use.
+        let useless = server.address != address || server.since != since || standing != Standing::Ready;
+        if server.standing != standing || server.since != since {
+            tracing::info!(upstream = server.name, ?standing, restarted = server.since != since, "changed");
+        }
+        (server.address, server.since, server.standing) = (address, since, standing);
+        if useless {
+            self.drop_idle(place);
+        }
+        Entry {
+            upstream: UpstreamId(number),
+            standing,
+            cell: instance.cell,
+            kind: self.kinds.intern(&instance.machine_type),
+            scale: instance.weight.filter(|weight| weight.is_finite() && *weight >= 0.0).unwrap_or(1.0),
+            zone: ZoneId(self.zones.intern(&instance.zone)),
+            since,
+        }
+    }
+
+    fn drop_idle(&mut self, place: usize) {
+        let idle = std::mem::take(&mut self.servers[place].idle);
+        idle.into_iter().for_each(|conn| self.hang_up(conn));
+    }
+
+    // The end.
+
+    /// SIGTERM: connections are closed between requests, and new ones are taken while they still come.
+    fn terminate(&mut self) {
+        if self.draining.is_some() {
+            return;
+        }
+        tracing::info!(requests = self.requests.len(), clients = self.clients.len(), "terminating");
+        self.draining = Some(self.now);
+        let idle = self.clients.iter().filter(|(_, client)| client.request.is_none());
+        let idle: Vec<ConnId> = idle.map(|(conn, _)| *conn).collect();
+        idle.into_iter().for_each(|conn| self.close_client(conn));
+        self.timers.set(Timer::Drain, self.now + DRAIN_EVERY);
+    }
+
+    fn drain(&mut self) {
+        let Some(since) = self.draining else { return };
+        self.timers.set(Timer::Drain, self.now + DRAIN_EVERY);
+        let longest = self.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
+        let quiet = self.now - since >= LAST_CALL && self.now - self.last_opened >= QUIET;
+        let late = self.now - since >= LAST_CALL + longest;
+        if (quiet || late) && !self.exiting {
+            self.exiting = true;
+            self.effects.push(Effect::StopAccepting);
+        }
+        if !self.stopped {
+            return;
+        }
+        let quiet = |client: &Client| client.request.is_none() && self.now - client.since >= QUIET;
+        let quiet = self.clients.iter().filter(|(_, client)| quiet(client));
+        let quiet: Vec<ConnId> = quiet.map(|(conn, _)| *conn).collect();
+        quiet.into_iter().for_each(|conn| self.close_client(conn));
+        if self.clients.is_empty() || late {
+            tracing::info!(clients = self.clients.len(), "exit");
+            self.timers.clear(Timer::Drain);
+            self.effects.push(Effect::Exit);
+        }
+    }
+}
+
+/// The request as it goes on: unchanged but for what concerns the connection and the time left.
+fn request_bytes(request: &Request, now: Millis) -> Vec<u8> {
+    let head = &request.message.head;
+    let left = format!("{}", (request.not_after - now).max(1.0) as u64);
+    let ours = |name: &str| name.eq_ignore_ascii_case("X-Budget-Ms") || name.eq_ignore_ascii_case("Expect");
+    let headers = head.headers.end_to_end().filter(|(name, _)| !ours(name));
+    let headers = headers.chain([("X-Budget-Ms", left.as_str())]);
+    http::request(&head.method, &head.target, headers, &request.message.body)
+}
+
+/// A load report, `name=value,name=value`; names not known are skipped.
+fn report(text: &str) -> Report {
+    let mut report = Report::default();
+    for pair in text.split(',') {
+        let Some((name, value)) = pair.trim().split_once('=') else { continue };
+        let value: Option<f64> = value.trim().parse().ok().filter(|value: &f64| value.is_finite());
+        match name.trim() {
+            "inflight" | "active" => report.active = value,
+            "queue" | "waiting" => report.waiting = value,
+            "util" | "cpu" => report.cpu = value,
+            "latency_ms" | "avg_ms" => report.service = value,
+            _ => {}
+        }
+    }
+    report
+}
+
+fn report_of_body(text: &str) -> Option<Report> {
+    Some(text).filter(|text| text.contains('=')).map(report)
+}
--- /dev/null
+++ b/crates/sandtrack-sidecar/src/ring.rs
@@ -0,0 +1,77 @@
+//! The ring buffer: each connection has one a direction. It owns the bytes between a socket and a parser or
+//! writer, and must never hold more than its bound, nor keep the room of a large message once that is gone.
+use std::collections::VecDeque;
+use std::io::IoSlice;
+
+/// Room that an empty buffer may keep.
+const KEPT: usize = 4096;
+
+pub struct Ring {
+    bytes: VecDeque<u8>,
+    bound: usize,
+}
+
+impl Ring {
+    pub fn new(bound: usize) -> Self {
+        Ring { bytes: VecDeque::new(), bound }
+    }
+
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    /// How many bytes more it may hold.
+    pub fn room(&self) -> usize {
+        self.bound.saturating_sub(self.bytes.len())
+    }
+
+    /// Takes the bytes, or none of them and says no when they pass the bound.
+    #[must_use]
+    pub fn push(&mut self, bytes: &[u8]) -> bool {
+        let fits = bytes.len() <= self.room();
+        if fits {
+            self.bytes.extend(bytes);
+        }
+        fits
+    }
+
+    /// What it holds, in one piece.
+    pub fn peek(&mut self) -> &[u8] {
+        self.bytes.make_contiguous()
+    }
+
+    /// What it holds, for one gathering write.
+    pub fn slices(&self) -> [IoSlice<'_>; 2] {
+        let (front, back) = self.bytes.as_slices();
+        [IoSlice::new(front), IoSlice::new(back)]
+    }
+
+    /// Drops that many bytes from the front.
+    pub fn consume(&mut self, count: usize) {
+        self.bytes.drain(..count.min(self.bytes.len()));
+        if self.bytes.is_empty() && self.bytes.capacity() > KEPT {
+            self.bytes.shrink_to(KEPT);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn it_holds_no_more_than_its_bound_and_gives_back_the_room() {
+        let mut ring = Ring::new(100_000);
+        assert!(ring.push(&[7; 100_000]));
+        assert!(!ring.push(&[7]));
+        ring.consume(60_000);
+        assert!(ring.push(&[8; 60_000]), "what was consumed is room again");
+        assert_eq!(ring.peek()[39_999..40_001], [7, 8]);
+        ring.consume(usize::MAX);
+        assert!(ring.is_empty() && ring.bytes.capacity() <= KEPT);
+    }
+}
--- /dev/null
+++ b/crates/sandtrack-sidecar/src/upstream.rs
@@ -0,0 +1,90 @@
+//! Upstream connections: one task each. It owns its socket and buffers, writes what it is ordered to and tells the
+//! whole answer; it must never write a message twice, and says of each break whether the last byte was written.
+use crate::http::{self, Collector, Side};
+use crate::net::{next, ordered_closed, read_into, write_all, Inputs, Next, Order, Orders};
+use crate::reducer::{ConnId, Input};
+use crate::ring::Ring;
+use async_io::Async;
+use futures_lite::future;
+use std::net::{SocketAddr, TcpStream};
+
+/// How many messages a connection began to write, and how many it wrote to the last byte.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Written {
+    pub begun: u32,
+    pub whole: u32,
+}
+
+/// Connects, and carries one message after another until the connection ends or is ordered closed.
+pub async fn run(conn: ConnId, address: SocketAddr, orders: Orders, inputs: Inputs) {
+    let closed = async {
+        ordered_closed(&orders).await;
+        None
+    };
+    let connected = async { Async::<TcpStream>::connect(address).await.ok() };
+    let stream = future::or(closed, connected).await;
+    let mut written = Written::default();
+    if let Some(stream) = stream {
+        carry(conn, stream, &orders, &inputs, &mut written).await;
+    }
+    inputs.send(Input::UpstreamClosed { conn, written });
+}
+
+/// The socket is closed when it returns.
+async fn carry(
+    conn: ConnId, stream: Async<TcpStream>, orders: &Orders, inputs: &Inputs, written: &mut Written,
+) {
+    if let Err(error) = stream.get_ref().set_nodelay(true) {
+        tracing::debug!(conn, %error, "no TCP_NODELAY");
+    }
+    inputs.send(Input::UpstreamConnected { conn });
+    let mut input = Ring::new(http::READ_RING);
+    let mut output = Ring::new(http::WRITE_RING);
+    let mut collector = Collector::new(Side::Response);
+    let mut awaiting = false;
+    loop {
+        match next(&stream, &mut input, orders).await {
+            Next::Order(Order::Close) | Next::Broken => return,
+            Next::Order(Order::Write { bytes, .. }) => {
+                // The other side may have closed it while it stood idle: nothing is written then, and the
+                // attempt may still go out on another connection.
+                if future::poll_once(read_into(&stream, &mut input)).await.is_some() {
+                    return;
+                }
+                if !output.push(&bytes) {
+                    return;
+                }
+                written.begun += 1;
+                let write = async { write_all(&stream, &mut output).await.is_ok() };
+                let closed = async {
+                    ordered_closed(orders).await;
+                    false
+                };
+                if !future::or(write, closed).await {
+                    return;
+                }
+                written.whole += 1;
+                awaiting = true;
+            }
+            Next::Read(count) => {
+                let at = inputs.clock.now();
+                // What ends with the connection is whole when that ends.
+                let message = if count == 0 { Ok(collector.ended()) } else { collector.next(&mut input) };
+                match message {
+                    Ok(None) if awaiting && count > 0 => {}
+                    Ok(Some(mut message)) if awaiting => {
+                        let over = count == 0 || !message.head.keep_alive || collector.within(&input);
+                        message.head.keep_alive = !over;
+                        inputs.send(Input::UpstreamAnswered { conn, at, message });
+                        if over {
+                            return;
+                        }
+                        awaiting = false;
+                    }
+                    // The end, not HTTP, too long, or nothing that was asked for.
+                    _ => return,
+                }
+            }
+        }
+    }
+}
