--- a/crates/sandtrack-sidecar/src/reducer.rs
+++ b/crates/sandtrack-sidecar/src/reducer.rs
@@ -800,7 +800,7 @@
         self.assign(job, None);
         if let Job::Attempt(id, n) = job {
             let live = self.requests.get(&id).and_then(|r| r.attempts.get(n as usize));
-            if !live.is_some_and(|attempt| !attempt.ended) {
+            if live.is_none_or(|attempt| attempt.ended) {
                 return;
             }
             if self.servers[server as usize].standing != Standing::Ready {
