--- a/crates/sandtrack-sidecar/src/client.rs
+++ b/crates/sandtrack-sidecar/src/client.rs
@@ -1,7 +1,7 @@
 //! The client side: the listener and one task a client connection. It owns those sockets and their buffers, tells
 //! the reducer each request whole, and must never answer of its own accord nor read a second request while one
 //! is unanswered.
-use crate::http::{self, Collector, Side};
+use crate::http::{self, Collector, Side, Taken};
 use crate::net::{next, ordered_closed, write_all, Inputs, Next, Order, Orders};
 use crate::reducer::{ConnId, Input};
 use crate::ring::Ring;
@@ -33,7 +33,7 @@
             Some(Ok((stream, _))) => opened(stream),
             Some(Err(error)) => {
                 // Out of descriptors, or a connection that broke while it waited: the listener lives on.
-                tracing::warn!(%error, "accept failed");
+                tracing::debug!(%error, "accept failed");
                 inputs.send(Input::AcceptFailed);
                 Timer::after(ACCEPT_PAUSE).await;
             }
@@ -66,19 +66,20 @@
         if !unanswered {
             let at = inputs.clock.now();
             match collector.next(&mut input) {
-                Ok(None) => {}
-                Ok(Some(message)) => {
+                Ok(Some(Taken::Whole(message))) => {
                     unanswered = true;
                     inputs.send(Input::ClientRequest { conn, at, message });
                 }
+                // Only responses are streamed.
+                Ok(_) => {}
                 Err(bad) => {
                     unanswered = true;
                     inputs.send(Input::ClientBad { conn, status: bad.status() });
                 }
             }
         }
-        match next(stream, &mut input, orders).await {
-            Next::Order(Order::Write { bytes, close }) => {
+        match next(stream, &mut input, orders, true).await {
+            Next::Order(Order::Answer { bytes, close }) => {
                 let wrote = output.push(&bytes) && patiently(stream, &mut output, orders).await;
                 if !wrote {
                     return;
@@ -88,7 +89,14 @@
                 }
                 unanswered = false;
             }
+            Next::Order(Order::Piece { bytes }) => {
+                if !output.push(&bytes) || !patiently(stream, &mut output, orders).await {
+                    return;
+                }
+                inputs.send(Input::ClientWrote { conn });
+            }
             Next::Order(Order::Close) => return linger(stream).await,
+            Next::Order(Order::Ask { .. } | Order::More) => {}
             Next::Read(0) | Next::Broken => {
                 // Told at once, while the socket is still held: the request has lost its client.
                 return;
--- a/crates/sandtrack-sidecar/src/http.rs
+++ b/crates/sandtrack-sidecar/src/http.rs
@@ -87,6 +87,8 @@
     pub headers: Headers,
     /// The connection stays open after this message.
     pub keep_alive: bool,
+    /// HTTP/1.1: the other side understands chunks.
+    pub chunks: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -141,11 +143,15 @@
         loop {
             match self.state {
                 State::Head { searched } => {
-                    if searched == 0 && ring.peek().starts_with(b"\r\n") {
+                    let bytes = ring.peek();
+                    if searched == 0 && bytes.starts_with(b"\r\n") {
                         ring.consume(2);
                         continue;
                     }
-                    let bytes = ring.peek();
+                    if bytes == b"\r" {
+                        // The first half of an empty line before the head, when it comes alone.
+                        return Ok(None);
+                    }
                     let from = searched.saturating_sub(3);
                     let end = bytes[from..].windows(4).position(|four| four == b"\r\n\r\n");
                     let Some(end) = end.map(|at| from + at) else {
@@ -222,55 +228,82 @@
     }
 }
 
-/// Collects the parts of a message whose body is not too long.
+/// What a collector has: a message whole, or a streamed one as it comes.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Taken {
+    Whole(Message),
+    Begun(Head),
+    Piece(Vec<u8>),
+    /// The end of what was begun.
+    Over,
+}
+
+/// Collects the parts of a message whose body is not too long. Where it is told so, a response with status 200
+/// is not collected but told as it comes, however long.
 pub struct Collector {
     parser: Parser,
+    pub streamed: bool,
     head: Option<Head>,
     body: Vec<u8>,
+    /// The connection stays open after the message that is being told.
+    keep_alive: bool,
 }
 
 impl Collector {
     pub fn new(side: Side) -> Self {
-        Collector { parser: Parser::new(side), head: None, body: Vec::new() }
+        let parser = Parser::new(side);
+        Collector { parser, streamed: false, head: None, body: Vec::new(), keep_alive: false }
     }
 
-    pub fn next(&mut self, ring: &mut Ring) -> Result<Option<Message>, Bad> {
+    pub fn next(&mut self, ring: &mut Ring) -> Result<Option<Taken>, Bad> {
         while let Some(part) = self.parser.next(ring)? {
             match part {
+                Part::Head(head) if self.streamed && head.status == 200 => {
+                    self.keep_alive = head.keep_alive;
+                    return Ok(Some(Taken::Begun(head)));
+                }
                 Part::Head(head) => {
                     if matches!(self.parser.state, State::Length(length) if length > BODY_MAX) {
                         return Err(Bad::BodyTooLong);
                     }
                     self.head = Some(head);
                 }
+                Part::Data(data) if self.head.is_none() => return Ok(Some(Taken::Piece(data))),
                 Part::Data(data) => {
                     if self.body.len() + data.len() > BODY_MAX {
                         return Err(Bad::BodyTooLong);
                     }
                     self.body.extend(data);
                 }
-                Part::End => return Ok(self.whole()),
+                Part::End => return Ok(Some(self.whole())),
             }
         }
         Ok(None)
     }
 
-    /// The connection has ended: the message that this completes, if one.
-    pub fn ended(&mut self) -> Option<Message> {
-        if self.parser.ended() {
-            self.whole()
-        } else {
-            None
-        }
+    /// The connection has ended: the end of a message that this completes, if there is one.
+    pub fn ended(&mut self) -> Option<Taken> {
+        self.parser.ended().then(|| self.whole())
     }
 
     pub fn within(&self, ring: &Ring) -> bool {
         self.parser.within(ring)
     }
 
-    fn whole(&mut self) -> Option<Message> {
+    /// Whether the connection stays open after the message that was begun last.
+    pub fn keep_alive(&self) -> bool {
+        self.keep_alive
+    }
+
+    fn whole(&mut self) -> Taken {
         let body = std::mem::take(&mut self.body);
-        self.head.take().map(|head| Message { head, body })
+        match self.head.take() {
+            Some(head) => {
+                self.keep_alive = head.keep_alive;
+                Taken::Whole(Message { head, body })
+            }
+            None => Taken::Over,
+        }
     }
 }
 
@@ -316,8 +349,14 @@
     }
     let mut words = start.splitn(3, ' ');
     let mut word = || words.next().ok_or(Bad::Malformed);
-    let mut head =
-        Head { method: String::new(), target: String::new(), status: 0, headers, keep_alive: false };
+    let mut head = Head {
+        method: String::new(),
+        target: String::new(),
+        status: 0,
+        headers,
+        keep_alive: false,
+        chunks: false,
+    };
     let version = match side {
         Side::Request => {
             let (method, target, version) = (word()?, word()?, word()?);
@@ -341,6 +380,7 @@
         "HTTP/1.0" => head.headers.has_token("connection", "keep-alive"),
         _ => return Err(Bad::Malformed),
     };
+    head.chunks = version == "HTTP/1.1";
     Ok(head)
 }
 
@@ -377,7 +417,17 @@
 pub fn response<'a>(
     status: u16, headers: impl Iterator<Item = (&'a str, &'a str)>, body: &[u8], close: bool,
 ) -> Vec<u8> {
-    let reason = match status {
+    let connection = close.then_some(("Connection", "close"));
+    write(
+        format!("HTTP/1.1 {status} {}\r\n", reason(status)),
+        headers.chain(connection),
+        Some(body.len()),
+        body,
+    )
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
         200 => "OK",
         400 => "Bad Request",
         405 => "Method Not Allowed",
@@ -387,9 +437,22 @@
         503 => "Service Unavailable",
         504 => "Gateway Timeout",
         _ => "",
-    };
+    }
+}
+
+/// The head of a response whose body follows in chunks.
+pub fn chunked<'a>(status: u16, headers: impl Iterator<Item = (&'a str, &'a str)>, close: bool) -> Vec<u8> {
     let connection = close.then_some(("Connection", "close"));
-    write(format!("HTTP/1.1 {status} {reason}\r\n"), headers.chain(connection), Some(body.len()), body)
+    let headers = headers.chain([("Transfer-Encoding", "chunked")]).chain(connection);
+    write(format!("HTTP/1.1 {status} {}\r\n", reason(status)), headers, None, b"")
+}
+
+/// One chunk; an empty one ends the body.
+pub fn chunk(data: &[u8]) -> Vec<u8> {
+    let mut bytes = format!("{:x}\r\n", data.len()).into_bytes();
+    bytes.extend_from_slice(data);
+    bytes.extend_from_slice(b"\r\n");
+    bytes
 }
 
 fn write<'a>(
--- a/crates/sandtrack-sidecar/src/main.rs
+++ b/crates/sandtrack-sidecar/src/main.rs
@@ -115,12 +115,14 @@
     for effect in effects {
         match effect {
             Effect::Answer { conn, bytes, close } => {
-                order(&tasks.clients, conn, Order::Write { bytes, close })
+                order(&tasks.clients, conn, Order::Answer { bytes, close });
             }
+            Effect::Relay { conn, bytes } => order(&tasks.clients, conn, Order::Piece { bytes }),
+            Effect::More { conn } => order(&tasks.upstreams, conn, Order::More),
             Effect::CloseClient { conn } => order(&tasks.clients, conn, Order::Close),
             Effect::Connect { conn, address } => tasks.connect(conn, address),
-            Effect::Write { conn, bytes } => {
-                order(&tasks.upstreams, conn, Order::Write { bytes, close: false });
+            Effect::Write { conn, bytes, streamed } => {
+                order(&tasks.upstreams, conn, Order::Ask { bytes, streamed });
             }
             Effect::CloseUpstream { conn } => order(&tasks.upstreams, conn, Order::Close),
             Effect::Watch { call, after } => tasks.watch(call, after),
--- a/crates/sandtrack-sidecar/src/net.rs
+++ b/crates/sandtrack-sidecar/src/net.rs
@@ -11,11 +11,22 @@
 
 /// What the reducer tells the task that owns a connection.
 pub enum Order {
-    /// Write the message; `close`: it is the connection's last.
-    Write {
+    /// To a client: write the answer or its last piece; `close`: it is the connection's last.
+    Answer {
         bytes: Vec<u8>,
         close: bool,
     },
+    /// To a client: write a piece of a streamed answer and tell when it is written.
+    Piece {
+        bytes: Vec<u8>,
+    },
+    /// To an upstream: write the request; `streamed`: tell its answer as it comes.
+    Ask {
+        bytes: Vec<u8>,
+        streamed: bool,
+    },
+    /// To an upstream: the next piece of a streamed answer is wanted.
+    More,
     Close,
 }
 
@@ -67,10 +78,10 @@
     Broken,
 }
 
-/// Waits for an order, or for bytes where the buffer has room for them. Orders go first.
-pub async fn next(stream: &Async<TcpStream>, ring: &mut Ring, orders: &Orders) -> Next {
+/// Waits for an order, or for bytes where they are wanted and the buffer has room. Orders go first.
+pub async fn next(stream: &Async<TcpStream>, ring: &mut Ring, orders: &Orders, wanted: bool) -> Next {
     let order = async { orders.recv().await.map_or(Next::Broken, Next::Order) };
-    if ring.room() == 0 {
+    if !wanted || ring.room() == 0 {
         return order.await;
     }
     let read = async { read_into(stream, ring).await.map_or(Next::Broken, Next::Read) };
--- a/crates/sandtrack-sidecar/src/reducer.rs
+++ b/crates/sandtrack-sidecar/src/reducer.rs
@@ -2,7 +2,7 @@
 //! module and asks for effects; each table entry, timer and descriptor count is given back in one place here. It
 //! must never do I/O, read a clock, or decide what the module decides: which upstream, when, and whether at all.
 use crate::catalog::{Catalog, Instance, Lifecycle};
-use crate::http::{self, Message};
+use crate::http::{self, Head, Message};
 use crate::upstream::Written;
 use sandtrack::interface::Effect as Repeats;
 use sandtrack::interface::*;
@@ -55,6 +55,10 @@
     ClientClosed {
         conn: ConnId,
     },
+    /// A piece of a streamed answer was written.
+    ClientWrote {
+        conn: ConnId,
+    },
     UpstreamConnected {
         conn: ConnId,
     },
@@ -63,6 +67,20 @@
         at: Millis,
         message: Message,
     },
+    /// A streamed answer has begun; its pieces follow one by one, as they are asked for.
+    UpstreamBegan {
+        conn: ConnId,
+        head: Head,
+    },
+    UpstreamPiece {
+        conn: ConnId,
+        bytes: Vec<u8>,
+    },
+    UpstreamOver {
+        conn: ConnId,
+        at: Millis,
+        keep_alive: bool,
+    },
     UpstreamClosed {
         conn: ConnId,
         written: Written,
@@ -86,13 +104,42 @@
 
 #[derive(Debug, PartialEq, Eq)]
 pub enum Effect {
-    Answer { conn: ConnId, bytes: Vec<u8>, close: bool },
-    CloseClient { conn: ConnId },
-    Connect { conn: ConnId, address: SocketAddr },
-    Write { conn: ConnId, bytes: Vec<u8> },
-    CloseUpstream { conn: ConnId },
-    Watch { call: CallId, after: Option<u64> },
-    CloseWatch { call: CallId },
+    Answer {
+        conn: ConnId,
+        bytes: Vec<u8>,
+        close: bool,
+    },
+    /// Pass on a piece of a streamed answer, and tell when it is written.
+    Relay {
+        conn: ConnId,
+        bytes: Vec<u8>,
+    },
+    /// The next piece of a streamed answer is wanted.
+    More {
+        conn: ConnId,
+    },
+    CloseClient {
+        conn: ConnId,
+    },
+    Connect {
+        conn: ConnId,
+        address: SocketAddr,
+    },
+    Write {
+        conn: ConnId,
+        bytes: Vec<u8>,
+        streamed: bool,
+    },
+    CloseUpstream {
+        conn: ConnId,
+    },
+    Watch {
+        call: CallId,
+        after: Option<u64>,
+    },
+    CloseWatch {
+        call: CallId,
+    },
     StopAccepting,
     Exit,
 }
@@ -160,6 +207,7 @@
     Probe { sent: Millis },
 }
 
+#[derive(Clone, Copy)]
 enum Stage {
     Connecting(Job),
     Idle,
@@ -188,7 +236,6 @@
 }
 
 struct Attempt {
-    server: u32,
     sent: Millis,
     /// The connection that carries it, until its outcome.
     conn: Option<ConnId>,
@@ -200,6 +247,8 @@
     client: Option<ConnId>,
     keep_alive: bool,
     message: Message,
+    /// Its streamed answer has begun, on this attempt: it has no deadline any more.
+    stream: Option<u32>,
     class: usize,
     not_after: Millis,
     attempts: Vec<Attempt>,
@@ -237,6 +286,7 @@
     /// When SIGTERM came, when the last connection did, and whether the listener is closed.
     draining: Option<Millis>,
     last_opened: Millis,
+    scarce_said: Millis,
     stopped: bool,
     exiting: bool,
 }
@@ -277,6 +327,7 @@
             generation: None,
             draining: None,
             last_opened: now,
+            scarce_said: f64::NEG_INFINITY,
             stopped: false,
             exiting: false,
         }
@@ -363,6 +414,10 @@
                 self.plain(conn, status, true);
             }
             Input::ClientClosed { conn } => self.client_closed(conn),
+            Input::ClientWrote { conn } => self.client_wrote(conn),
+            Input::UpstreamBegan { conn, head } => self.began(conn, &head),
+            Input::UpstreamPiece { conn, bytes } => self.piece(conn, &bytes),
+            Input::UpstreamOver { conn, at, keep_alive } => self.over(conn, at, keep_alive),
             Input::UpstreamConnected { conn } => self.connected(conn),
             Input::UpstreamAnswered { conn, at, message } => self.answered(conn, at, message),
             Input::UpstreamClosed { conn, written } => self.upstream_closed(conn, written),
@@ -374,6 +429,7 @@
             }
             Input::WatchEnded { call } => self.watch_ended(call, "ended"),
             Input::AcceptFailed => {
+                self.scarce("accept failed");
                 self.make_room();
             }
             Input::AcceptStopped => self.stopped = true,
@@ -384,21 +440,12 @@
 
     fn fire(&mut self, timer: Timer) {
         match timer {
-            Timer::Connect(conn) => {
-                let Some(link) = self.links.get(&conn) else { return };
-                if let Stage::Connecting(job) = link.stage {
-                    self.hang_up(conn);
-                    self.job_failed(job, Outcome::ConnectFailed);
-                }
-            }
-            Timer::Probe(conn) => {
+            Timer::Connect(conn) | Timer::Probe(conn) => {
                 let Some(link) = self.links.get(&conn) else { return };
-                if let Stage::Connecting(job @ Job::Probe { .. }) | Stage::Busy(job @ Job::Probe { .. }) =
-                    link.stage
-                {
+                if let Stage::Connecting(job) | Stage::Busy(job) = link.stage {
                     let server = link.server;
                     self.hang_up(conn);
-                    self.probe_ended(job, server, false, None);
+                    self.job_failed(job, server, Outcome::ConnectFailed);
                 }
             }
             Timer::Deadline(request) => self.deadline(request),
@@ -424,28 +471,39 @@
         let full = self.clients.len() + self.links.len() >= self.sockets;
         let surplus = full && !self.make_room();
         if surplus {
-            tracing::warn!("no descriptor left for a client: it will be refused");
+            self.scarce("no descriptor left for a client: it will be refused");
         }
         self.clients.insert(conn, Client { request: None, closing: false, since: self.now, surplus });
     }
 
     /// Closes what has stood idle longest, upstream connections first; no when there is nothing idle.
     fn make_room(&mut self) -> bool {
-        let idle = |link: &Link| matches!(link.stage, Stage::Idle);
-        let eldest = self.links.iter().filter(|(_, link)| idle(link));
-        if let Some(conn) = eldest.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(conn, _)| *conn) {
-            self.hang_up(conn);
-            return true;
-        }
+        self.drop_eldest_link() || self.drop_eldest_client()
+    }
+
+    fn drop_eldest_link(&mut self) -> bool {
+        let idle = self.links.iter().filter(|(_, link)| matches!(link.stage, Stage::Idle));
+        let eldest = idle.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(conn, _)| *conn);
+        eldest.into_iter().for_each(|conn| self.hang_up(conn));
+        eldest.is_some()
+    }
+
+    fn drop_eldest_client(&mut self) -> bool {
         let idle = |client: &Client| client.request.is_none() && !client.closing;
-        let eldest = self.clients.iter().filter(|(_, client)| idle(client));
-        let eldest = eldest.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(conn, _)| *conn);
-        if let Some(conn) = eldest {
-            self.close_client(conn);
-        }
+        let idle = self.clients.iter().filter(|(_, client)| idle(client));
+        let eldest = idle.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(conn, _)| *conn);
+        eldest.into_iter().for_each(|conn| self.close_client(conn));
         eldest.is_some()
     }
 
+    /// Said once a second at most: what is scarce is asked for often.
+    fn scarce(&mut self, what: &str) {
+        if self.now - self.scarce_said >= SWEEP_EVERY {
+            self.scarce_said = self.now;
+            tracing::warn!(clients = self.clients.len(), upstreams = self.links.len(), "{what}");
+        }
+    }
+
     fn close_client(&mut self, conn: ConnId) {
         if let Some(client) = self.clients.get_mut(&conn).filter(|client| !client.closing) {
             client.closing = true;
@@ -456,9 +514,12 @@
     fn client_closed(&mut self, conn: ConnId) {
         let Some(client) = self.clients.remove(&conn) else { return };
         if let Some(id) = client.request {
-            if let Some(request) = self.requests.get_mut(&id) {
+            let stream = self.requests.get_mut(&id).and_then(|request| {
                 request.client = None;
-            }
+                request.stream
+            });
+            // A streamed answer has nobody left to go to, whether a cancel is allowed or not.
+            stream.into_iter().for_each(|n| self.cancel(id, n));
             self.events.push_back(Event::ClientGone(id));
             self.request_closed(id);
         }
@@ -505,6 +566,7 @@
                     client: Some(conn),
                     keep_alive: message.head.keep_alive,
                     message,
+                    stream: None,
                     class: arrival.class.0,
                     not_after: arrival.not_after,
                     attempts: Vec::new(),
@@ -568,15 +630,21 @@
         Ok(arrival)
     }
 
-    /// The one place where a request gets its answer.
     fn answer<'a>(
         &mut self, id: RequestId, status: u16, headers: impl Iterator<Item = (&'a str, &'a str)>, body: &[u8],
     ) {
+        let draining = self.draining.is_some();
+        self.give(id, |request| {
+            let close = !request.keep_alive || draining;
+            (http::response(status, headers, body, close), close)
+        });
+    }
+
+    /// The one place where a request gets its answer, or the last piece of it, and so loses its client.
+    fn give(&mut self, id: RequestId, message: impl FnOnce(&Request) -> (Vec<u8>, bool)) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let keep_alive = request.keep_alive;
         let Some(conn) = request.client.take() else { return };
-        let close = !keep_alive || self.draining.is_some();
-        let bytes = http::response(status, headers, body, close);
+        let (bytes, close) = message(request);
         if let Some(client) = self.clients.get_mut(&conn) {
             client.request = None;
             client.closing = close;
@@ -586,12 +654,13 @@
         self.request_closed(id);
     }
 
-    /// It has its answer or lost its client: it is forgotten when its last attempt has ended.
+    /// It has its answer or lost its client: it is forgotten when its last attempt has ended, at the latest when its
+    /// time is over, as not every deployment allows a cancel.
     fn request_closed(&mut self, id: RequestId) {
-        self.timers.clear(Timer::Deadline(id));
         let over = |request: &Request| request.client.is_none() && request.attempts.iter().all(|a| a.ended);
         if self.requests.get(&id).is_some_and(over) {
             self.requests.remove(&id);
+            self.timers.clear(Timer::Deadline(id));
         }
     }
 
@@ -599,7 +668,8 @@
     /// does, as no request may go without an answer.
     fn deadline(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(&id) else { return };
-        let out = request.attempts.iter().enumerate().filter(|(_, a)| !a.ended);
+        let streams = |n: usize| request.stream == Some(n as u32);
+        let out = request.attempts.iter().enumerate().filter(|(n, a)| !a.ended && !streams(*n));
         let out: Vec<(u32, Option<ConnId>)> = out.map(|(n, a)| (n as u32, a.conn)).collect();
         for (n, conn) in out {
             conn.into_iter().for_each(|conn| self.hang_up(conn));
@@ -608,7 +678,7 @@
         self.settle();
         self.events.push_back(Event::Wake);
         self.settle();
-        if self.requests.get(&id).is_some_and(|request| request.client.is_some()) {
+        if self.requests.get(&id).is_some_and(|r| r.client.is_some() && r.stream.is_none()) {
             tracing::warn!(id = id.0, "answered by the backstop");
             self.events.push_back(Event::ClientGone(id));
             self.answer(id, 504, std::iter::empty(), b"");
@@ -620,7 +690,7 @@
     fn send(&mut self, id: RequestId, server: u32) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let n = request.attempts.len() as u32;
-        request.attempts.push(Attempt { server, sent: self.now, conn: None, ended: false });
+        request.attempts.push(Attempt { sent: self.now, conn: None, ended: false });
         if request.client.is_none() {
             self.attempt_ended(id, n, Outcome::Moot, self.now, None);
             return;
@@ -647,11 +717,13 @@
             return;
         }
         let address = self.servers[server as usize].address;
-        let full =
-            self.links.len() >= self.links_most || self.links.len() + self.clients.len() >= self.sockets;
-        let room = !full || self.make_room();
+        let room = if self.links.len() >= self.links_most {
+            self.drop_eldest_link()
+        } else {
+            self.links.len() + self.clients.len() < self.sockets || self.make_room()
+        };
         let Some(address) = address.filter(|_| room) else {
-            self.job_failed_at(job, server, Outcome::ConnectFailed);
+            self.job_failed(job, server, Outcome::ConnectFailed);
             return;
         };
         let conn = self.accepted();
@@ -674,9 +746,13 @@
     /// Writes the job's message; from now on it may have run.
     fn write(&mut self, conn: ConnId, job: Job) {
         let Some(link) = self.links.get_mut(&conn) else { return };
+        let mut streamed = false;
         let bytes = match job {
             Job::Attempt(id, _) => match self.requests.get(&id) {
-                Some(request) => request_bytes(request, self.now),
+                Some(request) => {
+                    streamed = self.settings.classes[request.class].stream && request.message.head.chunks;
+                    request_bytes(request, self.now)
+                }
                 None => return,
             },
             Job::Probe { .. } => {
@@ -692,22 +768,42 @@
         if let Job::Probe { .. } = job {
             self.timers.set(Timer::Probe(conn), self.now + self.connect_timeout);
         }
-        self.effects.push(Effect::Write { conn, bytes });
+        self.effects.push(Effect::Write { conn, bytes, streamed });
     }
 
     fn connected(&mut self, conn: ConnId) {
         self.timers.clear(Timer::Connect(conn));
-        let Some(link) = self.links.get(&conn) else { return };
+        let Some(link) = self.links.get_mut(&conn) else { return };
         let Stage::Connecting(job) = link.stage else { return };
         let server = link.server;
-        let offered = self.servers[server as usize].standing == Standing::Ready;
-        if matches!(job, Job::Attempt(..)) && !offered {
-            // It began to drain while the connection came up: nothing new is sent there.
-            self.hang_up(conn);
-            self.job_failed_at(job, server, Outcome::Moot);
-            return;
+        if self.wanted(job, server) {
+            return self.write(conn, job);
         }
-        self.write(conn, job);
+        // It began to drain while the connection came up, or the request was closed where no cancel is allowed:
+        // nothing is sent.
+        self.rest(conn);
+        self.job_failed(job, server, Outcome::Moot);
+    }
+
+    /// Whether the job may still be written.
+    fn wanted(&self, job: Job, server: u32) -> bool {
+        let Job::Attempt(id, n) = job else { return true };
+        let open = self.requests.get(&id).filter(|request| request.client.is_some());
+        let out = open.and_then(|request| request.attempts.get(n as usize)).is_some_and(|a| !a.ended);
+        out && self.servers[server as usize].standing == Standing::Ready
+    }
+
+    /// It stands idle, or is closed when its upstream wants nothing new.
+    fn rest(&mut self, conn: ConnId) {
+        let Some(link) = self.links.get_mut(&conn) else { return };
+        let server = &mut self.servers[link.server as usize];
+        if server.standing != Standing::Ready {
+            return self.hang_up(conn);
+        }
+        link.stage = Stage::Idle;
+        link.since = self.now;
+        server.idle.push(conn);
+        self.timers.clear(Timer::Probe(conn));
     }
 
     /// Orders the connection closed; its entry goes when its end is told.
@@ -738,25 +834,90 @@
         self.attempt_ended(id, n, outcome, self.now, None);
     }
 
-    fn answered(&mut self, conn: ConnId, at: Millis, message: Message) {
-        let Some(link) = self.links.get_mut(&conn) else { return };
-        let Stage::Busy(job) = link.stage else { return };
+    /// Its message is answered: it stands idle, or is closed. Gives what it carried, and for which upstream.
+    fn free(&mut self, conn: ConnId, keep_alive: bool) -> Option<(Job, u32)> {
+        let link = self.links.get(&conn)?;
+        let Stage::Busy(job) = link.stage else { return None };
         let server = link.server;
-        let ready = self.servers[server as usize].standing != Standing::Gone;
-        if message.head.keep_alive && ready {
-            link.stage = Stage::Idle;
-            link.since = self.now;
-            self.servers[server as usize].idle.push(conn);
-            self.timers.clear(Timer::Probe(conn));
+        if keep_alive {
+            self.rest(conn);
         } else {
             self.hang_up(conn);
         }
+        Some((job, server))
+    }
+
+    // Streamed answers: each piece waits for the one before to be written, so that no more than one is held.
+
+    /// The attempt on this connection and its request, if that still has a client.
+    fn carried(&mut self, conn: ConnId) -> Option<(RequestId, u32, &mut Request)> {
+        let Stage::Busy(Job::Attempt(id, n)) = self.links.get(&conn)?.stage else { return None };
+        let request = self.requests.get_mut(&id).filter(|request| request.client.is_some())?;
+        Some((id, n, request))
+    }
+
+    fn began(&mut self, conn: ConnId, head: &Head) {
+        let draining = self.draining.is_some();
+        let Some(Stage::Busy(Job::Attempt(id, n))) = self.links.get(&conn).map(|link| link.stage) else {
+            return;
+        };
+        let Some((.., request)) = self.carried(conn).filter(|(.., request)| request.stream.is_none()) else {
+            // Nobody is left to pass it on to.
+            return self.cancel(id, n);
+        };
+        request.stream = Some(n);
+        request.keep_alive &= !draining;
+        let bytes = http::chunked(head.status, answer_headers(head), !request.keep_alive);
+        let client = request.client;
+        self.events.push_back(Event::Opened { request: id, attempt: n });
+        self.effects.extend(client.map(|conn| Effect::Relay { conn, bytes }));
+    }
+
+    fn piece(&mut self, conn: ConnId, bytes: &[u8]) {
+        let Some((.., request)) = self.carried(conn) else { return };
+        let client = request.client;
+        self.effects.extend(client.map(|conn| Effect::Relay { conn, bytes: http::chunk(bytes) }));
+    }
+
+    fn client_wrote(&mut self, conn: ConnId) {
+        let request = self.clients.get(&conn).and_then(|client| client.request);
+        let Some(request) = request.and_then(|id| self.requests.get(&id)) else { return };
+        let attempt = request.stream.and_then(|n| request.attempts.get(n as usize));
+        let link = attempt.and_then(|attempt| attempt.conn);
+        self.effects.extend(link.map(|conn| Effect::More { conn }));
+    }
+
+    fn over(&mut self, conn: ConnId, at: Millis, keep_alive: bool) {
+        let Some((Job::Attempt(id, n), _)) = self.free(conn, keep_alive) else { return };
+        self.give(id, |request| (http::chunk(b""), !request.keep_alive));
+        self.attempt_ended(id, n, Outcome::Ok, at, None);
+    }
+
+    /// A streamed answer that can't be finished: its client is shown that it is not whole.
+    fn cut_short(&mut self, id: RequestId, n: u32) {
+        let Some(request) = self.requests.get_mut(&id).filter(|r| r.stream == Some(n)) else { return };
+        let Some(conn) = request.client.take() else { return };
+        if let Some(client) = self.clients.get_mut(&conn) {
+            client.request = None;
+        }
+        self.close_client(conn);
+    }
+
+    fn answered(&mut self, conn: ConnId, at: Millis, message: Message) {
+        let Some((job, server)) = self.free(conn, message.head.keep_alive) else { return };
         let status = message.head.status;
         let report = message.head.headers.get("X-Load-Report").map(report);
         match job {
-            Job::Probe { .. } => {
+            Job::Probe { sent } => {
+                let used = self.links.get(&conn).map_or(0, |link| link.ordered);
+                tracing::debug!(
+                    upstream = self.servers[server as usize].name,
+                    elapsed = at - sent,
+                    used,
+                    "probed"
+                );
                 let body = || std::str::from_utf8(&message.body).ok().map(report_of_body);
-                self.probe_answered(job, server, at, status == 200, report.or_else(|| body().flatten()));
+                self.probe_ended(server, sent, at, status == 200, report.or_else(|| body().flatten()));
             }
             Job::Attempt(id, n) => {
                 let rejected = message.head.headers.get("X-Rejected") == Some("1");
@@ -766,11 +927,8 @@
                     _ => Outcome::Error,
                 };
                 if outcome == Outcome::Ok {
-                    let headers = message.head.headers.end_to_end();
-                    let headers = headers.filter(|(name, _)| !name.eq_ignore_ascii_case("X-Load-Report"));
                     // Answered first: the attempt's end then closes the request.
-                    let headers: Vec<(&str, &str)> = headers.collect();
-                    self.answer(id, 200, headers.into_iter(), &message.body);
+                    self.answer(id, 200, answer_headers(&message.head), &message.body);
                 }
                 self.attempt_ended(id, n, outcome, at, report);
             }
@@ -785,62 +943,42 @@
         self.servers[server as usize].idle.retain(|idle| *idle != conn);
         match link.stage {
             Stage::Closing | Stage::Idle => {}
-            Stage::Connecting(job) => self.job_failed_at(job, server, Outcome::ConnectFailed),
+            Stage::Connecting(job) => self.job_failed(job, server, Outcome::ConnectFailed),
             // It ended while idle, before a byte of this message was written: it goes out on a new one, and
             // that is still the first time it is sent.
             Stage::Busy(job) if written.begun < link.ordered => self.redispatch(job, server),
             Stage::Busy(job) if written.whole < link.ordered => {
-                self.job_failed_at(job, server, Outcome::ConnectFailed);
+                self.job_failed(job, server, Outcome::ConnectFailed);
             }
-            Stage::Busy(job) => self.job_failed_at(job, server, Outcome::Reset),
+            Stage::Busy(job) => self.job_failed(job, server, Outcome::Reset),
         }
     }
 
     fn redispatch(&mut self, job: Job, server: u32) {
         self.assign(job, None);
-        if let Job::Attempt(id, n) = job {
-            let live = self.requests.get(&id).and_then(|r| r.attempts.get(n as usize));
-            if live.is_none_or(|attempt| attempt.ended) {
-                return;
-            }
-            if self.servers[server as usize].standing != Standing::Ready {
-                return self.job_failed_at(job, server, Outcome::Moot);
-            }
+        if !self.wanted(job, server) {
+            return self.job_failed(job, server, Outcome::Moot);
         }
         self.dispatch(job, server, None);
     }
 
-    fn job_failed(&mut self, job: Job, outcome: Outcome) {
-        let server = match job {
-            Job::Attempt(id, n) => {
-                let attempt = self.requests.get(&id).and_then(|r| r.attempts.get(n as usize));
-                attempt.map(|attempt| attempt.server)
-            }
-            Job::Probe { .. } => None,
-        };
-        self.job_failed_at(job, server.unwrap_or_default(), outcome);
-    }
-
-    fn job_failed_at(&mut self, job: Job, server: u32, outcome: Outcome) {
+    fn job_failed(&mut self, job: Job, server: u32, outcome: Outcome) {
         match job {
             Job::Attempt(id, n) => self.attempt_ended(id, n, outcome, self.now, None),
-            Job::Probe { .. } => self.probe_ended(job, server, false, None),
+            Job::Probe { sent } => self.probe_ended(server, sent, self.now, false, None),
         }
     }
 
-    fn probe_ended(&mut self, job: Job, server: u32, ok: bool, report: Option<Report>) {
-        self.probe_answered(job, server, self.now, ok, report);
-    }
-
-    fn probe_answered(&mut self, job: Job, server: u32, at: Millis, ok: bool, report: Option<Report>) {
-        if let Job::Probe { sent } = job {
-            let elapsed = (at - sent).max(0.0);
-            self.events.push_back(Event::Probed { upstream: UpstreamId(server), elapsed, ok, report });
-        }
+    fn probe_ended(&mut self, server: u32, sent: Millis, at: Millis, ok: bool, report: Option<Report>) {
+        let (upstream, elapsed) = (UpstreamId(server), (at - sent).max(0.0));
+        self.events.push_back(Event::Probed { upstream, elapsed, ok, report });
     }
 
     /// The one place where an attempt ends.
     fn attempt_ended(&mut self, id: RequestId, n: u32, outcome: Outcome, at: Millis, report: Option<Report>) {
+        if outcome != Outcome::Ok {
+            self.cut_short(id, n);
+        }
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(attempt) = request.attempts.get_mut(n as usize).filter(|a| !a.ended) else { return };
         attempt.ended = true;
@@ -996,6 +1134,11 @@
     }
 }
 
+/// What of an upstream's headers the client gets.
+fn answer_headers(head: &Head) -> impl Iterator<Item = (&str, &str)> {
+    head.headers.end_to_end().filter(|(name, _)| !name.eq_ignore_ascii_case("X-Load-Report"))
+}
+
 /// The request as it goes on: unchanged but for what concerns the connection and the time left.
 fn request_bytes(request: &Request, now: Millis) -> Vec<u8> {
     let head = &request.message.head;
--- a/crates/sandtrack-sidecar/src/upstream.rs
+++ b/crates/sandtrack-sidecar/src/upstream.rs
@@ -1,6 +1,6 @@
 //! Upstream connections: one task each. It owns its socket and buffers, writes what it is ordered to and tells the
 //! whole answer; it must never write a message twice, and says of each break whether the last byte was written.
-use crate::http::{self, Collector, Side};
+use crate::http::{self, Collector, Side, Taken};
 use crate::net::{next, ordered_closed, read_into, write_all, Inputs, Next, Order, Orders};
 use crate::reducer::{ConnId, Input};
 use crate::ring::Ring;
@@ -42,10 +42,11 @@
     let mut output = Ring::new(http::WRITE_RING);
     let mut collector = Collector::new(Side::Response);
     let mut awaiting = false;
+    // A piece of a streamed answer was told, and the next is not wanted yet.
+    let mut paused = false;
     loop {
-        match next(&stream, &mut input, orders).await {
-            Next::Order(Order::Close) | Next::Broken => return,
-            Next::Order(Order::Write { bytes, .. }) => {
+        let count = match next(&stream, &mut input, orders, !paused).await {
+            Next::Order(Order::Ask { bytes, streamed }) => {
                 // The other side may have closed it while it stood idle: nothing is written then, and the
                 // attempt may still go out on another connection.
                 if future::poll_once(read_into(&stream, &mut input)).await.is_some() {
@@ -65,26 +66,49 @@
                 }
                 written.whole += 1;
                 awaiting = true;
+                collector.streamed = streamed;
+                continue;
+            }
+            // What was read before may hold the next piece already.
+            Next::Order(Order::More) if paused => {
+                paused = false;
+                None
             }
-            Next::Read(count) => {
-                let at = inputs.clock.now();
-                // What ends with the connection is whole when that ends.
-                let message = if count == 0 { Ok(collector.ended()) } else { collector.next(&mut input) };
-                match message {
-                    Ok(None) if awaiting && count > 0 => {}
-                    Ok(Some(mut message)) if awaiting => {
-                        let over = count == 0 || !message.head.keep_alive || collector.within(&input);
-                        message.head.keep_alive = !over;
+            Next::Order(Order::Close) | Next::Broken => return,
+            Next::Order(_) => continue,
+            Next::Read(count) => Some(count),
+        };
+        let at = inputs.clock.now();
+        // What ends with the connection is whole when that ends.
+        let taken = if count == Some(0) { Ok(collector.ended()) } else { collector.next(&mut input) };
+        match taken {
+            Ok(None) if awaiting && count != Some(0) => {}
+            Ok(Some(taken)) if awaiting => {
+                let open = count != Some(0) && collector.keep_alive() && !collector.within(&input);
+                match taken {
+                    Taken::Begun(head) => {
+                        paused = true;
+                        inputs.send(Input::UpstreamBegan { conn, head });
+                        continue;
+                    }
+                    Taken::Piece(bytes) => {
+                        paused = true;
+                        inputs.send(Input::UpstreamPiece { conn, bytes });
+                        continue;
+                    }
+                    Taken::Whole(mut message) => {
+                        message.head.keep_alive = open;
                         inputs.send(Input::UpstreamAnswered { conn, at, message });
-                        if over {
-                            return;
-                        }
-                        awaiting = false;
                     }
-                    // The end, not HTTP, too long, or nothing that was asked for.
-                    _ => return,
+                    Taken::Over => inputs.send(Input::UpstreamOver { conn, at, keep_alive: open }),
+                }
+                if !open {
+                    return;
                 }
+                awaiting = false;
             }
+            // The end, not HTTP, too long, or nothing that was asked for.
+            _ => return,
         }
     }
 }
--- /dev/null
+++ b/crates/sandtrack-sidecar/tests/config.rs
@@ -0,0 +1,94 @@
+//! The configuration: the example is valid, defaults are filled in, and each fault is named by its key.
+mod common;
+
+use sandtrack_sidecar::config;
+use serde_json::Value;
+
+fn value() -> Value {
+    common::config("127.0.0.1:1", "127.0.0.1:2", common::catalog(3, true, Vec::new()))
+}
+
+fn fault(edit: impl FnOnce(&mut Value)) -> (String, String) {
+    let mut value = value();
+    edit(&mut value);
+    match config::parse(value.to_string().as_bytes()) {
+        Ok(_) => panic!("taken"),
+        Err(fault) => (fault.key, fault.wrong),
+    }
+}
+
+#[test]
+fn the_example_is_valid() {
+    let config = config::parse(include_bytes!("../../../examples/config.json")).expect("valid");
+    assert_eq!((config.descriptors, config.checked.classes.len()), (256, 3));
+    assert_eq!(config.known.expect("a list").instances.len(), 1);
+}
+
+#[test]
+fn what_is_left_out_has_its_default() {
+    let mut value = value();
+    for key in ["name", "limits", "known"] {
+        value.as_object_mut().expect("an object").remove(key);
+    }
+    value["seed"] = 7.into();
+    let limits = value["settings"]["limits"].as_object_mut().expect("an object");
+    limits.remove("conn-idle");
+    limits.remove("connect-timeout");
+    let config = config::parse(value.to_string().as_bytes()).expect("valid");
+    assert_eq!((config.name.as_str(), config.descriptors, config.seed), ("", 1024, 7));
+    assert!(config.known.is_none() && config.checked.conn_idle.is_none());
+}
+
+#[test]
+fn each_fault_is_named_by_its_key() {
+    let keys = [
+        fault(|v| v["listen"] = "here".into()).0,
+        fault(|v| v["seed"] = "not hex".into()).0,
+        fault(|v| v["limits"]["sockets"] = 3.into()).0,
+        fault(|v| v["known"]["instances"] = 3.into()).0,
+        fault(|v| v["settings"]["classes"] = Value::Array(Vec::new())).0,
+        fault(|v| v["settings"]["classes"][1]["name"] = "read".into()).0,
+        fault(|v| v["settings"]["classes"][2]["deadline"] = 0.0.into()).0,
+        fault(|v| v["settings"]["classes"][2]["aim"] = "soon".into()).0,
+        fault(|v| v["settings"]["orgs"][1]["name"] = "acme".into()).0,
+        fault(|v| v["settings"]["limits"]["max-attempts"] = 0.into()).0,
+        fault(|v| v["settings"]["rules"]["cold"] = (-1.0).into()).0,
+    ];
+    let expected = [
+        "listen",
+        "seed",
+        "limits.sockets",
+        "known.instances",
+        "settings.classes",
+        "settings.classes[1].name",
+        "settings.classes[2].deadline",
+        "settings.classes[2].aim",
+        "settings.orgs[1].name",
+        "settings.limits.max-attempts",
+        "settings.rules.cold",
+    ];
+    assert_eq!(keys, expected);
+    let (_, wrong) = fault(|v| drop(v.as_object_mut().expect("an object").remove("discovery")));
+    assert!(wrong.contains("discovery"), "{wrong}");
+    assert!(config::parse(b"{").is_err());
+}
+
+#[test]
+fn the_variables_go_before_the_file() {
+    let path = std::env::temp_dir().join(format!("sandtrack-{}-variables.json", std::process::id()));
+    std::fs::write(&path, value().to_string()).expect("written");
+    let load = |listen: &str| {
+        let (path, listen) = (path.display().to_string(), listen.to_owned());
+        config::load(move |name| match name {
+            "NODE_CONFIG" => Some(path.clone()),
+            "NODE_LISTEN" => Some(listen.clone()),
+            "NODE_NAME" => Some("n9".to_owned()),
+            _ => None,
+        })
+    };
+    let config = load("127.0.0.1:77").expect("valid");
+    assert_eq!((config.name.as_str(), config.listen.port(), config.discovery.port()), ("n9", 77, 2));
+    assert_eq!(load("77").err().map(|fault| fault.key), Some("NODE_LISTEN".to_owned()));
+    std::fs::remove_file(&path).expect("removed");
+    assert_eq!(config::load(|_| None).err().map(|fault| fault.key), Some("NODE_CONFIG".to_owned()));
+}
--- /dev/null
+++ b/crates/sandtrack-sidecar/tests/http.rs
@@ -0,0 +1,171 @@
+//! The parser from outside: every split of its input gives the same messages, and no input makes it panic.
+use proptest::prelude::*;
+use sandtrack_sidecar::http::*;
+use sandtrack_sidecar::ring::Ring;
+
+/// All messages in the bytes, fed in the given pieces, until the first fault.
+fn messages(side: Side, bytes: &[u8], cuts: &[usize]) -> (Vec<Message>, Option<Bad>) {
+    let (mut ring, mut collector, mut taken) = (Ring::new(READ_RING), Collector::new(side), Vec::new());
+    let mut rest = bytes;
+    for cut in cuts.iter().copied().chain(std::iter::repeat(READ_RING)) {
+        let piece = &rest[..cut.clamp(1, rest.len().max(1)).min(ring.room()).min(rest.len())];
+        assert!(ring.push(piece));
+        rest = &rest[piece.len()..];
+        loop {
+            match collector.next(&mut ring) {
+                Ok(Some(Taken::Whole(message))) => taken.push(message),
+                Ok(Some(other)) => panic!("{other:?} though nothing is streamed"),
+                Ok(None) => break,
+                Err(bad) => return (taken, Some(bad)),
+            }
+        }
+        if rest.is_empty() {
+            break;
+        }
+        assert!(ring.room() > 0, "the parser holds bytes back that no more input can free");
+    }
+    (taken, None)
+}
+
+fn whole(side: Side, text: &str) -> (Vec<Message>, Option<Bad>) {
+    messages(side, text.as_bytes(), &[])
+}
+
+const STREAM: &str = "POST /api HTTP/1.1\r\nHost: backend.local\r\nX-Call-Id: 1\r\nContent-Length: 5\r\n\r\nhello\
+    \r\nGET /x?y=1 HTTP/1.1\r\nhost:  a \r\n\r\n\
+    POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;ext=1\r\nabc\r\n2\r\nde\r\n0\r\nTrailer: t\r\n\r\n\
+    GET /last HTTP/1.0\r\nConnection: close\r\n\r\n";
+
+#[test]
+fn messages_are_read_as_they_are_written() {
+    let (taken, bad) = whole(Side::Request, STREAM);
+    assert_eq!(bad, None);
+    let bodies: Vec<&[u8]> = taken.iter().map(|message| message.body.as_slice()).collect();
+    assert_eq!(bodies, [b"hello".as_slice(), b"", b"abcde", b""]);
+    assert_eq!(taken[0].head.headers.get("x-call-ID"), Some("1"));
+    assert_eq!((taken[1].head.target.as_str(), taken[1].head.headers.get("Host")), ("/x?y=1", Some("a")));
+    assert_eq!(taken.iter().map(|m| m.head.keep_alive).collect::<Vec<_>>(), [true, true, true, false]);
+}
+
+#[test]
+fn every_cut_in_two_gives_the_same_messages() {
+    let expected = whole(Side::Request, STREAM);
+    for cut in 1..STREAM.len() {
+        assert_eq!(messages(Side::Request, STREAM.as_bytes(), &[cut]), expected, "cut at {cut}");
+    }
+    assert_eq!(messages(Side::Request, STREAM.as_bytes(), &vec![1; STREAM.len()]), expected);
+}
+
+#[test]
+fn what_is_written_is_read_back() {
+    let headers = [("X-Call-Id", "7"), ("Connection", "X-Mine"), ("X-Mine", "hop")];
+    let bytes = request("POST", "/a", headers.into_iter(), b"body");
+    let (taken, _) = messages(Side::Request, &bytes, &[]);
+    assert_eq!(taken[0].body, b"body");
+    let kept: Vec<_> = taken[0].head.headers.end_to_end().map(|(name, _)| name).collect();
+    assert_eq!(kept, ["X-Call-Id"], "what concerns one connection is not passed on");
+    let bytes = response(503, [("Retry-After", "0.1")].into_iter(), b"", true);
+    let (taken, _) = messages(Side::Response, &bytes, &[]);
+    assert_eq!((taken[0].head.status, taken[0].head.keep_alive), (503, false));
+}
+
+#[test]
+fn bad_requests_are_told_by_kind() {
+    let long = "a".repeat(HEAD_MAX + 10);
+    for (text, bad) in [
+        (
+            "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n".to_owned(),
+            Bad::Malformed,
+        ),
+        ("POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n".to_owned(), Bad::Malformed),
+        ("POST / HTTP/1.1\r\nContent-Length: -3\r\n\r\n".to_owned(), Bad::Malformed),
+        ("POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\n".to_owned(), Bad::Malformed),
+        ("POST / HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n".to_owned(), Bad::Malformed),
+        ("POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n".to_owned(), Bad::Malformed),
+        ("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n".to_owned(), Bad::Malformed),
+        ("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n".to_owned(), Bad::Malformed),
+        ("GET / HTTP/2.0\r\n\r\n".to_owned(), Bad::Malformed),
+        ("GET /\r\n\r\n".to_owned(), Bad::Malformed),
+        ("GET / HTTP/1.1\r\nno colon\r\n\r\n".to_owned(), Bad::Malformed),
+        ("GET / HTTP/1.1\r\nname : x\r\n\r\n".to_owned(), Bad::Malformed),
+        ("GET / HTTP/1.1\r\na: b\r\n folded\r\n\r\n".to_owned(), Bad::Malformed),
+        (format!("GET / HTTP/1.1\r\na: {long}\r\n\r\n"), Bad::HeadTooLong),
+        (format!("POST / HTTP/1.1\r\nContent-Length: {}\r\n\r\n", BODY_MAX + 1), Bad::BodyTooLong),
+    ] {
+        assert_eq!(whole(Side::Request, &text).1, Some(bad), "{text}");
+    }
+}
+
+#[test]
+fn a_chunked_body_that_grows_too_long_is_not_collected() {
+    let chunk = format!("1000\r\n{}\r\n", "x".repeat(0x1000));
+    let text = format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunk.repeat(17));
+    assert_eq!(whole(Side::Request, &text).1, Some(Bad::BodyTooLong));
+}
+
+#[test]
+fn responses_without_a_length_end_with_their_connection() {
+    let (mut ring, mut collector) = (Ring::new(READ_RING), Collector::new(Side::Response));
+    assert!(ring.push(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nhalf and "));
+    assert_eq!(collector.next(&mut ring), Ok(None));
+    assert!(ring.push(b"half"));
+    assert_eq!(collector.next(&mut ring), Ok(None));
+    let Some(Taken::Whole(message)) = collector.ended() else { panic!("not whole") };
+    assert_eq!(message.body, b"half and half");
+    // One that told its length and ends before is not whole.
+    let mut collector = Collector::new(Side::Response);
+    assert!(ring.push(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"));
+    assert_eq!(collector.next(&mut ring), Ok(None));
+    assert_eq!(collector.ended(), None);
+    let (taken, _) =
+        whole(Side::Response, "HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    assert_eq!(taken.iter().map(|message| message.head.status).collect::<Vec<_>>(), [204, 200]);
+}
+
+#[test]
+fn a_streamed_answer_is_told_as_it_comes_however_long() {
+    let (mut ring, mut collector) = (Ring::new(READ_RING), Collector::new(Side::Response));
+    collector.streamed = true;
+    let head = chunked(200, [("Kind", "feed")].into_iter(), false);
+    assert!(ring.push(&head));
+    let Ok(Some(Taken::Begun(head))) = collector.next(&mut ring) else { panic!("not begun") };
+    assert_eq!((head.status, head.headers.get("Kind")), (200, Some("feed")));
+    for _ in 0..20 {
+        assert!(ring.push(&chunk(&[7; 5000])));
+        assert_eq!(collector.next(&mut ring), Ok(Some(Taken::Piece(vec![7; 5000]))));
+    }
+    assert!(ring.push(&chunk(b"")));
+    assert_eq!(collector.next(&mut ring), Ok(Some(Taken::Over)));
+    assert!(collector.keep_alive());
+    // One that is no answer is collected.
+    assert!(ring.push(&response(500, std::iter::empty(), b"no", false)));
+    let Ok(Some(Taken::Whole(message))) = collector.next(&mut ring) else { panic!("not whole") };
+    assert_eq!((message.head.status, message.body), (500, b"no".to_vec()));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn any_split_gives_the_same_messages(cuts in prop::collection::vec(1usize..40, 0..60)) {
+        prop_assert_eq!(messages(Side::Request, STREAM.as_bytes(), &cuts), whole(Side::Request, STREAM));
+    }
+
+    #[test]
+    fn damaged_input_never_panics_and_splits_alike(
+        damage in prop::collection::vec((0usize..STREAM.len(), any::<u8>()), 0..6),
+        cuts in prop::collection::vec(1usize..40, 0..60),
+        response in any::<bool>(),
+    ) {
+        let mut bytes = STREAM.as_bytes().to_vec();
+        damage.iter().for_each(|(at, byte)| bytes[*at] = *byte);
+        let side = if response { Side::Response } else { Side::Request };
+        prop_assert_eq!(messages(side, &bytes, &cuts), messages(side, &bytes, &[]));
+    }
+
+    #[test]
+    fn garbage_never_panics(bytes in prop::collection::vec(any::<u8>(), 0..600)) {
+        messages(Side::Request, &bytes, &[]);
+        messages(Side::Response, &bytes, &[7]);
+    }
+}
--- /dev/null
+++ b/crates/sandtrack-sidecar/tests/loopback.rs
@@ -0,0 +1,178 @@
+//! The built sidecar on loopback sockets, before the toy server of the examples.
+mod common;
+#[path = "../../../examples/toy_server.rs"]
+#[allow(dead_code)]
+mod toy;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+struct Sidecar {
+    process: Child,
+    address: String,
+    config: PathBuf,
+}
+
+impl Drop for Sidecar {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+fn listener() -> (TcpListener, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    (listener, address)
+}
+
+fn free_address() -> String {
+    listener().1
+}
+
+/// A sidecar before toy upstreams; `served` counts what they answered.
+fn start(name: &str) -> (Sidecar, Arc<AtomicUsize>) {
+    let served = Arc::new(AtomicUsize::new(0));
+    let mut upstreams = Vec::new();
+    for _ in 0..3 {
+        let (listener, address) = listener();
+        toy::upstream(listener, served.clone());
+        upstreams.push(address);
+    }
+    let (catalog, discovery) = listener();
+    toy::discovery(catalog, upstreams);
+    let address = free_address();
+    // What it last knew is out of date: nothing listens there.
+    let known = common::catalog(0, true, vec![common::instance(9, &free_address(), "SERVING")]);
+    let config = std::env::temp_dir().join(format!("sandtrack-{}-{name}.json", std::process::id()));
+    std::fs::write(&config, common::config(&address, &discovery, known).to_string()).unwrap();
+    let process = Command::new(env!("CARGO_BIN_EXE_sandtrack"))
+        .env("NODE_CONFIG", &config)
+        .env_remove("NODE_LISTEN")
+        .env_remove("NODE_DISCOVERY")
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let sidecar = Sidecar { process, address, config };
+    for _ in 0..500 {
+        if TcpStream::connect(&sidecar.address).is_ok() {
+            return (sidecar, served);
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    panic!("it never listened");
+}
+
+/// One answer: its status, whether the connection closes, its body.
+fn answer(reader: &mut BufReader<TcpStream>) -> (u16, bool, String) {
+    let mut line = String::new();
+    reader.read_line(&mut line).unwrap();
+    let status = line.split(' ').nth(1).unwrap_or_else(|| panic!("no answer: {line:?}")).parse().unwrap();
+    let (mut length, mut close) = (0, false);
+    loop {
+        line.clear();
+        reader.read_line(&mut line).unwrap();
+        match line.trim_end().split_once(": ") {
+            Some(("Content-Length", value)) => length = value.parse().unwrap(),
+            Some(("Connection", value)) => close = value == "close",
+            Some(_) => {}
+            None => break,
+        }
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).unwrap();
+    (status, close, String::from_utf8(body).unwrap())
+}
+
+fn request(target: &str, class: &str) -> String {
+    format!(
+        "POST {target} HTTP/1.1\r\nHost: backend.local\r\nX-Call-Id: 00000000000000aa\r\nX-Call-Class: {class}\r\n\
+         X-Caller: acme\r\nX-Budget-Ms: 20000\r\nContent-Length: 4\r\n\r\nbody"
+    )
+}
+
+fn connect(sidecar: &Sidecar) -> BufReader<TcpStream> {
+    let stream = TcpStream::connect(&sidecar.address).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    BufReader::new(stream)
+}
+
+/// Asks until it is served: at first the sidecar knows of no upstream that lives.
+fn served(client: &mut BufReader<TcpStream>, class: &str) -> String {
+    for _ in 0..200 {
+        client.get_mut().write_all(request("/api", class).as_bytes()).unwrap();
+        match answer(client) {
+            (200, false, body) => return body,
+            (502 | 503, ..) => std::thread::sleep(Duration::from_millis(50)),
+            other => panic!("{other:?}"),
+        }
+    }
+    panic!("never served");
+}
+
+#[test]
+fn requests_are_served_refused_and_failed_over_one_connection() {
+    let (sidecar, count) = start("serve");
+    let mut client = connect(&sidecar);
+    client.get_mut().write_all(b"GET /_health HTTP/1.1\r\n\r\n").unwrap();
+    assert_eq!(answer(&mut client).0, 200);
+    assert!(served(&mut client, "pay").starts_with("127.0.0.1:"));
+    // An error may have run: an unsafe request fails, and only once.
+    let before = count.load(Ordering::Relaxed);
+    client.get_mut().write_all(request("/fail", "pay").as_bytes()).unwrap();
+    assert_eq!(answer(&mut client).0, 502);
+    assert_eq!(count.load(Ordering::Relaxed), before + 1);
+    // Byte by byte, and two at once.
+    for byte in request("/api", "read").into_bytes() {
+        client.get_mut().write_all(&[byte]).unwrap();
+    }
+    assert_eq!(answer(&mut client).0, 200);
+    let two = request("/api", "read").repeat(2);
+    client.get_mut().write_all(two.as_bytes()).unwrap();
+    assert_eq!((answer(&mut client).0, answer(&mut client).0), (200, 200));
+    client.get_mut().write_all(request("/api", "unheard-of").as_bytes()).unwrap();
+    assert_eq!(answer(&mut client).0, 400);
+    client
+        .get_mut()
+        .write_all(b"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n")
+        .unwrap();
+    let (status, close, _) = answer(&mut client);
+    assert_eq!((status, close), (400, true));
+    assert_eq!(client.read(&mut [0]).unwrap(), 0, "closed");
+}
+
+#[test]
+fn sigterm_answers_what_was_taken_and_exits_with_0() {
+    let (mut sidecar, _) = start("term");
+    let mut client = connect(&sidecar);
+    served(&mut client, "read");
+    let mut idle = connect(&sidecar);
+    served(&mut idle, "read");
+    client.get_mut().write_all(request("/slow", "pay").as_bytes()).unwrap();
+    let pid = sidecar.process.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    assert_eq!(answer(&mut client).0, 200, "the toy answers it after half a second");
+    for mut client in [client, idle] {
+        assert_eq!(client.read(&mut [0]).unwrap(), 0, "closed between requests");
+    }
+    assert_eq!(sidecar.process.wait().unwrap().code(), Some(0));
+}
+
+#[test]
+fn a_faulty_configuration_is_named_by_its_key() {
+    let path = std::env::temp_dir().join(format!("sandtrack-{}-faulty.json", std::process::id()));
+    let mut config = common::config("127.0.0.1:1", "127.0.0.1:2", common::catalog(0, true, Vec::new()));
+    config["settings"]["classes"][1]["deadline"] = "soon".into();
+    std::fs::write(&path, config.to_string()).unwrap();
+    let run = Command::new(env!("CARGO_BIN_EXE_sandtrack")).env("NODE_CONFIG", &path).output().unwrap();
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(run.status.code(), Some(2));
+    let log = String::from_utf8(run.stdout).unwrap() + &String::from_utf8(run.stderr).unwrap();
+    assert!(log.contains("settings.classes[1].deadline"), "{log}");
+}
--- /dev/null
+++ b/crates/sandtrack-sidecar/tests/reducer.rs
@@ -0,0 +1,821 @@
+//! The reducer from outside: a stand-in carries its effects out, in any order of events, and checks that each
+//! request gets one answer, that no effect can happen twice, and that all that was taken is given back.
+mod common;
+
+use proptest::prelude::*;
+use sandtrack_sidecar::catalog::Catalog;
+use sandtrack_sidecar::config;
+use sandtrack_sidecar::http::{self, Collector, Message, Side, Taken};
+use sandtrack_sidecar::reducer::{ConnId, Effect, Input, Reducer};
+use sandtrack_sidecar::ring::Ring;
+use sandtrack_sidecar::upstream::Written;
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+
+fn message(side: Side, bytes: &[u8]) -> Message {
+    let (mut ring, mut collector) = (Ring::new(http::WRITE_RING), Collector::new(side));
+    assert!(ring.push(bytes));
+    let Ok(Some(Taken::Whole(message))) = collector.next(&mut ring) else { panic!("not whole: {bytes:?}") };
+    assert!(ring.is_empty());
+    message
+}
+
+#[derive(Default)]
+struct Client {
+    /// The call that is not answered.
+    call: Option<u64>,
+    closing: bool,
+    /// A streamed answer has begun; pieces of it wait to be written.
+    streaming: bool,
+    unwritten: usize,
+}
+
+#[derive(Default)]
+struct Link {
+    up: bool,
+    address: String,
+    /// The call that it carries; 0: a probe.
+    carries: Option<u64>,
+    begun: u32,
+    closing: bool,
+    /// Its answer is wanted as it comes; has begun; its next piece is not wanted yet.
+    streamed: bool,
+    streaming: bool,
+    paused: bool,
+}
+
+#[derive(Default)]
+struct Call {
+    class: String,
+    answers: Vec<u16>,
+    /// Its answer has begun to come: no deadline any more.
+    begun: bool,
+    /// Messages written that may have run.
+    may_have_run: usize,
+    client_left: bool,
+}
+
+struct World {
+    reducer: Reducer,
+    now: f64,
+    clients: BTreeMap<ConnId, Client>,
+    links: BTreeMap<ConnId, Link>,
+    calls: BTreeMap<u64, Call>,
+    draining: BTreeSet<String>,
+    generation: u64,
+    watch: Option<u64>,
+    watches: u64,
+    stopped: bool,
+    exited: bool,
+}
+
+/// Stands for the answer of a stream that was cut short.
+const CUT_SHORT: u16 = 0;
+
+fn address(number: usize) -> String {
+    format!("127.0.0.1:{}", 9000 + number)
+}
+
+fn list(value: Value) -> Catalog {
+    serde_json::from_value(value).expect("a list")
+}
+
+impl World {
+    fn with(edit: impl FnOnce(&mut Value)) -> Self {
+        let instances = (0..4).map(|n| common::instance(n, &address(n), "SERVING")).collect();
+        let known = common::catalog(7, true, instances);
+        let mut value = common::config("127.0.0.1:1", "127.0.0.1:2", known);
+        edit(&mut value);
+        let config = config::parse(value.to_string().as_bytes()).expect("a configuration");
+        let mut world = World {
+            reducer: Reducer::new(config.checked, config.seed, config.descriptors, 1e12, 0.0),
+            now: 0.0,
+            clients: BTreeMap::new(),
+            links: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            draining: BTreeSet::new(),
+            generation: 7,
+            watch: None,
+            watches: 0,
+            stopped: false,
+            exited: false,
+        };
+        let effects = world.reducer.start(config.known);
+        world.perform(effects);
+        world
+    }
+
+    fn new() -> Self {
+        World::with(|_| ())
+    }
+
+    fn feed(&mut self, input: Input) {
+        let effects = self.reducer.handle(self.now, input);
+        self.perform(effects);
+    }
+
+    fn pass(&mut self, time: f64) {
+        let end = self.now + time;
+        while let Some(due) = self.reducer.next_due().filter(|due| *due <= end) {
+            self.now = self.now.max(due);
+            self.feed(Input::Tick);
+        }
+        self.now = end;
+        self.feed(Input::Tick);
+    }
+
+    fn perform(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Answer { conn, bytes, close } => self.answered(conn, &bytes, close),
+                Effect::CloseClient { conn } => {
+                    let client = self.clients.get_mut(&conn).expect("an open client");
+                    client.closing = true;
+                    if let Some(id) = client.call.take() {
+                        assert!(client.streaming, "closed with a request unanswered");
+                        self.calls.get_mut(&id).expect("a call").answers.push(CUT_SHORT);
+                    }
+                }
+                Effect::Relay { conn, bytes } => {
+                    let client = self.clients.get_mut(&conn).expect("an open client");
+                    let call = self.calls.get_mut(&client.call.expect("a call")).expect("a call");
+                    assert!(call.class == "feed" && client.unwritten == 0, "one piece at a time");
+                    assert_eq!(bytes.starts_with(b"HTTP/1.1 200"), !client.streaming, "one head, and first");
+                    (client.streaming, client.unwritten, call.begun) = (true, 1, true);
+                }
+                Effect::More { conn } => self.links.get_mut(&conn).expect("a link").paused = false,
+                Effect::Connect { conn, address } => {
+                    let link = Link { address: address.to_string(), ..Link::default() };
+                    assert!(self.links.insert(conn, link).is_none());
+                }
+                Effect::Write { conn, bytes, streamed } => self.written(conn, &bytes, streamed),
+                Effect::CloseUpstream { conn } => self.links.get_mut(&conn).expect("a link").closing = true,
+                Effect::Watch { call, after } => {
+                    assert!(self.watch.is_none(), "one watch at a time");
+                    assert_eq!(after, Some(self.generation));
+                    self.watch = Some(call);
+                    self.watches += 1;
+                }
+                Effect::CloseWatch { call } => {
+                    assert_eq!(self.watch.take(), Some(call));
+                }
+                Effect::StopAccepting => self.stopped = true,
+                Effect::Exit => self.exited = true,
+            }
+        }
+    }
+
+    fn answered(&mut self, conn: ConnId, bytes: &[u8], close: bool) {
+        let client = self.clients.get_mut(&conn).expect("an open client");
+        if std::mem::take(&mut client.streaming) {
+            assert_eq!(bytes, http::chunk(b""));
+            client.closing |= close;
+            let id = client.call.take().expect("an answer without a request");
+            self.calls.get_mut(&id).expect("a call").answers.push(200);
+            return;
+        }
+        let answer = message(Side::Response, bytes);
+        assert_eq!(answer.head.keep_alive, !close);
+        let client = self.clients.get_mut(&conn).expect("an open client");
+        let id = client.call.take().expect("an answer without a request");
+        client.closing |= close;
+        let call = self.calls.get_mut(&id).expect("a call");
+        call.answers.push(answer.head.status);
+        assert_eq!(call.answers.len(), 1, "more than one answer");
+        if answer.head.status == 200 && call.class != "bad" {
+            assert_eq!(answer.body, id.to_string().as_bytes(), "served with another request's answer");
+        }
+        if matches!(answer.head.status, 429 | 503) && call.class == "pay" {
+            assert_eq!(call.may_have_run, 0, "refused though it may have run");
+        }
+    }
+
+    fn written(&mut self, conn: ConnId, bytes: &[u8], streamed: bool) {
+        let request = message(Side::Request, bytes);
+        let link = self.links.get_mut(&conn).expect("a link");
+        link.streamed = streamed;
+        assert!(link.up && !link.closing && link.carries.is_none(), "one request at a time, on an open one");
+        link.begun += 1;
+        let Some(id) = request.head.headers.get("X-Call-Id") else {
+            link.carries = Some(0);
+            return;
+        };
+        let id: u64 = id.parse().expect("the client's id");
+        link.carries = Some(id);
+        assert!(!self.draining.contains(&link.address), "sent to one that drains or is gone");
+        let call = self.calls.get_mut(&id).expect("a call");
+        assert!(call.answers.is_empty() && !call.client_left, "sent for a closed request");
+        assert!(call.class != "pay" || call.may_have_run == 0, "an unsafe request sent twice");
+        call.may_have_run += 1;
+    }
+
+    fn open(&mut self) -> ConnId {
+        let conn = self.reducer.accepted();
+        self.clients.insert(conn, Client::default());
+        self.feed(Input::ClientOpened { conn });
+        conn
+    }
+
+    fn request(&mut self, conn: ConnId, class: &str, budget: u32) -> u64 {
+        let id = self.calls.len() as u64 + 1;
+        self.calls.insert(id, Call { class: class.to_owned(), ..Call::default() });
+        self.clients.get_mut(&conn).expect("a client").call = Some(id);
+        let key = if class == "set" { "Idempotency-Key: k\r\n" } else { "" };
+        let text = format!(
+            "POST /api HTTP/1.1\r\nX-Call-Id: {id}\r\nX-Call-Class: {class}\r\nX-Caller: acme\r\n\
+             X-Budget-Ms: {budget}\r\n{key}Content-Length: 2\r\n\r\nhi"
+        );
+        let message = message(Side::Request, text.as_bytes());
+        self.feed(Input::ClientRequest { conn, at: self.now, message });
+        id
+    }
+
+    fn bad_request(&mut self, conn: ConnId, edit: (&str, &str)) -> u16 {
+        let id = self.calls.len() as u64 + 1;
+        self.calls.insert(id, Call { class: "bad".to_owned(), ..Call::default() });
+        self.clients.get_mut(&conn).expect("a client").call = Some(id);
+        let text = "POST /api HTTP/1.1\r\nX-Call-Id: 5\r\nX-Call-Class: set\r\nX-Caller: acme\r\n\
+             X-Budget-Ms: 400\r\nIdempotency-Key: k\r\nContent-Length: 0\r\n\r\n";
+        assert!(text.contains(edit.0));
+        let message = message(Side::Request, text.replace(edit.0, edit.1).as_bytes());
+        self.feed(Input::ClientRequest { conn, at: self.now, message });
+        self.calls[&id].answers[0]
+    }
+
+    fn leave(&mut self, conn: ConnId) {
+        if let Some(id) = self.clients.remove(&conn).and_then(|client| client.call) {
+            self.calls.get_mut(&id).expect("a call").client_left = true;
+        }
+        self.feed(Input::ClientClosed { conn });
+    }
+
+    fn connected(&mut self, conn: ConnId) {
+        let link = self.links.get_mut(&conn).expect("a link");
+        if !link.up && !link.closing {
+            link.up = true;
+            self.feed(Input::UpstreamConnected { conn });
+        }
+    }
+
+    /// The clients have written what was passed on to them.
+    fn relayed(&mut self) {
+        let written: Vec<ConnId> =
+            self.clients.iter().filter(|(_, c)| c.unwritten > 0).map(|(c, _)| *c).collect();
+        for conn in written {
+            self.clients.get_mut(&conn).expect("a client").unwritten = 0;
+            self.feed(Input::ClientWrote { conn });
+        }
+    }
+
+    /// A streamed answer begins or goes on; `over`: it ends.
+    fn stream(&mut self, conn: ConnId, over: bool) {
+        let link = self.links.get_mut(&conn).expect("a link");
+        if link.paused || link.closing {
+            return;
+        }
+        if !std::mem::replace(&mut link.streaming, true) {
+            link.paused = true;
+            let (mut ring, mut collector) = (Ring::new(http::WRITE_RING), Collector::new(Side::Response));
+            collector.streamed = true;
+            assert!(ring.push(&http::chunked(200, std::iter::empty(), false)));
+            let Ok(Some(Taken::Begun(head))) = collector.next(&mut ring) else { panic!("no head") };
+            self.feed(Input::UpstreamBegan { conn, head });
+        } else if over {
+            (link.streaming, link.carries) = (false, None);
+            self.feed(Input::UpstreamOver { conn, at: self.now, keep_alive: true });
+        } else {
+            link.paused = true;
+            self.feed(Input::UpstreamPiece { conn, bytes: b"piece".to_vec() });
+        }
+    }
+
+    /// What it carries is answered.
+    fn serve(&mut self, conn: ConnId, status: u16, rejected: bool, close: bool) {
+        let link = self.links.get_mut(&conn).expect("a link");
+        if link.streaming || status == 200 && link.streamed && link.carries.is_some() {
+            return self.stream(conn, close);
+        }
+        let Some(id) = link.carries.take().filter(|_| !link.closing) else { return };
+        let (mut headers, mut body) = (Vec::new(), id.to_string());
+        if rejected {
+            headers.push(("X-Rejected", "1"));
+            if let Some(call) = self.calls.get_mut(&id) {
+                call.may_have_run -= 1;
+            }
+        }
+        if id == 0 {
+            body = "inflight=1,queue=0".to_owned();
+        }
+        let bytes = http::response(status, headers.into_iter(), body.as_bytes(), close);
+        let message = message(Side::Response, &bytes);
+        self.feed(Input::UpstreamAnswered { conn, at: self.now, message });
+    }
+
+    /// The connection ends; `unwritten`: before the last byte of what it carries was written.
+    fn ends(&mut self, conn: ConnId, unwritten: bool) {
+        let Some(link) = self.links.remove(&conn) else { return };
+        let busy = link.carries.filter(|_| !link.closing && !link.streaming);
+        let mut written = Written { begun: link.begun, whole: link.begun };
+        if let Some(id) = busy.filter(|_| unwritten) {
+            written.whole -= 1;
+            // Sometimes not even its first byte was.
+            written.begun -= u32::from(link.begun > 1);
+            if let Some(call) = self.calls.get_mut(&id) {
+                call.may_have_run -= 1;
+            }
+        }
+        self.feed(Input::UpstreamClosed { conn, written });
+    }
+
+    fn told(&mut self, number: usize, lifecycle: &str, started: f64) {
+        let Some(call) = self.watch else { return };
+        self.generation += 1;
+        let mut instance = common::instance(number, &address(number), lifecycle);
+        instance["startedAtMs"] = started.into();
+        if lifecycle == "SERVING" {
+            self.draining.remove(&address(number));
+        } else {
+            self.draining.insert(address(number));
+        }
+        let catalog = list(common::catalog(self.generation, false, vec![instance]));
+        self.feed(Input::WatchLine { call, catalog });
+    }
+
+    fn watch_ends(&mut self) {
+        if let Some(call) = self.watch.take() {
+            self.feed(Input::WatchEnded { call });
+        }
+    }
+
+    /// What is ordered closed ends.
+    fn close_all_ordered(&mut self) {
+        let links: Vec<ConnId> = self.links.iter().filter(|(_, l)| l.closing).map(|(c, _)| *c).collect();
+        links.into_iter().for_each(|conn| self.ends(conn, false));
+        let clients: Vec<ConnId> = self.clients.iter().filter(|(_, c)| c.closing).map(|(c, _)| *c).collect();
+        clients.into_iter().for_each(|conn| self.leave(conn));
+    }
+
+    /// All links that carry a request of a client.
+    fn carrying(&self) -> Vec<ConnId> {
+        let carries = |link: &Link| !link.closing && link.carries.is_some_and(|id| id > 0);
+        self.links.iter().filter(|(_, link)| carries(link)).map(|(conn, _)| *conn).collect()
+    }
+
+    /// Probes are answered and connections come up until nothing of that is left to do.
+    fn calm(&mut self) {
+        self.relayed();
+        for _ in 0..20 {
+            let links: Vec<ConnId> = self.links.keys().copied().collect();
+            for conn in links {
+                self.connected(conn);
+                if self.links[&conn].carries == Some(0) {
+                    self.serve(conn, 200, false, false);
+                }
+            }
+            self.close_all_ordered();
+        }
+    }
+
+    /// A world whose sidecar has probed all upstreams, with one client connected.
+    fn warm() -> (Self, ConnId) {
+        let mut world = World::new();
+        world.calm();
+        let conn = world.open();
+        (world, conn)
+    }
+
+    /// One request of the class that is on its way to an upstream.
+    fn sent(&mut self, conn: ConnId, class: &str, budget: u32) -> (u64, ConnId) {
+        let id = self.request(conn, class, budget);
+        for _ in 0..50 {
+            if let Some(link) = self.carrying().first() {
+                return (id, *link);
+            }
+            self.pass(0.5);
+            self.calm();
+        }
+        panic!("never sent");
+    }
+
+    fn end(&mut self) {
+        self.pass(1000.0);
+        for (id, call) in &self.calls {
+            let answered = call.answers.len() == 1 || call.begun;
+            assert!(call.client_left || answered, "call {id} was never answered");
+        }
+        let clients: Vec<ConnId> = self.clients.keys().copied().collect();
+        clients.into_iter().for_each(|conn| self.leave(conn));
+        // Timed probes go on for ever, and stop when nothing is listed.
+        if self.watch.is_none() {
+            self.pass(9000.0);
+        }
+        let call = self.watch.expect("it asks again after a failure");
+        let catalog = list(common::catalog(self.generation + 1, true, Vec::new()));
+        self.generation += 1;
+        self.feed(Input::WatchLine { call, catalog });
+        for _ in 0..8 {
+            self.close_all_ordered();
+            self.pass(1500.0);
+        }
+        assert!(self.reducer.is_empty(), "something was not given back");
+        assert!(self.links.is_empty());
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Pass(u16),
+    Open,
+    Request(u8, u8, u16),
+    Leave(u8),
+    Up(u8),
+    Serve(u8, u8),
+    End(u8, bool),
+    Told(u8, u8, u8),
+    Beat,
+    WatchEnds,
+    Ordered,
+    Calm,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0u16..300).prop_map(Step::Pass),
+        2 => Just(Step::Open),
+        6 => (any::<u8>(), 0u8..4, 0u16..600).prop_map(|(c, k, b)| Step::Request(c, k, b)),
+        1 => any::<u8>().prop_map(Step::Leave),
+        4 => any::<u8>().prop_map(Step::Up),
+        6 => (any::<u8>(), 0u8..6).prop_map(|(l, how)| Step::Serve(l, how)),
+        3 => (any::<u8>(), any::<bool>()).prop_map(|(l, unwritten)| Step::End(l, unwritten)),
+        2 => (0u8..5, 0u8..3, 0u8..3).prop_map(|(n, l, s)| Step::Told(n, l, s)),
+        1 => Just(Step::Beat),
+        1 => Just(Step::WatchEnds),
+        2 => Just(Step::Ordered),
+        3 => Just(Step::Calm),
+    ]
+}
+
+fn nth<T>(map: &BTreeMap<ConnId, T>, which: u8) -> Option<ConnId> {
+    map.keys().nth(usize::from(which) % map.len().max(1)).copied()
+}
+
+fn run(world: &mut World, step: Step) {
+    match step {
+        Step::Pass(time) => world.pass(f64::from(time)),
+        Step::Open => drop(world.open()),
+        Step::Request(which, class, budget) => {
+            let Some(conn) = nth(&world.clients, which) else { return };
+            let client = &world.clients[&conn];
+            if client.call.is_none() && !client.closing {
+                world.request(conn, ["read", "set", "pay", "feed"][usize::from(class)], budget.into());
+            }
+        }
+        Step::Leave(which) => {
+            if let Some(conn) = nth(&world.clients, which) {
+                world.leave(conn);
+            }
+        }
+        Step::Up(which) => {
+            if let Some(conn) = nth(&world.links, which) {
+                world.connected(conn);
+            }
+        }
+        Step::Serve(which, how) => {
+            let Some(conn) = nth(&world.links, which) else { return };
+            let probe = world.links[&conn].carries == Some(0);
+            match how {
+                0 => world.serve(conn, 500, false, false),
+                1 if !probe => world.serve(conn, 503, true, false),
+                2 => world.serve(conn, 200, false, true),
+                3 => world.serve(conn, 404, false, false),
+                _ => world.serve(conn, 200, false, false),
+            }
+        }
+        Step::End(which, unwritten) => {
+            if let Some(conn) = nth(&world.links, which) {
+                world.ends(conn, unwritten);
+            }
+        }
+        Step::Told(number, lifecycle, started) => {
+            let lifecycle = ["SERVING", "DRAINING", "DELETED"][usize::from(lifecycle)];
+            world.told(number.into(), lifecycle, f64::from(started) * 1e12);
+        }
+        Step::Beat => {
+            if let Some(call) = world.watch {
+                world.feed(Input::WatchBeat { call });
+            }
+        }
+        Step::WatchEnds => world.watch_ends(),
+        Step::Ordered => world.close_all_ordered(),
+        Step::Calm => world.calm(),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn one_answer_each_and_all_given_back(
+        steps in prop::collection::vec(step(), 1..120), cancel in any::<bool>(), parallel in any::<bool>(),
+    ) {
+        let mut world = World::with(|config| {
+            config["settings"]["limits"]["cancel"] = cancel.into();
+            config["settings"]["limits"]["parallel-tries"] = parallel.into();
+        });
+        steps.into_iter().for_each(|step| run(&mut world, step));
+        world.end();
+    }
+
+    #[test]
+    fn the_end_answers_all_that_was_taken(steps in prop::collection::vec(step(), 1..60)) {
+        let mut world = World::new();
+        steps.into_iter().for_each(|step| run(&mut world, step));
+        world.feed(Input::Terminate);
+        // One that comes after SIGTERM is served too.
+        let late = world.open();
+        let id = world.request(late, "read", 300);
+        while !world.stopped {
+            world.pass(20.0);
+            world.close_all_ordered();
+            prop_assert!(world.now < 1e6, "it never stops accepting");
+        }
+        world.feed(Input::AcceptStopped);
+        for _ in 0..200 {
+            world.pass(20.0);
+            world.close_all_ordered();
+        }
+        // A stream has no deadline: it may be cut off by the end.
+        prop_assert!(world.exited && world.clients.values().all(|client| client.streaming));
+        prop_assert_eq!(world.calls[&id].answers.len(), 1);
+        for call in world.calls.values() {
+            prop_assert!(call.client_left || call.begun || call.answers.len() == 1);
+        }
+    }
+
+    #[test]
+    fn descriptors_stay_within_the_limit(steps in prop::collection::vec(step(), 1..120)) {
+        let mut world = World::with(|config| config["limits"]["sockets"] = 26.into());
+        for step in steps {
+            // A client beyond the limit is refused and closed; that many more are not in the budget.
+            if matches!(step, Step::Open) && world.clients.len() >= 8 {
+                continue;
+            }
+            run(&mut world, step);
+            world.close_all_ordered();
+            prop_assert!(world.links.len() + world.clients.len() <= 26 - 8);
+        }
+        world.end();
+    }
+}
+
+#[test]
+fn a_served_request_goes_on_as_it_came_and_its_answer_back() {
+    let (mut world, conn) = World::warm();
+    let (id, link) = world.sent(conn, "set", 400);
+    world.serve(link, 200, false, false);
+    assert_eq!(world.calls[&id].answers, [200]);
+    world.end();
+}
+
+#[test]
+fn bad_requests_get_their_status_and_reach_no_upstream() {
+    let (mut world, conn) = World::warm();
+    for (edit, status) in [
+        (("X-Call-Class: set", "X-Call-Class: other"), 400),
+        (("X-Call-Class: set\r\n", ""), 400),
+        (("X-Caller: acme", "X-Caller: nobody"), 400),
+        (("X-Budget-Ms: 400", "X-Budget-Ms: soon"), 400),
+        (("X-Budget-Ms: 400", "X-Budget-Ms: -1"), 400),
+        (("X-Budget-Ms: 400", "X-Budget-Ms: nan"), 400),
+        (("X-Call-Id: 5\r\n", ""), 400),
+        (("Idempotency-Key: k\r\n", ""), 400),
+        (("POST /api", "CONNECT /api"), 405),
+        (("POST /api", "GET /_health"), 200),
+    ] {
+        assert_eq!(world.bad_request(conn, edit), status, "{edit:?}");
+    }
+    assert!(world.carrying().is_empty());
+    world.end();
+}
+
+#[test]
+fn a_streamed_answer_goes_on_piece_by_piece_past_the_deadline() {
+    let (mut world, conn) = World::warm();
+    let (id, link) = world.sent(conn, "feed", 300);
+    world.stream(link, false);
+    world.pass(2000.0);
+    for _ in 0..3 {
+        world.relayed();
+        world.stream(link, false);
+    }
+    assert!(world.links[&link].paused, "one piece at a time");
+    world.relayed();
+    world.stream(link, true);
+    assert_eq!(world.calls[&id].answers, [200]);
+    world.end();
+}
+
+#[test]
+fn a_stream_that_breaks_is_shown_to_its_client_as_not_whole() {
+    let (mut world, conn) = World::warm();
+    let (id, link) = world.sent(conn, "feed", 300);
+    world.stream(link, false);
+    world.ends(link, false);
+    assert_eq!(world.calls[&id].answers, [CUT_SHORT]);
+    assert!(world.clients[&conn].closing && world.carrying().is_empty());
+    world.end();
+}
+
+/// Where nothing may be cancelled, what is out when its request ends was kept for ever.
+#[test]
+fn without_cancel_an_attempt_is_given_back_when_its_time_is_over() {
+    let mut world = World::with(|config| config["settings"]["limits"]["cancel"] = false.into());
+    world.calm();
+    let conn = world.open();
+    let (_, link) = world.sent(conn, "read", 400);
+    world.leave(conn);
+    assert!(!world.links[&link].closing);
+    world.pass(400.0);
+    assert!(world.links[&link].closing);
+    world.end();
+}
+
+/// Its connection was kept, paused, for a client that had gone.
+#[test]
+fn without_cancel_a_stream_ends_with_its_client() {
+    let mut world = World::with(|config| config["settings"]["limits"]["cancel"] = false.into());
+    world.calm();
+    let conn = world.open();
+    let (_, link) = world.sent(conn, "feed", 300);
+    world.stream(link, false);
+    world.leave(conn);
+    assert!(world.links[&link].closing);
+    world.end();
+}
+
+/// A probe that could not connect was blamed on the first upstream of the list, whichever it was.
+#[test]
+fn a_connect_that_never_comes_up_is_blamed_on_its_own_upstream() {
+    let mut world = World::new();
+    let silent = address(2);
+    for _ in 0..400 {
+        let links: Vec<ConnId> = world.links.keys().copied().collect();
+        for conn in links {
+            if world.links[&conn].address == silent {
+                continue;
+            }
+            world.connected(conn);
+            world.serve(conn, 200, false, false);
+        }
+        world.close_all_ordered();
+        world.pass(50.0);
+    }
+    let conn = world.open();
+    for _ in 0..40 {
+        let (id, link) = world.sent_but_to(conn, &silent);
+        assert_ne!(world.links[&link].address, silent);
+        world.serve(link, 200, false, false);
+        assert_eq!(world.calls[&id].answers, [200]);
+    }
+}
+
+impl World {
+    /// One request on its way, while this upstream never takes a connection.
+    fn sent_but_to(&mut self, conn: ConnId, silent: &str) -> (u64, ConnId) {
+        let id = self.request(conn, "read", 800);
+        for _ in 0..200 {
+            if let Some(link) = self.carrying().first() {
+                return (id, *link);
+            }
+            let links: Vec<ConnId> = self.links.keys().copied().collect();
+            for conn in links {
+                if self.links[&conn].address == silent {
+                    continue;
+                }
+                self.connected(conn);
+                if self.links[&conn].carries == Some(0) {
+                    self.serve(conn, 200, false, false);
+                }
+            }
+            self.close_all_ordered();
+            self.pass(0.5);
+        }
+        panic!("never sent");
+    }
+}
+
+/// A connection that its upstream closed while idle must not lose the request that was about to use it.
+#[test]
+fn what_an_idle_connection_never_began_goes_out_on_a_new_one() {
+    let (mut world, conn) = World::warm();
+    let (id, link) = world.sent(conn, "pay", 400);
+    assert!(world.links[&link].begun > 1, "it goes out on the connection of a probe");
+    world.ends(link, true);
+    world.calm();
+    let again = world.carrying();
+    assert_eq!((again.len(), world.links[&again[0]].begun), (1, 1), "on a new connection");
+    world.serve(again[0], 200, false, false);
+    assert_eq!(world.calls[&id].answers, [200]);
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_fails_and_is_not_sent_again() {
+    let (mut world, conn) = World::warm();
+    let (id, link) = world.sent(conn, "pay", 400);
+    world.ends(link, false);
+    world.calm();
+    assert!(world.carrying().is_empty());
+    assert_eq!(world.calls[&id].answers, [502]);
+}
+
+#[test]
+fn an_upstream_that_drains_while_the_connection_comes_up_gets_nothing() {
+    let mut world = World::new();
+    let conn = world.open();
+    // Nothing is connected yet: the first request has to wait for a connection.
+    let id = world.request(conn, "pay", 400);
+    world.pass(20.0);
+    for number in 0..4 {
+        world.told(number, "DRAINING", 0.0);
+    }
+    world.calm();
+    assert!(world.carrying().is_empty());
+    world.pass(500.0);
+    assert_eq!(world.calls[&id].answers, [503], "it never ran: a retry is harmless");
+}
+
+/// Where nothing may be cancelled, an attempt outlives its request: it was written when its connection came up.
+#[test]
+fn an_attempt_still_connecting_when_its_request_ends_is_never_written() {
+    let mut world = World::with(|config| config["settings"]["limits"]["cancel"] = false.into());
+    let conn = world.open();
+    let id = world.request(conn, "read", 400);
+    world.pass(20.0);
+    world.leave(conn);
+    world.calm();
+    assert_eq!(world.calls[&id].may_have_run, 0);
+    assert!(world.carrying().is_empty());
+}
+
+#[test]
+fn a_silent_watch_is_given_up_and_asked_for_again() {
+    let (mut world, _) = World::warm();
+    for _ in 0..5 {
+        world.pass(2000.0);
+        world.feed(Input::WatchBeat { call: world.watch.expect("watching") });
+        world.close_all_ordered();
+    }
+    assert_eq!(world.watches, 1, "an empty line every 2 s keeps it");
+    world.pass(8000.0);
+    assert_eq!(world.watches, 2);
+}
+
+#[test]
+fn an_attempt_that_is_never_answered_ends_before_the_client_stops_waiting() {
+    let (mut world, conn) = World::warm();
+    let began = world.now;
+    let (id, _) = world.sent(conn, "pay", 300);
+    world.pass(298.0 - (world.now - began));
+    assert_eq!(world.calls[&id].answers, [502]);
+    world.close_all_ordered();
+    assert!(world.carrying().is_empty(), "its connection is closed");
+}
+
+#[test]
+fn a_client_that_leaves_takes_its_attempt_along() {
+    let (mut world, conn) = World::warm();
+    let (_, link) = world.sent(conn, "read", 400);
+    world.leave(conn);
+    assert!(world.links[&link].closing);
+    world.end();
+}
+
+#[test]
+fn connections_to_a_former_address_are_given_back() {
+    let (mut world, _) = World::warm();
+    assert!(world.links.values().any(|link| link.address == address(1)));
+    world.generation += 1;
+    let moved =
+        common::catalog(world.generation, false, vec![common::instance(1, "127.0.0.1:9901", "SERVING")]);
+    world.feed(Input::WatchLine { call: world.watch.expect("watching"), catalog: list(moved) });
+    assert!(world.links.values().all(|link| link.closing || link.address != address(1)));
+}
+
+#[test]
+fn idle_connections_are_retired_before_their_upstream_closes_them() {
+    let (mut world, _) = World::warm();
+    world.watch_ends();
+    // Probes keep some in use; no connection stands idle for the 4 s of the settings.
+    let call = loop {
+        world.pass(100.0);
+        if let Some(call) = world.watch {
+            break call;
+        }
+    };
+    let empty = list(common::catalog(world.generation + 1, false, Vec::new()));
+    world.generation += 1;
+    world.feed(Input::WatchLine { call, catalog: empty });
+    world.pass(3500.0);
+    let idle = |link: &Link| link.carries.is_none() && link.up && !link.closing;
+    assert!(!world.links.values().any(idle));
+}
