Probe times count from the first request on

Looked at: probe times in the log. All upstreams answered the first probes, sent before clients came, within 0.9 ms; from then on those of the other room took 3.0 to 4.0 ms and the near ones 0.8 to 1.2. Ruled out: the handshake (first probes on new connections take as long as those on used ones), connections closed as idle (none). Cause: a first time of 0.6 ms puts far upstreams in tier 0; they leave it only 25% past its limit (3.6 ms), which they never pass. Change (reducer, Action::Probe): the first probes still go out at once, tell a failure at once and warm a connection, but a success is told only after a repeat at the first request; and a probe's time is counted from its write, without the connect.

--- a/crates/sandtrack-sidecar/src/reducer.rs
+++ b/crates/sandtrack-sidecar/src/reducer.rs
@@ -281,6 +281,8 @@
     next_conn: ConnId,
     next_request: u64,
     next_call: CallId,
+    /// Until the first request comes: upstreams whose probe was answered, and is to be repeated then.
+    unserving: Option<Vec<u32>>,
     watch: Option<CallId>,
     generation: Option<u64>,
     /// When SIGTERM came, when the last connection did, and whether the listener is closed.
@@ -323,6 +325,7 @@
             next_conn: 0,
             next_request: 0,
             next_call: 0,
+            unserving: Some(Vec::new()),
             watch: None,
             generation: None,
             draining: None,
@@ -574,6 +577,11 @@
                 self.requests.insert(id, request);
                 self.clients.entry(conn).and_modify(|client| client.request = Some(id));
                 self.events.push_back(Event::Request(arrival));
+                if let Some(again) = self.unserving.take() {
+                    // The request goes first: the connections are warm.
+                    self.settle();
+                    again.into_iter().for_each(|server| self.probe(server));
+                }
             }
         }
     }
@@ -762,12 +770,17 @@
                 http::request("GET", target, [("Host", host.as_str())].into_iter(), b"")
             }
         };
+        let job = match job {
+            Job::Probe { .. } => {
+                self.timers.set(Timer::Probe(conn), self.now + self.connect_timeout);
+                // Its time is its own: the time to connect is not the upstream's.
+                Job::Probe { sent: self.now }
+            }
+            attempt => attempt,
+        };
         link.stage = Stage::Busy(job);
         link.ordered += 1;
         self.assign(job, Some(conn));
-        if let Job::Probe { .. } = job {
-            self.timers.set(Timer::Probe(conn), self.now + self.connect_timeout);
-        }
         self.effects.push(Effect::Write { conn, bytes, streamed });
     }
 
@@ -970,6 +983,11 @@
     }
 
     fn probe_ended(&mut self, server: u32, sent: Millis, at: Millis, ok: bool, report: Option<Report>) {
+        if let Some(answered) = self.unserving.as_mut().filter(|_| ok) {
+            // Times before the first request say little of those in service, and membership in a tier is slow to
+            // change: this probe has shown a life and warmed a connection, and is sent again for its time.
+            return answered.push(server);
+        }
         let (upstream, elapsed) = (UpstreamId(server), (at - sent).max(0.0));
         self.events.push_back(Event::Probed { upstream, elapsed, ok, report });
     }
--- a/crates/sandtrack-sidecar/tests/reducer.rs
+++ b/crates/sandtrack-sidecar/tests/reducer.rs
@@ -615,6 +615,38 @@
     world.end();
 }
 
+/// Before clients came all upstreams answered alike, far ones too, and those stayed in the nearest tier for good.
+#[test]
+fn probe_times_count_from_the_first_request_on() {
+    let (mut world, conn) = World::warm();
+    let far = address(3);
+    let mut picked = BTreeSet::new();
+    for round in 0..60 {
+        world.request(conn, "read", 800);
+        for _ in 0..20 {
+            let links: Vec<ConnId> = world.links.keys().copied().collect();
+            for conn in
+                links.into_iter().filter(|conn| world.links[conn].carries == Some(0)).collect::<Vec<_>>()
+            {
+                if world.links[&conn].address != far {
+                    world.serve(conn, 200, false, false);
+                }
+            }
+            world.pass(0.5);
+        }
+        // The far one takes ten milliseconds more than the others.
+        world.calm();
+        for link in world.carrying() {
+            if round > 0 {
+                picked.insert(world.links[&link].address.clone());
+            }
+            world.serve(link, 200, false, false);
+        }
+    }
+    assert_eq!(picked.len(), 3);
+    assert!(!picked.contains(&far), "it is in a tier behind the others");
+}
+
 #[test]
 fn a_stream_that_breaks_is_shown_to_its_client_as_not_whole() {
     let (mut world, conn) = World::warm();
