A request that crosses the retirement of its client's connection is served as its last

The log shows clients being closed to make room. Cause (client.rs, Order::Close; reducer, client_request): an idle connection was half-closed and what came on it read and thrown away; a request read that way is lost, and SIGTERM takes the same path. Fresh connections, not yet used, were closed too. Change: a connection is retired only between requests; what has begun to come is served, as its last; one unread at the close resets the connection, so that the client sends it once more. Only connections that had an answer make room. Also: a probe or connect that gets no answer gives back the idle connections to that upstream.

--- a/crates/sandtrack-sidecar/src/client.rs
+++ b/crates/sandtrack-sidecar/src/client.rs
@@ -2,7 +2,7 @@
 //! the reducer each request whole, and must never answer of its own accord nor read a second request while one
 //! is unanswered.
 use crate::http::{self, Collector, Side, Taken};
-use crate::net::{next, ordered_closed, write_all, Inputs, Next, Order, Orders};
+use crate::net::{next, ordered_closed, read_into, write_all, Inputs, Next, Order, Orders};
 use crate::reducer::{ConnId, Input};
 use crate::ring::Ring;
 use async_io::{Async, Timer};
@@ -95,7 +95,16 @@
                 }
                 inputs.send(Input::ClientWrote { conn });
             }
-            Next::Order(Order::Close) => return linger(stream).await,
+            Next::Order(Order::Close) => return,
+            Next::Order(Order::Retire) => {
+                // What was read of a request must be answered. One still unread when the socket is closed resets
+                // the connection, and so tells the client that it may send it once more; a half-close that
+                // read on and threw away would not.
+                let idle = !unanswered && !collector.within(&input);
+                if idle && future::poll_once(read_into(stream, &mut input)).await.is_none() {
+                    return;
+                }
+            }
             Next::Order(Order::Ask { .. } | Order::More) => {}
             Next::Read(0) | Next::Broken => {
                 // Told at once, while the socket is still held: the request has lost its client.
@@ -128,7 +137,7 @@
     }
     let mut scrap = Ring::new(http::READ_RING);
     let ended = async {
-        while crate::net::read_into(stream, &mut scrap).await.is_ok_and(|count| count > 0) {
+        while read_into(stream, &mut scrap).await.is_ok_and(|count| count > 0) {
             scrap.consume(usize::MAX);
         }
     };
--- a/crates/sandtrack-sidecar/src/main.rs
+++ b/crates/sandtrack-sidecar/src/main.rs
@@ -120,6 +120,7 @@
             Effect::Relay { conn, bytes } => order(&tasks.clients, conn, Order::Piece { bytes }),
             Effect::More { conn } => order(&tasks.upstreams, conn, Order::More),
             Effect::CloseClient { conn } => order(&tasks.clients, conn, Order::Close),
+            Effect::RetireClient { conn } => order(&tasks.clients, conn, Order::Retire),
             Effect::Connect { conn, address } => tasks.connect(conn, address),
             Effect::Write { conn, bytes, streamed } => {
                 order(&tasks.upstreams, conn, Order::Ask { bytes, streamed });
--- a/crates/sandtrack-sidecar/src/net.rs
+++ b/crates/sandtrack-sidecar/src/net.rs
@@ -20,6 +20,8 @@
     Piece {
         bytes: Vec<u8>,
     },
+    /// To a client: close, unless a request has begun to come; that is told then, and served.
+    Retire,
     /// To an upstream: write the request; `streamed`: tell its answer as it comes.
     Ask {
         bytes: Vec<u8>,
--- a/crates/sandtrack-sidecar/src/reducer.rs
+++ b/crates/sandtrack-sidecar/src/reducer.rs
@@ -118,9 +118,14 @@
     More {
         conn: ConnId,
     },
+    /// The rest of its answer will not come.
     CloseClient {
         conn: ConnId,
     },
+    /// Close it if it is between requests.
+    RetireClient {
+        conn: ConnId,
+    },
     Connect {
         conn: ConnId,
         address: SocketAddr,
@@ -194,13 +199,30 @@
 struct Client {
     /// Its request that is not answered.
     request: Option<RequestId>,
-    /// It waits for an answer that the reducer itself gives, or its last answer is on the way.
+    /// Its last answer is on the way.
     closing: bool,
+    /// Ordered closed if it is between requests; a request that crossed that is served, as its last.
+    retired: bool,
+    /// It has had an answer.
+    served: bool,
     since: Millis,
     /// Taken beyond the budget: refused, so that it gets an answer all the same.
     surplus: bool,
 }
 
+impl Client {
+    fn answered(&mut self, close: bool, now: Millis) {
+        self.request = None;
+        self.closing = close;
+        self.served = true;
+        self.since = now;
+    }
+
+    fn between(&self) -> bool {
+        self.request.is_none() && !self.closing
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Job {
     Attempt(RequestId, u32),
@@ -448,6 +470,9 @@
                 if let Stage::Connecting(job) | Stage::Busy(job) = link.stage {
                     let server = link.server;
                     self.hang_up(conn);
+                    // Silence: its machine may be cut off or gone, and what stands idle there be as dead. Used when
+                    // the machine is back, it would be reset with a request on it that may have run.
+                    self.drop_idle(server as usize);
                     self.job_failed(job, server, Outcome::ConnectFailed);
                 }
             }
@@ -476,7 +501,10 @@
         if surplus {
             self.scarce("no descriptor left for a client: it will be refused");
         }
-        self.clients.insert(conn, Client { request: None, closing: false, since: self.now, surplus });
+        self.clients.insert(
+            conn,
+            Client { request: None, closing: false, retired: false, served: false, since: self.now, surplus },
+        );
     }
 
     /// Closes what has stood idle longest, upstream connections first; no when there is nothing idle.
@@ -491,11 +519,12 @@
         eldest.is_some()
     }
 
+    /// One that has had no request yet has only just come: closed, it would come again at once.
     fn drop_eldest_client(&mut self) -> bool {
-        let idle = |client: &Client| client.request.is_none() && !client.closing;
+        let idle = |client: &Client| client.between() && client.served && !client.retired;
         let idle = self.clients.iter().filter(|(_, client)| idle(client));
         let eldest = idle.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(conn, _)| *conn);
-        eldest.into_iter().for_each(|conn| self.close_client(conn));
+        eldest.into_iter().for_each(|conn| self.retire_client(conn));
         eldest.is_some()
     }
 
@@ -507,10 +536,11 @@
         }
     }
 
-    fn close_client(&mut self, conn: ConnId) {
-        if let Some(client) = self.clients.get_mut(&conn).filter(|client| !client.closing) {
-            client.closing = true;
-            self.effects.push(Effect::CloseClient { conn });
+    fn retire_client(&mut self, conn: ConnId) {
+        if let Some(client) = self.clients.get_mut(&conn).filter(|client| client.between() && !client.retired)
+        {
+            client.retired = true;
+            self.effects.push(Effect::RetireClient { conn });
         }
     }
 
@@ -531,43 +561,35 @@
     /// An answer that no upstream or decision is behind.
     fn plain(&mut self, conn: ConnId, status: u16, close: bool) {
         let Some(client) = self.clients.get_mut(&conn).filter(|client| !client.closing) else { return };
-        let close = close || self.draining.is_some() || client.surplus;
-        client.closing = close;
-        client.since = self.now;
+        let close = close || self.draining.is_some() || client.surplus || client.retired;
+        client.answered(close, self.now);
         let bytes = http::response(status, std::iter::empty(), b"", close);
         self.effects.push(Effect::Answer { conn, bytes, close });
     }
 
     fn client_request(&mut self, conn: ConnId, at: Millis, message: Message) {
-        let Some(client) = self.clients.get(&conn).filter(|client| client.request.is_none()) else { return };
-        if client.closing {
-            // It crossed the closing of an idle connection: the client sends it once more on a new one.
-            return;
-        }
+        let Some(client) = self.clients.get(&conn).filter(|client| client.between()) else { return };
+        let keep_alive = message.head.keep_alive && !client.retired;
         let path = message.head.target.split('?').next().unwrap_or_default();
         if path == "/_health" {
-            return self.plain(
-                conn,
-                if self.draining.is_some() { 503 } else { 200 },
-                !message.head.keep_alive,
-            );
+            return self.plain(conn, if self.draining.is_some() { 503 } else { 200 }, !keep_alive);
         }
         let refused = client.surplus || self.requests.len() >= self.settings.limits.max_open as usize;
         if refused {
-            return self.plain(conn, 503, !message.head.keep_alive);
+            return self.plain(conn, 503, !keep_alive);
         }
         let id = RequestId(self.next_request);
         match self.arrival(id, at, &message) {
             Err((status, wrong)) => {
                 tracing::debug!(conn, status, wrong, "bad request");
-                self.plain(conn, status, !message.head.keep_alive);
+                self.plain(conn, status, !keep_alive);
             }
             Ok(arrival) => {
                 self.next_request += 1;
                 self.timers.set(Timer::Deadline(id), arrival.not_after);
                 let request = Request {
                     client: Some(conn),
-                    keep_alive: message.head.keep_alive,
+                    keep_alive,
                     message,
                     stream: None,
                     class: arrival.class.0,
@@ -654,9 +676,7 @@
         let Some(conn) = request.client.take() else { return };
         let (bytes, close) = message(request);
         if let Some(client) = self.clients.get_mut(&conn) {
-            client.request = None;
-            client.closing = close;
-            client.since = self.now;
+            client.answered(close, self.now);
             self.effects.push(Effect::Answer { conn, bytes, close });
         }
         self.request_closed(id);
@@ -911,9 +931,9 @@
         let Some(request) = self.requests.get_mut(&id).filter(|r| r.stream == Some(n)) else { return };
         let Some(conn) = request.client.take() else { return };
         if let Some(client) = self.clients.get_mut(&conn) {
-            client.request = None;
+            client.answered(true, self.now);
+            self.effects.push(Effect::CloseClient { conn });
         }
-        self.close_client(conn);
     }
 
     fn answered(&mut self, conn: ConnId, at: Millis, message: Message) {
@@ -1123,7 +1143,7 @@
         self.draining = Some(self.now);
         let idle = self.clients.iter().filter(|(_, client)| client.request.is_none());
         let idle: Vec<ConnId> = idle.map(|(conn, _)| *conn).collect();
-        idle.into_iter().for_each(|conn| self.close_client(conn));
+        idle.into_iter().for_each(|conn| self.retire_client(conn));
         self.timers.set(Timer::Drain, self.now + DRAIN_EVERY);
     }
 
@@ -1143,7 +1163,7 @@
         let quiet = |client: &Client| client.request.is_none() && self.now - client.since >= QUIET;
         let quiet = self.clients.iter().filter(|(_, client)| quiet(client));
         let quiet: Vec<ConnId> = quiet.map(|(conn, _)| *conn).collect();
-        quiet.into_iter().for_each(|conn| self.close_client(conn));
+        quiet.into_iter().for_each(|conn| self.retire_client(conn));
         if self.clients.is_empty() || late {
             tracing::info!(clients = self.clients.len(), "exit");
             self.timers.clear(Timer::Drain);
--- a/crates/sandtrack-sidecar/tests/reducer.rs
+++ b/crates/sandtrack-sidecar/tests/reducer.rs
@@ -25,6 +25,8 @@
     /// The call that is not answered.
     call: Option<u64>,
     closing: bool,
+    /// It is to be closed if it is between requests.
+    retired: bool,
     /// A streamed answer has begun; pieces of it wait to be written.
     streaming: bool,
     unwritten: usize,
@@ -131,10 +133,12 @@
                 Effect::CloseClient { conn } => {
                     let client = self.clients.get_mut(&conn).expect("an open client");
                     client.closing = true;
-                    if let Some(id) = client.call.take() {
-                        assert!(client.streaming, "closed with a request unanswered");
-                        self.calls.get_mut(&id).expect("a call").answers.push(CUT_SHORT);
-                    }
+                    let id = client.call.take().expect("a request");
+                    assert!(client.streaming, "closed with a request unanswered");
+                    self.calls.get_mut(&id).expect("a call").answers.push(CUT_SHORT);
+                }
+                Effect::RetireClient { conn } => {
+                    self.clients.get_mut(&conn).expect("an open client").retired = true;
                 }
                 Effect::Relay { conn, bytes } => {
                     let client = self.clients.get_mut(&conn).expect("an open client");
@@ -351,7 +355,8 @@
     fn close_all_ordered(&mut self) {
         let links: Vec<ConnId> = self.links.iter().filter(|(_, l)| l.closing).map(|(c, _)| *c).collect();
         links.into_iter().for_each(|conn| self.ends(conn, false));
-        let clients: Vec<ConnId> = self.clients.iter().filter(|(_, c)| c.closing).map(|(c, _)| *c).collect();
+        let over = |client: &Client| client.closing || client.retired && client.call.is_none();
+        let clients: Vec<ConnId> = self.clients.iter().filter(|(_, c)| over(c)).map(|(c, _)| *c).collect();
         clients.into_iter().for_each(|conn| self.leave(conn));
     }
 
@@ -672,6 +677,59 @@
     world.end();
 }
 
+/// A machine that was cut off resets what it knows nothing of when it is back: idle connections to it are no use.
+#[test]
+fn silence_gives_back_all_idle_connections_to_that_upstream() {
+    let (mut world, first) = World::warm();
+    let second = world.open();
+    // Two at once, until one upstream has two connections.
+    let doubled = loop {
+        world.request(first, "read", 800);
+        world.request(second, "read", 800);
+        for _ in 0..40 {
+            world.pass(0.5);
+            world.calm();
+        }
+        world.carrying().into_iter().for_each(|conn| world.serve(conn, 200, false, false));
+        let places = world.links.values().map(|link| link.address.clone());
+        let mut count: BTreeMap<String, usize> = BTreeMap::new();
+        places.for_each(|address| *count.entry(address).or_default() += 1);
+        if let Some((address, _)) = count.into_iter().find(|(_, count)| *count > 1) {
+            break address;
+        }
+    };
+    let open = |world: &World| world.links.values().filter(|l| l.address == doubled && !l.closing).count();
+    // From now on it answers no probe, and no new connection comes up.
+    for _ in 0..200 {
+        world.pass(50.0);
+        let links: Vec<ConnId> = world.links.keys().copied().collect();
+        for conn in links {
+            if world.links[&conn].address != doubled {
+                world.connected(conn);
+                world.serve(conn, 200, false, false);
+            }
+        }
+        if open(&world) == 0 {
+            return;
+        }
+    }
+    panic!("{} are kept", open(&world));
+}
+
+/// An idle connection that is closed as a request comes on it: the request was read and thrown away.
+#[test]
+fn a_request_that_crosses_the_retirement_of_its_connection_is_served_as_its_last() {
+    let (mut world, conn) = World::warm();
+    let (_, link) = world.sent(conn, "read", 400);
+    world.serve(link, 200, false, false);
+    world.feed(Input::Terminate);
+    assert!(world.clients[&conn].retired);
+    let (id, link) = world.sent(conn, "read", 400);
+    world.serve(link, 200, false, false);
+    assert_eq!(world.calls[&id].answers, [200]);
+    assert!(world.clients[&conn].closing);
+}
+
 /// Its connection was kept, paused, for a client that had gone.
 #[test]
 fn without_cancel_a_stream_ends_with_its_client() {
