SIGTERM: accepting ends after 700 ms at the latest, and nothing owed is cut off

Written as a loopback test with clients that keep asking: new connections that never pause would have held the listener open until the hard end, and that end did not wait for what was still unanswered.

--- a/crates/sandtrack-sidecar/src/reducer.rs
+++ b/crates/sandtrack-sidecar/src/reducer.rs
@@ -33,8 +33,10 @@
 const WATCH_SILENCE: Millis = 4500.0;
 /// Where the settings tell no connect time-out.
 const CONNECT_UNTOLD: Millis = 1000.0;
-/// After SIGTERM new connections are awaited for this long, and until none came for `QUIET`.
+/// After SIGTERM new connections are awaited for this long, and until none came for `QUIET` ...
 const LAST_CALL: Millis = 600.0;
+/// ... but no longer than this, however many still come: what is taken has to be answered before SIGKILL.
+const LAST_CALL_MOST: Millis = 700.0;
 const QUIET: Millis = 200.0;
 const DRAIN_EVERY: Millis = 25.0;
 
@@ -1151,12 +1153,15 @@
         let Some(since) = self.draining else { return };
         self.timers.set(Timer::Drain, self.now + DRAIN_EVERY);
         let longest = self.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
-        let quiet = self.now - since >= LAST_CALL && self.now - self.last_opened >= QUIET;
-        let late = self.now - since >= LAST_CALL + longest;
-        if (quiet || late) && !self.exiting {
+        let past = self.now - since;
+        let quiet = past >= LAST_CALL && self.now - self.last_opened >= QUIET;
+        if (quiet || past >= LAST_CALL_MOST) && !self.exiting {
             self.exiting = true;
             self.effects.push(Effect::StopAccepting);
         }
+        // What is left by then are streams, or clients that neither ask nor read.
+        let owed = self.requests.values().any(|request| request.client.is_some() && request.stream.is_none());
+        let late = past >= LAST_CALL_MOST + longest + QUIET && !owed;
         if !self.stopped {
             return;
         }
--- a/crates/sandtrack-sidecar/tests/loopback.rs
+++ b/crates/sandtrack-sidecar/tests/loopback.rs
@@ -164,6 +164,57 @@
     assert_eq!(sidecar.process.wait().unwrap().code(), Some(0));
 }
 
+/// One request on the connection: its status, or `None` when it ended with not a byte of an answer.
+fn ask(client: &mut BufReader<TcpStream>) -> Option<(u16, bool)> {
+    client.get_mut().write_all(request("/api", "read").as_bytes()).ok()?;
+    if client.fill_buf().map_or(true, <[u8]>::is_empty) {
+        return None;
+    }
+    let (status, close, _) = answer(client);
+    Some((status, close))
+}
+
+/// Clients that keep asking through the end of their sidecar: each request is answered whole, or crossed the
+/// close of an idle connection and is answered on a new one for as long as new ones are taken.
+#[test]
+fn clients_that_keep_asking_lose_nothing_at_sigterm() {
+    let (mut sidecar, _) = start("load");
+    served(&mut connect(&sidecar), "read");
+    let clients: Vec<_> = (0..6)
+        .map(|_| {
+            let address = sidecar.address.clone();
+            std::thread::spawn(move || {
+                let (mut client, mut answers) = (None, 0);
+                loop {
+                    let mut connected = match client.take() {
+                        Some(connected) => connected,
+                        None => match TcpStream::connect(&address) {
+                            Ok(stream) => BufReader::new(stream),
+                            // The end: it takes no more.
+                            Err(_) => return answers,
+                        },
+                    };
+                    // Half of a millisecond between two requests leaves connections idle when the signal comes.
+                    std::thread::sleep(Duration::from_micros(500));
+                    if let Some((status, close)) = ask(&mut connected) {
+                        assert!(matches!(status, 200 | 503), "{status}");
+                        answers += 1;
+                        client = Some(connected).filter(|_| !close);
+                    }
+                }
+            })
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(100));
+    let pid = sidecar.process.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    // They come as long as it accepts; it may not wait for a pause that never comes.
+    assert_eq!(sidecar.process.wait().unwrap().code(), Some(0));
+    for client in clients {
+        assert!(client.join().unwrap() > 0);
+    }
+}
+
 #[test]
 fn a_faulty_configuration_is_named_by_its_key() {
     let path = std::env::temp_dir().join(format!("sandtrack-{}-faulty.json", std::process::id()));
