--- /dev/null
+++ b/crates/sandtrack-sidecar/tests/tasks.rs
@@ -0,0 +1,151 @@
+//! The tasks that own a socket, one at a time: what they tell the reducer at the edges of a connection's life.
+use async_io::Async;
+use futures_lite::future::block_on;
+use sandtrack_sidecar::net::{Clock, Inputs, Order};
+use sandtrack_sidecar::reducer::Input;
+use sandtrack_sidecar::upstream::Written;
+use sandtrack_sidecar::{client, http, upstream};
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+
+type Orders = async_channel::Sender<Order>;
+type Received = async_channel::Receiver<Input>;
+
+const REQUEST: &[u8] = b"GET /api HTTP/1.1\r\nX-Call-Id: 1\r\n\r\n";
+
+fn pair() -> (TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let near = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    (near, listener.accept().unwrap().0)
+}
+
+fn channels() -> (Orders, async_channel::Receiver<Order>, Inputs, Received) {
+    let (orders, receiver) = async_channel::unbounded();
+    let (inputs, received) = Inputs::new(Clock::start());
+    (orders, receiver, inputs, received)
+}
+
+fn told(received: &Received) -> Input {
+    block_on(received.recv()).unwrap()
+}
+
+/// Runs a client's connection on a thread of its own, with these orders given before it starts.
+fn client_task(orders_first: Vec<Order>, written: &[u8]) -> (TcpStream, Orders, Received) {
+    let (mut near, far) = pair();
+    near.write_all(written).unwrap();
+    let (orders, receiver, inputs, received) = channels();
+    orders_first.into_iter().for_each(|order| orders.try_send(order).unwrap());
+    std::thread::spawn(move || block_on(client::serve(1, Async::new(far).unwrap(), receiver, inputs)));
+    (near, orders, received)
+}
+
+/// It was read after a half-close and thrown away, and so lost.
+#[test]
+fn a_request_that_came_before_its_connection_is_retired_is_told_and_answered() {
+    let (mut near, orders, received) = client_task(vec![Order::Retire], REQUEST);
+    assert!(matches!(told(&received), Input::ClientRequest { conn: 1, .. }));
+    let bytes = http::response(200, std::iter::empty(), b"served", true);
+    orders.try_send(Order::Answer { bytes: bytes.clone(), close: true }).unwrap();
+    let mut answer = Vec::new();
+    near.read_to_end(&mut answer).unwrap();
+    assert_eq!(answer, bytes);
+    drop(near);
+    assert!(matches!(told(&received), Input::ClientClosed { conn: 1 }));
+}
+
+#[test]
+fn a_connection_with_half_a_request_is_not_retired() {
+    let (mut near, orders, received) = client_task(vec![Order::Retire], &REQUEST[..20]);
+    orders.try_send(Order::Retire).unwrap();
+    near.write_all(&REQUEST[20..]).unwrap();
+    assert!(matches!(told(&received), Input::ClientRequest { .. }));
+}
+
+#[test]
+fn an_idle_connection_is_retired() {
+    let (mut near, _orders, received) = client_task(vec![Order::Retire], b"");
+    assert!(matches!(told(&received), Input::ClientClosed { .. }));
+    assert_eq!(near.read(&mut [0]).unwrap(), 0);
+}
+
+#[test]
+fn a_client_that_leaves_while_it_waits_is_told() {
+    let (near, _orders, received) = client_task(Vec::new(), REQUEST);
+    assert!(matches!(told(&received), Input::ClientRequest { .. }));
+    drop(near);
+    assert!(matches!(told(&received), Input::ClientClosed { .. }));
+}
+
+/// Runs a connection to an upstream, and gives the upstream's side of it once it is up.
+fn upstream_task() -> (TcpStream, Orders, Received) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (orders, receiver, inputs, received) = channels();
+    std::thread::spawn(move || block_on(upstream::run(1, address, receiver, inputs)));
+    let far = listener.accept().unwrap().0;
+    assert!(matches!(told(&received), Input::UpstreamConnected { conn: 1 }));
+    (far, orders, received)
+}
+
+fn ask(orders: &Orders) {
+    orders.try_send(Order::Ask { bytes: REQUEST.to_vec(), streamed: false }).unwrap();
+}
+
+fn written(received: &Received) -> Written {
+    match told(received) {
+        Input::UpstreamClosed { written, .. } => written,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Written to, it would end as a reset that may have run.
+#[test]
+fn nothing_is_begun_on_a_connection_that_its_upstream_has_closed() {
+    let (far, orders, received) = upstream_task();
+    drop(far);
+    // The order may find the task still there or gone: nothing is begun either way.
+    let _ = orders.try_send(Order::Ask { bytes: REQUEST.to_vec(), streamed: false });
+    assert_eq!(written(&received), Written { begun: 0, whole: 0 });
+}
+
+#[test]
+fn an_answer_that_ends_early_or_is_no_http_was_asked_for_whole() {
+    for answer in
+        ["", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", "SSH-2.0\r\n\r\n", "HTTP/1.1 200 OK\r\n"]
+    {
+        let (mut far, orders, received) = upstream_task();
+        ask(&orders);
+        let mut request = vec![0; REQUEST.len()];
+        far.read_exact(&mut request).unwrap();
+        assert_eq!(request, REQUEST);
+        far.write_all(answer.as_bytes()).unwrap();
+        drop(far);
+        assert_eq!(written(&received), Written { begun: 1, whole: 1 }, "{answer:?}");
+    }
+}
+
+#[test]
+fn an_answer_is_told_whole_and_the_connection_kept_or_not() {
+    let (mut far, orders, received) = upstream_task();
+    for (text, kept) in [
+        ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", true),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi", false),
+    ] {
+        ask(&orders);
+        far.read_exact(&mut vec![0; REQUEST.len()]).unwrap();
+        far.write_all(text.as_bytes()).unwrap();
+        let Input::UpstreamAnswered { message, .. } = told(&received) else { panic!("no answer") };
+        assert_eq!((message.body.as_slice(), message.head.keep_alive), (b"hi".as_slice(), kept));
+    }
+    assert_eq!(written(&received), Written { begun: 2, whole: 2 });
+}
+
+#[test]
+fn an_order_to_close_ends_a_connection_that_waits() {
+    let (mut far, orders, received) = upstream_task();
+    ask(&orders);
+    far.read_exact(&mut vec![0; REQUEST.len()]).unwrap();
+    orders.try_send(Order::Close).unwrap();
+    assert_eq!(written(&received), Written { begun: 1, whole: 1 });
+    assert_eq!(far.read(&mut [0]).unwrap(), 0);
+}
