--- a/crates/sandtrack-sidecar/src/reducer.rs
+++ b/crates/sandtrack-sidecar/src/reducer.rs
@@ -25,6 +25,8 @@
 const DOUBTFUL: f64 = 0.25;
 /// ... and where that time is not told it is taken for this.
 const IDLE_UNTOLD: Millis = 20_000.0;
+/// Where descriptors are scarce a connection is closed that has stood this long without a whole request.
+const REQUEST_PATIENCE: Millis = 10_000.0;
 const SWEEP_EVERY: Millis = 1000.0;
 /// The answer is due this much before the client stops waiting: it has to travel, and the client's time began
 /// before its request was read.
@@ -120,7 +122,7 @@
     More {
         conn: ConnId,
     },
-    /// The rest of its answer will not come.
+    /// The rest of its answer, or of its request, is not to come.
     CloseClient {
         conn: ConnId,
     },
@@ -521,13 +523,28 @@
         eldest.is_some()
     }
 
-    /// One that has had no request yet has only just come: closed, it would come again at once.
+    /// One that has had no request yet has only just come: closed, it would come again at once. But those that
+    /// stay without a whole request, for whatever reason, must not keep the others out.
     fn drop_eldest_client(&mut self) -> bool {
-        let idle = |client: &Client| client.between() && client.served && !client.retired;
-        let idle = self.clients.iter().filter(|(_, client)| idle(client));
-        let eldest = idle.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(conn, _)| *conn);
-        eldest.into_iter().for_each(|conn| self.retire_client(conn));
-        eldest.is_some()
+        let eldest = |wanted: &dyn Fn(&Client) -> bool| {
+            let among = self.clients.iter().filter(|(_, client)| client.between() && wanted(client));
+            among.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(conn, _)| *conn)
+        };
+        if let Some(conn) = eldest(&|client| client.served && !client.retired) {
+            self.retire_client(conn);
+            return true;
+        }
+        let stuck = eldest(&|client| self.now - client.since >= REQUEST_PATIENCE);
+        stuck.into_iter().for_each(|conn| self.close_client(conn));
+        stuck.is_some()
+    }
+
+    /// Closes it whatever has come of a request or gone of an answer.
+    fn close_client(&mut self, conn: ConnId) {
+        if let Some(client) = self.clients.get_mut(&conn) {
+            client.answered(true, self.now);
+            self.effects.push(Effect::CloseClient { conn });
+        }
     }
 
     /// Said once a second at most: what is scarce is asked for often.
@@ -932,10 +949,7 @@
     fn cut_short(&mut self, id: RequestId, n: u32) {
         let Some(request) = self.requests.get_mut(&id).filter(|r| r.stream == Some(n)) else { return };
         let Some(conn) = request.client.take() else { return };
-        if let Some(client) = self.clients.get_mut(&conn) {
-            client.answered(true, self.now);
-            self.effects.push(Effect::CloseClient { conn });
-        }
+        self.close_client(conn);
     }
 
     fn answered(&mut self, conn: ConnId, at: Millis, message: Message) {
