--- a/crates/sandtrack-drill/tests/wire.rs
+++ b/crates/sandtrack-drill/tests/wire.rs
@@ -126,6 +126,15 @@
     assert_eq!(alone.1[..], beside.1[2..]);
 }
 
+#[test]
+fn settings_that_contradict_themselves_are_named_by_their_key() {
+    let mut events = start("sidecar/1");
+    events[0]["config"]["classes"][1]["name"] = "read".into();
+    let (status, _, errors) = run(&[batch(1000.0, events)]);
+    assert_eq!(status, 2);
+    assert!(errors.contains("config.classes[1].name"), "{errors}");
+}
+
 #[test]
 fn what_is_unknown_is_skipped_and_noted_once() {
     let odd = json!([{"cmd": "Novelty", "sidecar": "sidecar/1"}, {"cmd": "Novelty"}]);
--- a/crates/sandtrack-sidecar/src/catalog.rs
+++ b/crates/sandtrack-sidecar/src/catalog.rs
@@ -6,21 +6,32 @@
 use crate::ring::Ring;
 use async_io::Async;
 use futures_lite::future;
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
 use std::net::{SocketAddr, TcpStream};
 
 /// A list, or what changed in it.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Catalog {
-    #[serde(default)]
     pub generation: u64,
     /// The whole list, not changes.
-    #[serde(default)]
     pub reset: bool,
-    #[serde(default)]
+    #[serde(deserialize_with = "readable")]
     pub instances: Vec<Instance>,
 }
 
+/// One entry that can't be read must not hide the others, nor end the watch again and again.
+fn readable<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<Instance>, D::Error> {
+    let entries: Vec<serde_json::Value> = Vec::deserialize(from)?;
+    let read = |entry: serde_json::Value| match serde_json::from_value(entry) {
+        Ok(instance) => Some(instance),
+        Err(error) => {
+            tracing::warn!(%error, "an entry of the list can't be read");
+            None
+        }
+    };
+    Ok(entries.into_iter().filter_map(read).collect())
+}
+
 #[derive(Clone, Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Instance {
@@ -69,7 +80,6 @@
 async fn follow(
     call: CallId, address: SocketAddr, after: Option<u64>, inputs: &Inputs,
 ) -> std::io::Result<()> {
-    let broken = |what: &str| std::io::Error::new(std::io::ErrorKind::InvalidData, what.to_owned());
     let stream = Async::<TcpStream>::connect(address).await?;
     stream.get_ref().set_nodelay(true)?;
     let target = match after {
@@ -111,12 +121,51 @@
     }
 }
 
+fn broken(what: &str) -> std::io::Error {
+    std::io::Error::new(std::io::ErrorKind::InvalidData, what.to_owned())
+}
+
+fn read(line: &[u8]) -> std::io::Result<Catalog> {
+    // serde would take an array for the object's fields in order.
+    if line.first() != Some(&b'{') {
+        return Err(broken("a line that is no object"));
+    }
+    Ok(serde_json::from_slice(line)?)
+}
+
 fn tell(call: CallId, line: &[u8], inputs: &Inputs) -> std::io::Result<()> {
     if line.iter().all(u8::is_ascii_whitespace) {
         inputs.send(Input::WatchBeat { call });
         return Ok(());
     }
-    let catalog = serde_json::from_slice(line)?;
+    let catalog = read(line)?;
     inputs.send(Input::WatchLine { call, catalog });
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_entry_that_cant_be_read_hides_no_other() {
+        let line = r#"{"generation":9,"reset":false,"instances":[{"instanceId":7},{"instanceId":"a","lifecycle":"SERVING"},
+            {"instanceId":"b","lifecycle":"RESTING","hostPort":"127.0.0.1:1","cell":null}, 3,
+            {"instanceId":"c","lifecycle":"RESTING"}]}"#;
+        let catalog: Catalog = read(line.as_bytes()).expect("a list");
+        let read: Vec<_> = catalog.instances.iter().map(|i| (i.instance_id.as_str(), i.lifecycle)).collect();
+        assert_eq!(
+            read,
+            [("a", Lifecycle::Serving), ("c", Lifecycle::Draining)],
+            "an odd state gets nothing new"
+        );
+    }
+
+    /// Taken for a whole list without entries, it would take every upstream away.
+    #[test]
+    fn what_is_no_list_is_not_taken_for_an_empty_one() {
+        for line in ["[1,true,[]]", "{}", "null", r#"{"generation":1,"reset":true}"#] {
+            assert!(read(line.as_bytes()).is_err(), "{line}");
+        }
+    }
+}
--- a/crates/sandtrack-sidecar/src/reducer.rs
+++ b/crates/sandtrack-sidecar/src/reducer.rs
@@ -31,8 +31,11 @@
 /// The answer is due this much before the client stops waiting: it has to travel, and the client's time began
 /// before its request was read.
 const MARGIN: Millis = 3.0;
-/// A watch has a line every 2 s (the protocol); one that says nothing for this long is broken.
-const WATCH_SILENCE: Millis = 4500.0;
+/// A watch has a line every 2 s (the protocol); one that says nothing for this long is broken. What it has to tell
+/// counts as told after 6 s: there must be time to ask anew.
+const WATCH_SILENCE: Millis = 3200.0;
+/// Its first line may take longer: discovery works through calls in turn.
+const WATCH_FIRST: Millis = 4500.0;
 /// Where the settings tell no connect time-out.
 const CONNECT_UNTOLD: Millis = 1000.0;
 /// After SIGTERM new connections are awaited for this long, and until none came for `QUIET` ...
@@ -1061,7 +1064,7 @@
         if self.watch.is_none() {
             self.next_call += 1;
             self.watch = Some(self.next_call);
-            self.timers.set(Timer::WatchSilent, self.now + WATCH_SILENCE);
+            self.timers.set(Timer::WatchSilent, self.now + WATCH_FIRST);
             self.effects.push(Effect::Watch { call: self.next_call, after: self.generation });
         }
     }
--- a/crates/sandtrack-sidecar/tests/reducer.rs
+++ b/crates/sandtrack-sidecar/tests/reducer.rs
@@ -876,8 +876,11 @@
         world.close_all_ordered();
     }
     assert_eq!(world.watches, 1, "an empty line every 2 s keeps it");
-    world.pass(8000.0);
+    // What was lost with it counts as told after 6 s.
+    world.pass(4500.0);
     assert_eq!(world.watches, 2);
+    world.pass(4000.0);
+    assert_eq!(world.watches, 2, "the first line may take longer");
 }
 
 #[test]
