A retirement during a slow write is kept in mind; Expect: 100-continue; HTTP/1.0 closes

Read over: an order to retire a client's connection that came while its answer was being written was swallowed, and the connection then counted as retired and stood open until the hard end.

--- a/crates/sandtrack-sidecar/src/client.rs
+++ b/crates/sandtrack-sidecar/src/client.rs
@@ -62,6 +62,7 @@
     let mut output = Ring::new(http::WRITE_RING);
     let mut collector = Collector::new(Side::Request);
     let mut unanswered = false;
+    let mut retired = false;
     loop {
         if !unanswered {
             let at = inputs.clock.now();
@@ -71,16 +72,33 @@
                     inputs.send(Input::ClientRequest { conn, at, message });
                 }
                 // Only responses are streamed.
-                Ok(_) => {}
+                Ok(_) => {
+                    let held = collector.take_expectation();
+                    if held
+                        && !(output.push(http::CONTINUE)
+                            && patiently(stream, &mut output, orders, &mut retired).await)
+                    {
+                        return;
+                    }
+                }
                 Err(bad) => {
                     unanswered = true;
                     inputs.send(Input::ClientBad { conn, status: bad.status() });
                 }
             }
         }
+        if retired && !unanswered && !collector.within(&input) {
+            // What was read of a request must be answered. One still unread when the socket is closed resets the
+            // connection, and so tells the client that it may send it once more; a half-close that read on and
+            // threw away would not.
+            match future::poll_once(read_into(stream, &mut input)).await {
+                Some(Ok(count)) if count > 0 => continue,
+                _ => return,
+            }
+        }
         match next(stream, &mut input, orders, true).await {
             Next::Order(Order::Answer { bytes, close }) => {
-                let wrote = output.push(&bytes) && patiently(stream, &mut output, orders).await;
+                let wrote = output.push(&bytes) && patiently(stream, &mut output, orders, &mut retired).await;
                 if !wrote {
                     return;
                 }
@@ -90,21 +108,13 @@
                 unanswered = false;
             }
             Next::Order(Order::Piece { bytes }) => {
-                if !output.push(&bytes) || !patiently(stream, &mut output, orders).await {
+                if !output.push(&bytes) || !patiently(stream, &mut output, orders, &mut retired).await {
                     return;
                 }
                 inputs.send(Input::ClientWrote { conn });
             }
             Next::Order(Order::Close) => return,
-            Next::Order(Order::Retire) => {
-                // What was read of a request must be answered. One still unread when the socket is closed resets
-                // the connection, and so tells the client that it may send it once more; a half-close that
-                // read on and threw away would not.
-                let idle = !unanswered && !collector.within(&input);
-                if idle && future::poll_once(read_into(stream, &mut input)).await.is_none() {
-                    return;
-                }
-            }
+            Next::Order(Order::Retire) => retired = true,
             Next::Order(Order::Ask { .. } | Order::More) => {}
             Next::Read(0) | Next::Broken => {
                 // Told at once, while the socket is still held: the request has lost its client.
@@ -116,10 +126,19 @@
 }
 
 /// Writes the buffer; no when the client is gone, takes nothing, or the reducer wants the connection closed.
-async fn patiently(stream: &Async<TcpStream>, output: &mut Ring, orders: &Orders) -> bool {
+async fn patiently(
+    stream: &Async<TcpStream>, output: &mut Ring, orders: &Orders, retired: &mut bool,
+) -> bool {
     let write = async { write_all(stream, output).await.is_ok() };
     let closed = async {
-        ordered_closed(orders).await;
+        while let Ok(order) = orders.recv().await {
+            match order {
+                Order::Close => break,
+                // It holds for the time after the answer.
+                Order::Retire => *retired = true,
+                _ => {}
+            }
+        }
         false
     };
     let patience = async {
--- a/crates/sandtrack-sidecar/src/http.rs
+++ b/crates/sandtrack-sidecar/src/http.rs
@@ -290,6 +290,17 @@
         self.parser.within(ring)
     }
 
+    /// Whether the other side holds the body back until it is told to go on; told once a message.
+    pub fn take_expectation(&mut self) -> bool {
+        let Some(head) = self.head.as_mut().filter(|_| self.body.is_empty()) else { return false };
+        let before = head.headers.0.len();
+        let expects = |(name, value): &(String, String)| {
+            name.eq_ignore_ascii_case("expect") && value.eq_ignore_ascii_case("100-continue")
+        };
+        head.headers.0.retain(|header| !expects(header));
+        head.headers.0.len() < before
+    }
+
     /// Whether the connection stays open after the message that was begun last.
     pub fn keep_alive(&self) -> bool {
         self.keep_alive
@@ -377,7 +388,7 @@
     };
     head.keep_alive = match version {
         "HTTP/1.1" => !head.headers.has_token("connection", "close"),
-        "HTTP/1.0" => head.headers.has_token("connection", "keep-alive"),
+        "HTTP/1.0" => false,
         _ => return Err(Bad::Malformed),
     };
     head.chunks = version == "HTTP/1.1";
@@ -406,6 +417,9 @@
     }
 }
 
+/// Tells a client that holds its body back to go on.
+pub const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
 pub fn request<'a>(
     method: &str, target: &str, headers: impl Iterator<Item = (&'a str, &'a str)>, body: &[u8],
 ) -> Vec<u8> {
--- a/crates/sandtrack-sidecar/tests/tasks.rs
+++ b/crates/sandtrack-sidecar/tests/tasks.rs
@@ -149,3 +149,53 @@
     assert_eq!(written(&received), Written { begun: 1, whole: 1 });
     assert_eq!(far.read(&mut [0]).unwrap(), 0);
 }
+
+#[test]
+fn a_streamed_answer_is_told_one_piece_at_a_time() {
+    let (mut far, orders, received) = upstream_task();
+    orders.try_send(Order::Ask { bytes: REQUEST.to_vec(), streamed: true }).unwrap();
+    far.read_exact(&mut vec![0; REQUEST.len()]).unwrap();
+    far.write_all(&http::chunked(200, std::iter::empty(), false)).unwrap();
+    for piece in [b"one".as_slice(), b"two", b""] {
+        far.write_all(&http::chunk(piece)).unwrap();
+    }
+    assert!(matches!(told(&received), Input::UpstreamBegan { .. }));
+    for piece in [b"one".as_slice(), b"two"] {
+        assert!(received.is_empty(), "the next is told when it is wanted");
+        orders.try_send(Order::More).unwrap();
+        let Input::UpstreamPiece { bytes, .. } = told(&received) else { panic!("no piece") };
+        assert_eq!(bytes, piece);
+    }
+    orders.try_send(Order::More).unwrap();
+    assert!(matches!(told(&received), Input::UpstreamOver { keep_alive: true, .. }));
+}
+
+#[test]
+fn a_streamed_answer_is_written_piece_by_piece() {
+    let (mut near, orders, received) = client_task(Vec::new(), REQUEST);
+    assert!(matches!(told(&received), Input::ClientRequest { .. }));
+    let mut whole = http::chunked(200, std::iter::empty(), true);
+    orders.try_send(Order::Piece { bytes: whole.clone() }).unwrap();
+    assert!(matches!(told(&received), Input::ClientWrote { conn: 1 }));
+    let (piece, last) = (http::chunk(b"piece"), http::chunk(b""));
+    orders.try_send(Order::Piece { bytes: piece.clone() }).unwrap();
+    assert!(matches!(told(&received), Input::ClientWrote { conn: 1 }));
+    orders.try_send(Order::Answer { bytes: last.clone(), close: true }).unwrap();
+    let mut answer = Vec::new();
+    near.read_to_end(&mut answer).unwrap();
+    whole.extend(piece);
+    whole.extend(last);
+    assert_eq!(answer, whole);
+}
+
+#[test]
+fn a_client_that_holds_its_body_back_is_told_to_go_on() {
+    let head = b"POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n";
+    let (mut near, _orders, received) = client_task(Vec::new(), head);
+    let mut told_to = vec![0; http::CONTINUE.len()];
+    near.read_exact(&mut told_to).unwrap();
+    assert_eq!(told_to, http::CONTINUE);
+    near.write_all(b"body").unwrap();
+    let Input::ClientRequest { message, .. } = told(&received) else { panic!("no request") };
+    assert_eq!((message.body.as_slice(), message.head.headers.get("Expect")), (b"body".as_slice(), None));
+}
