A want of descriptors is not held against the upstreams

Seen while reading: an attempt that found no descriptor was told as one that could not connect, a probe as failed; both make upstreams rest or unhealthy. Now the attempt is moot and the probe waits for the next connection that ends or rests.

--- a/crates/sandtrack-sidecar/src/reducer.rs
+++ b/crates/sandtrack-sidecar/src/reducer.rs
@@ -312,6 +312,8 @@
     next_call: CallId,
     /// Until the first request comes: upstreams whose probe was answered, and is to be repeated then.
     unserving: Option<Vec<u32>>,
+    /// Upstreams whose probe waits for a descriptor.
+    waiting: VecDeque<u32>,
     watch: Option<CallId>,
     generation: Option<u64>,
     /// When SIGTERM came, when the last connection did, and whether the listener is closed.
@@ -355,6 +357,7 @@
             next_request: 0,
             next_call: 0,
             unserving: Some(Vec::new()),
+            waiting: VecDeque::new(),
             watch: None,
             generation: None,
             draining: None,
@@ -630,7 +633,7 @@
         }
     }
 
-    /// The request in the module's words, and its id; or the status that says what is wrong with it.
+    /// The request in the module's words, or the status that says what is wrong with it.
     fn arrival(
         &self, request: RequestId, at: Millis, message: &Message,
     ) -> Result<Arrival, (u16, &'static str)> {
@@ -745,8 +748,8 @@
             self.attempt_ended(id, n, Outcome::Moot, self.now, None);
             return;
         }
-        let unsafe_ = self.settings.classes[request.class].effect == Repeats::Once;
-        let fresh = self.conn_idle * if unsafe_ { DOUBTFUL } else { RETIRE };
+        let once = self.settings.classes[request.class].effect == Repeats::Once;
+        let fresh = self.conn_idle * if once { DOUBTFUL } else { RETIRE };
         self.dispatch(Job::Attempt(id, n), server, Some(fresh));
     }
 
@@ -766,16 +769,22 @@
             self.write(conn, job);
             return;
         }
-        let address = self.servers[server as usize].address;
+        let Some(address) = self.servers[server as usize].address else {
+            return self.job_failed(job, server, Outcome::ConnectFailed);
+        };
         let room = if self.links.len() >= self.links_most {
             self.drop_eldest_link()
         } else {
             self.links.len() + self.clients.len() < self.sockets || self.make_room()
         };
-        let Some(address) = address.filter(|_| room) else {
-            self.job_failed(job, server, Outcome::ConnectFailed);
-            return;
-        };
+        if !room {
+            // That is no fault of the upstream, and must not be held against it.
+            match job {
+                Job::Attempt(..) => self.job_failed(job, server, Outcome::Moot),
+                Job::Probe { .. } => self.waiting.push_back(server),
+            }
+            return self.scarce("no descriptor left for an upstream");
+        }
         let conn = self.accepted();
         self.links.insert(conn, Link { server, stage: Stage::Connecting(job), ordered: 0, since: self.now });
         self.assign(job, Some(conn));
@@ -859,6 +868,14 @@
         link.since = self.now;
         server.idle.push(conn);
         self.timers.clear(Timer::Probe(conn));
+        self.probe_waiting();
+    }
+
+    /// A descriptor may be free: the probe that waits longest goes out.
+    fn probe_waiting(&mut self) {
+        if let Some(server) = self.waiting.pop_front() {
+            self.probe(server);
+        }
     }
 
     /// Orders the connection closed; its entry goes when its end is told.
@@ -1004,6 +1021,7 @@
             }
             Stage::Busy(job) => self.job_failed(job, server, Outcome::Reset),
         }
+        self.probe_waiting();
     }
 
     fn redispatch(&mut self, job: Job, server: u32) {
--- a/crates/sandtrack-sidecar/tests/reducer.rs
+++ b/crates/sandtrack-sidecar/tests/reducer.rs
@@ -717,6 +717,23 @@
     panic!("{} are kept", open(&world));
 }
 
+/// Each attempt that found no descriptor was told as one that could not connect, and its upstream rested for that.
+#[test]
+fn a_want_of_descriptors_is_not_held_against_the_upstreams() {
+    let mut world = World::with(|config| config["limits"]["sockets"] = 26.into());
+    world.calm();
+    let clients: Vec<ConnId> = (0..9).map(|_| world.open()).collect();
+    world.calm();
+    let (_, link) = world.sent(clients[0], "read", 800);
+    let refused = world.request(clients[1], "read", 800);
+    assert_eq!(world.calls[&refused].answers, [503], "the ten that it may hold are taken");
+    world.serve(link, 200, false, false);
+    let (id, link) = world.sent(clients[2], "read", 800);
+    world.serve(link, 200, false, false);
+    assert_eq!(world.calls[&id].answers, [200]);
+    world.end();
+}
+
 /// Connections that never send a whole request must not keep the others out for ever.
 #[test]
 fn clients_that_send_nothing_make_room_after_a_while() {
