--- a/crates/sandtrack-sidecar/src/catalog.rs
+++ b/crates/sandtrack-sidecar/src/catalog.rs
@@ -1,11 +1,10 @@
 //! Discovery: its list's form, and the watch that follows it. It owns the one connection of a watch call, and must
 //! never keep a list, judge an entry or call again by itself: the reducer does.
 use crate::http::{self, Parser, Part, Side};
-use crate::net::{ordered_closed, read_into, write_all, Inputs, Orders};
+use crate::net::{read_into, unless_closed, write_all, Inputs, Orders};
 use crate::reducer::{CallId, Input};
 use crate::ring::Ring;
 use async_io::Async;
-use futures_lite::future;
 use serde::{Deserialize, Deserializer};
 use std::net::{SocketAddr, TcpStream};
 
@@ -67,14 +66,10 @@
 
 /// Runs one watch call until it ends, and tells the reducer each line.
 pub async fn watch(call: CallId, address: SocketAddr, after: Option<u64>, orders: Orders, inputs: Inputs) {
-    let told = inputs.clone();
-    future::or(ordered_closed(&orders), async {
-        if let Err(error) = follow(call, address, after, &inputs).await {
-            tracing::debug!(call, %error, "watch ended");
-        }
-    })
-    .await;
-    told.send(Input::WatchEnded { call });
+    if let Some(Err(error)) = unless_closed(&orders, follow(call, address, after, &inputs)).await {
+        tracing::debug!(call, %error, "watch ended");
+    }
+    inputs.send(Input::WatchEnded { call });
 }
 
 async fn follow(
--- a/crates/sandtrack-sidecar/src/client.rs
+++ b/crates/sandtrack-sidecar/src/client.rs
@@ -2,7 +2,7 @@
 //! the reducer each request whole, and must never answer of its own accord nor read a second request while one
 //! is unanswered.
 use crate::http::{self, Collector, Side, Taken};
-use crate::net::{next, ordered_closed, read_into, write_all, Inputs, Next, Order, Orders};
+use crate::net::{next, no_delay, read_into, unless_closed, write_all, Inputs, Next, Order, Orders};
 use crate::reducer::{ConnId, Input};
 use crate::ring::Ring;
 use async_io::{Async, Timer};
@@ -22,14 +22,7 @@
     listener: Async<TcpListener>, stop: Orders, inputs: Inputs, mut opened: impl FnMut(Async<TcpStream>),
 ) {
     loop {
-        let accepted = future::or(
-            async {
-                ordered_closed(&stop).await;
-                None
-            },
-            async { Some(listener.accept().await) },
-        );
-        match accepted.await {
+        match unless_closed(&stop, listener.accept()).await {
             Some(Ok((stream, _))) => opened(stream),
             Some(Err(error)) => {
                 // Out of descriptors, or a connection that broke while it waited: the listener lives on.
@@ -49,9 +42,7 @@
 
 /// Serves one client connection until it ends.
 pub async fn serve(conn: ConnId, stream: Async<TcpStream>, orders: Orders, inputs: Inputs) {
-    if let Err(error) = stream.get_ref().set_nodelay(true) {
-        tracing::debug!(conn, %error, "no TCP_NODELAY");
-    }
+    no_delay(&stream);
     exchange(conn, &stream, &orders, &inputs).await;
     drop(stream);
     inputs.send(Input::ClientClosed { conn });
--- a/crates/sandtrack-sidecar/src/main.rs
+++ b/crates/sandtrack-sidecar/src/main.rs
@@ -5,7 +5,7 @@
 use async_signal::{Signal, Signals};
 use futures_lite::{future, stream, StreamExt};
 use sandtrack_sidecar::config::{self, Config};
-use sandtrack_sidecar::net::{Clock, Inputs, Order};
+use sandtrack_sidecar::net::{Clock, Inputs, Order, Orders};
 use sandtrack_sidecar::reducer::{CallId, ConnId, Effect, Input, Reducer};
 use sandtrack_sidecar::{catalog, client, upstream};
 use std::cell::RefCell;
@@ -39,7 +39,9 @@
             return ExitCode::from(2);
         }
     };
-    match future::block_on(async_io_main(config)) {
+    let executor = Rc::new(LocalExecutor::new());
+    // async-io's own: this thread then polls for events itself, and none has to cross from a helper thread.
+    match async_io::block_on(executor.run(serve(config, executor.clone()))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             tracing::error!(%error, "can't serve");
@@ -48,12 +50,6 @@
     }
 }
 
-async fn async_io_main(config: Config) -> std::io::Result<()> {
-    let executor = Rc::new(LocalExecutor::new());
-    let serving = serve(config, executor.clone());
-    executor.run(serving).await
-}
-
 async fn serve(config: Config, executor: Rc<LocalExecutor<'_>>) -> std::io::Result<()> {
     let clock = Clock::start();
     let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
@@ -138,6 +134,13 @@
     exit
 }
 
+/// Keeps the way to a new task, and gives the task's end of it.
+fn way(tasks: &mut HashMap<u64, Sender>, id: u64) -> Orders {
+    let (sender, orders) = async_channel::unbounded();
+    tasks.insert(id, sender);
+    orders
+}
+
 /// A task that has ended takes no orders; its end is on its way to the reducer.
 fn order(tasks: &HashMap<u64, Sender>, id: u64, order: Order) {
     if let Some(task) = tasks.get(&id) {
@@ -147,21 +150,18 @@
 
 impl Tasks<'_> {
     fn opened(&mut self, conn: ConnId, stream: Async<TcpStream>) {
-        let (sender, orders) = async_channel::unbounded();
-        self.clients.insert(conn, sender);
+        let orders = way(&mut self.clients, conn);
         self.inputs.send(Input::ClientOpened { conn });
         self.executor.spawn(client::serve(conn, stream, orders, self.inputs.clone())).detach();
     }
 
     fn connect(&mut self, conn: ConnId, address: SocketAddr) {
-        let (sender, orders) = async_channel::unbounded();
-        self.upstreams.insert(conn, sender);
+        let orders = way(&mut self.upstreams, conn);
         self.executor.spawn(upstream::run(conn, address, orders, self.inputs.clone())).detach();
     }
 
     fn watch(&mut self, call: CallId, after: Option<u64>) {
-        let (sender, orders) = async_channel::unbounded();
-        self.watches.insert(call, sender);
+        let orders = way(&mut self.watches, call);
         let watch = catalog::watch(call, self.discovery, after, orders, self.inputs.clone());
         self.executor.spawn(watch).detach();
     }
--- a/crates/sandtrack-sidecar/src/net.rs
+++ b/crates/sandtrack-sidecar/src/net.rs
@@ -5,6 +5,7 @@
 use async_io::Async;
 use futures_lite::future;
 use sandtrack::interface::Millis;
+use std::future::Future;
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
 use std::time::Instant;
@@ -113,6 +114,22 @@
     Ok(())
 }
 
+/// Sends what is written at once. A socket that can't serves all the same.
+pub fn no_delay(stream: &Async<TcpStream>) {
+    if let Err(error) = stream.get_ref().set_nodelay(true) {
+        tracing::debug!(%error, "no TCP_NODELAY");
+    }
+}
+
+/// The outcome of the work, or `None` once it is ordered closed; the order goes first.
+pub async fn unless_closed<T>(orders: &Orders, work: impl Future<Output = T>) -> Option<T> {
+    let closed = async {
+        ordered_closed(orders).await;
+        None
+    };
+    future::or(closed, async { Some(work.await) }).await
+}
+
 /// Waits until the connection is ordered closed, or its reducer is gone.
 pub async fn ordered_closed(orders: &Orders) {
     while let Ok(order) = orders.recv().await {
--- a/crates/sandtrack-sidecar/src/reducer.rs
+++ b/crates/sandtrack-sidecar/src/reducer.rs
@@ -885,10 +885,16 @@
             return;
         }
         link.stage = Stage::Closing;
-        self.servers[link.server as usize].idle.retain(|idle| *idle != conn);
+        let server = link.server;
+        self.unhook(conn, server);
+        self.effects.push(Effect::CloseUpstream { conn });
+    }
+
+    /// Gives back what refers to the connection: its timers and its place among the idle ones.
+    fn unhook(&mut self, conn: ConnId, server: u32) {
+        self.servers[server as usize].idle.retain(|idle| *idle != conn);
         self.timers.clear(Timer::Connect(conn));
         self.timers.clear(Timer::Probe(conn));
-        self.effects.push(Effect::CloseUpstream { conn });
     }
 
     fn cancel(&mut self, id: RequestId, n: u32) {
@@ -1007,9 +1013,7 @@
     fn upstream_closed(&mut self, conn: ConnId, written: Written) {
         let Some(link) = self.links.remove(&conn) else { return };
         let server = link.server;
-        self.timers.clear(Timer::Connect(conn));
-        self.timers.clear(Timer::Probe(conn));
-        self.servers[server as usize].idle.retain(|idle| *idle != conn);
+        self.unhook(conn, server);
         match link.stage {
             Stage::Closing | Stage::Idle => {}
             Stage::Connecting(job) => self.job_failed(job, server, Outcome::ConnectFailed),
--- a/crates/sandtrack-sidecar/src/upstream.rs
+++ b/crates/sandtrack-sidecar/src/upstream.rs
@@ -1,7 +1,9 @@
 //! Upstream connections: one task each. It owns its socket and buffers, writes what it is ordered to and tells the
 //! whole answer; it must never write a message twice, and says of each break whether the last byte was written.
 use crate::http::{self, Collector, Side, Taken};
-use crate::net::{next, ordered_closed, read_into, write_all, Inputs, Next, Order, Orders};
+use crate::net::{
+    next, no_delay, ordered_closed, read_into, unless_closed, write_all, Inputs, Next, Order, Orders,
+};
 use crate::reducer::{ConnId, Input};
 use crate::ring::Ring;
 use async_io::Async;
@@ -17,14 +19,8 @@
 
 /// Connects, and carries one message after another until the connection ends or is ordered closed.
 pub async fn run(conn: ConnId, address: SocketAddr, orders: Orders, inputs: Inputs) {
-    let closed = async {
-        ordered_closed(&orders).await;
-        None
-    };
-    let connected = async { Async::<TcpStream>::connect(address).await.ok() };
-    let stream = future::or(closed, connected).await;
     let mut written = Written::default();
-    if let Some(stream) = stream {
+    if let Some(Ok(stream)) = unless_closed(&orders, Async::<TcpStream>::connect(address)).await {
         carry(conn, stream, &orders, &inputs, &mut written).await;
     }
     inputs.send(Input::UpstreamClosed { conn, written });
@@ -34,9 +30,7 @@
 async fn carry(
     conn: ConnId, stream: Async<TcpStream>, orders: &Orders, inputs: &Inputs, written: &mut Written,
 ) {
-    if let Err(error) = stream.get_ref().set_nodelay(true) {
-        tracing::debug!(conn, %error, "no TCP_NODELAY");
-    }
+    no_delay(&stream);
     inputs.send(Input::UpstreamConnected { conn });
     let mut input = Ring::new(http::READ_RING);
     let mut output = Ring::new(http::WRITE_RING);
--- a/crates/sandtrack-sidecar/tests/reducer.rs
+++ b/crates/sandtrack-sidecar/tests/reducer.rs
@@ -382,6 +382,17 @@
         }
     }
 
+    /// Every upstream but one takes connections and answers what it has.
+    fn all_serve_but(&mut self, silent: &str) {
+        let links: Vec<ConnId> = self.links.keys().copied().collect();
+        for conn in links {
+            if self.links[&conn].address != silent {
+                self.connected(conn);
+                self.serve(conn, 200, false, false);
+            }
+        }
+    }
+
     /// A world whose sidecar has probed all upstreams, with one client connected.
     fn warm() -> (Self, ConnId) {
         let mut world = World::new();
@@ -703,13 +714,7 @@
     // From now on it answers no probe, and no new connection comes up.
     for _ in 0..200 {
         world.pass(50.0);
-        let links: Vec<ConnId> = world.links.keys().copied().collect();
-        for conn in links {
-            if world.links[&conn].address != doubled {
-                world.connected(conn);
-                world.serve(conn, 200, false, false);
-            }
-        }
+        world.all_serve_but(&doubled);
         if open(&world) == 0 {
             return;
         }
@@ -786,14 +791,7 @@
     let mut world = World::new();
     let silent = address(2);
     for _ in 0..400 {
-        let links: Vec<ConnId> = world.links.keys().copied().collect();
-        for conn in links {
-            if world.links[&conn].address == silent {
-                continue;
-            }
-            world.connected(conn);
-            world.serve(conn, 200, false, false);
-        }
+        world.all_serve_but(&silent);
         world.close_all_ordered();
         world.pass(50.0);
     }
