SIGHUP reads the configuration again and moves the watch to the new discovery

Checked: signals in main.rs were Term and Int alone, so SIGHUP's default ended the process; discovery's address was fixed in Tasks at the start. Now SIGHUP is caught, the whole file is read and checked again (a faulty one is logged by its key and changes nothing), a changed discovery address is an input to the reducer, which gives the old watch up and asks the new address at once for the whole list. NODE_DISCOVERY goes before the file at the start only. Tests: reducer (also as a step of the property tests), configuration, loopback under load, twice, and at SIGTERM; each fails without the change.

--- a/crates/sandtrack-sidecar/src/config.rs
+++ b/crates/sandtrack-sidecar/src/config.rs
@@ -1,9 +1,10 @@
-//! What the sidecar is told when it starts: one JSON file, and the variables that name it. It owns the file's form,
-//! checks and defaults, and must never be read again later nor hold anything that changes.
+//! What the sidecar is told when it starts and at each reload: one JSON file, and the variables that name it. It owns
+//! the file's form, checks and defaults, and must never apply anything by itself: what a reload brings is an input.
 use crate::catalog::Catalog;
 use sandtrack_settings::{Checked, Document, Fault};
 use serde::Deserialize;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 #[derive(Deserialize)]
 struct File {
@@ -50,6 +51,44 @@
     pub checked: Checked,
 }
 
+/// The keys that are read at the start alone, and worth a word when a reload finds them changed.
+const LASTING: [&str; 4] = ["listen", "limits", "name", "settings"];
+
+/// The file as it was last read, to be read again at a reload.
+pub struct Source {
+    path: PathBuf,
+    /// As the file has it: a variable went before it at the start, but a reload's is newer than any variable.
+    discovery: SocketAddr,
+    lasting: [serde_json::Value; LASTING.len()],
+}
+
+/// What a reload brings.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Reload {
+    /// The new address of discovery, if the file now has another.
+    pub discovery: Option<SocketAddr>,
+    /// Keys that changed and wait for the next start.
+    pub waiting: Vec<&'static str>,
+}
+
+fn lasting(text: &[u8]) -> [serde_json::Value; LASTING.len()] {
+    let mut whole: serde_json::Value = serde_json::from_slice(text).unwrap_or_default();
+    LASTING.map(|key| whole.get_mut(key).map(serde_json::Value::take).unwrap_or_default())
+}
+
+impl Source {
+    /// Reads and checks the whole file again. What is wrong with it is told, and nothing of it is taken.
+    pub fn again(&mut self) -> Result<Reload, Fault> {
+        let text = text(&self.path)?;
+        let found = parse(&text)?.discovery;
+        let before = std::mem::replace(&mut self.discovery, found);
+        let kept = std::mem::replace(&mut self.lasting, lasting(&text));
+        let changed = LASTING.into_iter().zip(kept.iter().zip(&self.lasting));
+        let waiting = changed.filter(|(_, (before, now))| before != now).map(|(key, _)| key).collect();
+        Ok(Reload { discovery: Some(found).filter(|found| *found != before), waiting })
+    }
+}
+
 /// The fewest descriptors with which anything can be served.
 const DESCRIPTORS_LEAST: usize = 24;
 
@@ -82,12 +121,21 @@
     })
 }
 
+fn wrong(key: &str, wrong: String) -> Fault {
+    Fault { key: key.to_owned(), wrong }
+}
+
+fn text(path: &std::path::Path) -> Result<Vec<u8>, Fault> {
+    std::fs::read(path).map_err(|error| wrong("NODE_CONFIG", error.to_string()))
+}
+
 /// Reads the file that `NODE_CONFIG` names; `NODE_NAME`, `NODE_LISTEN` and `NODE_DISCOVERY` go before it.
-pub fn load(var: impl Fn(&str) -> Option<String>) -> Result<Config, Fault> {
-    let wrong = |key: &str, wrong: String| Fault { key: key.to_owned(), wrong };
+pub fn load(var: impl Fn(&str) -> Option<String>) -> Result<(Config, Source), Fault> {
     let path = var("NODE_CONFIG").ok_or_else(|| wrong("NODE_CONFIG", "not set".to_owned()))?;
-    let text = std::fs::read(&path).map_err(|error| wrong("NODE_CONFIG", error.to_string()))?;
+    let path = PathBuf::from(path);
+    let text = text(&path)?;
     let mut config = parse(&text)?;
+    let source = Source { path, discovery: config.discovery, lasting: lasting(&text) };
     let address = |key: &str, told: SocketAddr| match var(key) {
         Some(text) => text.parse().map_err(|_| wrong(key, format!("{text:?} is not address:port"))),
         None => Ok(told),
@@ -95,5 +143,5 @@
     config.listen = address("NODE_LISTEN", config.listen)?;
     config.discovery = address("NODE_DISCOVERY", config.discovery)?;
     config.name = var("NODE_NAME").unwrap_or(config.name);
-    Ok(config)
+    Ok((config, source))
 }
--- a/crates/sandtrack-sidecar/src/main.rs
+++ b/crates/sandtrack-sidecar/src/main.rs
@@ -4,7 +4,7 @@
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::{future, stream, StreamExt};
-use sandtrack_sidecar::config::{self, Config};
+use sandtrack_sidecar::config::{self, Config, Source};
 use sandtrack_sidecar::net::{Clock, Inputs, Order, Orders};
 use sandtrack_sidecar::reducer::{CallId, ConnId, Effect, Input, Reducer};
 use sandtrack_sidecar::{catalog, client, upstream};
@@ -21,7 +21,6 @@
 struct Tasks<'a> {
     executor: Rc<LocalExecutor<'a>>,
     inputs: Inputs,
-    discovery: SocketAddr,
     clients: HashMap<ConnId, Sender>,
     upstreams: HashMap<ConnId, Sender>,
     watches: HashMap<CallId, Sender>,
@@ -32,8 +31,8 @@
     let level = std::env::var("SANDTRACK_LOG").ok().and_then(|level| level.parse().ok());
     let level = level.unwrap_or(tracing::Level::INFO);
     tracing_subscriber::fmt().with_max_level(level).with_ansi(false).with_writer(std::io::stderr).init();
-    let config = match config::load(|name| std::env::var(name).ok()) {
-        Ok(config) => config,
+    let (config, source) = match config::load(|name| std::env::var(name).ok()) {
+        Ok(loaded) => loaded,
         Err(fault) => {
             tracing::error!("configuration: {fault}");
             return ExitCode::from(2);
@@ -41,7 +40,7 @@
     };
     let executor = Rc::new(LocalExecutor::new());
     // async-io's own: this thread then polls for events itself, and none has to cross from a helper thread.
-    match async_io::block_on(executor.run(serve(config, executor.clone()))) {
+    match async_io::block_on(executor.run(serve(config, source, executor.clone()))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             tracing::error!(%error, "can't serve");
@@ -50,20 +49,21 @@
     }
 }
 
-async fn serve(config: Config, executor: Rc<LocalExecutor<'_>>) -> std::io::Result<()> {
+async fn serve(config: Config, mut source: Source, executor: Rc<LocalExecutor<'_>>) -> std::io::Result<()> {
     let clock = Clock::start();
     let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
     let epoch = wall - clock.now();
     let (inputs, received) = Inputs::new(clock);
     let listener = Async::<TcpListener>::bind(config.listen)?;
-    let signals = Signals::new([Signal::Term, Signal::Int])?;
-    let reducer = Reducer::new(config.checked, config.seed, config.descriptors, epoch.round(), clock.now());
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    let (discovery, descriptors) = (config.discovery, config.descriptors);
+    let reducer =
+        Reducer::new(config.checked, discovery, config.seed, descriptors, epoch.round(), clock.now());
     let reducer = Rc::new(RefCell::new(reducer));
     let (stop_accepting, stop) = async_channel::unbounded();
     let tasks = Tasks {
         executor: executor.clone(),
         inputs: inputs.clone(),
-        discovery: config.discovery,
         clients: HashMap::new(),
         upstreams: HashMap::new(),
         watches: HashMap::new(),
@@ -83,8 +83,11 @@
     };
     executor.spawn(client::accept(listener, stop, inputs, opened)).detach();
 
-    let terms = signals.filter_map(|signal| signal.ok()).map(|_| Input::Terminate);
-    let mut inputs = Box::pin(stream::or(terms, received));
+    let told = signals.filter_map(|signal| match signal.ok()? {
+        Signal::Hup => reload(&mut source),
+        _ => Some(Input::Terminate),
+    });
+    let mut inputs = Box::pin(stream::or(told, received));
     loop {
         let due = reducer.borrow().next_due();
         let tick = async {
@@ -104,6 +107,24 @@
     }
 }
 
+/// SIGHUP: the file is read again. A faulty one changes nothing, and what runs goes on as it was.
+fn reload(source: &mut Source) -> Option<Input> {
+    match source.again() {
+        Ok(reload) => {
+            let waiting = reload.waiting.join(", ");
+            match reload.discovery {
+                Some(address) => tracing::info!(discovery = %address, waiting, "reloaded"),
+                None => tracing::info!(waiting, "reloaded: discovery stays"),
+            }
+            reload.discovery.map(|discovery| Input::Reload { discovery })
+        }
+        Err(fault) => {
+            tracing::error!("configuration kept as it was: {fault}");
+            None
+        }
+    }
+}
+
 /// Carries out effects in order; yes when the process is to end.
 fn perform(tasks: &RefCell<Tasks<'_>>, effects: Vec<Effect>) -> bool {
     let mut tasks = tasks.borrow_mut();
@@ -122,7 +143,7 @@
                 order(&tasks.upstreams, conn, Order::Ask { bytes, streamed });
             }
             Effect::CloseUpstream { conn } => order(&tasks.upstreams, conn, Order::Close),
-            Effect::Watch { call, after } => tasks.watch(call, after),
+            Effect::Watch { call, address, after } => tasks.watch(call, address, after),
             Effect::CloseWatch { call } => order(&tasks.watches, call, Order::Close),
             Effect::StopAccepting => {
                 // It fails only when the listener has ended already.
@@ -160,9 +181,9 @@
         self.executor.spawn(upstream::run(conn, address, orders, self.inputs.clone())).detach();
     }
 
-    fn watch(&mut self, call: CallId, after: Option<u64>) {
+    fn watch(&mut self, call: CallId, address: SocketAddr, after: Option<u64>) {
         let orders = way(&mut self.watches, call);
-        let watch = catalog::watch(call, self.discovery, after, orders, self.inputs.clone());
+        let watch = catalog::watch(call, address, after, orders, self.inputs.clone());
         self.executor.spawn(watch).detach();
     }
 
--- a/crates/sandtrack-sidecar/src/reducer.rs
+++ b/crates/sandtrack-sidecar/src/reducer.rs
@@ -36,6 +36,8 @@
 const WATCH_SILENCE: Millis = 3200.0;
 /// Its first line may take longer: discovery works through calls in turn.
 const WATCH_FIRST: Millis = 4500.0;
+/// After a reload it is asked for again sooner: what the new address has to tell counts as told after 4 s.
+const WATCH_RELOADED: Millis = 2000.0;
 /// Where the settings tell no connect time-out.
 const CONNECT_UNTOLD: Millis = 1000.0;
 /// After SIGTERM new connections are awaited for this long, and until none came for `QUIET` ...
@@ -105,6 +107,10 @@
     AcceptFailed,
     AcceptStopped,
     Terminate,
+    /// The configuration was read anew, and names another discovery.
+    Reload {
+        discovery: SocketAddr,
+    },
     /// Time has passed.
     Tick,
 }
@@ -147,6 +153,7 @@
     },
     Watch {
         call: CallId,
+        address: SocketAddr,
         after: Option<u64>,
     },
     CloseWatch {
@@ -314,7 +321,9 @@
     unserving: Option<Vec<u32>>,
     /// Upstreams whose probe waits for a descriptor.
     waiting: VecDeque<u32>,
+    discovery: SocketAddr,
     watch: Option<CallId>,
+    /// The version of the list that this discovery gave last.
     generation: Option<u64>,
     /// When SIGTERM came, when the last connection did, and whether the listener is closed.
     draining: Option<Millis>,
@@ -326,7 +335,9 @@
 
 impl Reducer {
     /// `epoch`: wall time in Unix milliseconds at the clock's zero, read once.
-    pub fn new(checked: Checked, seed: u64, descriptors: usize, epoch: Millis, now: Millis) -> Self {
+    pub fn new(
+        checked: Checked, discovery: SocketAddr, seed: u64, descriptors: usize, epoch: Millis, now: Millis,
+    ) -> Self {
         let mut settings = checked.settings;
         // On sockets discovery tells only who asks, whatever the settings say of it.
         settings.discovery_on_request = true;
@@ -358,6 +369,7 @@
             next_call: 0,
             unserving: Some(Vec::new()),
             waiting: VecDeque::new(),
+            discovery,
             watch: None,
             generation: None,
             draining: None,
@@ -469,6 +481,7 @@
             }
             Input::AcceptStopped => self.stopped = true,
             Input::Terminate => self.terminate(),
+            Input::Reload { discovery } => self.reload(discovery),
             Input::Tick => {}
         }
     }
@@ -1087,8 +1100,24 @@
             self.next_call += 1;
             self.watch = Some(self.next_call);
             self.timers.set(Timer::WatchSilent, self.now + WATCH_FIRST);
-            self.effects.push(Effect::Watch { call: self.next_call, after: self.generation });
+            let (call, address) = (self.next_call, self.discovery);
+            self.effects.push(Effect::Watch { call, address, after: self.generation });
+        }
+    }
+
+    /// Discovery has moved: its new address is asked at once, for the whole list, as versions of two addresses need
+    /// not match. The old watch is given up; the list that it gave serves until the new one has come.
+    fn reload(&mut self, discovery: SocketAddr) {
+        if discovery == self.discovery {
+            return;
+        }
+        self.discovery = discovery;
+        self.generation = None;
+        if let Some(call) = self.watch.take() {
+            self.effects.push(Effect::CloseWatch { call });
         }
+        self.subscribe();
+        self.timers.set(Timer::WatchSilent, self.now + WATCH_RELOADED);
     }
 
     fn watch_line(&mut self, call: CallId, catalog: Catalog) {
--- a/crates/sandtrack-sidecar/tests/config.rs
+++ b/crates/sandtrack-sidecar/tests/config.rs
@@ -86,9 +86,49 @@
             _ => None,
         })
     };
-    let config = load("127.0.0.1:77").expect("valid");
+    let (config, _) = load("127.0.0.1:77").expect("valid");
     assert_eq!((config.name.as_str(), config.listen.port(), config.discovery.port()), ("n9", 77, 2));
-    assert_eq!(load("77").err().map(|fault| fault.key), Some("NODE_LISTEN".to_owned()));
+    assert_eq!(load("77").map(drop).err().map(|fault| fault.key), Some("NODE_LISTEN".to_owned()));
     std::fs::remove_file(&path).expect("removed");
-    assert_eq!(config::load(|_| None).err().map(|fault| fault.key), Some("NODE_CONFIG".to_owned()));
+    assert_eq!(config::load(|_| None).map(drop).err().map(|fault| fault.key), Some("NODE_CONFIG".to_owned()));
+}
+
+/// A variable goes before the file at the start; it must not undo what a reload brings, nor a reload what it says.
+#[test]
+fn a_reload_brings_what_changed_in_the_file_and_nothing_of_a_faulty_one() {
+    let path = std::env::temp_dir().join(format!("sandtrack-{}-reload.json", std::process::id()));
+    let write = |edit: &dyn Fn(&mut Value)| {
+        let mut value = value();
+        edit(&mut value);
+        std::fs::write(&path, value.to_string()).expect("written");
+    };
+    write(&|_| ());
+    let (config, mut source) = config::load(|name| match name {
+        "NODE_CONFIG" => Some(path.display().to_string()),
+        "NODE_DISCOVERY" => Some("127.0.0.1:99".to_owned()),
+        _ => None,
+    })
+    .expect("valid");
+    assert_eq!(config.discovery.port(), 99);
+    let mut found = || source.again().map(|reload| (reload.discovery.map(|at| at.port()), reload.waiting));
+    assert_eq!(found(), Ok((None, vec![])), "the file says what it said");
+    write(&|v| v["discovery"] = "127.0.0.1:3".into());
+    assert_eq!(found(), Ok((Some(3), vec![])));
+    assert_eq!(found(), Ok((None, vec![])), "once");
+    for fault in ["", "{", r#"{"discovery":"127.0.0.1:4"}"#] {
+        std::fs::write(&path, fault).expect("written");
+        assert!(found().is_err());
+    }
+    write(&|v| {
+        v["discovery"] = "127.0.0.1:4".into();
+        v["settings"]["classes"][1]["deadline"] = "soon".into();
+    });
+    assert_eq!(found().map_err(|fault| fault.key), Err("settings.classes[1].deadline".to_owned()));
+    write(&|v| {
+        v["limits"]["sockets"] = 99.into();
+        v["seed"] = 7.into();
+    });
+    assert_eq!(found(), Ok((Some(2), vec!["limits"])), "seeds change with each start");
+    std::fs::remove_file(&path).expect("removed");
+    assert_eq!(found().map_err(|fault| fault.key), Err("NODE_CONFIG".to_owned()));
 }
--- a/crates/sandtrack-sidecar/tests/loopback.rs
+++ b/crates/sandtrack-sidecar/tests/loopback.rs
@@ -36,17 +36,23 @@
     listener().1
 }
 
-/// A sidecar before toy upstreams; `served` counts what they answered.
-fn start(name: &str) -> (Sidecar, Arc<AtomicUsize>) {
-    let served = Arc::new(AtomicUsize::new(0));
+/// Toy upstreams, and the address of a discovery that lists them.
+fn fleet(count: usize, served: &Arc<AtomicUsize>) -> (String, Vec<String>) {
     let mut upstreams = Vec::new();
-    for _ in 0..3 {
+    for _ in 0..count {
         let (listener, address) = listener();
         toy::upstream(listener, served.clone());
         upstreams.push(address);
     }
     let (catalog, discovery) = listener();
-    toy::discovery(catalog, upstreams);
+    toy::discovery(catalog, upstreams.clone());
+    (discovery, upstreams)
+}
+
+/// A sidecar before toy upstreams; `served` counts what they answered.
+fn start(name: &str) -> (Sidecar, Arc<AtomicUsize>) {
+    let served = Arc::new(AtomicUsize::new(0));
+    let (discovery, _) = fleet(3, &served);
     let address = free_address();
     // What it last knew is out of date: nothing listens there.
     let known = common::catalog(0, true, vec![common::instance(9, &free_address(), "SERVING")]);
@@ -155,8 +161,7 @@
     let mut idle = connect(&sidecar);
     served(&mut idle, "read");
     client.get_mut().write_all(request("/slow", "pay").as_bytes()).unwrap();
-    let pid = sidecar.process.id().to_string();
-    assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    sidecar.signal("-TERM");
     assert_eq!(answer(&mut client).0, 200, "the toy answers it after half a second");
     for mut client in [client, idle] {
         assert_eq!(client.read(&mut [0]).unwrap(), 0, "closed between requests");
@@ -164,6 +169,47 @@
     assert_eq!(sidecar.process.wait().unwrap().code(), Some(0));
 }
 
+impl Sidecar {
+    fn signal(&self, signal: &str) {
+        let pid = self.process.id().to_string();
+        assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
+    }
+
+    /// Edits the configuration and has it reloaded.
+    fn reload(&self, edit: impl FnOnce(&mut serde_json::Value)) {
+        let text = std::fs::read(&self.config).unwrap();
+        let mut value: serde_json::Value = serde_json::from_slice(&text).unwrap();
+        edit(&mut value);
+        std::fs::write(&self.config, value.to_string()).unwrap();
+        self.signal("-HUP");
+    }
+}
+
+/// SIGHUP ended the process, and discovery was fixed at the start.
+#[test]
+fn sighup_moves_to_the_new_discovery_twice_under_load_and_sigterm_still_ends_it() {
+    let (mut sidecar, count) = start("reload");
+    let mut client = connect(&sidecar);
+    served(&mut client, "read");
+    // A faulty file changes nothing.
+    sidecar.reload(|config| config["settings"]["classes"][0]["aim"] = "soon".into());
+    served(&mut client, "read");
+    for _ in 0..2 {
+        let (discovery, upstreams) = fleet(1, &count);
+        sidecar.reload(|config| {
+            config["settings"]["classes"][0]["aim"] = 200.0.into();
+            config["discovery"] = discovery.into();
+        });
+        // Its one upstream serves all once its list is told; till then the old ones go on serving.
+        while served(&mut client, "read") != upstreams[0] {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+    sidecar.signal("-HUP");
+    sidecar.signal("-TERM");
+    assert_eq!(sidecar.process.wait().unwrap().code(), Some(0));
+}
+
 /// One request on the connection: its status, or `None` when it ended with not a byte of an answer.
 fn ask(client: &mut BufReader<TcpStream>) -> Option<(u16, bool)> {
     client.get_mut().write_all(request("/api", "read").as_bytes()).ok()?;
@@ -206,8 +252,7 @@
         })
         .collect();
     std::thread::sleep(Duration::from_millis(100));
-    let pid = sidecar.process.id().to_string();
-    assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    sidecar.signal("-TERM");
     // They come as long as it accepts; it may not wait for a pause that never comes.
     assert_eq!(sidecar.process.wait().unwrap().code(), Some(0));
     for client in clients {
--- a/crates/sandtrack-sidecar/tests/reducer.rs
+++ b/crates/sandtrack-sidecar/tests/reducer.rs
@@ -66,6 +66,9 @@
     draining: BTreeSet<String>,
     generation: u64,
     watch: Option<u64>,
+    /// Where it has to watch, and whether the whole list is due: versions of two addresses need not match.
+    discovery: String,
+    asked_for_all: bool,
     watches: u64,
     stopped: bool,
     exited: bool,
@@ -90,7 +93,16 @@
         edit(&mut value);
         let config = config::parse(value.to_string().as_bytes()).expect("a configuration");
         let mut world = World {
-            reducer: Reducer::new(config.checked, config.seed, config.descriptors, 1e12, 0.0),
+            reducer: Reducer::new(
+                config.checked,
+                config.discovery,
+                config.seed,
+                config.descriptors,
+                1e12,
+                0.0,
+            ),
+            discovery: config.discovery.to_string(),
+            asked_for_all: false,
             now: 0.0,
             clients: BTreeMap::new(),
             links: BTreeMap::new(),
@@ -155,9 +167,10 @@
                 }
                 Effect::Write { conn, bytes, streamed } => self.written(conn, &bytes, streamed),
                 Effect::CloseUpstream { conn } => self.links.get_mut(&conn).expect("a link").closing = true,
-                Effect::Watch { call, after } => {
+                Effect::Watch { call, address, after } => {
                     assert!(self.watch.is_none(), "one watch at a time");
-                    assert_eq!(after, Some(self.generation));
+                    assert_eq!(address.to_string(), self.discovery);
+                    assert_eq!(after, Some(self.generation).filter(|_| !self.asked_for_all));
                     self.watch = Some(call);
                     self.watches += 1;
                 }
@@ -333,7 +346,7 @@
     }
 
     fn told(&mut self, number: usize, lifecycle: &str, started: f64) {
-        let Some(call) = self.watch else { return };
+        let Some(call) = self.watch.filter(|_| !self.asked_for_all) else { return };
         self.generation += 1;
         let mut instance = common::instance(number, &address(number), lifecycle);
         instance["startedAtMs"] = started.into();
@@ -346,6 +359,15 @@
         self.feed(Input::WatchLine { call, catalog });
     }
 
+    /// SIGHUP: discovery is somewhere else, and has its own versions.
+    fn reload(&mut self, port: u8) {
+        let discovery = format!("127.0.0.9:{}", 100 + u16::from(port));
+        if discovery != self.discovery {
+            (self.discovery, self.asked_for_all) = (discovery.clone(), true);
+        }
+        self.feed(Input::Reload { discovery: discovery.parse().expect("an address") });
+    }
+
     fn watch_ends(&mut self) {
         if let Some(call) = self.watch.take() {
             self.feed(Input::WatchEnded { call });
@@ -429,6 +451,7 @@
         let call = self.watch.expect("it asks again after a failure");
         let catalog = list(common::catalog(self.generation + 1, true, Vec::new()));
         self.generation += 1;
+        self.asked_for_all = false;
         self.feed(Input::WatchLine { call, catalog });
         for _ in 0..8 {
             self.close_all_ordered();
@@ -451,6 +474,7 @@
     Told(u8, u8, u8),
     Beat,
     WatchEnds,
+    Reload(u8),
     Ordered,
     Calm,
 }
@@ -467,6 +491,7 @@
         2 => (0u8..5, 0u8..3, 0u8..3).prop_map(|(n, l, s)| Step::Told(n, l, s)),
         1 => Just(Step::Beat),
         1 => Just(Step::WatchEnds),
+        1 => (0u8..3).prop_map(Step::Reload),
         2 => Just(Step::Ordered),
         3 => Just(Step::Calm),
     ]
@@ -523,6 +548,7 @@
             }
         }
         Step::WatchEnds => world.watch_ends(),
+        Step::Reload(port) => world.reload(port),
         Step::Ordered => world.close_all_ordered(),
         Step::Calm => world.calm(),
     }
@@ -898,6 +924,36 @@
     assert_eq!(world.watches, 2, "the first line may take longer");
 }
 
+/// Discovery was fixed at the start: after a move the old list served until a restart.
+#[test]
+fn a_reload_asks_the_new_address_at_once_and_serves_the_old_list_meanwhile() {
+    let (mut world, conn) = World::warm();
+    let old = world.watch.expect("watching");
+    world.reload(1);
+    assert_eq!(world.watches, 2, "asked at once");
+    let (id, link) = world.sent(conn, "read", 400);
+    world.serve(link, 200, false, false);
+    assert_eq!(world.calls[&id].answers, [200]);
+    // What the old address still says is no news; that its watch ends is none either.
+    let late = list(common::catalog(900, true, Vec::new()));
+    world.feed(Input::WatchLine { call: old, catalog: late });
+    world.feed(Input::WatchEnded { call: old });
+    let (id, link) = world.sent(conn, "read", 400);
+    world.serve(link, 200, false, false);
+    assert_eq!((world.calls[&id].answers.as_slice(), world.watches), ([200].as_slice(), 2));
+    // The new address says nothing: there is time to ask again before the 4 s are over, and a second reload.
+    world.pass(3000.0);
+    assert_eq!(world.watches, 3);
+    world.reload(2);
+    world.reload(2);
+    assert_eq!(world.watches, 4, "the same address again changes nothing");
+    let whole = common::catalog(3, true, vec![common::instance(1, &address(1), "SERVING")]);
+    (world.generation, world.asked_for_all) = (3, false);
+    world.feed(Input::WatchLine { call: world.watch.expect("watching"), catalog: list(whole) });
+    world.watch_ends();
+    world.end();
+}
+
 #[test]
 fn an_attempt_that_is_never_answered_ends_before_the_client_stops_waiting() {
     let (mut world, conn) = World::warm();
