Bad clients are answered here in time, spoilt answers are errors; rests end by age

Lines: REQUEST_PATIENCE and drop_eldest_client in reducer.rs (a scan of all connections per accept), linger in client.rs (reads 60 MB without a pause, its own time-out never polled), arrival (no check of method, open ids, doubled headers), Err arm of upstream.rs (a break), parse_head (odd bytes in a load report spoil a good answer), framing (close-framed 200 taken as whole).

--- a/crates/sandtrack-sidecar/src/client.rs
+++ b/crates/sandtrack-sidecar/src/client.rs
@@ -12,8 +12,10 @@
 
 /// A client that takes no bytes for this long is gone.
 const WRITE_PATIENCE: Duration = Duration::from_secs(5);
-/// How long the last answer may stay unread before the socket is closed under it.
+/// How long the last answer may stay unread before the socket is closed under it, and how much is read on for it: one
+/// that sends at full speed then waits for its own buffer, and not the others for this task.
 const LINGER: Duration = Duration::from_millis(200);
+const LINGER_MOST: usize = 128 * 1024;
 /// Pause of the listener when the process is out of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 
@@ -23,7 +25,11 @@
 ) {
     loop {
         match unless_closed(&stop, listener.accept()).await {
-            Some(Ok((stream, _))) => opened(stream),
+            Some(Ok((stream, _))) => {
+                opened(stream);
+                // Hundreds may come at once: the others have their turn in between.
+                future::yield_now().await;
+            }
             Some(Err(error)) => {
                 // Out of descriptors, or a connection that broke while it waited: the listener lives on.
                 tracing::debug!(%error, "accept failed");
@@ -54,12 +60,14 @@
     let mut collector = Collector::new(Side::Request);
     let mut unanswered = false;
     let mut retired = false;
+    // A part of the next request was told.
+    let mut begun = false;
     loop {
         if !unanswered {
             let at = inputs.clock.now();
             match collector.next(&mut input) {
                 Ok(Some(Taken::Whole(message))) => {
-                    unanswered = true;
+                    (unanswered, begun) = (true, false);
                     inputs.send(Input::ClientRequest { conn, at, message });
                 }
                 // Only responses are streamed.
@@ -71,6 +79,10 @@
                     {
                         return;
                     }
+                    if !begun && collector.within(&input) {
+                        begun = true;
+                        inputs.send(Input::ClientBegan { conn });
+                    }
                 }
                 Err(bad) => {
                     unanswered = true;
@@ -147,9 +159,16 @@
     }
     let mut scrap = Ring::new(http::READ_RING);
     let ended = async {
-        while read_into(stream, &mut scrap).await.is_ok_and(|count| count > 0) {
+        let mut read = 0;
+        while read < LINGER_MOST {
+            match read_into(stream, &mut scrap).await {
+                Ok(count) if count > 0 => read += count,
+                _ => return,
+            }
             scrap.consume(usize::MAX);
+            future::yield_now().await;
         }
+        future::pending().await
     };
     let enough = async {
         Timer::after(LINGER).await;
--- a/crates/sandtrack-sidecar/src/http.rs
+++ b/crates/sandtrack-sidecar/src/http.rs
@@ -2,6 +2,7 @@
 //! They own the rules of framing, and must never read or write a socket, panic on any input, or take a message
 //! whose framing can be read in two ways.
 use crate::ring::Ring;
+use std::borrow::Cow;
 
 /// A message's head may be this long ...
 pub const HEAD_MAX: usize = 8 * 1024;
@@ -13,6 +14,8 @@
 pub const WRITE_RING: usize = BODY_MAX + 2 * HEAD_MAX;
 /// A chunk's size line may be this long, and so may a trailer.
 const LINE_MAX: usize = 1024;
+/// So many interim responses may come ahead of one that is final: they must not go on for ever.
+const INTERIM_MAX: u32 = 16;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Side {
@@ -47,7 +50,7 @@
         self.0.iter().find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
     }
 
-    fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
         let same = move |entry: &&(String, String)| entry.0.eq_ignore_ascii_case(name);
         self.0.iter().filter(same).map(|(_, value)| value.as_str())
     }
@@ -116,7 +119,6 @@
     /// The line end that closes a chunk's data.
     ChunkEnd,
     Trailer,
-    UntilClose,
     /// The body is over, and `End` is still to be told.
     Over,
 }
@@ -126,11 +128,12 @@
     side: Side,
     state: State,
     trailer: usize,
+    interim: u32,
 }
 
 impl Parser {
     pub fn new(side: Side) -> Self {
-        Parser { side, state: State::Head { searched: 0 }, trailer: 0 }
+        Parser { side, state: State::Head { searched: 0 }, trailer: 0, interim: 0 }
     }
 
     /// Whether a message has begun that is not over.
@@ -165,14 +168,19 @@
                         return Err(Bad::HeadTooLong);
                     }
                     let head = parse_head(self.side, &bytes[..end])?;
-                    let state = framing(self.side, &head)?;
-                    ring.consume(end + 4);
                     if self.side == Side::Response && head.status < 200 {
-                        // An interim response: the real one follows.
+                        // An interim response: the real one follows. Nothing else was asked for (101).
+                        self.interim += 1;
+                        if head.status == 101 || self.interim > INTERIM_MAX {
+                            return Err(Bad::Malformed);
+                        }
+                        ring.consume(end + 4);
                         self.state = State::Head { searched: 0 };
                         continue;
                     }
-                    self.state = state;
+                    self.state = framing(self.side, &head)?;
+                    self.interim = 0;
+                    ring.consume(end + 4);
                     return Ok(Some(Part::Head(head)));
                 }
                 State::Length(0) | State::Over => {
@@ -217,15 +225,9 @@
                         }
                     }
                 },
-                State::UntilClose => return Ok(take(ring, usize::MAX).map(Part::Data)),
             }
         }
     }
-
-    /// The connection has ended and all that was read is parsed: whether that ends a message whole.
-    pub fn ended(&mut self) -> bool {
-        std::mem::replace(&mut self.state, State::Head { searched: 0 }) == State::UntilClose
-    }
 }
 
 /// What a collector has: a message whole, or a streamed one as it comes.
@@ -281,11 +283,6 @@
         Ok(None)
     }
 
-    /// The connection has ended: the end of a message that this completes, if there is one.
-    pub fn ended(&mut self) -> Option<Taken> {
-        self.parser.ended().then(|| self.whole())
-    }
-
     pub fn within(&self, ring: &Ring) -> bool {
         self.parser.within(ring)
     }
@@ -346,16 +343,28 @@
 }
 
 fn parse_head(side: Side, bytes: &[u8]) -> Result<Head, Bad> {
-    let text = std::str::from_utf8(bytes).map_err(|_| Bad::Malformed)?;
+    // A value that can't be read must not spoil a good response: what is odd of it is skipped below.
+    let text = match side {
+        Side::Request => Cow::Borrowed(std::str::from_utf8(bytes).map_err(|_| Bad::Malformed)?),
+        Side::Response => String::from_utf8_lossy(bytes),
+    };
     let mut lines = text.split("\r\n");
     let start = lines.next().unwrap_or_default();
     let mut headers = Headers::default();
     for line in lines {
         let (name, value) = line.split_once(':').ok_or(Bad::Malformed)?;
         let value = value.trim_matches([' ', '\t']);
-        if !is_token(name) || value.chars().any(|c| c.is_control() && c != '\t') {
+        if !is_token(name) {
             return Err(Bad::Malformed);
         }
+        if value.chars().any(|c| c.is_control() && c != '\t' || c == char::REPLACEMENT_CHARACTER) {
+            // What frames the message must be read, on either side.
+            let frames = ["content-length", "transfer-encoding", "connection"];
+            if side == Side::Request || frames.iter().any(|frame| name.eq_ignore_ascii_case(frame)) {
+                return Err(Bad::Malformed);
+            }
+            continue;
+        }
         headers.0.push((name.to_owned(), value.to_owned()));
     }
     let mut words = start.splitn(3, ' ');
@@ -395,13 +404,14 @@
     Ok(head)
 }
 
-/// How the body is framed; a head that says it in two ways is malformed.
+/// How the body is framed; a head that says it in two ways is malformed, and so is a request that says it twice. A
+/// response that ends with its connection can't be told from one that was cut short, and is none.
 fn framing(side: Side, head: &Head) -> Result<State, Bad> {
     let mut length = None;
     for value in head.headers.all("content-length") {
         let digits = !value.is_empty() && value.bytes().all(|byte| byte.is_ascii_digit());
         let value: usize = value.parse().ok().filter(|_| digits).ok_or(Bad::Malformed)?;
-        if length.is_some_and(|earlier| earlier != value) {
+        if length.is_some_and(|earlier| earlier != value || side == Side::Request) {
             return Err(Bad::Malformed);
         }
         length = Some(value);
@@ -413,7 +423,7 @@
         (None, _, _) if head.status == 204 || head.status == 304 => Ok(State::Length(0)),
         (None, _, Some(length)) => Ok(State::Length(length)),
         (None, _, None) if side == Side::Request => Ok(State::Length(0)),
-        (None, _, None) => Ok(State::UntilClose),
+        (None, _, None) => Err(Bad::Malformed),
     }
 }
 
@@ -445,6 +455,8 @@
         200 => "OK",
         400 => "Bad Request",
         405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
         502 => "Bad Gateway",
--- a/crates/sandtrack-sidecar/src/reducer.rs
+++ b/crates/sandtrack-sidecar/src/reducer.rs
@@ -8,7 +8,7 @@
 use sandtrack::interface::*;
 use sandtrack::Balancer;
 use sandtrack_settings::{Checked, Names};
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 
 pub type ConnId = u64;
@@ -25,9 +25,18 @@
 const DOUBTFUL: f64 = 0.25;
 /// ... and where that time is not told it is taken for this.
 const IDLE_UNTOLD: Millis = 20_000.0;
-/// Where descriptors are scarce a connection is closed that has stood this long without a whole request.
-const REQUEST_PATIENCE: Millis = 10_000.0;
-const SWEEP_EVERY: Millis = 1000.0;
+/// A whole request is due this long after its connection was opened, or after its first byte on one that has been
+/// served. A client that sends none is owed an end of it within 3 s, sweep included.
+const REQUEST_PATIENCE: Millis = 2200.0;
+/// A client's connection may stand idle this long; it may be closed after 2 s ...
+const REST_PATIENCE: Millis = 6000.0;
+/// ... and is, before others are, where descriptors are scarce.
+const REST_LEAST: Millis = 2000.0;
+/// Where they are, a connection makes room on which nothing has come for this long: clients connect to ask at once.
+const SILENCE: Millis = 50.0;
+const SWEEP_EVERY: Millis = 250.0;
+/// Lines on what is scarce are this far apart at least.
+const SCARCE_EVERY: Millis = 1000.0;
 /// The answer is due this much before the client stops waiting: it has to travel, and the client's time began
 /// before its request was read.
 const MARGIN: Millis = 3.0;
@@ -38,6 +47,8 @@
 const WATCH_FIRST: Millis = 4500.0;
 /// After a reload it is asked for again sooner: what the new address has to tell counts as told after 4 s.
 const WATCH_RELOADED: Millis = 2000.0;
+/// A figure of a load report over this is none.
+const REPORT_MOST: f64 = 1e9;
 /// Where the settings tell no connect time-out.
 const CONNECT_UNTOLD: Millis = 1000.0;
 /// After SIGTERM new connections are awaited for this long, and until none came for `QUIET` ...
@@ -57,6 +68,10 @@
         at: Millis,
         message: Message,
     },
+    /// A part of a request has come.
+    ClientBegan {
+        conn: ConnId,
+    },
     ClientBad {
         conn: ConnId,
         status: u16,
@@ -90,6 +105,14 @@
         at: Millis,
         keep_alive: bool,
     },
+    /// The first part of an answer has come that is not whole yet.
+    UpstreamPartly {
+        conn: ConnId,
+    },
+    /// What came for an answer can't be read.
+    UpstreamSpoilt {
+        conn: ConnId,
+    },
     UpstreamClosed {
         conn: ConnId,
         written: Written,
@@ -167,7 +190,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 enum Timer {
     Connect(ConnId),
-    Probe(ConnId),
+    /// A probe's answer is due, or the rest of any answer that has begun to come.
+    Answer(ConnId),
     Deadline(RequestId),
     Wake,
     WatchSilent,
@@ -190,6 +214,13 @@
         self.set.insert(timer, at);
     }
 
+    /// Sets it, unless it is due earlier already.
+    fn bring_forward(&mut self, timer: Timer, at: Millis) {
+        if self.set.get(&timer).is_none_or(|set| *set as f64 > at * 1000.0) {
+            self.set(timer, at);
+        }
+    }
+
     fn clear(&mut self, timer: Timer) {
         if let Some(at) = self.set.remove(&timer) {
             self.order.remove(&(at, timer));
@@ -219,6 +250,8 @@
     retired: bool,
     /// It has had an answer.
     served: bool,
+    /// A part of its next request has come.
+    begun: bool,
     since: Millis,
     /// Taken beyond the budget: refused, so that it gets an answer all the same.
     surplus: bool,
@@ -229,12 +262,55 @@
         self.request = None;
         self.closing = close;
         self.served = true;
+        self.begun = false;
         self.since = now;
     }
 
     fn between(&self) -> bool {
         self.request.is_none() && !self.closing
     }
+
+    fn wait(&self) -> Option<Wait> {
+        match (self.between(), self.begun) {
+            (true, true) => Some(Wait::Rest),
+            (true, false) if !self.retired => Some(if self.served { Wait::Idle } else { Wait::First }),
+            _ => None,
+        }
+    }
+}
+
+/// What is awaited of a client that has no request open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Wait {
+    /// Its first byte.
+    First,
+    /// The rest of a request.
+    Rest,
+    /// Nothing: it has been served.
+    Idle,
+}
+
+/// Connections by what they wait for and since when: the eldest is found without a look at the others.
+struct Ages<K>(BTreeSet<(K, i64, ConnId)>);
+
+impl<K: Copy + Ord> Ages<K> {
+    fn key(kind: K, since: Millis, conn: ConnId) -> (K, i64, ConnId) {
+        (kind, (since * 1000.0) as i64, conn)
+    }
+
+    fn insert(&mut self, kind: K, since: Millis, conn: ConnId) {
+        self.0.insert(Self::key(kind, since, conn));
+    }
+
+    fn remove(&mut self, kind: K, since: Millis, conn: ConnId) {
+        self.0.remove(&Self::key(kind, since, conn));
+    }
+
+    /// The one of the kind that has waited longest, if it has since that time or before.
+    fn eldest(&self, kind: K, since: Millis) -> Option<ConnId> {
+        let range = Self::key(kind, f64::NEG_INFINITY, 0)..=Self::key(kind, since, ConnId::MAX);
+        self.0.range(range).next().map(|(.., conn)| *conn)
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -290,6 +366,13 @@
     attempts: Vec<Attempt>,
 }
 
+impl Request {
+    /// The client's own id.
+    fn call(&self) -> &str {
+        self.message.head.headers.get("X-Call-Id").unwrap_or_default()
+    }
+}
+
 pub struct Reducer {
     balancer: Balancer,
     settings: Settings,
@@ -310,6 +393,11 @@
     clients: BTreeMap<ConnId, Client>,
     links: BTreeMap<ConnId, Link>,
     requests: BTreeMap<RequestId, Request>,
+    /// The clients' own ids of the requests that are open: no two may have one, or their answers could be mixed up.
+    ids: HashSet<String>,
+    /// Clients without an open request, and idle links.
+    waits: Ages<Wait>,
+    idle: Ages<()>,
     timers: Timers,
     /// What the module is still to be told, in order.
     events: VecDeque<Event>,
@@ -361,6 +449,9 @@
             clients: BTreeMap::new(),
             links: BTreeMap::new(),
             requests: BTreeMap::new(),
+            ids: HashSet::new(),
+            waits: Ages(BTreeSet::new()),
+            idle: Ages(BTreeSet::new()),
             timers: Timers::default(),
             events: VecDeque::new(),
             effects: Vec::new(),
@@ -409,6 +500,7 @@
             |timer: &Timer| !matches!(timer, Timer::Wake | Timer::WatchSilent | Timer::Sweep | Timer::Drain);
         let idle = self.servers.iter().all(|server| server.idle.is_empty());
         let timers = !self.timers.set.keys().any(kept);
+        let idle = idle && self.idle.0.is_empty() && self.waits.0.is_empty() && self.ids.is_empty();
         self.clients.is_empty() && self.links.is_empty() && self.requests.is_empty() && timers && idle
     }
 
@@ -456,6 +548,7 @@
         match input {
             Input::ClientOpened { conn } => self.client_opened(conn),
             Input::ClientRequest { conn, at, message } => self.client_request(conn, at, message),
+            Input::ClientBegan { conn } => self.client_began(conn),
             Input::ClientBad { conn, status } => {
                 tracing::debug!(conn, status, "bad request");
                 self.plain(conn, status, true);
@@ -467,6 +560,8 @@
             Input::UpstreamOver { conn, at, keep_alive } => self.over(conn, at, keep_alive),
             Input::UpstreamConnected { conn } => self.connected(conn),
             Input::UpstreamAnswered { conn, at, message } => self.answered(conn, at, message),
+            Input::UpstreamPartly { conn } => self.partly(conn),
+            Input::UpstreamSpoilt { conn } => self.spoilt(conn),
             Input::UpstreamClosed { conn, written } => self.upstream_closed(conn, written),
             Input::WatchLine { call, catalog } => self.watch_line(call, catalog),
             Input::WatchBeat { call } => {
@@ -488,9 +583,12 @@
 
     fn fire(&mut self, timer: Timer) {
         match timer {
-            Timer::Connect(conn) | Timer::Probe(conn) => {
+            Timer::Connect(conn) | Timer::Answer(conn) => {
                 let Some(link) = self.links.get(&conn) else { return };
-                if let Stage::Connecting(job) | Stage::Busy(job) = link.stage {
+                if matches!(link.stage, Stage::Busy(Job::Attempt(..))) {
+                    // It has begun to answer and does not go on.
+                    self.spoilt(conn);
+                } else if let Stage::Connecting(job) | Stage::Busy(job) = link.stage {
                     let server = link.server;
                     self.hang_up(conn);
                     // Silence: its machine may be cut off or gone, and what stands idle there be as dead. Used when
@@ -524,66 +622,94 @@
         if surplus {
             self.scarce("no descriptor left for a client: it will be refused");
         }
-        self.clients.insert(
-            conn,
-            Client { request: None, closing: false, retired: false, served: false, since: self.now, surplus },
-        );
+        let client = Client {
+            request: None,
+            closing: false,
+            retired: false,
+            served: false,
+            begun: false,
+            since: self.now,
+            surplus,
+        };
+        self.waits.insert(Wait::First, client.since, conn);
+        self.clients.insert(conn, client);
     }
 
-    /// Closes what has stood idle longest, upstream connections first; no when there is nothing idle.
-    fn make_room(&mut self) -> bool {
-        self.drop_eldest_link() || self.drop_eldest_client()
+    /// The one place where a client's entry changes, so that it is always found by its age.
+    fn client<T>(&mut self, conn: ConnId, change: impl FnOnce(&mut Client, Millis) -> T) -> Option<T> {
+        let client = self.clients.get_mut(&conn)?;
+        if let Some(wait) = client.wait() {
+            self.waits.remove(wait, client.since, conn);
+        }
+        let changed = change(client, self.now);
+        if let Some(wait) = client.wait() {
+            self.waits.insert(wait, client.since, conn);
+        }
+        Some(changed)
     }
 
-    fn drop_eldest_link(&mut self) -> bool {
-        let idle = self.links.iter().filter(|(_, link)| matches!(link.stage, Stage::Idle));
-        let eldest = idle.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(conn, _)| *conn);
-        eldest.into_iter().for_each(|conn| self.hang_up(conn));
-        eldest.is_some()
+    /// A connection's first request is due from its opening on, however its bytes come; a later one from its start.
+    fn client_began(&mut self, conn: ConnId) {
+        self.client(conn, |client, now| {
+            client.begun = true;
+            client.since = if client.served { now } else { client.since };
+        });
     }
 
-    /// One that has had no request yet has only just come: closed, it would come again at once. But those that
-    /// stay without a whole request, for whatever reason, must not keep the others out.
-    fn drop_eldest_client(&mut self) -> bool {
-        let eldest = |wanted: &dyn Fn(&Client) -> bool| {
-            let among = self.clients.iter().filter(|(_, client)| client.between() && wanted(client));
-            among.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(conn, _)| *conn)
-        };
-        if let Some(conn) = eldest(&|client| client.served && !client.retired) {
+    /// Closes what is least missed; no when there is nothing idle. Clients that say nothing, or that asked once and
+    /// stayed, must not keep the others out; an idle upstream connection costs less than one that a client uses.
+    fn make_room(&mut self) -> bool {
+        let silent = self.waits.eldest(Wait::First, self.now - SILENCE);
+        let resting = || self.waits.eldest(Wait::Idle, self.now - REST_LEAST);
+        if let Some(conn) = silent.or_else(resting) {
             self.retire_client(conn);
             return true;
         }
-        let stuck = eldest(&|client| self.now - client.since >= REQUEST_PATIENCE);
-        stuck.into_iter().for_each(|conn| self.close_client(conn));
-        stuck.is_some()
+        if self.drop_eldest_link() {
+            return true;
+        }
+        let idle = self.waits.eldest(Wait::Idle, self.now);
+        idle.into_iter().for_each(|conn| self.retire_client(conn));
+        idle.is_some()
+    }
+
+    fn drop_eldest_link(&mut self) -> bool {
+        let eldest = self.idle.eldest((), self.now);
+        eldest.into_iter().for_each(|conn| self.hang_up(conn));
+        eldest.is_some()
     }
 
     /// Closes it whatever has come of a request or gone of an answer.
     fn close_client(&mut self, conn: ConnId) {
-        if let Some(client) = self.clients.get_mut(&conn) {
-            client.answered(true, self.now);
+        if self.client(conn, |client, now| client.answered(true, now)).is_some() {
             self.effects.push(Effect::CloseClient { conn });
         }
     }
 
     /// Said once a second at most: what is scarce is asked for often.
     fn scarce(&mut self, what: &str) {
-        if self.now - self.scarce_said >= SWEEP_EVERY {
+        if self.now - self.scarce_said >= SCARCE_EVERY {
             self.scarce_said = self.now;
             tracing::warn!(clients = self.clients.len(), upstreams = self.links.len(), "{what}");
         }
     }
 
     fn retire_client(&mut self, conn: ConnId) {
-        if let Some(client) = self.clients.get_mut(&conn).filter(|client| client.between() && !client.retired)
-        {
-            client.retired = true;
+        let retired = self.client(conn, |client, _| {
+            let fit = client.between() && !client.retired;
+            client.retired |= fit;
+            fit
+        });
+        if retired == Some(true) {
             self.effects.push(Effect::RetireClient { conn });
         }
     }
 
     fn client_closed(&mut self, conn: ConnId) {
         let Some(client) = self.clients.remove(&conn) else { return };
+        if let Some(wait) = client.wait() {
+            self.waits.remove(wait, client.since, conn);
+        }
         if let Some(id) = client.request {
             let stream = self.requests.get_mut(&id).and_then(|request| {
                 request.client = None;
@@ -598,9 +724,9 @@
 
     /// An answer that no upstream or decision is behind.
     fn plain(&mut self, conn: ConnId, status: u16, close: bool) {
-        let Some(client) = self.clients.get_mut(&conn).filter(|client| !client.closing) else { return };
+        let Some(client) = self.clients.get(&conn).filter(|client| !client.closing) else { return };
         let close = close || self.draining.is_some() || client.surplus || client.retired;
-        client.answered(close, self.now);
+        self.client(conn, |client, now| client.answered(close, now));
         let bytes = http::response(status, std::iter::empty(), b"", close);
         self.effects.push(Effect::Answer { conn, bytes, close });
     }
@@ -634,8 +760,9 @@
                     not_after: arrival.not_after,
                     attempts: Vec::new(),
                 };
+                self.ids.insert(request.call().to_owned());
                 self.requests.insert(id, request);
-                self.clients.entry(conn).and_modify(|client| client.request = Some(id));
+                self.client(conn, |client, _| client.request = Some(id));
                 self.events.push_back(Event::Request(arrival));
                 if let Some(again) = self.unserving.take() {
                     // The request goes first: the connections are warm.
@@ -651,16 +778,32 @@
         &self, request: RequestId, at: Millis, message: &Message,
     ) -> Result<Arrival, (u16, &'static str)> {
         let head = &message.head;
-        if matches!(head.method.as_str(), "HEAD" | "CONNECT" | "TRACE") {
-            return Err((405, "method"));
-        }
         let get = |name: &str| head.headers.get(name);
-        get("X-Call-Id").filter(|id| !id.is_empty()).ok_or((400, "X-Call-Id"))?;
+        // Told twice, one reader might take the first and another the last.
+        for name in ["X-Call-Id", "X-Call-Class", "X-Caller", "X-Budget-Ms", "Idempotency-Key", "X-Again"] {
+            if head.headers.all(name).nth(1).is_some() {
+                return Err((400, "told twice"));
+            }
+        }
+        let call = get("X-Call-Id").filter(|id| !id.is_empty()).ok_or((400, "X-Call-Id"))?;
+        if self.ids.contains(call) {
+            return Err((409, "X-Call-Id"));
+        }
         let class = get("X-Call-Class").ok_or((400, "X-Call-Class"))?;
         let class = self.classes.iter().position(|name| name == class).ok_or((400, "X-Call-Class"))?;
         let settings = &self.settings.classes[class];
-        if matches!(settings.effect, Repeats::Keyed { .. }) && get("Idempotency-Key").is_none() {
-            return Err((400, "Idempotency-Key"));
+        // The method follows from the class, and upstreams turn away what contradicts itself.
+        let key = get("Idempotency-Key");
+        let (method, fits) = match settings.effect {
+            Repeats::Repeatable => ("GET", key.is_none() && message.body.is_empty()),
+            Repeats::Keyed { .. } => ("POST", key.is_some_and(|key| !key.is_empty())),
+            Repeats::Once => ("POST", key.is_none()),
+        };
+        if head.method != method {
+            return Err((405, "method"));
+        }
+        if !fits {
+            return Err((400, "Idempotency-Key or a body"));
         }
         let tenant = match get("X-Caller") {
             Some(name) if !self.tenants.is_empty() => {
@@ -671,8 +814,9 @@
         };
         let budget = match get("X-Budget-Ms") {
             Some(text) => {
-                let budget: f64 = text.parse().map_err(|_| (400, "X-Budget-Ms"))?;
-                Some(budget).filter(|b| b.is_finite() && *b >= 0.0).ok_or((400, "X-Budget-Ms"))?
+                let digits = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
+                let budget: u32 = text.parse().ok().filter(|_| digits).ok_or((400, "X-Budget-Ms"))?;
+                f64::from(budget)
             }
             None => settings.deadline,
         };
@@ -713,8 +857,7 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(conn) = request.client.take() else { return };
         let (bytes, close) = message(request);
-        if let Some(client) = self.clients.get_mut(&conn) {
-            client.answered(close, self.now);
+        if self.client(conn, |client, now| client.answered(close, now)).is_some() {
             self.effects.push(Effect::Answer { conn, bytes, close });
         }
         self.request_closed(id);
@@ -725,7 +868,9 @@
     fn request_closed(&mut self, id: RequestId) {
         let over = |request: &Request| request.client.is_none() && request.attempts.iter().all(|a| a.ended);
         if self.requests.get(&id).is_some_and(over) {
-            self.requests.remove(&id);
+            if let Some(request) = self.requests.remove(&id) {
+                self.ids.remove(request.call());
+            }
             self.timers.clear(Timer::Deadline(id));
         }
     }
@@ -779,6 +924,7 @@
         };
         if let Some(conn) = idle.filter(usable) {
             self.servers[server as usize].idle.pop();
+            self.no_longer_idle(conn);
             self.write(conn, job);
             return;
         }
@@ -836,7 +982,7 @@
         };
         let job = match job {
             Job::Probe { .. } => {
-                self.timers.set(Timer::Probe(conn), self.now + self.connect_timeout);
+                self.timers.set(Timer::Answer(conn), self.now + self.connect_timeout);
                 // Its time is its own: the time to connect is not the upstream's.
                 Job::Probe { sent: self.now }
             }
@@ -880,7 +1026,8 @@
         link.stage = Stage::Idle;
         link.since = self.now;
         server.idle.push(conn);
-        self.timers.clear(Timer::Probe(conn));
+        self.idle.insert((), self.now, conn);
+        self.timers.clear(Timer::Answer(conn));
         self.probe_waiting();
     }
 
@@ -897,17 +1044,24 @@
         if matches!(link.stage, Stage::Closing) {
             return;
         }
-        link.stage = Stage::Closing;
         let server = link.server;
+        self.no_longer_idle(conn);
+        self.links.entry(conn).and_modify(|link| link.stage = Stage::Closing);
         self.unhook(conn, server);
         self.effects.push(Effect::CloseUpstream { conn });
     }
 
+    fn no_longer_idle(&mut self, conn: ConnId) {
+        if let Some(link) = self.links.get(&conn).filter(|link| matches!(link.stage, Stage::Idle)) {
+            self.idle.remove((), link.since, conn);
+        }
+    }
+
     /// Gives back what refers to the connection: its timers and its place among the idle ones.
     fn unhook(&mut self, conn: ConnId, server: u32) {
         self.servers[server as usize].idle.retain(|idle| *idle != conn);
         self.timers.clear(Timer::Connect(conn));
-        self.timers.clear(Timer::Probe(conn));
+        self.timers.clear(Timer::Answer(conn));
     }
 
     fn cancel(&mut self, id: RequestId, n: u32) {
@@ -994,7 +1148,7 @@
     fn answered(&mut self, conn: ConnId, at: Millis, message: Message) {
         let Some((job, server)) = self.free(conn, message.head.keep_alive) else { return };
         let status = message.head.status;
-        let report = message.head.headers.get("X-Load-Report").map(report);
+        let report_told = message.head.headers.get("X-Load-Report").and_then(report);
         match job {
             Job::Probe { sent } => {
                 let used = self.links.get(&conn).map_or(0, |link| link.ordered);
@@ -1004,8 +1158,8 @@
                     used,
                     "probed"
                 );
-                let body = || std::str::from_utf8(&message.body).ok().map(report_of_body);
-                self.probe_ended(server, sent, at, status == 200, report.or_else(|| body().flatten()));
+                let body = || std::str::from_utf8(&message.body).ok().and_then(report);
+                self.probe_ended(server, sent, at, status == 200, report_told.or_else(body));
             }
             Job::Attempt(id, n) => {
                 let rejected = message.head.headers.get("X-Rejected") == Some("1");
@@ -1018,12 +1172,31 @@
                     // Answered first: the attempt's end then closes the request.
                     self.answer(id, 200, answer_headers(&message.head), &message.body);
                 }
-                self.attempt_ended(id, n, outcome, at, report);
+                self.attempt_ended(id, n, outcome, at, report_told);
             }
         }
     }
 
+    /// The rest of an answer that has begun to come is on its way: it takes no longer than a connection to come up.
+    fn partly(&mut self, conn: ConnId) {
+        if self.links.get(&conn).is_some_and(|link| matches!(link.stage, Stage::Busy(_))) {
+            self.timers.bring_forward(Timer::Answer(conn), self.now + self.connect_timeout);
+        }
+    }
+
+    /// Its answer can't be read or does not go on. The upstream lives, and the attempt may have run: an error, which
+    /// any upstream may answer now and then, and no break that would count towards its death.
+    fn spoilt(&mut self, conn: ConnId) {
+        let Some(link) = self.links.get(&conn) else { return };
+        let (stage, server) = (link.stage, link.server);
+        self.hang_up(conn);
+        if let Stage::Busy(job) = stage {
+            self.job_failed(job, server, Outcome::Error);
+        }
+    }
+
     fn upstream_closed(&mut self, conn: ConnId, written: Written) {
+        self.no_longer_idle(conn);
         let Some(link) = self.links.remove(&conn) else { return };
         let server = link.server;
         self.unhook(conn, server);
@@ -1084,13 +1257,20 @@
         }
     }
 
-    /// Retires idle connections well before their upstreams may close them.
+    /// Ends what has waited long enough. It retires idle connections well before their upstreams may close them.
     fn sweep(&mut self) {
-        let old = |link: &Link| {
-            matches!(link.stage, Stage::Idle) && self.now - link.since >= self.conn_idle * RETIRE
-        };
-        let old: Vec<ConnId> = self.links.iter().filter(|(_, l)| old(l)).map(|(conn, _)| *conn).collect();
-        old.into_iter().for_each(|conn| self.hang_up(conn));
+        while let Some(conn) = self.idle.eldest((), self.now - self.conn_idle * RETIRE) {
+            self.hang_up(conn);
+        }
+        // The clients' turn: silence is closed, half a request is answered, and what idles is given back.
+        for (wait, patience) in [(Wait::First, REQUEST_PATIENCE), (Wait::Idle, REST_PATIENCE)] {
+            while let Some(conn) = self.waits.eldest(wait, self.now - patience) {
+                self.retire_client(conn);
+            }
+        }
+        while let Some(conn) = self.waits.eldest(Wait::Rest, self.now - REQUEST_PATIENCE) {
+            self.plain(conn, 408, true);
+        }
     }
 
     // Discovery.
@@ -1260,23 +1440,20 @@
     http::request(&head.method, &head.target, headers, &request.message.body)
 }
 
-/// A load report, `name=value,name=value`; names not known are skipped.
-fn report(text: &str) -> Report {
+/// A load report, `name=value,name=value`; names not known are skipped. One of which a part can't be read is none:
+/// what else it says is not to be trusted.
+fn report(text: &str) -> Option<Report> {
     let mut report = Report::default();
     for pair in text.split(',') {
-        let Some((name, value)) = pair.trim().split_once('=') else { continue };
-        let value: Option<f64> = value.trim().parse().ok().filter(|value: &f64| value.is_finite());
+        let (name, value) = pair.trim().split_once('=')?;
+        let value = value.trim().parse().ok().filter(|value: &f64| (0.0..=REPORT_MOST).contains(value))?;
         match name.trim() {
-            "inflight" | "active" => report.active = value,
-            "queue" | "waiting" => report.waiting = value,
-            "util" | "cpu" => report.cpu = value,
-            "latency_ms" | "avg_ms" => report.service = value,
+            "inflight" | "active" => report.active = Some(value),
+            "queue" | "waiting" => report.waiting = Some(value),
+            "util" | "cpu" => report.cpu = Some(value),
+            "latency_ms" | "avg_ms" => report.service = Some(value),
             _ => {}
         }
     }
-    report
-}
-
-fn report_of_body(text: &str) -> Option<Report> {
-    Some(text).filter(|text| text.contains('=')).map(report)
+    Some(report)
 }
--- a/crates/sandtrack-sidecar/src/upstream.rs
+++ b/crates/sandtrack-sidecar/src/upstream.rs
@@ -36,6 +36,8 @@
     let mut output = Ring::new(http::WRITE_RING);
     let mut collector = Collector::new(Side::Response);
     let mut awaiting = false;
+    // A part of the answer has come, and the rest is due.
+    let mut begun = false;
     // A piece of a streamed answer was told, and the next is not wanted yet.
     let mut paused = false;
     loop {
@@ -59,7 +61,7 @@
                     return;
                 }
                 written.whole += 1;
-                awaiting = true;
+                (awaiting, begun) = (true, false);
                 collector.streamed = streamed;
                 continue;
             }
@@ -73,12 +75,21 @@
             Next::Read(count) => Some(count),
         };
         let at = inputs.clock.now();
-        // What ends with the connection is whole when that ends.
-        let taken = if count == Some(0) { Ok(collector.ended()) } else { collector.next(&mut input) };
-        match taken {
-            Ok(None) if awaiting && count != Some(0) => {}
-            Ok(Some(taken)) if awaiting => {
-                let open = count != Some(0) && collector.keep_alive() && !collector.within(&input);
+        if count == Some(0) || !awaiting {
+            // The end, or nothing that was asked for: it would be read as the answer to what is asked next.
+            return;
+        }
+        match collector.next(&mut input) {
+            // An interim response is no part of the answer: that may still take its time.
+            Ok(None) => {
+                if !begun && !collector.streamed && collector.within(&input) {
+                    begun = true;
+                    inputs.send(Input::UpstreamPartly { conn });
+                }
+            }
+            Ok(Some(taken)) => {
+                // What came behind the answer belongs to nothing: the connection is of no further use.
+                let open = collector.keep_alive() && !collector.within(&input);
                 match taken {
                     Taken::Begun(head) => {
                         paused = true;
@@ -101,8 +112,12 @@
                 }
                 awaiting = false;
             }
-            // The end, not HTTP, too long, or nothing that was asked for.
-            _ => return,
+            // Not HTTP, or too long: the upstream is there, and what was asked may have run.
+            Err(bad) => {
+                tracing::debug!(conn, ?bad, "answer spoilt");
+                inputs.send(Input::UpstreamSpoilt { conn });
+                return;
+            }
         }
     }
 }
