Gone upstreams are forgotten, by the module and the sidecar, once nothing refers to them

Checked by reading and by test: servers, names (sidecar) and upstreams, places (module) grew with each upstream ever listed; one listed first as DELETED was even looked at for good. Tests of 3000 replaced upstreams, of what a former one still owes, and of the sidecar's tables; each seen to fail without its part.

--- a/crates/sandtrack-sidecar/src/reducer.rs
+++ b/crates/sandtrack-sidecar/src/reducer.rs
@@ -403,7 +403,9 @@
     tenants: Vec<String>,
     zones: Names,
     kinds: Names,
-    names: Names,
+    /// The number of each upstream that is listed, or gone and still referred to. A number is never used again.
+    numbers: HashMap<String, u32>,
+    next_server: u32,
     conn_idle: Millis,
     connect_timeout: Millis,
     /// Sockets that clients and upstreams may hold together, and upstreams alone.
@@ -412,7 +414,7 @@
     /// Wall time (Unix, ms) at the clock's zero.
     epoch: Millis,
     now: Millis,
-    servers: Vec<Server>,
+    servers: BTreeMap<u32, Server>,
     clients: BTreeMap<ConnId, Client>,
     links: BTreeMap<ConnId, Link>,
     requests: BTreeMap<RequestId, Request>,
@@ -462,12 +464,13 @@
             tenants: checked.tenants,
             zones: checked.zones,
             kinds: Names::default(),
-            names: Names::default(),
+            numbers: HashMap::new(),
+            next_server: 0,
             sockets,
             links_most: ((sockets as f64 * LINKS_PART) as usize).max(1),
             epoch,
             now,
-            servers: Vec::new(),
+            servers: BTreeMap::new(),
             clients: BTreeMap::new(),
             links: BTreeMap::new(),
             requests: BTreeMap::new(),
@@ -516,11 +519,16 @@
         self.timers.next()
     }
 
+    /// How many upstreams it remembers, and what for each: numbers, entries.
+    pub fn remembered(&self) -> [usize; 2] {
+        [self.numbers.len(), self.servers.len()]
+    }
+
     /// Whether nothing is held: no connection, request or timer of theirs.
     pub fn is_empty(&self) -> bool {
         let kept =
             |timer: &Timer| !matches!(timer, Timer::Wake | Timer::WatchSilent | Timer::Sweep | Timer::Drain);
-        let idle = self.servers.iter().all(|server| server.idle.is_empty());
+        let idle = self.servers.values().all(|server| server.idle.is_empty());
         let timers = !self.timers.set.keys().any(kept);
         let idle = idle && self.idle.0.is_empty() && self.waits.0.is_empty();
         self.clients.is_empty() && self.links.is_empty() && self.requests.is_empty() && timers && idle
@@ -615,7 +623,7 @@
                     self.hang_up(conn);
                     // Silence: its machine may be cut off or gone, and what stands idle there be as dead. Used when
                     // the machine is back, it would be reset with a request on it that may have run.
-                    self.drop_idle(server as usize);
+                    self.drop_idle(server);
                     self.job_failed(job, server, Outcome::ConnectFailed);
                 }
             }
@@ -938,18 +946,21 @@
 
     /// Puts the job on an idle connection that is not older than `fresh`, or on a new one.
     fn dispatch(&mut self, job: Job, server: u32, fresh: Option<Millis>) {
-        let idle = self.servers[server as usize].idle.last().copied();
+        let Some(known) = self.servers.get_mut(&server) else {
+            return self.job_failed(job, server, Outcome::ConnectFailed);
+        };
         let usable = |conn: &ConnId| {
             let since = self.links.get(conn).map_or(f64::NEG_INFINITY, |link| link.since);
             fresh.is_some_and(|fresh| self.now - since < fresh)
         };
-        if let Some(conn) = idle.filter(usable) {
-            self.servers[server as usize].idle.pop();
+        if let Some(conn) = known.idle.last().copied().filter(usable) {
+            known.idle.pop();
             self.no_longer_idle(conn);
             self.write(conn, job);
             return;
         }
-        let Some(address) = self.servers[server as usize].address else {
+        let (address, since) = (known.address, known.since);
+        let Some(address) = address else {
             return self.job_failed(job, server, Outcome::ConnectFailed);
         };
         let room = if self.links.len() >= self.links_most {
@@ -966,7 +977,7 @@
             return self.scarce("no descriptor left for an upstream");
         }
         let conn = self.accepted();
-        let process = (address, self.servers[server as usize].since);
+        let process = (address, since);
         let stage = Stage::Connecting(job);
         self.links.insert(conn, Link { server, process, stage, ordered: 0, since: self.now });
         self.assign(job, Some(conn));
@@ -997,8 +1008,7 @@
                 None => return,
             },
             Job::Probe { .. } => {
-                let server = &self.servers[link.server as usize];
-                let host = server.address.map(|address| address.to_string()).unwrap_or_default();
+                let host = link.process.0.to_string();
                 let target = if self.settings.feedback == Feedback::Off { "/ping" } else { "/_load" };
                 http::request("GET", target, [("Host", host.as_str())].into_iter(), b"")
             }
@@ -1036,13 +1046,13 @@
         let Job::Attempt(id, n) = job else { return true };
         let open = self.requests.get(&id).filter(|request| request.client.is_some());
         let out = open.and_then(|request| request.attempts.get(n as usize)).is_some_and(|a| !a.ended);
-        out && self.servers[server as usize].standing == Standing::Ready
+        out && self.servers.get(&server).is_some_and(|server| server.standing == Standing::Ready)
     }
 
     /// It stands idle, or is closed when its upstream wants nothing new or is not what it leads to any more.
     fn rest(&mut self, conn: ConnId) {
         let Some(link) = self.links.get_mut(&conn) else { return };
-        let server = &mut self.servers[link.server as usize];
+        let Some(server) = self.servers.get_mut(&link.server) else { return self.hang_up(conn) };
         let same = server.address == Some(link.process.0) && server.since == link.process.1;
         if server.standing != Standing::Ready || !same {
             return self.hang_up(conn);
@@ -1083,7 +1093,9 @@
 
     /// Gives back what refers to the connection: its timers and its place among the idle ones.
     fn unhook(&mut self, conn: ConnId, server: u32) {
-        self.servers[server as usize].idle.retain(|idle| *idle != conn);
+        if let Some(server) = self.servers.get_mut(&server) {
+            server.idle.retain(|idle| *idle != conn);
+        }
         self.timers.clear(Timer::Connect(conn));
         self.timers.clear(Timer::Answer(conn));
     }
@@ -1177,7 +1189,7 @@
             Job::Probe { sent } => {
                 let used = self.links.get(&conn).map_or(0, |link| link.ordered);
                 tracing::debug!(
-                    upstream = self.servers[server as usize].name,
+                    upstream = self.servers.get(&server).map(|server| &server.name),
                     elapsed = at - sent,
                     used,
                     "probed"
@@ -1285,8 +1297,26 @@
         }
     }
 
+    /// Upstreams are replaced all day long: one that is gone is forgotten when no connection, probe or attempt refers
+    /// to it any more. Listed again, it is another, of which nothing is known.
+    fn forget_gone(&mut self) {
+        let held: HashSet<u32> = self.links.values().map(|link| link.server).collect();
+        let waits = |number: &u32| {
+            let unserving = self.unserving.iter().flatten();
+            held.contains(number) || self.waiting.iter().chain(unserving).any(|server| server == number)
+        };
+        let gone = self.servers.iter().filter(|(number, s)| s.standing == Standing::Gone && !waits(number));
+        let gone: Vec<u32> = gone.map(|(number, _)| *number).collect();
+        for server in gone.iter().filter_map(|number| self.servers.remove(number)) {
+            self.numbers.remove(&server.name);
+        }
+    }
+
     /// Ends what has waited long enough. It retires idle connections well before their upstreams may close them.
     fn sweep(&mut self) {
+        if self.servers.values().any(|server| server.standing == Standing::Gone) {
+            self.forget_gone();
+        }
         while let Some(conn) = self.idle.eldest((), self.now - self.conn_idle * RETIRE) {
             self.hang_up(conn);
         }
@@ -1349,27 +1379,26 @@
     }
 
     fn list(&mut self, kind: ListKind, instances: Vec<Instance>) {
-        let mut before: Vec<bool> = vec![false; self.servers.len()];
+        let mut before = Vec::new();
         if kind != ListKind::Patch {
-            for (server, was) in self.servers.iter_mut().zip(&mut before) {
-                *was = server.standing != Standing::Gone;
-                server.standing = Standing::Gone;
+            for (number, server) in &mut self.servers {
+                if std::mem::replace(&mut server.standing, Standing::Gone) != Standing::Gone {
+                    before.push(*number);
+                }
             }
         }
         let entries = instances.into_iter().map(|instance| self.entry(instance)).collect();
-        for place in 0..self.servers.len() {
-            let left = before.get(place) == Some(&true) && self.servers[place].standing == Standing::Gone;
-            if left {
-                tracing::info!(upstream = self.servers[place].name, "left the list");
-                self.drop_idle(place);
+        for number in before {
+            let left = self.servers.get(&number).filter(|server| server.standing == Standing::Gone);
+            if let Some(server) = left {
+                tracing::info!(upstream = server.name, "left the list");
+                self.drop_idle(number);
             }
         }
         self.events.push_back(Event::List { kind, entries });
     }
 
     fn entry(&mut self, instance: Instance) -> Entry {
-        let number = self.names.intern(&instance.instance_id);
-        let place = number as usize;
         let address: Option<SocketAddr> = instance.host_port.parse().ok();
         let standing = match instance.lifecycle {
             Lifecycle::Serving => Standing::Ready,
@@ -1379,11 +1408,13 @@
         // Wall time is mapped to the clock by its zero alone, so that one start always gives one figure.
         let started = instance.started_at_ms;
         let since = Some(started - self.epoch).filter(|_| started.is_finite() && started != 0.0);
-        if place == self.servers.len() {
-            let name = instance.instance_id.clone();
-            self.servers.push(Server { name, address, standing, since, idle: Vec::new() });
-        }
-        let server = &mut self.servers[place];
+        let name = instance.instance_id;
+        let number = *self.numbers.entry(name.clone()).or_insert_with(|| {
+            self.next_server += 1;
+            self.next_server - 1
+        });
+        let new = || Server { name, address, standing, since, idle: Vec::new() };
+        let server = self.servers.entry(number).or_insert_with(new);
         let address = address.or(server.address);
         // Connections to a former address or process, or to one that takes nothing more, are of no use.
         let useless = server.address != address || server.since != since || standing != Standing::Ready;
@@ -1392,7 +1423,7 @@
         }
         (server.address, server.since, server.standing) = (address, since, standing);
         if useless {
-            self.drop_idle(place);
+            self.drop_idle(number);
         }
         Entry {
             upstream: UpstreamId(number),
@@ -1405,9 +1436,9 @@
         }
     }
 
-    fn drop_idle(&mut self, place: usize) {
-        let idle = std::mem::take(&mut self.servers[place].idle);
-        idle.into_iter().for_each(|conn| self.hang_up(conn));
+    fn drop_idle(&mut self, server: u32) {
+        let Some(server) = self.servers.get_mut(&server) else { return };
+        std::mem::take(&mut server.idle).into_iter().for_each(|conn| self.hang_up(conn));
     }
 
     // The end.
--- a/crates/sandtrack-sidecar/tests/reducer.rs
+++ b/crates/sandtrack-sidecar/tests/reducer.rs
@@ -1169,6 +1169,31 @@
     assert!(world.links.values().all(|link| link.closing || link.address != address(1)));
 }
 
+/// Tables grew with each upstream ever listed, each with its name; and a number used again would be two upstreams.
+#[test]
+fn after_a_long_day_of_replaced_upstreams_the_tables_are_as_at_first() {
+    let (mut world, conn) = World::warm();
+    for number in 4..600 {
+        world.told(number, "SERVING", 0.0);
+        world.told(number - 4, "DELETED", 0.0);
+        let (id, link) = world.sent(conn, "read", 400);
+        world.serve(link, 200, false, false);
+        assert_eq!(world.calls[&id].answers, [200]);
+        world.pass(300.0);
+        world.calm();
+    }
+    let [numbers, servers] = world.reducer.remembered();
+    assert!(numbers == servers && servers <= 6, "{numbers} {servers}");
+    // One that comes back under its old id is another: nothing is known of it, and it is served from.
+    world.told(3, "SERVING", 0.0);
+    for number in 596..600 {
+        world.told(number, "DRAINING", 0.0);
+    }
+    let (_, link) = world.sent(conn, "read", 400);
+    assert_eq!(world.links[&link].address, address(3));
+    world.end();
+}
+
 /// One that was in use when its upstream moved stood idle afterwards, and carried the next request to the old place.
 #[test]
 fn a_connection_in_use_to_a_former_address_is_closed_once_it_is_answered() {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use std::cmp::Reverse;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 /// Weight of a new probe time in the average: the design's start value, about three probes of memory.
 const PROBE_WEIGHT: f64 = 0.3;
@@ -253,6 +253,11 @@
         }
     }
 
+    /// How many upstreams it has a place for.
+    pub fn remembered(&self) -> usize {
+        self.upstreams.len().max(self.places.len())
+    }
+
     /// A factor of 1 to 1 + JITTER.
     fn scatter(&mut self) -> f64 {
         1.0 + JITTER * self.rng.gen::<f64>()
@@ -268,15 +273,15 @@
         if kind != ListKind::Stale {
             self.ask_gap = 0.0;
         }
+        let mut vacant = self.forget_gone();
         if kind != ListKind::Patch {
             self.upstreams.iter_mut().for_each(|u| u.listed = false);
         }
         for entry in entries {
             let Some(&place) = self.places.get(&entry.upstream) else {
-                let place = self.upstreams.len();
+                let (place, rank) = (vacant.pop().unwrap_or(self.upstreams.len()), self.rng.gen());
                 self.places.insert(entry.upstream, place);
-                let rank = self.rng.gen();
-                self.upstreams.push(Upstream::new(entry, rank, now));
+                put(&mut self.upstreams, place, Upstream::new(entry, rank, now));
                 continue;
             };
             let upstream = &mut self.upstreams[place];
@@ -291,6 +296,16 @@
         self.choose_part(now);
     }
 
+    /// Upstreams are replaced all day long: one that has left is forgotten once no timer, probe or request
+    /// refers to its place, and that is free for another.
+    fn forget_gone(&mut self) -> Vec<usize> {
+        let tried: HashSet<usize> = self.requests.values().flat_map(Request::places).collect();
+        let free = |place: &usize| self.upstreams[*place].is_over() && !tried.contains(place);
+        let vacant: Vec<usize> = (0..self.upstreams.len()).filter(free).collect();
+        self.places.retain(|_, place| !vacant.contains(place));
+        vacant
+    }
+
     /// Where there are more upstreams than the traffic pays probes for, a part drawn at random is used, and
     /// the whole design holds within it. Half of it is of the zones that the nearest tier is in, so that the
     /// tier is populated; what is unhealthy stays in and is made up for, so that a lost part hands over.
--- a/src/state.rs
+++ b/src/state.rs
@@ -68,8 +68,8 @@
 impl Upstream {
     pub fn new(entry: Entry, rank: u32, now: Millis) -> Self {
         Upstream {
+            listed: entry.standing != Standing::Gone,
             entry,
-            listed: true,
             rank,
             used: false,
             timed: false,
@@ -83,6 +83,19 @@
             learnt: Learnt::default(),
         }
     }
+
+    /// It has left, and nothing of it is out or due any more.
+    pub fn is_over(&self) -> bool {
+        !self.listed && !self.timed && self.probe_sent.is_none() && self.out.is_empty()
+    }
+}
+
+/// Puts it in its place: one that is free again, or the next.
+pub fn put(upstreams: &mut Vec<Upstream>, place: usize, upstream: Upstream) {
+    match upstreams.get_mut(place) {
+        Some(vacant) => *vacant = upstream,
+        None => upstreams.push(upstream),
+    }
 }
 
 impl Request {
@@ -90,6 +103,11 @@
         self.attempts.iter().filter(|a| a.outcome.is_none()).count()
     }
 
+    /// Places of the upstreams that it was sent to.
+    pub fn places(&self) -> impl Iterator<Item = usize> + '_ {
+        self.attempts.iter().map(|attempt| attempt.upstream)
+    }
+
     /// Attempts that ran, may have run or may yet run.
     pub fn may_have_run(&self) -> impl Iterator<Item = &Attempt> {
         self.attempts.iter().filter(|a| !a.outcome.is_some_and(Outcome::never_ran))
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -697,3 +697,46 @@
     front.now += 5001.0;
     assert!(front.spread(40).contains(&0));
 }
+
+fn listed(front: &mut Front, entries: Vec<Entry>) {
+    front.feed(Event::List { kind: ListKind::Patch, entries });
+}
+
+/// Each upstream ever listed kept its place: memory and every look at all of them grew all day long.
+#[test]
+fn a_long_day_of_replaced_upstreams_keeps_no_more_than_are_there() {
+    let mut front = Front::new(settings(Effect::Repeatable), 4);
+    for id in 4..3000 {
+        front.now += 200.0;
+        front.feed(Event::Wake);
+        front.spread(2);
+        let seen = std::mem::take(&mut front.seen);
+        probes(&seen).into_iter().for_each(|probe| drop(front.probe(probe, 1.0, true)));
+        listed(&mut front, vec![entry(id), Entry { standing: Standing::Gone, ..entry(id - 4) }]);
+        // One is heard of only when it has gone already.
+        listed(&mut front, vec![Entry { standing: Standing::Gone, ..entry(id + 100_000) }]);
+    }
+    assert!(front.balancer.remembered() < 50, "{}", front.balancer.remembered());
+    let sent = front.spread(100);
+    assert!(sent.iter().all(|id| (2996..3000).contains(id)), "{sent:?}");
+}
+
+/// The place of one that has left is another's only when nothing refers to it: the late end of an attempt would be
+/// laid to the new one, and the zone that rule 2 looks at would be its zone.
+#[test]
+fn what_a_former_upstream_still_owes_is_not_the_new_ones() {
+    let mut front = Front::new(settings(KEYED_ZONE), 1);
+    front.probe(0, 1.0, true);
+    let (request, actions) = front.request();
+    assert_eq!(sent_to(&actions), Some(0));
+    listed(&mut front, vec![Entry { standing: Standing::Gone, ..entry(0) }]);
+    // In another zone, where the key's earlier attempt is not known.
+    listed(&mut front, vec![entry(1)]);
+    listed(&mut front, vec![entry(2)]);
+    let actions = front.finish(request, 0, Outcome::Reset, 5.0);
+    assert_eq!(sent_to(&actions), None, "a repeat elsewhere could take effect twice");
+    assert_eq!(final_answers(&actions), 1);
+    // The new ones are as healthy as they came.
+    let sent = front.spread(40);
+    assert!(sent.contains(&1) && sent.contains(&2), "{sent:?}");
+}
