--- a/src/rules.rs
+++ b/src/rules.rs
@@ -29,8 +29,6 @@
 const PROBE_SPEND: f64 = 0.0015;
 /// The same for probes sent for one request, and the part of the time wanted that it may wait for them.
 const ASK_SPEND: f64 = 0.01;
-/// Where few balancers send, own attempts are most of the load: these and one a balancer are enough.
-const ASK_LEAST: f64 = 1.0;
 const ASK_WAIT: f64 = 0.02;
 /// Upstreams in use at least: enough for a random pick, for its tiers and for the loss of some ...
 const PART_LEAST: f64 = 4.0;
@@ -462,7 +460,8 @@
     /// Probes that may be sent for one request: none where they do not tell the load.
     fn asks(&self) -> f64 {
         let told = self.settings.feedback == Feedback::OnProbe && self.settings.limits.probes;
-        let enough = ASK_LEAST + f64::from(self.settings.siblings);
+        // Where few balancers send, own attempts are most of the load: one for each balancer is enough.
+        let enough = f64::from(self.settings.siblings);
         f64::from(u8::from(told)) * (ASK_SPEND / self.settings.penalties.probe.max(1e-9)).min(enough)
     }
 
