Kept client connections leave half of the clients' share of descriptors free

Ruled out by counts per second: the sidecar's own refusals (none, of module or front), bad requests (none), descriptors (340 of 384), the list. Seen: 47 to 130 requests a second come, each on a connection of its own, and the idle ones stand at 126 to 128, a third of 384: clients that open a new connection for each request and keep the old one may hold no more, and REST_PATIENCE kept each for 6 s. Now the eldest idle ones are closed while more than a sixth of the descriptors idle, and any after 3 s.

--- a/crates/sandtrack-sidecar/src/reducer.rs
+++ b/crates/sandtrack-sidecar/src/reducer.rs
@@ -29,8 +29,11 @@
 /// A whole request is due this long after its connection was opened, or after its first byte on one that has been
 /// served. A client that sends none is owed an end of it within 3 s, sweep included.
 const REQUEST_PATIENCE: Millis = 2200.0;
-/// A client's connection may stand idle this long.
-const REST_PATIENCE: Millis = 6000.0;
+/// A client's connection may stand idle this long ...
+const REST_PATIENCE: Millis = 3000.0;
+/// ... while those that do are no more than this part of the descriptors, half of what clients need at most: more of
+/// them would leave clients that ask on a new connection each time, and keep the old one, without any.
+const IDLE_PART: f64 = CLIENTS_PART / 2.0;
 /// Clients need this part of the descriptors at most for their requests: what idles beyond it makes room first.
 const CLIENTS_PART: f64 = 1.0 / 3.0;
 /// Room is made ahead of need where less than this part of the descriptors is free.
@@ -300,25 +303,40 @@
 }
 
 /// Connections by what they wait for and since when: the eldest is found without a look at the others.
-struct Ages<K>(BTreeSet<(K, i64, ConnId)>);
+struct Ages<K> {
+    order: BTreeSet<(K, i64, ConnId)>,
+    counts: BTreeMap<K, usize>,
+}
 
 impl<K: Copy + Ord> Ages<K> {
+    fn new() -> Self {
+        Ages { order: BTreeSet::new(), counts: BTreeMap::new() }
+    }
+
+    fn count(&self, kind: K) -> usize {
+        self.counts.get(&kind).copied().unwrap_or_default()
+    }
+
     fn key(kind: K, since: Millis, conn: ConnId) -> (K, i64, ConnId) {
         (kind, (since * 1000.0) as i64, conn)
     }
 
     fn insert(&mut self, kind: K, since: Millis, conn: ConnId) {
-        self.0.insert(Self::key(kind, since, conn));
+        if self.order.insert(Self::key(kind, since, conn)) {
+            *self.counts.entry(kind).or_default() += 1;
+        }
     }
 
     fn remove(&mut self, kind: K, since: Millis, conn: ConnId) {
-        self.0.remove(&Self::key(kind, since, conn));
+        if self.order.remove(&Self::key(kind, since, conn)) {
+            self.counts.entry(kind).and_modify(|count| *count -= 1);
+        }
     }
 
     /// The one of the kind that has waited longest, if it has since that time or before.
     fn eldest(&self, kind: K, since: Millis) -> Option<ConnId> {
         let range = Self::key(kind, f64::NEG_INFINITY, 0)..=Self::key(kind, since, ConnId::MAX);
-        self.0.range(range).next().map(|(.., conn)| *conn)
+        self.order.range(range).next().map(|(.., conn)| *conn)
     }
 }
 
@@ -479,8 +497,8 @@
             links: BTreeMap::new(),
             requests: BTreeMap::new(),
             ids: Ids::default(),
-            waits: Ages(BTreeSet::new()),
-            idle: Ages(BTreeSet::new()),
+            waits: Ages::new(),
+            idle: Ages::new(),
             timers: Timers::default(),
             events: VecDeque::new(),
             effects: Vec::new(),
@@ -534,7 +552,7 @@
             |timer: &Timer| !matches!(timer, Timer::Wake | Timer::WatchSilent | Timer::Sweep | Timer::Drain);
         let idle = self.servers.values().all(|server| server.idle.is_empty());
         let timers = !self.timers.set.keys().any(kept);
-        let idle = idle && self.idle.0.is_empty() && self.waits.0.is_empty();
+        let idle = idle && self.idle.order.is_empty() && self.waits.order.is_empty();
         self.clients.is_empty() && self.links.is_empty() && self.requests.is_empty() && timers && idle
     }
 
@@ -651,6 +669,7 @@
 
     fn client_opened(&mut self, conn: ConnId) {
         self.last_opened = self.now;
+        self.trim_idle();
         let free = self.sockets.saturating_sub(self.clients.len() + self.links.len());
         let scarce = free <= (self.sockets as f64 * SPARE_PART) as usize;
         let surplus = scarce && !self.make_room() && free == 0;
@@ -691,6 +710,15 @@
         });
     }
 
+    /// Connections that are kept and not used again must leave enough for those that are.
+    fn trim_idle(&mut self) {
+        let most = (self.sockets as f64 * IDLE_PART) as usize;
+        while self.waits.count(Wait::Idle) > most {
+            let Some(conn) = self.waits.eldest(Wait::Idle, self.now) else { return };
+            self.retire_client(conn);
+        }
+    }
+
     /// Closes what is least missed; no when there is nothing idle. Clients that say nothing, or that asked once and
     /// stayed, must not keep the others out; an idle upstream connection costs less than one that a client uses.
     fn make_room(&mut self) -> bool {
@@ -1327,6 +1355,7 @@
         while let Some(conn) = self.idle.eldest((), self.now - self.conn_idle * RETIRE) {
             self.hang_up(conn);
         }
+        self.trim_idle();
         // The clients' turn: silence is closed, half a request is answered, and what idles is given back.
         for (wait, patience) in [(Wait::First, REQUEST_PATIENCE), (Wait::Idle, REST_PATIENCE)] {
             while let Some(conn) = self.waits.eldest(wait, self.now - patience) {
