A spoilt answer frees its connection as any other does; one place unhooks a connection

Read again: spoilt() repeated free(conn, false), and each unhook stood beside no_longer_idle. Both now go through the one piece. Behaviour as it was; all tests unchanged and green.

--- a/crates/sandtrack-sidecar/src/reducer.rs
+++ b/crates/sandtrack-sidecar/src/reducer.rs
@@ -1109,14 +1109,12 @@
 
     /// Orders the connection closed; its entry goes when its end is told.
     fn hang_up(&mut self, conn: ConnId) {
-        let Some(link) = self.links.get_mut(&conn) else { return };
+        let Some(link) = self.links.get(&conn) else { return };
         if matches!(link.stage, Stage::Closing) {
             return;
         }
-        let server = link.server;
-        self.no_longer_idle(conn);
+        self.unhook(conn);
         self.links.entry(conn).and_modify(|link| link.stage = Stage::Closing);
-        self.unhook(conn, server);
         self.effects.push(Effect::CloseUpstream { conn });
     }
 
@@ -1127,8 +1125,10 @@
     }
 
     /// Gives back what refers to the connection: its timers and its place among the idle ones.
-    fn unhook(&mut self, conn: ConnId, server: u32) {
-        if let Some(server) = self.servers.get_mut(&server) {
+    fn unhook(&mut self, conn: ConnId) {
+        self.no_longer_idle(conn);
+        let server = self.links.get(&conn).and_then(|link| self.servers.get_mut(&link.server));
+        if let Some(server) = server {
             server.idle.retain(|idle| *idle != conn);
         }
         self.timers.clear(Timer::Connect(conn));
@@ -1262,19 +1262,15 @@
     /// Its answer can't be read or does not go on. The upstream lives, and the attempt may have run: an error, which
     /// any upstream may answer now and then, and no break that would count towards its death.
     fn spoilt(&mut self, conn: ConnId) {
-        let Some(link) = self.links.get(&conn) else { return };
-        let (stage, server) = (link.stage, link.server);
-        self.hang_up(conn);
-        if let Stage::Busy(job) = stage {
+        if let Some((job, server)) = self.free(conn, false) {
             self.job_failed(job, server, Outcome::Error);
         }
     }
 
     fn upstream_closed(&mut self, conn: ConnId, written: Written) {
-        self.no_longer_idle(conn);
+        self.unhook(conn);
         let Some(link) = self.links.remove(&conn) else { return };
         let server = link.server;
-        self.unhook(conn, server);
         match link.stage {
             Stage::Closing | Stage::Idle => {}
             Stage::Connecting(job) => self.job_failed(job, server, Outcome::ConnectFailed),
