--- a/crates/sandtrack-sidecar/src/reducer.rs
+++ b/crates/sandtrack-sidecar/src/reducer.rs
@@ -829,6 +829,8 @@
                 };
                 self.requests.insert(id, request);
                 self.client(conn, |client, _| client.request = Some(id));
+                let (class, left) = (arrival.class.0, arrival.not_after - self.now);
+                tracing::debug!(id = id.0, class, left, again = arrival.retry, "asked");
                 self.events.push_back(Event::Request(arrival));
                 if let Some(again) = self.unserving.take() {
                     // The request goes first: the connections are warm.
@@ -923,6 +925,11 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(conn) = request.client.take() else { return };
         let (bytes, close) = message(request);
+        tracing::debug!(
+            id = id.0,
+            first = bytes.get(9..12).and_then(|b| std::str::from_utf8(b).ok()),
+            "answered"
+        );
         if self.client(conn, |client, now| client.answered(close, now)).is_some() {
             self.effects.push(Effect::Answer { conn, bytes, close, bad: false });
         }
@@ -966,6 +973,8 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let n = request.attempts.len() as u32;
         request.attempts.push(Attempt { sent: self.now, conn: None, ended: false });
+        let upstream = self.servers.get(&server).map(|server| &server.name);
+        tracing::debug!(id = id.0, n, upstream, "sent");
         if request.client.is_none() {
             self.attempt_ended(id, n, Outcome::Moot, self.now, None);
             return;
@@ -1017,6 +1026,8 @@
         self.links.insert(conn, Link { server, process, stage, ordered: 0, since: self.now });
         self.assign(job, Some(conn));
         self.timers.set(Timer::Connect(conn), self.now + self.connect_timeout);
+        let upstream = self.servers.get(&server).map(|server| &server.name);
+        tracing::debug!(upstream, ?job, links = self.links.len(), "connecting");
         self.effects.push(Effect::Connect { conn, address });
     }
 
@@ -1307,6 +1318,8 @@
             return answered.push(server);
         }
         let (upstream, elapsed) = (UpstreamId(server), (at - sent).max(0.0));
+        let name = self.servers.get(&server).map(|server| &server.name);
+        tracing::debug!(upstream = name, elapsed, ok, ?report, "probe ended");
         self.events.push_back(Event::Probed { upstream, elapsed, ok, report });
     }
 
@@ -1321,6 +1334,7 @@
         attempt.conn = None;
         let elapsed = (at - attempt.sent).max(0.0);
         let closed = request.client.is_none();
+        tracing::debug!(id = id.0, n, ?outcome, elapsed, "ended");
         let finished = Finished { request: id, attempt: n, outcome, elapsed, closed, report };
         self.events.push_back(Event::Finished(finished));
         if closed {
@@ -1371,6 +1385,7 @@
             self.watch = Some(self.next_call);
             self.timers.set(Timer::WatchSilent, self.now + WATCH_FIRST);
             let (call, address) = (self.next_call, self.discovery);
+            tracing::debug!(call, after = self.generation, "calling for the list");
             self.effects.push(Effect::Watch { call, address, after: self.generation });
         }
     }
