--- a/src/rules.rs
+++ b/src/rules.rs
@@ -30,11 +30,6 @@
 /// The same for probes sent for one request, and the part of the time wanted that it may wait for them.
 const ASK_SPEND: f64 = 0.01;
 const ASK_WAIT: f64 = 0.02;
-/// The same for one that would be refused else: what an upstream is found for is worth this much of it in
-/// probes, so many at most, and it may wait for them this part of the time wanted.
-const RESCUE_SPEND: f64 = 0.25;
-const RESCUE_MOST: f64 = 3.0;
-const RESCUE_WAIT: f64 = 0.1;
 /// Upstreams in use at least: enough for a random pick, for its tiers and for the loss of some ...
 const PART_LEAST: f64 = 4.0;
 /// ... and at most, however much traffic pays for their probes: each is looked at for each request.
@@ -53,8 +48,6 @@
 const CROWDED_MEMORY: f64 = 4.0;
 /// Weight of one answer in an upstream's pace: single answers vary as much as their work does.
 const PACE_WEIGHT: f64 = 0.15;
-/// Weight of one report in the mean of what others' requests an upstream holds.
-const OTHERS_WEIGHT: f64 = 0.15;
 /// An upstream is far above its tier when it would take this many times the tier's mean time to answer.
 const SKIP: f64 = 1.3;
 /// A server with over this many times the mean own attempts out, plus one, is skipped (the design's skip).
@@ -110,8 +103,6 @@
     /// Requests that ended unserved and may come again: class, tenant, when the client began.
     unserved: VecDeque<(ClassId, Option<TenantId>, Millis)>,
     ask_gap: Millis,
-    /// Requests that an upstream holds from others, in the mean of the reports.
-    others: f64,
 }
 
 impl Upstream {
@@ -138,13 +129,11 @@
         }
     }
 
-    /// Requests it holds, by each load: those sent from here and what others send to one in the mean; and a
-    /// report that is not old, corrected by own sends and ends since.
-    fn held(&self, others: f64, fresh: Millis) -> [f64; 2] {
+    /// Requests it holds, by each load: those sent from here, and the last report corrected by own sends
+    /// and ends since.
+    fn held(&self) -> [f64; 2] {
         let own = self.out.len() as f64;
-        let report = self.learnt.report.filter(|(.., at)| *at >= fresh);
-        let told = report.map(|(held, then, _)| own.max(held + own - then as f64));
-        [own + others, told.unwrap_or(own + others)]
+        [own, self.learnt.report.map_or(own, |(held, then, _)| own.max(held + own - then as f64))]
     }
 
     fn told_since(&self, asked: Millis) -> bool {
@@ -225,7 +214,6 @@
             retries: RETRY_SAVED,
             unserved: VecDeque::new(),
             ask_gap: 0.0,
-            others: 0.0,
             settings,
         }
     }
@@ -395,10 +383,6 @@
             upstream.succeeded(now);
             upstream.sample(elapsed);
             upstream.take_report(now, report);
-            if let Some((held, own, _)) = upstream.learnt.report.filter(|(.., at)| *at == now) {
-                // Where many balancers send, most of what an upstream holds is not from here.
-                self.others += OTHERS_WEIGHT * ((held - own as f64).max(0.0) - self.others);
-            }
             self.group_tiers();
         } else if sent.is_some_and(|sent| upstream.heard <= sent) {
             // A slow probe of an upstream that answered meanwhile shows load, not death.
@@ -478,20 +462,7 @@
         let told = self.settings.feedback == Feedback::OnProbe && self.settings.limits.probes;
         // Where few balancers send, own attempts are most of the load: one for each balancer is enough.
         let enough = f64::from(self.settings.siblings);
-        let asks = (ASK_SPEND / self.settings.penalties.probe.max(1e-9)).min(enough);
-        if told && asks >= 2.0 {
-            asks
-        } else {
-            0.0
-        }
-    }
-
-    /// Probes worth sending for one that would be refused else: sight may be too old to say that none has room.
-    fn rescues(&self, request: &Request, now: Millis) -> f64 {
-        let told = self.settings.feedback == Feedback::OnProbe && self.settings.limits.probes;
-        let fit = told && request.asked.is_none() && request.attempts.is_empty();
-        let paid = self.worth(request, now) * RESCUE_SPEND / self.settings.penalties.probe.max(1e-9);
-        f64::from(u8::from(fit)) * paid.min(RESCUE_MOST)
+        f64::from(u8::from(told)) * (ASK_SPEND / self.settings.penalties.probe.max(1e-9)).min(enough)
     }
 
     /// Middle pace of the warm upstreams in use, as far as it is not long past: one slow answer must not keep
@@ -521,10 +492,6 @@
         }
     }
 
-    fn held(&self, upstream: &Upstream, now: Millis) -> [f64; 2] {
-        upstream.held(self.others, now - self.least_aim())
-    }
-
     /// Time an answer would take, from the pace learnt and the requests held: by load 1, the report, where
     /// that was asked for the request; else by load 0, own attempts, as older reports make balancers flock.
     fn predict(&self, place: usize, load: usize, typical: Option<Millis>, now: Millis) -> Millis {
@@ -538,7 +505,7 @@
             (Some(pace), None) | (None, Some(pace)) => pace,
             (None, None) => 1.0,
         };
-        let predicted = pace * (self.held(upstream, now)[load] + 1.0);
+        let predicted = pace * (upstream.held()[load] + 1.0);
         // An upstream that answers probes but no requests: its eldest unanswered attempt is a lower bound.
         match upstream.out.first() {
             Some(&eldest) if upstream.heard <= eldest => predicted.max(now - eldest),
@@ -680,7 +647,7 @@
         let began = self.began(now, &arrival);
         let request =
             Request { arrival, began, open: true, streaming: false, asked: None, attempts: Vec::new() };
-        let wait = self.ask(now, &request, self.asks(), ASK_WAIT, actions);
+        let wait = self.ask(now, &request, actions);
         self.requests.insert(id, request);
         match wait {
             Some(wait) => {
@@ -707,10 +674,9 @@
 
     /// Where probes tell the load and cost little beside a request, a few upstreams drawn at random are
     /// probed for it before the pick, so that the skip sees their queues as they are. Gives the time to wait.
-    fn ask(
-        &mut self, now: Millis, request: &Request, asks: f64, within: f64, actions: &mut Vec<Action>,
-    ) -> Option<Millis> {
-        if asks < 1.0 {
+    fn ask(&mut self, now: Millis, request: &Request, actions: &mut Vec<Action>) -> Option<Millis> {
+        let asks = self.asks();
+        if asks < 2.0 {
             return None;
         }
         let mut usable = self.usable(now, request);
@@ -723,7 +689,7 @@
             upstream.probe(now, actions);
         }
         let aim = self.settings.classes[request.arrival.class.0].aim;
-        Some(wait + self.settings.step).filter(|wait| *wait < aim * within)
+        Some(wait + self.settings.step).filter(|wait| *wait < aim * ASK_WAIT)
     }
 
     /// Send the request's next attempt, or answer finally when none can help. `copy`: another is still out.
@@ -750,13 +716,6 @@
             }
             self.send(now, &mut request, place, typical, actions);
         }
-        let asks = if place.is_none() && more && !copy { self.rescues(&request, now) } else { 0.0 };
-        if let Some(wait) = self.ask(now, &request, asks, RESCUE_WAIT, actions) {
-            request.asked = Some(now);
-            self.timers.set(now + wait, Timer::Asked(id));
-            self.requests.insert(id, request);
-            return;
-        }
         self.requests.insert(id, request);
         if place.is_none() && !copy {
             self.give_up(id, actions);
@@ -777,9 +736,8 @@
         if again && in_time && !last && (self.settings.limits.parallel_tries || self.settings.limits.cancel) {
             self.timers.set(now + late, Timer::Hedge(id, number));
         }
-        let held = self.held(&self.upstreams[place], now);
         let upstream = &mut self.upstreams[place];
-        request.attempts.push(Attempt { upstream: place, sent: now, held, outcome: None });
+        request.attempts.push(Attempt { upstream: place, sent: now, held: upstream.held(), outcome: None });
         upstream.out.push(now);
         actions.push(Action::Send { request: id, upstream: upstream.entry.upstream });
     }
