--- a/src/rules.rs
+++ b/src/rules.rs
@@ -524,6 +524,18 @@
         request.arrival.not_after.min(request.began + aim)
     }
 
+    /// When it gets its final answer at the latest. An answer that is worth nothing any more takes the room of
+    /// one that is: what is out is called off then. Where tries may not overlap, a called-off one is held to
+    /// go on all the same, and nothing would be won.
+    fn expiry(&self, request: &Request) -> Millis {
+        let frees = self.settings.limits.cancel && self.settings.limits.parallel_tries;
+        if frees && !self.settings.classes[request.arrival.class.0].stream {
+            self.useful_until(request)
+        } else {
+            request.arrival.not_after
+        }
+    }
+
     /// Worth of a request beside the best there is, less when its tenant is past its share.
     fn worth(&self, request: &Request, now: Millis) -> f64 {
         let best = self.settings.classes.iter().map(|c| c.worth).fold(0.0, f64::max);
@@ -643,10 +655,10 @@
             self.choose_part(now);
         }
         self.retries = (self.retries + RETRY_EARN).min(RETRY_SAVED);
-        self.timers.set(arrival.not_after, Timer::Expire(id));
         let began = self.began(now, &arrival);
         let request =
             Request { arrival, began, open: true, streaming: false, asked: None, attempts: Vec::new() };
+        self.timers.set(self.expiry(&request).max(now), Timer::Expire(id));
         let wait = self.ask(now, &request, actions);
         self.requests.insert(id, request);
         match wait {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -775,3 +775,30 @@
     let sent = front.spread(40);
     assert!(sent.contains(&1) && sent.contains(&2), "{sent:?}");
 }
+
+/// Many balancers' late work filled the upstreams: every answer came after its aim while others were refused.
+#[test]
+fn an_attempt_ends_when_its_answer_is_worth_nothing_any_more() {
+    let ends = |cancel: bool, parallel_tries: bool, late_worth: f64| {
+        let mut settings = settings(Effect::Once);
+        settings.limits = Limits { cancel, parallel_tries, ..settings.limits };
+        settings.classes[0].late_worth = late_worth;
+        let mut front = Front::new(settings, 2);
+        let (request, actions) = front.request();
+        assert!(sent_to(&actions).is_some());
+        let began = front.now;
+        let mut last = Vec::new();
+        while final_answers(&last) == 0 {
+            last = front.at(front.wake, Event::Wake);
+        }
+        assert_eq!(final_answers(&front.seen), 1);
+        let called_off = last.contains(&Action::Cancel { request, attempt: 0 });
+        assert_eq!(called_off, cancel, "what is out is called off with it");
+        assert!(last.contains(&Action::Fail { request }), "an unsafe one that may have run is no refusal");
+        front.now - began
+    };
+    assert_eq!(ends(true, true, 0.0), 400.0, "the aim");
+    assert_eq!(ends(true, true, 0.5), 1000.0, "a late answer is worth something");
+    assert_eq!(ends(false, true, 0.0), 1000.0, "no cancel is allowed");
+    assert_eq!(ends(true, false, 0.0), 1000.0, "the work might go on all the same");
+}
