--- a/src/rules.rs
+++ b/src/rules.rs
@@ -524,9 +524,9 @@
         request.arrival.not_after.min(request.began + aim)
     }
 
-    /// When it gets its final answer at the latest. An answer that is worth nothing any more takes the room of
-    /// one that is: what is out is called off then. Where tries may not overlap, a called-off one is held to
-    /// go on all the same, and nothing would be won.
+    /// When it gets its final answer at the latest. Work for an answer that is worth nothing any more takes
+    /// the room of another: what is out is called off then. Where tries may not overlap, a called-off one is
+    /// held to go on all the same, and nothing would be won.
     fn expiry(&self, request: &Request) -> Millis {
         let frees = self.settings.limits.cancel && self.settings.limits.parallel_tries;
         if frees && !self.settings.classes[request.arrival.class.0].stream {
