--- a/src/rules.rs
+++ b/src/rules.rs
@@ -56,7 +56,8 @@
 const SPILL: f64 = 0.28;
 /// ... or when all have none, this many times it: a far one with room goes before a near one nearly full.
 const SPILL_MORE: f64 = 1.5;
-/// Part of the time left that a predicted answer may fill: predictions are means, answers scatter.
+/// Part of the time left that a predicted answer may fill, where late work goes on: answers scatter about the
+/// mean that is predicted. Where it ends by itself, all of the time left.
 const ADMIT: f64 = 0.7;
 /// What a request of no worth may fill of that; the rest of the range goes by worth.
 const ADMIT_LEAST: f64 = 0.6;
@@ -64,6 +65,8 @@
 const OVER_SHARE: f64 = 1.2;
 /// ... by this many requests at least: where few come, one alone is more than any tenant's portion of them.
 const OVER_LEAST: f64 = 3.0;
+/// After an error an upstream rests for as long as the others take for so many requests each.
+const ERROR_TURNS: f64 = 4.0;
 /// A second copy goes out when the first took this many times its predicted time ...
 const HEDGE: f64 = 3.0;
 /// ... and at least this part of the time wanted.
@@ -524,12 +527,17 @@
         request.arrival.not_after.min(request.began + aim)
     }
 
-    /// When it gets its final answer at the latest. Work for an answer that is worth nothing any more takes
-    /// the room of another: what is out is called off then. Where tries may not overlap, a called-off one is
-    /// held to go on all the same, and nothing would be won.
+    /// Work for an answer that is worth nothing any more takes the room of another, and is called off. Where
+    /// tries may not overlap, a called-off one is held to go on all the same, and nothing would be won.
+    fn late_work_ends(&self, class: &Class) -> bool {
+        let limits = &self.settings.limits;
+        limits.cancel && limits.parallel_tries && class.late_worth <= 0.0 && !class.stream
+    }
+
+    /// When it gets its final answer at the latest.
     fn expiry(&self, request: &Request) -> Millis {
-        let frees = self.settings.limits.cancel && self.settings.limits.parallel_tries;
-        if frees && !self.settings.classes[request.arrival.class.0].stream {
+        let ends = self.late_work_ends(&self.settings.classes[request.arrival.class.0]);
+        if ends {
             self.useful_until(request)
         } else {
             request.arrival.not_after
@@ -566,7 +574,15 @@
         if usable.iter().any(healthy) {
             usable.retain(healthy);
         }
-        usable.retain(|place| now >= self.upstreams[*place].learnt.rest_until);
+        let rested = |place: &usize| now >= self.upstreams[*place].learnt.rest_until;
+        // A first error alone must not end a request that may go nowhere else.
+        let erred = request.attempts.last().is_some_and(|a| a.outcome == Some(Outcome::Error));
+        let first = |place: &usize| erred && self.upstreams[*place].learnt.turned_away <= 1;
+        if usable.iter().any(rested) {
+            usable.retain(rested);
+        } else {
+            usable.retain(first);
+        }
         usable
     }
 
@@ -595,13 +611,14 @@
         let worthier = self.settings.classes.iter().filter(|other| other.worth > class.worth);
         let left = worthier.map(|other| other.aim).fold(self.useful_until(request) - now, f64::min);
         let admit = ADMIT_LEAST + (1.0 - ADMIT_LEAST) * self.worth(request, now);
+        let admit = if self.late_work_ends(class) { admit } else { admit * ADMIT };
         // A tier in which every upstream is full has none to offer: the next is asked, and when all are
         // full, the lowest from which an answer would still be in time.
         let own = |place: &usize| self.upstreams[*place].out.len() as f64;
         let mean = usable.iter().map(|(place, _)| own(place)).sum::<f64>() / usable.len() as f64;
         let crowd = (mean + 1.0) * FAR;
         for room in [class.aim * SPILL, class.aim * SPILL * SPILL_MORE, f64::INFINITY] {
-            let room = room.min(left * ADMIT * admit);
+            let room = room.min(left * admit);
             for &tier in &tiers {
                 let of_tier = |place: usize| {
                     let upstream = &self.upstreams[place];
@@ -821,6 +838,7 @@
         let Some(ended) = attempt.filter(|a| a.outcome.is_none()) else { return };
         ended.outcome = Some(outcome);
         let rest = self.settings.classes[request.arrival.class.0].aim * SPILL;
+        let turns = ERROR_TURNS * self.part.len() as f64 / self.rate.at(now, MEMORY).max(1e-9);
         let place = ended.upstream;
         let upstream = &mut self.upstreams[place];
         if let Some(n) = upstream.out.iter().position(|sent| *sent == ended.sent) {
@@ -830,16 +848,15 @@
         match outcome {
             Outcome::Ok => {
                 upstream.succeeded(now);
-                upstream.learnt.turned_away = 0;
+                // Not forgotten at once: one that fails three of four answers the fourth.
+                upstream.learnt.turned_away = (upstream.learnt.turned_away - 1).max(0);
                 upstream.learn_pace(elapsed, ended.held, now);
             }
-            // One that fails at once looks idle and would draw ever more: it rests like a full one, but for
-            // a first error, which any may answer now and then.
+            // One that fails at once looks idle and would draw ever more: it rests while the others get a few
+            // requests each, as any may answer an error now and then.
             Outcome::Full | Outcome::Error => {
-                let rest =
-                    if outcome == Outcome::Full || upstream.learnt.turned_away > 0 { rest } else { 0.0 };
                 upstream.heard = now;
-                upstream.turn_away(now, rest);
+                upstream.turn_away(now, if outcome == Outcome::Full { rest } else { turns });
             }
             Outcome::ConnectFailed => upstream.turn_away(now, rest),
             // A time-out tells of slowness always; of death, below, only when nothing was heard meanwhile.
