--- a/crates/sandtrack-lab/src/node.rs
+++ b/crates/sandtrack-lab/src/node.rs
@@ -71,6 +71,7 @@
     Connect {
         connection: u64,
         server: usize,
+        port: u16,
     },
     Close(u64),
     Call {
@@ -446,9 +447,14 @@
     effects: Vec<Effect>,
 }
 
-fn address(server: usize) -> SocketAddr {
+/// Each start of an upstream listens at a port of its own: an id that comes back is at another address.
+pub fn port(since: Option<Micros>) -> u16 {
+    since.map_or(8000, |since| 10_000 + (since / 1000 % 50_000) as u16)
+}
+
+fn address(server: usize, since: Option<Micros>) -> SocketAddr {
     let [_, a, b, c] = (server as u32).to_be_bytes();
-    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, a, b, c)), 8000)
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, a, b, c)), port(since))
 }
 
 fn server_at(address: SocketAddr) -> usize {
@@ -497,7 +503,7 @@
     fn catalog(&self, generation: u64, reset: bool, changes: Vec<Change>) -> Catalog {
         let instance = |change: Change| Instance {
             instance_id: format!("u{}", change.server),
-            host_port: address(change.server).to_string(),
+            host_port: address(change.server, change.since).to_string(),
             zone: self.zones[self.zone_of.get(change.server).copied().unwrap_or_default()].clone(),
             machine_type: String::new(),
             cell: 0,
@@ -602,7 +608,8 @@
             Effect::Connect { conn, address } => {
                 let server = server_at(address);
                 self.links.insert(conn, (server, 0, None));
-                out.push(Out::Connect { connection: conn, server });
+                let port = address.port();
+                out.push(Out::Connect { connection: conn, server, port });
             }
             Effect::Write { conn, bytes, .. } => {
                 let Some((server, ordered, token)) = self.links.get_mut(&conn) else { return };
--- a/crates/sandtrack-lab/src/world.rs
+++ b/crates/sandtrack-lab/src/world.rs
@@ -35,6 +35,7 @@
         epoch: u32,
         connection: u64,
         server: usize,
+        port: u16,
     },
     Connected {
         instance: usize,
@@ -273,8 +274,8 @@
                     self.next_job(server);
                 }
             }
-            Event::ConnectAt { instance, epoch, connection, server } => {
-                self.connect_at(instance, epoch, connection, server);
+            Event::ConnectAt { instance, epoch, connection, server, port } => {
+                self.connect_at(instance, epoch, connection, (server, port));
             }
             Event::Connected { instance, epoch, connection, up } => {
                 if self.slots[instance].epoch == epoch {
@@ -416,10 +417,10 @@
                     }
                 }
             }
-            Out::Connect { connection, server } => {
+            Out::Connect { connection, server, port } => {
                 self.tally.second(self.now).connects += 1;
                 if let Some(delay) = self.delay(instance, server) {
-                    self.after(delay, Event::ConnectAt { instance, epoch, connection, server });
+                    self.after(delay, Event::ConnectAt { instance, epoch, connection, server, port });
                 }
             }
             Out::Close(connection) => {
@@ -641,13 +642,13 @@
         }
     }
 
-    fn connect_at(&mut self, instance: usize, epoch: u32, connection: u64, index: usize) {
+    fn connect_at(&mut self, instance: usize, epoch: u32, connection: u64, (index, port): (usize, u16)) {
         if self.slots[instance].epoch != epoch {
             return;
         }
         let server = &mut self.servers[index];
         let full = server.connections >= self.scenario.server.connections;
-        let up = server.state != State::Dead && !full;
+        let up = server.state != State::Dead && !full && port == crate::node::port(server.since);
         if up {
             server.connections += 1;
             server.most_connections = server.most_connections.max(server.connections);
--- a/crates/sandtrack-lab/tests/instrument.rs
+++ b/crates/sandtrack-lab/tests/instrument.rs
@@ -163,6 +163,16 @@
     }
 }
 
+#[test]
+fn an_id_that_comes_back_at_another_address_is_found_there() {
+    let mut back = small(Policy::Sidecar);
+    (back.failures[0].at_s, back.failures[0].for_s) = (4.0, 2.0);
+    let report = world::run(&back, 4).expect("a run");
+    assert_eq!(report.breaks, []);
+    let held: Vec<u32> = report.upstreams.iter().take(3).map(|upstream| upstream.connections).collect();
+    assert!(held.iter().all(|held| *held > 0), "{held:?}");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 24, rng_algorithm: prop::test_runner::RngAlgorithm::ChaCha,
         failure_persistence: None, ..ProptestConfig::default() })]
