Tests: discovery that answers each call just too late, upstreams with few connections

Need: two hard cases of the fleet issue had no test of their own. Change: two runs of the laboratory with the sidecar's reducer, sums over all instances asserted. No code of the sidecar or the module changes.

--- a/crates/sandtrack-lab/tests/instrument.rs
+++ b/crates/sandtrack-lab/tests/instrument.rs
@@ -173,6 +173,37 @@
     assert!(held.iter().all(|held| *held > 0), "{held:?}");
 }
 
+/// Every call waits until just past discovery's patience: the list that all started with serves, and the calls neither stop nor
+/// pile up nor come in step.
+#[test]
+fn discovery_that_answers_each_call_just_too_late_is_asked_within_bounds() {
+    let mut late = small(Policy::Sidecar);
+    late.failures.clear();
+    (late.discovery.call_ms, late.discovery.timeout_s) = (2_100.0, 2.0);
+    late.discovery.line_ms = 0.0;
+    let report = world::run(&late, 1).expect("a run");
+    assert_eq!(report.breaks, []);
+    assert!(report.in_time > 0.95, "{}", report.in_time);
+    let (sidecars, calls) = (12, report.calls);
+    assert!((sidecars * 3..sidecars * 11).contains(&calls), "{calls} calls of {sidecars} in 20 s");
+    let later: Vec<u32> = report.seconds[4..].iter().map(|second| second.calls).collect();
+    assert!(later.iter().all(|calls| *calls < 10), "{later:?}");
+}
+
+/// Upstreams that hold fewer connections than there are sidecars: one without any left is used less, not given up, and no
+/// rule is broken.
+#[test]
+fn upstreams_with_few_connections_serve_all_the_same() {
+    let mut few = small(Policy::Sidecar);
+    few.failures.clear();
+    few.server.connections = 5;
+    let report = world::run(&few, 1).expect("a run");
+    assert_eq!(report.breaks, []);
+    assert_eq!(report.most_connections, 5, "they are short of them");
+    assert!(report.in_time > 0.9, "{}", report.in_time);
+    assert!(report.upstreams.iter().all(|upstream| upstream.busy_share > 0.02), "each is used");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 24, rng_algorithm: prop::test_runner::RngAlgorithm::ChaCha,
         failure_persistence: None, ..ProptestConfig::default() })]
