Debug lines look names up only when written; the laboratory measures to its very end

Found on reading the whole change once more. - reducer.rs: names of upstreams for debug lines were looked up on each send, connect and probe, also with debug off: now within the line, where they are evaluated only when it is written. The field of an answer's line is named status. - Laboratory: the end of the measured time was looked for on whole seconds, and the time measured taken from the length of the series: a run of 20.5 s showed upstreams' figures of 0. It is an event of its own now, with a test.

--- a/crates/sandtrack-lab/src/node.rs
+++ b/crates/sandtrack-lab/src/node.rs
@@ -4,7 +4,7 @@
 use crate::discovery::Change;
 use crate::observer::Answer;
 use crate::scenario::{Effect as ClassEffect, Policy, Scenario};
-use crate::server::Micros;
+use crate::server::{millis, Micros};
 use sandtrack::interface::*;
 use sandtrack::Balancer;
 use sandtrack_settings::{Checked, Document};
@@ -227,7 +227,7 @@
                 kind: 0,
                 scale: 1.0,
                 zone: ZoneId(((zone + self.zones - self.me_zone) % self.zones) as u32),
-                since: change.since.map(crate::server::millis),
+                since: change.since.map(millis),
             }
         };
         changes.into_iter().map(entry).collect()
@@ -513,7 +513,7 @@
                 Standing::Gone => Lifecycle::Deleted,
             },
             weight: None,
-            started_at_ms: change.since.map_or(0.0, |since| EPOCH + crate::server::millis(since)),
+            started_at_ms: change.since.map_or(0.0, |since| EPOCH + millis(since)),
         };
         Catalog { generation, reset, instances: changes.into_iter().map(instance).collect() }
     }
@@ -658,8 +658,3 @@
 
 /// Unix time at the world's zero, ms: any figure but 0, which stands for a start long ago.
 const EPOCH: Millis = 1_000_000.0;
-
-/// The world's time as the nodes see it.
-pub fn clock(at: Micros) -> Millis {
-    crate::server::millis(at)
-}
--- a/crates/sandtrack-lab/src/report.rs
+++ b/crates/sandtrack-lab/src/report.rs
@@ -142,7 +142,7 @@
         second.worth_asked -= worth;
     }
 
-    pub fn served(&mut self, began: Micros, _now: Micros, class: usize, took: Micros) {
+    pub fn served(&mut self, began: Micros, class: usize, took: Micros) {
         let (worth, in_time) = (self.worths[class], took <= self.aims[class]);
         if in_time {
             self.second(began).worth_in_time += worth;
@@ -155,8 +155,8 @@
     }
 
     /// The measured time is over: upstreams' figures are those of now.
-    pub fn freeze(&mut self, servers: &[Server]) {
-        let passed = self.seconds.len() as f64 * 1000.0 - millis(self.begin);
+    pub fn freeze(&mut self, now: Micros, servers: &[Server]) {
+        let passed = millis(now - self.begin);
         let figures = |server: &Server| UpstreamFigures {
             busy_share: server.busy / passed / server.cores as f64,
             probe_share: server.probe_work / passed / server.cores as f64,
@@ -177,7 +177,6 @@
 impl Report {
     pub fn new(
         scenario: &Scenario, seed: u64, tally: Tally, observer: Observer, discovery: &Discovery, events: u64,
-        _held: usize,
     ) -> Self {
         let from = (tally.begin / 1_000_000) as usize;
         let until = scenario.duration_s.ceil() as usize;
--- a/crates/sandtrack-lab/src/scenario.rs
+++ b/crates/sandtrack-lab/src/scenario.rs
@@ -276,6 +276,13 @@
     }
 }
 
+impl Scenario {
+    /// The number of a zone, by its name.
+    pub fn zone(&self, name: &str) -> Option<usize> {
+        self.zones.iter().position(|zone| zone == name)
+    }
+}
+
 /// What is wrong with a scenario, and where.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
--- a/crates/sandtrack-lab/src/world.rs
+++ b/crates/sandtrack-lab/src/world.rs
@@ -1,9 +1,9 @@
 //! The world: one queue of events over clients, instances, upstreams, discovery and failures. It owns time and every random
 //! draw, and must never decide for an instance. Events at one instant happen in the order in which they were scheduled.
 use crate::discovery::{Change, Discovery, Ticket, Told};
-use crate::node::{clock, Ask, In, Node, Out, Reply, What};
+use crate::node::{Ask, In, Node, Out, Reply, What};
 use crate::observer::{Answer, Observer};
-use crate::report::{Report, Second, Tally};
+use crate::report::{Report, Tally};
 use crate::scenario::{Dist, Failure, Kind, Policy, Scenario};
 use crate::server::{micros, millis, Full, Job, Micros, Server, State};
 use rand::{Rng, SeedableRng};
@@ -70,7 +70,9 @@
         old: usize,
     },
     Gone(usize),
+    /// The measured time begins, and ends.
     Begin,
+    End,
     Second,
 }
 
@@ -176,11 +178,10 @@
 impl<'a> World<'a> {
     fn new(scenario: &'a Scenario, seed: u64) -> Result<Self, String> {
         let s = scenario;
-        let zone = |name: &str| s.zones.iter().position(|zone| zone == name).unwrap_or_default();
         let mut servers = Vec::new();
         for pool in &s.pools {
             for _ in 0..pool.count {
-                servers.push(server(s, zone(&pool.zone), pool.speed));
+                servers.push(server(s, s.zone(&pool.zone).unwrap_or_default(), pool.speed));
             }
         }
         let listed =
@@ -229,6 +230,7 @@
             world.at(micros(failure.at_s * 1000.0), Event::Fail(n));
         }
         world.at(SECOND, Event::Second);
+        world.at(world.end(), Event::End);
         Ok(world)
     }
 
@@ -340,11 +342,11 @@
                 if self.now < self.end() {
                     self.at(self.now + SECOND, Event::Second);
                 }
-                if self.now == self.end() {
-                    let now = self.now;
-                    self.servers.iter_mut().for_each(|server| server.settle(now));
-                    self.tally.freeze(&self.servers);
-                }
+            }
+            Event::End => {
+                let now = self.now;
+                self.servers.iter_mut().for_each(|server| server.settle(now));
+                self.tally.freeze(now, &self.servers);
             }
         }
     }
@@ -353,7 +355,7 @@
 
     fn start(&mut self, instance: usize) {
         let seed = self.rng.gen();
-        let node = Node::new(self.scenario, instance, seed, clock(self.now), self.zone_of.clone());
+        let node = Node::new(self.scenario, instance, seed, millis(self.now), self.zone_of.clone());
         match node {
             Ok(node) => self.slots[instance].node = Some(node),
             Err(fault) => return self.fault = Some(fault),
@@ -378,7 +380,7 @@
                 _ => f64::INFINITY,
             }
         };
-        node.handle(clock(now), input, &truth, &mut out);
+        node.handle(millis(now), input, &truth, &mut out);
         self.slots[instance].node = Some(node);
         for out in out {
             self.carry_out(instance, out);
@@ -540,7 +542,7 @@
         match answer {
             Answer::Served => {
                 let took = self.now - first.began;
-                self.tally.served(first.began, self.now, first.class, took);
+                self.tally.served(first.began, first.class, took);
                 self.firsts.remove(&id);
             }
             Answer::Refused | Answer::Failed => {
@@ -744,8 +746,7 @@
 
     fn fail(&mut self, n: usize) {
         let Failure { kind, share, factor, for_s, .. } = self.scenario.failures[n];
-        let zone = self.scenario.failures[n].zone.as_ref();
-        let zone = zone.and_then(|name| self.scenario.zones.iter().position(|zone| zone == name));
+        let zone = self.scenario.failures[n].zone.as_ref().and_then(|name| self.scenario.zone(name));
         let here = |of: usize| zone.is_none_or(|zone| zone == of);
         let up = |world: &Self| -> Vec<usize> {
             let fit = |n: &usize| world.servers[*n].state == State::Up && here(world.zone_of[*n]);
@@ -825,8 +826,7 @@
             Kind::Restart => whom.iter().for_each(|instance| self.start(*instance)),
             Kind::DiscoveryDown => self.discovery.down = false,
             Kind::Partition => {
-                let zone = failure.zone.as_ref();
-                let zone = zone.and_then(|name| self.scenario.zones.iter().position(|zone| zone == name));
+                let zone = failure.zone.as_ref().and_then(|name| self.scenario.zone(name));
                 self.partitions.retain(|cut| Some(*cut) != zone);
             }
             Kind::Replace => {}
@@ -892,8 +892,7 @@
     }
 
     fn report(self, seed: u64) -> Report {
-        let held: usize = self.sent.len();
-        Report::new(self.scenario, seed, self.tally, self.observer, &self.discovery, self.processed, held)
+        Report::new(self.scenario, seed, self.tally, self.observer, &self.discovery, self.processed)
     }
 }
 
@@ -901,6 +900,3 @@
     let cold = micros(s.server.cold_s * 1000.0);
     Server::new(zone, s.server.cores as usize, s.server.queue as usize, speed, s.server.cold_share, cold)
 }
-
-/// Series of a run, a second each.
-pub type Series = Vec<Second>;
--- a/crates/sandtrack-lab/tests/instrument.rs
+++ b/crates/sandtrack-lab/tests/instrument.rs
@@ -75,6 +75,15 @@
     }
 }
 
+/// The end of the measured time was looked for on whole seconds alone: upstreams' figures were then all 0.
+#[test]
+fn a_duration_of_no_whole_seconds_is_measured_to_its_end() {
+    let mut odd = small(Policy::Module);
+    odd.duration_s = 10.5;
+    let report = world::run(&odd, 3).expect("a run");
+    assert!(report.little[0] > 1.0 && !report.upstreams.is_empty(), "{:?}", report.little);
+}
+
 #[test]
 fn the_same_scenario_and_seed_give_the_same_bytes_on_any_number_of_threads() {
     let runs: Vec<(Scenario, u64)> = [Policy::Module, Policy::Sidecar]
--- a/crates/sandtrack-sidecar/src/reducer.rs
+++ b/crates/sandtrack-sidecar/src/reducer.rs
@@ -927,7 +927,7 @@
         let (bytes, close) = message(request);
         tracing::debug!(
             id = id.0,
-            first = bytes.get(9..12).and_then(|b| std::str::from_utf8(b).ok()),
+            status = bytes.get(9..12).and_then(|b| std::str::from_utf8(b).ok()),
             "answered"
         );
         if self.client(conn, |client, now| client.answered(close, now)).is_some() {
@@ -973,8 +973,8 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let n = request.attempts.len() as u32;
         request.attempts.push(Attempt { sent: self.now, conn: None, ended: false });
-        let upstream = self.servers.get(&server).map(|server| &server.name);
-        tracing::debug!(id = id.0, n, upstream, "sent");
+        let name = |server| self.servers.get(&server).map(|server| &server.name);
+        tracing::debug!(id = id.0, n, upstream = name(server), "sent");
         if request.client.is_none() {
             self.attempt_ended(id, n, Outcome::Moot, self.now, None);
             return;
@@ -1026,8 +1026,8 @@
         self.links.insert(conn, Link { server, process, stage, ordered: 0, since: self.now });
         self.assign(job, Some(conn));
         self.timers.set(Timer::Connect(conn), self.now + self.connect_timeout);
-        let upstream = self.servers.get(&server).map(|server| &server.name);
-        tracing::debug!(upstream, ?job, links = self.links.len(), "connecting");
+        let name = |server| self.servers.get(&server).map(|server| &server.name);
+        tracing::debug!(upstream = name(server), ?job, links = self.links.len(), "connecting");
         self.effects.push(Effect::Connect { conn, address });
     }
 
@@ -1318,8 +1318,8 @@
             return answered.push(server);
         }
         let (upstream, elapsed) = (UpstreamId(server), (at - sent).max(0.0));
-        let name = self.servers.get(&server).map(|server| &server.name);
-        tracing::debug!(upstream = name, elapsed, ok, ?report, "probe ended");
+        let name = |server| self.servers.get(&server).map(|server| &server.name);
+        tracing::debug!(upstream = name(server), elapsed, ok, ?report, "probe ended");
         self.events.push_back(Event::Probed { upstream, elapsed, ok, report });
     }
 
