--- /dev/null
+++ b/crates/sandtrack-sidecar/src/reducer/clients.rs
@@ -0,0 +1,311 @@
+//! The clients' part of the reducer: their connections and requests, from the opening to the one answer. It must never
+//! choose an upstream, nor answer twice.
+use super::*;
+
+impl Reducer {
+    pub(super) fn client_opened(&mut self, conn: ConnId) {
+        self.last_opened = self.now;
+        self.trim_idle();
+        let free = self.sockets.saturating_sub(self.clients.len() + self.links.len());
+        let scarce = free <= (self.sockets as f64 * SPARE_PART) as usize;
+        let surplus = scarce && !self.make_room() && free == 0;
+        if surplus {
+            self.scarce("no descriptor left for a client: it will be refused");
+        }
+        let client = Client {
+            request: None,
+            closing: false,
+            retired: false,
+            served: false,
+            begun: false,
+            since: self.now,
+            surplus,
+        };
+        self.waits.insert(Wait::First, client.since, conn);
+        self.clients.insert(conn, client);
+    }
+
+    /// The one place where a client's entry changes, so that it is always found by its age.
+    pub(super) fn client<T>(
+        &mut self, conn: ConnId, change: impl FnOnce(&mut Client, Millis) -> T,
+    ) -> Option<T> {
+        let client = self.clients.get_mut(&conn)?;
+        if let Some(wait) = client.wait() {
+            self.waits.remove(wait, client.since, conn);
+        }
+        let changed = change(client, self.now);
+        if let Some(wait) = client.wait() {
+            self.waits.insert(wait, client.since, conn);
+        }
+        Some(changed)
+    }
+
+    /// A connection's first request is due from its opening on, however its bytes come; a later one from its start.
+    pub(super) fn client_began(&mut self, conn: ConnId) {
+        self.client(conn, |client, now| {
+            client.begun = true;
+            client.since = if client.served { now } else { client.since };
+        });
+    }
+
+    /// Connections that are kept and not used again must leave enough for those that are.
+    pub(super) fn trim_idle(&mut self) {
+        let most = (self.sockets as f64 * IDLE_PART) as usize;
+        while self.waits.count(Wait::Idle) > most {
+            let Some(conn) = self.waits.eldest(Wait::Idle, self.now) else { return };
+            self.retire_client(conn);
+        }
+    }
+
+    /// Closes what is least missed; no when there is nothing idle. Clients that say nothing, or that asked once and
+    /// stayed, must not keep the others out; an idle upstream connection costs less than one that a client uses.
+    pub(super) fn make_room(&mut self) -> bool {
+        let silent = self.waits.eldest(Wait::First, self.now - SILENCE);
+        let beyond = self.clients.len() as f64 > self.sockets as f64 * CLIENTS_PART;
+        let idle = || self.waits.eldest(Wait::Idle, self.now).filter(|_| beyond);
+        if let Some(conn) = silent.or_else(idle) {
+            self.retire_client(conn);
+            return true;
+        }
+        if self.drop_eldest_link() {
+            return true;
+        }
+        let idle = self.waits.eldest(Wait::Idle, self.now);
+        idle.into_iter().for_each(|conn| self.retire_client(conn));
+        idle.is_some()
+    }
+
+    pub(super) fn drop_eldest_link(&mut self) -> bool {
+        let eldest = self.idle.eldest((), self.now);
+        eldest.into_iter().for_each(|conn| self.hang_up(conn));
+        eldest.is_some()
+    }
+
+    /// Closes it whatever has come of a request or gone of an answer.
+    pub(super) fn close_client(&mut self, conn: ConnId) {
+        if self.client(conn, |client, now| client.answered(true, now)).is_some() {
+            self.effects.push(Effect::CloseClient { conn });
+        }
+    }
+
+    /// Said once a second at most: what is scarce is asked for often.
+    pub(super) fn scarce(&mut self, what: &str) {
+        if self.now - self.scarce_said >= SCARCE_EVERY {
+            self.scarce_said = self.now;
+            tracing::warn!(clients = self.clients.len(), upstreams = self.links.len(), "{what}");
+        }
+    }
+
+    pub(super) fn retire_client(&mut self, conn: ConnId) {
+        let retired = self.client(conn, |client, _| {
+            let fit = client.between() && !client.retired;
+            client.retired |= fit;
+            fit
+        });
+        if retired == Some(true) {
+            self.effects.push(Effect::RetireClient { conn });
+        }
+    }
+
+    pub(super) fn client_closed(&mut self, conn: ConnId) {
+        let Some(client) = self.clients.remove(&conn) else { return };
+        if let Some(wait) = client.wait() {
+            self.waits.remove(wait, client.since, conn);
+        }
+        if let Some(id) = client.request {
+            let stream = self.requests.get_mut(&id).and_then(|request| {
+                request.client = None;
+                request.stream
+            });
+            // A streamed answer has nobody left to go to, whether a cancel is allowed or not.
+            stream.into_iter().for_each(|n| self.cancel(id, n));
+            self.events.push_back(Event::ClientGone(id));
+            self.request_closed(id);
+        }
+    }
+
+    /// An answer that no upstream or decision is behind.
+    pub(super) fn plain(&mut self, conn: ConnId, status: u16, close: bool) {
+        let Some(client) = self.clients.get(&conn).filter(|client| !client.closing) else { return };
+        let close = close || self.draining.is_some() || client.surplus || client.retired;
+        self.client(conn, |client, now| client.answered(close, now));
+        let again = self.settings.limits.max_retry_after.filter(|_| status == 503);
+        let again = again.map(|longest| format!("{:.3}", longest.min(COME_BACK) / 1000.0));
+        let headers = again.iter().map(|seconds| ("Retry-After", seconds.as_str()));
+        let bytes = http::response(status, headers, b"", close);
+        self.effects.push(Effect::Answer { conn, bytes, close, bad: (400..500).contains(&status) });
+    }
+
+    pub(super) fn client_request(&mut self, conn: ConnId, at: Millis, message: Message) {
+        let Some(client) = self.clients.get(&conn).filter(|client| client.between()) else { return };
+        let keep_alive = message.head.keep_alive && !client.retired;
+        let path = message.head.target.split('?').next().unwrap_or_default();
+        if path == "/_health" {
+            return self.plain(conn, if self.draining.is_some() { 503 } else { 200 }, !keep_alive);
+        }
+        let refused = client.surplus || self.requests.len() >= self.settings.limits.max_open as usize;
+        if refused {
+            return self.plain(conn, 503, !keep_alive);
+        }
+        let id = RequestId(self.next_request);
+        match self.arrival(id, at, &message) {
+            Err((status, wrong)) => {
+                tracing::debug!(conn, status, wrong, "bad request");
+                self.plain(conn, status, !keep_alive);
+            }
+            Ok(arrival) => {
+                self.next_request += 1;
+                self.timers.set(Timer::Deadline(id), arrival.not_after);
+                let request = Request {
+                    client: Some(conn),
+                    keep_alive,
+                    message,
+                    stream: None,
+                    class: arrival.class.0,
+                    not_after: arrival.not_after,
+                    attempts: Vec::new(),
+                };
+                self.requests.insert(id, request);
+                self.client(conn, |client, _| client.request = Some(id));
+                let (class, left) = (arrival.class.0, arrival.not_after - self.now);
+                tracing::debug!(id = id.0, class, left, again = arrival.retry, "asked");
+                self.events.push_back(Event::Request(arrival));
+                if let Some(again) = self.unserving.take() {
+                    // The request goes first: the connections are warm.
+                    self.settle();
+                    again.into_iter().for_each(|server| self.probe(server));
+                }
+            }
+        }
+    }
+
+    /// The request in the module's words, or the status that says what is wrong with it.
+    pub(super) fn arrival(
+        &mut self, request: RequestId, at: Millis, message: &Message,
+    ) -> Result<Arrival, (u16, &'static str)> {
+        let head = &message.head;
+        let get = |name: &str| head.headers.get(name);
+        // Told twice, one reader might take the first and another the last.
+        for name in ["X-Call-Id", "X-Call-Class", "X-Caller", "X-Budget-Ms", "Idempotency-Key", "X-Again"] {
+            if head.headers.all(name).nth(1).is_some() {
+                return Err((400, "told twice"));
+            }
+        }
+        let call = get("X-Call-Id").filter(|id| !id.is_empty()).ok_or((400, "X-Call-Id"))?;
+        let class = get("X-Call-Class").ok_or((400, "X-Call-Class"))?;
+        // A name may have been there with other terms before.
+        let mut classes = self.settings.classes.iter().zip(&self.classes);
+        let class = classes.position(|(terms, name)| terms.offered && name == class);
+        let class = class.ok_or((400, "X-Call-Class"))?;
+        let settings = &self.settings.classes[class];
+        // The method follows from the class, and upstreams turn away what contradicts itself.
+        let key = get("Idempotency-Key");
+        let (method, fits) = match settings.effect {
+            Repeats::Repeatable => ("GET", key.is_none() && message.body.is_empty()),
+            Repeats::Keyed { .. } => ("POST", key.is_some_and(|key| !key.is_empty())),
+            Repeats::Once => ("POST", key.is_none()),
+        };
+        if head.method != method {
+            return Err((405, "method"));
+        }
+        if !fits {
+            return Err((400, "Idempotency-Key or a body"));
+        }
+        let tenant = match get("X-Caller") {
+            Some(name) if self.settings.tenants.iter().any(|tenant| tenant.offered) => {
+                let mut tenants = self.settings.tenants.iter().zip(&self.tenants);
+                let place = tenants.position(|(tenant, known)| tenant.offered && known == name);
+                Some(TenantId(place.ok_or((400, "X-Caller"))?))
+            }
+            _ => None,
+        };
+        let budget = match get("X-Budget-Ms") {
+            Some(text) => {
+                let digits = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
+                let budget: u32 = text.parse().ok().filter(|_| digits).ok_or((400, "X-Budget-Ms"))?;
+                f64::from(budget)
+            }
+            None => settings.deadline,
+        };
+        if !self.ids.is_new(call, self.now) {
+            return Err((409, "X-Call-Id"));
+        }
+        let (mut key, mut cost) = (None, None);
+        for pair in get("X-Call-Info").unwrap_or_default().split(',') {
+            match pair.trim().split_once('=') {
+                Some(("partition-key" | "key", value)) => key = value.parse().ok(),
+                Some(("cost-guess" | "hint", value)) => {
+                    cost = value.parse().ok().filter(|cost: &f64| cost.is_finite() && *cost >= 0.0);
+                }
+                _ => {}
+            }
+        }
+        let arrival = Arrival {
+            request,
+            class: ClassId(class),
+            tenant,
+            not_after: at.min(self.now) + (budget - MARGIN).max(0.0),
+            retry: get("X-Again") == Some("1"),
+            key,
+            cost,
+        };
+        Ok(arrival)
+    }
+
+    pub(super) fn answer<'a>(
+        &mut self, id: RequestId, status: u16, headers: impl Iterator<Item = (&'a str, &'a str)>, body: &[u8],
+    ) {
+        let draining = self.draining.is_some();
+        self.give(id, |request| {
+            let close = !request.keep_alive || draining;
+            (http::response(status, headers, body, close), close)
+        });
+    }
+
+    /// The one place where a request gets its answer, or the last piece of it, and so loses its client.
+    pub(super) fn give(&mut self, id: RequestId, message: impl FnOnce(&Request) -> (Vec<u8>, bool)) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(conn) = request.client.take() else { return };
+        let (bytes, close) = message(request);
+        tracing::debug!(
+            id = id.0,
+            status = bytes.get(9..12).and_then(|b| std::str::from_utf8(b).ok()),
+            "answered"
+        );
+        if self.client(conn, |client, now| client.answered(close, now)).is_some() {
+            self.effects.push(Effect::Answer { conn, bytes, close, bad: false });
+        }
+        self.request_closed(id);
+    }
+
+    /// It has its answer or lost its client: it is forgotten when its last attempt has ended, at the latest when its
+    /// time is over, as not every deployment allows a cancel.
+    pub(super) fn request_closed(&mut self, id: RequestId) {
+        let over = |request: &Request| request.client.is_none() && request.attempts.iter().all(|a| a.ended);
+        if self.requests.get(&id).is_some_and(over) {
+            self.requests.remove(&id);
+            self.timers.clear(Timer::Deadline(id));
+        }
+    }
+
+    /// The client stops waiting: what is out has timed out. The module answers that; if it did not, the backstop
+    /// does, as no request may go without an answer.
+    pub(super) fn deadline(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let streams = |n: usize| request.stream == Some(n as u32);
+        let out = request.attempts.iter().enumerate().filter(|(n, a)| !a.ended && !streams(*n));
+        let out: Vec<(u32, Option<ConnId>)> = out.map(|(n, a)| (n as u32, a.conn)).collect();
+        for (n, conn) in out {
+            conn.into_iter().for_each(|conn| self.hang_up(conn));
+            self.attempt_ended(id, n, Outcome::Timeout, self.now, None);
+        }
+        self.settle();
+        self.events.push_back(Event::Wake);
+        self.settle();
+        if self.requests.get(&id).is_some_and(|r| r.client.is_some() && r.stream.is_none()) {
+            tracing::warn!(id = id.0, "answered by the backstop");
+            self.events.push_back(Event::ClientGone(id));
+            self.answer(id, 504, std::iter::empty(), b"");
+        }
+    }
+}
--- /dev/null
+++ b/crates/sandtrack-sidecar/src/reducer/leaving.rs
@@ -0,0 +1,65 @@
+//! The reducer's sweep, and the end of the process: what has waited long enough goes. It must never close on a request that
+//! was read.
+use super::*;
+
+impl Reducer {
+    /// Ends what has waited long enough. It retires idle connections well before their upstreams may close them.
+    pub(super) fn sweep(&mut self) {
+        if self.servers.values().any(|server| server.standing == Standing::Gone) {
+            self.forget_gone();
+        }
+        while let Some(conn) = self.idle.eldest((), self.now - self.conn_idle * RETIRE) {
+            self.hang_up(conn);
+        }
+        self.trim_idle();
+        // The clients' turn: silence is closed, half a request is answered, and what idles is given back.
+        for (wait, patience) in [(Wait::First, REQUEST_PATIENCE), (Wait::Idle, REST_PATIENCE)] {
+            while let Some(conn) = self.waits.eldest(wait, self.now - patience) {
+                self.retire_client(conn);
+            }
+        }
+        while let Some(conn) = self.waits.eldest(Wait::Rest, self.now - REQUEST_PATIENCE) {
+            self.plain(conn, 408, true);
+        }
+    }
+
+    /// SIGTERM: connections are closed between requests, and new ones are taken while they still come.
+    pub(super) fn terminate(&mut self) {
+        if self.draining.is_some() {
+            return;
+        }
+        tracing::info!(requests = self.requests.len(), clients = self.clients.len(), "terminating");
+        self.draining = Some(self.now);
+        let idle = self.clients.iter().filter(|(_, client)| client.request.is_none());
+        let idle: Vec<ConnId> = idle.map(|(conn, _)| *conn).collect();
+        idle.into_iter().for_each(|conn| self.retire_client(conn));
+        self.timers.set(Timer::Drain, self.now + DRAIN_EVERY);
+    }
+
+    pub(super) fn drain(&mut self) {
+        let Some(since) = self.draining else { return };
+        self.timers.set(Timer::Drain, self.now + DRAIN_EVERY);
+        let longest = self.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
+        let past = self.now - since;
+        let quiet = past >= LAST_CALL && self.now - self.last_opened >= QUIET;
+        if (quiet || past >= LAST_CALL_MOST) && !self.exiting {
+            self.exiting = true;
+            self.effects.push(Effect::StopAccepting);
+        }
+        // What is left by then are streams, or clients that neither ask nor read.
+        let owed = self.requests.values().any(|request| request.client.is_some() && request.stream.is_none());
+        let late = past >= LAST_CALL_MOST + longest + QUIET && !owed;
+        if !self.stopped {
+            return;
+        }
+        let quiet = |client: &Client| client.request.is_none() && self.now - client.since >= QUIET;
+        let quiet = self.clients.iter().filter(|(_, client)| quiet(client));
+        let quiet: Vec<ConnId> = quiet.map(|(conn, _)| *conn).collect();
+        quiet.into_iter().for_each(|conn| self.retire_client(conn));
+        if self.clients.is_empty() || late {
+            tracing::info!(clients = self.clients.len(), "exit");
+            self.timers.clear(Timer::Drain);
+            self.effects.push(Effect::Exit);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sandtrack-sidecar/src/reducer/lists.rs
@@ -0,0 +1,146 @@
+//! Discovery's part of the reducer: the watch, the list, and what upstreams it leaves. It must never judge an upstream:
+//! the module does.
+use super::*;
+
+impl Reducer {
+    /// Upstreams are replaced all day long: one that is gone is forgotten when no connection, probe or attempt refers
+    /// to it any more. Listed again, it is another, of which nothing is known.
+    pub(super) fn forget_gone(&mut self) {
+        let held: HashSet<u32> = self.links.values().map(|link| link.server).collect();
+        let waits = |number: &u32| {
+            let unserving = self.unserving.iter().flatten();
+            held.contains(number) || self.waiting.iter().chain(unserving).any(|server| server == number)
+        };
+        let gone = self.servers.iter().filter(|(number, s)| s.standing == Standing::Gone && !waits(number));
+        let gone: Vec<u32> = gone.map(|(number, _)| *number).collect();
+        for server in gone.iter().filter_map(|number| self.servers.remove(number)) {
+            self.numbers.remove(&server.name);
+        }
+    }
+
+    pub(super) fn subscribe(&mut self) {
+        if self.watch.is_none() {
+            self.next_call += 1;
+            self.watch = Some(self.next_call);
+            self.timers.set(Timer::WatchSilent, self.now + WATCH_FIRST);
+            let (call, address) = (self.next_call, self.discovery);
+            tracing::debug!(call, after = self.generation, "calling for the list");
+            self.effects.push(Effect::Watch { call, address, after: self.generation });
+        }
+    }
+
+    /// New settings count for what comes from now on. Open requests keep the class that they came under, as numbers
+    /// of classes and tenants stay what they are.
+    pub(super) fn adopt(&mut self, mut checked: Checked) {
+        checked.follow(&self.settings, &self.classes, &self.tenants);
+        (self.conn_idle, self.connect_timeout) = on_sockets(&mut checked);
+        let mut settings = checked.settings;
+        settings.zone = ZoneId(self.zones.intern(checked.zones.name(settings.zone.0)));
+        (self.classes, self.tenants) = (checked.classes, checked.tenants);
+        self.settings = settings.clone();
+        self.events.push_back(Event::Settings(Box::new(settings)));
+    }
+
+    /// Discovery has moved: its new address is asked at once, for the whole list, as versions of two addresses need
+    /// not match. The old watch is given up; the list that it gave serves until the new one has come.
+    pub(super) fn reload(&mut self, discovery: SocketAddr) {
+        if discovery == self.discovery {
+            return;
+        }
+        self.discovery = discovery;
+        self.generation = None;
+        if let Some(call) = self.watch.take() {
+            self.effects.push(Effect::CloseWatch { call });
+        }
+        self.subscribe();
+        self.timers.set(Timer::WatchSilent, self.now + WATCH_RELOADED);
+    }
+
+    pub(super) fn watch_line(&mut self, call: CallId, catalog: Catalog) {
+        if self.watch != Some(call) {
+            return;
+        }
+        self.timers.set(Timer::WatchSilent, self.now + WATCH_SILENCE);
+        self.generation = Some(catalog.generation);
+        let kind = if catalog.reset { ListKind::Whole } else { ListKind::Patch };
+        tracing::info!(generation = catalog.generation, entries = catalog.instances.len(), ?kind, "list");
+        self.list(kind, catalog.instances);
+    }
+
+    pub(super) fn watch_ended(&mut self, call: CallId, how: &str) {
+        if self.watch == Some(call) {
+            self.watch = None;
+            self.timers.clear(Timer::WatchSilent);
+            tracing::warn!(how, "watch broken");
+            self.events.push_back(Event::ListBroken);
+        }
+    }
+
+    pub(super) fn list(&mut self, kind: ListKind, instances: Vec<Instance>) {
+        let mut before = Vec::new();
+        if kind != ListKind::Patch {
+            for (number, server) in &mut self.servers {
+                if std::mem::replace(&mut server.standing, Standing::Gone) != Standing::Gone {
+                    before.push(*number);
+                }
+            }
+        }
+        let entries = instances.into_iter().map(|instance| self.entry(instance)).collect();
+        for number in before {
+            let left = self.servers.get(&number).filter(|server| server.standing == Standing::Gone);
+            if let Some(server) = left {
+                tracing::info!(upstream = server.name, "left the list");
+                self.drop_idle(number);
+            }
+        }
+        self.events.push_back(Event::List { kind, entries });
+    }
+
+    pub(super) fn entry(&mut self, instance: Instance) -> Entry {
+        let address: Option<SocketAddr> = instance.host_port.parse().ok();
+        let standing = match instance.lifecycle {
+            Lifecycle::Serving => Standing::Ready,
+            Lifecycle::Draining => Standing::Draining,
+            Lifecycle::Deleted => Standing::Gone,
+        };
+        // Wall time is mapped to the clock by its zero alone, so that one start always gives one figure.
+        let started = instance.started_at_ms;
+        let since = Some(started - self.epoch).filter(|_| started.is_finite() && started != 0.0);
+        let name = instance.instance_id;
+        let told_as = identity(&name);
+        let number = *self.numbers.entry(name.clone()).or_insert_with(|| {
+            self.next_server += 1;
+            self.next_server - 1
+        });
+        let new = || Server { name, address, standing, since, scale: 1.0, idle: Vec::new() };
+        let server = self.servers.entry(number).or_insert_with(new);
+        let address = address.or(server.address);
+        // Connections to a former address or process, or to one that takes nothing more, are of no use.
+        let useless = server.address != address || server.since != since || standing != Standing::Ready;
+        if server.standing != standing || server.since != since {
+            tracing::info!(upstream = server.name, ?standing, restarted = server.since != since, "changed");
+        }
+        (server.address, server.since, server.standing) = (address, since, standing);
+        // A weight that says nothing changes nothing.
+        server.scale = instance.weight.filter(|w| w.is_finite() && *w > 0.0).unwrap_or(server.scale);
+        let scale = server.scale;
+        if useless {
+            self.drop_idle(number);
+        }
+        Entry {
+            upstream: UpstreamId(number),
+            identity: told_as,
+            standing,
+            cell: instance.cell,
+            kind: self.kinds.intern(&instance.machine_type),
+            scale,
+            zone: ZoneId(self.zones.intern(&instance.zone)),
+            since,
+        }
+    }
+
+    pub(super) fn drop_idle(&mut self, server: u32) {
+        let Some(server) = self.servers.get_mut(&server) else { return };
+        std::mem::take(&mut server.idle).into_iter().for_each(|conn| self.hang_up(conn));
+    }
+}
