--- a/crates/sandtrack-lab/src/node.rs
+++ b/crates/sandtrack-lab/src/node.rs
@@ -652,7 +652,10 @@
             }
             Effect::Watch { call, after, .. } => out.push(Out::Call { call, after }),
             Effect::CloseWatch { call } => out.push(Out::HangUp(call)),
-            Effect::Relay { .. } | Effect::More { .. } | Effect::StopAccepting | Effect::Exit => {}
+            // There is no second address here, nothing is streamed, and the node ends with its world.
+            Effect::AnswerAdmin { .. } | Effect::CloseAdmin { .. } | Effect::Change { .. } => {}
+            Effect::Relay { .. } | Effect::More { .. } => {}
+            Effect::Accept | Effect::StopAccepting { .. } | Effect::Exit => {}
         }
     }
 }
--- a/crates/sandtrack-sidecar/src/client.rs
+++ b/crates/sandtrack-sidecar/src/client.rs
@@ -2,7 +2,7 @@
 //! the reducer each request whole, and must never answer of its own accord nor read a second request while one
 //! is unanswered.
 use crate::http::{self, Collector, Side, Taken};
-use crate::net::{next, no_delay, read_into, unless_closed, write_all, Inputs, Next, Order, Orders};
+use crate::net::{next, no_delay, read_into, write_all, Inputs, Next, Order, Orders};
 use crate::reducer::{ConnId, Input};
 use crate::ring::Ring;
 use async_io::{Async, Timer};
@@ -21,33 +21,47 @@
 /// without end takes no more turns than others.
 const NEXT_TURN: Duration = Duration::from_millis(50);
 /// Pause of the listener when the process is out of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 
-/// Accepts until told to stop, then takes what is already waiting, and closes the listener.
+/// Accepts until told to stop, then takes what is already waiting, unless that is left to another process, and closes its
+/// end of the listener.
 pub async fn accept(
     listener: Async<TcpListener>, stop: Orders, inputs: Inputs, mut opened: impl FnMut(Async<TcpStream>),
 ) {
     loop {
-        match unless_closed(&stop, listener.accept()).await {
-            Some(Ok((stream, _))) => {
+        match unless_stopped(&stop, listener.accept()).await {
+            Ok(Ok((stream, _))) => {
                 opened(stream);
                 // Hundreds may come at once: the others have their turn in between.
                 future::yield_now().await;
             }
-            Some(Err(error)) => {
+            Ok(Err(error)) => {
                 // Out of descriptors, or a connection that broke while it waited: the listener lives on.
                 tracing::debug!(%error, "accept failed");
                 inputs.send(Input::AcceptFailed);
                 Timer::after(ACCEPT_PAUSE).await;
             }
-            None => break,
+            Err(true) => break,
+            Err(false) => {
+                take_waiting(&listener, &mut opened).await;
+                break;
+            }
         }
     }
+    drop(listener);
+    inputs.send(Input::AcceptStopped);
+}
+
+/// The outcome of the work, or, once it is to stop, whether what waits is another process's.
+async fn unless_stopped<T>(stop: &Orders, work: impl Future<Output = T>) -> Result<T, bool> {
+    let stopped = async { Err(matches!(stop.recv().await, Ok(Order::Retire))) };
+    future::or(stopped, async { Ok(work.await) }).await
+}
+
+async fn take_waiting(listener: &Async<TcpListener>, opened: &mut impl FnMut(Async<TcpStream>)) {
     while let Some(Ok((stream, _))) = future::poll_once(listener.accept()).await {
         opened(stream);
     }
-    drop(listener);
-    inputs.send(Input::AcceptStopped);
 }
 
 /// Serves one client connection until it ends.
@@ -169,7 +183,7 @@
 
 /// Ends the sending side and waits a little for the client to end its own: a socket that is closed with bytes
 /// unread resets the connection, and the client could lose the answer that is on its way.
-async fn linger(stream: &Async<TcpStream>) {
+pub async fn linger(stream: &Async<TcpStream>) {
     if stream.get_ref().shutdown(Shutdown::Write).is_err() {
         return;
     }
--- a/crates/sandtrack-sidecar/src/config.rs
+++ b/crates/sandtrack-sidecar/src/config.rs
@@ -12,6 +12,7 @@
     name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
+    admin: Option<SocketAddr>,
     seed: Seed,
     #[serde(default)]
     limits: Limits,
@@ -43,6 +44,10 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// The second address, for staff; there is none unless it is told.
+    pub admin: Option<SocketAddr>,
+    /// The descriptor of the clients' listening socket, where the platform holds that.
+    pub socket: Option<u32>,
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub descriptors: usize,
@@ -53,7 +58,7 @@
 
 /// What a reload looks at for changes: the settings, which it brings, and keys that are read at the start alone.
 const SETTINGS: &str = "settings";
-const WATCHED: [&str; 4] = ["listen", "limits", "name", SETTINGS];
+const WATCHED: [&str; 5] = ["listen", "admin", "limits", "name", SETTINGS];
 
 /// The file as it was last read, to be read again at a reload.
 pub struct Source {
@@ -93,6 +98,9 @@
     }
 }
 
+/// Names the descriptor of the clients' listening socket.
+pub const SOCKET_FD: &str = "NODE_SOCKET_FD";
+
 /// The fewest descriptors with which anything can be served.
 const DESCRIPTORS_LEAST: usize = 24;
 
@@ -119,6 +127,8 @@
         name: file.name,
         listen: file.listen,
         discovery: file.discovery,
+        admin: file.admin,
+        socket: None,
         seed,
         descriptors: file.limits.sockets,
         known: file.known,
@@ -126,7 +136,7 @@
     })
 }
 
-fn wrong(key: &str, wrong: String) -> Fault {
+pub fn wrong(key: &str, wrong: String) -> Fault {
     Fault { key: key.to_owned(), wrong }
 }
 
@@ -134,19 +144,25 @@
     std::fs::read(path).map_err(|error| wrong("NODE_CONFIG", error.to_string()))
 }
 
-/// Reads the file that `NODE_CONFIG` names; `NODE_NAME`, `NODE_LISTEN` and `NODE_DISCOVERY` go before it.
+/// Reads the file that `NODE_CONFIG` names; `NODE_NAME`, `NODE_LISTEN`, `NODE_DISCOVERY` and `NODE_ADMIN` go before it.
+/// `NODE_SOCKET_FD` is no matter of the file.
 pub fn load(var: impl Fn(&str) -> Option<String>) -> Result<(Config, Source), Fault> {
     let path = var("NODE_CONFIG").ok_or_else(|| wrong("NODE_CONFIG", "not set".to_owned()))?;
     let path = PathBuf::from(path);
     let text = text(&path)?;
     let mut config = parse(&text)?;
     let source = Source { path, discovery: config.discovery, said: said(&text) };
-    let address = |key: &str, told: SocketAddr| match var(key) {
-        Some(text) => text.parse().map_err(|_| wrong(key, format!("{text:?} is not address:port"))),
-        None => Ok(told),
+    let address = |key: &str| -> Result<Option<SocketAddr>, Fault> {
+        let read =
+            |text: String| text.parse().map_err(|_| wrong(key, format!("{text:?} is not address:port")));
+        var(key).map(read).transpose()
     };
-    config.listen = address("NODE_LISTEN", config.listen)?;
-    config.discovery = address("NODE_DISCOVERY", config.discovery)?;
+    config.listen = address("NODE_LISTEN")?.unwrap_or(config.listen);
+    config.discovery = address("NODE_DISCOVERY")?.unwrap_or(config.discovery);
+    config.admin = address("NODE_ADMIN")?.or(config.admin);
+    let number =
+        |text: String| text.parse().map_err(|_| wrong(SOCKET_FD, format!("{text:?} is no descriptor")));
+    config.socket = var(SOCKET_FD).map(number).transpose()?;
     config.name = var("NODE_NAME").unwrap_or(config.name);
     Ok((config, source))
 }
--- a/crates/sandtrack-sidecar/src/main.rs
+++ b/crates/sandtrack-sidecar/src/main.rs
@@ -5,15 +5,17 @@
 use async_signal::{Signal, Signals};
 use futures_lite::{future, stream, StreamExt};
 use sandtrack_sidecar::config::{self, Config, Source};
+use sandtrack_sidecar::handover::{self, Handover};
 use sandtrack_sidecar::net::{Clock, Inputs, Order, Orders};
-use sandtrack_sidecar::reducer::{CallId, ConnId, Effect, Input, Reducer};
-use sandtrack_sidecar::{catalog, client, upstream};
+use sandtrack_sidecar::reducer::{CallId, ConnId, Effect, Input, Reducer, Ways};
+use sandtrack_sidecar::{admin, catalog, client, upstream};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 type Sender = async_channel::Sender<Order>;
 
@@ -24,9 +26,15 @@
     clients: HashMap<ConnId, Sender>,
     upstreams: HashMap<ConnId, Sender>,
     watches: HashMap<CallId, Sender>,
+    admins: HashMap<ConnId, Sender>,
+    handover: Rc<RefCell<Handover>>,
+    accept: async_channel::Sender<()>,
     stop_accepting: Sender,
 }
 
+/// How often it is looked what another process of this sidecar noted, and whether one lives.
+const LOOK_EVERY: Duration = Duration::from_millis(40);
+
 fn main() -> ExitCode {
     let level = std::env::var("SANDTRACK_LOG").ok().and_then(|level| level.parse().ok());
     let level = level.unwrap_or(tracing::Level::INFO);
@@ -38,9 +46,16 @@
             return ExitCode::from(2);
         }
     };
+    let inherited = match config.socket.map(handover::inherited).transpose() {
+        Ok(inherited) => inherited,
+        Err(error) => {
+            tracing::error!("configuration: {}", config::wrong(config::SOCKET_FD, error.to_string()));
+            return ExitCode::from(2);
+        }
+    };
     let executor = Rc::new(LocalExecutor::new());
     // async-io's own: this thread then polls for events itself, and none has to cross from a helper thread.
-    match async_io::block_on(executor.run(serve(config, source, executor.clone()))) {
+    match async_io::block_on(executor.run(serve(config, inherited, source, executor.clone()))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             tracing::error!(%error, "can't serve");
@@ -49,30 +64,47 @@
     }
 }
 
-async fn serve(config: Config, mut source: Source, executor: Rc<LocalExecutor<'_>>) -> std::io::Result<()> {
+async fn serve(
+    config: Config, inherited: Option<TcpListener>, mut source: Source, executor: Rc<LocalExecutor<'_>>,
+) -> std::io::Result<()> {
     let clock = Clock::start();
     let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
     let epoch = wall - clock.now();
     let (inputs, received) = Inputs::new(clock);
-    let listener = Async::<TcpListener>::bind(config.listen)?;
+    let ways = Ways { admin: config.admin.is_some(), inherited: inherited.is_some() };
+    let listener = match inherited {
+        Some(listener) => Async::new(listener)?,
+        None => Async::<TcpListener>::bind(config.listen)?,
+    };
+    let staff = config.admin.map(Async::<TcpListener>::bind).transpose()?;
+    // Where there is nobody to order anything, and no other process, nothing is shared.
+    let folder = std::env::var_os("TMPDIR").filter(|_| ways.admin || ways.inherited).map(PathBuf::from);
+    let handover = Handover::open(folder.as_deref(), config.listen);
+    let shared = folder.is_some();
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     let (discovery, descriptors) = (config.discovery, config.descriptors);
     let reducer =
         Reducer::new(config.checked, discovery, config.seed, descriptors, epoch.round(), clock.now());
+    let reducer = reducer.with(ways, handover.known().clone(), handover.other_lives());
+    let handover = Rc::new(RefCell::new(handover));
     let reducer = Rc::new(RefCell::new(reducer));
     let (stop_accepting, stop) = async_channel::unbounded();
+    let (accept, accepting) = async_channel::bounded::<()>(1);
     let tasks = Tasks {
         executor: executor.clone(),
         inputs: inputs.clone(),
         clients: HashMap::new(),
         upstreams: HashMap::new(),
         watches: HashMap::new(),
+        admins: HashMap::new(),
+        handover: handover.clone(),
+        accept,
         stop_accepting,
     };
     let tasks = Rc::new(RefCell::new(tasks));
     let effects = reducer.borrow_mut().start(config.known);
     perform(&tasks, effects);
-    tracing::info!(name = config.name, listen = %config.listen, "serving");
+    tracing::info!(name = config.name, listen = %config.listen, admin = ?config.admin, "serving");
 
     let opened = {
         let (tasks, reducer) = (tasks.clone(), reducer.clone());
@@ -81,10 +113,29 @@
             tasks.borrow_mut().opened(conn, stream);
         }
     };
-    executor.spawn(client::accept(listener, stop, inputs, opened)).detach();
+    let accept = {
+        let inputs = inputs.clone();
+        async move {
+            if accepting.recv().await.is_ok() {
+                client::accept(listener, stop, inputs, opened).await;
+            }
+        }
+    };
+    executor.spawn(accept).detach();
+    if let Some(listener) = staff {
+        let (tasks, reducer) = (tasks.clone(), reducer.clone());
+        let opened = move |stream: Async<TcpStream>| {
+            let conn = reducer.borrow_mut().accepted();
+            tasks.borrow_mut().called(conn, stream);
+        };
+        executor.spawn(admin::listen(listener, opened)).detach();
+    }
+    if shared {
+        executor.spawn(look(handover, inputs)).detach();
+    }
 
     let told = signals.filter_map(|signal| match signal.ok()? {
-        Signal::Hup => reload(&mut source),
+        Signal::Hup => Some(reload(&mut source)),
         _ => Some(Input::Terminate),
     });
     let mut inputs = Box::pin(stream::or(told, received));
@@ -100,15 +151,35 @@
         let input = future::or(inputs.next(), tick).await;
         let Some(input) = input else { return Ok(()) };
         tasks.borrow_mut().forget(&input);
-        let effects = reducer.borrow_mut().handle(clock.now(), input);
-        if perform(&tasks, effects) {
-            return Ok(());
+        let mut next = Some(input);
+        while let Some(input) = next {
+            let effects = reducer.borrow_mut().handle(clock.now(), input);
+            let (exit, noted) = perform(&tasks, effects);
+            if exit {
+                return Ok(());
+            }
+            next = noted;
+        }
+    }
+}
+
+/// Looks what another process of this sidecar noted, and whether one lives, for as long as this one does.
+async fn look(handover: Rc<RefCell<Handover>>, inputs: Inputs) {
+    let mut lives = handover.borrow().other_lives();
+    loop {
+        Timer::after(LOOK_EVERY).await;
+        if let Some(by_hand) = handover.borrow_mut().look() {
+            inputs.send(Input::ByHand(by_hand.clone()));
+        }
+        let now = handover.borrow().other_lives();
+        if now != std::mem::replace(&mut lives, now) {
+            inputs.send(Input::OtherLives(now));
         }
     }
 }
 
 /// SIGHUP: the file is read again. A faulty one changes nothing, and what runs goes on as it was.
-fn reload(source: &mut Source) -> Option<Input> {
+fn reload(source: &mut Source) -> Input {
     match source.again() {
         Ok(reload) => {
             let (waiting, settings) = (reload.waiting.join(", "), reload.settings.is_some());
@@ -117,19 +188,19 @@
                 None => tracing::info!(settings, waiting, "reloaded: discovery stays"),
             }
             let settings = reload.settings.map(Box::new);
-            Some(Input::Reload { discovery: reload.discovery, settings })
+            Input::Reload { discovery: reload.discovery, settings }
         }
         Err(fault) => {
             tracing::error!("configuration kept as it was: {fault}");
-            None
+            Input::ReloadFailed
         }
     }
 }
 
-/// Carries out effects in order; yes when the process is to end.
-fn perform(tasks: &RefCell<Tasks<'_>>, effects: Vec<Effect>) -> bool {
+/// Carries out effects in order; yes when the process is to end, and what the reducer has to know before anything else.
+fn perform(tasks: &RefCell<Tasks<'_>>, effects: Vec<Effect>) -> (bool, Option<Input>) {
     let mut tasks = tasks.borrow_mut();
-    let mut exit = false;
+    let (mut exit, mut told) = (false, None);
     for effect in effects {
         match effect {
             Effect::Answer { conn, bytes, close, bad } => {
@@ -146,14 +217,25 @@
             Effect::CloseUpstream { conn } => order(&tasks.upstreams, conn, Order::Close),
             Effect::Watch { call, address, after } => tasks.watch(call, address, after),
             Effect::CloseWatch { call } => order(&tasks.watches, call, Order::Close),
-            Effect::StopAccepting => {
+            Effect::AnswerAdmin { conn, bytes } => {
+                order(&tasks.admins, conn, Order::Answer { bytes, close: true, bad: false });
+            }
+            Effect::CloseAdmin { conn } => order(&tasks.admins, conn, Order::Close),
+            Effect::Change { conn, change } => {
+                let noted = tasks.handover.borrow_mut().change(change).cloned();
+                told = Some(Input::Changed { conn, noted: noted.map_err(|error| error.to_string()) });
+            }
+            Effect::Accept => {
+                let _ = tasks.accept.try_send(());
+            }
+            Effect::StopAccepting { leave } => {
                 // It fails only when the listener has ended already.
-                let _ = tasks.stop_accepting.try_send(Order::Close);
+                let _ = tasks.stop_accepting.try_send(if leave { Order::Retire } else { Order::Close });
             }
             Effect::Exit => exit = true,
         }
     }
-    exit
+    (exit, told)
 }
 
 /// Keeps the way to a new task, and gives the task's end of it.
@@ -177,6 +259,12 @@
         self.executor.spawn(client::serve(conn, stream, orders, self.inputs.clone())).detach();
     }
 
+    fn called(&mut self, conn: ConnId, stream: Async<TcpStream>) {
+        let orders = way(&mut self.admins, conn);
+        self.inputs.send(Input::AdminOpened { conn });
+        self.executor.spawn(admin::serve(conn, stream, orders, self.inputs.clone())).detach();
+    }
+
     fn connect(&mut self, conn: ConnId, address: SocketAddr) {
         let orders = way(&mut self.upstreams, conn);
         self.executor.spawn(upstream::run(conn, address, orders, self.inputs.clone())).detach();
@@ -193,6 +281,7 @@
         match input {
             Input::ClientClosed { conn } => drop(self.clients.remove(conn)),
             Input::UpstreamClosed { conn, .. } => drop(self.upstreams.remove(conn)),
+            Input::AdminClosed { conn } => drop(self.admins.remove(conn)),
             Input::WatchEnded { call } => drop(self.watches.remove(call)),
             _ => {}
         }
--- a/crates/sandtrack-sidecar/src/reducer.rs
+++ b/crates/sandtrack-sidecar/src/reducer.rs
@@ -3,13 +3,15 @@
 //! back in one place here. It must never do I/O, read a clock, or decide what the module decides: which upstream, when,
 //! and whether at all.
 use crate::catalog::{Catalog, Instance, Lifecycle};
+use crate::handover::{ByHand, Change};
 use crate::http::{self, Head, Message};
+use crate::metrics::{End, Figures};
 use crate::upstream::Written;
 use sandtrack::interface::Effect as Repeats;
 use sandtrack::interface::*;
 use sandtrack::Balancer;
 use sandtrack_settings::{identity, Checked, Names};
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use tables::*;
 
@@ -18,14 +20,19 @@
 mod leaving;
 mod links;
 mod lists;
+mod staff;
 mod tables;
 
+pub use staff::ADMIN_MOST;
+
 pub type ConnId = u64;
 pub type CallId = u64;
 
 /// Descriptors that are neither a client's nor an upstream's: standard streams, the poller's, signals, the
 /// listener, the watch, and a reserve for what is accepted before room is made.
 const RESERVE: usize = 16;
+/// Beside its callers the second address needs a listener, a lock, and a file while it is read or replaced.
+const STAFF_RESERVE: usize = 4;
 /// Upstream connections may take this part of the others, so that clients always find room.
 const LINKS_PART: f64 = 0.75;
 /// An idle connection is retired at this part of the time after which its upstream may close it ...
@@ -69,6 +76,9 @@
 const REPORT_MOST: f64 = 1e9;
 /// Where the settings tell no connect time-out.
 const CONNECT_UNTOLD: Millis = 1000.0;
+/// What idles of clients is closed this long after they were sent away: until then they are told with an answer, which no
+/// request can cross.
+const SOFT: Millis = 500.0;
 /// After SIGTERM new connections are awaited for this long, and until none came for `QUIET` ...
 const LAST_CALL: Millis = 600.0;
 /// ... but no longer than this, however many still come: what is taken has to be answered before SIGKILL.
@@ -145,6 +155,33 @@
     WatchEnded {
         call: CallId,
     },
+    /// A message was written to its last byte.
+    UpstreamWrote {
+        conn: ConnId,
+    },
+    AdminOpened {
+        conn: ConnId,
+    },
+    AdminCall {
+        conn: ConnId,
+        message: Message,
+    },
+    AdminBad {
+        conn: ConnId,
+        status: u16,
+    },
+    AdminClosed {
+        conn: ConnId,
+    },
+    /// The change that a call asked for: what holds now, or why it could not be noted.
+    Changed {
+        conn: ConnId,
+        noted: Result<ByHand, String>,
+    },
+    /// The other process noted another.
+    ByHand(ByHand),
+    /// Another process of this sidecar has come or gone.
+    OtherLives(bool),
     AcceptFailed,
     AcceptStopped,
     Terminate,
@@ -153,6 +190,8 @@
         discovery: Option<SocketAddr>,
         settings: Option<Box<Checked>>,
     },
+    /// It could not be read, and nothing of it counts.
+    ReloadFailed,
     /// Time has passed.
     Tick,
 }
@@ -203,7 +242,23 @@
     CloseWatch {
         call: CallId,
     },
-    StopAccepting,
+    AnswerAdmin {
+        conn: ConnId,
+        bytes: Vec<u8>,
+    },
+    CloseAdmin {
+        conn: ConnId,
+    },
+    /// Note it for all processes, and tell what came of that before anything else.
+    Change {
+        conn: ConnId,
+        change: Change,
+    },
+    Accept,
+    /// `leave`: what waits to be accepted is another process's.
+    StopAccepting {
+        leave: bool,
+    },
     Exit,
 }
 
@@ -254,6 +309,25 @@
     scarce_said: Millis,
     stopped: bool,
     exiting: bool,
+    ways: Ways,
+    descriptors: usize,
+    callers: BTreeMap<ConnId, staff::Caller>,
+    figures: Figures,
+    by_hand: ByHand,
+    /// When staff sent clients away.
+    drained: Option<Millis>,
+    other_lives: bool,
+    ready: bool,
+    accepting: bool,
+}
+
+/// What the platform gives this process beside its clients.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Ways {
+    /// There is a second address.
+    pub admin: bool,
+    /// The clients' listening socket is shared with other processes.
+    pub inherited: bool,
 }
 
 /// What sockets make of the settings; how long a connection may be idle, and how long it may take to come up.
@@ -276,8 +350,7 @@
         now: Millis,
     ) -> Self {
         let (conn_idle, connect_timeout) = on_sockets(&mut checked);
-        let sockets = descriptors.saturating_sub(RESERVE).max(2);
-        Reducer {
+        let mut reducer = Reducer {
             balancer: Balancer::new(checked.settings.clone(), seed),
             connect_timeout,
             conn_idle,
@@ -288,8 +361,8 @@
             kinds: Names::default(),
             numbers: HashMap::new(),
             next_server: 0,
-            sockets,
-            links_most: ((sockets as f64 * LINKS_PART) as usize).max(1),
+            sockets: 0,
+            links_most: 0,
             epoch,
             now,
             servers: BTreeMap::new(),
@@ -315,7 +388,35 @@
             scarce_said: f64::NEG_INFINITY,
             stopped: false,
             exiting: false,
-        }
+            ways: Ways::default(),
+            descriptors,
+            callers: BTreeMap::new(),
+            figures: Figures::default(),
+            by_hand: ByHand::default(),
+            drained: None,
+            other_lives: false,
+            ready: false,
+            accepting: false,
+        };
+        reducer.share_sockets();
+        reducer
+    }
+
+    /// Two processes of one sidecar have a half each.
+    fn share_sockets(&mut self) {
+        let own = if self.other_lives { self.descriptors / 2 } else { self.descriptors };
+        let staff = if self.ways.admin { ADMIN_MOST + STAFF_RESERVE } else { 0 };
+        self.sockets = own.saturating_sub(RESERVE + staff).max(2);
+        self.links_most = ((self.sockets as f64 * LINKS_PART) as usize).max(1);
+        self.give_way();
+    }
+
+    /// The platform's ways, what staff have ordered so far, and whether another process of this sidecar lives.
+    pub fn with(mut self, ways: Ways, by_hand: ByHand, other_lives: bool) -> Self {
+        (self.ways, self.other_lives) = (ways, other_lives);
+        self.share_sockets();
+        self.follow(by_hand);
+        self
     }
 
     /// The sidecar starts with the list it last had.
@@ -326,6 +427,8 @@
             self.list(ListKind::Stale, known.instances);
         }
         self.timers.set(Timer::Sweep, self.now + SWEEP_EVERY);
+        self.timers.set(Timer::Ready, self.now + staff::READY_ANYWAY);
+        self.accept();
         self.settle();
         std::mem::take(&mut self.effects)
     }
@@ -348,8 +451,9 @@
 
     /// Whether nothing is held: no connection, request or timer of theirs.
     pub fn is_empty(&self) -> bool {
-        let kept =
-            |timer: &Timer| !matches!(timer, Timer::Wake | Timer::WatchSilent | Timer::Sweep | Timer::Drain);
+        let kept = |timer: &Timer| {
+            !matches!(timer, Timer::Wake | Timer::WatchSilent | Timer::Ready | Timer::Sweep | Timer::Drain)
+        };
         let idle = self.servers.values().all(|server| server.idle.is_empty());
         let timers = !self.timers.set.keys().any(kept);
         let idle = idle && self.idle.order.is_empty() && self.waits.order.is_empty();
@@ -422,13 +526,23 @@
                 }
             }
             Input::WatchEnded { call } => self.watch_ended(call, "ended"),
+            Input::UpstreamWrote { conn } => self.upstream_wrote(conn),
+            Input::AdminOpened { conn } => self.admin_opened(conn),
+            Input::AdminCall { conn, message } => self.admin_call(conn, &message),
+            Input::AdminBad { conn, status } => self.admin_answer(conn, status, "no: it can't be read\n"),
+            Input::AdminClosed { conn } => self.admin_closed(conn),
+            Input::Changed { conn, noted } => self.changed(conn, noted),
+            Input::ByHand(by_hand) => self.follow(by_hand),
+            Input::OtherLives(lives) => self.other_lives(lives),
             Input::AcceptFailed => {
                 self.scarce("accept failed");
                 self.make_room();
             }
             Input::AcceptStopped => self.stopped = true,
             Input::Terminate => self.terminate(),
+            Input::ReloadFailed => self.figures.config_reload_errors += 1,
             Input::Reload { discovery, settings } => {
+                self.figures.config_reloads += 1;
                 settings.into_iter().for_each(|settings| self.adopt(*settings));
                 discovery.into_iter().for_each(|discovery| self.reload(discovery));
             }
@@ -465,6 +579,8 @@
                 self.timers.set(Timer::Sweep, self.now + SWEEP_EVERY);
             }
             Timer::Drain => self.drain(),
+            Timer::Ready => self.now_ready(),
+            Timer::Call(conn) => self.admin_answer(conn, 408, "no: it took too long\n"),
         }
     }
 }
--- a/crates/sandtrack-sidecar/src/reducer/clients.rs
+++ b/crates/sandtrack-sidecar/src/reducer/clients.rs
@@ -75,6 +75,18 @@
         idle.is_some()
     }
 
+    /// What is held beyond the budget goes, as far as it idles.
+    pub(super) fn give_way(&mut self) {
+        let links = self.links.values().filter(|link| matches!(link.stage, Stage::Closing)).count();
+        let going = links + self.clients.values().filter(|client| client.closing || client.retired).count();
+        let beyond = (self.links.len() + self.clients.len()).saturating_sub(self.sockets + going);
+        for _ in 0..beyond {
+            if !self.make_room() {
+                return;
+            }
+        }
+    }
+
     pub(super) fn drop_eldest_link(&mut self) -> bool {
         let eldest = self.idle.eldest((), self.now);
         eldest.into_iter().for_each(|conn| self.hang_up(conn));
@@ -127,7 +139,7 @@
     /// An answer that no upstream or decision is behind.
     pub(super) fn plain(&mut self, conn: ConnId, status: u16, close: bool) {
         let Some(client) = self.clients.get(&conn).filter(|client| !client.closing) else { return };
-        let close = close || self.draining.is_some() || client.surplus || client.retired;
+        let close = close || self.leaving() || client.surplus || client.retired;
         self.client(conn, |client, now| client.answered(close, now));
         let again = self.settings.limits.max_retry_after.filter(|_| status == 503);
         let again = again.map(|longest| format!("{:.3}", longest.min(COME_BACK) / 1000.0));
@@ -141,10 +153,13 @@
         let keep_alive = message.head.keep_alive && !client.retired;
         let path = message.head.target.split('?').next().unwrap_or_default();
         if path == "/_health" {
-            return self.plain(conn, if self.draining.is_some() { 503 } else { 200 }, !keep_alive);
+            return self.plain(conn, if self.leaving() { 503 } else { 200 }, !keep_alive);
         }
         let refused = client.surplus || self.requests.len() >= self.settings.limits.max_open as usize;
         if refused {
+            if let Some(class) = message.head.headers.get("X-Call-Class").and_then(|name| self.class(name)) {
+                self.figures.ended(class, End::Rejected);
+            }
             return self.plain(conn, 503, !keep_alive);
         }
         let id = RequestId(self.next_request);
@@ -179,6 +194,12 @@
         }
     }
 
+    /// The class of that name. A name may have been there with other terms before.
+    fn class(&self, class: &str) -> Option<usize> {
+        let mut classes = self.settings.classes.iter().zip(&self.classes);
+        classes.position(|(terms, name)| terms.offered && name == class)
+    }
+
     /// The request in the module's words, or the status that says what is wrong with it.
     pub(super) fn arrival(
         &mut self, request: RequestId, at: Millis, message: &Message,
@@ -193,10 +214,7 @@
         }
         let call = get("X-Call-Id").filter(|id| !id.is_empty()).ok_or((400, "X-Call-Id"))?;
         let class = get("X-Call-Class").ok_or((400, "X-Call-Class"))?;
-        // A name may have been there with other terms before.
-        let mut classes = self.settings.classes.iter().zip(&self.classes);
-        let class = classes.position(|(terms, name)| terms.offered && name == class);
-        let class = class.ok_or((400, "X-Call-Class"))?;
+        let class = self.class(class).ok_or((400, "X-Call-Class"))?;
         let settings = &self.settings.classes[class];
         // The method follows from the class, and upstreams turn away what contradicts itself.
         let key = get("Idempotency-Key");
@@ -255,17 +273,20 @@
     pub(super) fn answer<'a>(
         &mut self, id: RequestId, status: u16, headers: impl Iterator<Item = (&'a str, &'a str)>, body: &[u8],
     ) {
-        let draining = self.draining.is_some();
-        self.give(id, |request| {
-            let close = !request.keep_alive || draining;
+        let leaving = self.leaving();
+        self.give(id, End::of(status), |request| {
+            let close = !request.keep_alive || leaving;
             (http::response(status, headers, body, close), close)
         });
     }
 
     /// The one place where a request gets its answer, or the last piece of it, and so loses its client.
-    pub(super) fn give(&mut self, id: RequestId, message: impl FnOnce(&Request) -> (Vec<u8>, bool)) {
+    pub(super) fn give(
+        &mut self, id: RequestId, how: End, message: impl FnOnce(&Request) -> (Vec<u8>, bool),
+    ) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(conn) = request.client.take() else { return };
+        self.figures.ended(request.class, how);
         let (bytes, close) = message(request);
         tracing::debug!(
             id = id.0,
--- a/crates/sandtrack-sidecar/src/reducer/flows.rs
+++ b/crates/sandtrack-sidecar/src/reducer/flows.rs
@@ -11,7 +11,7 @@
     }
 
     pub(super) fn began(&mut self, conn: ConnId, head: &Head) {
-        let draining = self.draining.is_some();
+        let leaving = self.leaving();
         let Some(Stage::Busy(Job::Attempt(id, n))) = self.links.get(&conn).map(|link| link.stage) else {
             return;
         };
@@ -20,7 +20,7 @@
             return self.cancel(id, n);
         };
         request.stream = Some(n);
-        request.keep_alive &= !draining;
+        request.keep_alive &= !leaving;
         let bytes = http::chunked(head.status, answer_headers(head), !request.keep_alive);
         let client = request.client;
         self.events.push_back(Event::Opened { request: id, attempt: n });
@@ -43,7 +43,7 @@
 
     pub(super) fn over(&mut self, conn: ConnId, at: Millis, keep_alive: bool) {
         let Some((Job::Attempt(id, n), _)) = self.free(conn, keep_alive) else { return };
-        self.give(id, |request| (http::chunk(b""), !request.keep_alive));
+        self.give(id, End::Completed, |request| (http::chunk(b""), !request.keep_alive));
         self.attempt_ended(id, n, Outcome::Ok, at, None);
     }
 
@@ -51,6 +51,7 @@
     pub(super) fn cut_short(&mut self, id: RequestId, n: u32) {
         let Some(request) = self.requests.get_mut(&id).filter(|r| r.stream == Some(n)) else { return };
         let Some(conn) = request.client.take() else { return };
+        self.figures.ended(request.class, End::Failed);
         self.close_client(conn);
     }
 }
--- a/crates/sandtrack-sidecar/src/reducer/leaving.rs
+++ b/crates/sandtrack-sidecar/src/reducer/leaving.rs
@@ -12,6 +12,7 @@
             self.hang_up(conn);
         }
         self.trim_idle();
+        self.give_way();
         // The clients' turn: silence is closed, half a request is answered, and what idles is given back.
         for (wait, patience) in [(Wait::First, REQUEST_PATIENCE), (Wait::Idle, REST_PATIENCE)] {
             while let Some(conn) = self.waits.eldest(wait, self.now - patience) {
@@ -23,40 +24,67 @@
         }
     }
 
-    /// SIGTERM: connections are closed between requests, and new ones are taken while they still come.
+    /// Clients are to go elsewhere: the process ends, or staff sent them away.
+    pub(super) fn leaving(&self) -> bool {
+        self.draining.is_some() || self.drained.is_some()
+    }
+
+    /// Staff send clients away: health says no, answers close, and what idles is closed; all that comes is still served.
+    pub(super) fn drain_by_hand(&mut self) {
+        tracing::info!(requests = self.requests.len(), clients = self.clients.len(), "clients are sent away");
+        self.drained = Some(self.now);
+        self.timers.bring_forward(Timer::Drain, self.now + DRAIN_EVERY);
+    }
+
+    /// SIGTERM: connections are closed between requests, and new ones are taken while they still come; where another
+    /// process takes them, they are left to that at once.
     pub(super) fn terminate(&mut self) {
         if self.draining.is_some() {
             return;
         }
         tracing::info!(requests = self.requests.len(), clients = self.clients.len(), "terminating");
         self.draining = Some(self.now);
-        let idle = self.clients.iter().filter(|(_, client)| client.request.is_none());
-        let idle: Vec<ConnId> = idle.map(|(conn, _)| *conn).collect();
-        idle.into_iter().for_each(|conn| self.retire_client(conn));
+        if self.ways.inherited && self.other_lives {
+            self.stop_accepting(true);
+        }
         self.timers.set(Timer::Drain, self.now + DRAIN_EVERY);
     }
 
+    fn stop_accepting(&mut self, leave: bool) {
+        if !std::mem::replace(&mut self.exiting, true) {
+            // Where it has not begun, there is nothing to end.
+            self.stopped = !std::mem::replace(&mut self.accepting, true);
+            self.effects.push(Effect::StopAccepting { leave });
+        }
+    }
+
     pub(super) fn drain(&mut self) {
-        let Some(since) = self.draining else { return };
+        let Some(since) = [self.draining, self.drained].into_iter().flatten().reduce(f64::min) else {
+            return;
+        };
         self.timers.set(Timer::Drain, self.now + DRAIN_EVERY);
+        if self.now - since >= SOFT {
+            let quiet = |client: &Client| client.request.is_none() && self.now - client.since >= QUIET;
+            let quiet = self.clients.iter().filter(|(_, client)| quiet(client));
+            let quiet: Vec<ConnId> = quiet.map(|(conn, _)| *conn).collect();
+            quiet.into_iter().for_each(|conn| self.retire_client(conn));
+        }
+        if let Some(since) = self.draining {
+            self.end(self.now - since);
+        }
+    }
+
+    /// Some time after SIGTERM.
+    fn end(&mut self, past: Millis) {
         let longest = self.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
-        let past = self.now - since;
         let quiet = past >= LAST_CALL && self.now - self.last_opened >= QUIET;
-        if (quiet || past >= LAST_CALL_MOST) && !self.exiting {
-            self.exiting = true;
-            self.effects.push(Effect::StopAccepting);
+        if quiet || past >= LAST_CALL_MOST {
+            self.stop_accepting(false);
         }
         // What is left by then are streams, or clients that neither ask nor read.
         let owed = self.requests.values().any(|request| request.client.is_some() && request.stream.is_none());
         let late = past >= LAST_CALL_MOST + longest + QUIET && !owed;
-        if !self.stopped {
-            return;
-        }
-        let quiet = |client: &Client| client.request.is_none() && self.now - client.since >= QUIET;
-        let quiet = self.clients.iter().filter(|(_, client)| quiet(client));
-        let quiet: Vec<ConnId> = quiet.map(|(conn, _)| *conn).collect();
-        quiet.into_iter().for_each(|conn| self.retire_client(conn));
-        if self.clients.is_empty() || late {
+        if self.stopped && (self.clients.is_empty() || late) {
             tracing::info!(clients = self.clients.len(), "exit");
             self.timers.clear(Timer::Drain);
             self.effects.push(Effect::Exit);
--- a/crates/sandtrack-sidecar/src/reducer/links.rs
+++ b/crates/sandtrack-sidecar/src/reducer/links.rs
@@ -56,7 +56,7 @@
         let conn = self.accepted();
         let process = (address, since);
         let stage = Stage::Connecting(job);
-        self.links.insert(conn, Link { server, process, stage, ordered: 0, since: self.now });
+        self.links.insert(conn, Link { server, process, stage, ordered: 0, counts: false, since: self.now });
         self.assign(job, Some(conn));
         self.timers.set(Timer::Connect(conn), self.now + self.connect_timeout);
         tracing::debug!(upstream = name(&self.servers, server), ?job, links = self.links.len(), "connecting");
@@ -101,6 +101,7 @@
         };
         link.stage = Stage::Busy(job);
         link.ordered += 1;
+        link.counts = matches!(job, Job::Attempt(..));
         self.assign(job, Some(conn));
         self.effects.push(Effect::Write { conn, bytes, streamed });
     }
@@ -119,6 +120,12 @@
         self.job_failed(job, server, Outcome::Moot);
     }
 
+    /// The one place where an attempt that was written whole is counted.
+    pub(super) fn upstream_wrote(&mut self, conn: ConnId) {
+        let attempt = self.links.get_mut(&conn).is_some_and(|link| std::mem::take(&mut link.counts));
+        self.figures.upstream_requests += u64::from(attempt);
+    }
+
     /// Whether the job may still be written.
     pub(super) fn wanted(&self, job: Job, server: u32) -> bool {
         let Job::Attempt(id, n) = job else { return true };
--- a/crates/sandtrack-sidecar/src/reducer/lists.rs
+++ b/crates/sandtrack-sidecar/src/reducer/lists.rs
@@ -11,7 +11,8 @@
             let unserving = self.unserving.iter().flatten();
             held.contains(number) || self.waiting.iter().chain(unserving).any(|server| server == number)
         };
-        let gone = self.servers.iter().filter(|(number, s)| s.standing == Standing::Gone && !waits(number));
+        let gone =
+            self.servers.iter().filter(|(number, s)| s.told.standing == Standing::Gone && !waits(number));
         let gone: Vec<u32> = gone.map(|(number, _)| *number).collect();
         for server in gone.iter().filter_map(|number| self.servers.remove(number)) {
             self.numbers.remove(&server.name);
@@ -62,6 +63,7 @@
         }
         self.timers.set(Timer::WatchSilent, self.now + WATCH_SILENCE);
         self.generation = Some(catalog.generation);
+        self.now_ready();
         let kind = if catalog.reset { ListKind::Whole } else { ListKind::Patch };
         tracing::info!(generation = catalog.generation, entries = catalog.instances.len(), ?kind, "list");
         self.list(kind, catalog.instances);
@@ -80,14 +82,15 @@
         let mut before = Vec::new();
         if kind != ListKind::Patch {
             for (number, server) in &mut self.servers {
-                if std::mem::replace(&mut server.standing, Standing::Gone) != Standing::Gone {
+                server.standing = Standing::Gone;
+                if std::mem::replace(&mut server.told.standing, Standing::Gone) != Standing::Gone {
                     before.push(*number);
                 }
             }
         }
         let entries = instances.into_iter().map(|instance| self.entry(instance)).collect();
         for number in before {
-            let left = self.servers.get(&number).filter(|server| server.standing == Standing::Gone);
+            let left = self.servers.get(&number).filter(|server| server.told.standing == Standing::Gone);
             if let Some(server) = left {
                 tracing::info!(upstream = server.name, "left the list");
                 self.drop_idle(number);
@@ -112,31 +115,54 @@
             self.next_server += 1;
             self.next_server - 1
         });
-        let new = || Server { name, address, standing, since, scale: 1.0, idle: Vec::new() };
-        let server = self.servers.entry(number).or_insert_with(new);
-        let address = address.or(server.address);
-        // Connections to a former address or process, or to one that takes nothing more, are of no use.
-        let useless = server.address != address || server.since != since || standing != Standing::Ready;
-        if server.standing != standing || server.since != since {
-            tracing::info!(upstream = server.name, ?standing, restarted = server.since != since, "changed");
-        }
-        (server.address, server.since, server.standing) = (address, since, standing);
+        let before = self.servers.get(&number);
         // A weight that says nothing changes nothing.
-        server.scale = instance.weight.filter(|w| w.is_finite() && *w > 0.0).unwrap_or(server.scale);
-        let scale = server.scale;
-        if useless {
-            self.drop_idle(number);
-        }
-        Entry {
+        let scale = before.map_or(1.0, |server| server.told.scale);
+        let told = Entry {
             upstream: UpstreamId(number),
             identity: told_as,
             standing,
             cell: instance.cell,
             kind: self.kinds.intern(&instance.machine_type),
-            scale,
+            scale: instance.weight.filter(|w| w.is_finite() && *w > 0.0).unwrap_or(scale),
             zone: ZoneId(self.zones.intern(&instance.zone)),
             since,
+        };
+        let kept = told.clone();
+        let new = || Server { name, address, told, standing, since, back: None, idle: Vec::new() };
+        let server = self.servers.entry(number).or_insert_with(new);
+        server.told = kept.clone();
+        let address = address.or(server.address);
+        let moved = std::mem::replace(&mut server.address, address) != address;
+        if moved {
+            self.drop_idle(number);
+        }
+        self.weigh(number).unwrap_or(kept)
+    }
+
+    /// What goes for a listed upstream: what discovery says of it, and the staff's orders before that. Out by hand it
+    /// drains, whatever discovery says; taken back it started then, so that it is cold.
+    pub(super) fn weigh(&mut self, number: u32) -> Option<Entry> {
+        let server = self.servers.get_mut(&number)?;
+        if let Some(back) = self.by_hand.back.get(&server.name) {
+            server.back = Some(*back as f64 - self.epoch);
+        }
+        let standing = match server.told.standing {
+            Standing::Ready if self.by_hand.out.contains(&server.name) => Standing::Draining,
+            told => told,
+        };
+        let since = [server.told.since, server.back].into_iter().flatten().reduce(f64::max);
+        let restarted = server.since != since;
+        if server.standing != standing || restarted {
+            tracing::info!(upstream = server.name, ?standing, restarted, "changed");
+        }
+        (server.since, server.standing) = (since, standing);
+        let entry = Entry { standing, since, ..server.told.clone() };
+        // Connections to a former process, or to one that takes nothing more, are of no use.
+        if restarted || standing != Standing::Ready {
+            self.drop_idle(number);
         }
+        Some(entry)
     }
 
     pub(super) fn drop_idle(&mut self, server: u32) {
--- a/crates/sandtrack-sidecar/src/reducer/tables.rs
+++ b/crates/sandtrack-sidecar/src/reducer/tables.rs
@@ -16,6 +16,9 @@
     Deadline(RequestId),
     Wake,
     WatchSilent,
+    Ready,
+    /// A call at the second address is due whole.
+    Call(ConnId),
     Sweep,
     Drain,
 }
@@ -172,6 +175,8 @@
     pub(super) stage: Stage,
     /// Messages ordered written so far.
     pub(super) ordered: u32,
+    /// An attempt was ordered written, and its last byte is not told yet.
+    pub(super) counts: bool,
     pub(super) since: Millis,
 }
 
@@ -179,10 +184,13 @@
 pub(super) struct Server {
     pub(super) name: String,
     pub(super) address: Option<SocketAddr>,
+    /// What discovery says of it ...
+    pub(super) told: Entry,
+    /// ... and what goes, as staff's orders go before that.
     pub(super) standing: Standing,
     pub(super) since: Option<Millis>,
-    /// The last weight that could be one; 1 before.
-    pub(super) scale: f64,
+    /// When staff last took it back.
+    pub(super) back: Option<Millis>,
     /// Idle connections, the one used last at the end.
     pub(super) idle: Vec<ConnId>,
 }
--- a/crates/sandtrack-sidecar/src/upstream.rs
+++ b/crates/sandtrack-sidecar/src/upstream.rs
@@ -61,6 +61,7 @@
                     return;
                 }
                 written.whole += 1;
+                inputs.send(Input::UpstreamWrote { conn });
                 (awaiting, begun) = (true, false);
                 collector.streamed = streamed;
                 continue;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,6 @@
 //! [`interface`] holds the plain types a front speaks to the module; [`rules`] holds every decision.
 pub mod interface;
 pub mod rules;
-mod state;
+pub mod state;
 
 pub use rules::Balancer;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -128,11 +128,11 @@
 
 impl Upstream {
     /// New work may go there: rule 3 is kept from the moment a drain or removal is told.
-    fn offered(&self) -> bool {
+    pub fn offered(&self) -> bool {
         self.listed && self.entry.standing == Standing::Ready
     }
 
-    fn healthy(&self) -> bool {
+    pub fn healthy(&self) -> bool {
         self.failures < FAILURES
     }
 
@@ -261,8 +261,8 @@
         self.choose_part(now);
     }
 
-    pub fn remembered(&self) -> usize {
-        self.fleet.remembered()
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
     }
 
     fn scatter(&mut self) -> f64 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -109,6 +109,12 @@
         self.places.get(&id).copied()
     }
 
+    /// Whether a listed upstream is left alone now: it drains, fails, or rests.
+    pub fn avoids(&self, id: UpstreamId, now: Millis) -> bool {
+        let upstream = self.place(id).map(|place| &self.upstreams[place]);
+        upstream.is_none_or(|u| !u.offered() || !u.healthy() || u.learnt.rest_until > now)
+    }
+
     /// How many it has a place for.
     pub fn remembered(&self) -> usize {
         self.upstreams.len().max(self.places.len())
