--- a/crates/sandtrack-sidecar/src/client.rs
+++ b/crates/sandtrack-sidecar/src/client.rs
@@ -1,6 +1,6 @@
 //! The client side: the listener and one task a client connection. It owns those sockets and their buffers, tells
-//! the reducer each request whole, and must never answer of its own accord nor read a second request while one
-//! is unanswered.
+//! the reducer each request, whole or, if it is large, piece by piece as it is wanted, and must never answer of its own
+//! accord nor read a second request while one is unanswered.
 use crate::http::{self, Collector, Side, Taken};
 use crate::net::{next, no_delay, read_into, write_all, Inputs, Next, Order, Orders};
 use crate::reducer::{ConnId, Input};
@@ -78,32 +78,52 @@
     let mut collector = Collector::new(Side::Request);
     let mut unanswered = false;
     let mut retired = false;
-    // A part of the next request was told.
-    let mut begun = false;
+    // What was told of the next request: that it has begun, and that its head has come.
+    let mut told = (false, false);
+    // The body of the unanswered request flows, and its next piece is wanted.
+    let mut flows = false;
+    let mut wanted = false;
+    // The client holds that body back until it is told to go on.
+    let mut held = false;
     loop {
-        if !unanswered {
+        if !unanswered || wanted {
             let at = inputs.clock.now();
             match collector.next(&mut input) {
                 Ok(Some(Taken::Whole(message))) => {
-                    (unanswered, begun) = (true, false);
+                    (unanswered, told) = (true, (false, false));
                     inputs.send(Input::ClientRequest { conn, at, message });
                 }
-                // Only responses are streamed.
-                Ok(_) => {
-                    let held = collector.take_expectation();
-                    if held
+                Ok(Some(Taken::Begun { mut head, length })) => {
+                    (unanswered, told, flows) = (true, (false, false), true);
+                    held |= http::take_expectation(&mut head);
+                    inputs.send(Input::ClientFlows { conn, at, head, length });
+                }
+                Ok(Some(Taken::Piece(bytes))) => {
+                    wanted = false;
+                    let last = collector.finish();
+                    flows = !last;
+                    inputs.send(Input::ClientPiece { conn, at, bytes, last });
+                }
+                Ok(Some(Taken::Over)) => {
+                    (wanted, flows) = (false, false);
+                    inputs.send(Input::ClientOver { conn, at });
+                }
+                Ok(None) => {
+                    held |= collector.take_expectation();
+                    if std::mem::take(&mut held)
                         && !(output.push(http::CONTINUE)
                             && patiently(stream, &mut output, orders, &mut retired).await)
                     {
                         return;
                     }
-                    if !begun && collector.within(&input) {
-                        begun = true;
-                        inputs.send(Input::ClientBegan { conn });
+                    let now = (collector.within(&input), collector.has_head());
+                    if !unanswered && now != told && now.0 {
+                        told = now;
+                        inputs.send(Input::ClientBegan { conn, head: now.1 });
                     }
                 }
                 Err(bad) => {
-                    unanswered = true;
+                    (unanswered, wanted, flows) = (true, false, false);
                     inputs.send(Input::ClientBad { conn, status: bad.status() });
                 }
             }
@@ -117,7 +137,8 @@
                 _ => return,
             }
         }
-        match next(stream, &mut input, orders, true).await {
+        // While a body flows, its pieces wait in the socket until they are wanted: the client is held back by that.
+        match next(stream, &mut input, orders, !flows || wanted).await {
             Next::Order(Order::Answer { bytes, close, bad }) => {
                 let wrote = output.push(&bytes) && patiently(stream, &mut output, orders, &mut retired).await;
                 if !wrote {
@@ -141,9 +162,10 @@
                 }
                 inputs.send(Input::ClientWrote { conn });
             }
+            Next::Order(Order::More) => wanted = flows,
             Next::Order(Order::Close) => return,
             Next::Order(Order::Retire) => retired = true,
-            Next::Order(Order::Ask { .. } | Order::More) => {}
+            Next::Order(Order::Ask { .. } | Order::Pass { .. }) => {}
             Next::Read(0) | Next::Broken => {
                 // Told at once, while the socket is still held: the request has lost its client.
                 return;
--- a/crates/sandtrack-sidecar/src/config.rs
+++ b/crates/sandtrack-sidecar/src/config.rs
@@ -32,11 +32,12 @@
 #[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: usize,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1024 }
+        Limits { sockets: 1024, memory_mb: MEMORY_MB }
     }
 }
 
@@ -51,6 +52,8 @@
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub descriptors: usize,
+    /// Memory that all its processes may use.
+    pub memory_mb: usize,
     /// The list as this sidecar last had it; it may be old.
     pub known: Option<Catalog>,
     pub checked: Checked,
@@ -101,6 +104,8 @@
 /// Names the descriptor of the clients' listening socket.
 pub const SOCKET_FD: &str = "NODE_SOCKET_FD";
 
+/// The memory that the sidecar may use where that is not told.
+pub const MEMORY_MB: usize = 64;
 /// The fewest descriptors with which anything can be served.
 const DESCRIPTORS_LEAST: usize = 24;
 
@@ -131,6 +136,7 @@
         socket: None,
         seed,
         descriptors: file.limits.sockets,
+        memory_mb: file.limits.memory_mb,
         known: file.known,
         checked,
     })
--- a/crates/sandtrack-sidecar/src/http.rs
+++ b/crates/sandtrack-sidecar/src/http.rs
@@ -6,8 +6,10 @@
 
 /// A message's head may be this long ...
 pub const HEAD_MAX: usize = 8 * 1024;
-/// ... and its body this (the protocol's limit).
+/// ... a body that is kept whole this ...
 pub const BODY_MAX: usize = 64 * 1024;
+/// ... and one that flows through this: more than any honest one has.
+pub const FLOW_MAX: usize = 40 * 1024 * 1024;
 /// Bound of a buffer that is read into: a whole head always fits.
 pub const READ_RING: usize = 2 * HEAD_MAX;
 /// Bound of a buffer that is written from: a whole message always fits.
@@ -114,6 +116,8 @@
         searched: usize,
     },
     Length(usize),
+    /// The body ends with the connection.
+    UntilEnd,
     ChunkSize,
     Chunk(usize),
     /// The line end that closes a chunk's data.
@@ -141,6 +145,15 @@
         !matches!(self.state, State::Head { .. }) || !ring.is_empty()
     }
 
+    /// The other side has ended; yes where that ends a body.
+    pub fn ended(&mut self, ring: &Ring) -> bool {
+        let ends = matches!(self.state, State::UntilEnd) && ring.is_empty();
+        if ends {
+            self.state = State::Over;
+        }
+        ends
+    }
+
     /// The next part, if all of it is there.
     pub fn next(&mut self, ring: &mut Ring) -> Result<Option<Part>, Bad> {
         loop {
@@ -192,12 +205,13 @@
                     self.state = State::Length(left - data.len());
                     return Ok(Some(Part::Data(data)));
                 }
+                State::UntilEnd => return Ok(take(ring, usize::MAX).map(Part::Data)),
                 State::ChunkSize => {
                     let Some(line) = take_line(ring)? else { return Ok(None) };
                     let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
                     let digits = std::str::from_utf8(digits).map_err(|_| Bad::Malformed)?.trim();
                     let hex = !digits.is_empty() && digits.bytes().all(|byte| byte.is_ascii_hexdigit());
-                    if !hex || digits.len() > 8 {
+                    if !hex || digits.trim_start_matches('0').len() > 8 {
                         return Err(Bad::Malformed);
                     }
                     let size = usize::from_str_radix(digits, 16).map_err(|_| Bad::Malformed)?;
@@ -234,19 +248,26 @@
 #[derive(Debug, PartialEq, Eq)]
 pub enum Taken {
     Whole(Message),
-    Begun(Head),
+    /// `length`: of the body, where it is told.
+    Begun {
+        head: Head,
+        length: Option<usize>,
+    },
     Piece(Vec<u8>),
     /// The end of what was begun.
     Over,
 }
 
-/// Collects the parts of a message whose body is not too long. Where it is told so, a response with status 200
-/// is not collected but told as it comes, however long.
+/// Collects the parts of a message whose body is not too long. A request or a response with status 200 that is longer is
+/// told as it comes; where it is told so, any response with status 200 is, however long.
 pub struct Collector {
     parser: Parser,
     pub streamed: bool,
+    side: Side,
     head: Option<Head>,
     body: Vec<u8>,
+    /// What was told of a body that is told as it comes.
+    told: usize,
     /// The connection stays open after the message that is being told.
     keep_alive: bool,
 }
@@ -254,28 +275,47 @@
 impl Collector {
     pub fn new(side: Side) -> Self {
         let parser = Parser::new(side);
-        Collector { parser, streamed: false, head: None, body: Vec::new(), keep_alive: false }
+        Collector { parser, streamed: false, side, head: None, body: Vec::new(), told: 0, keep_alive: false }
     }
 
     pub fn next(&mut self, ring: &mut Ring) -> Result<Option<Taken>, Bad> {
+        if self.head.is_none() && !self.body.is_empty() {
+            // What had come before it was too long to be kept.
+            return Ok(Some(Taken::Piece(std::mem::take(&mut self.body))));
+        }
         while let Some(part) = self.parser.next(ring)? {
             match part {
-                Part::Head(head) if self.streamed && head.status == 200 => {
-                    self.keep_alive = head.keep_alive;
-                    return Ok(Some(Taken::Begun(head)));
-                }
                 Part::Head(head) => {
-                    if matches!(self.parser.state, State::Length(length) if length > BODY_MAX) {
+                    let length = match self.parser.state {
+                        State::Length(length) => Some(length),
+                        _ => None,
+                    };
+                    (self.keep_alive, self.told) = (head.keep_alive, 0);
+                    let flows = self.side == Side::Request || head.status == 200;
+                    let long = length.is_some_and(|length| length > BODY_MAX);
+                    if long && !flows || length.is_some_and(|length| length > FLOW_MAX) {
                         return Err(Bad::BodyTooLong);
                     }
+                    if long || self.streamed && head.status == 200 {
+                        return Ok(Some(Taken::Begun { head, length }));
+                    }
                     self.head = Some(head);
                 }
-                Part::Data(data) if self.head.is_none() => return Ok(Some(Taken::Piece(data))),
                 Part::Data(data) => {
-                    if self.body.len() + data.len() > BODY_MAX {
-                        return Err(Bad::BodyTooLong);
+                    self.told += data.len();
+                    if self.head.is_none() {
+                        if self.told > FLOW_MAX && !self.streamed {
+                            return Err(Bad::BodyTooLong);
+                        }
+                        return Ok(Some(Taken::Piece(data)));
                     }
                     self.body.extend(data);
+                    if self.body.len() > BODY_MAX {
+                        // Its length was not told, and it is not to be kept.
+                        let flows = |head: &Head| self.side == Side::Request || head.status == 200;
+                        let head = self.head.take().filter(flows).ok_or(Bad::BodyTooLong)?;
+                        return Ok(Some(Taken::Begun { head, length: None }));
+                    }
                 }
                 Part::End => return Ok(Some(self.whole())),
             }
@@ -283,19 +323,32 @@
         Ok(None)
     }
 
+    /// The other side has ended: the end of a body, where that is how it ends.
+    pub fn ended(&mut self, ring: &mut Ring) -> Option<Taken> {
+        self.parser.ended(ring).then(|| self.next(ring).ok().flatten()).flatten()
+    }
+
+    /// A body of a told length that is told as it comes has all been told: its end is taken here, and not told again.
+    pub fn finish(&mut self) -> bool {
+        let over = self.head.is_none() && self.body.is_empty() && self.parser.state == State::Length(0);
+        if over {
+            self.parser.state = State::Head { searched: 0 };
+        }
+        over
+    }
+
+    /// The head has come, and not all of the body.
+    pub fn has_head(&self) -> bool {
+        self.head.is_some()
+    }
+
     pub fn within(&self, ring: &Ring) -> bool {
         self.parser.within(ring)
     }
 
     /// Whether the other side holds the body back until it is told to go on; told once a message.
     pub fn take_expectation(&mut self) -> bool {
-        let Some(head) = self.head.as_mut().filter(|_| self.body.is_empty()) else { return false };
-        let before = head.headers.0.len();
-        let expects = |(name, value): &(String, String)| {
-            name.eq_ignore_ascii_case("expect") && value.eq_ignore_ascii_case("100-continue")
-        };
-        head.headers.0.retain(|header| !expects(header));
-        head.headers.0.len() < before
+        self.head.as_mut().filter(|_| self.body.is_empty()).is_some_and(take_expectation)
     }
 
     /// Whether the connection stays open after the message that was begun last.
@@ -306,15 +359,22 @@
     fn whole(&mut self) -> Taken {
         let body = std::mem::take(&mut self.body);
         match self.head.take() {
-            Some(head) => {
-                self.keep_alive = head.keep_alive;
-                Taken::Whole(Message { head, body })
-            }
+            Some(head) => Taken::Whole(Message { head, body }),
             None => Taken::Over,
         }
     }
 }
 
+/// Takes out of a request's head that its client waits to be told to go on; yes if it does.
+pub fn take_expectation(head: &mut Head) -> bool {
+    let before = head.headers.0.len();
+    let expects = |(name, value): &(String, String)| {
+        name.eq_ignore_ascii_case("expect") && value.eq_ignore_ascii_case("100-continue")
+    };
+    head.headers.0.retain(|header| !expects(header));
+    head.headers.0.len() < before
+}
+
 fn take(ring: &mut Ring, most: usize) -> Option<Vec<u8>> {
     let bytes = ring.peek();
     let count = bytes.len().min(most);
@@ -405,7 +465,7 @@
 }
 
 /// How the body is framed; a head that says it in two ways is malformed, and so is a request that says it twice. A
-/// response that ends with its connection can't be told from one that was cut short, and is none.
+/// response that says nothing of it ends with its connection, if it says that this one does; else it is spoilt.
 fn framing(side: Side, head: &Head) -> Result<State, Bad> {
     let mut length = None;
     for value in head.headers.all("content-length") {
@@ -423,6 +483,7 @@
         (None, _, _) if head.status == 204 || head.status == 304 => Ok(State::Length(0)),
         (None, _, Some(length)) => Ok(State::Length(length)),
         (None, _, None) if side == Side::Request => Ok(State::Length(0)),
+        (None, _, None) if !head.keep_alive => Ok(State::UntilEnd),
         (None, _, None) => Err(Bad::Malformed),
     }
 }
@@ -468,9 +529,59 @@
 
 /// The head of a response whose body follows in chunks.
 pub fn chunked<'a>(status: u16, headers: impl Iterator<Item = (&'a str, &'a str)>, close: bool) -> Vec<u8> {
-    let connection = close.then_some(("Connection", "close"));
-    let headers = headers.chain([("Transfer-Encoding", "chunked")]).chain(connection);
-    write(format!("HTTP/1.1 {status} {}\r\n", reason(status)), headers, None, b"")
+    response_head(status, headers, Flow::Chunks, close)
+}
+
+/// How a body that follows its head is framed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flow {
+    Length(usize),
+    Chunks,
+    /// It ends with the connection.
+    UntilEnd,
+}
+
+impl Flow {
+    /// A piece of the body as it is written.
+    pub fn piece(self, data: &[u8]) -> Vec<u8> {
+        match self {
+            Flow::Chunks => chunk(data),
+            Flow::Length(_) | Flow::UntilEnd => data.to_vec(),
+        }
+    }
+
+    /// What ends the body.
+    pub fn end(self) -> Vec<u8> {
+        match self {
+            Flow::Chunks => chunk(b""),
+            Flow::Length(_) | Flow::UntilEnd => Vec::new(),
+        }
+    }
+
+    fn headers(self) -> (Option<usize>, Option<(&'static str, &'static str)>) {
+        match self {
+            Flow::Length(length) => (Some(length), None),
+            Flow::Chunks => (None, Some(("Transfer-Encoding", "chunked"))),
+            Flow::UntilEnd => (None, None),
+        }
+    }
+}
+
+/// The head of a response whose body follows.
+pub fn response_head<'a>(
+    status: u16, headers: impl Iterator<Item = (&'a str, &'a str)>, flow: Flow, close: bool,
+) -> Vec<u8> {
+    let (length, coding) = flow.headers();
+    let headers = headers.chain(coding).chain(close.then_some(("Connection", "close")));
+    write(format!("HTTP/1.1 {status} {}\r\n", reason(status)), headers, length, b"")
+}
+
+/// The head of a request whose body follows.
+pub fn request_head<'a>(
+    method: &str, target: &str, headers: impl Iterator<Item = (&'a str, &'a str)>, flow: Flow,
+) -> Vec<u8> {
+    let (length, coding) = flow.headers();
+    write(format!("{method} {target} HTTP/1.1\r\n"), headers.chain(coding), length, b"")
 }
 
 /// One chunk; an empty one ends the body.
--- a/crates/sandtrack-sidecar/src/main.rs
+++ b/crates/sandtrack-sidecar/src/main.rs
@@ -71,7 +71,8 @@
     let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
     let epoch = wall - clock.now();
     let (inputs, received) = Inputs::new(clock);
-    let ways = Ways { admin: config.admin.is_some(), inherited: inherited.is_some() };
+    let memory = config.memory_mb.saturating_mul(1 << 20);
+    let ways = Ways { admin: config.admin.is_some(), inherited: inherited.is_some(), memory };
     let listener = match inherited {
         Some(listener) => Async::new(listener)?,
         None => Async::<TcpListener>::bind(config.listen)?,
@@ -211,9 +212,11 @@
             Effect::CloseClient { conn } => order(&tasks.clients, conn, Order::Close),
             Effect::RetireClient { conn } => order(&tasks.clients, conn, Order::Retire),
             Effect::Connect { conn, address } => tasks.connect(conn, address),
-            Effect::Write { conn, bytes, streamed } => {
-                order(&tasks.upstreams, conn, Order::Ask { bytes, streamed });
+            Effect::Write { conn, bytes, streamed, more } => {
+                order(&tasks.upstreams, conn, Order::Ask { bytes, streamed, more });
             }
+            Effect::Pass { conn, bytes, last } => order(&tasks.upstreams, conn, Order::Pass { bytes, last }),
+            Effect::MoreClient { conn } => order(&tasks.clients, conn, Order::More),
             Effect::CloseUpstream { conn } => order(&tasks.upstreams, conn, Order::Close),
             Effect::Watch { call, address, after } => tasks.watch(call, address, after),
             Effect::CloseWatch { call } => order(&tasks.watches, call, Order::Close),
--- a/crates/sandtrack-sidecar/src/net.rs
+++ b/crates/sandtrack-sidecar/src/net.rs
@@ -24,12 +24,18 @@
     },
     /// To a client: close, unless a request has begun to come; that is told then, and served.
     Retire,
-    /// To an upstream: write the request; `streamed`: tell its answer as it comes.
+    /// To an upstream: write the request; `streamed`: tell its answer as it comes; `more`: its body follows in pieces.
     Ask {
         bytes: Vec<u8>,
         streamed: bool,
+        more: bool,
     },
-    /// To an upstream: the next piece of a streamed answer is wanted.
+    /// To an upstream: write a piece of the request's body and tell when it is written.
+    Pass {
+        bytes: Vec<u8>,
+        last: bool,
+    },
+    /// The next piece of a body that flows is wanted: to an upstream of its answer, to a client of its request.
     More,
     Close,
 }
--- a/crates/sandtrack-sidecar/src/reducer.rs
+++ b/crates/sandtrack-sidecar/src/reducer.rs
@@ -3,8 +3,9 @@
 //! back in one place here. It must never do I/O, read a clock, or decide what the module decides: which upstream, when,
 //! and whether at all.
 use crate::catalog::{Catalog, Instance, Lifecycle};
+use crate::config;
 use crate::handover::{ByHand, Change};
-use crate::http::{self, Head, Message};
+use crate::http::{self, Flow, Head, Message};
 use crate::metrics::{End, Figures};
 use crate::upstream::Written;
 use sandtrack::interface::Effect as Repeats;
@@ -41,9 +42,11 @@
 const DOUBTFUL: f64 = 0.25;
 /// ... and where that time is not told it is taken for this.
 const IDLE_UNTOLD: Millis = 20_000.0;
-/// A whole request is due this long after its connection was opened, or after its first byte on one that has been
-/// served. A client that sends none is owed an end of it within 3 s, sweep included.
-const REQUEST_PATIENCE: Millis = 2200.0;
+/// A request's head is due this long after its connection was opened, or after its first byte on one that has been
+/// served. A client that sends none is owed an end of it within 3 s, sweep included; an honest one may take 2 s ...
+const REQUEST_PATIENCE: Millis = 2400.0;
+/// ... and a body that is kept whole this long after that.
+const BODY_PATIENCE: Millis = 2200.0;
 /// A client's connection may stand idle this long ...
 const REST_PATIENCE: Millis = 3000.0;
 /// ... while those that do are no more than this part of the descriptors, half of what clients need at most: more of
@@ -96,9 +99,29 @@
         at: Millis,
         message: Message,
     },
-    /// A part of a request has come.
+    /// The head of a request whose body is told as it comes; `length`: of that, where it is told.
+    ClientFlows {
+        conn: ConnId,
+        at: Millis,
+        head: Head,
+        length: Option<usize>,
+    },
+    /// The next piece of its body, one by one as they are asked for; `last`: all has come.
+    ClientPiece {
+        conn: ConnId,
+        at: Millis,
+        bytes: Vec<u8>,
+        last: bool,
+    },
+    /// Its body in chunks is over.
+    ClientOver {
+        conn: ConnId,
+        at: Millis,
+    },
+    /// A part of a request has come; `head`: all of its head.
     ClientBegan {
         conn: ConnId,
+        head: bool,
     },
     ClientBad {
         conn: ConnId,
@@ -122,7 +145,9 @@
     /// A streamed answer has begun; its pieces follow one by one, as they are asked for.
     UpstreamBegan {
         conn: ConnId,
+        at: Millis,
         head: Head,
+        length: Option<usize>,
     },
     UpstreamPiece {
         conn: ConnId,
@@ -133,7 +158,7 @@
         at: Millis,
         keep_alive: bool,
     },
-    /// The first part of an answer has come that is not whole yet.
+    /// A part of an answer has come that is not whole yet.
     UpstreamPartly {
         conn: ConnId,
     },
@@ -155,6 +180,10 @@
     WatchEnded {
         call: CallId,
     },
+    /// A part of a request was written.
+    UpstreamTook {
+        conn: ConnId,
+    },
     /// A message was written to its last byte.
     UpstreamWrote {
         conn: ConnId,
@@ -230,6 +259,17 @@
         conn: ConnId,
         bytes: Vec<u8>,
         streamed: bool,
+        more: bool,
+    },
+    /// Pass on a piece of a request's body, and tell when it is written.
+    Pass {
+        conn: ConnId,
+        bytes: Vec<u8>,
+        last: bool,
+    },
+    /// The next piece of a request's body is wanted.
+    MoreClient {
+        conn: ConnId,
     },
     CloseUpstream {
         conn: ConnId,
@@ -322,12 +362,20 @@
 }
 
 /// What the platform gives this process beside its clients.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct Ways {
     /// There is a second address.
     pub admin: bool,
     /// The clients' listening socket is shared with other processes.
     pub inherited: bool,
+    /// Memory in bytes for all processes of the sidecar.
+    pub memory: usize,
+}
+
+impl Default for Ways {
+    fn default() -> Self {
+        Ways { admin: false, inherited: false, memory: config::MEMORY_MB << 20 }
+    }
 }
 
 /// What sockets make of the settings; how long a connection may be idle, and how long it may take to come up.
@@ -503,15 +551,24 @@
     fn take(&mut self, input: Input) {
         match input {
             Input::ClientOpened { conn } => self.client_opened(conn),
-            Input::ClientRequest { conn, at, message } => self.client_request(conn, at, message),
-            Input::ClientBegan { conn } => self.client_began(conn),
+            Input::ClientRequest { conn, at, message } => self.client_request(conn, at, message, None),
+            Input::ClientFlows { conn, at, head, length } => {
+                let flow = length.map_or(Flow::Chunks, Flow::Length);
+                self.client_request(conn, at, Message { head, body: Vec::new() }, Some(flow));
+            }
+            Input::ClientPiece { conn, at, bytes, last } => self.client_piece(conn, at, &bytes, last),
+            Input::ClientOver { conn, at } => self.client_over(conn, at),
+            Input::ClientBegan { conn, head } => self.client_began(conn, head),
             Input::ClientBad { conn, status } => {
                 tracing::debug!(conn, status, "bad request");
-                self.plain(conn, status, true);
+                match self.clients.get(&conn).and_then(|client| client.request) {
+                    Some(id) => self.break_off(id, status),
+                    None => self.plain(conn, status, true),
+                }
             }
             Input::ClientClosed { conn } => self.client_closed(conn),
             Input::ClientWrote { conn } => self.client_wrote(conn),
-            Input::UpstreamBegan { conn, head } => self.began(conn, &head),
+            Input::UpstreamBegan { conn, at, head, length } => self.began(conn, at, &head, length),
             Input::UpstreamPiece { conn, bytes } => self.piece(conn, &bytes),
             Input::UpstreamOver { conn, at, keep_alive } => self.over(conn, at, keep_alive),
             Input::UpstreamConnected { conn } => self.connected(conn),
@@ -526,6 +583,7 @@
                 }
             }
             Input::WatchEnded { call } => self.watch_ended(call, "ended"),
+            Input::UpstreamTook { conn } => self.upstream_took(conn),
             Input::UpstreamWrote { conn } => self.upstream_wrote(conn),
             Input::AdminOpened { conn } => self.admin_opened(conn),
             Input::AdminCall { conn, message } => self.admin_call(conn, &message),
--- a/crates/sandtrack-sidecar/src/reducer/clients.rs
+++ b/crates/sandtrack-sidecar/src/reducer/clients.rs
@@ -18,6 +18,7 @@
             retired: false,
             served: false,
             begun: false,
+            head: false,
             since: self.now,
             surplus,
         };
@@ -40,11 +41,12 @@
         Some(changed)
     }
 
-    /// A connection's first request is due from its opening on, however its bytes come; a later one from its start.
-    pub(super) fn client_began(&mut self, conn: ConnId) {
+    /// A connection's first request is due from its opening on, however its bytes come; a later one from its start; the
+    /// body from the end of the head.
+    pub(super) fn client_began(&mut self, conn: ConnId, head: bool) {
         self.client(conn, |client, now| {
-            client.begun = true;
-            client.since = if client.served { now } else { client.since };
+            client.since = if client.served && !client.begun || head { now } else { client.since };
+            (client.begun, client.head) = (true, head);
         });
     }
 
@@ -125,57 +127,82 @@
             self.waits.remove(wait, client.since, conn);
         }
         if let Some(id) = client.request {
-            let stream = self.requests.get_mut(&id).and_then(|request| {
+            let link = self.requests.get_mut(&id).and_then(|request| {
                 request.client = None;
-                request.stream
+                request.stream.as_ref().map(|stream| (stream.attempt, stream.link))
             });
-            // A streamed answer has nobody left to go to, whether a cancel is allowed or not.
-            stream.into_iter().for_each(|n| self.cancel(id, n));
+            // An answer that flows has nobody left to go to, whether a cancel is allowed or not, and what has come of a
+            // request is of no use.
+            if let Some((n, link)) = link {
+                self.cancel(id, n);
+                self.hang_up(link);
+            }
+            self.call_back(id);
             self.events.push_back(Event::ClientGone(id));
             self.request_closed(id);
         }
     }
 
+    /// What one that is refused for want of room is told, where the settings allow that.
+    pub(super) fn come_back(&self) -> Option<String> {
+        let longest = self.settings.limits.max_retry_after;
+        longest.map(|longest| format!("{:.3}", longest.min(COME_BACK) / 1000.0))
+    }
+
     /// An answer that no upstream or decision is behind.
     pub(super) fn plain(&mut self, conn: ConnId, status: u16, close: bool) {
         let Some(client) = self.clients.get(&conn).filter(|client| !client.closing) else { return };
         let close = close || self.leaving() || client.surplus || client.retired;
         self.client(conn, |client, now| client.answered(close, now));
-        let again = self.settings.limits.max_retry_after.filter(|_| status == 503);
-        let again = again.map(|longest| format!("{:.3}", longest.min(COME_BACK) / 1000.0));
+        let again = self.come_back().filter(|_| status == 503);
         let headers = again.iter().map(|seconds| ("Retry-After", seconds.as_str()));
         let bytes = http::response(status, headers, b"", close);
         self.effects.push(Effect::Answer { conn, bytes, close, bad: (400..500).contains(&status) });
     }
 
-    pub(super) fn client_request(&mut self, conn: ConnId, at: Millis, message: Message) {
+    /// `flow`: its body follows piece by piece.
+    pub(super) fn client_request(&mut self, conn: ConnId, at: Millis, message: Message, flow: Option<Flow>) {
         let Some(client) = self.clients.get(&conn).filter(|client| client.between()) else { return };
         let keep_alive = message.head.keep_alive && !client.retired;
+        // Answered before its body is read, a connection is of no further use.
+        let close = !keep_alive || flow.is_some();
         let path = message.head.target.split('?').next().unwrap_or_default();
         if path == "/_health" {
-            return self.plain(conn, if self.leaving() { 503 } else { 200 }, !keep_alive);
+            return self.plain(conn, if self.leaving() { 503 } else { 200 }, close);
         }
-        let refused = client.surplus || self.requests.len() >= self.settings.limits.max_open as usize;
+        let many = self.requests.len() >= self.settings.limits.max_open as usize;
+        let refused = client.surplus || many || flow.is_some() && !self.may_flow();
         if refused {
             if let Some(class) = message.head.headers.get("X-Call-Class").and_then(|name| self.class(name)) {
                 self.figures.ended(class, End::Rejected);
             }
-            return self.plain(conn, 503, !keep_alive);
+            return self.plain(conn, 503, close);
         }
         let id = RequestId(self.next_request);
-        match self.arrival(id, at, &message) {
+        match self.arrival(id, at, &message, flow.is_some()) {
             Err((status, wrong)) => {
                 tracing::debug!(conn, status, wrong, "bad request");
-                self.plain(conn, status, !keep_alive);
+                self.plain(conn, status, close);
             }
             Ok(arrival) => {
                 self.next_request += 1;
                 self.timers.set(Timer::Deadline(id), arrival.not_after);
+                let budget = arrival.not_after - at.min(self.now);
+                let upload = |flow| Upload {
+                    flow,
+                    budget,
+                    link: None,
+                    over: false,
+                    asked: None,
+                    waited: 0.0,
+                    bytes: 0,
+                };
                 let request = Request {
                     client: Some(conn),
                     keep_alive,
                     message,
                     stream: None,
+                    upload: flow.map(upload),
                     class: arrival.class.0,
                     not_after: arrival.not_after,
                     attempts: Vec::new(),
@@ -202,7 +229,7 @@
 
     /// The request in the module's words, or the status that says what is wrong with it.
     pub(super) fn arrival(
-        &mut self, request: RequestId, at: Millis, message: &Message,
+        &mut self, request: RequestId, at: Millis, message: &Message, flows: bool,
     ) -> Result<Arrival, (u16, &'static str)> {
         let head = &message.head;
         let get = |name: &str| head.headers.get(name);
@@ -219,7 +246,7 @@
         // The method follows from the class, and upstreams turn away what contradicts itself.
         let key = get("Idempotency-Key");
         let (method, fits) = match settings.effect {
-            Repeats::Repeatable => ("GET", key.is_none() && message.body.is_empty()),
+            Repeats::Repeatable => ("GET", key.is_none() && message.body.is_empty() && !flows),
             Repeats::Keyed { .. } => ("POST", key.is_some_and(|key| !key.is_empty())),
             Repeats::Once => ("POST", key.is_none()),
         };
@@ -274,8 +301,13 @@
         &mut self, id: RequestId, status: u16, headers: impl Iterator<Item = (&'a str, &'a str)>, body: &[u8],
     ) {
         let leaving = self.leaving();
+        if self.requests.get(&id).is_some_and(|request| request.stream.is_some()) {
+            // It has one that flows already; another attempt could not be called off.
+            return;
+        }
         self.give(id, End::of(status), |request| {
-            let close = !request.keep_alive || leaving;
+            let unread = request.upload.as_ref().is_some_and(|upload| !upload.over);
+            let close = !request.keep_alive || leaving || unread;
             (http::response(status, headers, body, close), close)
         });
     }
@@ -313,7 +345,7 @@
     /// does, as no request may go without an answer.
     pub(super) fn deadline(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(&id) else { return };
-        let streams = |n: usize| request.stream == Some(n as u32);
+        let streams = |n: usize| request.stream.as_ref().is_some_and(|stream| stream.attempt == n as u32);
         let out = request.attempts.iter().enumerate().filter(|(n, a)| !a.ended && !streams(*n));
         let out: Vec<(u32, Option<ConnId>)> = out.map(|(n, a)| (n as u32, a.conn)).collect();
         for (n, conn) in out {
--- a/crates/sandtrack-sidecar/src/reducer/flows.rs
+++ b/crates/sandtrack-sidecar/src/reducer/flows.rs
@@ -1,6 +1,18 @@
-//! Streamed answers: each piece waits for the one before to be written, so that no more than one is held. It must never
-//! hold a whole body, nor end a cut one as if it were whole.
+//! Bodies that flow through, requests' and answers': each piece waits for the one before to be written, so that no more
+//! than one is held. It must never hold a whole body, send a request whose body is not at hand, nor end a cut one as if
+//! it were whole.
 use super::*;
+use crate::http::Flow;
+
+/// An upstream that gives nothing of an answer for this long, while it is wanted, gives no more.
+const STALL: Millis = 5000.0;
+/// A client has to send so much of a large body in each so long that it is waited for: an honest one sends 64 kB a second.
+const PACE_BYTES: usize = 16 * 1024;
+const PACE_OVER: Millis = 2000.0;
+/// What a flow holds at most: a piece that was read, one that is handed on, one that is written, and their tables.
+const FLOW_BYTES: usize = 32 * 1024;
+/// All flows together may hold this part of the memory.
+const FLOWS_PART: usize = 4;
 
 impl Reducer {
     /// The attempt on this connection and its request, if that still has a client.
@@ -10,48 +22,200 @@
         Some((id, n, request))
     }
 
-    pub(super) fn began(&mut self, conn: ConnId, head: &Head) {
+    /// Whether one more body may flow.
+    pub(super) fn may_flow(&self) -> bool {
+        let own = self.ways.memory / if self.other_lives { 2 } else { 1 };
+        let flows = |request: &&Request| request.upload.is_some() || request.stream.is_some();
+        self.requests.values().filter(flows).count() < own / FLOWS_PART / FLOW_BYTES
+    }
+
+    // Requests.
+
+    /// The request of this client, while its body flows.
+    fn uploading(&mut self, conn: ConnId) -> Option<(RequestId, &mut Upload)> {
+        let id = self.clients.get(&conn)?.request?;
+        let upload = self.requests.get_mut(&id)?.upload.as_mut().filter(|upload| !upload.over)?;
+        Some((id, upload))
+    }
+
+    /// An upstream took a part of a request: the next is wanted. From the first on the body is not at hand any more, so
+    /// the request is this attempt's alone, and has no deadline before its last byte has come.
+    pub(super) fn upstream_took(&mut self, conn: ConnId) {
+        let now = self.now;
+        let Some((id, n, request)) = self.carried(conn) else { return };
+        let Some(upload) = request.upload.as_mut().filter(|upload| !upload.over) else { return };
+        upload.asked = Some(now);
+        let first = upload.link.is_none();
+        upload.link = Some((n, conn));
+        let client = request.client;
+        self.effects.extend(client.map(|conn| Effect::MoreClient { conn }));
+        if first {
+            self.timers.clear(Timer::Deadline(id));
+            self.events.push_back(Event::Opened { request: id, attempt: n });
+        }
+    }
+
+    pub(super) fn client_piece(&mut self, conn: ConnId, at: Millis, bytes: &[u8], last: bool) {
+        let now = self.now;
+        let Some((_, upload)) = self.uploading(conn) else { return };
+        upload.waited += now - upload.asked.take().unwrap_or(now);
+        upload.bytes += bytes.len();
+        let Some((_, link)) = upload.link else { return };
+        let bytes = upload.flow.piece(bytes);
+        self.effects.push(Effect::Pass { conn: link, bytes, last });
+        if last {
+            self.upload_over(conn, at);
+        }
+    }
+
+    /// The last byte of a body in chunks has come.
+    pub(super) fn client_over(&mut self, conn: ConnId, at: Millis) {
+        let Some((_, upload)) = self.uploading(conn) else { return };
+        let Some((_, link)) = upload.link else { return };
+        let bytes = upload.flow.end();
+        self.effects.push(Effect::Pass { conn: link, bytes, last: true });
+        self.upload_over(conn, at);
+    }
+
+    /// The request's time counts from here, and so does its attempt's.
+    fn upload_over(&mut self, conn: ConnId, at: Millis) {
+        let now = self.now;
+        let Some((id, upload)) = self.uploading(conn) else { return };
+        (upload.over, upload.asked) = (true, None);
+        let (budget, link) = (upload.budget, upload.link);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.not_after = at.min(now) + budget;
+        let attempt = link.and_then(|(n, _)| request.attempts.get_mut(n as usize));
+        attempt.into_iter().for_each(|attempt| attempt.sent = now);
+        self.timers.set(Timer::Deadline(id), request.not_after);
+    }
+
+    /// The attempt that had the body failed, and no other can have it: an end before the last byte never ran.
+    pub(super) fn upload_failed(&mut self, id: RequestId, n: u32, outcome: Outcome) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let Some(upload) = request.upload.as_ref().filter(|u| u.link.is_some_and(|(own, _)| own == n)) else {
+            return;
+        };
+        if outcome.never_ran() || !upload.over {
+            let again = self.come_back();
+            let headers = again.iter().map(|seconds| ("Retry-After", seconds.as_str()));
+            self.answer(id, 503, headers, b"");
+        } else {
+            self.answer(id, 502, std::iter::empty(), b"");
+        }
+    }
+
+    /// The rest of the request can't be read, or does not come: it is answered, and what is out of it called back.
+    pub(super) fn break_off(&mut self, id: RequestId, status: u16) {
+        self.answer(id, status, std::iter::empty(), b"");
+        self.events.push_back(Event::ClientGone(id));
+        self.call_back(id);
+    }
+
+    /// What an upstream has of a request that is not whole never ran, and is of no use to it.
+    pub(super) fn call_back(&mut self, id: RequestId) {
+        let upload = self.requests.get(&id).and_then(|request| request.upload.as_ref());
+        let link = upload.filter(|upload| !upload.over).and_then(|upload| upload.link);
+        link.into_iter().for_each(|(n, _)| self.cancel(id, n));
+    }
+
+    /// Clients whose body comes too slowly are not waited for.
+    pub(super) fn sweep_uploads(&mut self) {
+        let now = self.now;
+        let mut slow = Vec::new();
+        for (id, request) in &mut self.requests {
+            let Some(upload) = request.upload.as_mut().filter(|_| request.client.is_some()) else { continue };
+            let Some(asked) = upload.asked.replace(now) else {
+                upload.asked = None;
+                continue;
+            };
+            upload.waited += now - asked;
+            if upload.waited >= PACE_OVER {
+                if upload.bytes < PACE_BYTES {
+                    slow.push(*id);
+                }
+                (upload.waited, upload.bytes) = (0.0, 0);
+            }
+        }
+        slow.into_iter().for_each(|id| self.break_off(id, 408));
+    }
+
+    // Answers.
+
+    /// An answer has begun that is passed on as it comes: its first bytes go on now. For the module the attempt ends
+    /// with that, unless its class is one of streams.
+    pub(super) fn began(&mut self, conn: ConnId, at: Millis, head: &Head, length: Option<usize>) {
         let leaving = self.leaving();
         let Some(Stage::Busy(Job::Attempt(id, n))) = self.links.get(&conn).map(|link| link.stage) else {
             return;
         };
-        let Some((.., request)) = self.carried(conn).filter(|(.., request)| request.stream.is_none()) else {
-            // Nobody is left to pass it on to.
+        let fit = |request: &Request| {
+            request.stream.is_none() && request.upload.as_ref().is_none_or(|upload| upload.over)
+        };
+        let Some((.., request)) = self.carried(conn).filter(|(.., request)| fit(request)) else {
+            // Nobody is left to pass it on to, or the upstream has not read all of the request.
             return self.cancel(id, n);
         };
-        request.stream = Some(n);
-        request.keep_alive &= !leaving;
-        let bytes = http::chunked(head.status, answer_headers(head), !request.keep_alive);
-        let client = request.client;
-        self.events.push_back(Event::Opened { request: id, attempt: n });
+        let flow = match length {
+            Some(length) => Flow::Length(length),
+            None if request.message.head.chunks => Flow::Chunks,
+            None => Flow::UntilEnd,
+        };
+        request.stream = Some(Stream { attempt: n, link: conn, flow });
+        request.keep_alive &= !leaving && flow != Flow::UntilEnd;
+        let bytes = http::response_head(head.status, answer_headers(head), flow, !request.keep_alive);
+        let (client, class) = (request.client, request.class);
         self.effects.extend(client.map(|conn| Effect::Relay { conn, bytes }));
+        self.timers.clear(Timer::Answer(conn));
+        if self.settings.classes[class].stream {
+            self.events.push_back(Event::Opened { request: id, attempt: n });
+        } else {
+            let told = head.headers.get("X-Load-Report").and_then(links::report);
+            self.attempt_ended(id, n, Outcome::Ok, at, told);
+        }
     }
 
-    pub(super) fn piece(&mut self, conn: ConnId, bytes: &[u8]) {
-        let Some((.., request)) = self.carried(conn) else { return };
+    /// The request whose answer flows on this connection.
+    fn flowing(&mut self, conn: ConnId) -> Option<(&Stream, Option<ConnId>)> {
+        let (.., request) = self.carried(conn)?;
         let client = request.client;
-        self.effects.extend(client.map(|conn| Effect::Relay { conn, bytes: http::chunk(bytes) }));
+        request.stream.as_ref().filter(|stream| stream.link == conn).map(|stream| (stream, client))
+    }
+
+    pub(super) fn piece(&mut self, conn: ConnId, bytes: &[u8]) {
+        let Some((stream, client)) = self.flowing(conn) else { return };
+        let bytes = stream.flow.piece(bytes);
+        self.timers.clear(Timer::Answer(conn));
+        self.effects.extend(client.map(|conn| Effect::Relay { conn, bytes }));
     }
 
     pub(super) fn client_wrote(&mut self, conn: ConnId) {
         let request = self.clients.get(&conn).and_then(|client| client.request);
         let Some(request) = request.and_then(|id| self.requests.get(&id)) else { return };
-        let attempt = request.stream.and_then(|n| request.attempts.get(n as usize));
-        let link = attempt.and_then(|attempt| attempt.conn);
-        self.effects.extend(link.map(|conn| Effect::More { conn }));
+        let Some(link) = request.stream.as_ref().map(|stream| stream.link) else { return };
+        if !self.settings.classes[request.class].stream {
+            self.timers.set(Timer::Answer(link), self.now + STALL);
+        }
+        self.effects.push(Effect::More { conn: link });
     }
 
     pub(super) fn over(&mut self, conn: ConnId, at: Millis, keep_alive: bool) {
         let Some((Job::Attempt(id, n), _)) = self.free(conn, keep_alive) else { return };
-        self.give(id, End::Completed, |request| (http::chunk(b""), !request.keep_alive));
+        let flow =
+            self.requests.get(&id).and_then(|request| request.stream.as_ref()).map(|stream| stream.flow);
+        let Some(flow) = flow else { return };
+        self.give(id, End::Completed, |request| (flow.end(), !request.keep_alive));
         self.attempt_ended(id, n, Outcome::Ok, at, None);
     }
 
-    /// A streamed answer that can't be finished: its client is shown that it is not whole.
+    /// An answer that flows and can't be finished: its client is shown that it is not whole.
     pub(super) fn cut_short(&mut self, id: RequestId, n: u32) {
-        let Some(request) = self.requests.get_mut(&id).filter(|r| r.stream == Some(n)) else { return };
+        let flows =
+            |request: &&mut Request| request.stream.as_ref().is_some_and(|stream| stream.attempt == n);
+        let Some(request) = self.requests.get_mut(&id).filter(flows) else { return };
         let Some(conn) = request.client.take() else { return };
         self.figures.ended(request.class, End::Failed);
         self.close_client(conn);
+        self.request_closed(id);
     }
 }
--- a/crates/sandtrack-sidecar/src/reducer/leaving.rs
+++ b/crates/sandtrack-sidecar/src/reducer/leaving.rs
@@ -19,9 +19,12 @@
                 self.retire_client(conn);
             }
         }
-        while let Some(conn) = self.waits.eldest(Wait::Rest, self.now - REQUEST_PATIENCE) {
-            self.plain(conn, 408, true);
+        for (wait, patience) in [(Wait::Rest, REQUEST_PATIENCE), (Wait::Body, BODY_PATIENCE)] {
+            while let Some(conn) = self.waits.eldest(wait, self.now - patience) {
+                self.plain(conn, 408, true);
+            }
         }
+        self.sweep_uploads();
     }
 
     /// Clients are to go elsewhere: the process ends, or staff sent them away.
--- a/crates/sandtrack-sidecar/src/reducer/links.rs
+++ b/crates/sandtrack-sidecar/src/reducer/links.rs
@@ -76,11 +76,12 @@
     /// Writes the job's message; from now on it may have run.
     pub(super) fn write(&mut self, conn: ConnId, job: Job) {
         let Some(link) = self.links.get_mut(&conn) else { return };
-        let mut streamed = false;
+        let (mut streamed, mut more) = (false, false);
         let bytes = match job {
             Job::Attempt(id, _) => match self.requests.get(&id) {
                 Some(request) => {
                     streamed = self.settings.classes[request.class].stream && request.message.head.chunks;
+                    more = request.upload.is_some();
                     request_bytes(request, self.now)
                 }
                 None => return,
@@ -103,7 +104,7 @@
         link.ordered += 1;
         link.counts = matches!(job, Job::Attempt(..));
         self.assign(job, Some(conn));
-        self.effects.push(Effect::Write { conn, bytes, streamed });
+        self.effects.push(Effect::Write { conn, bytes, streamed, more });
     }
 
     pub(super) fn connected(&mut self, conn: ConnId) {
@@ -192,7 +193,8 @@
         }
         // What was not ordered written never ran.
         let stage = attempt.conn.and_then(|conn| self.links.get(&conn)).map(|link| &link.stage);
-        let written = !matches!(stage, Some(Stage::Connecting(_)) | None);
+        let whole = self.requests.get(&id).and_then(|r| r.upload.as_ref()).is_none_or(|upload| upload.over);
+        let written = whole && !matches!(stage, Some(Stage::Connecting(_)) | None);
         let outcome = if written { Outcome::Cancelled } else { Outcome::Moot };
         if let Some(conn) = attempt.conn {
             self.hang_up(conn);
@@ -226,11 +228,14 @@
             }
             Job::Attempt(id, n) => {
                 let rejected = message.head.headers.get("X-Rejected") == Some("1");
+                // One that comes ahead of the request's last byte is not made for all of it.
+                let upload = self.requests.get(&id).and_then(|request| request.upload.as_ref());
+                let whole = upload.is_none_or(|upload| upload.over);
                 let outcome = match status {
-                    200 => Outcome::Ok,
+                    200 if whole => Outcome::Ok,
                     503 | 504 if rejected => Outcome::Full,
                     // The request is at fault, and would be anywhere: that says nothing of the upstream.
-                    400..500 => Outcome::Cancelled,
+                    400..500 if whole => Outcome::Cancelled,
                     _ => Outcome::Error,
                 };
                 if outcome == Outcome::Ok {
@@ -244,10 +249,11 @@
         }
     }
 
-    /// The rest of an answer that has begun to come is on its way: it takes no longer than a connection to come up.
+    /// The rest of an answer that has begun to come is on its way: its next part takes no longer than a connection to
+    /// come up.
     pub(super) fn partly(&mut self, conn: ConnId) {
-        if self.links.get(&conn).is_some_and(|link| matches!(link.stage, Stage::Busy(_))) {
-            self.timers.bring_forward(Timer::Answer(conn), self.now + self.connect_timeout);
+        if self.links.get(&conn).is_some_and(|link| matches!(link.stage, Stage::Busy(Job::Attempt(..)))) {
+            self.timers.set(Timer::Answer(conn), self.now + self.connect_timeout);
         }
     }
 
@@ -311,6 +317,7 @@
     ) {
         if outcome != Outcome::Ok {
             self.cut_short(id, n);
+            self.upload_failed(id, n, outcome);
         }
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(attempt) = request.attempts.get_mut(n as usize).filter(|a| !a.ended) else { return };
@@ -334,12 +341,15 @@
     let ours = |name: &str| name.eq_ignore_ascii_case("X-Budget-Ms") || name.eq_ignore_ascii_case("Expect");
     let headers = head.headers.end_to_end().filter(|(name, _)| !ours(name));
     let headers = headers.chain([("X-Budget-Ms", left.as_str())]);
-    http::request(&head.method, &head.target, headers, &request.message.body)
+    match &request.upload {
+        Some(upload) => http::request_head(&head.method, &head.target, headers, upload.flow),
+        None => http::request(&head.method, &head.target, headers, &request.message.body),
+    }
 }
 
 /// A load report, `name=value,name=value`; names not known are skipped. One of which a part can't be read is none:
 /// what else it says is not to be trusted.
-fn report(text: &str) -> Option<Report> {
+pub(super) fn report(text: &str) -> Option<Report> {
     let mut report = Report::default();
     for pair in text.split(',') {
         let (name, value) = pair.trim().split_once('=')?;
--- a/crates/sandtrack-sidecar/src/reducer/tables.rs
+++ b/crates/sandtrack-sidecar/src/reducer/tables.rs
@@ -1,7 +1,7 @@
 //! The reducer's tables: what it knows of each client, connection, upstream and request, and its timers. Plain data that
 //! the reducer alone changes; it must never decide anything.
 use super::{ConnId, IDS_KEPT};
-use crate::http::Message;
+use crate::http::{Flow, Message};
 use sandtrack::interface::*;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -74,8 +74,10 @@
     pub(super) retired: bool,
     /// It has had an answer.
     pub(super) served: bool,
-    /// A part of its next request has come.
+    /// A part of its next request has come ...
     pub(super) begun: bool,
+    /// ... and all of the head.
+    pub(super) head: bool,
     pub(super) since: Millis,
     /// Taken beyond the budget: refused, so that it gets an answer all the same.
     pub(super) surplus: bool,
@@ -86,7 +88,7 @@
         self.request = None;
         self.closing = close;
         self.served = true;
-        self.begun = false;
+        (self.begun, self.head) = (false, false);
         self.since = now;
     }
 
@@ -96,7 +98,7 @@
 
     pub(super) fn wait(&self) -> Option<Wait> {
         match (self.between(), self.begun) {
-            (true, true) => Some(Wait::Rest),
+            (true, true) => Some(if self.head { Wait::Body } else { Wait::Rest }),
             (true, false) if !self.retired => Some(if self.served { Wait::Idle } else { Wait::First }),
             _ => None,
         }
@@ -108,8 +110,10 @@
 pub(super) enum Wait {
     /// Its first byte.
     First,
-    /// The rest of a request.
+    /// The rest of a request's head.
     Rest,
+    /// The rest of its body.
+    Body,
     /// Nothing: it has been served.
     Idle,
 }
@@ -207,13 +211,38 @@
     pub(super) client: Option<ConnId>,
     pub(super) keep_alive: bool,
     pub(super) message: Message,
-    /// Its streamed answer has begun, on this attempt: it has no deadline any more.
-    pub(super) stream: Option<u32>,
+    /// Its answer flows: it has no deadline any more.
+    pub(super) stream: Option<Stream>,
+    /// Its body flows, and is not in the message.
+    pub(super) upload: Option<Upload>,
     pub(super) class: usize,
     pub(super) not_after: Millis,
     pub(super) attempts: Vec<Attempt>,
 }
 
+/// An answer that is passed on as it comes.
+pub(super) struct Stream {
+    pub(super) attempt: u32,
+    pub(super) link: ConnId,
+    pub(super) flow: Flow,
+}
+
+/// A request's body that is passed on as it comes.
+pub(super) struct Upload {
+    pub(super) flow: Flow,
+    /// How long its client waits from its last byte on.
+    pub(super) budget: Millis,
+    /// The attempt that has it, from the first part on.
+    pub(super) link: Option<(u32, ConnId)>,
+    /// Its last byte has come.
+    pub(super) over: bool,
+    /// Since when the client's next piece is wanted.
+    pub(super) asked: Option<Millis>,
+    /// How long pieces were waited for, and what came, since that was looked at last.
+    pub(super) waited: Millis,
+    pub(super) bytes: usize,
+}
+
 /// The ids that clients asked with of late, by their hash: each is new with every request. One of another's request
 /// could mix up answers, and upstreams turn it away.
 #[derive(Default)]
--- a/crates/sandtrack-sidecar/src/upstream.rs
+++ b/crates/sandtrack-sidecar/src/upstream.rs
@@ -6,9 +6,13 @@
 };
 use crate::reducer::{ConnId, Input};
 use crate::ring::Ring;
-use async_io::Async;
+use async_io::{Async, Timer};
 use futures_lite::future;
 use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// An upstream that takes no bytes for this long is broken.
+const WRITE_PATIENCE: Duration = Duration::from_secs(5);
 
 /// How many messages a connection began to write, and how many it wrote to the last byte.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -36,36 +40,35 @@
     let mut output = Ring::new(http::WRITE_RING);
     let mut collector = Collector::new(Side::Response);
     let mut awaiting = false;
-    // A part of the answer has come, and the rest is due.
-    let mut begun = false;
-    // A piece of a streamed answer was told, and the next is not wanted yet.
+    // A part of the request's body is still to come.
+    let mut asking = false;
+    // A piece of an answer that flows was told, and the next is not wanted yet.
     let mut paused = false;
     loop {
         let count = match next(&stream, &mut input, orders, !paused).await {
-            Next::Order(Order::Ask { bytes, streamed }) => {
+            Next::Order(Order::Ask { bytes, streamed, more }) => {
                 // The other side may have closed it while it stood idle: nothing is written then, and the
                 // attempt may still go out on another connection.
                 if future::poll_once(read_into(&stream, &mut input)).await.is_some() {
                     return;
                 }
-                if !output.push(&bytes) {
-                    return;
-                }
                 written.begun += 1;
-                let write = async { write_all(&stream, &mut output).await.is_ok() };
-                let closed = async {
-                    ordered_closed(orders).await;
-                    false
-                };
-                if !future::or(write, closed).await {
+                if !write(conn, &stream, &mut output, &bytes, orders, inputs, !more).await {
                     return;
                 }
-                written.whole += 1;
-                inputs.send(Input::UpstreamWrote { conn });
-                (awaiting, begun) = (true, false);
+                written.whole += u32::from(!more);
+                (awaiting, asking) = (true, more);
                 collector.streamed = streamed;
                 continue;
             }
+            Next::Order(Order::Pass { bytes, last }) if asking => {
+                if !write(conn, &stream, &mut output, &bytes, orders, inputs, last).await {
+                    return;
+                }
+                written.whole += u32::from(last);
+                asking = !last;
+                continue;
+            }
             // What was read before may hold the next piece already.
             Next::Order(Order::More) if paused => {
                 paused = false;
@@ -76,25 +79,32 @@
             Next::Read(count) => Some(count),
         };
         let at = inputs.clock.now();
-        if count == Some(0) || !awaiting {
-            // The end, or nothing that was asked for: it would be read as the answer to what is asked next.
+        if !awaiting {
+            // Nothing was asked for: it would be read as the answer to what is asked next.
             return;
         }
-        match collector.next(&mut input) {
+        let taken = match count {
+            Some(0) => match collector.ended(&mut input) {
+                Some(taken) => Ok(Some(taken)),
+                None => return,
+            },
+            _ => collector.next(&mut input),
+        };
+        match taken {
             // An interim response is no part of the answer: that may still take its time.
             Ok(None) => {
-                if !begun && !collector.streamed && collector.within(&input) {
-                    begun = true;
+                if collector.within(&input) {
                     inputs.send(Input::UpstreamPartly { conn });
                 }
             }
             Ok(Some(taken)) => {
-                // What came behind the answer belongs to nothing: the connection is of no further use.
-                let open = collector.keep_alive() && !collector.within(&input);
+                // What came behind the answer belongs to nothing, and one that came ahead of the request's end leaves the
+                // rest of that behind: the connection is of no further use.
+                let open = collector.keep_alive() && !collector.within(&input) && !asking;
                 match taken {
-                    Taken::Begun(head) => {
+                    Taken::Begun { head, length } => {
                         paused = true;
-                        inputs.send(Input::UpstreamBegan { conn, head });
+                        inputs.send(Input::UpstreamBegan { conn, at, head, length });
                         continue;
                     }
                     Taken::Piece(bytes) => {
@@ -122,3 +132,27 @@
         }
     }
 }
+
+/// Writes a request, or a part of it, and tells so; no when the connection broke, takes nothing, or is ordered closed.
+async fn write(
+    conn: ConnId, stream: &Async<TcpStream>, output: &mut Ring, bytes: &[u8], orders: &Orders,
+    inputs: &Inputs, last: bool,
+) -> bool {
+    if !output.push(bytes) {
+        return false;
+    }
+    let write = async { write_all(stream, output).await.is_ok() };
+    let closed = async {
+        ordered_closed(orders).await;
+        false
+    };
+    let patience = async {
+        Timer::after(WRITE_PATIENCE).await;
+        false
+    };
+    let wrote = future::or(write, future::or(closed, patience)).await;
+    if wrote {
+        inputs.send(if last { Input::UpstreamWrote { conn } } else { Input::UpstreamTook { conn } });
+    }
+    wrote
+}
--- a/crates/sandtrack-sidecar/tests/http.rs
+++ b/crates/sandtrack-sidecar/tests/http.rs
@@ -91,24 +91,88 @@
         ("GET / HTTP/1.1\r\nname : x\r\n\r\n".to_owned(), Bad::Malformed),
         ("GET / HTTP/1.1\r\na: b\r\n folded\r\n\r\n".to_owned(), Bad::Malformed),
         (format!("GET / HTTP/1.1\r\na: {long}\r\n\r\n"), Bad::HeadTooLong),
-        (format!("POST / HTTP/1.1\r\nContent-Length: {}\r\n\r\n", BODY_MAX + 1), Bad::BodyTooLong),
+        (format!("POST / HTTP/1.1\r\nContent-Length: {}\r\n\r\n", FLOW_MAX + 1), Bad::BodyTooLong),
     ] {
         assert_eq!(whole(Side::Request, &text).1, Some(bad), "{text}");
     }
 }
 
+/// The parts of one message that is told as it comes: its length if that is told, its body, and what else comes.
+fn flowed(side: Side, bytes: &[u8], cuts: &[usize]) -> (Option<usize>, Vec<u8>, Result<bool, Bad>) {
+    let (mut ring, mut collector) = (Ring::new(READ_RING), Collector::new(side));
+    let (mut length, mut body, mut rest) = (None, Vec::new(), bytes);
+    for cut in cuts.iter().copied().chain(std::iter::repeat(8192)) {
+        let piece = &rest[..cut.max(1).min(ring.room()).min(rest.len())];
+        assert!(ring.push(piece));
+        rest = &rest[piece.len()..];
+        loop {
+            match collector.next(&mut ring) {
+                Ok(Some(Taken::Begun { length: told, .. })) => length = told,
+                Ok(Some(Taken::Piece(bytes))) => body.extend(bytes),
+                Ok(Some(Taken::Over)) => return (length, body, Ok(true)),
+                Ok(Some(Taken::Whole(message))) => panic!("whole: {} bytes", message.body.len()),
+                Ok(None) => break,
+                Err(bad) => return (length, body, Err(bad)),
+            }
+        }
+        if rest.is_empty() {
+            let over = collector.ended(&mut ring) == Some(Taken::Over);
+            return (length, body, Ok(over));
+        }
+    }
+    unreachable!("the bytes end")
+}
+
+/// Bodies over 64 KiB were refused with 413, and answers over it counted as errors of their upstream.
 #[test]
-fn a_chunked_body_that_grows_too_long_is_not_collected() {
-    let chunk = format!("1000\r\n{}\r\n", "x".repeat(0x1000));
-    let text = format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunk.repeat(17));
-    assert_eq!(whole(Side::Request, &text).1, Some(Bad::BodyTooLong));
+fn a_long_body_is_told_as_it_comes_however_it_is_framed() {
+    let body: Vec<u8> = (0..200_000u32).map(|n| (n % 251) as u8).collect();
+    let mut lengthy = format!("POST / HTTP/1.1\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes();
+    lengthy.extend(&body);
+    let mut chunks = b"POST / HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n".to_vec();
+    for piece in body.chunks(7001) {
+        chunks.extend(format!("00{:X} ;a=\"b\"\r\n", piece.len()).as_bytes());
+        chunks.extend(piece);
+        chunks.extend(b"\r\n");
+    }
+    chunks.extend(b"000\r\nTrailer: t\r\n\r\n");
+    for cuts in [vec![], vec![1; 400], vec![3; 100]] {
+        let (length, got, over) = flowed(Side::Request, &lengthy, &cuts);
+        assert_eq!((length, got == body, over), (Some(body.len()), true, Ok(true)));
+        let (length, got, over) = flowed(Side::Request, &chunks, &cuts);
+        assert_eq!((length, got == body, over), (None, true, Ok(true)));
+    }
+    let mut until_end = b"HTTP/1.0 200 OK\r\n\r\n".to_vec();
+    until_end.extend(&body);
+    let (length, got, over) = flowed(Side::Response, &until_end, &[5]);
+    assert_eq!((length, got == body, over), (None, true, Ok(true)));
+    // Cut short it is not over.
+    assert_eq!(flowed(Side::Request, &lengthy[..150_000], &[]).2, Ok(false));
+    assert_eq!(flowed(Side::Request, &chunks[..150_000], &[]).2, Ok(false));
+    // Errors are not passed on, so they are not told piece by piece.
+    let text = format!("HTTP/1.1 500 No\r\nContent-Length: {}\r\n\r\n", body.len());
+    assert_eq!(flowed(Side::Response, text.as_bytes(), &[]).2, Err(Bad::BodyTooLong));
+}
+
+#[test]
+fn a_body_without_end_is_given_up() {
+    let chunk = format!("100000\r\n{}\r\n", "x".repeat(0x10_0000));
+    let text = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunk.repeat(41));
+    let (_, got, over) = flowed(Side::Response, text.as_bytes(), &[]);
+    assert_eq!(over, Err(Bad::BodyTooLong));
+    assert!(got.len() <= FLOW_MAX);
 }
 
-/// What ends with its connection may have been cut short: it was served as an answer.
+/// It may have been cut short, and was served as an answer; one that says that its connection ends may end its body so.
 #[test]
-fn a_response_without_a_length_is_none() {
+fn a_response_without_a_length_is_none_unless_its_connection_is_to_end() {
     let text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nhalf and ";
     assert_eq!(whole(Side::Response, text), (Vec::new(), Some(Bad::Malformed)));
+    let (mut ring, mut collector) = (Ring::new(READ_RING), Collector::new(Side::Response));
+    assert!(ring.push(b"HTTP/1.1 200 OK\r\nConnection: Close\r\n\r\nwhole"));
+    assert_eq!(collector.next(&mut ring), Ok(None));
+    let Some(Taken::Whole(message)) = collector.ended(&mut ring) else { panic!("not whole") };
+    assert_eq!((message.body.as_slice(), message.head.keep_alive), (b"whole".as_slice(), false));
     let (taken, _) =
         whole(Side::Response, "HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
     assert_eq!(taken.iter().map(|message| message.head.status).collect::<Vec<_>>(), [204, 200]);
@@ -146,7 +210,9 @@
     collector.streamed = true;
     let head = chunked(200, [("Kind", "feed")].into_iter(), false);
     assert!(ring.push(&head));
-    let Ok(Some(Taken::Begun(head))) = collector.next(&mut ring) else { panic!("not begun") };
+    let Ok(Some(Taken::Begun { head, length: None })) = collector.next(&mut ring) else {
+        panic!("not begun")
+    };
     assert_eq!((head.status, head.headers.get("Kind")), (200, Some("feed")));
     for _ in 0..20 {
         assert!(ring.push(&chunk(&[7; 5000])));
@@ -181,6 +247,32 @@
         prop_assert_eq!(messages(side, &bytes, &cuts), messages(side, &bytes, &[]));
     }
 
+    #[test]
+    fn any_split_of_a_long_body_gives_the_same_bytes(
+        cuts in prop::collection::vec(1usize..9000, 0..60), sizes in prop::collection::vec(1usize..9000, 12..40),
+        until_end in any::<bool>(),
+    ) {
+        let body: Vec<u8> = (0..sizes.iter().sum::<usize>() + BODY_MAX).map(|n| (n % 241) as u8).collect();
+        let mut bytes = b"HTTP/1.1 200 OK\r\nConnection: close\r\n".to_vec();
+        if until_end {
+            bytes.extend(b"\r\n");
+            bytes.extend(&body);
+        } else {
+            bytes.extend(b"Transfer-Encoding: chunked\r\n\r\n");
+            let mut rest = body.as_slice();
+            for size in sizes.iter().cycle() {
+                let (piece, left) = rest.split_at((*size).min(rest.len()));
+                bytes.extend(chunk(piece));
+                rest = left;
+                if piece.is_empty() {
+                    break;
+                }
+            }
+        }
+        let (_, got, over) = flowed(Side::Response, &bytes, &cuts);
+        prop_assert!(got == body && over == Ok(true));
+    }
+
     #[test]
     fn garbage_never_panics(bytes in prop::collection::vec(any::<u8>(), 0..600)) {
         messages(Side::Request, &bytes, &[]);
--- a/crates/sandtrack-sidecar/tests/reducer.rs
+++ b/crates/sandtrack-sidecar/tests/reducer.rs
@@ -6,7 +6,7 @@
 use sandtrack_sidecar::catalog::Catalog;
 use sandtrack_sidecar::config;
 use sandtrack_sidecar::handover::{ByHand, Change, Handover};
-use sandtrack_sidecar::http::{self, Collector, Message, Side, Taken};
+use sandtrack_sidecar::http::{self, Collector, Message, Parser, Part, Side, Taken};
 use sandtrack_sidecar::reducer::{ConnId, Effect, Input, Reducer, Ways, ADMIN_MOST};
 use sandtrack_sidecar::ring::Ring;
 use sandtrack_sidecar::upstream::Written;
@@ -30,6 +30,9 @@
     retired: bool,
     /// A part of a request has come.
     half: bool,
+    /// Its body flows; the next piece of it is wanted.
+    uploading: bool,
+    wanted: bool,
     /// A streamed answer has begun; pieces of it wait to be written.
     streaming: bool,
     unwritten: usize,
@@ -43,6 +46,8 @@
     carries: Option<u64>,
     begun: u32,
     closing: bool,
+    /// A part of a request's body is to come.
+    asking: bool,
     /// Its answer is wanted as it comes; has begun; its next piece is not wanted yet.
     streamed: bool,
     streaming: bool,
@@ -55,6 +60,10 @@
     answers: Vec<u16>,
     /// Its answer has begun to come: no deadline any more.
     begun: bool,
+    /// What an upstream got of a body that flows, and whether one got any.
+    body: Vec<u8>,
+    taken: bool,
+    early: bool,
     /// Messages written that may have run.
     may_have_run: usize,
     client_left: bool,
@@ -82,8 +91,8 @@
     told: BTreeMap<ConnId, (u16, String)>,
     sent_off: BTreeSet<ConnId>,
     handover: Handover,
-    /// Connections on which a message was written whole, to be told.
-    wrote: Vec<ConnId>,
+    /// Connections on which something was written, to be told; yes: a message's last byte.
+    wrote: Vec<(ConnId, bool)>,
     /// Upstreams out by hand.
     out: BTreeSet<String>,
 }
@@ -106,7 +115,7 @@
 
     /// Beside another process, on the socket that both inherited.
     fn beside() -> Self {
-        World::within(Ways { admin: true, inherited: true }, true, |_| ())
+        World::within(Ways { admin: true, inherited: true, ..Ways::default() }, true, |_| ())
     }
 
     fn within(ways: Ways, other_lives: bool, edit: impl FnOnce(&mut Value)) -> Self {
@@ -188,7 +197,7 @@
                 Effect::Relay { conn, bytes } => {
                     let client = self.clients.get_mut(&conn).expect("an open client");
                     let call = self.calls.get_mut(&client.call.expect("a call")).expect("a call");
-                    assert!(call.class == "feed" && client.unwritten == 0, "one piece at a time");
+                    assert!(client.unwritten == 0 && !client.uploading, "one piece at a time");
                     assert_eq!(bytes.starts_with(b"HTTP/1.1 200"), !client.streaming, "one head, and first");
                     (client.streaming, client.unwritten, call.begun) = (true, 1, true);
                 }
@@ -197,7 +206,15 @@
                     let link = Link { address: address.to_string(), ..Link::default() };
                     assert!(self.links.insert(conn, link).is_none());
                 }
-                Effect::Write { conn, bytes, streamed } => self.written(conn, &bytes, streamed),
+                Effect::Write { conn, bytes, streamed, more } => self.written(conn, &bytes, streamed, more),
+                Effect::Pass { conn, bytes, last } => self.passed(conn, &bytes, last),
+                Effect::MoreClient { conn } => {
+                    let client = self.clients.get_mut(&conn).expect("an open client");
+                    assert!(
+                        client.uploading && !std::mem::replace(&mut client.wanted, true),
+                        "one at a time"
+                    );
+                }
                 Effect::CloseUpstream { conn } => self.links.get_mut(&conn).expect("a link").closing = true,
                 Effect::Watch { call, address, after } => {
                     assert!(self.watch.is_none(), "one watch at a time");
@@ -222,8 +239,10 @@
                 Effect::Exit => self.exited = true,
             }
         }
-        while let Some(conn) = self.wrote.pop() {
-            self.feed(Input::UpstreamWrote { conn });
+        while let Some((conn, whole)) = self.wrote.pop() {
+            if self.links.contains_key(&conn) {
+                self.feed(if whole { Input::UpstreamWrote { conn } } else { Input::UpstreamTook { conn } });
+            }
         }
         if let Some((conn, change)) = noted {
             let noted = self.handover.change(change).cloned().map_err(|error| error.to_string());
@@ -244,6 +263,8 @@
         assert_eq!(answer.head.keep_alive, !close);
         let client = self.clients.get_mut(&conn).expect("an open client");
         client.closing |= close;
+        assert!(close || !client.uploading, "the rest of a body would be read as a request");
+        client.uploading = false;
         let Some(id) = client.call.take() else {
             assert!(client.half && close, "an answer without a request");
             assert_eq!(answer.head.status, 408);
@@ -260,13 +281,19 @@
         }
     }
 
-    fn written(&mut self, conn: ConnId, bytes: &[u8], streamed: bool) {
-        let request = message(Side::Request, bytes);
+    fn written(&mut self, conn: ConnId, bytes: &[u8], streamed: bool, more: bool) {
+        let mut ring = Ring::new(http::WRITE_RING);
+        assert!(ring.push(bytes));
+        let Ok(Some(Part::Head(head))) = Parser::new(Side::Request).next(&mut ring) else {
+            panic!("no head")
+        };
+        assert!(more || message(Side::Request, bytes).head == head);
         let link = self.links.get_mut(&conn).expect("a link");
         link.streamed = streamed;
         assert!(link.up && !link.closing && link.carries.is_none(), "one request at a time, on an open one");
         link.begun += 1;
-        let Some(id) = request.head.headers.get("X-Call-Id") else {
+        link.asking = more;
+        let Some(id) = head.headers.get("X-Call-Id") else {
             link.carries = Some(0);
             return;
         };
@@ -277,8 +304,71 @@
         let call = self.calls.get_mut(&id).expect("a call");
         assert!(call.answers.is_empty() && !call.client_left, "sent for a closed request");
         assert!(call.class != "pay" || call.may_have_run == 0, "an unsafe request sent twice");
-        call.may_have_run += 1;
-        self.wrote.push(conn);
+        call.may_have_run += usize::from(!more);
+        assert!(!std::mem::replace(&mut call.taken, more), "a body sent twice");
+        self.wrote.push((conn, !more));
+    }
+
+    /// A piece of a request's body.
+    fn passed(&mut self, conn: ConnId, bytes: &[u8], last: bool) {
+        let link = self.links.get_mut(&conn).expect("a link");
+        if link.closing {
+            return;
+        }
+        assert!(link.asking, "a piece of nothing");
+        link.asking = !last;
+        let call = self.calls.get_mut(&link.carries.expect("a call")).expect("a call");
+        assert!(call.answers.is_empty() && !call.client_left, "sent for a closed request");
+        call.body.extend(bytes);
+        call.may_have_run += usize::from(last);
+        self.wrote.push((conn, last));
+    }
+
+    /// The head of a request whose body follows in pieces.
+    fn upload(&mut self, conn: ConnId, class: &str, budget: u32, length: Option<usize>) -> u64 {
+        let id = self.calls.len() as u64 + 1;
+        self.calls.insert(id, Call { class: class.to_owned(), ..Call::default() });
+        let client = self.clients.get_mut(&conn).expect("a client");
+        (client.call, client.half, client.uploading) = (Some(id), false, true);
+        let key = if class == "set" { "Idempotency-Key: k\r\n" } else { "" };
+        let framing =
+            length.map_or("Transfer-Encoding: chunked".to_owned(), |l| format!("Content-Length: {l}"));
+        let text = format!(
+            "POST /api HTTP/1.1\r\nX-Call-Id: {id}\r\nX-Call-Class: {class}\r\nX-Caller: acme\r\n\
+             X-Budget-Ms: {budget}\r\n{key}{framing}\r\n\r\n"
+        );
+        let mut ring = Ring::new(http::WRITE_RING);
+        assert!(ring.push(text.as_bytes()));
+        let Ok(Some(Part::Head(head))) = Parser::new(Side::Request).next(&mut ring) else {
+            panic!("no head")
+        };
+        self.feed(Input::ClientFlows { conn, at: self.now, head, length });
+        id
+    }
+
+    /// The client sends the next piece, if that is wanted.
+    fn send_piece(&mut self, conn: ConnId, bytes: &[u8], last: bool) -> bool {
+        let client = self.clients.get_mut(&conn).expect("a client");
+        if !client.uploading || client.closing || !std::mem::take(&mut client.wanted) {
+            return false;
+        }
+        client.uploading = !last;
+        self.feed(Input::ClientPiece { conn, at: self.now, bytes: bytes.to_vec(), last });
+        true
+    }
+
+    /// One large request whose first part an upstream has.
+    fn uploading(&mut self, conn: ConnId, class: &str, length: Option<usize>) -> (u64, ConnId) {
+        let id = self.upload(conn, class, 400, length);
+        for _ in 0..50 {
+            let on = |link: &&ConnId| self.links[*link].carries == Some(id);
+            if let Some(link) = self.carrying().iter().find(on) {
+                return (id, *link);
+            }
+            self.pass(0.5);
+            self.calm();
+        }
+        panic!("never sent: {:?}", self.calls[&id].answers);
     }
 
     fn open(&mut self) -> ConnId {
@@ -390,7 +480,7 @@
     fn half_a_request(&mut self, conn: ConnId) {
         let client = self.clients.get_mut(&conn).expect("a client");
         if client.call.is_none() && !client.closing && !std::mem::replace(&mut client.half, true) {
-            self.feed(Input::ClientBegan { conn });
+            self.feed(Input::ClientBegan { conn, head: false });
         }
     }
 
@@ -430,8 +520,8 @@
             let (mut ring, mut collector) = (Ring::new(http::WRITE_RING), Collector::new(Side::Response));
             collector.streamed = true;
             assert!(ring.push(&http::chunked(200, std::iter::empty(), false)));
-            let Ok(Some(Taken::Begun(head))) = collector.next(&mut ring) else { panic!("no head") };
-            self.feed(Input::UpstreamBegan { conn, head });
+            let Ok(Some(Taken::Begun { head, .. })) = collector.next(&mut ring) else { panic!("no head") };
+            self.feed(Input::UpstreamBegan { conn, at: self.now, head, length: None });
         } else if over {
             (link.streaming, link.carries) = (false, None);
             self.feed(Input::UpstreamOver { conn, at: self.now, keep_alive: true });
@@ -444,6 +534,15 @@
     /// What it carries is answered.
     fn serve(&mut self, conn: ConnId, status: u16, rejected: bool, close: bool) {
         let link = self.links.get_mut(&conn).expect("a link");
+        if link.asking {
+            // Ahead of the request's end: it can't be an answer to it.
+            let Some(call) = link.carries.take().and_then(|id| self.calls.get_mut(&id)) else { return };
+            link.asking = false;
+            call.early = true;
+            let bytes = http::response(status, std::iter::empty(), b"early", true);
+            let message = message(Side::Response, &bytes);
+            return self.feed(Input::UpstreamAnswered { conn, at: self.now, message });
+        }
         if link.streaming || status == 200 && link.streamed && link.carries.is_some() {
             return self.stream(conn, close);
         }
@@ -468,10 +567,13 @@
         let Some(link) = self.links.remove(&conn) else { return };
         let busy = link.carries.filter(|_| !link.closing && !link.streaming);
         let mut written = Written { begun: link.begun, whole: link.begun };
-        if let Some(id) = busy.filter(|_| unwritten) {
+        if link.asking {
+            written.whole -= 1;
+        } else if let Some(id) = busy.filter(|_| unwritten) {
             written.whole -= 1;
             // Sometimes not even its first byte was.
-            written.begun -= u32::from(link.begun > 1);
+            let call = self.calls.get_mut(&id).filter(|call| !call.taken);
+            written.begun -= u32::from(link.begun > 1 && (call.is_some() || id == 0));
             if let Some(call) = self.calls.get_mut(&id) {
                 call.may_have_run -= 1;
             }
@@ -589,6 +691,11 @@
 
     fn end(&mut self) {
         self.pass(1000.0);
+        // A client that sends no more of its body is waited for a little longer.
+        if self.clients.values().any(|client| client.uploading && !client.closing) {
+            self.pass(4000.0);
+            self.pass(1000.0);
+        }
         for (id, call) in &self.calls {
             let answered = call.answers.len() == 1 || call.begun;
             assert!(call.client_left || answered, "call {id} was never answered");
@@ -630,6 +737,9 @@
     WatchEnds,
     Reload(u8),
     Adopt(u8),
+    Upload(u8, u8, u16, bool),
+    Piece(u8, bool),
+    Flow(u8, bool),
     Out(u8),
     Back(u8),
     Drain(bool),
@@ -655,6 +765,9 @@
         1 => Just(Step::WatchEnds),
         1 => (0u8..3).prop_map(Step::Reload),
         2 => (0u8..5).prop_map(Step::Adopt),
+        3 => (any::<u8>(), 0u8..2, 0u16..600, any::<bool>()).prop_map(|(c, k, b, l)| Step::Upload(c, k, b, l)),
+        6 => (any::<u8>(), any::<bool>()).prop_map(|(c, last)| Step::Piece(c, last)),
+        4 => (any::<u8>(), any::<bool>()).prop_map(|(l, over)| Step::Flow(l, over)),
         2 => (0u8..5).prop_map(Step::Out),
         2 => (0u8..5).prop_map(Step::Back),
         1 => any::<bool>().prop_map(Step::Drain),
@@ -687,7 +800,7 @@
         Step::Partly(which) | Step::Spoilt(which) => {
             let Some(conn) = nth(&world.links, which) else { return };
             let link = &world.links[&conn];
-            if link.carries.is_some() && !link.streaming {
+            if link.carries.is_some() && !link.streaming && !link.asking {
                 let spoilt = matches!(step, Step::Spoilt(_));
                 let part = Input::UpstreamPartly { conn };
                 world.feed(if spoilt { Input::UpstreamSpoilt { conn } } else { part });
@@ -754,6 +867,27 @@
             }
             _ => {}
         }),
+        Step::Upload(which, class, budget, chunks) => {
+            let Some(conn) = nth(&world.clients, which) else { return };
+            let client = &world.clients[&conn];
+            if client.call.is_none() && !client.closing {
+                let length = Some(100_000).filter(|_| !chunks);
+                world.upload(conn, ["set", "pay"][usize::from(class)], budget.into(), length);
+            }
+        }
+        Step::Piece(which, last) => {
+            if let Some(conn) = nth(&world.clients, which) {
+                world.send_piece(conn, b"piece", last);
+            }
+        }
+        Step::Flow(which, over) => {
+            let Some(conn) = nth(&world.links, which) else { return };
+            let link = &world.links[&conn];
+            if link.carries.is_some_and(|id| id > 0) && !link.asking {
+                world.relayed();
+                world.stream(conn, over);
+            }
+        }
         Step::Out(number) => drop(world.take_out(number.into())),
         Step::Back(number) => drop(world.take_back(number.into())),
         Step::Drain(on) => {
@@ -1767,3 +1901,157 @@
     world.adopt(|_| ());
     assert_eq!((world.figure("config_reloads"), world.figure("config_reload_errors")), (1, 1));
 }
+
+#[test]
+fn a_large_body_goes_on_piece_by_piece_and_its_time_counts_from_its_last_byte() {
+    let (mut world, conn) = World::warm();
+    for length in [Some(100_000), None] {
+        let (id, link) = world.uploading(conn, "pay", length);
+        // Longer than its client would wait for an answer.
+        for _ in 0..6 {
+            world.pass_calmly(300);
+            assert!(world.send_piece(conn, &[b'x'; 20_000], false));
+        }
+        assert!(world.calls[&id].answers.is_empty());
+        if length.is_some() {
+            assert!(world.send_piece(conn, b"end", true));
+        } else {
+            let client = world.clients.get_mut(&conn).expect("a client");
+            assert!(std::mem::take(&mut client.uploading) && std::mem::take(&mut client.wanted));
+            world.feed(Input::ClientOver { conn, at: world.now });
+        }
+        let body = &world.calls[&id].body;
+        let framed = |body: &[u8]| body.starts_with(b"4e20\r\n") && body.ends_with(b"0\r\n\r\n");
+        assert!(if length.is_some() { body.ends_with(b"xend") } else { framed(body) });
+        world.pass_calmly(5);
+        assert!(world.calls[&id].answers.is_empty());
+        world.serve(link, 200, false, false);
+        assert_eq!(world.calls[&id].answers, [200]);
+    }
+    let (id, link) = world.uploading(conn, "pay", Some(3));
+    assert!(world.send_piece(conn, b"end", true));
+    world.pass(401.0);
+    assert_eq!(world.calls[&id].answers, [502], "its deadline counts from its last byte");
+    assert!(world.links[&link].closing);
+    assert_eq!((world.figure("completed.pay"), world.figure("failed.pay")), (2, 1));
+    assert_eq!(world.figure("upstream_requests"), 3);
+}
+
+/// Its body is not at hand any more: what never ran is refused, what may have run has failed; nothing is sent twice.
+#[test]
+fn a_large_body_whose_upstream_dies_is_sent_nowhere_else() {
+    for class in ["pay", "set"] {
+        for (whole, status) in [(false, 503), (true, 502)] {
+            let (mut world, conn) = World::warm();
+            let (id, link) = world.uploading(conn, class, None);
+            assert!(world.send_piece(conn, b"piece", false));
+            if whole {
+                let client = world.clients.get_mut(&conn).expect("a client");
+                (client.uploading, client.wanted) = (false, false);
+                world.feed(Input::ClientOver { conn, at: world.now });
+            }
+            world.ends(link, false);
+            assert_eq!(world.calls[&id].answers, [status], "{class}, whole: {whole}");
+            let closing = world.clients[&conn].closing;
+            assert_eq!(closing, !whole, "the rest of the body would be read as a request");
+            world.calm();
+            assert!(world.carrying().is_empty());
+        }
+    }
+}
+
+/// It has not read all of the request, so it can't have made it for that.
+#[test]
+fn an_answer_ahead_of_the_end_of_a_body_serves_nobody() {
+    for status in [200, 404, 500, 503] {
+        let (mut world, conn) = World::warm();
+        let (id, link) = world.uploading(conn, "pay", Some(100_000));
+        assert!(world.send_piece(conn, b"piece", false));
+        world.serve(link, status, false, false);
+        assert_eq!(world.calls[&id].answers, [503], "it never ran");
+        assert!(world.clients[&conn].closing && world.links[&link].closing);
+    }
+}
+
+/// Patience goes by progress: one that sends 64 kB a second is waited for, a trickle is not.
+#[test]
+fn a_body_that_comes_too_slowly_is_given_up() {
+    let (mut world, honest) = World::warm();
+    let slow = world.open();
+    let (_, _) = world.uploading(honest, "pay", Some(10_000_000));
+    let (id, link) = world.uploading(slow, "pay", Some(10_000_000));
+    for _ in 0..100 {
+        world.pass(100.0);
+        assert!(world.send_piece(honest, &[1; 6400], false));
+        world.send_piece(slow, b"x", false);
+    }
+    assert_eq!(world.calls[&id].answers, [408]);
+    assert!(world.links[&link].closing, "what its upstream has of it is of no use");
+    // A client that leaves takes its part along.
+    let carried = world.carrying()[0];
+    world.leave(honest);
+    assert!(world.links[&carried].closing);
+}
+
+/// For the module the attempt ends with the first bytes; what is cut off after them is shown as such.
+#[test]
+fn a_large_answer_flows_past_the_deadline_and_is_never_ended_as_if_whole() {
+    for how in 0..4 {
+        let (mut world, conn) = World::warm();
+        let (id, link) = world.sent(conn, "read", 300);
+        world.stream(link, false);
+        for _ in 0..5 {
+            world.pass(300.0);
+            world.relayed();
+            world.stream(link, false);
+        }
+        assert!(world.calls[&id].answers.is_empty());
+        world.relayed();
+        match how {
+            0 => world.stream(link, true),
+            1 => world.ends(link, false),
+            // Its upstream gives no more.
+            2 => world.pass(5100.0),
+            _ => {
+                world.leave(conn);
+                assert!(world.links[&link].closing, "nobody is left to pass it on to");
+                world.end();
+                continue;
+            }
+        }
+        assert_eq!(world.calls[&id].answers, [if how == 0 { 200 } else { CUT_SHORT }]);
+        assert_eq!(world.clients[&conn].closing, how != 0);
+        assert_eq!(world.figure("completed.read"), u64::from(how == 0));
+        assert_eq!(world.figure("failed.read"), u64::from(how != 0));
+        world.end();
+    }
+}
+
+/// No flow waits for the memory of another: beyond what the memory holds, one more is refused.
+#[test]
+fn bodies_beyond_the_memory_are_refused() {
+    let ways = Ways { memory: 1 << 20, ..Ways::default() };
+    let mut world = World::within(ways, false, |_| ());
+    world.calm();
+    let open = 1024 * 1024 / 4 / (32 * 1024);
+    for n in 0..open + 3 {
+        let conn = world.open();
+        let id = world.upload(conn, "pay", 400, Some(100_000));
+        world.calm();
+        assert_eq!(world.calls[&id].answers, if n < open { vec![] } else { vec![503] });
+    }
+}
+
+/// A small answer that comes slowly is waited for as long as it goes on.
+#[test]
+fn a_small_answer_in_pieces_is_no_error_while_it_goes_on() {
+    let (mut world, conn) = World::warm();
+    let (id, link) = world.sent(conn, "pay", 900);
+    for _ in 0..6 {
+        world.feed(Input::UpstreamPartly { conn: link });
+        world.pass(90.0);
+    }
+    assert!(world.calls[&id].answers.is_empty());
+    world.pass(20.0);
+    assert_eq!(world.calls[&id].answers, [502], "it does not go on");
+}
--- a/crates/sandtrack-sidecar/tests/tasks.rs
+++ b/crates/sandtrack-sidecar/tests/tasks.rs
@@ -102,7 +102,7 @@
 #[test]
 fn half_a_request_is_told_once() {
     let (mut near, _orders, received) = client_task(Vec::new(), &REQUEST[..9]);
-    assert!(matches!(told(&received), Input::ClientBegan { conn: 1 }));
+    assert!(matches!(told(&received), Input::ClientBegan { conn: 1, .. }));
     near.write_all(&REQUEST[9..20]).unwrap();
     near.write_all(&REQUEST[20..]).unwrap();
     assert!(matches!(told(&received), Input::ClientRequest { conn: 1, .. }));
@@ -144,7 +144,7 @@
 }
 
 fn ask(orders: &Orders) {
-    orders.try_send(Order::Ask { bytes: REQUEST.to_vec(), streamed: false }).unwrap();
+    orders.try_send(Order::Ask { bytes: REQUEST.to_vec(), streamed: false, more: false }).unwrap();
 }
 
 fn written(received: &Received) -> Written {
@@ -160,7 +160,7 @@
     let (far, orders, received) = upstream_task();
     drop(far);
     // The order may find the task still there or gone: nothing is begun either way.
-    let _ = orders.try_send(Order::Ask { bytes: REQUEST.to_vec(), streamed: false });
+    let _ = orders.try_send(Order::Ask { bytes: REQUEST.to_vec(), streamed: false, more: false });
     assert_eq!(written(&received), Written { begun: 0, whole: 0 });
 }
 
@@ -244,7 +244,7 @@
 #[test]
 fn a_streamed_answer_is_told_one_piece_at_a_time() {
     let (mut far, orders, received) = upstream_task();
-    orders.try_send(Order::Ask { bytes: REQUEST.to_vec(), streamed: true }).unwrap();
+    orders.try_send(Order::Ask { bytes: REQUEST.to_vec(), streamed: true, more: false }).unwrap();
     far.read_exact(&mut vec![0; REQUEST.len()]).unwrap();
     far.write_all(&http::chunked(200, std::iter::empty(), false)).unwrap();
     for piece in [b"one".as_slice(), b"two", b""] {
@@ -286,8 +286,98 @@
     let mut told_to = vec![0; http::CONTINUE.len()];
     near.read_exact(&mut told_to).unwrap();
     assert_eq!(told_to, http::CONTINUE);
-    assert!(matches!(told(&received), Input::ClientBegan { conn: 1 }));
+    assert!(matches!(told(&received), Input::ClientBegan { conn: 1, .. }));
     near.write_all(b"body").unwrap();
     let Input::ClientRequest { message, .. } = told(&received) else { panic!("no request") };
     assert_eq!((message.body.as_slice(), message.head.headers.get("Expect")), (b"body".as_slice(), None));
 }
+
+/// Its pieces wait in the socket until they are wanted: a slow upstream holds back its own client.
+#[test]
+fn a_large_request_is_told_piece_by_piece_as_it_is_wanted() {
+    let head = b"POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 100000\r\n\r\n";
+    let (mut near, orders, received) = client_task(Vec::new(), head);
+    let Input::ClientFlows { head, length: Some(100_000), .. } = told(&received) else { panic!("no head") };
+    assert_eq!(head.headers.get("Expect"), None);
+    orders.try_send(Order::More).unwrap();
+    let mut told_to = vec![0; http::CONTINUE.len()];
+    near.read_exact(&mut told_to).unwrap();
+    assert_eq!(told_to, http::CONTINUE);
+    let body: Vec<u8> = (0..100_000u32).map(|n| (n % 251) as u8).collect();
+    near.write_all(&body).unwrap();
+    // Behind it comes the next request, which is none of its body.
+    near.write_all(REQUEST).unwrap();
+    let mut got = Vec::new();
+    loop {
+        let Input::ClientPiece { bytes, last, .. } = told(&received) else { panic!("no piece") };
+        got.extend(bytes);
+        assert!(received.is_empty(), "one at a time");
+        if last {
+            break;
+        }
+        orders.try_send(Order::More).unwrap();
+    }
+    assert_eq!(got, body);
+    let bytes = http::response(200, std::iter::empty(), b"", false);
+    orders.try_send(Order::Answer { bytes: bytes.clone(), close: false, bad: false }).unwrap();
+    near.read_exact(&mut vec![0; bytes.len()]).unwrap();
+    assert!(matches!(told(&received), Input::ClientRequest { conn: 1, .. }));
+}
+
+#[test]
+fn a_request_in_pieces_is_written_and_said_to_be_whole_at_its_last_byte() {
+    let (mut far, orders, received) = upstream_task();
+    let head = b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n";
+    orders.try_send(Order::Ask { bytes: head.to_vec(), streamed: false, more: true }).unwrap();
+    assert!(matches!(told(&received), Input::UpstreamTook { conn: 1 }));
+    for (piece, last) in [(b"piece".to_vec(), false), (b"last".to_vec(), true)] {
+        orders.try_send(Order::Pass { bytes: piece, last }).unwrap();
+        let input = block_on(received.recv()).unwrap();
+        assert!(matches!(
+            (input, last),
+            (Input::UpstreamTook { .. }, false) | (Input::UpstreamWrote { .. }, true)
+        ));
+    }
+    let mut request = vec![0; head.len() + 9];
+    far.read_exact(&mut request).unwrap();
+    assert!(request.ends_with(b"\r\n\r\npiecelast"));
+    far.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi").unwrap();
+    let Input::UpstreamAnswered { message, .. } = told(&received) else { panic!("no answer") };
+    assert!(message.head.keep_alive);
+    // One that ends in the midst of a body was not asked for whole.
+    orders.try_send(Order::Ask { bytes: head.to_vec(), streamed: false, more: true }).unwrap();
+    assert!(matches!(told(&received), Input::UpstreamTook { conn: 1 }));
+    drop(far);
+    assert_eq!(written(&received), Written { begun: 2, whole: 1 });
+}
+
+#[test]
+fn an_answer_that_ends_with_its_connection_is_told_whole_or_as_it_comes() {
+    for size in [10, 200_000] {
+        let (mut far, orders, received) = upstream_task();
+        ask(&orders);
+        far.read_exact(&mut vec![0; REQUEST.len()]).unwrap();
+        let body = vec![7; size];
+        std::thread::spawn(move || {
+            far.write_all(b"HTTP/1.0 200 OK\r\n\r\n").unwrap();
+            far.write_all(&vec![7; size]).unwrap();
+        });
+        let mut got = Vec::new();
+        loop {
+            match told(&received) {
+                Input::UpstreamPartly { .. } => continue,
+                Input::UpstreamAnswered { message, .. } => {
+                    assert!(!message.head.keep_alive && size < 100);
+                    got = message.body;
+                    break;
+                }
+                Input::UpstreamBegan { length: None, .. } => {}
+                Input::UpstreamPiece { bytes, .. } => got.extend(bytes),
+                Input::UpstreamOver { keep_alive: false, .. } => break,
+                other => panic!("{other:?}"),
+            }
+            orders.try_send(Order::More).unwrap();
+        }
+        assert_eq!(got, body);
+    }
+}
