--- a/crates/sandtrack-lab/src/node.rs
+++ b/crates/sandtrack-lab/src/node.rs
@@ -654,7 +654,11 @@
             Effect::CloseWatch { call } => out.push(Out::HangUp(call)),
             // There is no second address here, nothing is streamed, and the node ends with its world.
             Effect::AnswerAdmin { .. } | Effect::CloseAdmin { .. } | Effect::Change { .. } => {}
-            Effect::Relay { .. } | Effect::More { .. } | Effect::Pass { .. } | Effect::MoreClient { .. } => {}
+            Effect::Relay { .. }
+            | Effect::Begin { .. }
+            | Effect::More { .. }
+            | Effect::Pass { .. }
+            | Effect::MoreClient { .. } => {}
             Effect::Accept | Effect::StopAccepting { .. } | Effect::Exit => {}
         }
     }
--- a/crates/sandtrack-sidecar/src/http.rs
+++ b/crates/sandtrack-sidecar/src/http.rs
@@ -337,6 +337,17 @@
         over
     }
 
+    /// What is collected is a good answer whose length is not told.
+    pub fn is_open(&self) -> bool {
+        let told = matches!(self.parser.state, State::Length(_) | State::Over);
+        !told && self.side == Side::Response && self.head.as_ref().is_some_and(|head| head.status == 200)
+    }
+
+    /// It is told as it comes from now on, and not collected: its head first, if it is open.
+    pub fn pass_on(&mut self) -> Option<Taken> {
+        self.is_open().then(|| self.head.take().map(|head| Taken::Begun { head, length: None }))?
+    }
+
     /// The head has come, and not all of the body.
     pub fn has_head(&self) -> bool {
         self.head.is_some()
--- a/crates/sandtrack-sidecar/src/main.rs
+++ b/crates/sandtrack-sidecar/src/main.rs
@@ -208,6 +208,7 @@
                 order(&tasks.clients, conn, Order::Answer { bytes, close, bad });
             }
             Effect::Relay { conn, bytes } => order(&tasks.clients, conn, Order::Piece { bytes }),
+            Effect::Begin { conn } => order(&tasks.upstreams, conn, Order::Begin),
             Effect::More { conn } => order(&tasks.upstreams, conn, Order::More),
             Effect::CloseClient { conn } => order(&tasks.clients, conn, Order::Close),
             Effect::RetireClient { conn } => order(&tasks.clients, conn, Order::Retire),
--- a/crates/sandtrack-sidecar/src/net.rs
+++ b/crates/sandtrack-sidecar/src/net.rs
@@ -35,6 +35,8 @@
         bytes: Vec<u8>,
         last: bool,
     },
+    /// To an upstream: an answer whose length is not told is not to be collected any longer, but told as it comes.
+    Begin,
     /// The next piece of a body that flows is wanted: to an upstream of its answer, to a client of its request.
     More,
     Close,
--- a/crates/sandtrack-sidecar/src/reducer.rs
+++ b/crates/sandtrack-sidecar/src/reducer.rs
@@ -75,6 +75,9 @@
 const WATCH_FIRST: Millis = 4500.0;
 /// After a reload it is asked for again sooner: what the new address has to tell counts as told after 4 s.
 const WATCH_RELOADED: Millis = 2000.0;
+/// An answer whose length is not told is passed on as it comes when it is not whole this long after its first part: it
+/// may be a large one, which is timed by its first bytes.
+const HOLD: Millis = 20.0;
 /// A figure of a load report over this is none.
 const REPORT_MOST: f64 = 1e9;
 /// Where the settings tell no connect time-out.
@@ -158,9 +161,10 @@
         at: Millis,
         keep_alive: bool,
     },
-    /// A part of an answer has come that is not whole yet.
+    /// A part of an answer has come that is not whole yet; `open`: its length is not told.
     UpstreamPartly {
         conn: ConnId,
+        open: bool,
     },
     /// What came for an answer can't be read.
     UpstreamSpoilt {
@@ -239,6 +243,10 @@
         conn: ConnId,
         bytes: Vec<u8>,
     },
+    /// An answer whose length is not told is to be told as it comes.
+    Begin {
+        conn: ConnId,
+    },
     /// The next piece of a streamed answer is wanted.
     More {
         conn: ConnId,
@@ -573,7 +581,7 @@
             Input::UpstreamOver { conn, at, keep_alive } => self.over(conn, at, keep_alive),
             Input::UpstreamConnected { conn } => self.connected(conn),
             Input::UpstreamAnswered { conn, at, message } => self.answered(conn, at, message),
-            Input::UpstreamPartly { conn } => self.partly(conn),
+            Input::UpstreamPartly { conn, open } => self.partly(conn, open),
             Input::UpstreamSpoilt { conn } => self.spoilt(conn),
             Input::UpstreamClosed { conn, written } => self.upstream_closed(conn, written),
             Input::WatchLine { call, catalog } => self.watch_line(call, catalog),
@@ -624,6 +632,7 @@
                     self.job_failed(job, server, Outcome::ConnectFailed);
                 }
             }
+            Timer::Hold(conn) => self.effects.push(Effect::Begin { conn }),
             Timer::Deadline(request) => self.deadline(request),
             Timer::Wake => self.events.push_back(Event::Wake),
             Timer::WatchSilent => {
--- a/crates/sandtrack-sidecar/src/reducer/flows.rs
+++ b/crates/sandtrack-sidecar/src/reducer/flows.rs
@@ -167,11 +167,13 @@
         let (client, class) = (request.client, request.class);
         self.effects.extend(client.map(|conn| Effect::Relay { conn, bytes }));
         self.timers.clear(Timer::Answer(conn));
+        self.timers.clear(Timer::Hold(conn));
         if self.settings.classes[class].stream {
             self.events.push_back(Event::Opened { request: id, attempt: n });
         } else {
             let told = head.headers.get("X-Load-Report").and_then(links::report);
-            self.attempt_ended(id, n, Outcome::Ok, at, told);
+            let begun = self.links.get(&conn).and_then(|link| link.first).unwrap_or(at);
+            self.attempt_ended(id, n, Outcome::Ok, begun, told);
         }
     }
 
--- a/crates/sandtrack-sidecar/src/reducer/links.rs
+++ b/crates/sandtrack-sidecar/src/reducer/links.rs
@@ -56,7 +56,10 @@
         let conn = self.accepted();
         let process = (address, since);
         let stage = Stage::Connecting(job);
-        self.links.insert(conn, Link { server, process, stage, ordered: 0, counts: false, since: self.now });
+        self.links.insert(
+            conn,
+            Link { server, process, stage, ordered: 0, counts: false, first: None, since: self.now },
+        );
         self.assign(job, Some(conn));
         self.timers.set(Timer::Connect(conn), self.now + self.connect_timeout);
         tracing::debug!(upstream = name(&self.servers, server), ?job, links = self.links.len(), "connecting");
@@ -103,6 +106,7 @@
         link.stage = Stage::Busy(job);
         link.ordered += 1;
         link.counts = matches!(job, Job::Attempt(..));
+        link.first = None;
         self.assign(job, Some(conn));
         self.effects.push(Effect::Write { conn, bytes, streamed, more });
     }
@@ -148,6 +152,7 @@
         server.idle.push(conn);
         self.idle.insert((), self.now, conn);
         self.timers.clear(Timer::Answer(conn));
+        self.timers.clear(Timer::Hold(conn));
         self.probe_waiting();
     }
 
@@ -184,6 +189,7 @@
         }
         self.timers.clear(Timer::Connect(conn));
         self.timers.clear(Timer::Answer(conn));
+        self.timers.clear(Timer::Hold(conn));
     }
 
     pub(super) fn cancel(&mut self, id: RequestId, n: u32) {
@@ -216,6 +222,8 @@
     }
 
     pub(super) fn answered(&mut self, conn: ConnId, at: Millis, message: Message) {
+        // What it takes to come, once it has begun, is no load of its upstream's.
+        let begun = self.links.get(&conn).and_then(|link| link.first).unwrap_or(at);
         let Some((job, server)) = self.free(conn, message.head.keep_alive) else { return };
         let status = message.head.status;
         let report_told = message.head.headers.get("X-Load-Report").and_then(report);
@@ -244,16 +252,22 @@
                 } else if outcome == Outcome::Cancelled {
                     self.answer(id, 502, std::iter::empty(), b"");
                 }
-                self.attempt_ended(id, n, outcome, at, report_told);
+                self.attempt_ended(id, n, outcome, begun, report_told);
             }
         }
     }
 
     /// The rest of an answer that has begun to come is on its way: its next part takes no longer than a connection to
     /// come up.
-    pub(super) fn partly(&mut self, conn: ConnId) {
-        if self.links.get(&conn).is_some_and(|link| matches!(link.stage, Stage::Busy(Job::Attempt(..)))) {
+    pub(super) fn partly(&mut self, conn: ConnId, open: bool) {
+        let now = self.now;
+        let link = self.links.get_mut(&conn);
+        if let Some(link) = link.filter(|link| matches!(link.stage, Stage::Busy(Job::Attempt(..)))) {
+            link.first.get_or_insert(now);
             self.timers.set(Timer::Answer(conn), self.now + self.connect_timeout);
+            if open && !self.timers.set.contains_key(&Timer::Hold(conn)) {
+                self.timers.set(Timer::Hold(conn), self.now + HOLD);
+            }
         }
     }
 
--- a/crates/sandtrack-sidecar/src/reducer/tables.rs
+++ b/crates/sandtrack-sidecar/src/reducer/tables.rs
@@ -13,6 +13,8 @@
     Connect(ConnId),
     /// A probe's answer is due, or the rest of any answer that has begun to come.
     Answer(ConnId),
+    /// An answer whose length is not told was held back for long enough.
+    Hold(ConnId),
     Deadline(RequestId),
     Wake,
     WatchSilent,
@@ -179,6 +181,8 @@
     pub(super) stage: Stage,
     /// Messages ordered written so far.
     pub(super) ordered: u32,
+    /// When the first part of the answer came that is awaited, where it did not come whole.
+    pub(super) first: Option<Millis>,
     /// An attempt was ordered written, and its last byte is not told yet.
     pub(super) counts: bool,
     pub(super) since: Millis,
--- a/crates/sandtrack-sidecar/src/upstream.rs
+++ b/crates/sandtrack-sidecar/src/upstream.rs
@@ -42,7 +42,9 @@
     let mut awaiting = false;
     // A part of the request's body is still to come.
     let mut asking = false;
-    // A piece of an answer that flows was told, and the next is not wanted yet.
+    // Its answer flows ...
+    let mut flows = false;
+    // ... and a piece of it was told, and the next is not wanted yet.
     let mut paused = false;
     loop {
         let count = match next(&stream, &mut input, orders, !paused).await {
@@ -74,6 +76,14 @@
                 paused = false;
                 None
             }
+            Next::Order(Order::Begin) => {
+                if let Some(Taken::Begun { head, length }) = collector.pass_on().filter(|_| awaiting) {
+                    (paused, flows) = (true, true);
+                    let at = inputs.clock.now();
+                    inputs.send(Input::UpstreamBegan { conn, at, head, length });
+                }
+                continue;
+            }
             Next::Order(Order::Close) | Next::Broken => return,
             Next::Order(_) => continue,
             Next::Read(count) => Some(count),
@@ -93,8 +103,8 @@
         match taken {
             // An interim response is no part of the answer: that may still take its time.
             Ok(None) => {
-                if collector.within(&input) {
-                    inputs.send(Input::UpstreamPartly { conn });
+                if !flows && collector.within(&input) {
+                    inputs.send(Input::UpstreamPartly { conn, open: collector.is_open() });
                 }
             }
             Ok(Some(taken)) => {
@@ -103,7 +113,7 @@
                 let open = collector.keep_alive() && !collector.within(&input) && !asking;
                 match taken {
                     Taken::Begun { head, length } => {
-                        paused = true;
+                        (paused, flows) = (true, true);
                         inputs.send(Input::UpstreamBegan { conn, at, head, length });
                         continue;
                     }
@@ -121,7 +131,7 @@
                 if !open {
                     return;
                 }
-                awaiting = false;
+                (awaiting, flows) = (false, false);
             }
             // Not HTTP, or too long: the upstream is there, and what was asked may have run.
             Err(bad) => {
--- a/crates/sandtrack-sidecar/tests/reducer.rs
+++ b/crates/sandtrack-sidecar/tests/reducer.rs
@@ -46,6 +46,8 @@
     carries: Option<u64>,
     begun: u32,
     closing: bool,
+    /// Its answer is to be passed on as it comes.
+    begin: bool,
     /// A part of a request's body is to come.
     asking: bool,
     /// Its answer is wanted as it comes; has begun; its next piece is not wanted yet.
@@ -201,6 +203,9 @@
                     assert_eq!(bytes.starts_with(b"HTTP/1.1 200"), !client.streaming, "one head, and first");
                     (client.streaming, client.unwritten, call.begun) = (true, 1, true);
                 }
+                Effect::Begin { conn } => {
+                    self.links.get_mut(&conn).expect("a link").begin = true;
+                }
                 Effect::More { conn } => self.links.get_mut(&conn).expect("a link").paused = false,
                 Effect::Connect { conn, address } => {
                     let link = Link { address: address.to_string(), ..Link::default() };
@@ -802,7 +807,7 @@
             let link = &world.links[&conn];
             if link.carries.is_some() && !link.streaming && !link.asking {
                 let spoilt = matches!(step, Step::Spoilt(_));
-                let part = Input::UpstreamPartly { conn };
+                let part = Input::UpstreamPartly { conn, open: which % 2 == 0 };
                 world.feed(if spoilt { Input::UpstreamSpoilt { conn } } else { part });
             }
         }
@@ -1230,7 +1235,7 @@
         for stalls in [false, true] {
             let (id, link) = world.sent(conn, class, 800);
             if stalls {
-                world.feed(Input::UpstreamPartly { conn: link });
+                world.feed(Input::UpstreamPartly { conn: link, open: false });
                 world.pass(99.0);
                 assert!(!world.links[&link].closing, "the rest is given the time of a connect");
                 world.pass(2.0);
@@ -2056,10 +2061,43 @@
     let (mut world, conn) = World::warm();
     let (id, link) = world.sent(conn, "pay", 900);
     for _ in 0..6 {
-        world.feed(Input::UpstreamPartly { conn: link });
+        world.feed(Input::UpstreamPartly { conn: link, open: false });
         world.pass(90.0);
     }
     assert!(world.calls[&id].answers.is_empty());
     world.pass(20.0);
     assert_eq!(world.calls[&id].answers, [502], "it does not go on");
 }
+
+/// It may be a large one, which is timed by its first bytes; a small one is whole by then and is checked first.
+#[test]
+fn an_answer_of_unknown_length_is_held_back_for_a_moment_only() {
+    let (mut world, conn) = World::warm();
+    for (open, begins) in [(false, false), (true, true)] {
+        let (_, link) = world.sent(conn, "read", 900);
+        for _ in 0..3 {
+            world.feed(Input::UpstreamPartly { conn: link, open });
+            world.pass(5.0);
+        }
+        assert!(!world.links[&link].begin);
+        world.pass(10.0);
+        assert_eq!(world.links[&link].begin, begins);
+        world.serve(link, 200, false, false);
+        world.calm();
+    }
+}
+
+/// Answers that were written slowly taught that their upstreams were slow, and requests were refused beside idle ones.
+#[test]
+fn what_an_answer_takes_to_come_once_it_has_begun_is_no_load_of_its_upstream() {
+    let (mut world, conn) = World::warm();
+    let (id, link) = world.sent(conn, "pay", 900);
+    world.pass_calmly(5);
+    for _ in 0..6 {
+        world.feed(Input::UpstreamPartly { conn: link, open: false });
+        world.pass_calmly(50);
+    }
+    world.serve(link, 200, false, false);
+    assert_eq!(world.calls[&id].answers, [200]);
+    world.served(conn, "read", 900);
+}
--- a/crates/sandtrack-sidecar/tests/tasks.rs
+++ b/crates/sandtrack-sidecar/tests/tasks.rs
@@ -381,3 +381,41 @@
         assert_eq!(got, body);
     }
 }
+
+/// A large answer in chunks was collected until 64 KiB had come, long after its first bytes were due.
+#[test]
+fn an_answer_whose_length_is_not_told_is_passed_on_when_it_is_wanted() {
+    let (mut far, orders, received) = upstream_task();
+    ask(&orders);
+    far.read_exact(&mut vec![0; REQUEST.len()]).unwrap();
+    // There is nothing to pass on yet.
+    orders.try_send(Order::Begin).unwrap();
+    far.write_all(&http::chunked(200, [("Kind", "a")].into_iter(), false)).unwrap();
+    assert!(matches!(told(&received), Input::UpstreamPartly { open: true, .. }));
+    far.write_all(&http::chunk(b"first")).unwrap();
+    assert!(matches!(told(&received), Input::UpstreamPartly { open: true, .. }));
+    orders.try_send(Order::Begin).unwrap();
+    let Input::UpstreamBegan { head, length: None, .. } = told(&received) else { panic!("not begun") };
+    assert_eq!(head.headers.get("Kind"), Some("a"));
+    orders.try_send(Order::More).unwrap();
+    let Input::UpstreamPiece { bytes, .. } = told(&received) else { panic!("no piece") };
+    assert_eq!(bytes, b"first");
+    orders.try_send(Order::More).unwrap();
+    far.write_all(b"9\r\nsec").unwrap();
+    let Input::UpstreamPiece { bytes, .. } = told(&received) else { panic!("no piece") };
+    assert_eq!(bytes, b"sec", "a part of a chunk is told, and its silence is no end");
+    orders.try_send(Order::More).unwrap();
+    far.write_all(b"ond...\r\n0\r\n\r\n").unwrap();
+    let Input::UpstreamPiece { bytes, .. } = told(&received) else { panic!("no piece") };
+    assert_eq!(bytes, b"ond...");
+    orders.try_send(Order::More).unwrap();
+    assert!(matches!(told(&received), Input::UpstreamOver { keep_alive: true, .. }));
+    // One whose length is told is kept whole.
+    ask(&orders);
+    far.read_exact(&mut vec![0; REQUEST.len()]).unwrap();
+    far.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhi").unwrap();
+    assert!(matches!(told(&received), Input::UpstreamPartly { open: false, .. }));
+    orders.try_send(Order::Begin).unwrap();
+    far.write_all(b"hi").unwrap();
+    assert!(matches!(told(&received), Input::UpstreamAnswered { .. }));
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -849,6 +849,8 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.streaming = true;
         request.call_off(Some(attempt), actions);
+        let stream = self.settings.classes[request.arrival.class.0].stream;
+        self.fleet.opened(request.attempts.get(attempt).filter(|_| !stream));
     }
 
     fn finished(&mut self, now: Millis, end: Finished, actions: &mut Vec<Action>) {
@@ -864,9 +866,7 @@
         let usual = elapsed / self.class_share(class);
         let (rest, turns) = (self.settings.classes[class.0].aim * SPILL, ERROR_TURNS * turn);
         let upstream = &mut self.fleet[place];
-        if let Some(n) = upstream.out.iter().position(|at| *at == sent) {
-            upstream.out.remove(n);
-        }
+        upstream.give_back(sent);
         let silent = upstream.heard <= sent;
         match outcome {
             Outcome::Ok => {
--- a/src/state.rs
+++ b/src/state.rs
@@ -109,6 +109,14 @@
         self.places.get(&id).copied()
     }
 
+    /// The attempt's body is on its way and may be for long: its upstream begins when all of it has come, and does not
+    /// hold it before. Counted as out it stood for a queue where none was.
+    pub fn opened(&mut self, attempt: Option<&Attempt>) {
+        if let Some(attempt) = attempt {
+            self.upstreams[attempt.upstream].give_back(attempt.sent);
+        }
+    }
+
     /// Whether a listed upstream is left alone now: it drains, fails, or rests.
     pub fn avoids(&self, id: UpstreamId, now: Millis) -> bool {
         let upstream = self.place(id).map(|place| &self.upstreams[place]);
@@ -208,6 +216,13 @@
         }
     }
 
+    /// One own attempt less is out.
+    pub fn give_back(&mut self, sent: Millis) {
+        if let Some(n) = self.out.iter().position(|at| *at == sent) {
+            self.out.remove(n);
+        }
+    }
+
     /// Requests it holds, by each load: those sent from here, and the last report corrected by own sends
     /// and ends since.
     pub fn held(&self) -> [f64; 2] {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -555,6 +555,24 @@
     assert!(refused(&front.request().1));
 }
 
+/// Bodies that took seconds to come stood for a queue where none was, and requests were refused beside idle upstreams.
+#[test]
+fn a_body_still_on_its_way_is_no_load_and_a_stream_is() {
+    for stream in [false, true] {
+        let mut settings = settings(Effect::Repeatable);
+        settings.classes[0].stream = stream;
+        let mut front = Front::new(settings, 1);
+        teach(&mut front, 1, 10.0);
+        for _ in 0..12 {
+            let (request, actions) = front.request();
+            assert!(sent_to(&actions).is_some() || stream);
+            front.feed(Event::Opened { request, attempt: 0 });
+        }
+        front.now += 600.0;
+        assert_eq!(refused(&front.request().1), stream);
+    }
+}
+
 #[test]
 fn where_probes_are_cheap_the_pick_waits_for_those_of_the_request() {
     let mut cheap = settings(Effect::Repeatable);
