--- a/examples/toy_server.rs
+++ b/examples/toy_server.rs
@@ -4,13 +4,16 @@
 //!     cargo run --release --example toy_server -- 127.0.0.1:8500 127.0.0.1:9001 127.0.0.1:9002
 //!
 //! The first address is discovery's, the others are upstreams'. Each answers `200` with its own address;
-//! a request whose target holds `fail` gets 500, `slow` is answered after half a second.
+//! a request whose target holds `fail` gets 500, `slow` is answered after half a second, `large` by a megabyte.
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
+/// The length of a large answer.
+pub const LARGE: usize = 1_000_000;
+
 /// What a request asks for: its target, its id if it has one, and whether the connection stays open.
 pub struct Asked {
     pub target: String,
@@ -80,7 +83,8 @@
                     served.fetch_add(1, Ordering::Relaxed);
                     held.fetch_sub(1, Ordering::Relaxed);
                     let status = if target.contains("fail") { 500 } else { 200 };
-                    answer(&mut stream, status, &name)
+                    let large = target.contains("large");
+                    answer(&mut stream, status, &if large { "x".repeat(LARGE) } else { name.clone() })
                 }
             };
             if done.is_err() || !asked.keep_alive {
