Forms of HTTP/1.1: absolute targets, folded lines and blanks before colons in responses

RFC 9112 3.2.2, 5.1, 5.2: a server takes the absolute form of a target, and it goes on in the origin form; a client takes blanks before a colon and folded lines of a response, but of no header that frames it. Requests with either are refused as before.

--- a/crates/sandtrack-sidecar/src/http.rs
+++ b/crates/sandtrack-sidecar/src/http.rs
@@ -413,6 +413,22 @@
         && text.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte))
 }
 
+/// Whether a header says where a message ends.
+fn frames(name: &str) -> bool {
+    ["content-length", "transfer-encoding", "connection"].iter().any(|frame| name.eq_ignore_ascii_case(frame))
+}
+
+/// A target in the origin form: the absolute form names the scheme and the address as well (RFC 9112, 3.2.2).
+pub fn origin_form(target: &str) -> Cow<'_, str> {
+    let scheme = target.get(..7).filter(|scheme| scheme.eq_ignore_ascii_case("http://"));
+    let Some(rest) = scheme.map(|_| &target[7..]) else { return Cow::Borrowed(target) };
+    match rest.find(['/', '?']) {
+        Some(at) if rest[at..].starts_with('/') => Cow::Borrowed(&rest[at..]),
+        Some(at) => Cow::Owned(format!("/{}", &rest[at..])),
+        None => Cow::Borrowed("/"),
+    }
+}
+
 fn parse_head(side: Side, bytes: &[u8]) -> Result<Head, Bad> {
     // A value that can't be read must not spoil a good response: what is odd of it is skipped below.
     let text = match side {
@@ -422,21 +438,37 @@
     let mut lines = text.split("\r\n");
     let start = lines.next().unwrap_or_default();
     let mut headers = Headers::default();
+    let mut kept = false;
     for line in lines {
+        if side == Side::Response && line.starts_with([' ', '\t']) {
+            // A folded line goes on with the value before it (RFC 9112, 5.2). What frames a message is never folded.
+            let (name, value) = headers.0.last_mut().ok_or(Bad::Malformed)?;
+            if frames(name) {
+                return Err(Bad::Malformed);
+            }
+            if kept {
+                value.push(' ');
+                value.push_str(line.trim_matches([' ', '\t']));
+            }
+            continue;
+        }
         let (name, value) = line.split_once(':').ok_or(Bad::Malformed)?;
+        // Blanks between a name and its colon are removed from a response, and make a request bad (RFC 9112, 5.1).
+        let name = if side == Side::Response { name.trim_end_matches([' ', '\t']) } else { name };
         let value = value.trim_matches([' ', '\t']);
         if !is_token(name) {
             return Err(Bad::Malformed);
         }
+        kept = false;
         if value.chars().any(|c| c.is_control() && c != '\t' || c == char::REPLACEMENT_CHARACTER) {
             // What frames the message must be read, on either side.
-            let frames = ["content-length", "transfer-encoding", "connection"];
-            if side == Side::Request || frames.iter().any(|frame| name.eq_ignore_ascii_case(frame)) {
+            if side == Side::Request || frames(name) {
                 return Err(Bad::Malformed);
             }
             continue;
         }
         headers.0.push((name.to_owned(), value.to_owned()));
+        kept = true;
     }
     let mut words = start.splitn(3, ' ');
     let mut word = || words.next().ok_or(Bad::Malformed);
--- a/crates/sandtrack-sidecar/src/reducer/clients.rs
+++ b/crates/sandtrack-sidecar/src/reducer/clients.rs
@@ -166,8 +166,8 @@
         let keep_alive = message.head.keep_alive && !client.retired;
         // Answered before its body is read, a connection is of no further use.
         let close = !keep_alive || flow.is_some();
-        let path = message.head.target.split('?').next().unwrap_or_default();
-        if path == "/_health" {
+        let target = http::origin_form(&message.head.target);
+        if target.split('?').next() == Some("/_health") {
             return self.plain(conn, if self.leaving() { 503 } else { 200 }, close);
         }
         let many = self.requests.len() >= self.settings.limits.max_open as usize;
--- a/crates/sandtrack-sidecar/src/reducer/links.rs
+++ b/crates/sandtrack-sidecar/src/reducer/links.rs
@@ -355,9 +355,10 @@
     let ours = |name: &str| name.eq_ignore_ascii_case("X-Budget-Ms") || name.eq_ignore_ascii_case("Expect");
     let headers = head.headers.end_to_end().filter(|(name, _)| !ours(name));
     let headers = headers.chain([("X-Budget-Ms", left.as_str())]);
+    let target = http::origin_form(&head.target);
     match &request.upload {
-        Some(upload) => http::request_head(&head.method, &head.target, headers, upload.flow),
-        None => http::request(&head.method, &head.target, headers, &request.message.body),
+        Some(upload) => http::request_head(&head.method, &target, headers, upload.flow),
+        None => http::request(&head.method, &target, headers, &request.message.body),
     }
 }
 
--- a/crates/sandtrack-sidecar/src/reducer/staff.rs
+++ b/crates/sandtrack-sidecar/src/reducer/staff.rs
@@ -78,13 +78,8 @@
 
     /// What is asked for, or the status that says what is wrong.
     fn call(&self, head: &Head) -> Result<Call, (u16, &'static str)> {
-        let path = head.target.split(['?', '#']).next().unwrap_or_default();
-        // The absolute form names the address as well.
-        let path = match path.strip_prefix("http://").map(|rest| rest.find('/').map_or("/", |at| &rest[at..]))
-        {
-            Some(rest) => rest,
-            None => path,
-        };
+        let target = http::origin_form(&head.target);
+        let path = target.split(['?', '#']).next().unwrap_or_default();
         let words: Vec<&str> = path.split('/').collect();
         let (method, call) = match words.as_slice() {
             ["", "-", "ready"] => ("GET", Call::Ready),
--- a/crates/sandtrack-sidecar/tests/http.rs
+++ b/crates/sandtrack-sidecar/tests/http.rs
@@ -178,6 +178,35 @@
     assert_eq!(taken.iter().map(|message| message.head.status).collect::<Vec<_>>(), [204, 200]);
 }
 
+#[test]
+fn the_forms_of_a_response_head_that_a_client_has_to_take() {
+    let text = "HTTP/1.1 200\r\nKind : a\r\nnote: one\r\n\t two \r\nEMPTY:\r\ncontent-LENGTH:  2  \r\n\r\nhi";
+    let (taken, bad) = whole(Side::Response, text);
+    assert_eq!((taken[0].body.as_slice(), bad), (b"hi".as_slice(), None));
+    let headers = &taken[0].head.headers;
+    assert_eq!((headers.get("kind"), headers.get("Note")), (Some("a"), Some("one two")));
+    assert_eq!(headers.get("empty"), Some(""));
+    for odd in
+        ["HTTP/1.1 200 OK\r\n folded: first\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n 2\r\n\r\n"]
+    {
+        assert_eq!(whole(Side::Response, odd).1, Some(Bad::Malformed), "{odd}");
+    }
+}
+
+#[test]
+fn a_target_in_the_absolute_form_is_the_same_target() {
+    for (target, same) in [
+        ("/a/b?c=d", "/a/b?c=d"),
+        ("http://backend.local/a/b?c=d", "/a/b?c=d"),
+        ("HTTP://backend.local:80", "/"),
+        ("http://backend.local?c=d", "/?c=d"),
+        ("*", "*"),
+        ("/http://x/", "/http://x/"),
+    ] {
+        assert_eq!(origin_form(target), same);
+    }
+}
+
 #[test]
 fn interim_responses_are_passed_over_but_not_for_ever() {
     let interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
