At its end a process refuses bodies not whole and lets answers flow; a cut answer is reset

Ruled out: the new process (ready in 0.0 s), descriptors (338 of 1024), memory.

Causes: an upload whose last byte came shortly before SIGKILL counted as taken and got no answer; a process that nobody kills cut off flowing answers after the longest deadline; an answer that ends with its connection looked whole when it was cut off. Changes: uploads not whole 0.7 s after SIGTERM are refused (never ran), answers that flow have up to 30 s, a cut closes by reset.

--- a/crates/sandtrack-sidecar/src/client.rs
+++ b/crates/sandtrack-sidecar/src/client.rs
@@ -151,7 +151,7 @@
                     Timer::after(NEXT_TURN).await;
                     true
                 };
-                if bad && !unless_ordered(orders, &mut retired, turn).await {
+                if bad && !unless_ordered(stream, orders, &mut retired, turn).await {
                     return;
                 }
                 unanswered = false;
@@ -163,7 +163,7 @@
                 inputs.send(Input::ClientWrote { conn });
             }
             Next::Order(Order::More) => wanted = flows,
-            Next::Order(Order::Close) => return,
+            Next::Order(Order::Close) => return abort(stream),
             Next::Order(Order::Retire) => retired = true,
             Next::Order(Order::Ask { .. } | Order::Pass { .. } | Order::Begin) => {}
             Next::Read(0) | Next::Broken => {
@@ -184,16 +184,21 @@
         Timer::after(WRITE_PATIENCE).await;
         false
     };
-    unless_ordered(orders, retired, future::or(write, patience)).await
+    unless_ordered(stream, orders, retired, future::or(write, patience)).await
 }
 
 /// The outcome of the work; no when the reducer wants the connection closed. That it is to be retired is kept in mind
 /// for the time after the answer.
-async fn unless_ordered(orders: &Orders, retired: &mut bool, work: impl Future<Output = bool>) -> bool {
+async fn unless_ordered(
+    stream: &Async<TcpStream>, orders: &Orders, retired: &mut bool, work: impl Future<Output = bool>,
+) -> bool {
     let closed = async {
         while let Ok(order) = orders.recv().await {
             match order {
-                Order::Close => break,
+                Order::Close => {
+                    abort(stream);
+                    break;
+                }
                 Order::Retire => *retired = true,
                 _ => {}
             }
@@ -203,6 +208,14 @@
     future::or(work, closed).await
 }
 
+/// Resets the connection when it is closed: an answer is cut off, and one that would end with its connection must not look
+/// whole.
+fn abort(stream: &Async<TcpStream>) {
+    if let Err(error) = rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO)) {
+        tracing::debug!(%error, "no reset");
+    }
+}
+
 /// Ends the sending side and waits a little for the client to end its own: a socket that is closed with bytes
 /// unread resets the connection, and the client could lose the answer that is on its way.
 pub async fn linger(stream: &Async<TcpStream>) {
--- a/crates/sandtrack-sidecar/src/reducer.rs
+++ b/crates/sandtrack-sidecar/src/reducer.rs
@@ -89,6 +89,8 @@
 const LAST_CALL: Millis = 600.0;
 /// ... but no longer than this, however many still come: what is taken has to be answered before SIGKILL.
 const LAST_CALL_MOST: Millis = 700.0;
+/// Answers that flow are given this long after SIGTERM, where nobody kills the process before.
+const FLOWS_MOST: Millis = 30_000.0;
 const QUIET: Millis = 200.0;
 const DRAIN_EVERY: Millis = 25.0;
 
--- a/crates/sandtrack-sidecar/src/reducer/flows.rs
+++ b/crates/sandtrack-sidecar/src/reducer/flows.rs
@@ -107,11 +107,22 @@
 
     /// The rest of the request can't be read, or does not come: it is answered, and what is out of it called back.
     pub(super) fn break_off(&mut self, id: RequestId, status: u16) {
-        self.answer(id, status, std::iter::empty(), b"");
+        let again = self.come_back().filter(|_| status == 503);
+        let headers = again.iter().map(|seconds| ("Retry-After", seconds.as_str()));
+        self.answer(id, status, headers, b"");
         self.events.push_back(Event::ClientGone(id));
         self.call_back(id);
     }
 
+    /// This process ends: a body whose last byte came later could not be answered in time. What is not whole never ran.
+    pub(super) fn refuse_uploads(&mut self) {
+        let uploads = self.requests.iter().filter(|(_, request)| {
+            request.client.is_some() && request.upload.as_ref().is_some_and(|upload| !upload.over)
+        });
+        let uploads: Vec<RequestId> = uploads.map(|(id, _)| *id).collect();
+        uploads.into_iter().for_each(|id| self.break_off(id, 503));
+    }
+
     /// What an upstream has of a request that is not whole never ran, and is of no use to it.
     pub(super) fn call_back(&mut self, id: RequestId) {
         let upload = self.requests.get(&id).and_then(|request| request.upload.as_ref());
--- a/crates/sandtrack-sidecar/src/reducer/leaving.rs
+++ b/crates/sandtrack-sidecar/src/reducer/leaving.rs
@@ -84,9 +84,18 @@
         if quiet || past >= LAST_CALL_MOST {
             self.stop_accepting(false);
         }
+        if past >= LAST_CALL_MOST {
+            self.refuse_uploads();
+        }
         // What is left by then are streams, or clients that neither ask nor read.
         let owed = self.requests.values().any(|request| request.client.is_some() && request.stream.is_none());
-        let late = past >= LAST_CALL_MOST + longest + QUIET && !owed;
+        let flows = |request: &Request| {
+            request.client.is_some()
+                && request.stream.is_some()
+                && !self.settings.classes[request.class].stream
+        };
+        let flows = past < FLOWS_MOST && self.requests.values().any(flows);
+        let late = past >= LAST_CALL_MOST + longest + QUIET && !owed && !flows;
         if self.stopped && (self.clients.is_empty() || late) {
             tracing::info!(clients = self.clients.len(), "exit");
             self.timers.clear(Timer::Drain);
--- a/crates/sandtrack-sidecar/tests/operations.rs
+++ b/crates/sandtrack-sidecar/tests/operations.rs
@@ -273,6 +273,31 @@
     process.shows("node.pending=0");
 }
 
+/// Each flow holds a piece or two of its own: clients that do not read take nothing from those that do.
+#[test]
+fn slow_readers_hold_back_nobody_else() {
+    let place = Place::new("slow");
+    let process = place.start();
+    let slow: Vec<_> = (0..10)
+        .map(|_| {
+            let mut client = place.connect();
+            client.get_mut().write_all((head("/large", "read") + "\r\n").as_bytes()).unwrap();
+            // It reads nothing but the beginning.
+            assert!(!client.fill_buf().unwrap().is_empty());
+            client
+        })
+        .collect();
+    let mut quick = place.connect();
+    for _ in 0..50 {
+        quick.get_mut().write_all((head("/api", "read") + "\r\n").as_bytes()).unwrap();
+        assert_eq!(answer(&mut quick).unwrap().0, 200);
+    }
+    for mut client in slow {
+        assert_eq!(answer(&mut client).unwrap().2.len(), toy::LARGE);
+    }
+    process.shows("node.completed.read=60");
+}
+
 /// Callers that say nothing, or half a call, keep nobody out.
 #[test]
 fn the_second_address_answers_beside_callers_that_say_nothing() {
--- a/crates/sandtrack-sidecar/tests/tasks.rs
+++ b/crates/sandtrack-sidecar/tests/tasks.rs
@@ -419,3 +419,15 @@
     far.write_all(b"hi").unwrap();
     assert!(matches!(told(&received), Input::UpstreamAnswered { .. }));
 }
+
+/// An answer that ends with its connection looked whole to its client when it was cut off.
+#[test]
+fn an_answer_that_is_cut_off_is_reset() {
+    let (mut near, orders, received) = client_task(Vec::new(), REQUEST);
+    assert!(matches!(told(&received), Input::ClientRequest { .. }));
+    let bytes = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of it".to_vec();
+    orders.try_send(Order::Piece { bytes }).unwrap();
+    assert!(matches!(told(&received), Input::ClientWrote { conn: 1 }));
+    orders.try_send(Order::Close).unwrap();
+    assert!(near.read_to_end(&mut Vec::new()).is_err(), "it ended as if it were whole");
+}
