Answers of a told length are over with their last piece; read-through of the parts

Cause: upstream.rs told the end of an answer only when it was asked for more, which a client that leaves with its last byte never does; it counted as left, and the connection to the upstream was closed instead of kept. Ruled out: a refused request (all had answered 200), a late figure (polled for 20 s).

--- a/crates/sandtrack-sidecar/src/admin.rs
+++ b/crates/sandtrack-sidecar/src/admin.rs
@@ -1,7 +1,7 @@
 //! The second address, for staff: its listener and one task a call. It owns those sockets, tells the reducer each call
 //! whole and writes the one answer; it must never answer of its own accord, nor take a second call on a connection.
 use crate::client::{linger, ACCEPT_PAUSE};
-use crate::http::{self, Collector, Side, Taken};
+use crate::http::{self, Bad, Collector, Side, Taken};
 use crate::net::{next, no_delay, unless_closed, write_all, Inputs, Next, Order, Orders};
 use crate::reducer::{ConnId, Input};
 use crate::ring::Ring;
@@ -45,6 +45,9 @@
         if !asked {
             let told = match collector.next(&mut input) {
                 Ok(Some(Taken::Whole(message))) => Some(Input::AdminCall { conn, message }),
+                Ok(Some(Taken::Begun { .. })) => {
+                    Some(Input::AdminBad { conn, status: Bad::BodyTooLong.status() })
+                }
                 Ok(_) => None,
                 Err(bad) => Some(Input::AdminBad { conn, status: bad.status() }),
             };
--- a/crates/sandtrack-sidecar/src/main.rs
+++ b/crates/sandtrack-sidecar/src/main.rs
@@ -86,7 +86,8 @@
     let (discovery, descriptors) = (config.discovery, config.descriptors);
     let reducer =
         Reducer::new(config.checked, discovery, config.seed, descriptors, epoch.round(), clock.now());
-    let reducer = reducer.with(ways, handover.known().clone(), handover.other_lives());
+    let other_lives = handover.other_lives();
+    let reducer = reducer.with(ways, handover.known().clone(), other_lives);
     let handover = Rc::new(RefCell::new(handover));
     let reducer = Rc::new(RefCell::new(reducer));
     let (stop_accepting, stop) = async_channel::unbounded();
@@ -132,7 +133,7 @@
         executor.spawn(admin::listen(listener, opened)).detach();
     }
     if shared {
-        executor.spawn(look(handover, inputs)).detach();
+        executor.spawn(look(handover, other_lives, inputs)).detach();
     }
 
     let told = signals.filter_map(|signal| match signal.ok()? {
@@ -165,8 +166,7 @@
 }
 
 /// Looks what another process of this sidecar noted, and whether one lives, for as long as this one does.
-async fn look(handover: Rc<RefCell<Handover>>, inputs: Inputs) {
-    let mut lives = handover.borrow().other_lives();
+async fn look(handover: Rc<RefCell<Handover>>, mut lives: bool, inputs: Inputs) {
     loop {
         Timer::after(LOOK_EVERY).await;
         if let Some(by_hand) = handover.borrow_mut().look() {
--- a/crates/sandtrack-sidecar/src/reducer/lists.rs
+++ b/crates/sandtrack-sidecar/src/reducer/lists.rs
@@ -63,10 +63,10 @@
         }
         self.timers.set(Timer::WatchSilent, self.now + WATCH_SILENCE);
         self.generation = Some(catalog.generation);
-        self.now_ready();
         let kind = if catalog.reset { ListKind::Whole } else { ListKind::Patch };
         tracing::info!(generation = catalog.generation, entries = catalog.instances.len(), ?kind, "list");
         self.list(kind, catalog.instances);
+        self.now_ready();
     }
 
     pub(super) fn watch_ended(&mut self, call: CallId, how: &str) {
--- a/crates/sandtrack-sidecar/src/reducer/staff.rs
+++ b/crates/sandtrack-sidecar/src/reducer/staff.rs
@@ -45,13 +45,17 @@
         self.callers.remove(&conn);
     }
 
-    /// Its one answer.
     pub(super) fn admin_answer(&mut self, conn: ConnId, status: u16, text: &str) {
+        self.admin_reply(conn, status, None, text);
+    }
+
+    /// Its one answer.
+    fn admin_reply(&mut self, conn: ConnId, status: u16, header: Option<(&str, &str)>, text: &str) {
         let Some(caller) = self.callers.get_mut(&conn) else { return };
         caller.asked = true;
         self.timers.clear(Timer::Call(conn));
         let headers = [("Content-Type", "text/plain; charset=utf-8"), ("Cache-Control", "no-store")];
-        let bytes = http::response(status, headers.into_iter(), text.as_bytes(), true);
+        let bytes = http::response(status, headers.into_iter().chain(header), text.as_bytes(), true);
         self.effects.push(Effect::AnswerAdmin { conn, bytes });
     }
 
@@ -59,6 +63,9 @@
         let Some(caller) = self.callers.get_mut(&conn).filter(|caller| !caller.asked) else { return };
         caller.asked = true;
         match self.call(&message.head) {
+            Err((405, method)) => {
+                self.admin_reply(conn, 405, Some(("Allow", method)), "no: another method\n")
+            }
             Err((status, wrong)) => self.admin_answer(conn, status, &format!("no: {wrong}\n")),
             Ok(Call::Ready) if self.draining.is_some() => self.admin_answer(conn, 503, "no: it ends\n"),
             Ok(Call::Ready) if !self.ready => {
@@ -76,7 +83,7 @@
         }
     }
 
-    /// What is asked for, or the status that says what is wrong.
+    /// What is asked for, or the status and what is wrong; with 405, the method that it takes.
     fn call(&self, head: &Head) -> Result<Call, (u16, &'static str)> {
         let target = http::origin_form(&head.target);
         let path = target.split(['?', '#']).next().unwrap_or_default();
@@ -103,7 +110,7 @@
         if head.method == method {
             Ok(call)
         } else {
-            Err((405, "another method"))
+            Err((405, method))
         }
     }
 
--- a/crates/sandtrack-sidecar/src/upstream.rs
+++ b/crates/sandtrack-sidecar/src/upstream.rs
@@ -110,6 +110,8 @@
             Ok(Some(taken)) => {
                 // What came behind the answer belongs to nothing, and one that came ahead of the request's end leaves the
                 // rest of that behind: the connection is of no further use.
+                // A body of a told length is over with its last piece, which its client may leave right behind.
+                let last = matches!(taken, Taken::Piece(_)) && collector.finish();
                 let open = collector.keep_alive() && !collector.within(&input) && !asking;
                 match taken {
                     Taken::Begun { head, length } => {
@@ -118,9 +120,12 @@
                         continue;
                     }
                     Taken::Piece(bytes) => {
-                        paused = true;
+                        paused = !last;
                         inputs.send(Input::UpstreamPiece { conn, bytes });
-                        continue;
+                        if !last {
+                            continue;
+                        }
+                        inputs.send(Input::UpstreamOver { conn, at, keep_alive: open });
                     }
                     Taken::Whole(mut message) => {
                         message.head.keep_alive = open;
--- a/crates/sandtrack-sidecar/tests/common/mod.rs
+++ b/crates/sandtrack-sidecar/tests/common/mod.rs
@@ -1,6 +1,9 @@
 //! A configuration for tests, with invented figures.
 #![allow(dead_code)]
 use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read};
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 pub fn settings() -> Value {
     json!({
@@ -38,3 +41,38 @@
     json!({"name": "n0", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "known": known, "settings": settings()})
 }
+
+pub fn listener() -> (TcpListener, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    (listener, address)
+}
+
+/// Nobody listens there, and nobody will: each has a loopback address to itself, as a port given back on the common one
+/// may be the next that another test is given. `net`: another for each test program.
+pub fn free_address(net: u8) -> String {
+    static NEXT: AtomicUsize = AtomicUsize::new(1);
+    let own = format!("127.{net}.{}.1:0", NEXT.fetch_add(1, Ordering::Relaxed));
+    TcpListener::bind(own).unwrap().local_addr().unwrap().to_string()
+}
+
+/// One answer: its status, whether the connection closes, its body; `None` if the connection ended with none.
+pub fn answer(reader: &mut BufReader<TcpStream>) -> Option<(u16, bool, Vec<u8>)> {
+    let mut line = String::new();
+    reader.read_line(&mut line).ok().filter(|count| *count > 0)?;
+    let status = line.split(' ').nth(1).unwrap_or_else(|| panic!("no answer: {line:?}")).parse().unwrap();
+    let (mut length, mut close) = (0, false);
+    loop {
+        line.clear();
+        reader.read_line(&mut line).unwrap();
+        match line.trim_end().split_once(": ") {
+            Some(("Content-Length", value)) => length = value.parse().unwrap(),
+            Some(("Connection", value)) => close = value == "close",
+            Some(_) => {}
+            None => break,
+        }
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).unwrap();
+    Some((status, close, body))
+}
--- a/crates/sandtrack-sidecar/tests/loopback.rs
+++ b/crates/sandtrack-sidecar/tests/loopback.rs
@@ -4,8 +4,9 @@
 #[allow(dead_code)]
 mod toy;
 
+use common::{free_address, listener};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -26,20 +27,6 @@
     }
 }
 
-fn listener() -> (TcpListener, String) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap().to_string();
-    (listener, address)
-}
-
-/// Nobody listens there, and nobody will: each has a loopback address to itself, as a port given back on the common one
-/// may be the next that another test is given.
-fn free_address() -> String {
-    static NEXT: AtomicUsize = AtomicUsize::new(1);
-    let own = format!("127.0.{}.1:0", NEXT.fetch_add(1, Ordering::Relaxed));
-    TcpListener::bind(own).unwrap().local_addr().unwrap().to_string()
-}
-
 /// Toy upstreams, and the address of a discovery that lists them.
 fn fleet(count: usize, served: &Arc<AtomicUsize>) -> (String, Vec<String>) {
     let mut upstreams = Vec::new();
@@ -57,9 +44,9 @@
 fn start(name: &str) -> (Sidecar, Arc<AtomicUsize>) {
     let served = Arc::new(AtomicUsize::new(0));
     let (discovery, _) = fleet(3, &served);
-    let address = free_address();
+    let address = free_address(0);
     // What it last knew is out of date: nothing listens there.
-    let known = common::catalog(0, true, vec![common::instance(9, &free_address(), "SERVING")]);
+    let known = common::catalog(0, true, vec![common::instance(9, &free_address(0), "SERVING")]);
     let config = std::env::temp_dir().join(format!("sandtrack-{}-{name}.json", std::process::id()));
     std::fs::write(&config, common::config(&address, &discovery, known).to_string()).unwrap();
     let process = Command::new(env!("CARGO_BIN_EXE_sandtrack"))
@@ -81,22 +68,7 @@
 
 /// One answer: its status, whether the connection closes, its body.
 fn answer(reader: &mut BufReader<TcpStream>) -> (u16, bool, String) {
-    let mut line = String::new();
-    reader.read_line(&mut line).unwrap();
-    let status = line.split(' ').nth(1).unwrap_or_else(|| panic!("no answer: {line:?}")).parse().unwrap();
-    let (mut length, mut close) = (0, false);
-    loop {
-        line.clear();
-        reader.read_line(&mut line).unwrap();
-        match line.trim_end().split_once(": ") {
-            Some(("Content-Length", value)) => length = value.parse().unwrap(),
-            Some(("Connection", value)) => close = value == "close",
-            Some(_) => {}
-            None => break,
-        }
-    }
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).unwrap();
+    let (status, close, body) = common::answer(reader).expect("an answer");
     (status, close, String::from_utf8(body).unwrap())
 }
 
--- a/crates/sandtrack-sidecar/tests/operations.rs
+++ b/crates/sandtrack-sidecar/tests/operations.rs
@@ -5,6 +5,7 @@
 #[allow(dead_code)]
 mod toy;
 
+use common::{answer, free_address, listener};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
@@ -39,20 +40,6 @@
     }
 }
 
-fn listener() -> (TcpListener, String) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap().to_string();
-    (listener, address)
-}
-
-/// Nobody listens there, and nobody will: each has a loopback address to itself, as a port given back on the common one
-/// may be the next that another test is given.
-fn free_address() -> String {
-    static NEXT: AtomicUsize = AtomicUsize::new(1);
-    let own = format!("127.1.{}.1:0", NEXT.fetch_add(1, Ordering::Relaxed));
-    TcpListener::bind(own).unwrap().local_addr().unwrap().to_string()
-}
-
 impl Place {
     /// A listening socket that processes inherit, three toy upstreams, and the discovery that lists them.
     fn new(name: &str) -> Self {
@@ -85,7 +72,7 @@
 
     /// One more process, once it says that it is ready.
     fn start(&self) -> Process {
-        let admin = free_address();
+        let admin = free_address(1);
         let child = self.command().env("NODE_ADMIN", &admin).stderr(Stdio::null()).spawn().unwrap();
         let process = Process { child, admin };
         process.until("GET", "/-/ready", |status, _| status == 200);
@@ -103,27 +90,6 @@
     Some(BufReader::new(stream))
 }
 
-/// One answer: its status, whether its connection closes, its body; `None` if the connection ended with none.
-fn answer(reader: &mut BufReader<TcpStream>) -> Option<(u16, bool, Vec<u8>)> {
-    let mut line = String::new();
-    reader.read_line(&mut line).ok().filter(|count| *count > 0)?;
-    let status = line.split(' ').nth(1)?.parse().unwrap();
-    let (mut length, mut close) = (0, false);
-    loop {
-        line.clear();
-        reader.read_line(&mut line).unwrap();
-        match line.trim_end().split_once(": ") {
-            Some(("Content-Length", value)) => length = value.parse().unwrap(),
-            Some(("Connection", value)) => close = value == "close",
-            Some(_) => {}
-            None => break,
-        }
-    }
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).unwrap();
-    Some((status, close, body))
-}
-
 fn head(target: &str, class: &str) -> String {
     static NEXT: AtomicUsize = AtomicUsize::new(1);
     let id = NEXT.fetch_add(1, Ordering::Relaxed);
@@ -344,3 +310,25 @@
     client.get_mut().write_all(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").unwrap();
     assert_eq!(answer(&mut client).unwrap().0, 200);
 }
+
+/// A call has no use for a body of megabytes; without an answer it waited until its time was over.
+#[test]
+fn a_call_that_cant_be_read_gets_its_no_at_once() {
+    let place = Place::new("unreadable");
+    let process = place.start();
+    let long = "a".repeat(20_000);
+    for (text, status) in [
+        ("POST /-/drain HTTP/1.1\r\nContent-Length: 9000000\r\n\r\n".to_owned(), 413),
+        ("POST /-/drain HTTP/1.1\r\nContent-Length: -1\r\n\r\n".to_owned(), 400),
+        ("noise\r\n\r\n".to_owned(), 400),
+        (format!("GET /-/ready HTTP/1.1\r\nLong: {long}\r\n\r\n"), 431),
+        (format!("POST /-/upstreams/{}/disable HTTP/1.1\r\n\r\n", &long[..5000]), 404),
+        ("PUT /-/ready HTTP/1.1\r\nContent-Length: 0\r\n\r\n".to_owned(), 405),
+    ] {
+        let mut caller = connect(&process.admin).unwrap();
+        caller.get_mut().write_all(text.as_bytes()).unwrap();
+        let (told, close, _) = answer(&mut caller).expect("an answer");
+        assert_eq!((told, close), (status, true), "{}", &text[..40.min(text.len())]);
+    }
+    process.shows("node.pending=0");
+}
--- a/crates/sandtrack-sidecar/tests/tasks.rs
+++ b/crates/sandtrack-sidecar/tests/tasks.rs
@@ -431,3 +431,27 @@
     orders.try_send(Order::Close).unwrap();
     assert!(near.read_to_end(&mut Vec::new()).is_err(), "it ended as if it were whole");
 }
+
+/// A client that left with its last byte was not counted as served, and the connection to its upstream was closed.
+#[test]
+fn an_answer_of_a_told_length_is_over_with_its_last_piece() {
+    let (mut far, orders, received) = upstream_task();
+    for _ in 0..2 {
+        ask(&orders);
+        far.read_exact(&mut vec![0; REQUEST.len()]).unwrap();
+        far.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n").unwrap();
+        assert!(matches!(told(&received), Input::UpstreamBegan { length: Some(70_000), .. }));
+        let mut rest = far.try_clone().unwrap();
+        std::thread::spawn(move || rest.write_all(&[7; 70_000]).unwrap());
+        let mut got = 0;
+        while got < 70_000 {
+            orders.try_send(Order::More).unwrap();
+            let Input::UpstreamPiece { bytes, .. } = told(&received) else { panic!("no piece") };
+            got += bytes.len();
+        }
+        assert!(
+            matches!(told(&received), Input::UpstreamOver { keep_alive: true, .. }),
+            "without being asked"
+        );
+    }
+}
