--- a/crates/sandtrack-sidecar/src/config.rs
+++ b/crates/sandtrack-sidecar/src/config.rs
@@ -32,12 +32,12 @@
 #[serde(default)]
 struct Limits {
     sockets: usize,
-    memory_mb: usize,
+    memory_mb: f64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1024, memory_mb: MEMORY_MB }
+        Limits { sockets: 1024, memory_mb: MEMORY_MB as f64 }
     }
 }
 
@@ -123,6 +123,10 @@
         let wrong = format!("{} are too few: {DESCRIPTORS_LEAST} are needed", file.limits.sockets);
         return Err(Fault { key: "limits.sockets".to_owned(), wrong });
     }
+    // Not a number at all, or none that a machine could have.
+    if !(1.0..1e9).contains(&file.limits.memory_mb) {
+        return Err(wrong("limits.memory_mb", format!("{} is no memory in MB", file.limits.memory_mb)));
+    }
     let checked = file
         .settings
         .words()
@@ -136,7 +140,7 @@
         socket: None,
         seed,
         descriptors: file.limits.sockets,
-        memory_mb: file.limits.memory_mb,
+        memory_mb: file.limits.memory_mb as usize,
         known: file.known,
         checked,
     })
