--- a/crates/sandtrack-sidecar/src/handover.rs
+++ b/crates/sandtrack-sidecar/src/handover.rs
@@ -304,6 +304,19 @@
         assert!(nowhere.change(out("a")).is_err());
     }
 
+    /// A process that was stopped while it held the lock must not stop the others.
+    #[test]
+    fn a_lock_that_is_not_given_back_is_a_no_and_no_wait_for_ever() {
+        let folder = Folder::new("stopped");
+        let mut handover = folder.open();
+        let held = File::create(folder.0.join("sandtrack-127.0.0.1-8000.lock")).unwrap();
+        held.lock().unwrap();
+        assert!(handover.change(out("a")).is_err());
+        assert_eq!(*handover.known(), ByHand::default());
+        drop(held);
+        assert!(handover.change(out("a")).is_ok());
+    }
+
     #[test]
     fn without_a_folder_orders_live_as_long_as_the_process() {
         let mut alone = Handover::open(None, "127.0.0.1:8000".parse().unwrap());
