--- a/crates/sandtrack-sidecar/src/admin.rs
+++ b/crates/sandtrack-sidecar/src/admin.rs
@@ -2,7 +2,7 @@
 //! whole and writes the one answer; it must never answer of its own accord, nor take a second call on a connection.
 use crate::client::{linger, ACCEPT_PAUSE};
 use crate::http::{self, Bad, Collector, Side, Taken};
-use crate::net::{next, no_delay, unless_closed, write_all, Inputs, Next, Order, Orders};
+use crate::net::{next, no_delay, unless_closed, write_within, Inputs, Next, Order, Orders};
 use crate::reducer::{ConnId, Input};
 use crate::ring::Ring;
 use async_io::{Async, Timer};
@@ -64,12 +64,8 @@
 
 async fn answer(stream: &Async<TcpStream>, orders: &Orders, bytes: &[u8]) {
     let mut output = Ring::new(http::WRITE_RING);
-    let write = async { output.push(bytes) && write_all(stream, &mut output).await.is_ok() };
-    let patience = async {
-        Timer::after(WRITE_PATIENCE).await;
-        false
-    };
-    if unless_closed(orders, future::or(write, patience)).await == Some(true) {
+    let write = async { output.push(bytes) && write_within(stream, &mut output, WRITE_PATIENCE).await };
+    if unless_closed(orders, write).await == Some(true) {
         unless_closed(orders, linger(stream)).await;
     }
 }
--- a/crates/sandtrack-sidecar/src/client.rs
+++ b/crates/sandtrack-sidecar/src/client.rs
@@ -2,7 +2,7 @@
 //! the reducer each request, whole or, if it is large, piece by piece as it is wanted, and must never answer of its own
 //! accord nor read a second request while one is unanswered.
 use crate::http::{self, Collector, Side, Taken};
-use crate::net::{next, no_delay, read_into, write_all, Inputs, Next, Order, Orders};
+use crate::net::{next, no_delay, read_into, write_within, Inputs, Next, Order, Orders};
 use crate::reducer::{ConnId, Input};
 use crate::ring::Ring;
 use async_io::{Async, Timer};
@@ -179,12 +179,7 @@
 async fn patiently(
     stream: &Async<TcpStream>, output: &mut Ring, orders: &Orders, retired: &mut bool,
 ) -> bool {
-    let write = async { write_all(stream, output).await.is_ok() };
-    let patience = async {
-        Timer::after(WRITE_PATIENCE).await;
-        false
-    };
-    unless_ordered(stream, orders, retired, future::or(write, patience)).await
+    unless_ordered(stream, orders, retired, write_within(stream, output, WRITE_PATIENCE)).await
 }
 
 /// The outcome of the work; no when the reducer wants the connection closed. That it is to be retired is kept in mind
--- a/crates/sandtrack-sidecar/src/handover.rs
+++ b/crates/sandtrack-sidecar/src/handover.rs
@@ -76,8 +76,8 @@
     lock: PathBuf,
     slots: [PathBuf; SLOTS],
     own: Option<(usize, File)>,
-    /// What of the file was complained of last.
-    faulty: Vec<u8>,
+    /// The file as it was read last, and what that said.
+    seen: (Vec<u8>, Option<ByHand>),
 }
 
 /// One process's end of what is shared.
@@ -100,7 +100,8 @@
             tracing::error!(folder = %folder.display(), "no lock to be had: another process can't know of this one");
         }
         let fresh = at(&format!(".{}.fresh", std::process::id()));
-        let place = Place { file: at(".json"), fresh, lock: at(".lock"), slots, own, faulty: Vec::new() };
+        let place =
+            Place { file: at(".json"), fresh, lock: at(".lock"), slots, own, seen: Default::default() };
         handover.place = Some(place);
         handover.look();
         handover
@@ -148,17 +149,18 @@
     /// What the file says; nothing where there is none that can be read.
     fn read(&mut self) -> Option<ByHand> {
         let bytes = fs::read(&self.file).ok()?;
-        match serde_json::from_slice::<Versioned>(&bytes) {
-            Ok(read) if read.v == VERSION => Some(read.by_hand),
-            read => {
-                if self.faulty != bytes {
+        if self.seen.0 != bytes {
+            let said = match serde_json::from_slice::<Versioned>(&bytes) {
+                Ok(read) if read.v == VERSION => Some(read.by_hand),
+                read => {
                     let error = read.err().map_or("another version".to_owned(), |error| error.to_string());
                     tracing::error!(file = %self.file.display(), error, "not read: it goes for none");
-                    self.faulty = bytes;
+                    None
                 }
-                None
-            }
+            };
+            self.seen = (bytes, said);
         }
+        self.seen.1.clone()
     }
 
     /// The new file takes the place of the old one whole, or not at all.
--- a/crates/sandtrack-sidecar/src/http.rs
+++ b/crates/sandtrack-sidecar/src/http.rs
@@ -539,19 +539,17 @@
 ) -> Vec<u8> {
     // A method that takes no body says nothing of its length.
     let length = (!body.is_empty() || !matches!(method, "GET" | "DELETE")).then_some(body.len());
-    write(format!("{method} {target} HTTP/1.1\r\n"), headers, length, body)
+    let mut bytes = write(format!("{method} {target} HTTP/1.1\r\n"), headers, length);
+    bytes.extend_from_slice(body);
+    bytes
 }
 
 pub fn response<'a>(
     status: u16, headers: impl Iterator<Item = (&'a str, &'a str)>, body: &[u8], close: bool,
 ) -> Vec<u8> {
-    let connection = close.then_some(("Connection", "close"));
-    write(
-        format!("HTTP/1.1 {status} {}\r\n", reason(status)),
-        headers.chain(connection),
-        Some(body.len()),
-        body,
-    )
+    let mut bytes = response_head(status, headers, Flow::Length(body.len()), close);
+    bytes.extend_from_slice(body);
+    bytes
 }
 
 fn reason(status: u16) -> &'static str {
@@ -570,11 +568,6 @@
     }
 }
 
-/// The head of a response whose body follows in chunks.
-pub fn chunked<'a>(status: u16, headers: impl Iterator<Item = (&'a str, &'a str)>, close: bool) -> Vec<u8> {
-    response_head(status, headers, Flow::Chunks, close)
-}
-
 /// How a body that follows its head is framed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Flow {
@@ -616,7 +609,7 @@
 ) -> Vec<u8> {
     let (length, coding) = flow.headers();
     let headers = headers.chain(coding).chain(close.then_some(("Connection", "close")));
-    write(format!("HTTP/1.1 {status} {}\r\n", reason(status)), headers, length, b"")
+    write(format!("HTTP/1.1 {status} {}\r\n", reason(status)), headers, length)
 }
 
 /// The head of a request whose body follows.
@@ -624,7 +617,7 @@
     method: &str, target: &str, headers: impl Iterator<Item = (&'a str, &'a str)>, flow: Flow,
 ) -> Vec<u8> {
     let (length, coding) = flow.headers();
-    write(format!("{method} {target} HTTP/1.1\r\n"), headers.chain(coding), length, b"")
+    write(format!("{method} {target} HTTP/1.1\r\n"), headers.chain(coding), length)
 }
 
 /// One chunk; an empty one ends the body.
@@ -636,7 +629,7 @@
 }
 
 fn write<'a>(
-    start: String, headers: impl Iterator<Item = (&'a str, &'a str)>, length: Option<usize>, body: &[u8],
+    start: String, headers: impl Iterator<Item = (&'a str, &'a str)>, length: Option<usize>,
 ) -> Vec<u8> {
     let mut text = start;
     for (name, value) in headers {
@@ -648,7 +641,5 @@
         text.push_str(&format!("Content-Length: {length}\r\n"));
     }
     text.push_str("\r\n");
-    let mut bytes = text.into_bytes();
-    bytes.extend_from_slice(body);
-    bytes
+    text.into_bytes()
 }
--- a/crates/sandtrack-sidecar/src/net.rs
+++ b/crates/sandtrack-sidecar/src/net.rs
@@ -2,13 +2,13 @@
 //! moves between a socket and a ring buffer. It owns no connection and keeps no state.
 use crate::reducer::Input;
 use crate::ring::Ring;
-use async_io::Async;
+use async_io::{Async, Timer};
 use futures_lite::future;
 use sandtrack::interface::Millis;
 use std::future::Future;
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// What the reducer tells the task that owns a connection.
 pub enum Order {
@@ -59,7 +59,7 @@
 
     /// The instant at which the clock shows this time.
     pub fn at(&self, time: Millis) -> Instant {
-        self.0 + std::time::Duration::from_secs_f64((time / 1000.0).max(0.0))
+        self.0 + Duration::from_secs_f64((time / 1000.0).max(0.0))
     }
 }
 
@@ -123,6 +123,16 @@
     Ok(())
 }
 
+/// The same; no when the connection broke, or did not take it all within this time.
+pub async fn write_within(stream: &Async<TcpStream>, ring: &mut Ring, patience: Duration) -> bool {
+    let write = async { write_all(stream, ring).await.is_ok() };
+    let patience = async {
+        Timer::after(patience).await;
+        false
+    };
+    future::or(write, patience).await
+}
+
 /// Sends what is written at once. A socket that can't serves all the same.
 pub fn no_delay(stream: &Async<TcpStream>) {
     if let Err(error) = stream.get_ref().set_nodelay(true) {
--- a/crates/sandtrack-sidecar/src/reducer/clients.rs
+++ b/crates/sandtrack-sidecar/src/reducer/clients.rs
@@ -79,6 +79,9 @@
 
     /// What is held beyond the budget goes, as far as it idles.
     pub(super) fn give_way(&mut self) {
+        if self.links.len() + self.clients.len() <= self.sockets {
+            return;
+        }
         let links = self.links.values().filter(|link| matches!(link.stage, Stage::Closing)).count();
         let going = links + self.clients.values().filter(|client| client.closing || client.retired).count();
         let beyond = (self.links.len() + self.clients.len()).saturating_sub(self.sockets + going);
@@ -306,12 +309,18 @@
             return;
         }
         self.give(id, End::of(status), |request| {
-            let unread = request.upload.as_ref().is_some_and(|upload| !upload.over);
-            let close = !request.keep_alive || leaving || unread;
+            let close = !request.keep_alive || leaving || !request.is_whole();
             (http::response(status, headers, body, close), close)
         });
     }
 
+    /// An answer without a body; a refusal says when to come back.
+    pub(super) fn bare_answer(&mut self, id: RequestId, status: u16) {
+        let again = self.come_back().filter(|_| status == 503);
+        let headers = again.iter().map(|seconds| ("Retry-After", seconds.as_str()));
+        self.answer(id, status, headers, b"");
+    }
+
     /// The one place where a request gets its answer, or the last piece of it, and so loses its client.
     pub(super) fn give(
         &mut self, id: RequestId, how: End, message: impl FnOnce(&Request) -> (Vec<u8>, bool),
@@ -345,7 +354,7 @@
     /// does, as no request may go without an answer.
     pub(super) fn deadline(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(&id) else { return };
-        let streams = |n: usize| request.stream.as_ref().is_some_and(|stream| stream.attempt == n as u32);
+        let streams = |n: usize| request.streams(n as u32);
         let out = request.attempts.iter().enumerate().filter(|(n, a)| !a.ended && !streams(*n));
         let out: Vec<(u32, Option<ConnId>)> = out.map(|(n, a)| (n as u32, a.conn)).collect();
         for (n, conn) in out {
--- a/crates/sandtrack-sidecar/src/reducer/flows.rs
+++ b/crates/sandtrack-sidecar/src/reducer/flows.rs
@@ -96,29 +96,20 @@
         let Some(upload) = request.upload.as_ref().filter(|u| u.link.is_some_and(|(own, _)| own == n)) else {
             return;
         };
-        if outcome.never_ran() || !upload.over {
-            let again = self.come_back();
-            let headers = again.iter().map(|seconds| ("Retry-After", seconds.as_str()));
-            self.answer(id, 503, headers, b"");
-        } else {
-            self.answer(id, 502, std::iter::empty(), b"");
-        }
+        let status = if outcome.never_ran() || !upload.over { 503 } else { 502 };
+        self.bare_answer(id, status);
     }
 
     /// The rest of the request can't be read, or does not come: it is answered, and what is out of it called back.
     pub(super) fn break_off(&mut self, id: RequestId, status: u16) {
-        let again = self.come_back().filter(|_| status == 503);
-        let headers = again.iter().map(|seconds| ("Retry-After", seconds.as_str()));
-        self.answer(id, status, headers, b"");
+        self.bare_answer(id, status);
         self.events.push_back(Event::ClientGone(id));
         self.call_back(id);
     }
 
     /// This process ends: a body whose last byte came later could not be answered in time. What is not whole never ran.
     pub(super) fn refuse_uploads(&mut self) {
-        let uploads = self.requests.iter().filter(|(_, request)| {
-            request.client.is_some() && request.upload.as_ref().is_some_and(|upload| !upload.over)
-        });
+        let uploads = self.requests.iter().filter(|(_, r)| r.client.is_some() && !r.is_whole());
         let uploads: Vec<RequestId> = uploads.map(|(id, _)| *id).collect();
         uploads.into_iter().for_each(|id| self.break_off(id, 503));
     }
@@ -136,11 +127,8 @@
         let mut slow = Vec::new();
         for (id, request) in &mut self.requests {
             let Some(upload) = request.upload.as_mut().filter(|_| request.client.is_some()) else { continue };
-            let Some(asked) = upload.asked.replace(now) else {
-                upload.asked = None;
-                continue;
-            };
-            upload.waited += now - asked;
+            let Some(asked) = &mut upload.asked else { continue };
+            upload.waited += now - std::mem::replace(asked, now);
             if upload.waited >= PACE_OVER {
                 if upload.bytes < PACE_BYTES {
                     slow.push(*id);
@@ -160,9 +148,7 @@
         let Some(Stage::Busy(Job::Attempt(id, n))) = self.links.get(&conn).map(|link| link.stage) else {
             return;
         };
-        let fit = |request: &Request| {
-            request.stream.is_none() && request.upload.as_ref().is_none_or(|upload| upload.over)
-        };
+        let fit = |request: &Request| request.stream.is_none() && request.is_whole();
         let Some((.., request)) = self.carried(conn).filter(|(.., request)| fit(request)) else {
             // Nobody is left to pass it on to, or the upstream has not read all of the request.
             return self.cancel(id, n);
@@ -183,7 +169,7 @@
             self.events.push_back(Event::Opened { request: id, attempt: n });
         } else {
             let told = head.headers.get("X-Load-Report").and_then(links::report);
-            let begun = self.links.get(&conn).and_then(|link| link.first).unwrap_or(at);
+            let begun = self.answer_began(conn, at);
             self.attempt_ended(id, n, Outcome::Ok, begun, told);
         }
     }
@@ -223,9 +209,7 @@
 
     /// An answer that flows and can't be finished: its client is shown that it is not whole.
     pub(super) fn cut_short(&mut self, id: RequestId, n: u32) {
-        let flows =
-            |request: &&mut Request| request.stream.as_ref().is_some_and(|stream| stream.attempt == n);
-        let Some(request) = self.requests.get_mut(&id).filter(flows) else { return };
+        let Some(request) = self.requests.get_mut(&id).filter(|request| request.streams(n)) else { return };
         let Some(conn) = request.client.take() else { return };
         self.figures.ended(request.class, End::Failed);
         self.close_client(conn);
--- a/crates/sandtrack-sidecar/src/reducer/links.rs
+++ b/crates/sandtrack-sidecar/src/reducer/links.rs
@@ -199,7 +199,7 @@
         }
         // What was not ordered written never ran.
         let stage = attempt.conn.and_then(|conn| self.links.get(&conn)).map(|link| &link.stage);
-        let whole = self.requests.get(&id).and_then(|r| r.upload.as_ref()).is_none_or(|upload| upload.over);
+        let whole = self.requests.get(&id).is_none_or(Request::is_whole);
         let written = whole && !matches!(stage, Some(Stage::Connecting(_)) | None);
         let outcome = if written { Outcome::Cancelled } else { Outcome::Moot };
         if let Some(conn) = attempt.conn {
@@ -222,8 +222,7 @@
     }
 
     pub(super) fn answered(&mut self, conn: ConnId, at: Millis, message: Message) {
-        // What it takes to come, once it has begun, is no load of its upstream's.
-        let begun = self.links.get(&conn).and_then(|link| link.first).unwrap_or(at);
+        let begun = self.answer_began(conn, at);
         let Some((job, server)) = self.free(conn, message.head.keep_alive) else { return };
         let status = message.head.status;
         let report_told = message.head.headers.get("X-Load-Report").and_then(report);
@@ -237,8 +236,7 @@
             Job::Attempt(id, n) => {
                 let rejected = message.head.headers.get("X-Rejected") == Some("1");
                 // One that comes ahead of the request's last byte is not made for all of it.
-                let upload = self.requests.get(&id).and_then(|request| request.upload.as_ref());
-                let whole = upload.is_none_or(|upload| upload.over);
+                let whole = self.requests.get(&id).is_none_or(Request::is_whole);
                 let outcome = match status {
                     200 if whole => Outcome::Ok,
                     503 | 504 if rejected => Outcome::Full,
@@ -271,6 +269,11 @@
         }
     }
 
+    /// When its answer began, of which this part came last: what it takes to come after that is no load of its upstream's.
+    pub(super) fn answer_began(&self, conn: ConnId, at: Millis) -> Millis {
+        self.links.get(&conn).and_then(|link| link.first).unwrap_or(at)
+    }
+
     /// Its answer can't be read or does not go on. The upstream lives, and the attempt may have run: an error, which
     /// any upstream may answer now and then, and no break that would count towards its death.
     pub(super) fn spoilt(&mut self, conn: ConnId) {
--- a/crates/sandtrack-sidecar/src/reducer/staff.rs
+++ b/crates/sandtrack-sidecar/src/reducer/staff.rs
@@ -97,9 +97,8 @@
                 let id = percent_decode_str(id).decode_utf8().map_err(|_| (400, "the id is no text"))?;
                 let id = id.into_owned();
                 let known = self.numbers.contains_key(&id) || self.by_hand.out.contains(&id);
-                let known = known.then_some(()).ok_or((404, "no upstream has this id"));
-                if head.method == "POST" {
-                    known?;
+                if head.method == "POST" && !known {
+                    return Err((404, "no upstream has this id"));
                 }
                 let at = (self.epoch + self.now).round() as i64;
                 let out = *order == "disable";
--- a/crates/sandtrack-sidecar/src/reducer/tables.rs
+++ b/crates/sandtrack-sidecar/src/reducer/tables.rs
@@ -224,6 +224,18 @@
     pub(super) attempts: Vec<Attempt>,
 }
 
+impl Request {
+    /// Its last byte has come.
+    pub(super) fn is_whole(&self) -> bool {
+        self.upload.as_ref().is_none_or(|upload| upload.over)
+    }
+
+    /// Its answer flows, on this attempt.
+    pub(super) fn streams(&self, attempt: u32) -> bool {
+        self.stream.as_ref().is_some_and(|stream| stream.attempt == attempt)
+    }
+}
+
 /// An answer that is passed on as it comes.
 pub(super) struct Stream {
     pub(super) attempt: u32,
--- a/crates/sandtrack-sidecar/src/upstream.rs
+++ b/crates/sandtrack-sidecar/src/upstream.rs
@@ -2,11 +2,11 @@
 //! whole answer; it must never write a message twice, and says of each break whether the last byte was written.
 use crate::http::{self, Collector, Side, Taken};
 use crate::net::{
-    next, no_delay, ordered_closed, read_into, unless_closed, write_all, Inputs, Next, Order, Orders,
+    next, no_delay, ordered_closed, read_into, unless_closed, write_within, Inputs, Next, Order, Orders,
 };
 use crate::reducer::{ConnId, Input};
 use crate::ring::Ring;
-use async_io::{Async, Timer};
+use async_io::Async;
 use futures_lite::future;
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
@@ -76,8 +76,8 @@
                 paused = false;
                 None
             }
-            Next::Order(Order::Begin) => {
-                if let Some(Taken::Begun { head, length }) = collector.pass_on().filter(|_| awaiting) {
+            Next::Order(Order::Begin) if awaiting => {
+                if let Some(Taken::Begun { head, length }) = collector.pass_on() {
                     (paused, flows) = (true, true);
                     let at = inputs.clock.now();
                     inputs.send(Input::UpstreamBegan { conn, at, head, length });
@@ -108,10 +108,10 @@
                 }
             }
             Ok(Some(taken)) => {
-                // What came behind the answer belongs to nothing, and one that came ahead of the request's end leaves the
-                // rest of that behind: the connection is of no further use.
                 // A body of a told length is over with its last piece, which its client may leave right behind.
                 let last = matches!(taken, Taken::Piece(_)) && collector.finish();
+                // What came behind the answer belongs to nothing, and one that came ahead of the request's end leaves the
+                // rest of that behind: the connection is of no further use.
                 let open = collector.keep_alive() && !collector.within(&input) && !asking;
                 match taken {
                     Taken::Begun { head, length } => {
@@ -156,16 +156,11 @@
     if !output.push(bytes) {
         return false;
     }
-    let write = async { write_all(stream, output).await.is_ok() };
     let closed = async {
         ordered_closed(orders).await;
         false
     };
-    let patience = async {
-        Timer::after(WRITE_PATIENCE).await;
-        false
-    };
-    let wrote = future::or(write, future::or(closed, patience)).await;
+    let wrote = future::or(write_within(stream, output, WRITE_PATIENCE), closed).await;
     if wrote {
         inputs.send(if last { Input::UpstreamWrote { conn } } else { Input::UpstreamTook { conn } });
     }
--- a/crates/sandtrack-sidecar/tests/http.rs
+++ b/crates/sandtrack-sidecar/tests/http.rs
@@ -237,7 +237,7 @@
 fn a_streamed_answer_is_told_as_it_comes_however_long() {
     let (mut ring, mut collector) = (Ring::new(READ_RING), Collector::new(Side::Response));
     collector.streamed = true;
-    let head = chunked(200, [("Kind", "feed")].into_iter(), false);
+    let head = response_head(200, [("Kind", "feed")].into_iter(), Flow::Chunks, false);
     assert!(ring.push(&head));
     let Ok(Some(Taken::Begun { head, length: None })) = collector.next(&mut ring) else {
         panic!("not begun")
--- a/crates/sandtrack-sidecar/tests/reducer.rs
+++ b/crates/sandtrack-sidecar/tests/reducer.rs
@@ -524,7 +524,7 @@
             link.paused = true;
             let (mut ring, mut collector) = (Ring::new(http::WRITE_RING), Collector::new(Side::Response));
             collector.streamed = true;
-            assert!(ring.push(&http::chunked(200, std::iter::empty(), false)));
+            assert!(ring.push(&http::response_head(200, std::iter::empty(), http::Flow::Chunks, false)));
             let Ok(Some(Taken::Begun { head, .. })) = collector.next(&mut ring) else { panic!("no head") };
             self.feed(Input::UpstreamBegan { conn, at: self.now, head, length: None });
         } else if over {
--- a/crates/sandtrack-sidecar/tests/tasks.rs
+++ b/crates/sandtrack-sidecar/tests/tasks.rs
@@ -246,7 +246,7 @@
     let (mut far, orders, received) = upstream_task();
     orders.try_send(Order::Ask { bytes: REQUEST.to_vec(), streamed: true, more: false }).unwrap();
     far.read_exact(&mut vec![0; REQUEST.len()]).unwrap();
-    far.write_all(&http::chunked(200, std::iter::empty(), false)).unwrap();
+    far.write_all(&http::response_head(200, std::iter::empty(), http::Flow::Chunks, false)).unwrap();
     for piece in [b"one".as_slice(), b"two", b""] {
         far.write_all(&http::chunk(piece)).unwrap();
     }
@@ -265,7 +265,7 @@
 fn a_streamed_answer_is_written_piece_by_piece() {
     let (mut near, orders, received) = client_task(Vec::new(), REQUEST);
     assert!(matches!(told(&received), Input::ClientRequest { .. }));
-    let mut whole = http::chunked(200, std::iter::empty(), true);
+    let mut whole = http::response_head(200, std::iter::empty(), http::Flow::Chunks, true);
     orders.try_send(Order::Piece { bytes: whole.clone() }).unwrap();
     assert!(matches!(told(&received), Input::ClientWrote { conn: 1 }));
     let (piece, last) = (http::chunk(b"piece"), http::chunk(b""));
@@ -390,7 +390,7 @@
     far.read_exact(&mut vec![0; REQUEST.len()]).unwrap();
     // There is nothing to pass on yet.
     orders.try_send(Order::Begin).unwrap();
-    far.write_all(&http::chunked(200, [("Kind", "a")].into_iter(), false)).unwrap();
+    far.write_all(&http::response_head(200, [("Kind", "a")].into_iter(), http::Flow::Chunks, false)).unwrap();
     assert!(matches!(told(&received), Input::UpstreamPartly { open: true, .. }));
     far.write_all(&http::chunk(b"first")).unwrap();
     assert!(matches!(told(&received), Input::UpstreamPartly { open: true, .. }));
