--- a/crates/sandtrack-core/src/reducer/members.rs
+++ b/crates/sandtrack-core/src/reducer/members.rs
@@ -213,8 +213,12 @@
         }
         Note::Forgotten { name } => tracing::info!(name = name.as_str(), "member forgotten"),
         Note::View { from, to, reason } => {
-            let (from, to) = (from.word(), to.word());
-            tracing::warn!(from, to, reason, "view of the fleet changed");
+            let (worse, from, to) = (to > from, from.word(), to.word());
+            if worse {
+                tracing::warn!(from, to, reason, "view of the fleet changed");
+            } else {
+                tracing::info!(from, to, reason, "view of the fleet changed");
+            }
         }
         Note::Joined { members } => tracing::info!(members, "joined the fleet"),
         Note::Refuted { held, incarnation } => {
--- a/crates/sandtrack-fleet/tests/guards.rs
+++ b/crates/sandtrack-fleet/tests/guards.rs
@@ -120,6 +120,7 @@
 struct Net {
     members: Vec<Fleet>,
     now: u64,
+    stopped: Option<usize>,
 }
 
 impl Net {
@@ -135,7 +136,7 @@
             forget: FORGET,
         };
         let members = (0..count).map(|n| Fleet::new(identity(n), n as u64, 0)).collect();
-        let mut net = Net { members, now: 0 };
+        let mut net = Net { members, now: 0, stopped: None };
         (0..count).for_each(|n| net.members[n].start(0));
         net.run(8_000, |_, _, _| true);
         net
@@ -144,7 +145,7 @@
     fn run(&mut self, time: u64, passes: impl Fn(usize, usize, &Datagram) -> bool) {
         for _ in 0..time {
             self.now += 1;
-            for from in 0..self.members.len() {
+            for from in (0..self.members.len()).filter(|n| self.stopped != Some(*n)).collect::<Vec<_>>() {
                 if self.members[from].next_due().is_some_and(|due| due <= self.now) {
                     self.members[from].tick(self.now);
                 }
@@ -180,6 +181,24 @@
         writer.finish()
     }
 
+    /// It hears nothing and does nothing for this time.
+    fn stop(&mut self, number: usize, time: u64) {
+        self.stopped = Some(number);
+        self.run(time, |_, to, _| to != number);
+        self.stopped = None;
+    }
+
+    /// Several accuse it.
+    fn suspect(&self, number: usize) -> Vec<Record> {
+        let place = Place::new(address(number), "z".into(), "r".into());
+        let accused = (10..14).map(|by| {
+            let mut suspect = Record::new(self.process(number), 1, State::Suspect, &place, 1);
+            suspect.by = by;
+            suspect
+        });
+        accused.collect()
+    }
+
     fn states(&self, of: &str) -> Vec<Option<State>> {
         self.members.iter().map(|member| member.state_of(of)).collect()
     }
@@ -202,18 +221,45 @@
     assert_eq!(net.failures(), 0);
 }
 
+/// The same where nobody else is there to ask: what was heard of it meanwhile is the only thing that speaks for it.
+#[test]
+fn one_of_two_that_is_heard_is_not_even_suspected() {
+    let mut net = Net::new(2);
+    net.run(20_000, |from, _, datagram| from != 1 || !matches!(datagram.message, Message::Ack { .. }));
+    assert_eq!(net.members[0].counts().suspicions, 0);
+}
+
+/// One stands still for half a minute while a probe is out, and again with a suspect whose time is nearly over: what it did not
+/// hear meanwhile is no evidence, neither for a suspicion nor for its end.
+#[test]
+fn one_that_stood_still_judges_nobody_by_what_it_did_not_hear() {
+    for moment in (0..600).step_by(20) {
+        let mut net = Net::new(2);
+        net.run(moment, |from, _, _| from != 1);
+        net.stop(0, 30_000);
+        net.run(1_500, |_, _, _| true);
+        assert_eq!(net.members[0].counts().suspicions, 0, "stopped after {moment} ms");
+    }
+    for moment in (0..1_700).step_by(20) {
+        let mut net = Net::new(6);
+        let suspect = net.suspect(2);
+        let (of, now) = (net.process(1), net.now);
+        let bytes = net.word(of, 1, &suspect);
+        net.members[0].datagram(address(1), &bytes, now);
+        // Nobody tells the suspect.
+        let says = |datagram: &Datagram| datagram.records.iter().any(|r| r.state >= State::Suspect);
+        net.run(moment, |_, _, datagram| !says(datagram));
+        net.stop(0, 30_000);
+        net.run(200, |_, _, datagram| !says(datagram));
+        assert_eq!(net.members[0].counts().failures, 0, "stopped after {moment} ms");
+    }
+}
+
 /// What is said of it reaches nobody, but with the ping that asks for its last word.
 #[test]
 fn a_suspect_is_asked_itself_before_it_is_held_for_failed() {
     let mut net = Net::new(6);
-    let accused: Vec<Record> = (10..14)
-        .map(|by| {
-            let place = Place::new(address(2), "z".into(), "r".into());
-            let mut suspect = Record::new(net.process(2), 1, State::Suspect, &place, 1);
-            suspect.by = by;
-            suspect
-        })
-        .collect();
+    let accused = net.suspect(2);
     let (of, now) = (net.process(1), net.now);
     let bytes = net.word(of, 1, &accused);
     net.members[0].datagram(address(1), &bytes, now);
