Cut detection as a baseline works; the study's loss case loses

Seen: cuts never cut anybody, in no case: members that were not started yet had been reported for good by those that were, and a report is not taken back, so no state was ever stable. The Loss case ran with the loss of the command line, 0 where it was not said.

Change: a subject that never answered is not reported; Case::Loss loses one in twenty at least.

--- a/crates/sandtrack-lab/src/members/candidates.rs
+++ b/crates/sandtrack-lab/src/members/candidates.rs
@@ -558,13 +558,14 @@
         }
         self.next_probe = now + BEAT;
         for subject in self.subjects.clone() {
-            let missed = self.missed.entry(subject).or_insert(0);
+            self.say(subject, &Cut::Ping);
+            // One that never answered has not started yet, and a report can't be taken back.
+            let Some(missed) = self.missed.get_mut(&subject) else { continue };
             *missed += 1;
             if *missed > MISSED && self.alerted.insert(subject) {
                 self.say_all(&Cut::Alert(subject as u32));
                 self.alert(self.me, subject);
             }
-            self.say(subject, &Cut::Ping);
         }
     }
     fn due(&self) -> Option<Ms> {
--- a/crates/sandtrack-lab/src/members/study.rs
+++ b/crates/sandtrack-lab/src/members/study.rs
@@ -94,7 +94,8 @@
 pub fn play(protocol: &str, case: Case, options: &Options, seed: u64) -> Result<Shown, String> {
     let make = maker(protocol, case)?;
     let n = options.size;
-    let net = Net { loss: options.loss, ..Net::default() };
+    let loss = if case == Case::Loss { options.loss.max(0.05) } else { options.loss };
+    let net = Net { loss, ..Net::default() };
     let mut world = World::new(n, 3, net, seed, make);
     let all: Vec<usize> = (0..n).collect();
     let mut shown = Shown::default();
