Drill: instances may be members of a fleet over WritePeer (--fleet), off by default

Change: crates/sandtrack-drill/src/talk.rs carries the protocol of service as payloads to peers by number; siblings follow the budget of the fleet as in the sidecar.

--- a/crates/sandtrack-drill/src/host.rs
+++ b/crates/sandtrack-drill/src/host.rs
@@ -1,4 +1,5 @@
 //! Hosts many balancers: translates the wire's events and actions, and decides nothing.
+use crate::talk::Talk;
 use crate::wire;
 use sandtrack::interface::*;
 use sandtrack::Balancer;
@@ -16,15 +17,18 @@
     })
 }
 
-/// One balancer and the names it goes by; shares nothing with its neighbours.
+/// One balancer and the names it goes by; shares nothing with its neighbours but what goes over the wire.
 struct Instance {
     name: String,
     balancer: Balancer,
+    talk: Option<Talk>,
     classes: Vec<String>,
     tenants: Vec<String>,
     upstreams: Names,
     zones: Names,
     kinds: Names,
+    /// As it was started with.
+    settings: Settings,
     wakes: HashSet<u64>,
     next_wake: u64,
 }
@@ -36,9 +40,15 @@
     pools: HashMap<usize, Rc<Vec<wire::Member>>>,
     noted_unknown: bool,
     scratch: Vec<Action>,
+    /// Instances are members of a fleet, where the settings permit it.
+    fleet: bool,
 }
 
 impl Host {
+    pub fn new(fleet: bool) -> Self {
+        Host { fleet, ..Host::default() }
+    }
+
     /// Takes one line and gives its reply; an error says what is wrong with the line.
     pub fn batch(&mut self, line: &[u8]) -> Result<wire::Reply, String> {
         // serde would take an array for the object's fields in order.
@@ -57,9 +67,13 @@
         let (sidecar, event) = match event {
             wire::Event::PowerOn { sidecar, prng, config } => {
                 let checked = config.checked().map_err(|fault| format!("config.{fault}"))?;
-                let instance = Instance::new(sidecar.clone(), prng, checked);
+                let mut instance = Instance::new(sidecar.clone(), prng, checked);
+                if self.fleet {
+                    instance.join(prng, now);
+                }
                 self.instances.insert(sidecar.clone(), instance);
-                (sidecar, Event::Start)
+                self.deliver(now, &sidecar, Event::Start, reply)?;
+                return self.converse(now, &sidecar, reply);
             }
             wire::Event::Pool { list, members } => {
                 self.pools.insert(list, Rc::new(members));
@@ -140,10 +154,18 @@
             wire::Event::ClientGone { sidecar, call } => (sidecar, Event::ClientGone(RequestId(call.0))),
             wire::Event::Memo { sidecar, origin_peer, content } => {
                 let content = bytes(&content).ok_or("content: not hex digits")?;
+                let instance = self.instances.get_mut(&sidecar);
+                if let Some(talk) = instance.and_then(|instance| instance.talk.as_mut()) {
+                    talk.payload(origin_peer, &content, now);
+                    return self.converse(now, &sidecar, reply);
+                }
                 (sidecar, Event::Message { from: origin_peer, content })
             }
             wire::Event::Due { sidecar, nonce } => {
                 let Some(instance) = self.instances.get_mut(&sidecar) else { return Ok(()) };
+                if instance.talk.as_mut().is_some_and(|talk| talk.woken(nonce, now)) {
+                    return self.converse(now, &sidecar, reply);
+                }
                 if !instance.wakes.remove(&nonce) {
                     return Ok(());
                 }
@@ -153,6 +175,27 @@
         self.deliver(now, &sidecar, event, reply)
     }
 
+    /// Carries on what its part in the fleet wants.
+    fn converse(&mut self, now: Millis, sidecar: &str, reply: &mut wire::Reply) -> Result<(), String> {
+        let Some(instance) = self.instances.get_mut(sidecar) else { return Ok(()) };
+        let Some(talk) = &mut instance.talk else { return Ok(()) };
+        let turn = talk.turn(now);
+        for (dest, bytes) in turn.payloads {
+            let content = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+            reply.decisions.push(wire::Decision::WritePeer { sidecar: sidecar.to_owned(), dest, content });
+        }
+        if let Some(at) = turn.wake {
+            instance.next_wake += 1;
+            talk.asked(instance.next_wake, at);
+            let (instant, nonce) = (at as Millis, instance.next_wake);
+            reply.decisions.push(wire::Decision::Schedule { sidecar: sidecar.to_owned(), instant, nonce });
+        }
+        match turn.settings {
+            Some(settings) => self.deliver(now, sidecar, Event::Settings(Box::new(settings)), reply),
+            None => Ok(()),
+        }
+    }
+
     fn deliver(
         &mut self, now: Millis, sidecar: &str, event: Event, reply: &mut wire::Reply,
     ) -> Result<(), String> {
@@ -172,9 +215,17 @@
 }
 
 impl Instance {
+    /// It becomes a member of the fleet, where its settings permit that.
+    fn join(&mut self, seed: u64, now: Millis) {
+        let zone = self.zones.name(self.settings.zone.0);
+        self.talk = Talk::new(&self.settings, zone, seed, now);
+    }
+
     fn new(name: String, seed: u64, checked: Checked) -> Self {
         Instance {
             name,
+            talk: None,
+            settings: checked.settings.clone(),
             balancer: Balancer::new(checked.settings, seed),
             classes: checked.classes,
             tenants: checked.tenants,
--- /dev/null
+++ b/crates/sandtrack-drill/src/talk.rs
@@ -0,0 +1,102 @@
+//! One instance's part in a fleet that talks over the simulator's wire: the protocol of service, its datagrams as payloads to
+//! peers by their numbers. It owns the protocol's state and the next time that it wants; it must never pick, and is there only
+//! where the command line asks for it and the settings permit it.
+use sandtrack::interface::Settings;
+use sandtrack_fleet::budget::Budget;
+use sandtrack_fleet::config::{DATAGRAM_LEAST, FORGET};
+use sandtrack_fleet::{Fleet, Identity};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+/// The wire's payloads are as long as this at most.
+const PAYLOAD_MOST: usize = 256;
+const _: () = assert!(DATAGRAM_LEAST <= PAYLOAD_MOST);
+/// A peer's number is an address in the protocol; so many that it asks first.
+const PORT: u16 = 1;
+const SEEDS: u32 = 3;
+
+pub struct Talk {
+    fleet: Fleet,
+    budget: Budget,
+    /// The settings as they go: with the number of siblings that is counted.
+    settings: Settings,
+    /// The wake that is asked for: its number, and when.
+    wake: Option<(u64, u64)>,
+}
+
+/// What follows of a turn.
+#[derive(Default)]
+pub struct Turn {
+    /// Payloads, by the peer's number.
+    pub payloads: Vec<(u32, Vec<u8>)>,
+    /// Settings that go from now on.
+    pub settings: Option<Settings>,
+    /// A wake that has to be asked for (ms).
+    pub wake: Option<u64>,
+}
+
+fn address(peer: u32) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from(0x0A00_0001_u32.wrapping_add(peer)), PORT)
+}
+
+fn peer(address: SocketAddrV4) -> u32 {
+    u32::from(*address.ip()).wrapping_sub(0x0A00_0001)
+}
+
+impl Talk {
+    /// `None` where the settings forbid it, or say what no member can go by. `zone`: the name of its own.
+    pub fn new(settings: &Settings, zone: &str, seed: u64, wall: f64) -> Option<Talk> {
+        let identity = Identity {
+            cluster: "drill".into(),
+            name: settings.me.to_string().into(),
+            advertise: address(settings.me),
+            zone: zone.into(),
+            region: String::new().into(),
+            seeds: (0..settings.siblings.min(SEEDS)).map(address).collect(),
+            datagram: PAYLOAD_MOST,
+            forget: FORGET,
+        };
+        if !settings.limits.peers || settings.me >= 1 << 24 || identity.check().is_err() {
+            return None;
+        }
+        let now = wall as u64;
+        let mut fleet = Fleet::new(identity, seed, now);
+        fleet.start(now);
+        let budget = Budget::new(settings.siblings, now);
+        Some(Talk { fleet, budget, settings: settings.clone(), wake: None })
+    }
+
+    pub fn payload(&mut self, from: u32, content: &[u8], wall: f64) {
+        self.fleet.datagram(address(from), content, wall as u64);
+    }
+
+    /// Its wake came; no where it is not the one that was asked for last.
+    pub fn woken(&mut self, number: u64, wall: f64) -> bool {
+        let mine = self.wake.is_some_and(|(asked, _)| asked == number);
+        if mine {
+            self.wake = None;
+            self.fleet.tick(wall as u64);
+        }
+        mine
+    }
+
+    pub fn turn(&mut self, wall: f64) -> Turn {
+        let mut turn = Turn::default();
+        self.fleet.take_notes();
+        turn.payloads =
+            self.fleet.take_datagrams().into_iter().map(|(to, bytes)| (peer(to), bytes)).collect();
+        self.budget.note(self.fleet.expected() as u32, self.fleet.view().0, wall as u64);
+        if self.budget.figure() != self.settings.siblings {
+            self.settings.siblings = self.budget.figure();
+            turn.settings = Some(self.settings.clone());
+        }
+        // A wake for later than it is due would be late; one that is early is asked for anew.
+        let due = self.fleet.next_due().filter(|due| self.wake.is_none_or(|(_, at)| *due < at));
+        turn.wake = due.map(|due| due.max(wall as u64 + 1));
+        turn
+    }
+
+    /// The wake that the last turn wanted has this number.
+    pub fn asked(&mut self, number: u64, at: u64) {
+        self.wake = Some((number, at));
+    }
+}
--- a/crates/sandtrack-drill/src/wire.rs
+++ b/crates/sandtrack-drill/src/wire.rs
@@ -209,6 +209,11 @@
         sidecar: String,
         enable: bool,
     },
+    WritePeer {
+        sidecar: String,
+        dest: u32,
+        content: String,
+    },
     Schedule {
         sidecar: String,
         instant: f64,
--- a/crates/sandtrack-drill/tests/wire.rs
+++ b/crates/sandtrack-drill/tests/wire.rs
@@ -4,7 +4,12 @@
 use std::process::{Command, Stdio};
 
 fn run(lines: &[String]) -> (i32, Vec<Value>, String) {
+    run_with(&[], lines)
+}
+
+fn run_with(words: &[&str], lines: &[String]) -> (i32, Vec<Value>, String) {
     let mut child = Command::new(env!("CARGO_BIN_EXE_sandtrack-drill"))
+        .args(words)
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -126,6 +131,64 @@
     assert_eq!(alone.1[..], beside.1[2..]);
 }
 
+/// What instances of a fleet say to each other in their first seconds, carried from one to the other: payloads by sender.
+fn talk(words: &[&str], permitted: bool) -> Vec<(u64, String)> {
+    let power = |me: u64| {
+        let mut config = config();
+        config["me"] = me.into();
+        config["limits"]["peers"] = permitted.into();
+        json!({"cmd": "PowerOn", "sidecar": format!("sidecar/{me}"), "prng": me, "config": config})
+    };
+    let mut lines = vec![batch(1000.0, json!([power(0), power(1)]))];
+    let (mut said, mut due) = (Vec::new(), Vec::new());
+    for _ in 0..40 {
+        let (status, replies, _) = run_with(words, &lines);
+        assert_eq!(status, 0);
+        let mut events = Vec::new();
+        for decision in replies.last().unwrap()["decisions"].as_array().unwrap() {
+            let sidecar = decision["sidecar"].as_str().unwrap();
+            let me: u64 = sidecar.rsplit('/').next().unwrap().parse().unwrap();
+            match decision["cmd"].as_str().unwrap() {
+                "WritePeer" => {
+                    assert_eq!(decision["dest"], 1 - me);
+                    let content = decision["content"].as_str().unwrap().to_owned();
+                    events.push(json!({"cmd": "Memo", "sidecar": format!("sidecar/{}", 1 - me),
+                                       "origin-peer": me, "content": content}));
+                    said.push((me, content));
+                }
+                "Schedule" => due.push((
+                    decision["instant"].as_f64().unwrap(),
+                    sidecar.to_owned(),
+                    decision["nonce"].clone(),
+                )),
+                _ => {}
+            }
+        }
+        let wall = due.iter().map(|due| due.0).fold(f64::MAX, f64::min);
+        if events.is_empty() {
+            let (now, later) = due.into_iter().partition(|due: &(f64, String, Value)| due.0 <= wall);
+            due = later;
+            events.extend(
+                now.into_iter()
+                    .map(|(_, sidecar, nonce)| json!({"cmd": "Due", "sidecar": sidecar, "nonce": nonce})),
+            );
+        }
+        lines.push(batch(if wall < f64::MAX { wall } else { 1000.0 }, events.into()));
+    }
+    said
+}
+
+#[test]
+fn instances_talk_where_the_word_and_the_settings_both_say_so() {
+    let said = talk(&["--fleet"], true);
+    for me in [0, 1] {
+        assert!(said.iter().filter(|said| said.0 == me).count() > 5, "{me}: {said:?}");
+    }
+    assert!(said.iter().all(|(_, content)| content.len() <= 512), "256 bytes at most");
+    assert!(talk(&["--fleet"], false).is_empty() && talk(&[], true).is_empty());
+    assert_eq!(run_with(&["--fleets"], &[]).0, 2);
+}
+
 #[test]
 fn settings_that_contradict_themselves_are_named_by_their_key() {
     let mut events = start("sidecar/1");
