--- a/crates/sandtrack-fleet/src/budget.rs
+++ b/crates/sandtrack-fleet/src/budget.rs
@@ -68,7 +68,8 @@
         assert_eq!(budget.figure(), 40, "who starts first knows of few");
         let now = over(&mut budget, now, 20_000, 3, View::Whole);
         assert_eq!(budget.figure(), 3);
-        budget.note(9, View::Whole, now);
+        budget.note(3, View::Whole, now);
+        budget.note(9, View::Whole, now + 1);
         assert_eq!(budget.figure(), 9, "at once");
         let now = over(&mut budget, now, 5_000, 8, View::Whole);
         assert_eq!(budget.figure(), 9, "a restart, for example");
--- a/crates/sandtrack-fleet/tests/guards.rs
+++ b/crates/sandtrack-fleet/tests/guards.rs
@@ -275,6 +275,41 @@
     assert_eq!(accused, 0);
 }
 
+/// Several accuse it at once when its time alone would be long over: it is asked all the same, and has time to answer.
+#[test]
+fn a_suspect_has_time_for_its_last_word_however_late_others_join_in() {
+    let mut net = Net::new(6);
+    let accused = net.suspect(2);
+    let (of, says) = (net.process(1), |datagram: &Datagram| {
+        datagram.records.iter().any(|record| record.state >= State::Suspect)
+    });
+    for (wait, accused) in [(0, &accused[..1]), (2_000, &accused[1..])] {
+        net.run(wait, |_, _, datagram| !says(datagram));
+        let (bytes, now) = (net.word(of.clone(), 1, accused), net.now);
+        net.members[0].datagram(address(1), &bytes, now);
+    }
+    assert_eq!(net.members[0].state_of("n2"), Some(State::Suspect));
+    // Its answer may take 200 ms.
+    net.run(199, |_, _, datagram| !says(datagram));
+    assert_eq!(net.members[0].counts().failures, 0);
+}
+
+/// More than can be looked at in a second is dropped unread, and told as that.
+#[test]
+fn a_flood_is_dropped_unread() {
+    let mut net = Net::new(2);
+    let now = net.now;
+    (0..5_000).for_each(|_| net.members[0].datagram(address(7), b"x", now));
+    net.run(2_000, |_, _, _| true);
+    let refused = |note: &Note| match note {
+        Note::Refused { garbage, over, .. } => Some((*garbage, *over)),
+        _ => None,
+    };
+    let (garbage, over) = net.members[0].take_notes().iter().find_map(refused).expect("it is told");
+    assert!(garbage <= 2_000 && over >= 3_000, "{garbage} garbage, {over} over");
+    assert_eq!(net.members[0].state_of("n1"), Some(State::Alive));
+}
+
 /// A liar says that one is another process somewhere else: that one hears of it as soon as it speaks to whoever believes it.
 #[test]
 fn one_that_is_shadowed_by_an_invention_is_back_within_seconds() {
--- a/crates/sandtrack-lab/tests/members.rs
+++ b/crates/sandtrack-lab/tests/members.rs
@@ -143,6 +143,39 @@
     }
 }
 
+/// Guard: where one that failed is back, others that did are tried at once.
+#[test]
+fn halves_are_whole_again_within_seconds_of_the_first_answer() {
+    let mut late = 0;
+    for seed in SEEDS {
+        let mut world = settled(seed, Net::default(), &own);
+        let (a, b): (Vec<usize>, Vec<usize>) = all().iter().partition(|slot| **slot < SIZE / 2);
+        world.at(BEGIN, Fault::Cut(a.clone(), b.clone()));
+        world.at(BEGIN, Fault::Cut(b, a));
+        world.at(BEGIN + 20_000, Fault::Mend);
+        world.run_until(BEGIN + 21_500);
+        late += usize::from(!world.is_whole());
+    }
+    assert_eq!(late, 0);
+}
+
+/// Guard: who is cut off takes three times as long to judge: of a short cut nothing remains.
+#[test]
+fn a_short_cut_leaves_no_failures_with_those_that_were_cut_off() {
+    for seed in SEEDS {
+        let mut world = settled(seed, Net::default(), &own);
+        let zone: Vec<usize> = all().into_iter().filter(|slot| slot % 3 == 2).collect();
+        let others = but(&zone);
+        world.at(BEGIN, Fault::Cut(zone.clone(), others.clone()));
+        world.at(BEGIN, Fault::Cut(others, zone.clone()));
+        world.at(BEGIN + 6_000, Fault::Mend);
+        world.run_until(BEGIN + 16_000);
+        let failed = |change: &&Change| change.held == Held::Failed && zone.contains(&change.by);
+        assert_eq!(world.changes.iter().filter(failed).count(), 0, "seed {seed}");
+        assert!(world.is_whole(), "seed {seed}");
+    }
+}
+
 /// Guard: what a member holds of others while it is cut off is its own matter.
 #[test]
 fn a_zone_that_was_cut_off_does_not_accuse_all_others_when_it_is_back() {
