--- a/crates/sandtrack-fleet/tests/guards.rs
+++ b/crates/sandtrack-fleet/tests/guards.rs
@@ -289,8 +289,8 @@
         net.members[0].datagram(address(1), &bytes, now);
     }
     assert_eq!(net.members[0].state_of("n2"), Some(State::Suspect));
-    // Its answer may take 200 ms.
-    net.run(199, |_, _, datagram| !says(datagram));
+    // It is asked at the next look, 100 ms later, and its answer may take 200 ms.
+    net.run(299, |_, _, datagram| !says(datagram));
     assert_eq!(net.members[0].counts().failures, 0);
 }
 
