--- a/crates/sandtrack-rig/src/report.rs
+++ b/crates/sandtrack-rig/src/report.rs
@@ -10,7 +10,10 @@
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 
-#[derive(Clone, Debug, Serialize)]
+/// Over so many processes a shell is not shown each.
+const LINES: usize = 30;
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Verdict {
     pub what: String,
     pub kept: bool,
@@ -121,14 +124,29 @@
     pub fn text(&self) -> String {
         let mut text = String::new();
         // Writing to a string can't fail.
-        let _ = writeln!(text, "\nPROCESS  RUNS  VIEW      ALIVE  SUSPECT  FAILED  LEFT  SIBLINGS");
-        for end in &self.ends {
+        let _ = writeln!(text, "\nPROCESS          RUNS  VIEW      ALIVE  SUSPECT  FAILED  LEFT  SIBLINGS");
+        let row = |end: &End| {
             let runs = if end.runs { "yes" } else { "no" };
-            let _ = writeln!(
-                text,
-                "{:<7}  {runs:<4}  {:<8}  {:>5}  {:>7}  {:>6}  {:>4}  {:>8}",
-                end.name, end.view, end.alive, end.suspect, end.failed, end.left, end.siblings
-            );
+            let counts = (end.alive, end.suspect, end.failed, end.left, end.siblings);
+            let (alive, suspect, failed, left, siblings) = counts;
+            format!(
+                "{runs:<4}  {:<8}  {alive:>5}  {suspect:>7}  {failed:>6}  {left:>4}  {siblings:>8}",
+                end.view
+            )
+        };
+        // Where there are many, those that are alike share a line.
+        let most = if self.ends.len() > LINES { usize::MAX } else { 1 };
+        let mut lines: Vec<(String, &str, usize)> = Vec::new();
+        for end in &self.ends {
+            let row = row(end);
+            match lines.iter_mut().find(|line| line.0 == row && line.2 < most) {
+                Some(line) => line.2 += 1,
+                None => lines.push((row, &end.name, 1)),
+            }
+        }
+        for (row, name, count) in lines {
+            let name = if count > 1 { format!("{name}, {} more", count - 1) } else { name.to_owned() };
+            let _ = writeln!(text, "{name:<15}  {row}");
         }
         let t = &self.total;
         let _ = writeln!(
@@ -148,9 +166,11 @@
             let _ = writeln!(text, "{name}: {} s", times.join(", "));
         }
         let _ = writeln!(text);
-        for verdict in &self.verdicts {
+        for same in self.verdicts.chunk_by(|a, b| a == b) {
+            let verdict = &same[0];
             let mark = if verdict.kept { "held  " } else { "BROKEN" };
-            let _ = writeln!(text, "{mark}  {}  {}", verdict.what, verdict.how);
+            let times = if same.len() > 1 { format!(", {} times", same.len()) } else { String::new() };
+            let _ = writeln!(text, "{mark}  {}  {}{times}", verdict.what, verdict.how);
         }
         text
     }
