Ten rare orders mended, each with a test on real connections that fails without its mend

Read line by line: watches, clients that leave, kept connections, the end, the start. tests/races.rs plays each bad order with stand-ins that wait for a cue. On the tree before ten of its eleven tests fail, as told: - a_list_is_read_however...: an indented list ended the watch, and so did the next (catalog.rs, one line = one object). - a_silent_watch...: the call after silence waited for a gap of up to a quarter of ask-within: no call within 4.5 s of silence where that is 60 s. Now 2.6 s after the last line, and at once (lists.rs, watch_ended). - a_pushed_list...: a watch that was reset waited for the same gap where lists are pushed and count as told. - a_request_whose_client_had_left_before_it_was_read...: written to the upstream and called off right behind (upstream.rs, Ask). - ...leaves_while_a_connection_comes_up...: its end stood unread behind a body that flows; all of it was sent on (client.rs). - ...behind_another...: time of a request read with the one before it counted from that one's answer. - a_second_answer...: given to the next on the connection. A connection carries nothing for 10 ms after a request's answer (links.rs, dispatch). - a_small_answer_of_unknown_length_that_stops...: cut after 5.0 s, its request's time 0.9 s (flows.rs). - what_comes_late_in_the_end...: taken 1 s after SIGTERM it had 10 s; SIGKILL may come 1.6 s after it (clients.rs, arrival). - signals_that_come_while_it_starts...: ended the process (program.rs: handlers after the file was read). A connection closed as it is written on was right already; its test stays. Also: the process does not end in the moment in which an answer was ordered (leaving.rs). Ruled out: a call to discovery whose first packet is lost; it comes up within 2 s.

--- a/crates/sandtrack-core/src/reducer.rs
+++ b/crates/sandtrack-core/src/reducer.rs
@@ -6,6 +6,7 @@
 use crate::catalog::{Catalog, Instance, Lifecycle};
 use crate::message::{self, Flow, Head, Message};
 use crate::metrics::{End, Figures};
+use lists::Broken;
 use sandtrack::interface::Effect as Repeats;
 use sandtrack::interface::*;
 use sandtrack::Balancer;
@@ -41,6 +42,10 @@
 const DOUBTFUL: f64 = 0.25;
 /// ... and where that time is not told it is taken for this.
 const IDLE_UNTOLD: Millis = 20_000.0;
+/// A connection carries nothing for this long after a request's answer: a second one may come some milliseconds behind it,
+/// and would be read as the answer to what was written meanwhile. Come by then, it ends the idle connection. A probe's answer
+/// has no such time: it is asked for right before a request, which goes on the same connection.
+const SETTLE: Millis = 10.0;
 /// A request's head is due this long after its connection was opened, or after its first byte on one that has been
 /// served. A client that sends none is owed an end of it within 3 s, sweep included; an honest one may take 2 s ...
 const REQUEST_PATIENCE: Millis = 2400.0;
@@ -68,12 +73,16 @@
 /// before its request was read.
 const MARGIN: Millis = 3.0;
 /// A watch has a line every 2 s (the protocol); one that says nothing for this long is broken. What it has to tell
-/// counts as told after 6 s: there must be time to ask anew.
-const WATCH_SILENCE: Millis = 3200.0;
+/// counts as told after 6 s: there must be time to ask anew, and for discovery to come to that call.
+const WATCH_SILENCE: Millis = 2600.0;
 /// Its first line may take longer: discovery works through calls in turn.
 const WATCH_FIRST: Millis = 4500.0;
 /// After a reload it is asked for again sooner: what the new address has to tell counts as told after 4 s.
 const WATCH_RELOADED: Millis = 2000.0;
+/// Where lists are pushed, what is known there counts as told whether or not a watch is open: one that ended is opened
+/// anew within this part of the time that a drain may take to be kept, and in this time at least and at most.
+const REOPEN: f64 = 0.125;
+const REOPEN_RANGE: [Millis; 2] = [25.0, 250.0];
 /// An answer whose length is not told is passed on as it comes when it is not whole this long after its first part: it
 /// may be a large one, which is timed by its first bytes.
 const HOLD: Millis = 20.0;
@@ -88,6 +97,10 @@
 const LAST_CALL: Millis = 600.0;
 /// ... but no longer than this, however many still come: what is taken has to be answered before SIGKILL.
 const LAST_CALL_MOST: Millis = 700.0;
+/// SIGKILL may come the longest deadline and `LAST_CALL_MOST` after SIGTERM: what is taken late is answered this much before.
+const KILL_MARGIN: Millis = 50.0;
+/// An answer that was ordered is written this long after at the latest, if its client reads.
+const FLUSH: Millis = 200.0;
 /// Answers that flow are given this long after SIGTERM, where nobody kills the process before.
 const FLOWS_MOST: Millis = 30_000.0;
 const QUIET: Millis = 200.0;
@@ -374,11 +387,17 @@
     waiting: VecDeque<u32>,
     discovery: SocketAddr,
     watch: Option<CallId>,
+    /// The watch has told something, if no more than that it lives.
+    watch_heard: bool,
+    /// Lists are pushed to an agent, which is asked all the same.
+    pushed: bool,
     /// The version of the list that this discovery gave last.
     generation: Option<u64>,
     /// When SIGTERM came, when the last connection did, and whether the listener is closed.
     draining: Option<Millis>,
     last_opened: Millis,
+    /// When an answer was ordered last.
+    last_answer: Millis,
     scarce_said: Millis,
     stopped: bool,
     exiting: bool,
@@ -413,12 +432,13 @@
     }
 }
 
-/// What sockets make of the settings; how long a connection may be idle, and how long it may take to come up.
-fn on_sockets(checked: &mut Checked) -> (Millis, Millis) {
+/// What sockets make of the settings; how long a connection may be idle, how long it may take to come up, and whether lists
+/// are pushed.
+fn on_sockets(checked: &mut Checked) -> (Millis, Millis, bool) {
     // On sockets discovery tells only who asks, whatever the settings say of it.
-    checked.settings.discovery_on_request = true;
+    let pushed = !std::mem::replace(&mut checked.settings.discovery_on_request, true);
     let connect = Some(checked.settings.limits.connect_timeout).filter(|time| *time > 0.0);
-    (checked.conn_idle.unwrap_or(IDLE_UNTOLD), connect.unwrap_or(CONNECT_UNTOLD))
+    (checked.conn_idle.unwrap_or(IDLE_UNTOLD), connect.unwrap_or(CONNECT_UNTOLD), pushed)
 }
 
 /// The name of an upstream, for the log.
@@ -432,7 +452,7 @@
         mut checked: Checked, discovery: SocketAddr, seed: u64, descriptors: usize, epoch: Millis,
         now: Millis,
     ) -> Self {
-        let (conn_idle, connect_timeout) = on_sockets(&mut checked);
+        let (conn_idle, connect_timeout, pushed) = on_sockets(&mut checked);
         let mut reducer = Reducer {
             balancer: Balancer::new(checked.settings.clone(), seed),
             connect_timeout,
@@ -465,9 +485,12 @@
             waiting: VecDeque::new(),
             discovery,
             watch: None,
+            watch_heard: false,
+            pushed,
             generation: None,
             draining: None,
             last_opened: now,
+            last_answer: now,
             scarce_said: f64::NEG_INFINITY,
             stopped: false,
             exiting: false,
@@ -536,9 +559,9 @@
     /// Whether nothing is held: no connection, request or timer of theirs.
     pub fn is_empty(&self) -> bool {
         let kept = |timer: &Timer| {
-            let own =
-                [Timer::Wake, Timer::WatchSilent, Timer::Ready, Timer::Sweep, Timer::Drain, Timer::Fleet];
-            !own.contains(timer)
+            let lists = [Timer::WatchSilent, Timer::Reopen];
+            let own = [Timer::Wake, Timer::Ready, Timer::Sweep, Timer::Drain, Timer::Fleet];
+            !own.contains(timer) && !lists.contains(timer)
         };
         let idle = self.servers.values().all(|server| server.idle.is_empty());
         let timers = !self.timers.set.keys().any(kept);
@@ -617,10 +640,10 @@
             Input::WatchLine { call, catalog } => self.watch_line(call, catalog),
             Input::WatchBeat { call } => {
                 if self.watch == Some(call) {
-                    self.timers.set(Timer::WatchSilent, self.now + WATCH_SILENCE);
+                    self.watch_heard();
                 }
             }
-            Input::WatchEnded { call } => self.watch_ended(call, "ended"),
+            Input::WatchEnded { call } => self.watch_ended(call, Broken::Ended),
             Input::UpstreamTook { conn } => self.upstream_took(conn),
             Input::UpstreamWrote { conn } => self.upstream_wrote(conn),
             Input::AdminOpened { conn } => self.admin_opened(conn),
@@ -670,9 +693,10 @@
             Timer::WatchSilent => {
                 if let Some(call) = self.watch {
                     self.effects.push(Effect::CloseWatch { call });
-                    self.watch_ended(call, "silent");
+                    self.watch_ended(call, Broken::Silent);
                 }
             }
+            Timer::Reopen => self.subscribe(),
             Timer::Sweep => {
                 self.sweep();
                 self.timers.set(Timer::Sweep, self.now + SWEEP_EVERY);
--- a/crates/sandtrack-core/src/reducer/clients.rs
+++ b/crates/sandtrack-core/src/reducer/clients.rs
@@ -157,6 +157,7 @@
         let Some(client) = self.clients.get(&conn).filter(|client| !client.closing) else { return };
         let close = close || self.leaving() || client.surplus || client.retired;
         self.client(conn, |client, now| client.answered(close, now));
+        self.last_answer = self.now;
         let again = self.come_back().filter(|_| status == 503);
         let headers = again.iter().map(|seconds| ("Retry-After", seconds.as_str()));
         let bytes = message::response(status, headers, b"", close);
@@ -292,6 +293,7 @@
             }
         }
         let told = at.min(self.now) + (budget - MARGIN).max(0.0);
+        let told = self.last_moment().map_or(told, |last| told.min(last));
         let arrival = Arrival {
             request,
             class: ClassId(class),
@@ -340,6 +342,7 @@
             "answered"
         );
         if self.client(conn, |client, now| client.answered(close, now)).is_some() {
+            self.last_answer = self.now;
             self.effects.push(Effect::Answer { conn, bytes, close, bad: false });
         }
         self.request_closed(id);
--- a/crates/sandtrack-core/src/reducer/flows.rs
+++ b/crates/sandtrack-core/src/reducer/flows.rs
@@ -6,6 +6,10 @@
 
 /// An upstream that gives nothing of an answer for this long, while it is wanted, gives no more.
 const STALL: Millis = 5000.0;
+/// An answer whose length is not told may be a small one, which is due whole in its time and lost half a second later: if no
+/// more than this of it has come, it is cut once its time is over by so long, and nothing came for as long.
+const SMALL: usize = 64 * 1024;
+const SMALL_STALL: Millis = 300.0;
 /// A client has to send so much of a large body in each so long that it is waited for: an honest one sends 64 kB a second.
 const PACE_BYTES: usize = 16 * 1024;
 const PACE_OVER: Millis = 2000.0;
@@ -158,7 +162,7 @@
             None if request.message.head.chunks => Flow::Chunks,
             None => Flow::UntilEnd,
         };
-        request.stream = Some(Stream { attempt: n, link: conn, flow });
+        request.stream = Some(Stream { attempt: n, link: conn, flow, passed: 0 });
         request.keep_alive &= !leaving && flow != Flow::UntilEnd;
         let bytes = message::response_head(head.status, answer_headers(head), flow, !request.keep_alive);
         let (client, class) = (request.client, request.class);
@@ -175,14 +179,15 @@
     }
 
     /// The request whose answer flows on this connection.
-    fn flowing(&mut self, conn: ConnId) -> Option<(&Stream, Option<ConnId>)> {
+    fn flowing(&mut self, conn: ConnId) -> Option<(&mut Stream, Option<ConnId>)> {
         let (.., request) = self.carried(conn)?;
         let client = request.client;
-        request.stream.as_ref().filter(|stream| stream.link == conn).map(|stream| (stream, client))
+        request.stream.as_mut().filter(|stream| stream.link == conn).map(|stream| (stream, client))
     }
 
     pub(super) fn piece(&mut self, conn: ConnId, bytes: &[u8]) {
         let Some((stream, client)) = self.flowing(conn) else { return };
+        stream.passed += bytes.len();
         let bytes = stream.flow.piece(bytes);
         self.timers.clear(Timer::Answer(conn));
         self.effects.extend(client.map(|conn| Effect::Relay { conn, bytes }));
@@ -191,9 +196,12 @@
     pub(super) fn client_wrote(&mut self, conn: ConnId) {
         let request = self.clients.get(&conn).and_then(|client| client.request);
         let Some(request) = request.and_then(|id| self.requests.get(&id)) else { return };
-        let Some(link) = request.stream.as_ref().map(|stream| stream.link) else { return };
+        let Some(stream) = &request.stream else { return };
+        let link = stream.link;
         if !self.settings.classes[request.class].stream {
-            self.timers.set(Timer::Answer(link), self.now + STALL);
+            let small = !matches!(stream.flow, Flow::Length(_)) && stream.passed <= SMALL;
+            let stall = request.not_after.max(self.now) + SMALL_STALL;
+            self.timers.set(Timer::Answer(link), if small { stall } else { self.now + STALL });
         }
         self.effects.push(Effect::More { conn: link });
     }
--- a/crates/sandtrack-core/src/reducer/leaving.rs
+++ b/crates/sandtrack-core/src/reducer/leaving.rs
@@ -78,9 +78,17 @@
         }
     }
 
+    /// By when what is taken has to be answered, once the process ends: SIGKILL may come right after.
+    pub(super) fn last_moment(&self) -> Option<Millis> {
+        self.draining.map(|since| since + LAST_CALL_MOST + self.longest() - KILL_MARGIN)
+    }
+
+    fn longest(&self) -> Millis {
+        self.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max)
+    }
+
     /// Some time after SIGTERM.
     fn end(&mut self, past: Millis) {
-        let longest = self.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
         let quiet = past >= LAST_CALL && self.now - self.last_opened >= QUIET;
         if quiet || past >= LAST_CALL_MOST {
             self.stop_accepting(false);
@@ -96,7 +104,9 @@
                 && !self.settings.classes[request.class].stream
         };
         let flows = past < FLOWS_MOST && self.requests.values().any(flows);
-        let late = past >= LAST_CALL_MOST + longest + QUIET && !owed && !flows;
+        // What was answered in this very moment is not written yet, and the tasks that write it end with the process.
+        let written = self.now - self.last_answer >= FLUSH;
+        let late = past >= LAST_CALL_MOST + self.longest() + QUIET && !owed && !flows && written;
         if self.stopped && (self.clients.is_empty() || late) {
             tracing::info!(clients = self.clients.len(), "exit");
             self.timers.clear(Timer::Drain);
--- a/crates/sandtrack-core/src/reducer/links.rs
+++ b/crates/sandtrack-core/src/reducer/links.rs
@@ -27,11 +27,11 @@
             return self.job_failed(job, server, Outcome::ConnectFailed);
         };
         let usable = |conn: &ConnId| {
-            let since = self.links.get(conn).map_or(f64::NEG_INFINITY, |link| link.since);
-            fresh.is_some_and(|fresh| self.now - since < fresh)
+            let link = self.links.get(conn).filter(|link| link.settled <= self.now);
+            link.zip(fresh).is_some_and(|(link, fresh)| self.now - link.since < fresh)
         };
-        if let Some(conn) = known.idle.last().copied().filter(usable) {
-            known.idle.pop();
+        if let Some(place) = known.idle.iter().rposition(usable) {
+            let conn = known.idle.remove(place);
             self.no_longer_idle(conn);
             self.write(conn, job);
             return;
@@ -58,7 +58,16 @@
         let stage = Stage::Connecting(job);
         self.links.insert(
             conn,
-            Link { server, process, stage, ordered: 0, counts: false, first: None, since: self.now },
+            Link {
+                server,
+                process,
+                stage,
+                ordered: 0,
+                counts: false,
+                first: None,
+                since: self.now,
+                settled: self.now,
+            },
         );
         self.assign(job, Some(conn));
         self.timers.set(Timer::Connect(conn), self.now + self.connect_timeout);
@@ -148,6 +157,8 @@
         if !open || !same {
             return self.hang_up(conn);
         }
+        let asked = matches!(link.stage, Stage::Busy(Job::Attempt(..)));
+        link.settled = self.now + if asked { SETTLE } else { 0.0 };
         link.stage = Stage::Idle;
         link.since = self.now;
         server.idle.push(conn);
--- a/crates/sandtrack-core/src/reducer/lists.rs
+++ b/crates/sandtrack-core/src/reducer/lists.rs
@@ -2,6 +2,13 @@
 //! the module does.
 use super::*;
 
+/// How a watch was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Broken {
+    Ended,
+    Silent,
+}
+
 impl Reducer {
     /// Upstreams are replaced all day long: one that is gone is forgotten when no connection, probe or attempt refers
     /// to it any more. Listed again, it is another, of which nothing is known.
@@ -31,6 +38,8 @@
         if self.watch.is_none() {
             self.next_call += 1;
             self.watch = Some(self.next_call);
+            self.watch_heard = false;
+            self.timers.clear(Timer::Reopen);
             self.timers.set(Timer::WatchSilent, self.now + WATCH_FIRST);
             let (call, address) = (self.next_call, self.discovery);
             tracing::debug!(call, after = self.generation, "calling for the list");
@@ -42,7 +51,7 @@
     /// of classes and tenants stay what they are.
     pub(super) fn adopt(&mut self, mut checked: Checked) {
         checked.follow(&self.settings, &self.classes, &self.tenants);
-        (self.conn_idle, self.connect_timeout) = on_sockets(&mut checked);
+        (self.conn_idle, self.connect_timeout, self.pushed) = on_sockets(&mut checked);
         let mut settings = checked.settings;
         settings.zone = ZoneId(self.zones.intern(checked.zones.name(settings.zone.0)));
         settings.siblings = self.siblings(settings.siblings);
@@ -70,7 +79,7 @@
         if self.watch != Some(call) {
             return;
         }
-        self.timers.set(Timer::WatchSilent, self.now + WATCH_SILENCE);
+        self.watch_heard();
         self.generation = Some(catalog.generation);
         let kind = if catalog.reset { ListKind::Whole } else { ListKind::Patch };
         tracing::info!(generation = catalog.generation, entries = catalog.instances.len(), ?kind, "list");
@@ -78,11 +87,28 @@
         self.now_ready();
     }
 
-    pub(super) fn watch_ended(&mut self, call: CallId, how: &str) {
-        if self.watch == Some(call) {
-            self.watch = None;
-            self.timers.clear(Timer::WatchSilent);
-            tracing::warn!(how, "watch broken");
+    pub(super) fn watch_heard(&mut self) {
+        self.watch_heard = true;
+        self.timers.set(Timer::WatchSilent, self.now + WATCH_SILENCE);
+    }
+
+    /// The list that it gave serves until another watch tells more. How soon one is opened follows from what counts as
+    /// told meanwhile. A watch that fell silent: all that it misses, 6 s after that, so another is opened at once, whatever
+    /// the module's gaps between calls are. Where lists are pushed: all that the agent knows, so at once, or in a moment if
+    /// it turned the call away. Else what is as old as the settings say, and the module keeps its gaps within that.
+    pub(super) fn watch_ended(&mut self, call: CallId, how: Broken) {
+        if self.watch != Some(call) {
+            return;
+        }
+        self.watch = None;
+        self.timers.clear(Timer::WatchSilent);
+        tracing::warn!(?how, "watch broken");
+        if how == Broken::Silent && (self.watch_heard || self.pushed) {
+            self.subscribe();
+        } else if self.pushed {
+            let gap = (self.settings.rules.drain_grace * REOPEN).clamp(REOPEN_RANGE[0], REOPEN_RANGE[1]);
+            self.timers.set(Timer::Reopen, self.now + gap);
+        } else {
             self.events.push_back(Event::ListBroken);
         }
     }
--- a/crates/sandtrack-core/src/reducer/tables.rs
+++ b/crates/sandtrack-core/src/reducer/tables.rs
@@ -18,6 +18,8 @@
     Deadline(RequestId),
     Wake,
     WatchSilent,
+    /// A watch on a pushed list that ended is opened anew.
+    Reopen,
     Ready,
     /// A call at the second address is due whole.
     Call(ConnId),
@@ -188,6 +190,8 @@
     /// An attempt was ordered written, and its last byte is not told yet.
     pub(super) counts: bool,
     pub(super) since: Millis,
+    /// It carries nothing before this time.
+    pub(super) settled: Millis,
 }
 
 /// An upstream as the list has it.
@@ -243,6 +247,8 @@
     pub(super) attempt: u32,
     pub(super) link: ConnId,
     pub(super) flow: Flow,
+    /// Bytes of the body that were passed on.
+    pub(super) passed: usize,
 }
 
 /// A request's body that is passed on as it comes.
--- a/crates/sandtrack-sidecar/src/client.rs
+++ b/crates/sandtrack-sidecar/src/client.rs
@@ -2,7 +2,7 @@
 //! the reducer each request, whole or, if it is large, piece by piece as it is wanted, and must never answer of its own
 //! accord nor read a second request while one is unanswered.
 use crate::http::{self, Collector, Side, Taken};
-use crate::net::{next, no_delay, read_into, write_within, Inputs, Next, Order, Orders};
+use crate::net::{has_left, next, no_delay, read_into, write_within, Inputs, Next, Order, Orders};
 use crate::ring::Ring;
 use async_io::{Async, Timer};
 use futures_lite::future;
@@ -20,6 +20,8 @@
 /// After a bad request, which is answered at once, a connection is read on after this long: one that sends the same again
 /// without end takes no more turns than others.
 const NEXT_TURN: Duration = Duration::from_millis(50);
+/// How often it is looked whether a client is still there from which nothing is read.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// Pause of the listener when the process is out of descriptors.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 
@@ -85,9 +87,10 @@
     let mut wanted = false;
     // The client holds that body back until it is told to go on.
     let mut held = false;
+    // When something came last: the time of a request that was read with the one before it counts from there.
+    let mut at = inputs.clock.now();
     loop {
         if !unanswered || wanted {
-            let at = inputs.clock.now();
             match collector.next(&mut input) {
                 Ok(Some(Taken::Whole(message))) => {
                     (unanswered, told) = (true, (false, false));
@@ -138,7 +141,24 @@
             }
         }
         // While a body flows, its pieces wait in the socket until they are wanted: the client is held back by that.
-        match next(stream, &mut input, orders, !flows || wanted).await {
+        let reads = (!flows || wanted) && input.room() > 0;
+        let came = async {
+            let came = next(stream, &mut input, orders, reads).await;
+            if matches!(came, Next::Read(_)) {
+                at = inputs.clock.now();
+            }
+            came
+        };
+        let left = async {
+            if reads {
+                future::pending::<()>().await;
+            }
+            while !has_left(stream) {
+                Timer::after(LOOK_EVERY).await;
+            }
+            Next::Broken
+        };
+        match future::or(came, left).await {
             Next::Order(Order::Answer { bytes, close, bad }) => {
                 let wrote = output.push(&bytes) && patiently(stream, &mut output, orders, &mut retired).await;
                 if !wrote {
--- a/crates/sandtrack-sidecar/src/net.rs
+++ b/crates/sandtrack-sidecar/src/net.rs
@@ -3,6 +3,7 @@
 use crate::ring::Ring;
 use async_io::{Async, Timer};
 use futures_lite::future;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use sandtrack::interface::Millis;
 use sandtrack_core::reducer::Input;
 use std::future::Future;
@@ -100,6 +101,13 @@
     future::or(order, read).await
 }
 
+/// Whether the other side has ended, though what it sent before is not read yet. One that can't be asked is there.
+pub fn has_left(stream: &Async<TcpStream>) -> bool {
+    let mut asked = [PollFd::new(stream, PollFlags::RDHUP)];
+    let over = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    poll(&mut asked, Some(&Timespec::default())).is_ok() && asked[0].revents().intersects(over)
+}
+
 /// Reads what there is, as much as the buffer has room for.
 pub async fn read_into(stream: &Async<TcpStream>, ring: &mut Ring) -> io::Result<usize> {
     let mut bytes = [0; 8192];
--- a/crates/sandtrack-sidecar/src/program.rs
+++ b/crates/sandtrack-sidecar/src/program.rs
@@ -63,6 +63,14 @@
     let level = std::env::var("SANDTRACK_LOG").ok().and_then(|level| level.parse().ok());
     let level = level.unwrap_or(tracing::Level::INFO);
     tracing_subscriber::fmt().with_max_level(level).with_ansi(false).with_writer(std::io::stderr).init();
+    // Before all else: a signal that comes while this process starts would end it, and what waits at its listener.
+    let signals = match Signals::new([Signal::Term, Signal::Int, Signal::Hup]) {
+        Ok(signals) => signals,
+        Err(error) => {
+            tracing::error!(%error, "can't serve");
+            return ExitCode::FAILURE;
+        }
+    };
     let (config, source) = match config::load(|name| std::env::var(name).ok()) {
         Ok(loaded) => loaded,
         Err(fault) => {
@@ -79,7 +87,7 @@
     };
     let executor = Rc::new(LocalExecutor::new());
     // async-io's own: this thread then polls for events itself, and none has to cross from a helper thread.
-    match async_io::block_on(executor.run(serve(config, inherited, source, executor.clone()))) {
+    match async_io::block_on(executor.run(serve(config, inherited, source, signals, executor.clone()))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             tracing::error!(%error, "can't serve");
@@ -89,7 +97,8 @@
 }
 
 async fn serve(
-    config: Config, inherited: Option<TcpListener>, mut source: Source, executor: Rc<LocalExecutor<'_>>,
+    config: Config, inherited: Option<TcpListener>, mut source: Source, signals: Signals,
+    executor: Rc<LocalExecutor<'_>>,
 ) -> std::io::Result<()> {
     let clock = Clock::start();
     let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0;
@@ -110,7 +119,6 @@
         Some(fleet) => fleet::bind(fleet.listen, ways.inherited)?,
         None => None,
     };
-    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     let (discovery, descriptors) = (config.discovery, config.descriptors);
     let reducer =
         Reducer::new(config.checked, discovery, config.seed, descriptors, epoch.round(), clock.now());
--- a/crates/sandtrack-sidecar/src/upstream.rs
+++ b/crates/sandtrack-sidecar/src/upstream.rs
@@ -42,6 +42,11 @@
     loop {
         let count = match next(&stream, &mut input, orders, !paused).await {
             Next::Order(Order::Ask { bytes, streamed, more }) => {
+                // Called off in the same moment, as its client had left before it was read: nothing is written. No other
+                // order follows this one before something of it is told.
+                if matches!(orders.try_recv(), Ok(Order::Close)) {
+                    return;
+                }
                 // The other side may have closed it while it stood idle: nothing is written then, and the
                 // attempt may still go out on another connection.
                 if future::poll_once(read_into(&stream, &mut input)).await.is_some() {
--- /dev/null
+++ b/crates/sandtrack-sidecar/tests/races.rs
@@ -0,0 +1,341 @@
+//! Rare moments, made to happen each time (docs/races.md): what if a request, an answer, a close or a signal comes between two
+//! steps? The built sidecar on real connections, before stand-ins that wait for their cue.
+mod common;
+#[path = "common/scripted.rs"]
+mod scripted;
+
+use common::{answer, catalog, instance};
+use scripted::*;
+use std::io::{Read, Write};
+use std::time::{Duration, Instant};
+
+fn listed(upstream: &Upstream) -> Vec<serde_json::Value> {
+    vec![instance(0, &upstream.address, "SERVING")]
+}
+
+/// A sidecar that has served one request of its one upstream.
+fn before_one(name: &str, edit: impl FnOnce(&mut serde_json::Value)) -> (Sidecar, Upstream, Watch) {
+    let (discovery, upstream) = (Discovery::start(), Upstream::start());
+    let sidecar = Sidecar::start(name, &discovery.address, edit);
+    let watch = discovery.tell(listed(&upstream));
+    // Its other calls are nobody's to answer.
+    std::thread::spawn(move || while discovery.call(Duration::from_secs(60)).is_some() {});
+    sidecar.warm(&upstream);
+    (sidecar, upstream, watch)
+}
+
+// The list.
+
+/// Each line was read as one object: an indented list broke the watch, and so did the next, for ever.
+#[test]
+fn a_list_is_read_however_it_is_written_and_cut() {
+    let (discovery, upstream) = (Discovery::start(), Upstream::start());
+    let sidecar = Sidecar::start("indented", &discovery.address, |_| {});
+    let mut watch = discovery.call(PATIENCE).unwrap();
+    let mut entry = instance(0, &upstream.address, "SERVING");
+    entry["zone"] = "nörth".into();
+    let list = serde_json::to_string_pretty(&catalog(7, true, vec![entry])).unwrap();
+    let list = format!("\n  {}\n\n", list.replace('\n', "\r\n\t"));
+    let cut = list.find('ö').unwrap() + 1;
+    watch.pieces(&[&list.as_bytes()[..cut], &list.as_bytes()[cut..]]);
+    watch.keep();
+    sidecar.warm(&upstream);
+    assert!(discovery.call(Duration::from_millis(200)).is_none(), "the watch holds");
+}
+
+/// A sidecar's call after silence waited for a gap that the settings lengthen: here it came after 6.5 s, when all that the
+/// silent watch missed had counted as told for long.
+#[test]
+fn a_silent_watch_is_asked_for_again_in_time_whatever_the_settings_let_a_call_wait() {
+    let (discovery, upstream, other) = (Discovery::start(), Upstream::start(), Upstream::start());
+    let sidecar = Sidecar::start("silent", &discovery.address, |config| {
+        config["settings"]["rules"]["ask-within"] = 60_000.0.into();
+    });
+    let watch = discovery.tell(listed(&upstream));
+    sidecar.warm(&upstream);
+    watch.fall_silent();
+    let silent = Instant::now();
+    let mut again = discovery.call(Duration::from_millis(4500)).expect("a call in time");
+    assert!(silent.elapsed() >= Duration::from_secs(1), "not while an empty line may still come");
+    let drained = instance(0, &upstream.address, "DRAINING");
+    again.line(&catalog(2, false, vec![drained, instance(1, &other.address, "SERVING")]).to_string());
+    again.keep();
+    sidecar.warm(&other);
+    // Rule 3: what it missed is kept.
+    let mut client = sidecar.connect();
+    for _ in 0..10 {
+        let asked = request("pay", 5000, "");
+        send(&mut client, &asked);
+        let got = other.next(PATIENCE).expect("it goes to the other");
+        assert_eq!(got.id, asked.0);
+        got.answer("served");
+        assert_eq!(answer(&mut client).unwrap().0, 200);
+    }
+}
+
+/// Where lists are pushed all that is known at discovery counts as told, watch or no watch. A watch that was reset was asked
+/// for again after a gap of up to a quarter of `ask-within`, which means nothing there.
+#[test]
+fn a_pushed_list_is_asked_for_again_at_once() {
+    let (discovery, upstream, other) = (Discovery::start(), Upstream::start(), Upstream::start());
+    let sidecar = Sidecar::start("pushed", &discovery.address, |config| {
+        config["settings"]["discovery"] = "pushed".into();
+        config["settings"]["rules"]["ask-within"] = 60_000.0.into();
+    });
+    let watch = discovery.tell(listed(&upstream));
+    sidecar.warm(&upstream);
+    watch.reset();
+    // Turned away twice: it comes again all the same.
+    for _ in 0..2 {
+        discovery.call(Duration::from_millis(2000)).expect("a call at once").reset();
+    }
+    let mut again = discovery.call(Duration::from_millis(2000)).expect("a call at once");
+    again.line(&catalog(2, true, vec![instance(1, &other.address, "SERVING")]).to_string());
+    again.keep();
+    sidecar.warm(&other);
+}
+
+// Clients that leave.
+
+/// Stopped while the request and the close come, it reads both at once: the request was written to the upstream all the same,
+/// and called off right behind, however long ago its client had left.
+#[test]
+fn a_request_whose_client_had_left_before_it_was_read_is_not_sent_on() {
+    let (sidecar, upstream, _watch) = before_one("left-unread", |_| {});
+    for left_by_reset in [false, true] {
+        for class in ["read", "set", "pay"] {
+            sidecar.signal("-STOP");
+            let mut client = sidecar.connect();
+            let left = request(class, 5000, "");
+            send(&mut client, &left);
+            let stream = client.into_inner();
+            if left_by_reset {
+                reset(stream);
+            } else {
+                drop(stream);
+            }
+            std::thread::sleep(Duration::from_millis(30));
+            sidecar.signal("-CONT");
+            // One that comes behind it is served.
+            let mut client = sidecar.connect();
+            let next = request("pay", 5000, "");
+            send(&mut client, &next);
+            let got = upstream.next(PATIENCE).expect("the next one");
+            assert_eq!(got.id, next.0, "{class}, by reset: {left_by_reset}");
+            got.answer("served");
+            assert_eq!(answer(&mut client).unwrap().0, 200);
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
+/// While a body flows nothing is read of its client but what is wanted, and the end stood unseen behind the rest: the request
+/// was sent on whole when the connection came up at last.
+#[test]
+fn a_request_whose_client_leaves_while_a_connection_comes_up_is_not_sent_on() {
+    for (name, body, by_reset) in [
+        ("left-small", 10, false),
+        ("left-small-reset", 10, true),
+        ("left-large", 66_000, false),
+        ("left-large-reset", 66_000, true),
+    ] {
+        let (listener, filler, address) = late_listener();
+        let discovery = Discovery::start();
+        let sidecar = Sidecar::start(name, &discovery.address, |config| {
+            config["settings"]["limits"]["connect-timeout"] = 10_000.0.into();
+            config["settings"]["limits"]["probes"] = false.into();
+        });
+        let _watch = discovery.tell(vec![instance(0, &address, "SERVING")]);
+        let mut client = sidecar.connect();
+        let asked = request("pay", 15_000, &"x".repeat(body));
+        // Refused at once for as long as the list is on its way: asked again then, as another.
+        send(&mut client, &asked);
+        std::thread::sleep(Duration::from_millis(200));
+        client.get_ref().set_nonblocking(true).unwrap();
+        let answered = client.read(&mut [0; 100]).is_ok();
+        if answered {
+            client = sidecar.connect();
+            send(&mut client, &request("pay", 15_000, &"x".repeat(body)));
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        let stream = client.into_inner();
+        if by_reset {
+            reset(stream);
+        } else {
+            drop(stream);
+        }
+        std::thread::sleep(Duration::from_millis(300));
+        drop(filler);
+        // Its connection's next packet comes within a second or two: nothing of the request must come with it.
+        listener.set_nonblocking(true).unwrap();
+        let (until, mut streams) = (Instant::now() + Duration::from_millis(3500), Vec::new());
+        let mut came = String::new();
+        while Instant::now() < until {
+            if let Ok((stream, _)) = listener.accept() {
+                stream.set_nonblocking(true).unwrap();
+                streams.push(stream);
+            }
+            for stream in &mut streams {
+                let mut bytes = [0; 4096];
+                if let Ok(count) = stream.read(&mut bytes) {
+                    came.push_str(&String::from_utf8_lossy(&bytes[..count]));
+                }
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        assert!(!came.contains("X-Call-Id"), "{name}: {came}");
+    }
+}
+
+/// Read with the one before it, a request's time counted from when it was looked at: sent on for an answer that nobody waits
+/// for any more.
+#[test]
+fn a_request_that_waited_behind_another_has_no_more_time_for_it() {
+    let (sidecar, upstream, _watch) = before_one("behind", |_| {});
+    let mut client = sidecar.connect();
+    let (first, second) = (request("pay", 5000, ""), request("pay", 250, ""));
+    send(&mut client, &(String::new(), format!("{}{}", first.1, second.1)));
+    let asked = upstream.next(PATIENCE).unwrap();
+    std::thread::sleep(Duration::from_millis(350));
+    asked.answer("served");
+    assert_eq!(answer(&mut client).unwrap().0, 200);
+    assert_eq!(answer(&mut client).unwrap().0, 503, "its time is over: it was never sent");
+    assert!(upstream.next(Duration::from_millis(300)).is_none());
+}
+
+// Connections to upstreams.
+
+/// A second answer that came some milliseconds late on a kept connection was given to whoever asked next on it.
+#[test]
+fn a_second_answer_that_comes_late_is_nobodys() {
+    let (sidecar, upstream, _watch) = before_one("second", |_| {});
+    let mut conclusive = 0;
+    for _ in 0..100 {
+        let mut client = sidecar.connect();
+        let (first, second) = (request("pay", 5000, ""), request("pay", 5000, ""));
+        // Behind the first in the same packet, it is taken as soon as that is answered.
+        send(&mut client, &(String::new(), format!("{}{}", first.1, second.1)));
+        let asked = upstream.next(PATIENCE).unwrap();
+        let answered = Instant::now();
+        asked.answer("first");
+        let next = upstream.next(PATIENCE).unwrap();
+        let quick = answered.elapsed() < Duration::from_millis(9);
+        assert!(!quick || next.connection != asked.connection, "the connection had no time to show it");
+        let _ = asked.raw("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst");
+        next.answer("second");
+        assert_eq!(answer(&mut client).unwrap().2, b"first");
+        let told = answer(&mut client).unwrap();
+        if quick {
+            assert_eq!((told.0, told.2.as_slice()), (200, b"second".as_slice()));
+            conclusive += 1;
+        }
+        if conclusive == 5 {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    panic!("this machine was too slow each time");
+}
+
+/// The upstream closes an idle connection in the instant in which a request is to be written on it: nothing was begun there, and
+/// it goes out once on a new connection, whatever may be done twice with it.
+#[test]
+fn a_connection_closed_as_it_is_written_on_costs_no_request() {
+    let (sidecar, upstream, _watch) = before_one("closed-idle", |_| {});
+    for class in ["read", "set", "pay"] {
+        // Which connection is next: the one that carries this.
+        let mut client = sidecar.connect();
+        send(&mut client, &request("pay", 5000, ""));
+        let last = upstream.next(PATIENCE).unwrap();
+        last.answer("served");
+        assert_eq!(answer(&mut client).unwrap().0, 200);
+        std::thread::sleep(Duration::from_millis(30));
+        sidecar.signal("-STOP");
+        last.stream.shutdown(std::net::Shutdown::Both).unwrap();
+        let asked = request(class, 5000, "");
+        send(&mut client, &asked);
+        std::thread::sleep(Duration::from_millis(20));
+        sidecar.signal("-CONT");
+        let got = upstream.next(PATIENCE).expect("on another connection");
+        assert_eq!(got.id, asked.0);
+        got.answer("served");
+        assert_eq!(answer(&mut client).unwrap().0, 200, "{class}");
+        assert!(upstream.next(Duration::from_millis(50)).is_none(), "once");
+    }
+}
+
+/// An answer in chunks that stops before its end was waited for 5 s, whatever the time of its request.
+#[test]
+fn a_small_answer_of_unknown_length_that_stops_is_cut_in_time_and_shown_as_not_whole() {
+    let (sidecar, upstream, _watch) = before_one("stops", |_| {});
+    let mut client = sidecar.connect();
+    send(&mut client, &request("pay", 900, ""));
+    let asked = upstream.next(PATIENCE).unwrap();
+    let began = Instant::now();
+    asked.raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n").unwrap();
+    let mut got = Vec::new();
+    // A reset shows as an error once what came before it is read.
+    let _ = client.read_to_end(&mut got);
+    let text = String::from_utf8_lossy(&got);
+    assert!(text.contains("200 OK") && text.contains("part") && !text.contains("0\r\n\r\n"), "{text}");
+    assert!(began.elapsed() < Duration::from_millis(2500), "{:?}", began.elapsed());
+}
+
+// The end.
+
+/// A request taken shortly before SIGKILL had all of its time, and was found unanswered. SIGKILL comes the longest deadline
+/// (0.9 s here) and 0.7 s after SIGTERM.
+#[test]
+fn what_comes_late_in_the_end_is_answered_before_the_process_may_be_killed() {
+    let (sidecar, upstream, _watch) = before_one("late-end", |_| {});
+    let mut client = sidecar.connect();
+    let asked = request("pay", 10_000, "body");
+    let (half, rest) = asked.1.as_bytes().split_at(40);
+    client.get_mut().write_all(half).unwrap();
+    std::thread::sleep(Duration::from_millis(50));
+    sidecar.signal("-TERM");
+    let began = Instant::now();
+    std::thread::sleep(Duration::from_millis(1000));
+    client.get_mut().write_all(rest).unwrap();
+    // It hangs there.
+    let held = upstream.next(PATIENCE).unwrap();
+    assert_eq!(held.id, asked.0);
+    let status = answer(&mut client).expect("an answer").0;
+    assert!(matches!(status, 502 | 504), "it may have run: {status}");
+    // Far from the 11 s that it would have had, and near 1.6 s.
+    assert!(began.elapsed() < Duration::from_millis(4000), "{:?}", began.elapsed());
+}
+
+/// The handlers were set after the configuration was read and the listener bound: a signal before that ended the process.
+#[test]
+fn signals_that_come_while_it_starts_are_kept() {
+    let (discovery, upstream) = (Discovery::start(), Upstream::start());
+    for signals in [vec!["-HUP"], vec!["-HUP", "-HUP", "-TERM", "-TERM"]] {
+        let address = common::free_address(9);
+        let path = std::env::temp_dir().join(format!("sandtrack-races-{}-start.json", std::process::id()));
+        let text = common::config(&address, &discovery.address, catalog(0, true, Vec::new())).to_string();
+        // It waits at a pipe for its configuration.
+        assert!(std::process::Command::new("mkfifo").arg(&path).status().unwrap().success());
+        let process = Sidecar::spawn(&path);
+        let mut sidecar = Sidecar { process, address, config: path.clone() };
+        let mut pipe = std::fs::File::options().write(true).open(&path).unwrap();
+        for signal in &signals {
+            sidecar.signal(signal);
+        }
+        // What it reads again is a file.
+        let file = path.with_extension("file");
+        std::fs::write(&file, &text).unwrap();
+        std::fs::rename(&file, &path).unwrap();
+        pipe.write_all(text.as_bytes()).unwrap();
+        drop(pipe);
+        if signals.contains(&"-TERM") {
+            assert_eq!(sidecar.process.wait().unwrap().code(), Some(0));
+        } else {
+            sidecar.wait_until_it_listens();
+            let _watch = discovery.tell(listed(&upstream));
+            sidecar.warm(&upstream);
+            sidecar.signal("-TERM");
+            assert_eq!(sidecar.process.wait().unwrap().code(), Some(0));
+        }
+    }
+}
