What was ordered written for a client that has left is withdrawn also where no cancel is allowed

Seen: the test of a request whose client had left before it was read, with limits.cancel false: written to the upstream, as without a cancel nothing is ordered behind it ("cancel: false", left 4, right 7). clients.rs, client_closed. Change: Effect::Withdraw, which the connection's task takes when it has not begun.

--- a/crates/sandtrack-core/src/reducer.rs
+++ b/crates/sandtrack-core/src/reducer.rs
@@ -313,6 +313,10 @@
     CloseUpstream {
         conn: ConnId,
     },
+    /// The message that was ordered written last is not to be begun, if it has not been yet: its client has left.
+    Withdraw {
+        conn: ConnId,
+    },
     Watch {
         call: CallId,
         address: SocketAddr,
--- a/crates/sandtrack-core/src/reducer/clients.rs
+++ b/crates/sandtrack-core/src/reducer/clients.rs
@@ -130,6 +130,11 @@
             self.waits.remove(wait, client.since, conn);
         }
         if let Some(id) = client.request {
+            // What no byte of is written yet is held back, whether a cancel is allowed or not.
+            let carried = self.requests.get(&id).into_iter().flat_map(|request| &request.attempts);
+            let ordered = |conn: &ConnId| self.links.get(conn).is_some_and(|link| link.counts);
+            let ordered = carried.filter_map(|attempt| attempt.conn).filter(ordered);
+            self.effects.extend(ordered.map(|conn| Effect::Withdraw { conn }));
             let link = self.requests.get_mut(&id).and_then(|request| {
                 request.client = None;
                 request.stream.as_ref().map(|stream| (stream.attempt, stream.link))
--- a/crates/sandtrack-lab/src/node.rs
+++ b/crates/sandtrack-lab/src/node.rs
@@ -658,6 +658,8 @@
             | Effect::More { .. }
             | Effect::Pass { .. }
             | Effect::MoreClient { .. } => {}
+            // A message is begun as it is ordered.
+            Effect::Withdraw { .. } => {}
             Effect::Accept | Effect::StopAccepting { .. } | Effect::Exit => {}
             Effect::Datagram { .. } | Effect::CloseFleet => {}
         }
--- a/crates/sandtrack-sidecar/src/client.rs
+++ b/crates/sandtrack-sidecar/src/client.rs
@@ -185,7 +185,7 @@
             Next::Order(Order::More) => wanted = flows,
             Next::Order(Order::Close) => return abort(stream),
             Next::Order(Order::Retire) => retired = true,
-            Next::Order(Order::Ask { .. } | Order::Pass { .. } | Order::Begin) => {}
+            Next::Order(Order::Ask { .. } | Order::Pass { .. } | Order::Begin | Order::Withdraw) => {}
             Next::Read(0) | Next::Broken => {
                 // Told at once, while the socket is still held: the request has lost its client.
                 return;
--- a/crates/sandtrack-sidecar/src/net.rs
+++ b/crates/sandtrack-sidecar/src/net.rs
@@ -40,6 +40,8 @@
     Begin,
     /// The next piece of a body that flows is wanted: to an upstream of its answer, to a client of its request.
     More,
+    /// To an upstream: what was asked last is not to be begun, if it has not been yet.
+    Withdraw,
     Close,
 }
 
--- a/crates/sandtrack-sidecar/src/program.rs
+++ b/crates/sandtrack-sidecar/src/program.rs
@@ -271,6 +271,7 @@
             Effect::Pass { conn, bytes, last } => order(&tasks.upstreams, conn, Order::Pass { bytes, last }),
             Effect::MoreClient { conn } => order(&tasks.clients, conn, Order::More),
             Effect::CloseUpstream { conn } => order(&tasks.upstreams, conn, Order::Close),
+            Effect::Withdraw { conn } => order(&tasks.upstreams, conn, Order::Withdraw),
             Effect::Watch { call, address, after } => tasks.watch(call, address, after),
             Effect::CloseWatch { call } => order(&tasks.watches, call, Order::Close),
             Effect::AnswerAdmin { conn, bytes } => {
--- a/crates/sandtrack-sidecar/src/upstream.rs
+++ b/crates/sandtrack-sidecar/src/upstream.rs
@@ -42,9 +42,9 @@
     loop {
         let count = match next(&stream, &mut input, orders, !paused).await {
             Next::Order(Order::Ask { bytes, streamed, more }) => {
-                // Called off in the same moment, as its client had left before it was read: nothing is written. No other
-                // order follows this one before something of it is told.
-                if matches!(orders.try_recv(), Ok(Order::Close)) {
+                // Its client had left before that was read, or leaves in this moment: nothing is written. No other order
+                // follows this one before something of it is told.
+                if matches!(orders.try_recv(), Ok(Order::Withdraw | Order::Close)) {
                     return;
                 }
                 // The other side may have closed it while it stood idle: nothing is written then, and the
--- a/crates/sandtrack-sidecar/tests/common/scripted.rs
+++ b/crates/sandtrack-sidecar/tests/common/scripted.rs
@@ -1,7 +1,7 @@
 //! Stand-ins that wait for a cue, and the built sidecar between them: an order of events that comes once in a million
 //! requests is made to come each time. They decide nothing by themselves but the answers to probes.
 use crate::common::{self, config, free_address, listener};
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::{kill_process, waitpid, Pid, Signal, WaitOptions};
 use serde_json::Value;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -51,6 +51,17 @@
         command.spawn().unwrap()
     }
 
+    /// Stops it, and waits until it does nothing more: what comes from now on, it finds all at once.
+    pub fn stop(&self) {
+        self.signal(Signal::STOP);
+        let pid = Pid::from_raw(self.process.id() as i32).unwrap();
+        waitpid(Some(pid), WaitOptions::UNTRACED).unwrap();
+    }
+
+    pub fn go_on(&self) {
+        self.signal(Signal::CONT);
+    }
+
     pub fn wait_until_it_listens(&self) {
         let until = Instant::now() + PATIENCE;
         while TcpStream::connect(&self.address).is_err() {
--- a/crates/sandtrack-sidecar/tests/races.rs
+++ b/crates/sandtrack-sidecar/tests/races.rs
@@ -141,10 +141,14 @@
 /// and called off right behind, however long ago its client had left.
 #[test]
 fn a_request_whose_client_had_left_before_it_was_read_is_not_sent_on() {
-    let (sidecar, upstream, _watch) = before_one("left-unread", |_| {});
-    for left_by_reset in [false, true] {
-        for class in ["read", "set", "pay"] {
-            sidecar.signal(Signal::STOP);
+    for cancel in [true, false] {
+        let (sidecar, upstream, _watch) = before_one(&format!("left-unread-{cancel}"), |config| {
+            config["settings"]["limits"]["cancel"] = cancel.into();
+        });
+        for (class, left_by_reset) in
+            [("read", false), ("set", false), ("pay", false), ("read", true), ("set", true), ("pay", true)]
+        {
+            sidecar.stop();
             let mut client = sidecar.connect();
             let left = request(class, 5000, "");
             send(&mut client, &left);
@@ -155,13 +159,13 @@
                 drop(stream);
             }
             std::thread::sleep(Duration::from_millis(30));
-            sidecar.signal(Signal::CONT);
+            sidecar.go_on();
             // One that comes behind it is served.
             let mut client = sidecar.connect();
             let next = request("pay", 5000, "");
             send(&mut client, &next);
             let got = upstream.next(PATIENCE).expect("the next one");
-            assert_eq!(got.id, next.0, "{class}, by reset: {left_by_reset}");
+            assert_eq!(got.id, next.0, "{class}, by reset: {left_by_reset}, cancel: {cancel}");
             got.answer("served");
             assert_eq!(answer(&mut client).unwrap().0, 200);
             std::thread::sleep(Duration::from_millis(20));
@@ -317,12 +321,12 @@
         last.answer("served");
         assert_eq!(answer(&mut client).unwrap().0, 200);
         std::thread::sleep(Duration::from_millis(30));
-        sidecar.signal(Signal::STOP);
+        sidecar.stop();
         last.stream.shutdown(std::net::Shutdown::Both).unwrap();
         let asked = request(class, 5000, "");
         send(&mut client, &asked);
         std::thread::sleep(Duration::from_millis(20));
-        sidecar.signal(Signal::CONT);
+        sidecar.go_on();
         let got = upstream.next(PATIENCE).expect("on another connection");
         assert_eq!(got.id, asked.0);
         got.answer("served");
@@ -395,9 +399,9 @@
             sidecar.signal(Signal::TERM);
             let left = Duration::from_millis(2400 - 3 - 4).saturating_sub(began.elapsed());
             std::thread::sleep(left);
-            sidecar.signal(Signal::STOP);
+            sidecar.stop();
             std::thread::sleep(Duration::from_millis(60));
-            sidecar.signal(Signal::CONT);
+            sidecar.go_on();
             let status = answer(&mut client).map(|(status, ..)| status);
             (status, sidecar.process.wait().unwrap().code())
         })
--- a/crates/sandtrack-sidecar/tests/reducer.rs
+++ b/crates/sandtrack-sidecar/tests/reducer.rs
@@ -221,6 +221,10 @@
                     );
                 }
                 Effect::CloseUpstream { conn } => self.links.get_mut(&conn).expect("a link").closing = true,
+                Effect::Withdraw { conn } => {
+                    let carries = self.links[&conn].carries.expect("only what was ordered is withdrawn");
+                    assert!(self.calls[&carries].client_left, "only if its client has left");
+                }
                 Effect::Watch { call, address, after } => {
                     assert!(self.watch.is_none(), "one watch at a time");
                     assert_eq!(address.to_string(), self.discovery);
