--- a/crates/sandtrack-core/src/reducer/lists.rs
+++ b/crates/sandtrack-core/src/reducer/lists.rs
@@ -102,8 +102,9 @@
         }
         self.watch = None;
         self.timers.clear(Timer::WatchSilent);
-        tracing::warn!(?how, "watch broken");
-        if how == Broken::Silent && (self.watch_heard || self.pushed) {
+        let silent = how == Broken::Silent;
+        tracing::warn!(how = if silent { "silent" } else { "ended" }, "watch broken");
+        if silent && (self.watch_heard || self.pushed) {
             self.subscribe();
         } else if self.pushed {
             let gap = (self.settings.rules.drain_grace * REOPEN).clamp(REOPEN_RANGE[0], REOPEN_RANGE[1]);
