A stop in the tests of rare orders is taken note of, so that the next is not mistaken for it

Seen: in ten turns beside eight busy loops one failed (had_left..., the next request not sent); a stop read without taking it left the next one unawaited. The cause of that one failure was not seen directly, as it did not come again; its message now tells the answer.

--- a/crates/sandtrack-sidecar/tests/common/scripted.rs
+++ b/crates/sandtrack-sidecar/tests/common/scripted.rs
@@ -59,9 +59,13 @@
     pub fn stop(&self) {
         self.signal(Signal::STOP);
         let pid = Pid::from_raw(self.process.id() as i32).unwrap();
-        // One that has ended by then is not reaped here.
-        let stopped = WaitIdOptions::STOPPED | WaitIdOptions::EXITED | WaitIdOptions::NOWAIT;
-        waitid(WaitId::Pid(pid), stopped).unwrap();
+        // The stop is taken note of, so that the next one is not mistaken for it; one that has ended is not reaped here.
+        let is = |state| {
+            waitid(WaitId::Pid(pid), state | WaitIdOptions::NOHANG).is_ok_and(|found| found.is_some())
+        };
+        while !is(WaitIdOptions::STOPPED) && !is(WaitIdOptions::EXITED | WaitIdOptions::NOWAIT) {
+            std::thread::sleep(Duration::from_micros(200));
+        }
     }
 
     pub fn go_on(&self) {
--- a/crates/sandtrack-sidecar/tests/races.rs
+++ b/crates/sandtrack-sidecar/tests/races.rs
@@ -164,7 +164,8 @@
             let mut client = sidecar.connect();
             let next = request("pay", 5000, "");
             send(&mut client, &next);
-            let got = upstream.next(PATIENCE).expect("the next one");
+            let got =
+                upstream.next(PATIENCE).unwrap_or_else(|| panic!("not sent: {:?}", answer(&mut client)));
             assert_eq!(got.id, next.0, "{class}, by reset: {left_by_reset}, cancel: {cancel}");
             got.answer("served");
             assert_eq!(answer(&mut client).unwrap().0, 200);
