--- a/src/rules.rs
+++ b/src/rules.rs
@@ -689,7 +689,7 @@
         None
     }
 
-    /// Rule 2: whether an attempt here cannot make an effect happen twice, as late as its connection may come up.
+    /// Rule 2: whether an attempt here can make no effect happen twice, as late as its connection comes up.
     fn in_group(&self, request: &Request, place: usize, now: Millis) -> bool {
         let (own, late) = (&self.fleet[place].entry, self.settings.limits.connect_timeout);
         match self.settings.classes[request.arrival.class.0].effect {
