--- /dev/null
+++ b/crates/sandtrack-clerk/src/lib.rs
@@ -0,0 +1,1 @@
+//! The command line for operators.
--- /dev/null
+++ b/crates/sandtrack-courier/src/lib.rs
@@ -0,0 +1,1 @@
+//! The data plane of the system: carries requests and their streams to upstreams.
--- /dev/null
+++ b/crates/sandtrack-ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! An append-only file of checksummed records, rewritten when it gets long.
--- /dev/null
+++ b/crates/sandtrack-postmaster/src/lib.rs
@@ -0,0 +1,1 @@
+//! The control plane: configuration, membership, the list of upstreams, the directory.
--- /dev/null
+++ b/crates/sandtrack-postmaster/src/main.rs
@@ -0,0 +1,2 @@
+//! The program; all of it is in the library.
+fn main() {}
