--- /dev/null
+++ b/crates/sandtrack-postmark/src/configuration.rs
@@ -0,0 +1,237 @@
+//! What a configuration means: routes, services and limits, read and checked from a [`Document`].
+use crate::codes;
+use crate::document::{Document, Invalid, Item};
+use simd_json::prelude::*;
+use simd_json::OwnedValue;
+use std::collections::{HashMap, HashSet};
+
+/// What may be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    ReadOnly,
+    Mutating,
+    Streaming,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    pub name: String,
+    pub host: String,
+    pub path_prefix: String,
+    pub kind: Kind,
+    /// The longest that a request is held, in ms.
+    pub timeout_ms: f64,
+    /// Within this an answer earns its full worth, in ms.
+    pub target_latency_ms: f64,
+    /// 0 is the most urgent.
+    pub priority: u32,
+    /// Services with their weights, of which one at least is above 0.
+    pub split: Vec<(String, f64)>,
+    /// The largest number of upstreams that one try is sent to.
+    pub attempts: u32,
+    pub sticky_sessions: bool,
+    pub resumable: bool,
+    /// The longest pause between events that is in time, in ms; `None` where the route does not say.
+    pub gap_aim_ms: Option<f64>,
+    /// Empty: any region.
+    pub home_regions: Vec<String>,
+}
+
+impl Route {
+    /// Whether a request of this route may run more than once.
+    pub fn is_idempotent(&self) -> bool {
+        match self.kind {
+            Kind::ReadOnly => true,
+            Kind::Mutating => false,
+            Kind::Streaming => self.resumable,
+        }
+    }
+}
+
+/// What a service's upstreams are, where they serve a language model.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Engine {
+    pub slots: u32,
+    pub cache_capacity_tokens: u64,
+    /// Tokens an event.
+    pub stride: u32,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    pub name: String,
+    pub health_path: String,
+    /// Connections that one upstream takes from all callers together.
+    pub connection_limit: u32,
+    /// Seconds for which one is cold after its start, and what it bears meanwhile, in requests a second.
+    pub cold_start_s: f64,
+    pub cold_rate_s: f64,
+    pub engine: Option<Engine>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    pub header_size_bytes: usize,
+    pub body_size_bytes: usize,
+    pub header_timeout_ms: f64,
+    pub idle_timeout_ms: f64,
+}
+
+/// A checked configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Configuration {
+    pub version: u64,
+    pub routes: Vec<Route>,
+    pub services: Vec<Service>,
+    pub limits: Limits,
+}
+
+fn bad(list: &str, item: &Item, field: &str) -> Invalid {
+    Invalid::new(codes::CONFIGURATION_FIELD, format!("{list} `{}`.{field}", item.name))
+}
+
+fn number(value: &OwnedValue, field: &str) -> Option<f64> {
+    value.get(field).and_then(ValueAsScalar::cast_f64).filter(|number| number.is_finite() && *number >= 0.0)
+}
+
+fn route(item: &Item) -> Result<Route, Invalid> {
+    let value = &item.value;
+    let wrong = |field: &str| bad("routes", item, field);
+    let text = |field: &str| value.get_str(field).map(str::to_owned).ok_or_else(|| wrong(field));
+    let prefix = text("path_prefix")?;
+    if !prefix.starts_with('/') || !prefix.ends_with('/') {
+        return Err(Invalid::new(codes::BAD_PREFIX, format!("routes `{}`.path_prefix", item.name)));
+    }
+    let timeout = number(value, "timeout_ms").ok_or_else(|| wrong("timeout_ms"))?;
+    if timeout <= 0.0 {
+        return Err(Invalid::new(codes::NO_TIMEOUT, format!("routes `{}`.timeout_ms", item.name)));
+    }
+    let kind = match value.get_str("kind") {
+        Some("read_only") => Kind::ReadOnly,
+        Some("streaming") => Kind::Streaming,
+        // Whatever else it is, it may run once: the careful reading.
+        Some(_) => Kind::Mutating,
+        None => return Err(wrong("kind")),
+    };
+    let mut split = Vec::new();
+    if let Some(parts) = value.get_array("weighted_split") {
+        for part in parts.iter() {
+            let service = part.get_str("service").ok_or_else(|| wrong("weighted_split"))?;
+            let weight = number(part, "weight").ok_or_else(|| wrong("weighted_split"))?;
+            split.push((service.to_owned(), weight));
+        }
+    } else {
+        split.push((text("service")?, 1.0));
+    }
+    if split.iter().map(|(_, weight)| weight).sum::<f64>() <= 0.0 {
+        return Err(Invalid::new(codes::NO_WEIGHT, format!("routes `{}`.weighted_split", item.name)));
+    }
+    let homes = value.get_array("home_regions").map(|homes| homes.iter()).into_iter().flatten();
+    Ok(Route {
+        name: item.name.clone(),
+        host: text("host")?.to_ascii_lowercase(),
+        path_prefix: prefix,
+        kind,
+        timeout_ms: timeout,
+        target_latency_ms: number(value, "target_latency_ms").unwrap_or(timeout),
+        priority: number(value, "priority").unwrap_or(5.0) as u32,
+        split,
+        attempts: (number(value, "attempts").unwrap_or(1.0) as u32).max(1),
+        sticky_sessions: value.get_bool("sticky_sessions").unwrap_or(false),
+        resumable: value.get_bool("resumable").unwrap_or(false),
+        gap_aim_ms: number(value, "gap_aim_ms"),
+        home_regions: homes.filter_map(|home| home.as_str().map(str::to_owned)).collect(),
+    })
+}
+
+fn service(item: &Item) -> Result<Service, Invalid> {
+    let value = &item.value;
+    let engine = value.get("engine").filter(|engine| engine.as_object().is_some());
+    Ok(Service {
+        name: item.name.clone(),
+        health_path: value
+            .get_str("health_path")
+            .ok_or_else(|| bad("services", item, "health_path"))?
+            .to_owned(),
+        connection_limit: number(value, "connection_limit").unwrap_or(100.0) as u32,
+        cold_start_s: number(value, "cold_start_s").unwrap_or(0.0),
+        cold_rate_s: number(value, "cold_rate_s").unwrap_or(0.0),
+        engine: engine.map(|engine| Engine {
+            slots: number(engine, "slots").unwrap_or(1.0) as u32,
+            cache_capacity_tokens: number(engine, "cache_capacity_tokens").unwrap_or(0.0) as u64,
+            stride: number(engine, "stride").unwrap_or(1.0) as u32,
+        }),
+    })
+}
+
+impl Configuration {
+    /// Reads and checks a document.
+    ///
+    /// # Errors
+    /// The first thing that makes it invalid (PROTOCOL.md), with its place.
+    pub fn read(document: &Document) -> Result<Configuration, Invalid> {
+        let routes: Vec<Route> =
+            document.list("routes").unwrap_or_default().iter().map(route).collect::<Result<_, _>>()?;
+        let services: Vec<Service> =
+            document.list("services").unwrap_or_default().iter().map(service).collect::<Result<_, _>>()?;
+        let known: HashSet<&str> = services.iter().map(|service| service.name.as_str()).collect();
+        let mut places: HashMap<(&str, &str), &str> = HashMap::new();
+        for route in &routes {
+            if let Some((missing, _)) =
+                route.split.iter().find(|(service, _)| !known.contains(service.as_str()))
+            {
+                let place = format!("routes `{}`: service `{missing}`", route.name);
+                return Err(Invalid::new(codes::UNKNOWN_SERVICE, place));
+            }
+            if let Some(other) = places.insert((&route.host, &route.path_prefix), &route.name) {
+                return Err(Invalid::new(
+                    codes::SAME_PLACE,
+                    format!("routes `{other}` and `{}`", route.name),
+                ));
+            }
+        }
+        shared_keys(document)?;
+        let limits = document.field("limits");
+        let limit =
+            |field: &str, default: f64| limits.and_then(|limits| number(limits, field)).unwrap_or(default);
+        Ok(Configuration {
+            version: document.version,
+            limits: Limits {
+                header_size_bytes: limit("header_size_bytes", 16384.0) as usize,
+                body_size_bytes: limit("body_size_bytes", 4_194_304.0) as usize,
+                header_timeout_ms: limit("header_timeout_ms", 3000.0),
+                idle_timeout_ms: limit("idle_timeout_ms", 15000.0),
+            },
+            routes,
+            services,
+        })
+    }
+
+    /// The route of a host and path: the longest prefix that begins the path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = host.to_ascii_lowercase();
+        let matching =
+            self.routes.iter().filter(|route| route.host == host && path.starts_with(&route.path_prefix));
+        matching.max_by_key(|route| route.path_prefix.len())
+    }
+
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.iter().find(|service| service.name == name)
+    }
+}
+
+/// No two items of a list may have a key in common (`key`, `keys`).
+fn shared_keys(document: &Document) -> Result<(), Invalid> {
+    for (list, items) in &document.lists {
+        let mut keys = HashSet::new();
+        for item in items {
+            let many = item.value.get_array("keys").map(|keys| keys.iter()).into_iter().flatten();
+            for key in item.value.get("key").into_iter().chain(many).filter_map(|key| key.as_str()) {
+                if !keys.insert(key.to_owned()) {
+                    return Err(Invalid::new(codes::SHARED_KEY, format!("{list} `{}`", item.name)));
+                }
+            }
+        }
+    }
+    Ok(())
+}
--- a/crates/sandtrack-postmark/src/lib.rs
+++ b/crates/sandtrack-postmark/src/lib.rs
@@ -1,1 +1,8 @@
-//! What the processes of the system share: settings, the operator's configuration, frames, result codes, logs.
+//! What the processes of the system share: the settings of a process, the operator's configuration, the frames between
+//! the system's own processes, numbered result codes, and logs.
+pub mod codes;
+pub mod configuration;
+pub mod document;
+pub mod frames;
+pub mod logs;
+pub mod settings;
