courier: the data plane of the system, thin: sessions, placement, streams, probes, pool

Carries a request from the client to an upstream of its route's service by the design's ordinary path (sandtrack_tiers). The sidecar's HTTP parser takes a bound of its own for heads (the configuration allows 16 KiB).

--- /dev/null
+++ b/crates/sandtrack-courier/src/events.rs
@@ -0,0 +1,79 @@
+//! Pieces of a stream of events (`text/event-stream`): only whole events are passed on, so that a stream that breaks can be
+//! taken up elsewhere, and none comes twice or out of order. Pure.
+
+/// Splits a stream into whole events.
+#[derive(Debug, Default)]
+pub struct Scanner {
+    held: Vec<u8>,
+    /// Id of the last event that was passed on.
+    last: Option<u64>,
+}
+
+/// What a piece of a stream came to.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Scanned {
+    /// Whole events, to be passed on as they are; may be empty.
+    Events(Vec<u8>),
+    /// An id did not rise, or one is missing: the stream is spoilt from here on.
+    Spoilt(Vec<u8>),
+}
+
+impl Scanner {
+    /// Takes bytes as they came.
+    pub fn push(&mut self, bytes: &[u8]) -> Scanned {
+        self.held.extend_from_slice(bytes);
+        let mut whole = 0;
+        while let Some(end) = end_of_event(&self.held[whole..]) {
+            let event = &self.held[whole..whole + end];
+            if let Some(id) = id_of(event) {
+                // One that goes on from another upstream's has the next id, whatever step they take.
+                if self.last.is_some_and(|last| id <= last) {
+                    return Scanned::Spoilt(self.held.drain(..whole).collect());
+                }
+                self.last = Some(id);
+            }
+            whole += end;
+        }
+        Scanned::Events(self.held.drain(..whole).collect())
+    }
+
+    /// Bytes that are no whole event yet.
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+
+    /// What is left at the end of the body.
+    pub fn rest(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.held)
+    }
+
+    /// The stream goes on from another upstream: what was begun is dropped.
+    pub fn resume(&mut self) {
+        self.held.clear();
+    }
+
+    /// Id of the last event that was passed on.
+    pub fn last_id(&self) -> Option<u64> {
+        self.last
+    }
+}
+
+/// Length of the first event with the empty line that ends it.
+fn end_of_event(bytes: &[u8]) -> Option<usize> {
+    let mut from = 0;
+    while let Some(at) = bytes[from..].iter().position(|byte| *byte == b'\n') {
+        let line_end = from + at + 1;
+        match bytes[line_end..] {
+            [b'\n', ..] => return Some(line_end + 1),
+            [b'\r', b'\n', ..] => return Some(line_end + 2),
+            _ => from = line_end,
+        }
+    }
+    None
+}
+
+fn id_of(event: &[u8]) -> Option<u64> {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/sandtrack-courier/src/exchange.rs
@@ -0,0 +1,81 @@
+//! One request on one connection to an upstream: writes it, and reads the answer's parts.
+use crate::errand::Errand;
+use crate::pool::Connection;
+use async_io::Timer;
+use futures_lite::future;
+use sandtrack_core::message;
+use sandtrack_sidecar::http::Part;
+use sandtrack_sidecar::net::{read_into, write_within, Clock};
+use sandtrack_sidecar::ring::Ring;
+use sandtrack_tiers::Millis;
+use std::time::Duration;
+
+/// Why an exchange came to nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Broke {
+    /// The connection ended or broke.
+    Connection,
+    /// What came is no answer, or not the answer to this request.
+    Spoilt,
+}
+
+/// What came of waiting for a part.
+#[derive(Debug)]
+pub enum Waited {
+    Part(Part),
+    Broke(Broke),
+    /// The time to wait is over.
+    Time,
+}
+
+/// The request as it is written to an upstream: unchanged but for what concerns one connection.
+pub fn written(errand: &Errand, identifier: &str, left: Millis, last_event: Option<u64>) -> Vec<u8> {
+    const OWN: [&str; 4] = ["deadline-remaining", "expected-instance", "priority", "expect"];
+    let own = |name: &str| {
+        OWN.iter().any(|own| name.eq_ignore_ascii_case(own))
+            || last_event.is_some() && name.eq_ignore_ascii_case("last-event-id")
+    };
+    let kept = errand.headers.iter().filter(|(name, _)| !own(name));
+    let kept = kept.map(|(name, value)| (name.as_str(), value.as_str()));
+    let left = format!("{}", left.floor().max(1.0));
+    let priority = errand.route.priority.min(9).to_string();
+    let last_event = last_event.map(|id| id.to_string());
+    let added = [("Deadline-Remaining", left.as_str()), ("Expected-Instance", identifier)];
+    let urgency = errand.prefix.first().map(|_| ("Priority", priority.as_str()));
+    let resumed = last_event.as_deref().map(|id| ("Last-Event-Id", id));
+    let headers = kept.chain(added).chain(urgency).chain(resumed);
+    message::request(&errand.method, &errand.target, headers, &errand.body)
+}
+
+/// Writes the request; whether all of it was taken within `patience` ms.
+pub async fn ask(connection: &Connection, bytes: &[u8], patience: Millis) -> bool {
+    let mut output = Ring::new(bytes.len());
+    let patience = Duration::from_secs_f64(patience.max(1.0) / 1000.0);
+    output.push(bytes) && write_within(&connection.stream, &mut output, patience).await
+}
+
+/// The next part of the answer, waited for until `until`.
+pub async fn next(connection: &mut Connection, clock: Clock, until: Millis) -> Waited {
+    loop {
+        match connection.parser.next(&mut connection.input) {
+            Ok(Some(part)) => return Waited::Part(part),
+            Err(_) => return Waited::Broke(Broke::Spoilt),
+            Ok(None) => {}
+        }
+        let read = async { Some(read_into(&connection.stream, &mut connection.input).await) };
+        let late = async {
+            Timer::at(clock.at(until)).await;
+            None
+        };
+        match future::or(read, late).await {
+            None => return Waited::Time,
+            Some(Ok(0)) => {
+                if !connection.parser.ended(&connection.input) {
+                    return Waited::Broke(Broke::Connection);
+                }
+            }
+            Some(Ok(_)) => {}
+            Some(Err(_)) => return Waited::Broke(Broke::Connection),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sandtrack-courier/src/front.rs
@@ -0,0 +1,261 @@
+//! Clients' connections: reads one request after another and has each carried. It owns those sockets.
+use crate::carry::{carry, own_answer};
+use crate::errand::{Errand, Refused};
+use crate::program::Shared;
+use async_io::{Async, Timer};
+use futures_lite::future;
+use sandtrack_core::message::Head;
+use sandtrack_postmark::codes;
+use sandtrack_sidecar::client::linger;
+use sandtrack_sidecar::http::{take_expectation, Bad, Parser, Part, Side, CONTINUE};
+use sandtrack_sidecar::net::{has_left, no_delay, read_into, write_within};
+use sandtrack_sidecar::ring::Ring;
+use sandtrack_tiers::Millis;
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How often it is looked whether a client is still there while its bytes are not read.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// After this process was told to stop, an idle connection is kept so long for what its client has on the way, in ms.
+const LEAVING_IDLE: Millis = 1500.0;
+/// Until a configuration says otherwise.
+const HEAD_MAX: usize = 16 * 1024;
+const BODY_MAX: usize = 4 << 20;
+const IDLE: Millis = 15_000.0;
+const HEAD_TIME: Millis = 3_000.0;
+
+/// Accepts until the listener is told to stop (the sender of `stop` is closed).
+pub async fn accept(shared: Rc<Shared>, listener: Async<TcpListener>, stop: async_channel::Receiver<()>) {
+    loop {
+        let stopped = async {
+            let _ = stop.recv().await;
+            None
+        };
+        match future::or(async { Some(listener.accept().await) }, stopped).await {
+            None => return,
+            Some(Ok((stream, _))) => {
+                let serving = shared.clone();
+                shared.executor.spawn(async move { serve(serving, stream).await }).detach();
+                future::yield_now().await;
+            }
+            Some(Err(_)) => {
+                Timer::after(Duration::from_millis(5)).await;
+            }
+        }
+    }
+}
+
+/// What reading came to.
+enum Came {
+    Request(Head, Vec<u8>, Millis),
+    /// It is refused: status and what of it.
+    Bad(u16, codes::Code),
+    /// The connection is over.
+    Ended,
+}
+
+struct Limits {
+    head: usize,
+    body: usize,
+    idle: Millis,
+    head_time: Millis,
+}
+
+fn limits(shared: &Shared) -> Limits {
+    let office = shared.office.borrow();
+    let limits = office.configuration.as_ref().map(|configuration| &configuration.limits);
+    Limits {
+        head: limits.map_or(HEAD_MAX, |limits| limits.header_size_bytes),
+        body: limits.map_or(BODY_MAX, |limits| limits.body_size_bytes),
+        idle: limits.map_or(IDLE, |limits| limits.idle_timeout_ms),
+        head_time: limits.map_or(HEAD_TIME, |limits| limits.header_timeout_ms),
+    }
+}
+
+async fn serve(shared: Rc<Shared>, stream: Async<TcpStream>) {
+    no_delay(&stream);
+    shared.connections.set(shared.connections.get() + 1);
+    let _count = Counted(shared.clone());
+    let head_max = limits(&shared).head;
+    let mut input = Ring::new(2 * head_max.max(8192));
+    let mut parser = Parser::with_head_max(Side::Request, head_max);
+    loop {
+        let came = read(&shared, &stream, &mut parser, &mut input).await;
+        let (head, body, arrived) = match came {
+            Came::Ended => return,
+            Came::Bad(status, why) => {
+                own_answer(&stream, status, "", None, why, true).await;
+                return linger(&stream).await;
+            }
+            Came::Request(head, body, arrived) => (head, body, arrived),
+        };
+        let close = !head.keep_alive || shared.office.borrow().leaving;
+        let id = head.headers.get("request-id").unwrap_or_default().to_owned();
+        let decoded = {
+            let mut office = shared.office.borrow_mut();
+            let draw = office.toss();
+            match office.configuration.clone() {
+                None => Err(Refused(503, codes::NO_CONFIGURATION)),
+                Some(configuration) => Errand::decode(&configuration, head, body, arrived, draw),
+            }
+        };
+        let open = match decoded {
+            Err(Refused(status, why)) => {
+                let again = (status == 503).then_some("0.2");
+                own_answer(&stream, status, &id, again, why, close).await && !close
+            }
+            Ok(errand) => {
+                shared.open(1);
+                let _open = OpenRequest(shared.clone());
+                let gone = async {
+                    gone(&stream, &mut input).await;
+                    false
+                };
+                let close_now = close;
+                future::or(gone, carry(&shared, &errand, &stream, close_now)).await
+            }
+        };
+        if !open {
+            return linger(&stream).await;
+        }
+    }
+}
+
+struct Counted(Rc<Shared>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
+struct OpenRequest(Rc<Shared>);
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open(-1);
+    }
+}
+
+/// Returns once the client is gone. What it sends meanwhile waits.
+async fn gone(stream: &Async<TcpStream>, input: &mut Ring) {
+    while input.room() > 0 {
+        match read_into(stream, input).await {
+            Ok(count) if count > 0 => {}
+            _ => return,
+        }
+    }
+    while !has_left(stream) {
+        Timer::after(LOOK_EVERY).await;
+    }
+}
+
+/// Reads the next request whole.
+async fn read(shared: &Shared, stream: &Async<TcpStream>, parser: &mut Parser, input: &mut Ring) -> Came {
+    let limits = limits(shared);
+    let clock = shared.clock;
+    let began = clock.now();
+    let mut first_byte: Option<Millis> = None;
+    let mut head: Option<(Head, Millis)> = None;
+    let mut body = Vec::new();
+    loop {
+        match parser.next(input) {
+            Ok(Some(Part::Head(mut next))) => {
+                if take_expectation(&mut next) {
+                    let mut output = Ring::new(CONTINUE.len());
+                    if !output.push(CONTINUE) || !write_within(stream, &mut output, LOOK_EVERY).await {
+                        return Came::Ended;
+                    }
+                }
+                head = Some((next, clock.now()));
+                continue;
+            }
+            Ok(Some(Part::Data(data))) => {
+                body.extend(data);
+                if body.len() > limits.body {
+                    return Came::Bad(413, codes::TOO_LARGE);
+                }
+                continue;
+            }
+            Ok(Some(Part::End)) => {
+                let Some((head, arrived)) = head else { return Came::Bad(400, codes::MALFORMED) };
+                return Came::Request(head, body, arrived);
+            }
+            Ok(None) => {}
+            Err(bad) => {
+                let why = if bad == Bad::Malformed { codes::MALFORMED } else { codes::TOO_LARGE };
+                return Came::Bad(bad.status(), why);
+            }
+        }
+        let within = parser.within(input);
+        if within && first_byte.is_none() {
+            first_byte = Some(clock.now());
+        }
+        let until = match (first_byte, &head) {
+            (None, _) => began + limits.idle,
+            (Some(at), None) => at + limits.head_time,
+            (Some(at), Some(_)) => at + 4.0 * limits.head_time.max(5000.0),
+        };
+        let read = async { Some(read_into(stream, input).await) };
+        let late = async {
+            if within {
+                Timer::at(clock.at(until)).await;
+                return None;
+            }
+            // An idle connection ends soon after this process was told to stop.
+            let leaving = async {
+                let _ = shared.left.recv().await;
+                Timer::after(Duration::from_secs_f64(LEAVING_IDLE / 1000.0)).await;
+            };
+            let idle = async {
+                Timer::at(clock.at(until)).await;
+            };
+            future::or(leaving, idle).await;
+            None
+        };
+        match future::or(read, late).await {
+            Some(Ok(count)) if count > 0 => {}
+            Some(_) => return Came::Ended,
+            None if within => return Came::Bad(408, codes::DEADLINE),
+            None => return Came::Ended,
+        }
+    }
+}
+
+/// The platform's own check: whether this process takes traffic.
+pub async fn readiness(shared: Rc<Shared>, listener: Async<TcpListener>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let checked = shared.clone();
+                shared.executor.spawn(async move { check(checked, stream).await }).detach();
+            }
+            Err(_) => {
+                Timer::after(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn check(shared: Rc<Shared>, stream: Async<TcpStream>) {
+    let mut input = Ring::new(HEAD_MAX);
+    let mut parser = Parser::new(Side::Request);
+    while let Came::Request(head, _, _) = read(&shared, &stream, &mut parser, &mut input).await {
+        let ready = shared.office.borrow().is_ready();
+        let (status, body): (u16, &[u8]) = match (head.target.as_str(), ready) {
+            ("/v1/readiness", true) => (200, b"{\"ready\":true}"),
+            ("/v1/readiness", false) => (503, b"{\"ready\":false}"),
+            _ => (404, b"{}"),
+        };
+        let headers = [("Content-Type", "application/json")].into_iter();
+        let bytes = sandtrack_core::message::response(status, headers, body, !head.keep_alive);
+        let mut output = Ring::new(bytes.len());
+        if !output.push(&bytes) || !write_within(&stream, &mut output, Duration::from_secs(1)).await {
+            return;
+        }
+        if !head.keep_alive {
+            return;
+        }
+    }
+}
--- a/crates/sandtrack-courier/src/lib.rs
+++ b/crates/sandtrack-courier/src/lib.rs
@@ -1,1 +1,19 @@
-//! The data plane of the system: carries requests and their streams to upstreams.
+//! The data plane of the system: takes clients' requests and carries each to an upstream of its route's service.
+//!
+//! What is decided is pure and apart from sockets: [`office`] (what is known, and where a request goes), [`budget`]
+//! (bounds that hold over all couriers), [`events`] (pieces of a stream). The rest owns sockets, one task each:
+//! [`front`] (clients), [`carry`] (one request), [`exchange`] and [`pool`] (upstream connections), [`probing`],
+//! [`session`] (the control plane), [`program`].
+pub mod budget;
+pub mod carry;
+pub mod errand;
+pub mod events;
+pub mod exchange;
+pub mod front;
+pub mod office;
+pub mod placement;
+pub mod pool;
+pub mod probing;
+pub mod program;
+pub mod session;
+pub mod upstreams;
--- a/crates/sandtrack-courier/src/main.rs
+++ b/crates/sandtrack-courier/src/main.rs
@@ -1,2 +1,4 @@
-//! The program; all of it is in the library.
-fn main() {}
+//! The courier's program; all of it is in the library.
+fn main() -> std::process::ExitCode {
+    sandtrack_courier::program::main()
+}
--- /dev/null
+++ b/crates/sandtrack-courier/src/office.rs
@@ -0,0 +1,303 @@
+//! The office: what a courier knows, folded from what the control plane, its probes and its sends tell. Decisions on it are
+//! in `placement`. Pure: time comes in, nothing is read or written here.
+use crate::budget::{share, RetryBudget};
+use crate::errand::{hash, mix, Errand};
+use crate::upstreams::{Load, Table};
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+use sandtrack_postmark::configuration::Configuration;
+use sandtrack_postmark::document::Document;
+use sandtrack_postmark::frames::{CourierState, ToCourier};
+use sandtrack_postmark::settings::{Bounds, Settings};
+use sandtrack_tiers::{next_probe, Millis, Tiers, GAP_MOST};
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+
+/// An upstream that turned a request away or failed one rests for so long, in ms (ours).
+const REST: Millis = 150.0;
+/// One that is suspected or unhealthy is probed this often, in ms (ours: two probes tell within a second).
+pub const SUSPECT_EVERY: Millis = 300.0;
+/// A couple of probes a minute short of the design's five seconds, so that timers that run late stay within.
+const PROBE_EVERY: Millis = GAP_MOST - 200.0;
+
+/// How a send ended, as far as the upstream is judged by it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    Answered,
+    /// It said that it is full, or another upstream has the address.
+    TurnedAway,
+    /// A 5xx of its own, or bytes that are no answer.
+    Faulty,
+    /// The connection failed or broke.
+    Broken,
+    /// This side gave it up: its client left, or its time was over.
+    GivenUp,
+}
+
+/// What came from the control plane that a courier must answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Folded {
+    Taken,
+    /// The change does not fit what is held: the whole configuration is wanted.
+    WantConfiguration,
+}
+
+pub struct Office {
+    pub zone: String,
+    pub region: String,
+    regions: std::collections::BTreeMap<String, String>,
+    pub bounds: Bounds,
+    /// Number of the last committed change that is in force here.
+    number: u64,
+    document: Option<Document>,
+    pub configuration: Option<Rc<Configuration>>,
+    pub upstreams: Table,
+    listed_once: bool,
+    evacuated_number: u64,
+    pub evacuated: HashSet<String>,
+    pub couriers: u32,
+    pub postmasters: Vec<String>,
+    tiers: HashMap<String, Tiers>,
+    retries: HashMap<String, RetryBudget>,
+    pub rng: Pcg32,
+    /// Tells couriers apart where a share is under one.
+    identity: u64,
+    pub leaving: bool,
+    pub open: u32,
+    /// Set when something changed that the control plane is told at once.
+    pub changed: bool,
+}
+
+impl Office {
+    pub fn new(settings: &Settings, seed: u64) -> Office {
+        Office {
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+            regions: settings.zones.clone(),
+            bounds: settings.bounds.clone(),
+            number: 0,
+            document: None,
+            configuration: None,
+            upstreams: Table::default(),
+            listed_once: false,
+            evacuated_number: 0,
+            evacuated: HashSet::new(),
+            // Until it is told better: more than most fleets have, so that shares are small.
+            couriers: 100,
+            postmasters: Vec::new(),
+            tiers: HashMap::new(),
+            retries: HashMap::new(),
+            rng: Pcg32::seed_from_u64(seed),
+            identity: hash(&settings.node_name),
+            leaving: false,
+            open: 0,
+            changed: false,
+        }
+    }
+
+    /// It has what it needs to serve.
+    pub fn is_ready(&self) -> bool {
+        self.configuration.is_some() && self.listed_once && !self.leaving
+    }
+
+    pub fn state(&self) -> CourierState {
+        let version = self.configuration.as_ref().map_or(0, |configuration| configuration.version);
+        CourierState { ready: self.is_ready(), leaving: self.leaving, version, open: self.open }
+    }
+
+    /// Takes what the control plane tells. Nothing goes back to a lower number.
+    pub fn fold(&mut self, now: Millis, frame: ToCourier) -> Folded {
+        match frame {
+            ToCourier::Configuration { number, document, .. } => {
+                if self.document.is_none() || number > self.number {
+                    match Document::parse(document.as_bytes()) {
+                        Ok(document) => return self.adopt(number, document),
+                        Err(invalid) => log::error!("a configuration from control can't be read: {invalid}"),
+                    }
+                }
+            }
+            ToCourier::Changes { from_number, number, version, items, fields } => {
+                if number > self.number {
+                    let held = self.document.as_ref().filter(|_| from_number == self.number);
+                    match held.map(|held| held.apply(version, &items, &fields)) {
+                        Some(Ok(document)) => return self.adopt(number, document),
+                        _ => return Folded::WantConfiguration,
+                    }
+                }
+            }
+            ToCourier::Evacuated { number, zones } => {
+                if number >= self.evacuated_number {
+                    self.evacuated_number = number;
+                    self.evacuated = zones.into_iter().collect();
+                }
+            }
+            ToCourier::Upstreams { whole, entries, gone, .. } => {
+                self.changed |= !self.listed_once;
+                self.listed_once = true;
+                if whole {
+                    let named: HashSet<&str> =
+                        entries.iter().map(|entry| entry.identifier.as_str()).collect();
+                    let listed: Vec<usize> = self.upstreams.listed().collect();
+                    for place in listed {
+                        if !named.contains(self.upstreams.get(place).entry.identifier.as_str()) {
+                            self.upstreams.get_mut(place).listed = false;
+                        }
+                    }
+                }
+                for entry in entries {
+                    let region = self.regions.get(&entry.zone).cloned().unwrap_or_default();
+                    self.upstreams.list(entry, &region, now);
+                }
+                for identifier in gone {
+                    self.upstreams.gone(&identifier);
+                }
+                self.upstreams.sweep();
+            }
+            ToCourier::Census { postmasters, couriers, .. } => {
+                self.couriers = couriers.max(1);
+                self.postmasters = postmasters;
+            }
+            ToCourier::Welcome { .. } | ToCourier::Beat { .. } => {}
+        }
+        Folded::Taken
+    }
+
+    fn adopt(&mut self, number: u64, document: Document) -> Folded {
+        match Configuration::read(&document) {
+            Ok(configuration) => {
+                log::info!("configuration {} in force", configuration.version);
+                self.number = number;
+                self.document = Some(document);
+                self.configuration = Some(Rc::new(configuration));
+                self.changed = true;
+            }
+            Err(invalid) => log::error!("a configuration from control is invalid: {invalid}"),
+        }
+        Folded::Taken
+    }
+
+    /// Sends a second that a cold upstream gets from this courier at most.
+    pub fn cold_share(&self, place: usize) -> u32 {
+        let upstream = self.upstreams.get(place);
+        let service = self.configuration.as_ref().and_then(|all| all.service(&upstream.entry.service));
+        let rate = service.map_or(0.0, |service| service.cold_rate_s);
+        if rate <= 0.0 {
+            return u32::MAX;
+        }
+        let bound = rate * self.bounds.cold_overshoot + self.bounds.cold_slack;
+        share(bound, self.couriers, mix(self.identity ^ upstream.hash))
+    }
+
+    /// Connections to one upstream that this courier may hold.
+    pub fn connection_share(&self, place: usize) -> usize {
+        let service = self.upstreams.get(place).entry.service.as_str();
+        let service = self.configuration.as_ref().and_then(|all| all.service(service));
+        let limit = service.map_or(100.0, |service| f64::from(service.connection_limit));
+        ((limit * 0.9 / f64::from(self.couriers)) as usize).max(1)
+    }
+
+    /// A request for a service came.
+    pub fn came(&mut self, now: Millis, errand: &Errand) {
+        self.retries.entry(errand.service.clone()).or_default().request(now);
+    }
+
+    /// Whether the shared budget has one more send beyond the first; it is counted if so.
+    pub fn may_repeat(&mut self, now: Millis, service: &str) -> bool {
+        let bounds = &self.bounds;
+        let (span, ratio, slack) =
+            (bounds.retry_window_s * 1000.0, bounds.retry_budget_ratio, bounds.retry_budget_slack);
+        let budget = self.retries.entry(service.to_owned()).or_default();
+        budget.repeat(now, span, ratio, slack, self.couriers)
+    }
+
+    /// A request goes to an upstream.
+    pub fn sent(&mut self, place: usize) {
+        self.upstreams.get_mut(place).own += 1;
+    }
+
+    /// A send is over.
+    pub fn ended(&mut self, now: Millis, place: usize, ended: Ended) {
+        let upstream = self.upstreams.get_mut(place);
+        upstream.own = upstream.own.saturating_sub(1);
+        match ended {
+            Ended::Answered => upstream.run.succeeded(),
+            Ended::TurnedAway => upstream.rests_until = now + REST,
+            Ended::Faulty => upstream.rests_until = now + REST,
+            Ended::Broken => {
+                upstream.run.failed();
+                upstream.rests_until = now + REST;
+                upstream.next_probe = now;
+            }
+            Ended::GivenUp => {}
+        }
+        if !self.upstreams.get(place).listed {
+            self.upstreams.sweep();
+        }
+    }
+
+    /// An answer said how loaded its upstream is, or how long it stays cold.
+    pub fn told(&mut self, now: Millis, place: usize, load: Option<Load>, cold_ms: Option<Millis>) {
+        let upstream = self.upstreams.get_mut(place);
+        if let Some(load) = load {
+            upstream.told(load, now);
+        }
+        if let Some(cold) = cold_ms {
+            upstream.cold(cold, now);
+        }
+    }
+
+    /// Something at an upstream takes too long: it is probed at once.
+    pub fn suspect(&mut self, now: Millis, place: usize) {
+        let upstream = self.upstreams.get_mut(place);
+        upstream.next_probe = upstream.next_probe.min(now);
+    }
+
+    /// Upstreams to be probed now, with the path to ask; each is taken for being probed.
+    pub fn probes_due(&mut self, now: Millis) -> Vec<(usize, String, String)> {
+        let Some(configuration) = self.configuration.clone() else { return Vec::new() };
+        let due: Vec<usize> = self
+            .upstreams
+            .listed()
+            .filter(|place| {
+                let upstream = self.upstreams.get(*place);
+                !upstream.probing && !upstream.entry.draining && upstream.next_probe <= now
+            })
+            .collect();
+        let mut probes = Vec::new();
+        for place in due {
+            let upstream = self.upstreams.get_mut(place);
+            if let Some(service) = configuration.service(&upstream.entry.service) {
+                upstream.probing = true;
+                probes.push((place, upstream.entry.address.clone(), service.health_path.clone()));
+            }
+        }
+        probes
+    }
+
+    /// A probe was answered after `elapsed` ms, or failed (`None`).
+    pub fn probed(&mut self, now: Millis, place: usize, elapsed: Option<Millis>) {
+        let upstream = self.upstreams.get_mut(place);
+        upstream.probing = false;
+        match elapsed {
+            Some(elapsed) => {
+                upstream.average.sample(elapsed);
+                upstream.run.succeeded();
+            }
+            None => {
+                upstream.run.failed();
+            }
+        }
+        let gap = if upstream.run.is_empty() { PROBE_EVERY } else { SUSPECT_EVERY };
+        upstream.next_probe = next_probe(&mut self.rng, now, Some(now), gap);
+        let service = upstream.entry.service.clone();
+        let members: Vec<usize> = self
+            .upstreams
+            .listed()
+            .filter(|place| self.upstreams.get(*place).entry.service == service)
+            .collect();
+        self.tiers.entry(service).or_default().regroup(self.upstreams.all_mut(), members);
+        if !self.upstreams.get(place).listed {
+            self.upstreams.sweep();
+        }
+    }
+}
--- /dev/null
+++ b/crates/sandtrack-courier/src/placement.rs
@@ -0,0 +1,125 @@
+//! Where a request goes. The design's ordinary path (`sandtrack_tiers`): a random pick in the lowest tier that has an
+//! upstream which may take the send, less those far above the mean of own requests. What may take a send is this file's:
+//! home regions, evacuated zones, draining, cold budgets, room, and where a long prompt's shared parts already are. Pure.
+use crate::errand::{mix, Errand};
+use crate::office::Office;
+use rand::Rng;
+use sandtrack_tiers::{crowd_limit, ladder, lowest, Millis};
+
+/// A request is offered to an upstream or refused within this part of its aim (RULES.md: a quarter).
+pub const HOLD: f64 = 0.2;
+/// Shared parts of a prompt of this many tokens or more go where they are kept: fewer are read anew in less time than one
+/// request waits for another (ours).
+pub const KEPT_TOKENS: u64 = 1000;
+/// Beyond its slots an upstream queues so many times as many again before it is full (ours).
+const QUEUE: f64 = 0.5;
+/// Own requests at the one that keeps a prompt before the next one is looked at, beyond the mean.
+const HOME_SLACK: f64 = 2.0;
+
+/// Where a request goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Placed {
+    Send(usize),
+    /// None has room now; one may soon.
+    Wait,
+    /// None may take it at all, as far as is known.
+    None,
+}
+
+impl Office {
+    /// Whether upstream `place` may ever take it, as the list, orders and homes have it.
+    fn may_serve(&self, errand: &Errand, place: usize) -> bool {
+        let upstream = self.upstreams.get(place);
+        let entry = &upstream.entry;
+        let homes = &errand.route.home_regions;
+        upstream.listed
+            && !entry.draining
+            && entry.service == errand.service
+            && !self.evacuated.contains(&entry.zone)
+            && (homes.is_empty() || homes.contains(&upstream.region))
+            && errand
+                .model
+                .as_ref()
+                .is_none_or(|model| entry.models.is_empty() || entry.models.contains(model))
+    }
+
+    /// Places a request that was not yet at any of `tried`.
+    pub fn place(&mut self, now: Millis, errand: &Errand, tried: &[usize]) -> Placed {
+        let mut usable: Vec<usize> =
+            self.upstreams.listed().filter(|place| self.may_serve(errand, *place)).collect();
+        usable.sort_unstable();
+        if usable.is_empty() {
+            return Placed::None;
+        }
+        let fresh: Vec<usize> = usable.iter().copied().filter(|place| !tried.contains(place)).collect();
+        let usable = if fresh.is_empty() { usable } else { fresh };
+        let healthy: Vec<usize> =
+            usable.iter().copied().filter(|place| self.upstreams.get(*place).run.is_healthy()).collect();
+        // Where all look bad, the signs are more likely wrong than all of them dead.
+        let usable = if healthy.is_empty() { usable } else { healthy };
+        let able: Vec<usize> = usable.iter().copied().filter(|place| self.may_start(now, *place)).collect();
+        let roomy: Vec<usize> = able.iter().copied().filter(|place| self.room(now, *place, 0.0)).collect();
+        let roomy = if roomy.is_empty() {
+            able.iter().copied().filter(|place| self.room(now, *place, QUEUE)).collect()
+        } else {
+            roomy
+        };
+        let Some(place) = self.draw(now, errand, &roomy) else { return Placed::Wait };
+        let upstream = self.upstreams.get_mut(place);
+        if upstream.is_cold(now) {
+            upstream.cold_sends.note(now);
+        }
+        Placed::Send(place)
+    }
+
+    /// It does not rest, and bears one more while cold.
+    fn may_start(&mut self, now: Millis, place: usize) -> bool {
+        let share = self.cold_share(place);
+        let upstream = self.upstreams.get_mut(place);
+        if now < upstream.rests_until {
+            return false;
+        }
+        !upstream.is_cold(now) || (upstream.cold_sends.count(now, 1050.0) as u32) < share
+    }
+
+    fn room(&self, now: Millis, place: usize, queue: f64) -> bool {
+        let upstream = self.upstreams.get(place);
+        upstream.load(now) + 1.0 <= upstream.slots() * (1.0 + queue)
+    }
+
+    fn draw(&mut self, now: Millis, errand: &Errand, able: &[usize]) -> Option<usize> {
+        if able.is_empty() {
+            return None;
+        }
+        let region = self.region.clone();
+        let upstreams = &self.upstreams;
+        let rank = |place: usize| {
+            let upstream = upstreams.get(place);
+            (upstream.region != region, upstream.average.get().map(|_| upstream.membership.tier))
+        };
+        let load = |place: usize| upstreams.get(place).load(now);
+        let limit = crowd_limit(able.iter().map(|place| load(*place) as usize));
+        let tiers = ladder(able.iter().copied(), rank);
+        let keeps = errand.shared_tokens() >= KEPT_TOKENS;
+        let key = errand.shared_key();
+        lowest(&mut self.rng, &tiers, |members| {
+            let near: Vec<usize> = members.iter().copied().filter(|place| load(*place) < limit).collect();
+            let near = if near.is_empty() { members.to_vec() } else { near };
+            if !keeps {
+                return near;
+            }
+            // The departure for long shared parts: the same upstream for all couriers, the next one where that is
+            // far above the mean.
+            let mean = members.iter().map(|place| load(*place)).sum::<f64>() / members.len().max(1) as f64;
+            let mut homes = near;
+            homes.sort_unstable_by_key(|place| std::cmp::Reverse(mix(key ^ upstreams.get(*place).hash)));
+            let home = homes.iter().position(|place| load(*place) <= mean * 1.5 + HOME_SLACK).unwrap_or(0);
+            homes.get(home).copied().into_iter().collect()
+        })
+    }
+
+    /// Draws a number from 0 to 1.
+    pub fn toss(&mut self) -> f64 {
+        self.rng.gen()
+    }
+}
--- /dev/null
+++ b/crates/sandtrack-courier/src/pool.rs
@@ -0,0 +1,138 @@
+//! Connections to upstreams that stand idle, and how many are open. It owns idle sockets; one that is handed out belongs to
+//! the exchange until it is given back or dropped.
+use async_io::{Async, Timer};
+use futures_lite::future;
+use sandtrack_core::message::Head;
+use sandtrack_sidecar::http::{Parser, Side, READ_RING};
+use sandtrack_sidecar::net::{no_delay, read_into};
+use sandtrack_sidecar::ring::Ring;
+use sandtrack_tiers::Millis;
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// An idle connection is used again within this time, in ms, unless its upstream names a shorter one (ours).
+const IDLE_MOST: Millis = 4000.0;
+/// It is not used in the last part of the time that its upstream named, in ms: the close may be on its way.
+const IDLE_MARGIN: Millis = 700.0;
+/// Responses' heads may be this long, in bytes.
+const HEAD_MAX: usize = 12 * 1024;
+
+/// A connection to one upstream, with what was read of it.
+pub struct Connection {
+    pub stream: Async<TcpStream>,
+    pub input: Ring,
+    pub parser: Parser,
+    /// It carried an answer before.
+    pub reused: bool,
+    _open: Open,
+}
+
+/// Counts a connection while it is there.
+struct Open(Rc<Cell<usize>>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+struct Idle {
+    connection: Connection,
+    until: Millis,
+}
+
+#[derive(Default)]
+struct Upstream {
+    idle: Vec<Idle>,
+    open: Rc<Cell<usize>>,
+}
+
+/// Keyed by identifier and not by address: an address may be another service's by now.
+#[derive(Default)]
+pub struct Pool {
+    upstreams: HashMap<String, Upstream>,
+}
+
+impl Pool {
+    /// An idle connection that is quiet: nothing came on it, and it is not closed. The youngest first.
+    pub fn take(&mut self, identifier: &str, now: Millis) -> Option<Connection> {
+        let upstream = self.upstreams.get_mut(identifier)?;
+        upstream.idle.retain(|idle| idle.until > now);
+        while let Some(Idle { mut connection, .. }) = upstream.idle.pop() {
+            // Whatever comes while nothing was asked belongs to no request.
+            if future::block_on(future::poll_once(read_into(&connection.stream, &mut connection.input)))
+                .is_none()
+            {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Connections open to an upstream, idle ones as well.
+    pub fn open(&self, identifier: &str) -> usize {
+        self.upstreams.get(identifier).map_or(0, |upstream| upstream.open.get())
+    }
+
+    /// Makes room for a new connection by closing an idle one.
+    pub fn drop_idle(&mut self, identifier: &str) -> bool {
+        self.upstreams.get_mut(identifier).is_some_and(|upstream| upstream.idle.pop().is_some())
+    }
+
+    /// Counts a connection that is being opened.
+    fn opened(&mut self, identifier: &str) -> Open {
+        let open = self.upstreams.entry(identifier.to_owned()).or_default().open.clone();
+        open.set(open.get() + 1);
+        Open(open)
+    }
+
+    /// Takes a connection back after a whole answer with this head.
+    pub fn give(&mut self, identifier: &str, mut connection: Connection, head: &Head, now: Millis) {
+        let told = head.headers.all("keep-alive").flat_map(|value| value.split(',')).find_map(|part| {
+            let seconds = part.trim().strip_prefix("timeout=")?;
+            seconds.trim().parse::<f64>().ok()
+        });
+        let most = told.map_or(IDLE_MOST, |seconds| (seconds * 1000.0 - IDLE_MARGIN).min(IDLE_MOST));
+        // Bytes behind a whole answer belong to no request.
+        if head.keep_alive && most > 0.0 && connection.input.is_empty() {
+            connection.reused = true;
+            let upstream = self.upstreams.entry(identifier.to_owned()).or_default();
+            upstream.idle.push(Idle { connection, until: now + most });
+        }
+    }
+
+    /// Closes what stood idle too long, and forgets upstreams without connections.
+    pub fn sweep(&mut self, now: Millis) {
+        for upstream in self.upstreams.values_mut() {
+            upstream.idle.retain(|idle| idle.until > now);
+        }
+        self.upstreams.retain(|_, upstream| !upstream.idle.is_empty() || upstream.open.get() > 0);
+    }
+}
+
+/// Opens a connection, within `patience` ms.
+///
+/// # Errors
+/// What the socket said, or that time ran out.
+pub async fn connect(
+    pool: &std::cell::RefCell<Pool>, identifier: &str, address: &str, patience: Millis,
+) -> std::io::Result<Connection> {
+    let address: SocketAddr = address.parse().map_err(|_| std::io::ErrorKind::InvalidInput)?;
+    let open = pool.borrow_mut().opened(identifier);
+    let late = async {
+        Timer::after(Duration::from_secs_f64(patience.max(1.0) / 1000.0)).await;
+        Err(std::io::ErrorKind::TimedOut.into())
+    };
+    let stream = future::or(Async::<TcpStream>::connect(address), late).await?;
+    no_delay(&stream);
+    Ok(Connection {
+        stream,
+        input: Ring::new(READ_RING),
+        parser: Parser::with_head_max(Side::Response, HEAD_MAX),
+        reused: false,
+        _open: open,
+    })
+}
--- /dev/null
+++ b/crates/sandtrack-courier/src/program.rs
@@ -0,0 +1,168 @@
+//! The courier's process: settings, listeners, signals, and the tasks that share one thread.
+use crate::office::Office;
+use crate::pool::Pool;
+use crate::{front, probing, session};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use bpaf::{construct, long, OptionParser, Parser};
+use futures_lite::StreamExt;
+use sandtrack_postmark::codes;
+use sandtrack_postmark::logs;
+use sandtrack_postmark::settings::Settings;
+use sandtrack_sidecar::net::Clock;
+use std::cell::{Cell, RefCell};
+use std::collections::hash_map::RandomState;
+use std::hash::{BuildHasher, Hasher};
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Clients hold an answer of the directory for up to three times its lifetime of a second: so long after it was told to
+/// stop, this process still accepts, in ms.
+const ACCEPT_ON: u64 = 3300;
+/// Part of the grace that is kept back, in ms.
+const GRACE_MARGIN: f64 = 400.0;
+
+/// What the tasks share.
+pub struct Shared {
+    pub settings: RefCell<Settings>,
+    pub office: RefCell<Office>,
+    pub pool: RefCell<Pool>,
+    pub clock: Clock,
+    pub executor: Rc<LocalExecutor<'static>>,
+    pub incarnation: u64,
+    /// Closed once this process was told to stop.
+    pub left: async_channel::Receiver<()>,
+    /// Something changed that control is told at once.
+    pub news: async_channel::Receiver<()>,
+    news_sender: async_channel::Sender<()>,
+    /// Clients' connections.
+    pub connections: Cell<usize>,
+}
+
+impl Shared {
+    pub fn tell_news(&self) {
+        let _ = self.news_sender.try_send(());
+    }
+
+    /// Counts requests in hand.
+    pub fn open(&self, change: i32) {
+        let mut office = self.office.borrow_mut();
+        office.open = office.open.saturating_add_signed(change);
+    }
+}
+
+struct Options {
+    check: bool,
+    log_level: String,
+}
+
+fn options() -> OptionParser<Options> {
+    let check = long("check").help("Read and check the settings, and end").switch();
+    let log_level = long("log-level").help("error, warn, info or debug").argument("LEVEL");
+    let log_level = log_level.fallback("info".to_owned());
+    construct!(Options { check, log_level }).to_options().descr("The data plane of sandtrack")
+}
+
+/// The program; gives its exit code: 0 after SIGTERM, 1 when it can't listen, 2 when its settings are wrong.
+pub fn main() -> ExitCode {
+    let options = options().run();
+    let path = PathBuf::from(std::env::var_os("SANDTRACK_BOOT").unwrap_or_default());
+    let settings = match Settings::read(&path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            logs::start("", &options.log_level);
+            log::error!("{error}");
+            return ExitCode::from(2);
+        }
+    };
+    if options.check {
+        return ExitCode::SUCCESS;
+    }
+    logs::start(&settings.node_name, &options.log_level);
+    let signals = match Signals::new([Signal::Term, Signal::Int, Signal::Hup]) {
+        Ok(signals) => signals,
+        Err(error) => {
+            log::error!("no signals: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let executor = Rc::new(LocalExecutor::new());
+    let serving = serve(settings, path, signals, executor.clone());
+    match async_io::block_on(executor.run(serving)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("E{} {error}", codes::LISTEN.0);
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn bind(settings: &Settings, name: &str) -> std::io::Result<Option<Async<TcpListener>>> {
+    let Some(address) = settings.listen.get(name) else { return Ok(None) };
+    let wrong = |_| std::io::Error::other(format!("{name}: `{address}` is no address"));
+    let address: SocketAddr = address.parse().map_err(wrong)?;
+    Async::<TcpListener>::bind(address).map(Some)
+}
+
+async fn serve(
+    settings: Settings, path: PathBuf, mut signals: Signals, executor: Rc<LocalExecutor<'static>>,
+) -> std::io::Result<()> {
+    let seed = RandomState::new().build_hasher().finish();
+    let (leave, left) = async_channel::bounded::<()>(1);
+    let (stop, stopped) = async_channel::bounded::<()>(1);
+    let (news_sender, news) = async_channel::bounded(1);
+    let grace = settings.bounds.grace_s * 1000.0;
+    let listener = bind(&settings, "front")?;
+    let checks = bind(&settings, "readiness")?;
+    let shared = Rc::new(Shared {
+        office: RefCell::new(Office::new(&settings, seed)),
+        pool: RefCell::new(Pool::default()),
+        clock: Clock::start(),
+        executor: executor.clone(),
+        incarnation: seed,
+        settings: RefCell::new(settings),
+        left,
+        news,
+        news_sender,
+        connections: Cell::new(0),
+    });
+    if let Some(listener) = listener {
+        executor.spawn(front::accept(shared.clone(), listener, stopped)).detach();
+    }
+    if let Some(checks) = checks {
+        executor.spawn(front::readiness(shared.clone(), checks)).detach();
+    }
+    executor.spawn(session::run(shared.clone())).detach();
+    executor.spawn(probing::run(shared.clone())).detach();
+    log::info!("courier started");
+    while let Some(signal) = signals.next().await {
+        if !matches!(signal, Ok(Signal::Hup)) {
+            break;
+        }
+        match Settings::read(&path) {
+            Ok(settings) => {
+                shared.office.borrow_mut().bounds = settings.bounds.clone();
+                *shared.settings.borrow_mut() = settings;
+                log::info!("settings read again");
+            }
+            Err(error) => log::error!("settings are kept as they were: {error}"),
+        }
+    }
+    // Out of the directory first; clients that hold an old answer are served on; then what is open ends.
+    let told = shared.clock.now();
+    shared.office.borrow_mut().leaving = true;
+    shared.tell_news();
+    leave.close();
+    log::info!("told to stop");
+    Timer::after(Duration::from_millis(ACCEPT_ON)).await;
+    stop.close();
+    while shared.connections.get() > 0 && shared.clock.now() - told < grace - GRACE_MARGIN {
+        Timer::after(Duration::from_millis(20)).await;
+    }
+    log::info!("courier ends");
+    Ok(())
+}
--- /dev/null
+++ b/crates/sandtrack-courier/src/upstreams.rs
@@ -0,0 +1,191 @@
+//! What a courier knows of each upstream: what the list says, what its own probes and sends taught. Pure; folded from what
+//! came, owned by the office.
+use crate::budget::Window;
+use crate::errand::hash;
+use sandtrack_postmark::frames::UpstreamEntry;
+use sandtrack_tiers::{FailureRun, Member, Membership, Millis, Smoothed};
+use std::collections::HashMap;
+
+/// A load told by an upstream counts for less with age: after so many ms the part that is not this courier's own is down
+/// to a third (ours).
+pub const LOAD_MEMORY: Millis = 400.0;
+
+/// `Server-Load`: running and waiting requests and slots, of all callers.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    pub running: f64,
+    pub waiting: f64,
+    pub slots: f64,
+}
+
+impl Load {
+    /// Reads the header's value.
+    pub fn parse(value: &str) -> Option<Load> {
+        let mut numbers = value.split(',').map(|number| number.trim().parse::<f64>().ok());
+        Some(Load { running: numbers.next()??, waiting: numbers.next()??, slots: numbers.next()?? })
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    pub entry: UpstreamEntry,
+    pub region: String,
+    /// The same at every courier.
+    pub hash: u64,
+    pub listed: bool,
+    pub cold_until: Millis,
+    /// When it is taken away, where that was told.
+    pub ends_at: Option<Millis>,
+    pub average: Smoothed,
+    pub run: FailureRun,
+    pub membership: Membership,
+    /// This courier's requests at it.
+    pub own: usize,
+    /// Load of others as told, and when.
+    pub others: f64,
+    pub told_at: Millis,
+    /// It turned a request away, or failed at once: not before this time again.
+    pub rests_until: Millis,
+    pub cold_sends: Window,
+    pub next_probe: Millis,
+    pub probing: bool,
+}
+
+impl Upstream {
+    pub fn new(entry: UpstreamEntry, region: String, now: Millis) -> Upstream {
+        let hash = hash(&entry.identifier);
+        let mut upstream = Upstream {
+            entry: UpstreamEntry::default(),
+            region,
+            hash,
+            listed: true,
+            cold_until: 0.0,
+            ends_at: None,
+            average: Smoothed::default(),
+            run: FailureRun::default(),
+            membership: Membership::default(),
+            own: 0,
+            others: 0.0,
+            told_at: now,
+            rests_until: 0.0,
+            cold_sends: Window::default(),
+            next_probe: now,
+            probing: false,
+        };
+        upstream.list(entry, now);
+        upstream
+    }
+
+    /// The list shows it so.
+    pub fn list(&mut self, entry: UpstreamEntry, now: Millis) {
+        self.listed = true;
+        self.cold(f64::from(entry.cold_remaining_ms), now);
+        self.ends_at = entry.time_left_ms.map(|left| now + f64::from(left)).or(self.ends_at);
+        self.entry = entry;
+    }
+
+    /// It is cold for so much longer, in ms.
+    pub fn cold(&mut self, remaining: Millis, now: Millis) {
+        self.cold_until = self.cold_until.max(now + remaining);
+    }
+
+    pub fn is_cold(&self, now: Millis) -> bool {
+        now < self.cold_until
+    }
+
+    /// Requests at it, as far as is known: own ones, and what is left of the load that it told of.
+    pub fn load(&self, now: Millis) -> f64 {
+        self.own as f64 + self.others * (-(now - self.told_at) / LOAD_MEMORY).exp()
+    }
+
+    pub fn slots(&self) -> f64 {
+        f64::from(self.entry.slots.max(1))
+    }
+
+    /// It told its load, which includes this courier's own requests.
+    pub fn told(&mut self, load: Load, now: Millis) {
+        self.others = (load.running + load.waiting - self.own as f64).max(0.0);
+        self.told_at = now;
+    }
+}
+
+impl Member for Upstream {
+    fn average(&self) -> Option<Millis> {
+        self.average.get()
+    }
+
+    fn membership(&mut self) -> &mut Membership {
+        &mut self.membership
+    }
+}
+
+/// All upstreams that are listed or that something of this courier is still at. Places never move.
+#[derive(Debug, Default)]
+pub struct Table {
+    all: Vec<Upstream>,
+    by_identifier: HashMap<String, usize>,
+    free: Vec<usize>,
+}
+
+impl Table {
+    pub fn place(&self, identifier: &str) -> Option<usize> {
+        self.by_identifier.get(identifier).copied()
+    }
+
+    pub fn listed(&self) -> impl Iterator<Item = usize> + '_ {
+        self.by_identifier.values().copied().filter(|place| self.all[*place].listed)
+    }
+
+    pub fn get(&self, place: usize) -> &Upstream {
+        &self.all[place]
+    }
+
+    pub fn get_mut(&mut self, place: usize) -> &mut Upstream {
+        &mut self.all[place]
+    }
+
+    pub fn all_mut(&mut self) -> &mut Vec<Upstream> {
+        &mut self.all
+    }
+
+    pub fn list(&mut self, entry: UpstreamEntry, region: &str, now: Millis) {
+        match self.place(&entry.identifier) {
+            Some(place) => self.all[place].list(entry, now),
+            None => {
+                let identifier = entry.identifier.clone();
+                let upstream = Upstream::new(entry, region.to_owned(), now);
+                let place = match self.free.pop() {
+                    Some(place) => {
+                        self.all[place] = upstream;
+                        place
+                    }
+                    None => {
+                        self.all.push(upstream);
+                        self.all.len() - 1
+                    }
+                };
+                self.by_identifier.insert(identifier, place);
+            }
+        }
+    }
+
+    /// The list no longer has it.
+    pub fn gone(&mut self, identifier: &str) {
+        if let Some(place) = self.place(identifier) {
+            self.all[place].listed = false;
+        }
+        self.sweep();
+    }
+
+    /// Forgets what is gone and has nothing of this courier's left.
+    pub fn sweep(&mut self) {
+        let (all, free) = (&self.all, &mut self.free);
+        self.by_identifier.retain(|_, place| {
+            let keep = all[*place].listed || all[*place].own > 0 || all[*place].probing;
+            if !keep {
+                free.push(*place);
+            }
+            keep
+        });
+    }
+}
--- a/crates/sandtrack-sidecar/src/http.rs
+++ b/crates/sandtrack-sidecar/src/http.rs
@@ -76,11 +76,18 @@
     state: State,
     trailer: usize,
     interim: u32,
+    /// A head may be this long, in bytes.
+    head_max: usize,
 }
 
 impl Parser {
     pub fn new(side: Side) -> Self {
-        Parser { side, state: State::Head { searched: 0 }, trailer: 0, interim: 0 }
+        Parser::with_head_max(side, HEAD_MAX)
+    }
+
+    /// One whose heads may be `head_max` bytes long: the ring that it reads from holds more than that.
+    pub fn with_head_max(side: Side, head_max: usize) -> Self {
+        Parser { side, state: State::Head { searched: 0 }, trailer: 0, interim: 0, head_max }
     }
 
     /// Whether a message has begun that is not over.
@@ -114,13 +121,13 @@
                     let from = searched.saturating_sub(3);
                     let end = bytes[from..].windows(4).position(|four| four == b"\r\n\r\n");
                     let Some(end) = end.map(|at| from + at) else {
-                        if bytes.len() > HEAD_MAX {
+                        if bytes.len() > self.head_max {
                             return Err(Bad::HeadTooLong);
                         }
                         self.state = State::Head { searched: bytes.len() };
                         return Ok(None);
                     };
-                    if end > HEAD_MAX {
+                    if end > self.head_max {
                         return Err(Bad::HeadTooLong);
                     }
                     let head = parse_head(self.side, &bytes[..end])?;
