--- /dev/null
+++ b/crates/sandtrack-courier/tests/events.rs
@@ -0,0 +1,38 @@
+//! Streams are passed on by whole events.
+use assert_matches::assert_matches;
+use sandtrack_courier::events::{Scanned, Scanner};
+
+const STREAM: &[u8] = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\r\ndata: c\r\n\r\nid: 4\ndata: d\n\n";
+
+#[test]
+fn however_a_stream_is_cut_into_pieces_the_same_bytes_come_out() {
+    for size in 1..STREAM.len() {
+        let mut scanner = Scanner::default();
+        let mut out = Vec::new();
+        for piece in STREAM.chunks(size) {
+            match scanner.push(piece) {
+                Scanned::Events(events) => out.extend(events),
+                Scanned::Spoilt(_) => panic!("a good stream is taken for spoilt"),
+            }
+        }
+        assert_eq!((out.as_slice(), scanner.held(), scanner.last_id()), (STREAM, 0, Some(4)));
+    }
+}
+
+#[test]
+fn half_an_event_is_held_back_and_dropped_where_another_upstream_goes_on() {
+    let mut scanner = Scanner::default();
+    assert_eq!(scanner.push(b"id: 1\ndata: a\n\nid: 2\nda"), Scanned::Events(b"id: 1\ndata: a\n\n".to_vec()));
+    assert_eq!(scanner.last_id(), Some(1));
+    scanner.resume();
+    assert_eq!(scanner.push(b"id: 2\ndata: b\n\n"), Scanned::Events(b"id: 2\ndata: b\n\n".to_vec()));
+}
+
+#[test]
+fn an_event_that_comes_again_spoils_the_stream_and_what_came_before_it_goes_on() {
+    let mut scanner = Scanner::default();
+    assert_matches!(scanner.push(b"id: 5\ndata: a\n\nid: 5\ndata: a\n\n"), Scanned::Spoilt(good) if good == b"id: 5\ndata: a\n\n");
+    let mut resumed = Scanner::default();
+    assert_matches!(resumed.push(b"id: 7\n\n"), Scanned::Events(_));
+    assert_matches!(resumed.push(b"id: 3\n\n"), Scanned::Spoilt(good) if good.is_empty());
+}
--- /dev/null
+++ b/crates/sandtrack-courier/tests/placement.rs
@@ -0,0 +1,153 @@
+//! Where requests go.
+mod common;
+use common::{entry, errand, office, probe_all};
+use sandtrack_courier::office::Ended;
+use sandtrack_courier::placement::Placed;
+use sandtrack_postmark::frames::ToCourier;
+use std::collections::{BTreeMap, BTreeSet};
+
+fn fleet() -> Vec<sandtrack_postmark::frames::UpstreamEntry> {
+    let mut all = Vec::new();
+    for (zone, count) in [("a", 3), ("b", 3), ("c", 5)] {
+        all.extend((0..count).map(|at| entry(&format!("{zone}{at}"), "model", zone)));
+    }
+    all
+}
+
+/// How often each upstream is drawn for requests that end at once.
+fn draws(
+    office: &mut sandtrack_courier::office::Office, target: &str, count: usize,
+) -> BTreeMap<String, usize> {
+    let mut drawn = BTreeMap::new();
+    let errand = errand(office, target, &[]);
+    for _ in 0..count {
+        if let Placed::Send(place) = office.place(1000.0, &errand, &[]) {
+            *drawn.entry(office.upstreams.get(place).entry.identifier.clone()).or_default() += 1;
+        }
+    }
+    drawn
+}
+
+#[test]
+fn a_random_pick_in_the_nearest_tier_of_the_own_region() {
+    let mut office = office(fleet());
+    probe_all(&mut office, 0.0);
+    let drawn = draws(&mut office, "/letters/1", 600);
+    assert_eq!(drawn.len(), 6, "{drawn:?}");
+    assert!(drawn.values().all(|count| *count > 60), "{drawn:?}");
+    assert!(drawn.keys().all(|name| !name.starts_with('c')), "{drawn:?}");
+}
+
+#[test]
+fn the_far_region_serves_once_the_near_one_has_no_room_but_never_a_request_with_another_home() {
+    let mut office = office(fleet());
+    probe_all(&mut office, 0.0);
+    let (letter, tag) = (errand(&office, "/letters/1", &[]), errand(&office, "/tags/1", &[]));
+    let near: Vec<usize> =
+        office.upstreams.listed().filter(|place| office.upstreams.get(*place).region == "north").collect();
+    near.iter().for_each(|place| (0..4).for_each(|_| office.sent(*place)));
+    let Placed::Send(place) = office.place(1000.0, &letter, &[]) else { panic!("the far region has room") };
+    assert_eq!(office.upstreams.get(place).region, "south");
+    let Placed::Send(place) = office.place(1000.0, &tag, &[]) else { panic!("the near one queues") };
+    assert_eq!(office.upstreams.get(place).region, "north");
+    near.iter().for_each(|place| (0..9).for_each(|_| office.sent(*place)));
+    assert_eq!(office.place(1000.0, &tag, &[]), Placed::Wait);
+}
+
+#[test]
+fn draining_gone_and_evacuated_ones_get_nothing() {
+    let mut office = office(fleet());
+    probe_all(&mut office, 0.0);
+    let mut draining = entry("a0", "model", "a");
+    draining.draining = true;
+    office.fold(
+        1.0,
+        ToCourier::Upstreams { whole: false, round: 2, entries: vec![draining], gone: vec!["a1".to_owned()] },
+    );
+    office.fold(1.0, ToCourier::Evacuated { number: 5, zones: vec!["b".to_owned()] });
+    let drawn = draws(&mut office, "/letters/1", 100);
+    assert_eq!(drawn.keys().map(String::as_str).collect::<Vec<_>>(), ["a2"]);
+    // An order that is older than what is known takes nothing back.
+    office.fold(1.0, ToCourier::Evacuated { number: 4, zones: Vec::new() });
+    assert_eq!(draws(&mut office, "/letters/1", 100).len(), 1);
+    office.fold(1.0, ToCourier::Evacuated { number: 6, zones: Vec::new() });
+    assert_eq!(draws(&mut office, "/letters/1", 100).len(), 4);
+}
+
+#[test]
+fn two_failures_make_one_unhealthy_a_probe_restores_it_and_where_all_are_all_serve() {
+    let mut office = office(vec![entry("a0", "model", "a"), entry("a1", "model", "a")]);
+    probe_all(&mut office, 0.0);
+    let place = office.upstreams.place("a0").expect("it is listed");
+    for _ in 0..2 {
+        office.sent(place);
+        office.ended(10.0, place, Ended::Broken);
+    }
+    assert_eq!(draws(&mut office, "/letters/1", 50).len(), 1);
+    let other = office.upstreams.place("a1").expect("it is listed");
+    for _ in 0..2 {
+        office.sent(other);
+        office.ended(10.0, other, Ended::Broken);
+    }
+    assert_eq!(draws(&mut office, "/letters/1", 50).len(), 2);
+    probe_all(&mut office, 2000.0);
+    assert!(office.upstreams.get(place).run.is_healthy());
+}
+
+#[test]
+fn a_cold_one_gets_the_share_of_one_courier_in_any_second() {
+    let mut cold = entry("a0", "model", "a");
+    cold.cold_remaining_ms = 60_000;
+    let mut office = office(vec![cold]);
+    probe_all(&mut office, 0.0);
+    let letter = errand(&office, "/letters/1", &[]);
+    let mut sends: Vec<f64> = Vec::new();
+    for step in 0..3000 {
+        let now = f64::from(step);
+        if let Placed::Send(_) = office.place(now, &letter, &[]) {
+            sends.push(now);
+        }
+    }
+    let bound = (45.0 * 1.5 + 5.0) / 12.0;
+    for from in &sends {
+        let count = sends.iter().filter(|at| **at >= *from && **at < from + 1000.0).count() as f64;
+        assert!(count <= bound, "{count} in the second from {from}");
+    }
+    assert!(sends.len() >= 8, "{}", sends.len());
+}
+
+#[test]
+fn long_shared_parts_go_to_one_upstream_that_all_couriers_agree_on() {
+    let mut first = office(fleet());
+    let mut second = office(fleet().into_iter().rev().collect());
+    probe_all(&mut first, 0.0);
+    probe_all(&mut second, 0.0);
+    let mut homes = BTreeSet::new();
+    for key in 1..40 {
+        let prefix = format!("{key:x}:13300,ff{key:x}:3720");
+        let letter = errand(&first, "/letters/1", &[("Prompt-Prefix", &prefix)]);
+        let name = |office: &mut sandtrack_courier::office::Office| match office.place(1.0, &letter, &[]) {
+            Placed::Send(place) => office.upstreams.get(place).entry.identifier.clone(),
+            other => panic!("{other:?}"),
+        };
+        let home = name(&mut first);
+        assert!((0..5).all(|_| name(&mut first) == home) && name(&mut second) == home);
+        homes.insert(home);
+    }
+    assert_eq!(homes.len(), 6, "the prompts are spread over all of the near tier");
+}
+
+#[test]
+fn nothing_goes_back_to_an_older_number() {
+    let mut office = office(fleet());
+    let older = common::CONFIGURATION.replace("\"version_number\":7", "\"version_number\":6");
+    office.fold(1.0, ToCourier::Configuration { number: 2, version: 6, document: older });
+    assert_eq!(office.configuration.as_ref().map(|all| all.version), Some(7));
+    let changes =
+        ToCourier::Changes { from_number: 2, number: 9, version: 9, items: Vec::new(), fields: Vec::new() };
+    assert_eq!(office.fold(1.0, changes), sandtrack_courier::office::Folded::WantConfiguration);
+    let changes =
+        ToCourier::Changes { from_number: 3, number: 9, version: 9, items: Vec::new(), fields: Vec::new() };
+    assert_eq!(office.fold(1.0, changes), sandtrack_courier::office::Folded::Taken);
+    assert_eq!(office.configuration.as_ref().map(|all| all.version), Some(9));
+}
