courier: a silent upstream is raced by another where the request may run twice, streams too

Cause: two failed probes show a dark upstream after about a second, longer than the aim of most requests. The other send counts against attempts and the shared retry budget.

--- a/crates/sandtrack-courier/src/carry.rs
+++ b/crates/sandtrack-courier/src/carry.rs
@@ -8,13 +8,16 @@
 use crate::program::Shared;
 use crate::upstreams::Load;
 use async_io::{Async, Timer};
+use futures_lite::future;
 use sandtrack_core::message::{self, Flow, Head};
 use sandtrack_postmark::codes::{self, Code};
 use sandtrack_sidecar::http::Part;
 use sandtrack_sidecar::net::write_within;
 use sandtrack_sidecar::ring::Ring;
 use sandtrack_tiers::Millis;
+use std::cell::{Cell, RefCell};
 use std::net::TcpStream;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -49,9 +52,11 @@
 }
 
 /// What one send came to.
-enum Outcome {
-    /// Answered whole to the client.
-    Done,
+enum Began<'a> {
+    /// A stream began: its head, and the first part of its body.
+    Stream(Box<Stream<'a>>, Part),
+    /// A whole answer that is to be passed on.
+    Whole(Head, Vec<u8>),
     /// It has not run, and will not.
     NotRun,
     /// It was never sent: nothing was written.
@@ -60,241 +65,425 @@
     Failed,
     /// An answer of the upstream's own that says it failed; it has run.
     Error(Head, Vec<u8>),
-    /// The client takes nothing, or its answer can't go on: its connection is to be closed.
-    Cut,
     /// Its time is over.
     Late,
 }
 
-/// A stream whose head was passed on.
+impl Began<'_> {
+    fn is_answer(&self) -> bool {
+        matches!(self, Began::Stream(..) | Began::Whole(..) | Began::Late)
+    }
+}
+
+/// What was passed on of a stream.
 #[derive(Default)]
 struct Passed {
     begun: bool,
     scanner: Scanner,
 }
 
+/// One request on its way.
+struct Carried<'a> {
+    shared: &'a Rc<Shared>,
+    errand: &'a Errand,
+    client: &'a Async<TcpStream>,
+    close: bool,
+    /// Upstreams that it was at.
+    tried: RefCell<Vec<usize>>,
+    sends: Cell<u32>,
+    may_have_run: Cell<bool>,
+}
+
 /// Carries the request and answers on `client`; whether that connection can be used on.
 pub async fn carry(shared: &Rc<Shared>, errand: &Errand, client: &Async<TcpStream>, close: bool) -> bool {
-    let mut tried: Vec<usize> = Vec::new();
-    let mut may_have_run = false;
-    let mut sends = 0;
-    let mut passed = Passed::default();
-    let mut error: Option<(Head, Vec<u8>)> = None;
     shared.office.borrow_mut().came(shared.clock.now(), errand);
-    let refuse_at =
-        errand.arrived + (errand.route.target_latency_ms * HOLD).min(errand.left(errand.arrived) * HOLD);
-    let why = loop {
-        let now = shared.clock.now();
-        if now >= errand.deadline {
-            break codes::DEADLINE;
-        }
-        let more = sends < errand.route.attempts || sends == 0;
-        let again = !may_have_run || errand.is_idempotent();
-        if !more || !again {
-            break if may_have_run { codes::UPSTREAM_FAILED } else { codes::NO_ROOM };
-        }
-        let placed = shared.office.borrow_mut().place(now, errand, &tried);
-        let place = match placed {
-            Placed::Send(place) => place,
-            Placed::Wait | Placed::None => {
-                // What has run and may run again waits as long as it has; what has not is refused early.
-                if now >= refuse_at && !passed.begun && !may_have_run || now + LOOK_AGAIN >= errand.deadline {
-                    break codes::NO_ROOM;
+    let carried = Carried {
+        shared,
+        errand,
+        client,
+        close,
+        tried: RefCell::new(Vec::new()),
+        sends: Cell::new(0),
+        may_have_run: Cell::new(false),
+    };
+    carried.run().await
+}
+
+impl<'a> Carried<'a> {
+    async fn run(&self) -> bool {
+        let mut passed = Passed::default();
+        let mut error: Option<(Head, Vec<u8>)> = None;
+        let why = loop {
+            let place = match self.wait_for_place(&passed).await {
+                Ok(place) => place,
+                Err(why) => break why,
+            };
+            match self.begin(place, &passed).await {
+                Began::Whole(head, body) if !passed.begun => {
+                    return answer_with(self.client, &head, &body, self.close).await && !self.close;
                 }
-                sleep(LOOK_AGAIN).await;
-                continue;
+                Began::Stream(stream, first) => {
+                    match self.pass_on(*stream, first, &mut passed).await {
+                        Passing::Done => return !self.close,
+                        Passing::Cut => return false,
+                        Passing::Late => break codes::DEADLINE,
+                        // Events without ids can't be taken up.
+                        Passing::Broke if passed.begun && passed.scanner.last_id().is_none() => return false,
+                        Passing::Broke => self.may_have_run.set(true),
+                    }
+                }
+                Began::Late => {
+                    self.may_have_run.set(true);
+                    break codes::DEADLINE;
+                }
+                Began::Error(head, body) => error = Some((head, body)),
+                // A stream can't be taken up with a whole answer.
+                Began::Whole(..) | Began::NotRun | Began::NotSent | Began::Failed => {}
             }
         };
-        if sends > 0 && !shared.office.borrow_mut().may_repeat(now, &errand.service) {
-            break if may_have_run { codes::UPSTREAM_FAILED } else { codes::NO_ROOM };
+        if passed.begun {
+            // An answer that ends early must not look complete.
+            return false;
         }
-        match send(shared, errand, client, close, place, &mut passed).await {
-            Outcome::Done => return !close,
-            Outcome::Cut => return false,
-            Outcome::Late => {
-                may_have_run = true;
-                break codes::DEADLINE;
+        let (errand, may_have_run) = (self.errand, self.may_have_run.get());
+        log::debug!("request {} given up: E{}", errand.id, why.0);
+        match error {
+            Some((head, body)) => answer_with(self.client, &head, &body, self.close).await && !self.close,
+            None => refuse(self.client, errand, may_have_run, why, self.close).await && !self.close,
+        }
+    }
+
+    /// One more send is allowed by the route and by what may run twice.
+    fn may_send(&self) -> Result<(), Code> {
+        let (sends, may_have_run) = (self.sends.get(), self.may_have_run.get());
+        let more = sends < self.errand.route.attempts || sends == 0;
+        let again = !may_have_run || self.errand.is_idempotent();
+        match (more && again, may_have_run) {
+            (true, _) => Ok(()),
+            (false, true) => Err(codes::UPSTREAM_FAILED),
+            (false, false) => Err(codes::NO_ROOM),
+        }
+    }
+
+    /// Where it goes next, waiting for room for a while. Counts a send beyond the first against the budget.
+    async fn wait_for_place(&self, passed: &Passed) -> Result<usize, Code> {
+        let errand = self.errand;
+        let hold = (errand.route.target_latency_ms * HOLD).min(errand.left(errand.arrived) * HOLD);
+        let refuse_at = errand.arrived + hold;
+        loop {
+            let now = self.shared.clock.now();
+            if now >= errand.deadline {
+                return Err(codes::DEADLINE);
             }
-            Outcome::NotSent => tried.push(place),
-            Outcome::NotRun => {
-                sends += 1;
-                tried.push(place);
+            self.may_send()?;
+            if let Some(place) = self.place() {
+                if self.sends.get() > 0 && !self.shared.office.borrow_mut().may_repeat(now, &errand.service) {
+                    return Err(if self.may_have_run.get() {
+                        codes::UPSTREAM_FAILED
+                    } else {
+                        codes::NO_ROOM
+                    });
+                }
+                return Ok(place);
             }
-            Outcome::Failed => {
-                (sends, may_have_run) = (sends + 1, true);
-                tried.push(place);
+            // What has run and may run again waits as long as it has; what has not is refused early.
+            if now >= refuse_at && !passed.begun && !self.may_have_run.get()
+                || now + LOOK_AGAIN >= errand.deadline
+            {
+                return Err(codes::NO_ROOM);
             }
-            Outcome::Error(head, body) => {
-                (sends, may_have_run) = (sends + 1, true);
-                tried.push(place);
-                error = Some((head, body));
+            sleep(LOOK_AGAIN).await;
+        }
+    }
+
+    fn place(&self) -> Option<usize> {
+        let now = self.shared.clock.now();
+        match self.shared.office.borrow_mut().place(now, self.errand, &self.tried.borrow()) {
+            Placed::Send(place) => Some(place),
+            Placed::Wait | Placed::None => None,
+        }
+    }
+
+    /// Sends it to `place`; where that is silent and it may run twice, to another one as well: the first that answers
+    /// counts, and the other is dropped.
+    async fn begin(&self, place: usize, passed: &Passed) -> Began<'a> {
+        let last_event = if passed.begun { passed.scanner.last_id() } else { None };
+        let first = pin!(self.once(place, last_event));
+        let started = Cell::new(false);
+        let second = pin!(async {
+            sleep(self.silence(place)).await;
+            let other = loop {
+                if let Some(other) = self.spare(place) {
+                    break other;
+                }
+                sleep(SUSPECT_LOOK).await;
+            };
+            started.set(true);
+            self.once(other, last_event).await
+        });
+        let (mut first, mut second) = (first, second);
+        let came =
+            future::or(async { (true, first.as_mut().await) }, async { (false, second.as_mut().await) });
+        match came.await {
+            (_, began) if began.is_answer() => began,
+            (true, began) if started.get() => {
+                let other = second.await;
+                if other.is_answer() {
+                    other
+                } else {
+                    began
+                }
             }
+            (true, began) => began,
+            (false, _) => first.await,
         }
-        if tried.len() > 8 {
-            tried.remove(0);
+    }
+
+    /// Another upstream for a request whose first one is silent, if it may go there too.
+    fn spare(&self, silent: usize) -> Option<usize> {
+        let now = self.shared.clock.now();
+        self.shared.office.borrow_mut().suspect(now, silent);
+        if !self.errand.is_idempotent() || self.sends.get() >= self.errand.route.attempts {
+            return None;
         }
-    };
-    if passed.begun {
-        // An answer that ends early must not look complete.
-        return false;
+        let mut tried = self.tried.borrow().clone();
+        tried.push(silent);
+        let placed = self.shared.office.borrow_mut().place(now, self.errand, &tried);
+        let Placed::Send(place) = placed else { return None };
+        let allowed =
+            place != silent && self.shared.office.borrow_mut().may_repeat(now, &self.errand.service);
+        allowed.then_some(place)
     }
-    log::debug!("request {} given up: E{}", errand.id, why.0);
-    match error {
-        Some((head, body)) => answer_with(client, &head, &body, close).await && !close,
-        None => refuse(client, errand, may_have_run, why, close).await && !close,
+
+    /// So long an upstream may be silent before it is suspected, in ms.
+    fn silence(&self, place: usize) -> Millis {
+        let average = self.shared.office.borrow().upstreams.get(place).average.get().unwrap_or(0.0);
+        let prompt = self.errand.tokens.map_or(0.0, |(prompt, _)| prompt as f64) / TOKENS_PER_MS;
+        SILENCE + 2.0 * average + prompt
     }
-}
 
-/// Sends the request to one upstream and passes the answer on as far as it goes.
-async fn send(
-    shared: &Rc<Shared>, errand: &Errand, client: &Async<TcpStream>, close: bool, place: usize,
-    passed: &mut Passed,
-) -> Outcome {
-    let clock = shared.clock;
-    let (identifier, address, average, share) = {
-        let mut office = shared.office.borrow_mut();
-        office.sent(place);
-        let share = office.connection_share(place);
-        let upstream = office.upstreams.get(place);
-        let average = upstream.average.get().unwrap_or(0.0);
-        (upstream.entry.identifier.clone(), upstream.entry.address.clone(), average, share)
-    };
-    let mut sent = Sent { shared, place, ended: Ended::GivenUp };
-    // A connection may be closed by its upstream while the request is written: what may run once goes on a new one.
-    let idle =
-        errand.is_idempotent().then(|| shared.pool.borrow_mut().take(&identifier, clock.now())).flatten();
-    let mut connection = match idle {
-        Some(connection) => connection,
-        None => {
-            if shared.pool.borrow().open(&identifier) >= share
-                && !shared.pool.borrow_mut().drop_idle(&identifier)
-            {
-                sent.ended = Ended::TurnedAway;
-                return Outcome::NotSent;
+    /// Sends it to one upstream, up to the first part of a streamed body or the whole of another.
+    async fn once(&self, place: usize, last_event: Option<u64>) -> Began<'a> {
+        let began = self.attempt(place, last_event).await;
+        self.tried.borrow_mut().push(place);
+        match began {
+            Began::NotSent => {}
+            Began::NotRun => self.sends.set(self.sends.get() + 1),
+            _ => {
+                self.sends.set(self.sends.get() + 1);
+                self.may_have_run.set(true);
             }
-            let patience = (CONNECT_PATIENCE + 2.0 * average).min(errand.left(clock.now()));
-            match connect(&shared.pool, &identifier, &address, patience).await {
-                Ok(connection) => connection,
-                Err(error) => {
-                    log::debug!("request {}: no connection to {identifier}: {error}", errand.id);
-                    sent.ended = Ended::Broken;
-                    return Outcome::NotSent;
+        }
+        began
+    }
+
+    async fn attempt(&self, place: usize, last_event: Option<u64>) -> Began<'a> {
+        let (shared, errand, clock) = (self.shared, self.errand, self.shared.clock);
+        let (identifier, address, average, share) = {
+            let mut office = shared.office.borrow_mut();
+            office.sent(place);
+            let share = office.connection_share(place);
+            let upstream = office.upstreams.get(place);
+            let average = upstream.average.get().unwrap_or(0.0);
+            (upstream.entry.identifier.clone(), upstream.entry.address.clone(), average, share)
+        };
+        let mut sent = Sent { shared, place, ended: Ended::GivenUp };
+        // A connection may be closed by its upstream while the request is written: what may run once goes on a new one.
+        let idle = errand.is_idempotent().then(|| shared.pool.borrow_mut().take(&identifier, clock.now()));
+        let mut connection = match idle.flatten() {
+            Some(connection) => connection,
+            None => {
+                let full = shared.pool.borrow().open(&identifier) >= share;
+                if full && !shared.pool.borrow_mut().drop_idle(&identifier) {
+                    sent.ended = Ended::TurnedAway;
+                    return Began::NotSent;
+                }
+                let patience = (CONNECT_PATIENCE + 2.0 * average).min(errand.left(clock.now()));
+                match connect(&shared.pool, &identifier, &address, patience).await {
+                    Ok(connection) => connection,
+                    Err(error) => {
+                        log::debug!("request {}: no connection to {identifier}: {error}", errand.id);
+                        sent.ended = Ended::Broken;
+                        return Began::NotSent;
+                    }
                 }
             }
+        };
+        let now = clock.now();
+        let bytes = written(errand, &identifier, errand.left(now), last_event);
+        if !ask(&connection, &bytes, errand.left(now)).await {
+            sent.ended = Ended::Broken;
+            return Began::Failed;
         }
-    };
-    let now = clock.now();
-    let last_event = if passed.begun { passed.scanner.last_id() } else { None };
-    let bytes = written(errand, &identifier, errand.left(now), last_event);
-    if !ask(&connection, &bytes, errand.left(now)).await {
-        sent.ended = Ended::Broken;
-        return Outcome::Failed;
-    }
-    let prompt = errand.tokens.map_or(0.0, |(prompt, _)| prompt as f64) / TOKENS_PER_MS;
-    let mut wait = Wait { shared, errand, place, silence: SILENCE + 2.0 * average + prompt, heard: now };
-    let head = match wait.part(&mut connection).await {
-        Ok(Part::Head(head)) => head,
-        Ok(_) => return Outcome::Failed,
-        Err(failed) => {
-            // A connection that stood idle and broke without a word says nothing of its upstream.
-            sent.ended = match failed {
-                Waiting::Broke(Broke::Spoilt) => Ended::Faulty,
-                Waiting::Broke(Broke::Connection) if connection.reused => Ended::GivenUp,
-                Waiting::Broke(Broke::Connection) | Waiting::Dead => Ended::Broken,
-                Waiting::Late => Ended::GivenUp,
-            };
-            return if failed == Waiting::Late { Outcome::Late } else { Outcome::Failed };
+        let wait = Wait { shared, errand, place };
+        let head = match wait.part(&mut connection).await {
+            Ok(Part::Head(head)) => head,
+            Ok(_) => return Began::Failed,
+            Err(failed) => {
+                // A connection that stood idle and broke without a word says nothing of its upstream.
+                let reused = connection.reused && failed == Waiting::Broke(Broke::Connection);
+                sent.ended = if reused { Ended::GivenUp } else { failed.ended() };
+                return if failed == Waiting::Late { Began::Late } else { Began::Failed };
+            }
+        };
+        if head.headers.get("request-id").is_some_and(|id| id != errand.id) {
+            log::info!("request {}: an answer to another request came from {identifier}", errand.id);
+            sent.ended = Ended::Faulty;
+            return Began::Failed;
         }
-    };
-    if head.headers.get("request-id") != Some(errand.id.as_str()) && head.headers.get("request-id").is_some()
-    {
-        log::info!("request {}: an answer to another request came from {identifier}", errand.id);
-        sent.ended = Ended::Faulty;
-        return Outcome::Failed;
-    }
-    {
         let load = head.headers.get("server-load").and_then(Load::parse);
         let cold = head.headers.get("cold-remaining").and_then(|value| value.trim().parse().ok());
         shared.office.borrow_mut().told(clock.now(), place, load, cold);
-    }
-    let not_run = head.headers.get("not-executed").is_some() || head.status == 421;
-    let stream = errand.is_stream() && head.status == 200;
-    if !stream {
-        let body = match whole(&mut wait, &mut connection).await {
+        let not_run = head.headers.get("not-executed").is_some() || head.status == 421;
+        if errand.is_stream() && head.status == 200 {
+            return match wait.part(&mut connection).await {
+                Ok(first) => {
+                    let stream = Stream { sent, connection, identifier, head };
+                    Began::Stream(Box::new(stream), first)
+                }
+                Err(failed) => {
+                    sent.ended = failed.ended();
+                    if failed == Waiting::Late {
+                        Began::Late
+                    } else {
+                        Began::Failed
+                    }
+                }
+            };
+        }
+        let body = match whole(&wait, &mut connection).await {
             Ok(body) => body,
             Err(failed) => {
-                sent.ended = if failed == Waiting::Late { Ended::GivenUp } else { Ended::Broken };
+                sent.ended = failed.ended();
                 return match failed {
-                    _ if not_run => Outcome::NotRun,
-                    Waiting::Late => Outcome::Late,
-                    _ => Outcome::Failed,
+                    _ if not_run => Began::NotRun,
+                    Waiting::Late => Began::Late,
+                    _ => Began::Failed,
                 };
             }
         };
         shared.pool.borrow_mut().give(&identifier, connection, &head, clock.now());
         if not_run {
             sent.ended = Ended::TurnedAway;
-            return Outcome::NotRun;
+            return Began::NotRun;
         }
         if head.status >= 500 || matches!(head.status, 408 | 429) {
             sent.ended = Ended::Faulty;
-            return Outcome::Error(head, body);
+            return Began::Error(head, body);
         }
         sent.ended = Ended::Answered;
-        if passed.begun {
-            // It can't be taken up with this.
-            return Outcome::Failed;
-        }
-        return if answer_with(client, &head, &body, close).await { Outcome::Done } else { Outcome::Cut };
+        Began::Whole(head, body)
     }
-    passed.scanner.resume();
-    wait.silence = errand.route.gap_aim_ms.unwrap_or(SILENCE).max(SILENCE) + 2.0 * average;
-    loop {
-        let part = match wait.part(&mut connection).await {
-            Ok(part) => part,
-            Err(failed) => {
-                sent.ended = match failed {
-                    Waiting::Broke(Broke::Spoilt) => Ended::Faulty,
-                    Waiting::Broke(Broke::Connection) | Waiting::Dead => Ended::Broken,
-                    Waiting::Late => Ended::GivenUp,
-                };
-                return if failed == Waiting::Late { Outcome::Late } else { Outcome::Failed };
+
+    /// Passes a stream's events on as they come, whole.
+    async fn pass_on(&self, mut stream: Stream<'a>, first: Part, passed: &mut Passed) -> Passing {
+        passed.scanner.resume();
+        let place = stream.sent.place;
+        let wait = Wait { shared: self.shared, errand: self.errand, place };
+        let mut part = first;
+        loop {
+            let (bytes, over, spoilt) = match part {
+                Part::Data(data) => match passed.scanner.push(&data) {
+                    Scanned::Events(events) => (events, false, false),
+                    Scanned::Spoilt(events) => (events, false, true),
+                },
+                Part::End => (passed.scanner.rest(), true, false),
+                Part::Head(_) => return Passing::Broke,
+            };
+            let mut out = Vec::new();
+            if !bytes.is_empty() || over {
+                if !passed.begun {
+                    passed.begun = true;
+                    let headers = stream.head.headers.end_to_end();
+                    out = message::response_head(stream.head.status, headers, Flow::Chunks, self.close);
+                }
+                if !bytes.is_empty() {
+                    out.extend(message::chunk(&bytes));
+                }
+                if over {
+                    out.extend(message::chunk(b""));
+                }
             }
-        };
-        let (bytes, over, spoilt) = match part {
-            Part::Data(data) => match passed.scanner.push(&data) {
-                Scanned::Events(events) => (events, false, false),
-                Scanned::Spoilt(events) => (events, false, true),
-            },
-            Part::End => (passed.scanner.rest(), true, false),
-            Part::Head(_) => return Outcome::Failed,
-        };
-        let mut out = Vec::new();
-        if !bytes.is_empty() || over {
-            if !passed.begun {
-                passed.begun = true;
-                out = message::response_head(head.status, head.headers.end_to_end(), Flow::Chunks, close);
+            if !out.is_empty() && !write(self.client, out).await {
+                return Passing::Cut;
             }
-            if !bytes.is_empty() {
-                out.extend(message::chunk(&bytes));
+            if spoilt {
+                stream.sent.ended = Ended::Faulty;
+                return Passing::Broke;
             }
             if over {
-                out.extend(message::chunk(b""));
+                stream.sent.ended = Ended::Answered;
+                let now = self.shared.clock.now();
+                self.shared.pool.borrow_mut().give(&stream.identifier, stream.connection, &stream.head, now);
+                return Passing::Done;
             }
+            part = match self.next_part(&wait, &mut stream, passed).await {
+                Ok(part) => part,
+                Err(failed) => {
+                    stream.sent.ended = failed.ended();
+                    return if failed == Waiting::Late { Passing::Late } else { Passing::Broke };
+                }
+            };
         }
-        if !out.is_empty() && !write(client, out).await {
-            return Outcome::Cut;
-        }
-        if spoilt {
-            sent.ended = Ended::Faulty;
-            return Outcome::Failed;
-        }
-        if over {
-            sent.ended = Ended::Answered;
-            shared.pool.borrow_mut().give(&identifier, connection, &head, clock.now());
-            return Outcome::Done;
+    }
+
+    /// The next part of a stream. Where its upstream is silent and the stream may be resumed, another takes it up; whichever
+    /// has something first goes on.
+    async fn next_part(
+        &self, wait: &Wait<'_>, stream: &mut Stream<'a>, passed: &mut Passed,
+    ) -> Result<Part, Waiting> {
+        let last_event = passed.scanner.last_id();
+        let place = stream.sent.place;
+        let aim = self.errand.route.gap_aim_ms.unwrap_or(SILENCE);
+        let won = {
+            let other = async {
+                sleep((aim * 0.6).max(SILENCE * 0.6) + 2.0 * self.average(place)).await;
+                loop {
+                    if let Some(other) = self.spare(place) {
+                        let began = self.once(other, last_event).await;
+                        if matches!(began, Began::Stream(..)) {
+                            return Err(began);
+                        }
+                    }
+                    sleep(SUSPECT_LOOK).await;
+                }
+            };
+            future::or(async { Ok(wait.part(&mut stream.connection).await) }, other).await
+        };
+        match won {
+            Ok(part) => part,
+            Err(Began::Stream(other, first)) => {
+                // The head that the client has stays the first one's.
+                let Stream { sent, connection, identifier, .. } = *other;
+                (stream.sent, stream.connection, stream.identifier) = (sent, connection, identifier);
+                passed.scanner.resume();
+                Ok(first)
+            }
+            Err(_) => Err(Waiting::Broke(Broke::Connection)),
         }
     }
+
+    fn average(&self, place: usize) -> Millis {
+        self.shared.office.borrow().upstreams.get(place).average.get().unwrap_or(0.0)
+    }
+}
+
+/// A stream that is being passed on.
+struct Stream<'a> {
+    sent: Sent<'a>,
+    connection: Connection,
+    identifier: String,
+    head: Head,
+}
+
+/// What became of a stream.
+enum Passing {
+    Done,
+    /// Its client takes nothing.
+    Cut,
+    Late,
+    /// Its upstream broke off.
+    Broke,
 }
 
 /// Why nothing more came.
@@ -307,36 +496,42 @@
     Late,
 }
 
-/// Waits for the parts of an answer, and has a silent upstream probed.
+impl Waiting {
+    /// What it says of the upstream.
+    fn ended(self) -> Ended {
+        match self {
+            Waiting::Broke(Broke::Spoilt) => Ended::Faulty,
+            Waiting::Broke(Broke::Connection) | Waiting::Dead => Ended::Broken,
+            Waiting::Late => Ended::GivenUp,
+        }
+    }
+}
+
+/// Waits for the parts of an answer.
 struct Wait<'a> {
     shared: &'a Shared,
     errand: &'a Errand,
     place: usize,
-    silence: Millis,
-    heard: Millis,
 }
 
 impl Wait<'_> {
-    async fn part(&mut self, connection: &mut Connection) -> Result<Part, Waiting> {
+    /// The next part. A request that may run elsewhere does not wait for an upstream that probes found dead.
+    async fn part(&self, connection: &mut Connection) -> Result<Part, Waiting> {
         let clock = self.shared.clock;
-        let mut look = self.heard + self.silence;
+        let mut look = clock.now() + SILENCE;
         loop {
             match next(connection, clock, look.min(self.errand.deadline)).await {
-                Waited::Part(part) => {
-                    self.heard = clock.now();
-                    return Ok(part);
-                }
+                Waited::Part(part) => return Ok(part),
                 Waited::Broke(broke) => return Err(Waiting::Broke(broke)),
                 Waited::Time => {
                     let now = clock.now();
                     if now >= self.errand.deadline {
                         return Err(Waiting::Late);
                     }
-                    let mut office = self.shared.office.borrow_mut();
-                    if self.errand.is_idempotent() && !office.upstreams.get(self.place).run.is_healthy() {
+                    let healthy = self.shared.office.borrow().upstreams.get(self.place).run.is_healthy();
+                    if self.errand.is_idempotent() && !healthy {
                         return Err(Waiting::Dead);
                     }
-                    office.suspect(now, self.place);
                     look = now + SUSPECT_LOOK;
                 }
             }
@@ -344,7 +539,7 @@
     }
 }
 
-async fn whole(wait: &mut Wait<'_>, connection: &mut Connection) -> Result<Vec<u8>, Waiting> {
+async fn whole(wait: &Wait<'_>, connection: &mut Connection) -> Result<Vec<u8>, Waiting> {
     let mut body = Vec::new();
     loop {
         match wait.part(connection).await? {
