Ledger: frames that are there as a whole or not at all, rewritten through a new file

Cause: control state must be safe on disk, also when it fills up or loses power. Ruled out: a checksum for each record alone, since a part of one append would be read after a torn write.

--- /dev/null
+++ b/crates/sandtrack-ledger/src/format.rs
@@ -0,0 +1,89 @@
+//! Bytes of the file: pure.
+
+const NAME: &[u8; 8] = b"sandtrak";
+const FORMAT: u32 = 1;
+/// Bytes of the head: name, format number, checksum of both.
+pub(crate) const HEAD: usize = 16;
+/// Bytes before the records of a frame: their length and their checksum.
+const FRAME: usize = 8;
+
+/// The bytes that every file begins with.
+pub(crate) fn head() -> Vec<u8> {
+    let mut bytes = NAME.to_vec();
+    bytes.extend(FORMAT.to_le_bytes());
+    let sum = crc32fast::hash(&bytes);
+    bytes.extend(sum.to_le_bytes());
+    bytes
+}
+
+/// One frame with all of the records. Records are shorter than 4 GiB in sum.
+pub(crate) fn frame(records: &[Vec<u8>]) -> Vec<u8> {
+    let mut body = Vec::with_capacity(records.iter().map(|record| record.len() + 4).sum());
+    for record in records {
+        body.extend((record.len() as u32).to_le_bytes());
+        body.extend(record);
+    }
+    let mut bytes = Vec::with_capacity(FRAME + body.len());
+    bytes.extend((body.len() as u32).to_le_bytes());
+    bytes.extend(checksum(&body).to_le_bytes());
+    bytes.extend(body);
+    bytes
+}
+
+/// Over the length too, so that a run of zeros is no frame.
+fn checksum(body: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(NAME);
+    hasher.update(&(body.len() as u32).to_le_bytes());
+    hasher.update(body);
+    hasher.finalize()
+}
+
+/// What the bytes of a file are.
+pub(crate) enum Content {
+    /// Nothing, or the beginning of a head that was never synced.
+    Unbegun,
+    /// Not of this format.
+    Foreign,
+    /// The records of the whole frames, and where these end.
+    Records { records: Vec<Vec<u8>>, end: usize },
+}
+
+/// Reads up to the first frame that isn't whole.
+pub(crate) fn read(bytes: &[u8]) -> Content {
+    let head = head();
+    if bytes.len() < HEAD {
+        return if head.starts_with(bytes) { Content::Unbegun } else { Content::Foreign };
+    }
+    if bytes[..HEAD] != head[..] {
+        return Content::Foreign;
+    }
+    let mut records = Vec::new();
+    let mut end = HEAD;
+    while let Some((found, length)) = read_frame(&bytes[end..]) {
+        records.extend(found);
+        end += length;
+    }
+    Content::Records { records, end }
+}
+
+fn number(bytes: &[u8], at: usize) -> Option<u32> {
+    Some(u32::from_le_bytes(bytes.get(at..at.checked_add(4)?)?.try_into().ok()?))
+}
+
+/// The records of the frame that `bytes` begins with, and its whole length.
+fn read_frame(bytes: &[u8]) -> Option<(Vec<Vec<u8>>, usize)> {
+    let length = number(bytes, 0)? as usize;
+    let body = bytes.get(FRAME..FRAME.checked_add(length)?)?;
+    if number(bytes, 4)? != checksum(body) {
+        return None;
+    }
+    let mut records = Vec::new();
+    let mut at = 0;
+    while at < body.len() {
+        let size = number(body, at)? as usize;
+        records.push(body.get(at + 4..(at + 4).checked_add(size)?)?.to_vec());
+        at += 4 + size;
+    }
+    Some((records, FRAME + length))
+}
--- /dev/null
+++ b/crates/sandtrack-ledger/src/ledger.rs
@@ -0,0 +1,172 @@
+//! Opening, appending, rewriting.
+use std::io;
+use std::path::{Path, PathBuf};
+
+use crate::format::{self, Content, HEAD};
+use crate::store::{Disk, Store};
+
+/// What was found at `Ledger::open`.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Bytes after the last whole frame that were cut off.
+    pub dropped_bytes: u64,
+    /// Where a file went that is not a ledger: its state is lost, and it is never an authority.
+    pub set_aside: Option<PathBuf>,
+}
+
+/// Why the disk did not do what was asked. The codes are in `docs/system/control.md`.
+#[derive(Debug, thiserror::Error)]
+pub enum LedgerError {
+    /// Nothing of the append or rewrite is in the ledger nor will be; it can be tried again.
+    #[error("L1 not written, and nothing of it is kept: {0}")]
+    NotWritten(io::Error),
+    /// It is not known what a later open will find; the process must stop and open the ledger anew.
+    #[error("L2 the state of the file is unknown: {0}")]
+    Unknown(io::Error),
+    #[error("L3 the ledger can't be opened: {0}")]
+    NotOpened(io::Error),
+}
+
+/// An open ledger; only one process may have it open.
+pub struct Ledger<S: Store = Disk> {
+    store: S,
+    name: String,
+    /// Where the whole frames end.
+    length: u64,
+    /// Something that is no whole frame may stand after `length`.
+    trailing: bool,
+}
+
+impl Ledger<Disk> {
+    /// Opens or begins the ledger `name` in `folder`; gives the whole records in order.
+    ///
+    /// # Errors
+    /// `NotOpened` when the folder can't be read, or nothing can be begun in it.
+    pub fn open(folder: &Path, name: &str) -> Result<(Self, Vec<Vec<u8>>, Report), LedgerError> {
+        Self::open_in(Disk::new(folder), name)
+    }
+}
+
+impl<S: Store> Ledger<S> {
+    /// As `open`, in any store.
+    ///
+    /// # Errors
+    /// As `open`.
+    pub fn open_in(mut store: S, name: &str) -> Result<(Self, Vec<Vec<u8>>, Report), LedgerError> {
+        let _ = store.remove(&rewritten(name)); // left by a rewrite that did not end; harmless if it stays
+        let bytes = store.read(name).map_err(LedgerError::NotOpened)?;
+        let found = bytes.as_ref().map_or(0, |bytes| bytes.len() as u64);
+        let mut report = Report::default();
+        let mut ledger = Self { store, name: name.to_string(), length: HEAD as u64, trailing: false };
+        match format::read(&bytes.unwrap_or_default()) {
+            Content::Records { records, end } => {
+                ledger.length = end as u64;
+                report.dropped_bytes = found - ledger.length;
+                ledger.trailing = report.dropped_bytes > 0;
+                // On a full disk the cut waits for the next append; what was read stands all the same.
+                let _ = ledger.cut();
+                return Ok((ledger, records, report));
+            }
+            Content::Unbegun => report.dropped_bytes = found,
+            Content::Foreign => {
+                report.set_aside = Some(ledger.set_aside().map_err(LedgerError::NotOpened)?);
+            }
+        }
+        ledger.begin().map_err(LedgerError::NotOpened)?;
+        Ok((ledger, Vec::new(), report))
+    }
+
+    fn begin(&mut self) -> io::Result<()> {
+        self.store.write(&self.name, 0, &format::head())?;
+        self.store.sync(&self.name)?;
+        self.store.sync_folder()
+    }
+
+    /// Moves a foreign file to the first free name `NAME.aside.N`.
+    fn set_aside(&mut self) -> io::Result<PathBuf> {
+        let mut number = 1;
+        let mut aside = format!("{}.aside.{number}", self.name);
+        while self.store.read(&aside)?.is_some() {
+            number += 1;
+            aside = format!("{}.aside.{number}", self.name);
+        }
+        self.store.rename(&self.name, &aside)?;
+        self.store.sync_folder()?;
+        Ok(self.store.path(&aside))
+    }
+
+    /// Drops what stands after the whole frames.
+    fn cut(&mut self) -> io::Result<()> {
+        if self.trailing {
+            self.store.set_length(&self.name, self.length)?;
+            self.store.sync(&self.name)?;
+            self.trailing = false;
+        }
+        Ok(())
+    }
+
+    /// Appends all and syncs: afterwards all of it lasts.
+    ///
+    /// # Errors
+    /// `NotWritten` and `Unknown`, as told there.
+    pub fn append(&mut self, records: &[Vec<u8>]) -> Result<(), LedgerError> {
+        self.cut().map_err(LedgerError::NotWritten)?;
+        let frame = format::frame(records);
+        self.trailing = true;
+        if let Err(error) = self.store.write(&self.name, self.length, &frame) {
+            return Err(self.undo(error, frame.len() as u64));
+        }
+        if let Err(error) = self.store.sync(&self.name) {
+            return Err(self.undo(error, frame.len() as u64));
+        }
+        self.trailing = false;
+        self.length += frame.len() as u64;
+        Ok(())
+    }
+
+    /// After a write that failed: a part of a frame is never read as one, but a whole one has to go.
+    fn undo(&mut self, error: io::Error, frame: u64) -> LedgerError {
+        let whole = !self.store.length(&self.name).is_ok_and(|length| length < self.length + frame);
+        match self.cut() {
+            Err(_) if whole => LedgerError::Unknown(error),
+            _ => LedgerError::NotWritten(error),
+        }
+    }
+
+    /// Replaces the content by `records` through a new file; at every moment the one or the other stands.
+    ///
+    /// # Errors
+    /// `NotWritten` when the former content stands; `Unknown` when the new name may not last.
+    pub fn rewrite(&mut self, records: &[Vec<u8>]) -> Result<(), LedgerError> {
+        let new = rewritten(&self.name);
+        let mut bytes = format::head();
+        bytes.extend(format::frame(records));
+        let replaced = self
+            .store
+            .remove(&new)
+            .and_then(|()| self.store.write(&new, 0, &bytes))
+            .and_then(|()| self.store.sync(&new))
+            .and_then(|()| self.store.rename(&new, &self.name));
+        if let Err(error) = replaced {
+            let _ = self.store.remove(&new); // if it stays, the next open or rewrite removes it
+            return Err(LedgerError::NotWritten(error));
+        }
+        self.length = bytes.len() as u64;
+        self.trailing = false;
+        self.store.sync_folder().map_err(LedgerError::Unknown)
+    }
+
+    /// Bytes of the file.
+    pub fn length(&self) -> u64 {
+        self.length
+    }
+
+    /// The store, for tests.
+    pub fn into_store(self) -> S {
+        self.store
+    }
+}
+
+fn rewritten(name: &str) -> String {
+    format!("{name}.new")
+}
--- /dev/null
+++ b/crates/sandtrack-ledger/tests/ledger.rs
@@ -0,0 +1,111 @@
+//! The ledger on a real folder: what is written is read, and nothing else is.
+use std::path::PathBuf;
+
+use sandtrack_ledger::{Ledger, Report};
+
+/// A folder of this test alone, empty.
+fn folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("sandtrack-ledger-{}-{name}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+fn records(count: u8) -> Vec<Vec<u8>> {
+    (0..count).map(|number| vec![number; usize::from(number) * 3]).collect()
+}
+
+/// Three appends of two records each, and the ends of the frames.
+fn written(folder: &std::path::Path) -> (Vec<u8>, Vec<u64>) {
+    let (mut ledger, found, report) = Ledger::open(folder, "a").unwrap();
+    assert_eq!((found.len(), report), (0, Report::default()));
+    let mut ends = vec![ledger.length()];
+    for pair in records(6).chunks(2) {
+        ledger.append(pair).unwrap();
+        ends.push(ledger.length());
+    }
+    (std::fs::read(folder.join("a")).unwrap(), ends)
+}
+
+#[test]
+fn what_was_appended_is_read_and_appended_to() {
+    let folder = folder("append");
+    written(&folder);
+    let (mut ledger, found, report) = Ledger::open(&folder, "a").unwrap();
+    assert_eq!((found, report), (records(6), Report::default()));
+    ledger.append(&[b"more".to_vec()]).unwrap();
+    drop(ledger);
+    let (_, found, _) = Ledger::open(&folder, "a").unwrap();
+    assert_eq!(found.last().unwrap(), b"more");
+}
+
+#[test]
+fn a_rewrite_replaces_all_and_is_appended_to() {
+    let folder = folder("rewrite");
+    written(&folder);
+    let (mut ledger, _, _) = Ledger::open(&folder, "a").unwrap();
+    ledger.rewrite(&[b"one".to_vec()]).unwrap();
+    ledger.append(&[b"two".to_vec()]).unwrap();
+    drop(ledger);
+    let (_, found, _) = Ledger::open(&folder, "a").unwrap();
+    assert_eq!(found, [b"one".to_vec(), b"two".to_vec()]);
+}
+
+#[test]
+fn every_truncation_gives_the_whole_frames_before_it_and_is_cut_there() {
+    let folder = folder("truncate");
+    let (bytes, ends) = written(&folder);
+    for length in 0..=bytes.len() {
+        std::fs::write(folder.join("a"), &bytes[..length]).unwrap();
+        let (mut ledger, found, report) = Ledger::open(&folder, "a").unwrap();
+        let whole = ends.iter().filter(|end| **end <= length as u64).count();
+        let kept = if whole == 0 { 0 } else { ends[whole - 1] };
+        assert_eq!(found, records(6)[..whole.saturating_sub(1) * 2], "cut at {length}");
+        let expected = Report { dropped_bytes: length as u64 - kept, set_aside: None };
+        assert_eq!(report, expected, "cut at {length}");
+        ledger.append(&[b"next".to_vec()]).unwrap();
+        drop(ledger);
+        let (_, again, report) = Ledger::open(&folder, "a").unwrap();
+        assert_eq!(again.len(), found.len() + 1, "cut at {length}");
+        assert_eq!(report, Report::default(), "cut at {length}");
+    }
+}
+
+#[test]
+fn every_flipped_bit_ends_the_records_before_it() {
+    let folder = folder("flip");
+    let (bytes, ends) = written(&folder);
+    for at in 0..bytes.len() {
+        for bit in 0..8 {
+            let mut flipped = bytes.clone();
+            flipped[at] ^= 1 << bit;
+            std::fs::write(folder.join("a"), &flipped).unwrap();
+            let (_, found, report) = Ledger::open(&folder, "a").unwrap();
+            let whole = ends.iter().filter(|end| **end <= at as u64).count();
+            assert_eq!(found, records(6)[..whole.saturating_sub(1) * 2], "bit {bit} of {at}");
+            assert_eq!(report.set_aside.is_some(), whole == 0, "bit {bit} of {at}");
+            if let Some(aside) = report.set_aside {
+                assert_eq!(std::fs::read(&aside).unwrap(), flipped, "moved, not deleted");
+                std::fs::remove_file(aside).unwrap();
+            }
+        }
+    }
+}
+
+#[test]
+fn a_second_foreign_file_does_not_replace_the_first_set_aside() {
+    let folder = folder("foreign");
+    for text in ["first", "second"] {
+        std::fs::write(folder.join("a"), text.repeat(9)).unwrap();
+        let (_, found, report) = Ledger::open(&folder, "a").unwrap();
+        assert!(found.is_empty() && report.set_aside.is_some());
+    }
+    assert_eq!(std::fs::read_to_string(folder.join("a.aside.1")).unwrap(), "first".repeat(9));
+    assert_eq!(std::fs::read_to_string(folder.join("a.aside.2")).unwrap(), "second".repeat(9));
+}
+
+#[test]
+fn a_folder_that_is_not_there_is_an_error_with_its_code() {
+    let error = Ledger::open(&folder("none").join("no/such"), "a").err().unwrap();
+    assert!(error.to_string().starts_with("L3 "), "{error}");
+}
