--- /dev/null
+++ b/crates/sandtrack-relay/src/desire.rs
@@ -0,0 +1,253 @@
+//! Which view should come next, from what a voter knows. Pure. Any answer is safe as long as its head is a
+//! complete member of the former chain; the rest is for the system to go on, and not to flap.
+use std::collections::BTreeMap;
+
+use crate::message::DiskHealth;
+use crate::{Address, Member, View};
+
+/// A joiner that lacks more entries than this learns them first, unless it is needed at once.
+const BEHIND: u64 = 64;
+/// The fewest members of a full chain.
+const CHAIN: usize = 3;
+
+/// What is known of one process.
+#[derive(Clone, Debug)]
+pub(crate) struct Known {
+    /// None when it was never heard.
+    pub(crate) incarnation: Option<u64>,
+    pub(crate) zone: String,
+    pub(crate) disk: DiskHealth,
+    pub(crate) epoch: u64,
+    pub(crate) aligned: u64,
+    pub(crate) committed: u64,
+    pub(crate) hears: Vec<Address>,
+    /// Heard of late, and hears this process.
+    pub(crate) alive: bool,
+    /// Neither for so long, while this process was awake.
+    pub(crate) silent: bool,
+    /// Milliseconds since it was heard, while this process was awake.
+    pub(crate) silent_for: f64,
+}
+
+impl Known {
+    pub(crate) fn unheard(awake: f64, silence: f64) -> Self {
+        Self {
+            incarnation: None,
+            zone: String::new(),
+            disk: DiskHealth::Well,
+            epoch: 0,
+            aligned: 0,
+            committed: 0,
+            hears: Vec::new(),
+            alive: false,
+            silent: awake > silence,
+            silent_for: awake,
+        }
+    }
+
+    pub(crate) fn is_alive(&self, member: &Member) -> bool {
+        self.alive && self.incarnation == Some(member.incarnation)
+    }
+
+    pub(crate) fn disk_works(&self) -> bool {
+        matches!(self.disk, DiskHealth::Well | DiskHealth::Absent)
+    }
+}
+
+pub(crate) struct Limits {
+    pub(crate) machines_borne: usize,
+    pub(crate) zones_borne: usize,
+    /// Milliseconds of silence after which a voter may be replaced.
+    pub(crate) replace: f64,
+}
+
+/// Why another view is wanted; the more urgent first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Reason {
+    /// A member is lost, or can't write.
+    Lost,
+    /// Another process may come in, or take a dead voter's place.
+    Joined,
+    /// Two neighbours of the chain don't hear each other, but both are heard here.
+    Apart,
+}
+
+type Everyone = BTreeMap<Address, Known>;
+
+/// The view that should follow, and why; None when the present one is as good as can be.
+pub(crate) fn desired(view: &View, me: &Member, known: &Everyone, limits: &Limits) -> Option<(View, Reason)> {
+    let (stay, lost) = staying(view, me, known);
+    let (stay, apart) = without_gaps(stay, known);
+    let mut next = kept(view, &stay, known)?;
+    let joined = join(view, &mut next, me, known, limits);
+    next.voters = voters(view, &next.chain, known, limits);
+    if next.chain == view.chain && next.voters == view.voters {
+        return None;
+    }
+    let commits = |view: &View| view.may_commit(limits.machines_borne, limits.zones_borne);
+    if !commits(&next) && (commits(view) || next.chain.len() <= view.chain.len()) {
+        return None;
+    }
+    let reason = match (lost, apart, joined) {
+        (true, _, _) => Reason::Lost,
+        (_, true, _) => Reason::Apart,
+        _ => Reason::Joined,
+    };
+    Some((next, reason))
+}
+
+/// Whether `member` should be left behind, as far as can be seen from here.
+fn is_suspect(view: &View, me: &Member, member: &Member, known: &Everyone) -> bool {
+    let Some(it) = known.get(&member.address) else {
+        return true;
+    };
+    if it.incarnation.is_some_and(|incarnation| incarnation != member.incarnation) || !it.disk_works() {
+        return true;
+    }
+    if it.alive || !it.silent {
+        return false;
+    }
+    let neighbours = [view.predecessor(member), view.successor(member)];
+    neighbours.contains(&Some(me))
+        || !known.values().any(|other| other.alive && other.hears.contains(&member.address))
+}
+
+/// The members of the chain that are not suspected, and whether others are.
+fn staying(view: &View, me: &Member, known: &Everyone) -> (Vec<Member>, bool) {
+    let suspect = |member: &&Member| !is_suspect(view, me, member, known);
+    let stay: Vec<Member> = view.chain.iter().filter(suspect).cloned().collect();
+    let lost = stay.len() < view.chain.len();
+    (stay, lost)
+}
+
+fn hear_each_other(one: &Address, other: &Address, known: &Everyone) -> bool {
+    let hears = |one: &Address, other: &Address| {
+        known.get(one).is_some_and(|known| !known.alive || known.hears.contains(other))
+    };
+    hears(one, other) && hears(other, one)
+}
+
+/// Without those that don't hear their predecessor, or aren't heard by it.
+fn without_gaps(stay: Vec<Member>, known: &Everyone) -> (Vec<Member>, bool) {
+    let mut linked: Vec<Member> = Vec::new();
+    let mut apart = false;
+    for member in stay {
+        let fits = linked.last().is_none_or(|last| hear_each_other(&last.address, &member.address, known));
+        if fits {
+            linked.push(member);
+        } else {
+            apart = true;
+        }
+    }
+    (linked, apart)
+}
+
+/// The view with those that stay: first the complete ones, in their order. None when there is none.
+fn kept(view: &View, stay: &[Member], known: &Everyone) -> Option<View> {
+    let mut next = View { epoch: view.epoch + 1, ..View::none() };
+    let mut incomplete = Vec::new();
+    for member in stay {
+        let position = view.position(member)?;
+        let it = known.get(&member.address);
+        // The head of a view is complete, or the view would not have been proposed.
+        let complete = position == 0 || it.is_some_and(|it| it.aligned >= view.since[position]);
+        if complete {
+            next.chain.push(member.clone());
+            next.since.push(view.since[position]);
+            next.zones.push(zone(view, member, known));
+        } else {
+            incomplete.push(member.clone());
+        }
+    }
+    if next.chain.is_empty() {
+        return None;
+    }
+    for member in incomplete {
+        next.since.push(next.epoch);
+        next.zones.push(zone(view, &member, known));
+        next.chain.push(member);
+    }
+    Some(next)
+}
+
+fn zone(view: &View, member: &Member, known: &Everyone) -> String {
+    let told = known.get(&member.address).map(|known| known.zone.clone()).filter(|zone| !zone.is_empty());
+    let position = view.position(member);
+    told.or_else(|| position.and_then(|position| view.zones.get(position).cloned())).unwrap_or_default()
+}
+
+/// Takes processes that are ready in at the end of the chain; true when there were any.
+fn join(view: &View, next: &mut View, me: &Member, known: &Everyone, limits: &Limits) -> bool {
+    let full = CHAIN.max(2 * limits.machines_borne + 1);
+    let committed = known.values().filter(|it| it.alive).map(|it| it.committed).max().unwrap_or(0);
+    let without_disk = |it: &Known| it.disk == DiskHealth::Absent;
+    let all_without = view.chain.iter().filter_map(|member| known.get(&member.address)).all(without_disk);
+    let mut joined = false;
+    while next.chain.len() < full {
+        let needed = !next.may_commit(limits.machines_borne, limits.zones_borne);
+        let best = known
+            .iter()
+            .filter_map(|(address, it)| {
+                let incarnation = it.incarnation?;
+                let member = Member { address: address.clone(), incarnation };
+                let fresh = needed || it.committed + BEHIND >= committed;
+                let ready = it.alive && it.epoch == view.epoch && it.disk_works() && fresh;
+                let fits = (all_without || !without_disk(it)) && !next.chain.contains(&member);
+                let tail = next.chain.last()?;
+                let linked = known.get(&tail.address).is_some_and(|tail| tail.alive)
+                    && hear_each_other(&tail.address, address, known);
+                (ready && fits && linked).then_some((member, it))
+            })
+            .min_by_key(|(member, it)| {
+                let zone_there = !it.zone.is_empty() && next.zones.contains(&it.zone);
+                (zone_there, !view.voters.contains(member), member != me, member.address.clone())
+            });
+        let Some((member, it)) = best else {
+            break;
+        };
+        next.chain.push(member);
+        next.since.push(next.epoch);
+        next.zones.push(it.zone.clone());
+        joined = true;
+    }
+    joined
+}
+
+/// The voters: each of the chain takes the place of its own former identity, or a free one, or that of the
+/// voter outside the chain that has been dead for longest.
+fn voters(view: &View, chain: &[Member], known: &Everyone, limits: &Limits) -> Vec<Member> {
+    let most = CHAIN.max(2 * limits.machines_borne + 1).max(view.voters.len());
+    let mut voters = view.voters.clone();
+    for member in chain {
+        if voters.contains(member) {
+            continue;
+        }
+        let former = voters.iter().position(|voter| voter.address == member.address);
+        let dead = || {
+            let dead = voters
+                .iter()
+                .enumerate()
+                .filter(|(_, voter)| !chain.contains(voter) && is_dead(voter, known, limits.replace));
+            let longest = dead.max_by(|one, other| {
+                let silent = |voter: &Member| known.get(&voter.address).map_or(f64::MAX, |it| it.silent_for);
+                silent(one.1).total_cmp(&silent(other.1))
+            });
+            longest.map(|(position, _)| position)
+        };
+        match former.or_else(dead) {
+            Some(position) => voters[position] = member.clone(),
+            None if voters.len() < most => voters.push(member.clone()),
+            None => {}
+        }
+    }
+    voters
+}
+
+fn is_dead(voter: &Member, known: &Everyone, replace: f64) -> bool {
+    let Some(it) = known.get(&voter.address) else {
+        return true;
+    };
+    let other_identity = it.incarnation.is_some_and(|incarnation| incarnation != voter.incarnation);
+    let heard = known.values().any(|other| other.alive && other.hears.contains(&voter.address));
+    other_identity || (it.silent_for > replace && !heard)
+}
--- /dev/null
+++ b/crates/sandtrack-relay/src/learning.rs
@@ -0,0 +1,84 @@
+//! Processes outside the chain learn what is committed from a member of it; each picks one, so that not all
+//! ask the same. What is committed stays so, whichever the epoch.
+use crate::message::{Body, Entry, Snapshot, Status};
+use crate::{Address, Effect, Machine, Relay};
+
+impl<M: Machine> Relay<M> {
+    /// Picks whom to learn from: a member of the chain that was heard of late.
+    pub(crate) fn choose_source(&mut self) {
+        let near = self.peers.heard_within(self.now, self.settings.timings.silence * 2.0);
+        if self.in_chain() {
+            self.source = None;
+            return;
+        }
+        let chain = &self.latest.chain;
+        let fits = |address: &Address| {
+            near.contains(address) && chain.iter().any(|member| member.address == *address)
+        };
+        if self.source.as_ref().is_some_and(fits) {
+            return;
+        }
+        let sum: usize = self.me.address.bytes().map(usize::from).sum();
+        let turned = (0..chain.len()).map(|step| &chain[(sum + step) % chain.len()].address);
+        self.source = turned.into_iter().find(|address| fits(address)).cloned();
+    }
+
+    /// Sends one observer what it lacks, if it wants to learn from this process.
+    pub(crate) fn teach(&mut self, to: &Address, status: &Status, effects: &mut Vec<Effect>) {
+        let last = self.applied.at.number;
+        if status.source.as_ref() != Some(&self.me.address) || status.committed >= last {
+            return;
+        }
+        let Some(peer) = self.peers.all.get_mut(to) else {
+            return;
+        };
+        let (taught, when) = peer.taught;
+        let lately = self.now - when < self.settings.timings.repeat && taught > status.committed;
+        let after = if lately { taught } else { status.committed };
+        if after >= last {
+            return;
+        }
+        peer.taught = (last, self.now);
+        let follows = after >= self.image.base.number && self.image.at(last) == Some(self.applied.at);
+        let body = if follows {
+            let entries =
+                self.image.after(after).into_iter().filter(|entry| entry.at.number <= last).collect();
+            Body::Learn { snapshot: None, entries }
+        } else {
+            Body::Learn { snapshot: Some(self.applied.snapshot()), entries: Vec::new() }
+        };
+        self.send(to, body, effects);
+    }
+
+    /// Sends all observers that learn from here what was just committed.
+    pub(crate) fn teach_all(&mut self, effects: &mut Vec<Effect>) {
+        let silence = self.settings.timings.silence * 3.0;
+        let learners: Vec<(Address, Status)> = self
+            .peers
+            .all
+            .iter()
+            .filter(|(_, peer)| self.now - peer.heard <= silence)
+            .filter_map(|(address, peer)| Some((address.clone(), peer.status.clone()?)))
+            .filter(|(_, status)| status.source.as_ref() == Some(&self.me.address))
+            .collect();
+        for (address, status) in learners {
+            self.teach(&address, &status, effects);
+        }
+    }
+
+    /// Takes committed entries in.
+    pub(crate) fn learn(
+        &mut self, snapshot: Option<Snapshot>, entries: Vec<Entry>, effects: &mut Vec<Effect>,
+    ) {
+        if let Some(snapshot) = snapshot {
+            if snapshot.at.number > self.applied.at.number && self.applied.restore(&snapshot) {
+                effects.push(Effect::Restored { number: snapshot.at.number });
+            }
+        }
+        for entry in entries {
+            if entry.at.number == self.applied.at.number + 1 {
+                self.apply(&entry, effects);
+            }
+        }
+    }
+}
--- a/crates/sandtrack-relay/src/lib.rs
+++ b/crates/sandtrack-relay/src/lib.rs
@@ -1,9 +1,27 @@
 //! Control state on the machines with a disk: a chain, entered at the head and answered from the tail, and
 //! the small agreed view (epoch, order of the chain, voters) that repairs it. Pure: no I/O, no clock, no
 //! threads; time comes in as milliseconds of the steady clock, randomness from a seed.
+//!
+//! Why it is safe is told in `docs/system/control.md`; each rule stands where it is kept:
+//! `agreement` (one view for each epoch), `desire` (which view to propose), `chain` (passing down, commits
+//! back up), `alignment` (a member is brought in line with its predecessor), `reads`, `calls` (a caller's
+//! submit or read on its way to the head), `learning` (observers), `disk` (one write at a time).
 #![forbid(unsafe_code)]
+mod agreement;
+mod alignment;
 mod api;
+mod applied;
+mod brief;
+mod calls;
+mod chain;
+mod desire;
+mod disk;
+mod image;
+mod learning;
 mod message;
+mod peers;
+mod random;
+mod reads;
 mod relay;
 mod view;
 
--- a/crates/sandtrack-relay/src/message.rs
+++ b/crates/sandtrack-relay/src/message.rs
@@ -1,6 +1,161 @@
 //! What relays say to each other.
 use borsh::{BorshDeserialize, BorshSerialize};
 
-/// One message from a relay to another; its fields are the relays' own affair.
+use crate::{Address, Member, View};
+
+/// One message from a relay to another; what it holds is the relays' own affair.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Message {
+    /// Of the sender's disk.
+    pub(crate) incarnation: u64,
+    /// Another one at each start of the sender's process.
+    pub(crate) start: u64,
+    /// Of the view that the sender has on its disk; the one that the body is about.
+    pub(crate) epoch: u64,
+    pub(crate) body: Box<Body>,
+}
+
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub(crate) enum Body {
+    Status(Status),
+    /// An agreed view.
+    NewView(View),
+    /// Asks for a promise to take no lower ballot on the view after `epoch`.
+    Prepare {
+        ballot: Ballot,
+    },
+    Promise {
+        ballot: Ballot,
+        accepted: Option<(Ballot, View)>,
+    },
+    Accept {
+        ballot: Ballot,
+        view: View,
+    },
+    Accepted {
+        ballot: Ballot,
+    },
+    /// A higher ballot was promised.
+    Outbid {
+        ballot: Ballot,
+        promised: Ballot,
+    },
+    /// To the predecessor: bring me in line. `ends` are the last numbers of each epoch in the sender's log.
+    Align {
+        ends: Vec<Position>,
+    },
+    /// To the successor: the log after `after`; or after a snapshot, when there is one.
+    InLine {
+        after: Position,
+        snapshot: Option<Snapshot>,
+        entries: Vec<Entry>,
+    },
+    /// Down the chain.
+    Pass {
+        entries: Vec<Entry>,
+    },
+    /// Up the chain: `synced` by the sender, `committed` by all of the chain.
+    Ack {
+        synced: u64,
+        committed: u64,
+    },
+    Submit {
+        call: CallId,
+        command: Vec<u8>,
+        hops: u8,
+    },
+    Outcome {
+        call: CallId,
+        outcome: Vec<u8>,
+    },
+    /// The head could not write the command; it is nowhere.
+    DiskFull {
+        call: CallId,
+        head: Member,
+    },
+    Read {
+        call: CallId,
+        question: Vec<u8>,
+        hops: u8,
+    },
+    /// Down the chain, without a sync.
+    ReadPass {
+        call: CallId,
+        question: Vec<u8>,
+        reply_to: Address,
+    },
+    ReadOutcome {
+        call: CallId,
+        answer: Vec<u8>,
+    },
+    /// Committed entries for an observer.
+    Learn {
+        snapshot: Option<Snapshot>,
+        entries: Vec<Entry>,
+    },
+}
+
+/// What a relay tells of itself at each pulse.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub(crate) struct Status {
+    pub(crate) zone: String,
+    pub(crate) disk: DiskHealth,
+    /// The last epoch in which the sender was brought in line.
+    pub(crate) aligned: u64,
+    /// The end of the log on its disk.
+    pub(crate) synced: u64,
+    /// What it knows to be committed.
+    pub(crate) committed: u64,
+    /// Whom it heard from of late.
+    pub(crate) hears: Vec<Address>,
+    /// Whom it wants to learn from.
+    pub(crate) source: Option<Address>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub(crate) enum DiskHealth {
+    Well,
+    /// A write has been under way for too long.
+    Stalled,
+    /// The last write was refused.
+    Full,
+    /// There is no disk.
+    Absent,
+}
+
+/// Ordered; no two proposals share one, also when a proposer starts again.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, BorshSerialize, BorshDeserialize)]
+pub(crate) struct Ballot {
+    pub(crate) round: u64,
+    pub(crate) proposer: Member,
+    pub(crate) start: u64,
+}
+
+/// The name of a call, the same at each try.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, BorshSerialize, BorshDeserialize)]
+pub(crate) struct CallId {
+    pub(crate) origin: Address,
+    pub(crate) start: u64,
+    pub(crate) number: u64,
+}
+
+/// Where an entry stands. The number and the epoch name an entry and all before it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, BorshSerialize, BorshDeserialize)]
+pub(crate) struct Position {
+    pub(crate) number: u64,
+    pub(crate) epoch: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub(crate) struct Entry {
+    pub(crate) at: Position,
+    pub(crate) call: CallId,
+    pub(crate) command: Vec<u8>,
+}
+
+/// The state after the entry at `at`, in place of all entries up to it.
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
-pub struct Message {}
+pub(crate) struct Snapshot {
+    pub(crate) at: Position,
+    pub(crate) state: Vec<u8>,
+}
--- /dev/null
+++ b/crates/sandtrack-relay/src/peers.rs
@@ -0,0 +1,80 @@
+//! Who was heard, when, and what they told of themselves.
+use std::collections::BTreeMap;
+
+use crate::message::Status;
+use crate::Address;
+
+/// Spans in milliseconds; a peer is forgotten after this silence, unless it is in the view.
+const FORGET: f64 = 10_000.0;
+
+#[derive(Clone, Debug)]
+pub(crate) struct Peer {
+    /// The last message of it.
+    pub(crate) heard: f64,
+    /// The last status of it that says that it hears this process.
+    pub(crate) listed: f64,
+    pub(crate) incarnation: u64,
+    pub(crate) start: u64,
+    pub(crate) epoch: u64,
+    pub(crate) status: Option<Status>,
+    /// When it was last sent the view.
+    pub(crate) view_sent: f64,
+    /// When it was last sent a status.
+    pub(crate) status_sent: f64,
+    /// What it was last sent to learn, and when.
+    pub(crate) taught: (u64, f64),
+}
+
+#[derive(Default)]
+pub(crate) struct Peers {
+    pub(crate) all: BTreeMap<Address, Peer>,
+}
+
+impl Peers {
+    /// Takes note of a message; true when the sender is new or started anew.
+    pub(crate) fn heard(
+        &mut self, now: f64, from: &Address, incarnation: u64, start: u64, epoch: u64,
+    ) -> bool {
+        let peer = self.all.entry(from.clone()).or_insert_with(|| Peer {
+            heard: now,
+            listed: f64::NEG_INFINITY,
+            incarnation,
+            start: start.wrapping_add(1),
+            epoch,
+            status: None,
+            view_sent: f64::NEG_INFINITY,
+            status_sent: f64::NEG_INFINITY,
+            taught: (0, f64::NEG_INFINITY),
+        });
+        peer.heard = now;
+        let anew = (peer.start, peer.incarnation) != (start, incarnation);
+        if anew {
+            peer.start = start;
+            peer.incarnation = incarnation;
+            peer.epoch = epoch;
+            peer.status = None;
+            peer.listed = f64::NEG_INFINITY;
+            peer.taught = (0, f64::NEG_INFINITY);
+        }
+        peer.epoch = peer.epoch.max(epoch);
+        anew
+    }
+
+    pub(crate) fn status(&mut self, now: f64, from: &Address, me: &Address, status: Status) {
+        if let Some(peer) = self.all.get_mut(from) {
+            if status.hears.contains(me) {
+                peer.listed = now;
+            }
+            peer.status = Some(status);
+        }
+    }
+
+    pub(crate) fn heard_within(&self, now: f64, span: f64) -> Vec<Address> {
+        let heard = self.all.iter().filter(|(_, peer)| now - peer.heard <= span);
+        heard.map(|(address, _)| address.clone()).collect()
+    }
+
+    pub(crate) fn forget(&mut self, now: f64) {
+        self.all.retain(|_, peer| now - peer.heard <= FORGET);
+    }
+}
--- a/crates/sandtrack-relay/src/view.rs
+++ b/crates/sandtrack-relay/src/view.rs
@@ -25,3 +25,64 @@
     /// For each of `chain`: its zone; empty where it isn't known (the first view).
     pub zones: Vec<String>,
 }
+
+impl View {
+    /// Before any view is known.
+    pub(crate) fn none() -> Self {
+        Self { epoch: 0, chain: Vec::new(), voters: Vec::new(), since: Vec::new(), zones: Vec::new() }
+    }
+
+    /// The first view of the system: the seeds as they were given, all empty.
+    pub(crate) fn first(seeds: &[Address]) -> Self {
+        let members: Vec<Member> =
+            seeds.iter().map(|seed| Member { address: seed.clone(), incarnation: 0 }).collect();
+        Self {
+            epoch: 1,
+            since: vec![1; members.len()],
+            zones: vec![String::new(); members.len()],
+            voters: members.clone(),
+            chain: members,
+        }
+    }
+
+    pub(crate) fn position(&self, member: &Member) -> Option<usize> {
+        self.chain.iter().position(|other| other == member)
+    }
+
+    pub(crate) fn is_head(&self, member: &Member) -> bool {
+        self.chain.first() == Some(member)
+    }
+
+    pub(crate) fn successor(&self, member: &Member) -> Option<&Member> {
+        self.chain.get(self.position(member)? + 1)
+    }
+
+    pub(crate) fn predecessor(&self, member: &Member) -> Option<&Member> {
+        self.chain.get(self.position(member)?.checked_sub(1)?)
+    }
+
+    pub(crate) fn majority(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// Whether what is on all of the chain's disks outlasts the losses that are to be borne. Members whose
+    /// zone isn't known count as in zones of their own.
+    pub(crate) fn may_commit(&self, machines_borne: usize, zones_borne: usize) -> bool {
+        let unknown = self.zones.iter().filter(|zone| zone.is_empty()).count();
+        let mut zones: Vec<&String> = self.zones.iter().filter(|zone| !zone.is_empty()).collect();
+        zones.sort();
+        zones.dedup();
+        self.chain.len() > machines_borne && unknown + zones.len() > zones_borne
+    }
+
+    /// Addresses of the chain and of the voters, each once.
+    pub(crate) fn addresses(&self) -> Vec<Address> {
+        let mut all: Vec<Address> = Vec::new();
+        for member in self.chain.iter().chain(&self.voters) {
+            if !all.contains(&member.address) {
+                all.push(member.address.clone());
+            }
+        }
+        all
+    }
+}
--- /dev/null
+++ b/crates/sandtrack-relay/tests/world/mod.rs
@@ -0,0 +1,506 @@
+//! A simulated world of postmasters: machines, disks, a network and callers, all from one seed.
+#![allow(dead_code)] // each test file uses its part
+pub mod checks;
+pub mod register;
+
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use sandtrack_relay::{Effect, Input, Message, Refusal, Relay, Settings};
+
+use checks::Checks;
+use register::Register;
+
+/// Milliseconds.
+pub type Time = f64;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum DiskMode {
+    Well,
+    /// Milliseconds for each write.
+    Slow(f64),
+    /// Writes don't end until the disk is well again.
+    Stalled,
+    /// Writes are refused.
+    Full,
+}
+
+pub struct Node {
+    pub address: String,
+    pub zone: String,
+    pub has_disk: bool,
+    pub disk: Vec<Vec<u8>>,
+    pub mode: DiskMode,
+    pub relay: Option<Relay<Register>>,
+    /// Counts the starts of the process.
+    pub generation: u64,
+    /// Of the disk: a new one at each wipe.
+    pub wipes: u64,
+    pub frozen: bool,
+    waiting: VecDeque<Input>,
+    /// The write under way: ticket, records, whether it replaces all.
+    write: Option<(u64, Vec<Vec<u8>>, bool)>,
+    pub removed: bool,
+    next_tick: Time,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Deliver { from: usize, to: usize, message: Message },
+    DiskDone { node: usize, generation: u64, ticket: u64 },
+    Tick { node: usize, generation: u64 },
+}
+
+struct Timed {
+    at: Time,
+    order: u64,
+    event: Event,
+}
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Self) -> bool {
+        self.order == other.order
+    }
+}
+impl Eq for Timed {}
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Timed {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        other.at.total_cmp(&self.at).then(other.order.cmp(&self.order))
+    }
+}
+
+/// How messages travel.
+#[derive(Clone, Debug)]
+pub struct Network {
+    pub delay: Time,
+    pub spread: Time,
+    pub loss: f64,
+    pub doubled: f64,
+    /// Share of messages that take up to two seconds.
+    pub late: f64,
+    /// From, to.
+    pub cut: BTreeSet<(usize, usize)>,
+}
+
+/// A call and what came of it.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub node: usize,
+    pub command: Option<(u64, u64)>,
+    pub began: Time,
+    /// The position that a read that began then may not be older than.
+    pub floor: u64,
+    pub ended: Option<(Time, Result<Vec<u8>, Refusal>)>,
+}
+
+pub struct World {
+    pub now: Time,
+    pub random: Pcg64Mcg,
+    pub nodes: Vec<Node>,
+    pub network: Network,
+    pub borne: usize,
+    pub seeds: Vec<String>,
+    pub calls: BTreeMap<u64, Call>,
+    pub checks: Checks,
+    /// One line for each message and effect, when wanted.
+    pub log: Option<Vec<String>>,
+    events: BinaryHeap<Timed>,
+    order: u64,
+    next_call: u64,
+    next_version: u64,
+    pub messages: u64,
+}
+
+impl World {
+    /// `seeds` machines with a disk start for the first time, and as many observers.
+    pub fn new(seed: u64, seeds: usize, observers: usize, borne: usize) -> Self {
+        let mut world = Self {
+            now: 0.0,
+            random: Pcg64Mcg::seed_from_u64(seed),
+            nodes: Vec::new(),
+            network: Network {
+                delay: 0.9,
+                spread: 0.3,
+                loss: 0.0,
+                doubled: 0.0,
+                late: 0.0,
+                cut: BTreeSet::new(),
+            },
+            borne,
+            seeds: (0..seeds.min(3)).map(name).collect(),
+            calls: BTreeMap::new(),
+            checks: Checks::default(),
+            log: None,
+            events: BinaryHeap::new(),
+            order: 0,
+            next_call: 0,
+            next_version: 0,
+            messages: 0,
+        };
+        for index in 0..seeds + observers {
+            world.add(index < seeds);
+        }
+        world
+    }
+
+    /// Adds a machine that is not started.
+    pub fn add(&mut self, has_disk: bool) -> usize {
+        let index = self.nodes.len();
+        self.nodes.push(Node {
+            address: name(index),
+            zone: format!("zone-{}", index % 3),
+            has_disk,
+            disk: Vec::new(),
+            mode: DiskMode::Well,
+            relay: None,
+            generation: 0,
+            wipes: 0,
+            frozen: false,
+            waiting: VecDeque::new(),
+            write: None,
+            removed: false,
+            next_tick: 0.0,
+        });
+        index
+    }
+
+    pub fn start_all(&mut self, first: bool) {
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].relay.is_none() && !self.nodes[index].removed {
+                self.start(index, first);
+            }
+        }
+    }
+
+    pub fn start(&mut self, index: usize, first_start: bool) {
+        let node = &mut self.nodes[index];
+        node.generation += 1;
+        node.waiting.clear();
+        let seeds: Vec<&str> = self.seeds.iter().map(String::as_str).collect();
+        let mut settings = Settings::new(&node.address, &seeds);
+        settings.zone = node.zone.clone();
+        settings.first_start = first_start;
+        settings.disk = node.has_disk;
+        settings.machines_borne = self.borne;
+        settings.seed = index as u64 * 1000 + node.generation;
+        settings.incarnation_if_new = index as u64 * 1000 + 100 + node.wipes * 10 + node.generation;
+        let (relay, effects) = Relay::new(settings, node.disk.clone(), Register::default(), self.now);
+        node.relay = Some(relay);
+        self.say(|world| format!("{} starts", world.nodes[index].address));
+        self.run_effects(index, effects);
+        self.plan_tick(index);
+    }
+
+    /// The process ends at once; the write under way is done or not, as a whole.
+    pub fn kill(&mut self, index: usize) {
+        self.say(|world| format!("{} is killed", world.nodes[index].address));
+        let done = self.random.gen::<bool>();
+        let node = &mut self.nodes[index];
+        node.relay = None;
+        node.frozen = false;
+        node.waiting.clear();
+        if let Some((_, records, replaces)) = node.write.take() {
+            if done && node.mode != DiskMode::Full {
+                store(&mut node.disk, records, replaces);
+            }
+        }
+    }
+
+    pub fn wipe(&mut self, index: usize) {
+        self.kill(index);
+        self.say(|world| format!("{} loses its disk", world.nodes[index].address));
+        self.nodes[index].disk.clear();
+        self.nodes[index].wipes += 1;
+    }
+
+    pub fn freeze(&mut self, index: usize) {
+        self.say(|world| format!("{} freezes", world.nodes[index].address));
+        self.nodes[index].frozen = true;
+    }
+
+    pub fn thaw(&mut self, index: usize) {
+        if !self.nodes[index].frozen {
+            return;
+        }
+        self.say(|world| format!("{} wakes", world.nodes[index].address));
+        self.nodes[index].frozen = false;
+        let waiting = std::mem::take(&mut self.nodes[index].waiting);
+        for input in waiting {
+            self.input(index, input);
+        }
+        self.input(index, Input::Tick);
+        self.plan_tick(index);
+    }
+
+    pub fn set_disk(&mut self, index: usize, mode: DiskMode) {
+        self.say(|world| format!("disk of {} is {mode:?}", world.nodes[index].address));
+        self.nodes[index].mode = mode;
+        if let (true, Some((ticket, _, _))) = (mode != DiskMode::Stalled, &self.nodes[index].write) {
+            let (ticket, generation) = (*ticket, self.nodes[index].generation);
+            self.plan(1.0, Event::DiskDone { node: index, generation, ticket });
+        }
+    }
+
+    /// Cuts both ways between the groups.
+    pub fn cut(&mut self, one: &[usize], other: &[usize]) {
+        for a in one {
+            for b in other {
+                self.network.cut.insert((*a, *b));
+                self.network.cut.insert((*b, *a));
+            }
+        }
+        self.say(|world| format!("cuts are {}", world.cuts()));
+    }
+
+    pub fn heal(&mut self) {
+        self.network.cut.clear();
+        self.say(|_| "cuts are healed".to_string());
+    }
+
+    fn cuts(&self) -> String {
+        let cuts = self.network.cut.iter();
+        let cuts: Vec<String> = cuts.map(|(from, to)| format!("{}-x->{}", name(*from), name(*to))).collect();
+        cuts.join(" ")
+    }
+
+    fn plan(&mut self, after: Time, event: Event) {
+        self.order += 1;
+        self.events.push(Timed { at: self.now + after, order: self.order, event });
+    }
+
+    fn plan_tick(&mut self, index: usize) {
+        let node = &self.nodes[index];
+        if let Some(relay) = &node.relay {
+            let after = (relay.next_tick() - self.now).max(0.1) + 0.1;
+            let generation = node.generation;
+            self.plan(after, Event::Tick { node: index, generation });
+        }
+    }
+
+    /// Plays `span` milliseconds.
+    pub fn run(&mut self, span: Time) {
+        let end = self.now + span;
+        while self.events.peek().is_some_and(|timed| timed.at <= end) {
+            let timed = self.events.pop().unwrap();
+            self.now = timed.at;
+            self.happen(timed.event);
+        }
+        self.now = end;
+    }
+
+    /// Plays until it holds, for at most `span` milliseconds; whether it does.
+    pub fn run_until(&mut self, span: Time, holds: impl Fn(&Self) -> bool) -> bool {
+        let end = self.now + span;
+        while self.now < end && !holds(self) {
+            self.run(5.0);
+        }
+        holds(self)
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Deliver { from, to, message } => {
+                if self.nodes[to].relay.is_none() || self.network.cut.contains(&(from, to)) {
+                    return;
+                }
+                self.messages += 1;
+                self.say(|world| format!("{} -> {}: {message}", name(from), world.nodes[to].address));
+                let input = Input::Received { from: self.nodes[from].address.clone(), message };
+                self.input(to, input);
+            }
+            Event::Tick { node, generation } => {
+                if self.nodes[node].generation == generation && !self.nodes[node].frozen {
+                    self.input(node, Input::Tick);
+                    self.plan_tick(node);
+                }
+            }
+            Event::DiskDone { node, generation, ticket } => self.disk_done(node, generation, ticket),
+        }
+    }
+
+    fn disk_done(&mut self, index: usize, generation: u64, ticket: u64) {
+        let node = &mut self.nodes[index];
+        if node.generation != generation || node.mode == DiskMode::Stalled || node.relay.is_none() {
+            return;
+        }
+        let Some((_, records, replaces)) = node.write.take_if(|write| write.0 == ticket) else {
+            return;
+        };
+        if node.mode == DiskMode::Full {
+            self.say(|world| format!("{} could not write", world.nodes[index].address));
+            return self.input(index, Input::WriteFailed { ticket });
+        }
+        store(&mut node.disk, records, replaces);
+        self.input(index, Input::Written { ticket });
+    }
+
+    pub fn input(&mut self, index: usize, input: Input) {
+        if self.nodes[index].frozen {
+            if !matches!(input, Input::Tick) {
+                self.nodes[index].waiting.push_back(input);
+            }
+            return;
+        }
+        let now = self.now;
+        let Some(relay) = &mut self.nodes[index].relay else {
+            return;
+        };
+        let mut effects = Vec::new();
+        relay.handle(now, input, &mut effects);
+        self.run_effects(index, effects);
+    }
+
+    fn run_effects(&mut self, index: usize, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Send { to, message } => self.transmit(index, &to, message),
+                Effect::Write { ticket, records } => self.write(index, ticket, records, false),
+                Effect::Rewrite { ticket, records } => self.write(index, ticket, records, true),
+                Effect::Applied { number, command, outcome } => {
+                    self.say(|world| {
+                        let node = &world.nodes[index];
+                        format!(
+                            "{} applied {number}: {}, {}",
+                            node.address,
+                            String::from_utf8_lossy(&command),
+                            String::from_utf8_lossy(&outcome)
+                        )
+                    });
+                    let last = self.nodes[index].relay.as_ref().unwrap();
+                    let epoch = (last.applied_number() == number).then(|| last.applied_epoch());
+                    self.checks.applied(index, number, epoch, &command);
+                }
+                Effect::Restored { number } => {
+                    self.say(|world| format!("{} restored {number}", world.nodes[index].address));
+                }
+                Effect::ViewIs(view) => {
+                    self.say(|world| format!("{} knows {view}", world.nodes[index].address));
+                    self.checks.view(&view);
+                }
+                Effect::Answer { call, result } => self.answered(index, call, result),
+            }
+        }
+        let machine = self.nodes[index].relay.as_ref().unwrap().machine().clone();
+        self.checks.state(index, self.nodes[index].generation, &machine);
+    }
+
+    fn write(&mut self, index: usize, ticket: u64, records: Vec<Vec<u8>>, replaces: bool) {
+        let node = &mut self.nodes[index];
+        assert!(node.write.is_none(), "one write at a time");
+        node.write = Some((ticket, records, replaces));
+        let generation = node.generation;
+        let after = match node.mode {
+            DiskMode::Well | DiskMode::Full => 0.5,
+            DiskMode::Slow(span) => span,
+            DiskMode::Stalled => return,
+        };
+        self.plan(after, Event::DiskDone { node: index, generation, ticket });
+    }
+
+    fn transmit(&mut self, from: usize, to: &str, message: Message) {
+        let Some(to) = self.nodes.iter().position(|node| node.address == to) else {
+            return;
+        };
+        if self.network.cut.contains(&(from, to)) || self.random.gen_bool(self.network.loss) {
+            return;
+        }
+        let copies = if self.random.gen_bool(self.network.doubled) { 2 } else { 1 };
+        for _ in 0..copies {
+            let mut after = self.network.delay + self.network.spread * self.random.gen::<f64>();
+            if self.random.gen_bool(self.network.late) {
+                after += 2000.0 * self.random.gen::<f64>();
+            }
+            self.plan(after, Event::Deliver { from, to, message: message.clone() });
+        }
+    }
+
+    /// A change on top of `base` through a process; gives the name of the call.
+    pub fn submit(&mut self, node: usize, base: u64) -> u64 {
+        self.next_version += 1;
+        let version = self.next_version.max(base + 1);
+        self.next_version = version;
+        let call = self.begin_call(node, Some((base, version)));
+        self.say(|world| format!("{} is asked to set {base} {version}", world.nodes[node].address));
+        let command = format!("set {base} {version}").into_bytes();
+        self.input(node, Input::Submit { call, command });
+        call
+    }
+
+    pub fn read(&mut self, node: usize) -> u64 {
+        let call = self.begin_call(node, None);
+        self.say(|world| format!("{} is asked to read", world.nodes[node].address));
+        self.input(node, Input::Read { call, question: b"get".to_vec() });
+        call
+    }
+
+    fn begin_call(&mut self, node: usize, command: Option<(u64, u64)>) -> u64 {
+        self.next_call += 1;
+        let floor = self.checks.floor;
+        let call = Call { node, command, began: self.now, floor, ended: None };
+        self.calls.insert(self.next_call, call);
+        self.next_call
+    }
+
+    fn answered(&mut self, index: usize, number: u64, result: Result<Vec<u8>, Refusal>) {
+        self.say(|world| {
+            let text = match &result {
+                Ok(outcome) => String::from_utf8_lossy(outcome).to_string(),
+                Err(refusal) => refusal.to_string(),
+            };
+            format!("{} answers: {text}", world.nodes[index].address)
+        });
+        let call = self.calls.get_mut(&number).unwrap();
+        assert_eq!(call.node, index, "answered where it was asked");
+        assert!(call.ended.is_none(), "answered once");
+        call.ended = Some((self.now, result));
+        let call = call.clone();
+        self.checks.answered(&call);
+    }
+
+    /// The outcome of a call in words.
+    pub fn outcome(&self, call: u64) -> Option<Result<String, Refusal>> {
+        let (_, result) = self.calls[&call].ended.clone()?;
+        Some(result.map(|bytes| String::from_utf8(bytes).unwrap()))
+    }
+
+    pub fn took(&self, call: u64) -> Option<Time> {
+        let call = &self.calls[&call];
+        call.ended.as_ref().map(|(ended, _)| ended - call.began)
+    }
+
+    /// The state of the process that knows most.
+    pub fn newest(&self) -> Register {
+        let machines = self.nodes.iter().filter_map(|node| Some(node.relay.as_ref()?.machine()));
+        machines.max_by_key(|machine| machine.applied).cloned().unwrap_or_default()
+    }
+
+    pub fn running(&self) -> Vec<usize> {
+        (0..self.nodes.len())
+            .filter(|index| self.nodes[*index].relay.is_some() && !self.nodes[*index].frozen)
+            .collect()
+    }
+
+    pub fn say(&mut self, line: impl Fn(&Self) -> String) {
+        if let Some(mut log) = self.log.take() {
+            log.push(format!("{:8.1} {}", self.now, line(self)));
+            self.log = Some(log);
+        }
+    }
+}
+
+fn store(disk: &mut Vec<Vec<u8>>, records: Vec<Vec<u8>>, replaces: bool) {
+    if replaces {
+        disk.clear();
+    }
+    disk.extend(records);
+}
+
+pub fn name(index: usize) -> String {
+    format!("m{}", index + 1)
+}
