--- /dev/null
+++ b/crates/sandtrack-postmaster/src/control.rs
@@ -0,0 +1,136 @@
+//! The operators' interface: a call is decoded into an order, which is carried out elsewhere, and what came of it is
+//! written as an answer. It is pure; PROTOCOL.md says what is spoken, docs/system/codes.md what the codes mean.
+use crate::book::{Answer, Book, Command, Outcome};
+use sandtrack_core::message::{self, Message};
+use sandtrack_postmark::codes::{self, Code};
+use sandtrack_postmark::logs::escape;
+use sandtrack_postmark::settings::Settings;
+use sandtrack_relay::Refusal;
+
+/// A body may be this long, in bytes.
+pub const BODY_MAX: usize = 16 << 20;
+/// A call that found no acknowledgement is answered after this long, in ms: its caller moves on after a second.
+pub const PATIENCE_MS: f64 = 850.0;
+/// When a caller is to come again, in s.
+const AGAIN_S: &str = "0.2";
+
+/// What a call wants.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Through the relay, acknowledged when it is committed.
+    Submit(Command),
+    /// The newest configuration, through the relay.
+    Read,
+    /// What this postmaster knows of itself and the others.
+    Status,
+}
+
+/// An answer to a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply {
+    pub status: u16,
+    pub body: String,
+}
+
+impl Reply {
+    pub fn error(status: u16, code: Code, place: &str) -> Reply {
+        let what = codes::TABLE.iter().find(|(known, _, _)| *known == code).map_or("", |(_, _, text)| *text);
+        Reply::told(status, code, place, what)
+    }
+
+    fn told(status: u16, code: Code, place: &str, what: &str) -> Reply {
+        let (place, what) = (escape(place), escape(what));
+        let body = format!("{{\"code\":\"E{:03}\",\"place\":\"{place}\",\"what\":\"{what}\"}}", code.0);
+        Reply { status, body }
+    }
+
+    /// The answer as it is written; `close`: it is the connection's last.
+    pub fn bytes(&self, close: bool) -> Vec<u8> {
+        let kind = [("Content-Type", "application/json")].into_iter();
+        let again = (self.status == 503).then_some(("Retry-After", AGAIN_S));
+        message::response(self.status, kind.chain(again), self.body.as_bytes(), close)
+    }
+}
+
+/// The order of a call.
+///
+/// # Errors
+/// The answer to a call that orders nothing.
+pub fn decode(call: &Message, settings: &Settings) -> Result<Order, Reply> {
+    let target = message::origin_form(&call.head.target);
+    let path = target.split('?').next().unwrap_or_default();
+    let words: Vec<&str> = path.split('/').skip(1).collect();
+    let wants = |method: &str, order: Result<Order, Reply>| {
+        if call.head.method == method {
+            return order;
+        }
+        Err(Reply::error(405, codes::BAD_CALL, &format!("{} {path}: {method} is meant", call.head.method)))
+    };
+    let based_on = || {
+        let version = call.head.headers.get("based-on-version").and_then(|version| version.parse().ok());
+        version.ok_or_else(|| Reply::error(400, codes::BAD_CALL, "Based-On-Version"))
+    };
+    match words.as_slice() {
+        ["v1", "configuration", "replace"] => wants(
+            "POST",
+            based_on().and_then(|based_on| {
+                // It can be told at once, and without the others.
+                Book::check(&call.body)
+                    .map_err(|invalid| Reply::told(400, invalid.code, &invalid.place, &invalid.what))?;
+                Ok(Order::Submit(Command::Replace { based_on, body: call.body.clone() }))
+            }),
+        ),
+        ["v1", "configuration", "update"] => wants(
+            "POST",
+            based_on().map(|based_on| Order::Submit(Command::Update { based_on, body: call.body.clone() })),
+        ),
+        ["v1", "configuration", "read"] => wants("GET", Ok(Order::Read)),
+        ["v1", "status"] => wants("GET", Ok(Order::Status)),
+        ["v1", "evacuation", zone, verb @ ("begin" | "finish")] => {
+            let order = match settings.zones.contains_key(*zone) || *zone == settings.zone {
+                true => {
+                    Ok(Order::Submit(Command::Evacuate { zone: (*zone).to_owned(), begin: *verb == "begin" }))
+                }
+                false => Err(Reply::error(404, codes::UNKNOWN_ZONE, zone)),
+            };
+            wants("POST", order)
+        }
+        _ => Err(Reply::error(404, codes::BAD_CALL, path)),
+    }
+}
+
+/// The answer to an order for what came of it.
+pub fn outcome(result: Result<Outcome, Refusal>) -> Reply {
+    match result {
+        Ok(Outcome::Taken { version }) => {
+            Reply { status: 200, body: format!("{{\"version_number\":{version}}}") }
+        }
+        Ok(Outcome::Other { current }) => {
+            Reply::error(412, codes::ANOTHER_VERSION, &format!("current {current}"))
+        }
+        Ok(Outcome::Invalid { code, place, what }) => Reply::told(400, Code(code), &place, &what),
+        Err(refusal) => refused(refusal),
+    }
+}
+
+/// The answer to a read.
+pub fn answer(result: Result<Answer, Refusal>) -> Reply {
+    match result {
+        Ok(Some(document)) => Reply { status: 200, body: document },
+        Ok(None) => Reply::error(404, codes::NO_CONFIGURATION, "configuration"),
+        Err(refusal) => refused(refusal),
+    }
+}
+
+fn refused(refusal: Refusal) -> Reply {
+    match refusal {
+        Refusal::NoMajority => Reply::error(503, codes::NOT_NOW, "control"),
+        Refusal::Full => Reply::error(503, codes::LEDGER_FULL, "disk"),
+        Refusal::TimedOut => unsure(),
+    }
+}
+
+/// The answer to a call that was not acknowledged in time.
+pub fn unsure() -> Reply {
+    Reply::error(503, codes::UNSURE, "control")
+}
--- /dev/null
+++ b/crates/sandtrack-postmaster/src/directory.rs
@@ -0,0 +1,99 @@
+//! The directory: tells clients which couriers to go to. It is pure; the roll says who is there.
+use crate::control::Reply;
+use sandtrack_core::message::{self, Head};
+use sandtrack_postmark::codes;
+use sandtrack_postmark::frames::CourierInfo;
+
+/// So many addresses are told at most.
+const ADDRESSES: usize = 64;
+/// How long clients may hold an answer, in s: they soon hear of one that has left.
+const LIFETIME_S: u32 = 1;
+
+/// Where a client says that it is. What it leaves out is empty: it is answered all the same.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Place {
+    pub zone: String,
+    pub region: String,
+}
+
+/// Who asks from where.
+///
+/// # Errors
+/// The answer to a call that is none of the directory's.
+pub fn decode(head: &Head) -> Result<Place, Reply> {
+    let target = message::origin_form(&head.target);
+    let (path, query) = target.split_once('?').unwrap_or((&target, ""));
+    if path != "/v1/resolution" {
+        return Err(Reply::error(404, codes::BAD_CALL, path));
+    }
+    if head.method != "GET" {
+        return Err(Reply::error(405, codes::BAD_CALL, &format!("{} {path}: GET is meant", head.method)));
+    }
+    let mut place = Place::default();
+    for (name, value) in query.split('&').filter_map(|pair| pair.split_once('=')) {
+        match name {
+            "zone" => place.zone = unescape(value),
+            "region" => place.region = unescape(value),
+            _ => {}
+        }
+    }
+    Ok(place)
+}
+
+/// A value of a query with `%41` and `+` read.
+fn unescape(value: &str) -> String {
+    let bytes = value.as_bytes();
+    let mut read = Vec::with_capacity(bytes.len());
+    let mut at = 0;
+    while let Some(byte) = bytes.get(at) {
+        let hex = value.get(at + 1..at + 3).and_then(|hex| u8::from_str_radix(hex, 16).ok());
+        match (byte, hex) {
+            (b'%', Some(hex)) => {
+                read.push(hex);
+                at += 2;
+            }
+            (b'+', _) => read.push(b' '),
+            (byte, _) => read.push(*byte),
+        }
+        at += 1;
+    }
+    String::from_utf8_lossy(&read).into_owned()
+}
+
+/// The couriers for a client: those of its zone, if these are enough for it, else of its region, else all. Enough is a
+/// third of what a place has on average: a place that has lost more sends its clients on. Where there are too many, `turn`
+/// says with which to begin.
+pub fn choose<'a>(
+    place: &Place, ready: &[&'a CourierInfo], zones: usize, regions: usize, turn: usize,
+) -> Vec<&'a str> {
+    let enough = |count: usize, places: usize| count > 0 && 3 * count * places.max(1) >= ready.len();
+    let of = |near: &dyn Fn(&CourierInfo) -> bool| -> Vec<&'a str> {
+        ready.iter().filter(|info| near(info)).map(|info| info.front.as_str()).collect()
+    };
+    let zone = of(&|info| info.zone == place.zone);
+    let region = of(&|info| info.region == place.region);
+    let mut chosen = if enough(zone.len(), zones) {
+        zone
+    } else if enough(region.len(), regions) {
+        region
+    } else {
+        of(&|_| true)
+    };
+    chosen.sort_unstable();
+    if chosen.len() > ADDRESSES {
+        let shift = turn.wrapping_mul(ADDRESSES) % chosen.len();
+        chosen.rotate_left(shift);
+        chosen.truncate(ADDRESSES);
+    }
+    chosen
+}
+
+/// The answer with these addresses; with none, a client is to ask elsewhere.
+pub fn reply(addresses: &[&str]) -> Reply {
+    if addresses.is_empty() {
+        return Reply::error(503, codes::NOT_NOW, "no courier is ready");
+    }
+    let addresses: Vec<String> = addresses.iter().map(|address| format!("\"{address}\"")).collect();
+    let body = format!("{{\"addresses\":[{}],\"lifetime_s\":{LIFETIME_S}}}", addresses.join(","));
+    Reply { status: 200, body }
+}
--- a/crates/sandtrack-postmaster/src/main.rs
+++ b/crates/sandtrack-postmaster/src/main.rs
@@ -1,2 +1,4 @@
 //! The program; all of it is in the library.
-fn main() {}
+fn main() -> std::process::ExitCode {
+    sandtrack_postmaster::program::main()
+}
--- /dev/null
+++ b/crates/sandtrack-postmaster/src/peers.rs
@@ -0,0 +1,316 @@
+//! The other postmasters: one link a pair, over which relays talk, sessions and the list are told, and each says that it is
+//! there. It owns what is known of links and when to open one; it must never touch a socket.
+use crate::reader::{Claim, Word};
+use crate::roll::Member;
+use crate::Millis;
+use borsh::{BorshDeserialize, BorshSerialize};
+use sandtrack_postmark::frames::UpstreamEntry;
+use sandtrack_relay::{Address, Message};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The first number of a link: another one is another format, and the link is ended.
+pub const FORMAT: u16 = 1;
+/// How often each end says that it is there, in ms.
+pub const BEAT_MS: Millis = 150.0;
+/// A link on which nothing was heard for so long, in ms, is closed and opened anew.
+pub const SILENCE_MS: Millis = 900.0;
+/// Pause before a link is opened anew, in ms: the one with the lower address goes first.
+const AGAIN_MS: Millis = 100.0;
+const AGAIN_SECOND_MS: Millis = 250.0;
+/// One that nobody names any more and that was not heard for so long, in ms, is forgotten.
+const FORGOTTEN_MS: Millis = 60_000.0;
+
+/// Who a postmaster is, and where it serves.
+#[derive(Clone, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Hello {
+    pub format: u16,
+    /// Where others open links to it: its name among them.
+    pub address: Address,
+    /// Drawn at each start of the process.
+    pub incarnation: u64,
+    pub node_name: String,
+    pub zone: String,
+    pub region: String,
+    pub control: String,
+    pub directory: String,
+    /// Where couriers open their sessions.
+    pub session: String,
+}
+
+/// What postmasters say to each other.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub enum PeerFrame {
+    /// First frame of a link, from both ends.
+    Hello(Hello),
+    Relay(Message),
+    /// The couriers that have a session with the sender, or what changed of them.
+    Sessions {
+        whole: bool,
+        present: Vec<Member>,
+        gone: Vec<String>,
+    },
+    /// What was told of sessions does not add up: all of them are wanted.
+    WantSessions,
+    /// The platform's list as it was read, or what changed of it; remaining times are as of this frame.
+    List {
+        whole: bool,
+        round: u64,
+        entries: Vec<UpstreamEntry>,
+        gone: Vec<String>,
+    },
+    WantList,
+    /// Each [`BEAT_MS`]: that it is there, and what the other end should know of it.
+    Beat {
+        claim: Claim,
+        /// It does not hear the holder of the duty to read.
+        silent: bool,
+        /// How many sessions it has, and their digest.
+        sessions: (u32, u64),
+        /// Readings of the list it knows of; how many upstreams, and their digest.
+        list: (u64, u32, u64),
+        /// It was told to stop.
+        leaving: bool,
+    },
+}
+
+/// One link, of which the program holds the socket.
+#[derive(Clone, Debug)]
+struct Link {
+    /// To whom, where it was opened from here.
+    dialed: Option<Address>,
+    /// Who is at the other end, once it said so.
+    peer: Option<Address>,
+    heard: Millis,
+    /// How far the other end was told sessions and the list.
+    sessions: Option<u64>,
+    list: Option<u64>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Known {
+    hello: Option<Hello>,
+    /// The link that is in use.
+    link: Option<u64>,
+    /// One that is being opened.
+    dialing: Option<u64>,
+    dial_at: Millis,
+    heard: Millis,
+    word: Word,
+    leaving: bool,
+}
+
+/// What the program is to do with a link.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LinkOrder {
+    Dial { link: u64, address: Address },
+    Send { link: u64, frame: PeerFrame },
+    Close { link: u64 },
+}
+
+#[derive(Clone, Debug)]
+pub struct Peers {
+    pub me: Hello,
+    links: BTreeMap<u64, Link>,
+    known: BTreeMap<Address, Known>,
+    next_link: u64,
+    next_beat: Millis,
+}
+
+/// A change of who is heard.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// A link with this one is in use from now on: a new one.
+    Found(Address),
+    Lost(Address),
+}
+
+impl Peers {
+    pub fn new(me: Hello, now: Millis) -> Peers {
+        Peers { me, links: BTreeMap::new(), known: BTreeMap::new(), next_link: 0, next_beat: now }
+    }
+
+    /// Others are known of by these addresses; they and those that were heard lately are the ones to reach.
+    pub fn reach<'a>(&mut self, now: Millis, addresses: impl Iterator<Item = &'a str>) {
+        let named: BTreeSet<&str> = addresses.filter(|address| *address != self.me.address).collect();
+        for address in &named {
+            if !self.known.contains_key(*address) {
+                let wait = if self.me.address.as_str() < *address { 0.0 } else { AGAIN_SECOND_MS };
+                let known = Known { dial_at: now + wait, heard: now, ..Known::default() };
+                self.known.insert((*address).to_owned(), known);
+            }
+        }
+        self.known.retain(|address, known| {
+            let used = known.link.is_some() || known.dialing.is_some();
+            used || named.contains(address.as_str()) || now - known.heard < FORGOTTEN_MS
+        });
+    }
+
+    /// A number for a link that was opened from the other end.
+    pub fn accepted(&mut self, now: Millis) -> u64 {
+        self.link(None, now)
+    }
+
+    fn link(&mut self, dialed: Option<Address>, now: Millis) -> u64 {
+        self.next_link += 1;
+        self.links
+            .insert(self.next_link, Link { dialed, peer: None, heard: now, sessions: None, list: None });
+        self.next_link
+    }
+
+    /// The socket of a link stands: who is here is said first.
+    pub fn opened(&mut self, now: Millis, link: u64, orders: &mut Vec<LinkOrder>) {
+        match self.links.get_mut(&link) {
+            Some(known) => {
+                known.heard = now;
+                orders.push(LinkOrder::Send { link, frame: PeerFrame::Hello(self.me.clone()) });
+            }
+            None => orders.push(LinkOrder::Close { link }),
+        }
+    }
+
+    /// Something came over a link. Whose it is, where the other end has said so.
+    pub fn heard(&mut self, now: Millis, link: u64) -> Option<Address> {
+        let known = self.links.get_mut(&link)?;
+        known.heard = now;
+        let peer = known.peer.clone()?;
+        if let Some(known) = self.known.get_mut(&peer) {
+            known.heard = now;
+        }
+        Some(peer)
+    }
+
+    /// The other end says who it is. Of two links of a pair the one is kept that the lower address opened, and of two
+    /// lives of a process the later one.
+    pub fn hello(
+        &mut self, now: Millis, link: u64, hello: Hello, orders: &mut Vec<LinkOrder>,
+    ) -> Option<Heard> {
+        let address = hello.address.clone();
+        let dialed_here = self.links.get(&link)?.dialed.is_some();
+        if hello.format != FORMAT || address == self.me.address {
+            log::warn!("a link with {address} of format {} is ended", hello.format);
+            self.drop_link(now, link, orders);
+            return None;
+        }
+        let (me, wanted) = (&self.me.address, &address);
+        let preferred = if dialed_here { me < wanted } else { wanted < me };
+        let known = self.known.entry(address.clone()).or_default();
+        let same_life = known.hello.as_ref().is_some_and(|before| before.incarnation == hello.incarnation);
+        let rival = known.link.filter(|rival| *rival != link);
+        if let Some(rival) = rival {
+            let rival_dialed_here = self.links.get(&rival).is_some_and(|rival| rival.dialed.is_some());
+            // The same end opened both: the newer one stands, as the other end has given up the older.
+            if same_life && !preferred && rival_dialed_here != dialed_here {
+                self.drop_link(now, link, orders);
+                return None;
+            }
+            self.links.remove(&rival);
+            orders.push(LinkOrder::Close { link: rival });
+        }
+        let known = self.known.entry(address.clone()).or_default();
+        known.dialing = known.dialing.filter(|dialing| *dialing != link);
+        known.link = Some(link);
+        (known.heard, known.leaving, known.word) = (now, false, Word::default());
+        known.hello = Some(hello);
+        if let Some(link) = self.links.get_mut(&link) {
+            link.peer = Some(address.clone());
+        }
+        Some(Heard::Found(address))
+    }
+
+    /// The socket of a link is gone.
+    pub fn closed(&mut self, now: Millis, link: u64) -> Option<Heard> {
+        let gone = self.links.remove(&link)?;
+        let wait = |me: &str, other: &str| if me < other { AGAIN_MS } else { AGAIN_SECOND_MS };
+        if let Some(known) = gone.dialed.as_ref().and_then(|dialed| self.known.get_mut(dialed)) {
+            if known.dialing == Some(link) {
+                known.dialing = None;
+                known.dial_at = now + wait(&self.me.address, gone.dialed.as_deref().unwrap_or_default());
+            }
+        }
+        let peer = gone.peer?;
+        let known = self.known.get_mut(&peer).filter(|known| known.link == Some(link))?;
+        known.link = None;
+        known.dial_at = now + wait(&self.me.address, &peer);
+        Some(Heard::Lost(peer))
+    }
+
+    fn drop_link(&mut self, now: Millis, link: u64, orders: &mut Vec<LinkOrder>) -> Option<Heard> {
+        orders.push(LinkOrder::Close { link });
+        self.closed(now, link)
+    }
+
+    /// Another one says that it is there.
+    pub fn word(&mut self, peer: &str, word: Word, leaving: bool) {
+        if let Some(known) = self.known.get_mut(peer) {
+            (known.word, known.leaving) = (word, leaving);
+        }
+    }
+
+    /// This process did not run for a while: what the others said meanwhile is still to be read.
+    pub fn woke(&mut self, now: Millis) {
+        self.links.values_mut().for_each(|link| link.heard = now);
+    }
+
+    /// Closes silent links and opens missing ones; yes where a beat is due.
+    pub fn tick(&mut self, now: Millis, orders: &mut Vec<LinkOrder>) -> (Vec<Heard>, bool) {
+        let silent = self.links.iter().filter(|(_, link)| now - link.heard > SILENCE_MS);
+        let silent: Vec<u64> = silent.map(|(link, _)| *link).collect();
+        let lost = silent.into_iter().filter_map(|link| self.drop_link(now, link, orders)).collect();
+        let free = |known: &Known| known.link.is_none() && known.dialing.is_none() && now >= known.dial_at;
+        let wanted: Vec<Address> =
+            self.known.iter().filter(|(_, known)| free(known)).map(|(address, _)| address.clone()).collect();
+        for address in wanted {
+            let link = self.link(Some(address.clone()), now);
+            if let Some(known) = self.known.get_mut(&address) {
+                known.dialing = Some(link);
+            }
+            orders.push(LinkOrder::Dial { link, address });
+        }
+        let beat = now >= self.next_beat;
+        if beat {
+            self.next_beat = now + BEAT_MS;
+        }
+        (lost, beat)
+    }
+
+    pub fn next_due(&self) -> Millis {
+        self.next_beat
+    }
+
+    /// The link in use with another one.
+    pub fn link_to(&self, peer: &str) -> Option<u64> {
+        self.known.get(peer)?.link
+    }
+
+    /// The links in use.
+    pub fn linked(&self) -> Vec<(u64, Address)> {
+        let linked = |(address, known): (&Address, &Known)| Some((known.link?, address.clone()));
+        self.known.iter().filter_map(linked).collect()
+    }
+
+    /// How far the other end of a link was told sessions, and the list.
+    pub fn told(&mut self, link: u64) -> Option<(&mut Option<u64>, &mut Option<u64>)> {
+        self.links.get_mut(&link).map(|link| (&mut link.sessions, &mut link.list))
+    }
+
+    /// What those said last that were heard within so many ms and are not leaving.
+    pub fn live(&self, now: Millis, within: Millis) -> BTreeMap<Address, Word> {
+        let live = self
+            .known
+            .iter()
+            .filter(|(_, known)| known.link.is_some() && !known.leaving && now - known.heard <= within);
+        live.map(|(address, known)| (address.clone(), known.word.clone())).collect()
+    }
+
+    /// Whether one was heard within so many ms.
+    pub fn is_heard(&self, now: Millis, peer: &str, within: Millis) -> bool {
+        self.known.get(peer).is_some_and(|known| known.link.is_some() && now - known.heard <= within)
+    }
+
+    /// All that are known of: whether linked, not leaving, and what they said of themselves.
+    pub fn all(&self) -> impl Iterator<Item = (&str, bool, Option<&Hello>)> {
+        self.known.iter().map(|(address, known)| {
+            (address.as_str(), known.link.is_some() && !known.leaving, known.hello.as_ref())
+        })
+    }
+}
--- /dev/null
+++ b/crates/sandtrack-postmaster/src/platform.rs
@@ -0,0 +1,115 @@
+//! Calls to the platform for its list, over one connection that is kept. It owns that socket; when to call is decided
+//! elsewhere.
+use crate::reader::{Call, Page};
+use crate::socket;
+use async_io::{Async, Timer};
+use futures_lite::future;
+use sandtrack_sidecar::http::{self, Parser, Part, Side};
+use sandtrack_sidecar::net::{read_into, write_all};
+use sandtrack_sidecar::ring::Ring;
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// A call that is not answered within this has failed.
+const PATIENCE: Duration = Duration::from_millis(1200);
+/// A page may be this long, in bytes.
+const PAGE_MAX: usize = 8 << 20;
+
+/// A page that is wanted: of which address, and its token.
+#[derive(Debug)]
+pub struct Fetch {
+    pub address: String,
+    pub token: Option<String>,
+}
+
+/// Calls for one page after another until nobody wants any more.
+pub async fn run(wanted: async_channel::Receiver<Fetch>, told: impl Fn(Call)) {
+    let mut kept: Option<(String, Async<TcpStream>)> = None;
+    while let Ok(fetch) = wanted.recv().await {
+        let reused = kept.as_ref().is_some_and(|(address, _)| *address == fetch.address);
+        if !reused {
+            kept = None;
+        }
+        let mut called = within(call(&mut kept, &fetch)).await;
+        if reused && called.is_err() {
+            // The platform may have closed the kept connection meanwhile.
+            kept = None;
+            called = within(call(&mut kept, &fetch)).await;
+        }
+        told(called.unwrap_or_else(|why| {
+            kept = None;
+            Call::Failed(why)
+        }));
+    }
+}
+
+async fn within(call: impl std::future::Future<Output = Result<Call, String>>) -> Result<Call, String> {
+    let late = async {
+        Timer::after(PATIENCE).await;
+        Err("no answer in time".to_owned())
+    };
+    future::or(call, late).await
+}
+
+async fn call(kept: &mut Option<(String, Async<TcpStream>)>, fetch: &Fetch) -> Result<Call, String> {
+    let (_, stream) = match kept.take() {
+        Some(kept) => kept,
+        None => {
+            let stream =
+                socket::connect(&fetch.address, PATIENCE).await.map_err(|error| error.to_string())?;
+            (fetch.address.clone(), stream)
+        }
+    };
+    let target = match &fetch.token {
+        Some(token) => format!("/instances?page_token={}", escape(token)),
+        None => "/instances".to_owned(),
+    };
+    let headers = [("Host", fetch.address.as_str())].into_iter();
+    let request = http::request("GET", &target, headers, b"");
+    let mut output = Ring::new(http::WRITE_RING);
+    if !output.push(&request) {
+        return Err("the token is too long".to_owned());
+    }
+    write_all(&stream, &mut output).await.map_err(|error| error.to_string())?;
+    let mut input = Ring::new(http::READ_RING);
+    let mut parser = Parser::new(Side::Response);
+    let (mut head, mut body) = (None, Vec::new());
+    loop {
+        match parser.next(&mut input).map_err(|bad| format!("not an answer: {bad:?}"))? {
+            Some(Part::Head(read)) => head = Some(read),
+            Some(Part::Data(data)) => body.extend(data),
+            Some(Part::End) => break,
+            None => {
+                let count = read_into(&stream, &mut input).await.map_err(|error| error.to_string())?;
+                if count == 0 && !parser.ended(&input) {
+                    return Err("closed before the answer was whole".to_owned());
+                }
+            }
+        }
+        if body.len() > PAGE_MAX {
+            return Err("a page is too long".to_owned());
+        }
+    }
+    let head = head.ok_or("no head")?;
+    if head.keep_alive && input.is_empty() {
+        *kept = Some((fetch.address.clone(), stream));
+    }
+    match head.status {
+        200 => Page::parse(body).map(Call::Page),
+        429 => Ok(Call::TooMany),
+        status => Ok(Call::Failed(format!("status {status}"))),
+    }
+}
+
+/// A token as a value of a query.
+fn escape(token: &str) -> String {
+    let mut escaped = String::with_capacity(token.len());
+    for byte in token.bytes() {
+        if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
+            escaped.push(char::from(byte));
+        } else {
+            escaped.push_str(&format!("%{byte:02X}"));
+        }
+    }
+    escaped
+}
--- /dev/null
+++ b/crates/sandtrack-postmaster/src/postmaster.rs
@@ -0,0 +1,660 @@
+//! The postmaster: the parts put together. Inputs go in, effects come out; it is pure and deterministic, so that tests play
+//! whole exchanges of several of them. It owns all state; it must never touch a socket, a file or a clock.
+use crate::book::{Book, Question};
+use crate::control::{self, Order, Reply};
+use crate::directory;
+use crate::peers::{Heard, Hello, LinkOrder, PeerFrame, Peers, FORMAT};
+use crate::reader::{self, Duty, Reader, Word, HOLDER_SILENT_MS};
+use crate::roll::{Member, Roll};
+use crate::sessions::{News, SessionOrder, Sessions};
+use crate::upstreams::{Excerpt, Upstreams};
+use crate::Millis;
+use sandtrack_core::message::{Head, Message};
+use sandtrack_postmark::frames::{self, ToCourier, ToPostmaster};
+use sandtrack_postmark::logs::escape;
+use sandtrack_postmark::settings::{Settings, PEER_PORT, SESSION_PORT};
+use sandtrack_relay::{self as relay, Address, Refusal, Relay};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A voter that was heard within so many ms is there.
+const VOTER_MS: Millis = 1000.0;
+/// A process whose clock went on by more than this without it, in ms, was frozen.
+const FROZEN_MS: Millis = 700.0;
+/// It looks at what is due at least this often, in ms.
+const LOOK_MS: Millis = 50.0;
+/// Told to stop, it ends after this, in ms, whatever is under way.
+const LEAVE_MS: Millis = 1200.0;
+
+/// What happened.
+#[derive(Debug)]
+pub enum Input {
+    Tick,
+    /// An operator's call was read whole.
+    Call {
+        call: u64,
+        message: Message,
+    },
+    LinkOpened {
+        link: u64,
+    },
+    LinkFrame {
+        link: u64,
+        frame: PeerFrame,
+    },
+    LinkClosed {
+        link: u64,
+    },
+    SessionFrame {
+        session: u64,
+        frame: ToPostmaster,
+    },
+    SessionClosed {
+        session: u64,
+    },
+    Written {
+        ticket: u64,
+    },
+    WriteFailed {
+        ticket: u64,
+    },
+    /// A call to the platform is over.
+    Called(reader::Call),
+    /// The settings were read again.
+    Reload(Box<Settings>),
+    Terminate,
+}
+
+/// What is to be done.
+#[derive(Debug, PartialEq)]
+pub enum Effect {
+    Reply {
+        call: u64,
+        reply: Reply,
+    },
+    Link(LinkOrder),
+    Session(SessionOrder),
+    Write {
+        ticket: u64,
+        records: Vec<Vec<u8>>,
+    },
+    Rewrite {
+        ticket: u64,
+        records: Vec<Vec<u8>>,
+    },
+    /// Call the platform for a page of its list.
+    Fetch {
+        token: Option<String>,
+    },
+    Exit,
+}
+
+/// A call that waits for the relay.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Pending {
+    until: Millis,
+    reads: bool,
+}
+
+/// What a process is given at its start besides its settings.
+#[derive(Clone, Debug, Default)]
+pub struct Start {
+    /// Drawn at random.
+    pub incarnation: u64,
+    /// Records of its ledger.
+    pub recovered: Vec<Vec<u8>>,
+    /// There is a ledger to write to.
+    pub disk: bool,
+}
+
+pub struct Postmaster {
+    settings: Settings,
+    relay: Relay<Book>,
+    peers: Peers,
+    sessions: Sessions,
+    roll: Roll,
+    upstreams: Upstreams,
+    duty: Duty,
+    reader: Reader,
+    calls: BTreeMap<u64, Pending>,
+    next_call: u64,
+    /// Clients that the directory has answered.
+    turn: usize,
+    last: Millis,
+    leaving: Option<Millis>,
+}
+
+/// The links of the postmasters that the settings name, in their order.
+fn seeds(settings: &Settings) -> Vec<Address> {
+    let link = |seed: &String| settings.internal_address(Settings::ip_of(seed), PEER_PORT);
+    settings.seed_nodes.iter().map(link).collect()
+}
+
+fn hello(settings: &Settings, incarnation: u64) -> Hello {
+    let listen = |name: &str| settings.listen.get(name).cloned().unwrap_or_default();
+    Hello {
+        format: FORMAT,
+        address: settings.internal_address(&settings.ip_address, PEER_PORT),
+        incarnation,
+        node_name: settings.node_name.clone(),
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        control: listen("control"),
+        directory: listen("directory"),
+        session: settings.internal_address(&settings.ip_address, SESSION_PORT),
+    }
+}
+
+fn excerpt_frame(excerpt: Excerpt) -> PeerFrame {
+    let Excerpt { whole, round, entries, gone } = excerpt;
+    PeerFrame::List { whole, round, entries, gone }
+}
+
+impl Postmaster {
+    pub fn new(settings: Settings, start: Start, now: Millis) -> (Postmaster, Vec<Effect>) {
+        let me = hello(&settings, start.incarnation);
+        let relay_settings = relay::Settings {
+            zone: settings.zone.clone(),
+            incarnation_if_new: start.incarnation.max(1),
+            first_start: settings.first_start,
+            seeds: seeds(&settings),
+            disk: start.disk,
+            machines_borne: settings.machines_borne,
+            zones_borne: settings.zones_borne,
+            seed: start.incarnation,
+            ..relay::Settings::new(&me.address, &[])
+        };
+        let (relay, effects) = Relay::new(relay_settings, start.recovered, Book::default(), now);
+        let mut postmaster = Postmaster {
+            duty: Duty::new(&me.address, now),
+            peers: Peers::new(me, now),
+            settings,
+            relay,
+            sessions: Sessions::default(),
+            roll: Roll::default(),
+            upstreams: Upstreams::default(),
+            reader: Reader::default(),
+            calls: BTreeMap::new(),
+            next_call: 0,
+            turn: 0,
+            last: now,
+            leaving: None,
+        };
+        let mut out = Vec::new();
+        postmaster.carry_out(now, effects, &mut out);
+        postmaster.look(now, &mut out);
+        (postmaster, out)
+    }
+
+    /// A number for a link that was accepted.
+    pub fn link_accepted(&mut self, now: Millis) -> u64 {
+        self.peers.accepted(now)
+    }
+
+    /// A number for a session that was accepted.
+    pub fn session_accepted(&mut self, now: Millis) -> u64 {
+        self.sessions.accepted(now)
+    }
+
+    /// A number for an operator's call.
+    pub fn call_begun(&mut self) -> u64 {
+        self.next_call += 1;
+        self.next_call
+    }
+
+    /// Answers a client that asks where to go.
+    pub fn resolve(&mut self, now: Millis, head: &Head) -> Reply {
+        let place = match directory::decode(head) {
+            Ok(place) => place,
+            Err(reply) => return reply,
+        };
+        self.turn = self.turn.wrapping_add(1);
+        let ready = self.roll.ready(now);
+        let zones = self.settings.zones.len();
+        let regions = self.settings.zones.values().collect::<BTreeSet<_>>().len();
+        directory::reply(&directory::choose(&place, &ready, zones, regions, self.turn))
+    }
+
+    /// When it has to look at what is due.
+    pub fn next_due(&self) -> Millis {
+        let calls = self.calls.values().map(|call| call.until);
+        let reader = self.reader.next_due().filter(|_| self.duty.reads(self.last));
+        let due = calls.chain(reader).fold(self.last + LOOK_MS, Millis::min);
+        due.min(self.relay.next_tick()).max(self.last)
+    }
+
+    /// Takes in what happened, and appends what is to be done.
+    pub fn handle(&mut self, now: Millis, input: Input, out: &mut Vec<Effect>) {
+        if now - self.last > FROZEN_MS {
+            log::warn!("this process did not run for {:.0} ms", now - self.last);
+            self.peers.woke(now);
+            self.sessions.woke(now);
+            if now - self.last > HOLDER_SILENT_MS {
+                self.duty.woke(now);
+            }
+        }
+        self.last = now;
+        match input {
+            Input::Tick => self.look(now, out),
+            Input::Call { call, message } => self.call(now, call, &message, out),
+            Input::LinkOpened { link } => {
+                let mut orders = Vec::new();
+                self.peers.opened(now, link, &mut orders);
+                out.extend(orders.into_iter().map(Effect::Link));
+            }
+            Input::LinkFrame { link, frame } => self.link_frame(now, link, frame, out),
+            Input::LinkClosed { link } => {
+                let heard = self.peers.closed(now, link);
+                self.heard(now, heard, out);
+            }
+            Input::SessionFrame { session, frame } => self.session_frame(now, session, frame, out),
+            Input::SessionClosed { session } => {
+                if let Some(info) = self.sessions.closed(session) {
+                    log::info!("the session of {} is over", info.node_name);
+                    self.roll.gone(&info.node_name);
+                }
+            }
+            Input::Written { ticket } => self.relay(now, relay::Input::Written { ticket }, out),
+            Input::WriteFailed { ticket } => {
+                log::warn!("the disk did not take a write");
+                self.relay(now, relay::Input::WriteFailed { ticket }, out);
+            }
+            Input::Called(called) => {
+                let alone = !self.duty.is_holder();
+                if self.duty.reads(now) {
+                    self.reader.done(now, alone, called, &mut self.upstreams);
+                } else {
+                    self.reader.stop();
+                    self.reader.done(now, alone, called, &mut self.upstreams);
+                }
+                self.read(now, out);
+            }
+            Input::Reload(settings) => {
+                log::info!("settings read again: seeds {:?}", settings.seed_nodes);
+                self.settings.seed_nodes = settings.seed_nodes;
+                self.settings.cloud_api = settings.cloud_api;
+                self.settings.zones = settings.zones;
+                self.look(now, out);
+            }
+            Input::Terminate => self.leave(now, out),
+        }
+        self.spread(now, out);
+    }
+
+    fn relay(&mut self, now: Millis, input: relay::Input, out: &mut Vec<Effect>) {
+        let mut effects = Vec::new();
+        self.relay.handle(now, input, &mut effects);
+        self.carry_out(now, effects, out);
+    }
+
+    fn carry_out(&mut self, now: Millis, effects: Vec<relay::Effect>, out: &mut Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                relay::Effect::Send { to, message } => {
+                    if let Some(link) = self.peers.link_to(&to) {
+                        out.push(Effect::Link(LinkOrder::Send { link, frame: PeerFrame::Relay(message) }));
+                    }
+                }
+                relay::Effect::Write { ticket, records } => out.push(Effect::Write { ticket, records }),
+                relay::Effect::Rewrite { ticket, records } => out.push(Effect::Rewrite { ticket, records }),
+                relay::Effect::Applied { number, .. } => {
+                    log::info!("number {number}: version {}", self.relay.machine().version());
+                }
+                relay::Effect::Restored { number } => {
+                    log::info!("restored to number {number}: version {}", self.relay.machine().version());
+                }
+                relay::Effect::Answer { call, result } => self.answer(call, result, out),
+                relay::Effect::ViewIs(view) => {
+                    let chain: Vec<&str> = view.chain.iter().map(|member| member.address.as_str()).collect();
+                    log::info!("view {}: chain {}", view.epoch, chain.join(" "));
+                    self.reach(now);
+                }
+            }
+        }
+    }
+
+    fn call(&mut self, now: Millis, call: u64, message: &Message, out: &mut Vec<Effect>) {
+        let until = now + control::PATIENCE_MS;
+        match control::decode(message, &self.settings) {
+            Err(reply) => out.push(Effect::Reply { call, reply }),
+            Ok(Order::Status) => out.push(Effect::Reply { call, reply: self.status(now) }),
+            Ok(Order::Submit(command)) => {
+                let command = borsh::to_vec(&command).unwrap_or_default();
+                self.calls.insert(call, Pending { until, reads: false });
+                self.relay(now, relay::Input::Submit { call, command }, out);
+            }
+            Ok(Order::Read) => {
+                let question = borsh::to_vec(&Question::Configuration).unwrap_or_default();
+                self.calls.insert(call, Pending { until, reads: true });
+                self.relay(now, relay::Input::Read { call, question }, out);
+            }
+        }
+    }
+
+    /// What came of a call; one that was answered before, or whose caller has left, is none any more.
+    fn answer(&mut self, call: u64, result: Result<Vec<u8>, Refusal>, out: &mut Vec<Effect>) {
+        let Some(pending) = self.calls.remove(&call) else { return };
+        let reply = if pending.reads {
+            control::answer(result.map(|bytes| borsh::from_slice(&bytes).ok().flatten()))
+        } else {
+            let unreadable = Err(Refusal::TimedOut);
+            control::outcome(result.and_then(|bytes| borsh::from_slice(&bytes).map_or(unreadable, Ok)))
+        };
+        out.push(Effect::Reply { call, reply });
+    }
+
+    fn link_frame(&mut self, now: Millis, link: u64, frame: PeerFrame, out: &mut Vec<Effect>) {
+        let peer = self.peers.heard(now, link);
+        let (peer, frame) = match (peer, frame) {
+            (_, PeerFrame::Hello(hello)) => {
+                let mut orders = Vec::new();
+                let heard = self.peers.hello(now, link, hello, &mut orders);
+                out.extend(orders.into_iter().map(Effect::Link));
+                return self.heard(now, heard, out);
+            }
+            (Some(peer), frame) => (peer, frame),
+            // Nothing counts before it is said from whom it is.
+            (None, _) => return,
+        };
+        match frame {
+            PeerFrame::Hello(_) => {}
+            PeerFrame::Relay(message) => {
+                self.relay(now, relay::Input::Received { from: peer, message }, out);
+            }
+            PeerFrame::Sessions { whole, present, gone } => {
+                self.roll.told(now, &peer, whole, present, &gone);
+            }
+            PeerFrame::WantSessions => {
+                if let Some((sessions, _)) = self.peers.told(link) {
+                    *sessions = None;
+                }
+            }
+            PeerFrame::WantList => {
+                if let Some((_, list)) = self.peers.told(link) {
+                    *list = None;
+                }
+            }
+            PeerFrame::List { whole, round, entries, gone } => {
+                if !self.duty.is_holder() {
+                    self.upstreams.take(now, Excerpt { whole, round, entries, gone });
+                }
+            }
+            PeerFrame::Beat { claim, silent, sessions, list, leaving } => {
+                let held = self.duty.is_holder();
+                self.duty.told(now, &peer, &claim);
+                if held != self.duty.is_holder() {
+                    log::info!("the platform's list is read by {}", self.duty.claim().holder);
+                    self.reader.stop();
+                }
+                let from_holder = claim.holder == peer && *self.duty.claim() == claim;
+                self.peers.word(&peer, Word { claim, silent }, leaving);
+                if sessions != self.roll.digest_of(&peer) {
+                    out.push(Effect::Link(LinkOrder::Send { link, frame: PeerFrame::WantSessions }));
+                }
+                if from_holder {
+                    let (round, count, sum) = list;
+                    if (count, sum) != self.upstreams.digest() {
+                        out.push(Effect::Link(LinkOrder::Send { link, frame: PeerFrame::WantList }));
+                    } else {
+                        self.upstreams.turn(round);
+                    }
+                }
+            }
+        }
+    }
+
+    fn heard(&mut self, now: Millis, heard: Option<Heard>, out: &mut Vec<Effect>) {
+        match heard {
+            Some(Heard::Found(peer)) => {
+                log::info!("linked with {peer}");
+                self.sessions.census_again();
+                self.beat_one(now, &peer, out);
+            }
+            Some(Heard::Lost(peer)) => {
+                log::info!("the link with {peer} is lost");
+                self.roll.lost(now, &peer);
+                self.sessions.census_again();
+            }
+            None => {}
+        }
+    }
+
+    fn session_frame(&mut self, now: Millis, session: u64, frame: ToPostmaster, out: &mut Vec<Effect>) {
+        let info = self.sessions.heard(now, session).cloned();
+        match (info, frame) {
+            (_, ToPostmaster::Hello { format, info, state }) => {
+                let mut orders = Vec::new();
+                if format != frames::FORMAT || self.leaving.is_some() {
+                    log::warn!("a session of format {format} from {} is ended", info.node_name);
+                    orders.push(SessionOrder::Close { session });
+                    self.sessions.closed(session);
+                } else {
+                    log::info!("a session of {} at {}", info.node_name, info.front);
+                    self.sessions.hello(session, info.clone(), &mut orders);
+                    self.roll.set(Member { info, state });
+                }
+                out.extend(orders.into_iter().map(Effect::Session));
+            }
+            (Some(info), ToPostmaster::State(state)) => self.roll.set(Member { info, state }),
+            (Some(_), ToPostmaster::WantConfiguration) => self.sessions.want_configuration(session),
+            (None, _) => {}
+        }
+    }
+
+    /// Looks at what is due.
+    fn look(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        self.relay(now, relay::Input::Tick, out);
+        self.reach(now);
+        let mut orders = Vec::new();
+        let (lost, beat) = self.peers.tick(now, &mut orders);
+        out.extend(orders.into_iter().map(Effect::Link));
+        lost.into_iter().for_each(|lost| self.heard(now, Some(lost), out));
+        self.take_duty(now);
+        if beat {
+            self.tell_peers(now, out);
+            for (_, peer) in self.peers.linked() {
+                self.beat_one(now, &peer, out);
+            }
+        }
+        let attached = self.is_attached(now);
+        let mut orders = Vec::new();
+        for gone in self.sessions.tick(now, attached, &mut orders) {
+            log::info!("{} fell silent", gone.node_name);
+            self.roll.gone(&gone.node_name);
+        }
+        out.extend(orders.into_iter().map(Effect::Session));
+        self.roll.tick(now);
+        self.read(now, out);
+        let late: Vec<u64> =
+            self.calls.iter().filter(|(_, call)| now >= call.until).map(|(call, _)| *call).collect();
+        for call in late {
+            self.calls.remove(&call);
+            out.push(Effect::Reply { call, reply: control::unsure() });
+        }
+        if let Some(since) = self.leaving {
+            if self.calls.is_empty() || now - since > LEAVE_MS {
+                out.push(Effect::Exit);
+            }
+        }
+    }
+
+    fn reach(&mut self, now: Millis) {
+        let (seeds, known) = (seeds(&self.settings), self.relay.peers());
+        self.peers.reach(now, seeds.iter().chain(&known).map(String::as_str));
+    }
+
+    /// Who may read the list, in turn: the chain first, then all others that are known of.
+    fn order(&self) -> Vec<Address> {
+        let view = self.relay.view();
+        let mut order: Vec<Address> = view.chain.iter().map(|member| member.address.clone()).collect();
+        order.extend(view.voters.iter().map(|member| member.address.clone()));
+        if order.is_empty() {
+            order = seeds(&self.settings);
+        }
+        let others: BTreeSet<&str> =
+            self.peers.all().map(|(address, _, _)| address).chain([self.peers.me.address.as_str()]).collect();
+        order.extend(others.into_iter().map(str::to_owned));
+        let mut seen = BTreeSet::new();
+        order.retain(|address| seen.insert(address.clone()));
+        order
+    }
+
+    fn voters(&self) -> Vec<Address> {
+        self.relay.view().voters.iter().map(|member| member.address.clone()).collect()
+    }
+
+    fn take_duty(&mut self, now: Millis) {
+        if self.leaving.is_some() || !self.duty.is_silent(now) && self.duty.claim().term > 0 {
+            return;
+        }
+        let (order, voters) = (self.order(), self.voters());
+        let live = self.peers.live(now, HOLDER_SILENT_MS);
+        if self.duty.tick(now, &order, &live, &voters) {
+            log::info!("it reads the platform's list from now on, term {}", self.duty.claim().term);
+        }
+    }
+
+    /// Calls for the next page of the list, if that is due here.
+    fn read(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        if self.leaving.is_some() || self.settings.cloud_api.address.is_empty() || !self.duty.reads(now) {
+            return;
+        }
+        let alone = !self.duty.is_holder();
+        if let Some(token) = self.reader.due(now, alone, self.settings.cloud_api.rate_per_s) {
+            out.push(Effect::Fetch { token });
+        }
+    }
+
+    /// Whether it hears a majority of those that agree on the view, and has caught up.
+    pub fn is_attached(&self, now: Millis) -> bool {
+        let voters = self.voters();
+        let here = |one: &&Address| **one == self.peers.me.address || self.peers.is_heard(now, one, VOTER_MS);
+        let heard = voters.iter().filter(here).count();
+        2 * heard > voters.len() && self.relay.is_caught_up()
+    }
+
+    fn beat_one(&mut self, now: Millis, peer: &str, out: &mut Vec<Effect>) {
+        let Some(link) = self.peers.link_to(peer) else { return };
+        self.tell_peer(now, link, out);
+        let (count, sum) = self.upstreams.digest();
+        let frame = PeerFrame::Beat {
+            claim: self.duty.claim().clone(),
+            silent: self.duty.is_silent(now),
+            sessions: self.roll.digest(),
+            list: (self.upstreams.round(), count, sum),
+            leaving: self.leaving.is_some(),
+        };
+        out.push(Effect::Link(LinkOrder::Send { link, frame }));
+    }
+
+    /// Tells the other end of a link what changed of sessions here, and of the list if it is read here.
+    fn tell_peer(&mut self, now: Millis, link: u64, out: &mut Vec<Effect>) {
+        let (roll_end, list_end) = (self.roll.end(), self.upstreams.end());
+        let tells_list = self.duty.is_holder() && self.upstreams.round() > 0;
+        let Some((sessions, list)) = self.peers.told(link) else { return };
+        if *sessions != Some(roll_end) {
+            let frame = self.roll.frame_since(*sessions);
+            *sessions = Some(roll_end);
+            out.push(Effect::Link(LinkOrder::Send { link, frame }));
+        }
+        if tells_list && *list != Some(list_end) {
+            let frame = excerpt_frame(self.upstreams.since(now, *list));
+            *list = Some(list_end);
+            out.push(Effect::Link(LinkOrder::Send { link, frame }));
+        }
+        if !tells_list {
+            // Whoever reads tells it; what was told before may be something else by then.
+            *list = None;
+        }
+    }
+
+    fn tell_peers(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        for (link, _) in self.peers.linked() {
+            self.tell_peer(now, link, out);
+        }
+    }
+
+    /// Tells the others and the couriers what is new.
+    fn spread(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        self.tell_peers(now, out);
+        let attached = self.is_attached(now);
+        let others: Vec<&Hello> =
+            self.peers.all().filter(|(_, linked, _)| *linked).filter_map(|(_, _, hello)| hello).collect();
+        let news =
+            News { book: self.relay.machine(), upstreams: &self.upstreams, roll: &self.roll, attached };
+        let mut orders = Vec::new();
+        self.sessions.tell(now, &self.peers.me, &others, &news, &mut orders);
+        out.extend(orders.into_iter().map(Effect::Session));
+    }
+
+    /// Told to stop: the duty goes to another, the couriers go elsewhere, and calls under way are finished.
+    fn leave(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        if self.leaving.is_some() {
+            return;
+        }
+        log::info!("told to stop");
+        self.leaving = Some(now);
+        let (order, live) = (self.order(), self.peers.live(now, HOLDER_SILENT_MS));
+        if self.duty.leave(&order, &live) {
+            log::info!("the platform's list is read by {} from now on", self.duty.claim().holder);
+            self.reader.stop();
+        }
+        for (_, peer) in self.peers.linked() {
+            self.beat_one(now, &peer, out);
+        }
+        let mut orders = Vec::new();
+        self.sessions.to_all(&ToCourier::Beat { attached: false }, &mut orders);
+        self.sessions.close_all(&mut orders);
+        out.extend(orders.into_iter().map(Effect::Session));
+    }
+
+    /// What it knows, for operators.
+    fn status(&self, now: Millis) -> Reply {
+        let quote = |text: &str| format!("\"{}\"", escape(text));
+        let list = |items: Vec<String>| format!("[{}]", items.join(","));
+        let view = self.relay.view();
+        let addresses =
+            |members: &[relay::Member]| list(members.iter().map(|member| quote(&member.address)).collect());
+        let couriers = self.roll.members().into_iter().map(|(name, member)| {
+            let Member { info, state } = member;
+            format!(
+                "{{\"node\":{},\"front\":{},\"zone\":{},\"version_number\":{},\"ready\":{},\"leaving\":{},\"open\":{},\"here\":{}}}",
+                quote(name), quote(&info.front), quote(&info.zone), state.version, state.ready, state.leaving,
+                state.open, self.roll.own().contains_key(name)
+            )
+        });
+        let postmasters = self.peers.all().map(|(address, linked, hello)| {
+            let name = hello.map_or("", |hello| hello.node_name.as_str());
+            format!("{{\"address\":{},\"node\":{},\"linked\":{linked}}}", quote(address), quote(name))
+        });
+        let services = self.upstreams.counts().into_iter().map(|(service, (count, draining))| {
+            format!("{{\"service\":{},\"upstreams\":{count},\"draining\":{draining}}}", quote(service))
+        });
+        let book = self.relay.machine();
+        let body = format!(
+            "{{\"node\":{},\"address\":{},\"attached\":{},\"caught_up\":{},\"version_number\":{},\
+             \"configuration_number\":{},\"evacuated\":{},\"view\":{{\"epoch\":{},\"chain\":{},\"voters\":{}}},\
+             \"postmasters\":{},\"couriers\":{},\"reader\":{},\"readings\":{},\"services\":{}}}",
+            quote(&self.settings.node_name),
+            quote(&self.peers.me.address),
+            self.is_attached(now),
+            self.relay.is_caught_up(),
+            book.version(),
+            book.configuration_number(),
+            list(book.evacuated().map(quote).collect()),
+            view.epoch,
+            addresses(&view.chain),
+            addresses(&view.voters),
+            list(postmasters.collect()),
+            list(couriers.collect()),
+            quote(&self.duty.claim().holder),
+            self.upstreams.round(),
+            list(services.collect()),
+        );
+        Reply { status: 200, body }
+    }
+
+    /// The committed state, for tests and operators.
+    pub fn book(&self) -> &Book {
+        self.relay.machine()
+    }
+}
--- /dev/null
+++ b/crates/sandtrack-postmaster/src/program.rs
@@ -0,0 +1,495 @@
+//! The process: command line, executor, clock, signals, sockets, and the loop that hands inputs to the postmaster and
+//! carries out its effects. It owns the tasks; it must never decide anything.
+use crate::control::{Reply, BODY_MAX};
+use crate::disk::{self, Done};
+use crate::peers::{LinkOrder, PeerFrame};
+use crate::platform::{self, Fetch};
+use crate::postmaster::{Effect, Input, Postmaster, Start};
+use crate::sessions::SessionOrder;
+use crate::socket::{self, Way};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use bpaf::{construct, long, OptionParser, Parser};
+use futures_lite::{future, StreamExt};
+use sandtrack_core::message::{Head, Message};
+use sandtrack_postmark::codes;
+use sandtrack_postmark::frames::{self, ToPostmaster};
+use sandtrack_postmark::logs;
+use sandtrack_postmark::settings::{Settings, SettingsError, PEER_PORT, SESSION_PORT};
+use sandtrack_sidecar::client::linger;
+use sandtrack_sidecar::http::{self, Part, Side, CONTINUE};
+use sandtrack_sidecar::net::{read_into, write_within, Clock};
+use sandtrack_sidecar::ring::Ring;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::hash::{BuildHasher, Hasher, RandomState};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
+
+/// Where the path of the settings file is.
+pub const BOOT: &str = "SANDTRACK_BOOT";
+/// A caller that takes no bytes for this long is gone.
+const WRITE_PATIENCE: Duration = Duration::from_secs(2);
+/// A connection on which no call begins for this long is closed.
+const IDLE: Duration = Duration::from_secs(30);
+/// Opening a link may take this long.
+const DIAL_PATIENCE: Duration = Duration::from_millis(900);
+/// How often it is looked whether the settings file has changed.
+const SETTINGS_EVERY: Duration = Duration::from_secs(2);
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Verb {
+    Run,
+    Check,
+}
+
+#[derive(Clone, Debug)]
+struct Cli {
+    log_level: String,
+    verb: Verb,
+}
+
+fn cli() -> OptionParser<Cli> {
+    let log_level = long("log-level")
+        .help("What is logged: off, error, warn, info, debug, trace")
+        .argument("LEVEL")
+        .fallback("info".to_owned());
+    let run = bpaf::pure(Verb::Run)
+        .to_options()
+        .descr("Serves until SIGTERM; SIGHUP reads the settings again")
+        .command("run");
+    let check = bpaf::pure(Verb::Check)
+        .to_options()
+        .descr("Reads the settings file and says what is wrong with it")
+        .command("check");
+    let verb = construct!([run, check]).fallback(Verb::Run);
+    construct!(Cli { log_level, verb }).to_options().descr(
+        "The control plane: configuration, membership, the list of upstreams, the directory. \
+         The path of the settings file is in SANDTRACK_BOOT.",
+    )
+}
+
+/// Why the process can't serve.
+#[derive(Debug, thiserror::Error)]
+enum Fault {
+    #[error("{0}")]
+    Settings(#[from] SettingsError),
+    #[error("E{} {address} can't be listened on: {why}", codes::LISTEN.0)]
+    Listen { address: String, why: std::io::Error },
+    #[error("{0}")]
+    System(#[from] std::io::Error),
+}
+
+impl Fault {
+    /// What the process ends with: the code where there is one.
+    fn exit(&self) -> ExitCode {
+        match self {
+            Fault::Settings(error) => ExitCode::from(u8::try_from(error.code().0).unwrap_or(1)),
+            Fault::Listen { .. } => ExitCode::from(u8::try_from(codes::LISTEN.0).unwrap_or(1)),
+            Fault::System(_) => ExitCode::FAILURE,
+        }
+    }
+}
+
+/// The program.
+pub fn main() -> ExitCode {
+    let cli = cli().run();
+    // Before all else: a signal that comes while this process starts would end it.
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
+    let settings = read_settings();
+    let node = settings.as_ref().map_or("", |settings| &settings.node_name);
+    logs::start(node, &cli.log_level);
+    let done = match (cli.verb, settings) {
+        (_, Err(error)) => Err(Fault::from(error)),
+        (Verb::Check, Ok(settings)) => {
+            println!("the settings of {} can be run with", settings.node_name);
+            Ok(())
+        }
+        (Verb::Run, Ok(settings)) => signals.map_err(Fault::from).and_then(|signals| {
+            let executor = Rc::new(LocalExecutor::new());
+            // async-io's own: this thread polls for events itself.
+            async_io::block_on(executor.run(serve(settings, signals, executor.clone())))
+        }),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            log::error!("{fault}");
+            eprintln!("postmaster: {fault}");
+            fault.exit()
+        }
+    }
+}
+
+/// Reads the settings, and whether what a postmaster serves is among them.
+fn read_settings() -> Result<Settings, SettingsError> {
+    let path =
+        std::env::var_os(BOOT).ok_or_else(|| SettingsError::Unreadable(format!("no path in {BOOT}")))?;
+    let settings = Settings::read(&PathBuf::from(path))?;
+    for served in ["control", "directory"] {
+        if !settings.listen.contains_key(served) {
+            return Err(SettingsError::Field(format!("listen_addresses.{served}")));
+        }
+    }
+    Ok(settings)
+}
+
+fn bind(address: &str) -> Result<Async<TcpListener>, Fault> {
+    let wrong = |why| Fault::Listen { address: address.to_owned(), why };
+    let parsed: SocketAddr = address
+        .parse()
+        .map_err(|error| wrong(std::io::Error::new(std::io::ErrorKind::InvalidInput, error)))?;
+    Async::<TcpListener>::bind(parsed).map_err(wrong)
+}
+
+/// What tasks and the loop share.
+struct Office<'a> {
+    executor: Rc<LocalExecutor<'a>>,
+    clock: Clock,
+    inputs: async_channel::Sender<Input>,
+    postmaster: RefCell<Postmaster>,
+    links: RefCell<HashMap<u64, Way>>,
+    sessions: RefCell<HashMap<u64, Way>>,
+    calls: RefCell<HashMap<u64, async_channel::Sender<Reply>>>,
+    disk: Option<async_channel::Sender<disk::Order>>,
+    fetches: async_channel::Sender<Fetch>,
+    platform: RefCell<String>,
+}
+
+impl Office<'_> {
+    fn tell(&self, input: Input) {
+        // It fails only when the process is on its way out.
+        let _ = self.inputs.try_send(input);
+    }
+}
+
+async fn serve(
+    settings: Settings, mut signals: Signals, executor: Rc<LocalExecutor<'_>>,
+) -> Result<(), Fault> {
+    let (inputs, received) = async_channel::unbounded();
+    let (recovered, ledger) = match &settings.data_directory {
+        Some(folder) => {
+            let (ledger, recovered) = disk::open(folder);
+            (recovered, Some(ledger))
+        }
+        None => (Vec::new(), None),
+    };
+    let control = bind(&settings.listen["control"])?;
+    let directory = bind(&settings.listen["directory"])?;
+    let peers = bind(&settings.internal_address(&settings.ip_address, PEER_PORT))?;
+    let sessions = bind(&settings.internal_address(&settings.ip_address, SESSION_PORT))?;
+    let clock = Clock::start();
+    let incarnation = RandomState::new().build_hasher().finish();
+    let disk = match ledger {
+        Some(ledger) => {
+            let (orders, ordered) = async_channel::unbounded();
+            let inputs = inputs.clone();
+            disk::start(ledger, ordered, move |done| {
+                let _ = inputs.try_send(match done {
+                    Done::Written(ticket) => Input::Written { ticket },
+                    Done::Failed(ticket) => Input::WriteFailed { ticket },
+                    Done::Unknown => {
+                        log::error!("E{}: it starts anew", codes::LEDGER_FULL.0);
+                        std::process::exit(1);
+                    }
+                });
+            })?;
+            Some(orders)
+        }
+        None => None,
+    };
+    let start = Start { incarnation, recovered, disk: disk.is_some() };
+    let platform = settings.cloud_api.address.clone();
+    log::info!(
+        "serving control at {}, directory at {}",
+        settings.listen["control"],
+        settings.listen["directory"]
+    );
+    let (postmaster, effects) = Postmaster::new(settings, start, clock.now());
+    let (fetches, fetched) = async_channel::unbounded();
+    let office = Rc::new(Office {
+        executor: executor.clone(),
+        clock,
+        inputs,
+        postmaster: RefCell::new(postmaster),
+        links: RefCell::default(),
+        sessions: RefCell::default(),
+        calls: RefCell::default(),
+        disk,
+        fetches,
+        platform: RefCell::new(platform),
+    });
+    let called = office.inputs.clone();
+    executor
+        .spawn(platform::run(fetched, move |call| {
+            let _ = called.try_send(Input::Called(call));
+        }))
+        .detach();
+    spawn_listeners(&office, control, directory, peers, sessions);
+    executor.spawn(watch_settings(office.inputs.clone())).detach();
+    perform(&office, effects);
+
+    loop {
+        let due = clock.at(office.postmaster.borrow().next_due());
+        let input = async { received.recv().await.ok() };
+        let signal = async {
+            match signals.next().await {
+                Some(Ok(Signal::Hup)) => reload(),
+                Some(Ok(_)) => Some(Input::Terminate),
+                _ => future::pending().await,
+            }
+        };
+        let tick = async {
+            Timer::at(due).await;
+            Some(Input::Tick)
+        };
+        let mut next = future::or(future::or(signal, input), tick).await;
+        let mut effects = Vec::new();
+        while let Some(input) = next {
+            if let Input::Reload(settings) = &input {
+                office.platform.replace(settings.cloud_api.address.clone());
+            }
+            office.postmaster.borrow_mut().handle(clock.now(), input, &mut effects);
+            next = received.try_recv().ok();
+        }
+        if clock.at(office.postmaster.borrow().next_due()) <= std::time::Instant::now() {
+            office.postmaster.borrow_mut().handle(clock.now(), Input::Tick, &mut effects);
+        }
+        if perform(&office, effects) {
+            // What is still to be written goes out before the process does.
+            office.links.borrow_mut().clear();
+            office.sessions.borrow_mut().clear();
+            Timer::after(Duration::from_millis(50)).await;
+            return Ok(());
+        }
+        future::yield_now().await;
+    }
+}
+
+/// SIGHUP: a faulty file changes nothing.
+fn reload() -> Option<Input> {
+    match read_settings() {
+        Ok(settings) => Some(Input::Reload(Box::new(settings))),
+        Err(error) => {
+            log::error!("settings kept as they were: {error}");
+            None
+        }
+    }
+}
+
+/// The file may also change without a signal.
+async fn watch_settings(inputs: async_channel::Sender<Input>) {
+    let changed = || -> Option<SystemTime> {
+        std::fs::metadata(std::env::var_os(BOOT)?).and_then(|file| file.modified()).ok()
+    };
+    let mut before = changed();
+    loop {
+        Timer::after(SETTINGS_EVERY).await;
+        let now = changed();
+        if now.is_some() && now != std::mem::replace(&mut before, now) {
+            if let Some(input) = reload() {
+                let _ = inputs.try_send(input);
+            }
+        }
+    }
+}
+
+fn spawn_listeners(
+    office: &Rc<Office<'_>>, control: Async<TcpListener>, directory: Async<TcpListener>,
+    peers: Async<TcpListener>, sessions: Async<TcpListener>,
+) {
+    let here = office.clone();
+    let accept = socket::listen(control, move |stream| {
+        let office = here.clone();
+        here.executor.spawn(async move { http_calls(&office, &stream, true).await }).detach();
+    });
+    office.executor.spawn(accept).detach();
+    let here = office.clone();
+    let accept = socket::listen(directory, move |stream| {
+        let office = here.clone();
+        here.executor.spawn(async move { http_calls(&office, &stream, false).await }).detach();
+    });
+    office.executor.spawn(accept).detach();
+    let here = office.clone();
+    let accept = socket::listen(peers, move |stream| {
+        let link = here.postmaster.borrow_mut().link_accepted(here.clock.now());
+        let (way, outgoing) = socket::way();
+        here.links.borrow_mut().insert(link, way);
+        let office = here.clone();
+        here.executor.spawn(async move { run_link(&office, link, &stream, &outgoing).await }).detach();
+    });
+    office.executor.spawn(accept).detach();
+    let here = office.clone();
+    let accept = socket::listen(sessions, move |stream| {
+        let session = here.postmaster.borrow_mut().session_accepted(here.clock.now());
+        let (way, outgoing) = socket::way();
+        here.sessions.borrow_mut().insert(session, way);
+        let office = here.clone();
+        let run = async move {
+            let told = |frame: ToPostmaster| office.tell(Input::SessionFrame { session, frame });
+            socket::carry(&stream, &outgoing, told).await;
+            office.sessions.borrow_mut().remove(&session);
+            office.tell(Input::SessionClosed { session });
+        };
+        here.executor.spawn(run).detach();
+    });
+    office.executor.spawn(accept).detach();
+}
+
+async fn run_link(office: &Office<'_>, link: u64, stream: &Async<TcpStream>, outgoing: &socket::Outgoing) {
+    office.tell(Input::LinkOpened { link });
+    let told = |frame: PeerFrame| office.tell(Input::LinkFrame { link, frame });
+    socket::carry(stream, outgoing, told).await;
+    office.links.borrow_mut().remove(&link);
+    office.tell(Input::LinkClosed { link });
+}
+
+/// Carries out effects in order; yes when the process is to end.
+fn perform(office: &Rc<Office<'_>>, effects: Vec<Effect>) -> bool {
+    let mut exit = false;
+    for effect in effects {
+        match effect {
+            Effect::Reply { call, reply } => {
+                if let Some(caller) = office.calls.borrow_mut().remove(&call) {
+                    let _ = caller.try_send(reply);
+                }
+            }
+            Effect::Link(order) => link_order(office, order),
+            Effect::Session(SessionOrder::Send { session, bytes }) => {
+                let mut sessions = office.sessions.borrow_mut();
+                if sessions.get(&session).is_some_and(|way| !way.send(bytes)) {
+                    sessions.remove(&session);
+                }
+            }
+            Effect::Session(SessionOrder::Close { session }) => {
+                office.sessions.borrow_mut().remove(&session);
+            }
+            Effect::Write { ticket, records } => {
+                let _ =
+                    office.disk.as_ref().map(|disk| disk.try_send(disk::Order::Append { ticket, records }));
+            }
+            Effect::Rewrite { ticket, records } => {
+                let _ =
+                    office.disk.as_ref().map(|disk| disk.try_send(disk::Order::Rewrite { ticket, records }));
+            }
+            Effect::Fetch { token } => {
+                let address = office.platform.borrow().clone();
+                let _ = office.fetches.try_send(Fetch { address, token });
+            }
+            Effect::Exit => exit = true,
+        }
+    }
+    exit
+}
+
+fn link_order(office: &Rc<Office<'_>>, order: LinkOrder) {
+    match order {
+        LinkOrder::Dial { link, address } => {
+            let (way, outgoing) = socket::way();
+            office.links.borrow_mut().insert(link, way);
+            let here = office.clone();
+            let run = async move {
+                match socket::connect(&address, DIAL_PATIENCE).await {
+                    Ok(stream) => run_link(&here, link, &stream, &outgoing).await,
+                    Err(error) => {
+                        log::debug!("no link with {address}: {error}");
+                        here.links.borrow_mut().remove(&link);
+                        here.tell(Input::LinkClosed { link });
+                    }
+                }
+            };
+            office.executor.spawn(run).detach();
+        }
+        LinkOrder::Send { link, frame } => {
+            let mut links = office.links.borrow_mut();
+            if links.get(&link).is_some_and(|way| !way.send(frames::frame(&frame).into())) {
+                log::warn!("a link takes nothing: it is given up");
+                links.remove(&link);
+            }
+        }
+        LinkOrder::Close { link } => {
+            office.links.borrow_mut().remove(&link);
+        }
+    }
+}
+
+/// Takes one call after another off a connection: the operators', or the directory's.
+async fn http_calls(office: &Office<'_>, stream: &Async<TcpStream>, control: bool) {
+    let mut input = Ring::new(http::READ_RING);
+    let mut output = Ring::new(2 * BODY_MAX);
+    let mut parser = http::Parser::new(Side::Request);
+    loop {
+        let idle = async {
+            Timer::after(IDLE).await;
+            None
+        };
+        // A call that does not come whole is none: nothing happens.
+        let read = future::or(read_call(stream, &mut input, &mut parser), idle).await;
+        let (reply, close) = match read {
+            None => return,
+            Some(Err(status)) => (Reply::error(status, codes::BAD_CALL, "not a call"), true),
+            Some(Ok(message)) => {
+                let close = !message.head.keep_alive;
+                if control {
+                    match submit(office, message).await {
+                        Some(reply) => (reply, close),
+                        None => return,
+                    }
+                } else {
+                    let reply = office.postmaster.borrow_mut().resolve(office.clock.now(), &message.head);
+                    (reply, close)
+                }
+            }
+        };
+        if !output.push(&reply.bytes(close)) || !write_within(stream, &mut output, WRITE_PATIENCE).await {
+            return;
+        }
+        if close {
+            return linger(stream).await;
+        }
+    }
+}
+
+async fn submit(office: &Office<'_>, message: Message) -> Option<Reply> {
+    let (sender, reply) = async_channel::bounded(1);
+    let call = office.postmaster.borrow_mut().call_begun();
+    office.calls.borrow_mut().insert(call, sender);
+    office.tell(Input::Call { call, message });
+    reply.recv().await.ok()
+}
+
+/// One call, whole; `None` where the connection ended before, the status where it is no call.
+async fn read_call(
+    stream: &Async<TcpStream>, input: &mut Ring, parser: &mut http::Parser,
+) -> Option<Result<Message, u16>> {
+    let (mut head, mut body): (Option<Head>, Vec<u8>) = (None, Vec::new());
+    loop {
+        match parser.next(input) {
+            Err(bad) => return Some(Err(bad.status())),
+            Ok(Some(Part::Head(mut read))) => {
+                if http::take_expectation(&mut read) && input.is_empty() {
+                    let mut output = Ring::new(CONTINUE.len());
+                    if !output.push(CONTINUE) || !write_within(stream, &mut output, WRITE_PATIENCE).await {
+                        return None;
+                    }
+                }
+                head = Some(read);
+            }
+            Ok(Some(Part::Data(data))) => {
+                if body.len() + data.len() > BODY_MAX {
+                    return Some(Err(413));
+                }
+                body.extend(data);
+            }
+            Ok(Some(Part::End)) => return head.map(|head| Ok(Message { head, body })),
+            Ok(None) => match read_into(stream, input).await {
+                Ok(count) if count > 0 => {}
+                _ => return None,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/sandtrack-postmaster/src/roll.rs
@@ -0,0 +1,216 @@
+//! The roll: who the couriers are. A courier is a member while its session with a postmaster stands, and postmasters tell
+//! each other their sessions. It owns what is known of the members; it must never ask a socket.
+use crate::journal::Journal;
+use crate::peers::PeerFrame;
+use crate::Millis;
+use borsh::{BorshDeserialize, BorshSerialize};
+use sandtrack_postmark::frames::{CourierInfo, CourierState};
+use sandtrack_relay::Address;
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{Hash, Hasher};
+
+/// The members of a postmaster that fell silent are kept for this long, in ms: they come back elsewhere.
+pub const KEPT_MS: Millis = 4000.0;
+/// ... and clients are sent to them for this long.
+const SHOWN_MS: Millis = 1500.0;
+const EVENTS_KEPT: usize = 2048;
+
+/// A courier and what it tells of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Member {
+    pub info: CourierInfo,
+    pub state: CourierState,
+}
+
+impl Member {
+    /// What others are told at once when it changes: not how many requests it has in hand.
+    fn marks(&self) -> (&CourierInfo, bool, bool, u64) {
+        (&self.info, self.state.ready, self.state.leaving, self.state.version)
+    }
+
+    fn digest(&self) -> u64 {
+        let mut sum = Fnv(0xcbf2_9ce4_8422_2325);
+        self.info.node_name.hash(&mut sum);
+        (self.info.incarnation, self.state.ready, self.state.leaving, self.state.version).hash(&mut sum);
+        sum.finish()
+    }
+}
+
+/// FNV-1a: the same on both ends, whatever the library does.
+pub struct Fnv(pub u64);
+
+impl Hasher for Fnv {
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.0 = (self.0 ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
+        }
+    }
+
+    fn finish(&self) -> u64 {
+        self.0
+    }
+}
+
+/// Members of another postmaster.
+#[derive(Clone, Debug, Default)]
+struct Others {
+    members: BTreeMap<String, (Member, Millis)>,
+    /// Since when it is not heard.
+    lost: Option<Millis>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Roll {
+    own: BTreeMap<String, Member>,
+    others: BTreeMap<Address, Others>,
+    /// Names of own members of which something changed.
+    journal: Journal<String>,
+    /// Rises with each change of who is there.
+    round: u64,
+}
+
+impl Default for Roll {
+    fn default() -> Roll {
+        Roll { own: BTreeMap::new(), others: BTreeMap::new(), journal: Journal::new(EVENTS_KEPT), round: 0 }
+    }
+}
+
+impl Roll {
+    /// An own session tells of its courier.
+    pub fn set(&mut self, member: Member) {
+        let name = member.info.node_name.clone();
+        let before = self.own.insert(name.clone(), member);
+        let after = &self.own[&name];
+        if before.as_ref().map(Member::marks) != Some(after.marks()) {
+            if before.is_none_or(|before| before.info != after.info) {
+                self.round += 1;
+            }
+            self.journal.append(name);
+        }
+    }
+
+    /// An own session is over.
+    pub fn gone(&mut self, name: &str) {
+        if self.own.remove(name).is_some() {
+            self.journal.append(name.to_owned());
+            self.round += 1;
+        }
+    }
+
+    /// Place of the newest event of own members.
+    pub fn end(&self) -> u64 {
+        self.journal.end()
+    }
+
+    /// What another postmaster is to be told that was told up to `place`; all where it was told nothing yet.
+    pub fn frame_since(&self, place: Option<u64>) -> PeerFrame {
+        let Some(events) = place.and_then(|place| self.journal.since(place)) else {
+            let present = self.own.values().cloned().collect();
+            return PeerFrame::Sessions { whole: true, present, gone: Vec::new() };
+        };
+        let names: BTreeSet<&String> = events.collect();
+        let (present, gone): (Vec<&String>, Vec<&String>) =
+            names.into_iter().partition(|name| self.own.contains_key(*name));
+        let present = present.into_iter().filter_map(|name| self.own.get(name).cloned()).collect();
+        PeerFrame::Sessions { whole: false, present, gone: gone.into_iter().cloned().collect() }
+    }
+
+    /// How many own members there are, and a digest of them.
+    pub fn digest(&self) -> (u32, u64) {
+        let sum = self.own.values().fold(0, |sum: u64, member| sum.wrapping_add(member.digest()));
+        (self.own.len() as u32, sum)
+    }
+
+    /// The same of those that another postmaster told.
+    pub fn digest_of(&self, postmaster: &str) -> (u32, u64) {
+        let Some(others) = self.others.get(postmaster) else { return (0, 0) };
+        let sum = others.members.values().fold(0, |sum: u64, (member, _)| sum.wrapping_add(member.digest()));
+        (others.members.len() as u32, sum)
+    }
+
+    /// Another postmaster tells its members, or what changed of them.
+    pub fn told(
+        &mut self, now: Millis, postmaster: &str, whole: bool, present: Vec<Member>, gone: &[String],
+    ) {
+        let others = self.others.entry(postmaster.to_owned()).or_default();
+        others.lost = None;
+        let before: Vec<(String, u64)> = names(others);
+        if whole {
+            let kept: BTreeSet<&str> = present.iter().map(|member| member.info.node_name.as_str()).collect();
+            others.members.retain(|name, _| kept.contains(name.as_str()));
+        }
+        for name in gone {
+            others.members.remove(name);
+        }
+        for member in present {
+            let since = match others.members.get(&member.info.node_name) {
+                Some((known, since)) if known.info == member.info => *since,
+                _ => now,
+            };
+            others.members.insert(member.info.node_name.clone(), (member, since));
+        }
+        self.round += u64::from(names(others) != before);
+    }
+
+    /// Another postmaster is heard, or is no longer.
+    pub fn lost(&mut self, now: Millis, postmaster: &str) {
+        if let Some(others) = self.others.get_mut(postmaster) {
+            others.lost = others.lost.or(Some(now));
+        }
+    }
+
+    /// Forgets the members of those that have been silent for long; yes where something changed.
+    pub fn tick(&mut self, now: Millis) {
+        let before = self.others.len();
+        self.others.retain(|_, others| others.lost.is_none_or(|lost| now - lost < KEPT_MS));
+        self.round += u64::from(self.others.len() != before);
+    }
+
+    /// Rises with each change of who is there.
+    pub fn round(&self) -> u64 {
+        self.round
+    }
+
+    /// Every member once, by name: as its own session says, else as the postmaster says to which it came last.
+    pub fn members(&self) -> BTreeMap<&str, &Member> {
+        self.fold(|_| true)
+    }
+
+    fn fold(&self, seen: impl Fn(&Others) -> bool) -> BTreeMap<&str, &Member> {
+        let mut told: BTreeMap<&str, (bool, Millis, &Member)> = BTreeMap::new();
+        for others in self.others.values().filter(|others| seen(others)) {
+            for (name, (member, since)) in &others.members {
+                let claim = (others.lost.is_none(), *since, member);
+                let known = told.get(name.as_str()).copied();
+                if known.is_none_or(|(heard, at, _)| (heard, at) < (claim.0, claim.1)) {
+                    told.insert(name, claim);
+                }
+            }
+        }
+        let told = told.into_iter().map(|(name, (_, _, member))| (name, member));
+        told.chain(self.own.iter().map(|(name, member)| (name.as_str(), member))).collect()
+    }
+
+    /// The couriers that clients may be sent to. What a silent postmaster told holds a little while; longer where nothing
+    /// else is known.
+    pub fn ready(&self, now: Millis) -> Vec<&CourierInfo> {
+        let serving = |members: BTreeMap<&str, &'_ Member>| -> BTreeSet<String> {
+            let ready = members.into_iter().filter(|(_, member)| member.state.ready && !member.state.leaving);
+            ready.map(|(name, _)| name.to_owned()).collect()
+        };
+        let fresh = self.fold(|others| others.lost.is_none_or(|lost| now - lost < SHOWN_MS));
+        let names = serving(fresh.clone());
+        let fresh = if names.is_empty() { self.members() } else { fresh };
+        let ready = fresh.into_values().filter(|member| member.state.ready && !member.state.leaving);
+        ready.map(|member| &member.info).collect()
+    }
+
+    /// Own members, by name.
+    pub fn own(&self) -> &BTreeMap<String, Member> {
+        &self.own
+    }
+}
+
+fn names(others: &Others) -> Vec<(String, u64)> {
+    others.members.iter().map(|(name, (member, _))| (name.clone(), member.info.incarnation)).collect()
+}
--- /dev/null
+++ b/crates/sandtrack-postmaster/src/sessions.rs
@@ -0,0 +1,277 @@
+//! The couriers' sessions: what each was told, and what it is to be told next. It owns the order of the frames of a session;
+//! it must never tell what is not committed, nor touch a socket.
+use crate::book::Book;
+use crate::peers::Hello;
+use crate::roll::Roll;
+use crate::upstreams::{Excerpt, Upstreams};
+use crate::Millis;
+use sandtrack_postmark::frames::{self, CourierInfo, ToCourier};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// Bytes of frames, shared by all that get the same.
+pub type Bytes = Rc<[u8]>;
+
+/// Changes of who is there are told no more often than this, in ms.
+const CENSUS_MS: Millis = 200.0;
+
+#[derive(Clone, Debug, Default)]
+struct Session {
+    info: Option<CourierInfo>,
+    heard: Millis,
+    /// Number of the configuration that it has; of the evacuations; place in the list.
+    configuration: Option<u64>,
+    evacuation: Option<u64>,
+    list: Option<u64>,
+    census: Option<ToCourier>,
+    /// It was told something since it was looked at.
+    welcomed: bool,
+}
+
+/// What is told to all sessions alike.
+pub struct News<'a> {
+    pub book: &'a Book,
+    pub upstreams: &'a Upstreams,
+    pub roll: &'a Roll,
+    pub attached: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Sessions {
+    sessions: BTreeMap<u64, Session>,
+    next_session: u64,
+    next_beat: Millis,
+    next_census: Millis,
+    /// What all were told up to: where nothing changed nothing is looked through.
+    told: (u64, u64, u64, u64),
+    census_round: u64,
+    /// The whole configuration as a frame, by its number.
+    whole: Option<(u64, Bytes)>,
+    /// Members when this postmaster was attached last: alone, it would take the others for gone.
+    couriers: u32,
+}
+
+/// What the program is to do with a session.
+#[derive(Clone, Debug, PartialEq)]
+pub enum SessionOrder {
+    Send { session: u64, bytes: Bytes },
+    Close { session: u64 },
+}
+
+fn bytes(frame: &ToCourier) -> Bytes {
+    frames::frame(frame).into()
+}
+
+impl Sessions {
+    /// A number for a session whose socket was accepted.
+    pub fn accepted(&mut self, now: Millis) -> u64 {
+        self.next_session += 1;
+        self.sessions.insert(self.next_session, Session { heard: now, ..Session::default() });
+        self.next_session
+    }
+
+    /// Something came over a session; whose it is, where it said so.
+    pub fn heard(&mut self, now: Millis, session: u64) -> Option<&CourierInfo> {
+        let session = self.sessions.get_mut(&session)?;
+        session.heard = now;
+        session.info.as_ref()
+    }
+
+    /// A courier says who it is: it takes the place of an earlier session of the same name, which is closed.
+    pub fn hello(&mut self, session: u64, info: CourierInfo, orders: &mut Vec<SessionOrder>) {
+        let same = |(number, known): (&u64, &Session)| {
+            let name = known.info.as_ref().map(|info| info.node_name.as_str());
+            (*number != session && name == Some(info.node_name.as_str())).then_some(*number)
+        };
+        let before: Vec<u64> = self.sessions.iter().filter_map(same).collect();
+        for before in before {
+            self.sessions.remove(&before);
+            orders.push(SessionOrder::Close { session: before });
+        }
+        if let Some(session) = self.sessions.get_mut(&session) {
+            session.info = Some(info);
+            self.told = (u64::MAX, 0, 0, 0);
+        }
+    }
+
+    /// It wants the whole configuration.
+    pub fn want_configuration(&mut self, session: u64) {
+        if let Some(session) = self.sessions.get_mut(&session) {
+            session.configuration = None;
+            self.told = (u64::MAX, 0, 0, 0);
+        }
+    }
+
+    /// The socket is gone; whose it was, where that is a member by this session.
+    pub fn closed(&mut self, session: u64) -> Option<CourierInfo> {
+        self.sessions.remove(&session)?.info
+    }
+
+    /// This process did not run for a while: what couriers said meanwhile is still to be read.
+    pub fn woke(&mut self, now: Millis) {
+        self.sessions.values_mut().for_each(|session| session.heard = now);
+    }
+
+    /// Ends silent sessions, and beats on the others.
+    pub fn tick(&mut self, now: Millis, attached: bool, orders: &mut Vec<SessionOrder>) -> Vec<CourierInfo> {
+        let silence = frames::SILENCE_MS as Millis;
+        let silent: Vec<u64> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| now - session.heard > silence)
+            .map(|(number, _)| *number)
+            .collect();
+        let mut gone = Vec::new();
+        for session in silent {
+            orders.push(SessionOrder::Close { session });
+            gone.extend(self.closed(session));
+        }
+        if now >= self.next_beat {
+            self.next_beat = now + frames::BEAT_MS as Millis;
+            self.to_all(&ToCourier::Beat { attached }, orders);
+        }
+        gone
+    }
+
+    /// Tells all of them.
+    pub fn to_all(&self, frame: &ToCourier, orders: &mut Vec<SessionOrder>) {
+        let bytes = bytes(frame);
+        for (session, known) in &self.sessions {
+            if known.welcomed {
+                orders.push(SessionOrder::Send { session: *session, bytes: bytes.clone() });
+            }
+        }
+    }
+
+    pub fn next_due(&self) -> Millis {
+        self.next_beat
+    }
+
+    /// Closes all: they go elsewhere.
+    pub fn close_all(&mut self, orders: &mut Vec<SessionOrder>) {
+        orders.extend(self.sessions.keys().map(|session| SessionOrder::Close { session: *session }));
+        self.sessions.clear();
+    }
+
+    /// Brings each session up to what is committed and known.
+    pub fn tell(
+        &mut self, now: Millis, me: &Hello, others: &[&Hello], news: &News<'_>,
+        orders: &mut Vec<SessionOrder>,
+    ) {
+        let state = (
+            news.book.configuration_number(),
+            news.book.evacuation_number(),
+            news.upstreams.end(),
+            u64::from(news.upstreams.round() > 0),
+        );
+        let census = now >= self.next_census && self.census_round != news.roll.round();
+        if state == self.told && !census {
+            return;
+        }
+        let new = self.told.0 == u64::MAX;
+        self.told = state;
+        let mut lists: BTreeMap<Option<u64>, Bytes> = BTreeMap::new();
+        let mut changes: BTreeMap<u64, Option<Bytes>> = BTreeMap::new();
+        let Sessions { sessions, whole, .. } = self;
+        let mut evacuated: Option<Bytes> = None;
+        for (number, session) in sessions.iter_mut().filter(|(_, session)| session.info.is_some()) {
+            let mut send = |bytes: Bytes| orders.push(SessionOrder::Send { session: *number, bytes });
+            if !session.welcomed {
+                session.welcomed = true;
+                send(bytes(&ToCourier::Welcome {
+                    format: frames::FORMAT,
+                    postmaster: me.node_name.clone(),
+                    attached: news.attached,
+                }));
+            }
+            let configuration = news.book.configuration_number();
+            if configuration > 0 && session.configuration != Some(configuration) {
+                let changed = session
+                    .configuration
+                    .and_then(|from| changes.entry(from).or_insert_with(|| steps(news.book, from)).clone());
+                if let Some(bytes) = changed.or_else(|| whole_of(whole, news.book)) {
+                    send(bytes);
+                }
+                session.configuration = Some(configuration);
+            }
+            let ordered = configuration > 0 || news.book.evacuation_number() > 0;
+            if ordered && session.evacuation != Some(news.book.evacuation_number()) {
+                session.evacuation = Some(news.book.evacuation_number());
+                let frame = evacuated.get_or_insert_with(|| {
+                    bytes(&ToCourier::Evacuated {
+                        number: news.book.evacuation_number(),
+                        zones: news.book.evacuated().map(str::to_owned).collect(),
+                    })
+                });
+                send(frame.clone());
+            }
+            if news.upstreams.round() > 0 && session.list != Some(news.upstreams.end()) {
+                let frame = lists.entry(session.list).or_insert_with(|| {
+                    let Excerpt { whole, round, entries, gone } = news.upstreams.since(now, session.list);
+                    bytes(&ToCourier::Upstreams { whole, round, entries, gone })
+                });
+                send(frame.clone());
+                session.list = Some(news.upstreams.end());
+            }
+        }
+        if census || new {
+            self.census(now, me, others, news, census, orders);
+        }
+    }
+
+    /// Tells who is there: all, or only those that were never told.
+    fn census(
+        &mut self, now: Millis, me: &Hello, others: &[&Hello], news: &News<'_>, all: bool,
+        orders: &mut Vec<SessionOrder>,
+    ) {
+        let members = news.roll.members();
+        let ranks: BTreeMap<&str, u32> =
+            members.keys().enumerate().map(|(rank, name)| (*name, rank as u32)).collect();
+        let count = members.len() as u32;
+        // Cut off from the others, it does not hear of members that are there all the same: their shares stay theirs.
+        self.couriers = if news.attached { count } else { self.couriers.max(count) };
+        for (number, session) in &mut self.sessions {
+            let Some(info) = session.info.as_ref().filter(|_| all || session.census.is_none()) else {
+                continue;
+            };
+            let rank = ranks.get(info.node_name.as_str()).copied().unwrap_or(0);
+            let postmasters = nearest(info, rank, me, others);
+            let frame = ToCourier::Census { postmasters, couriers: self.couriers, rank };
+            if session.census.as_ref() != Some(&frame) {
+                orders.push(SessionOrder::Send { session: *number, bytes: bytes(&frame) });
+                session.census = Some(frame);
+            }
+        }
+        if all {
+            (self.census_round, self.next_census) = (news.roll.round(), now + CENSUS_MS);
+        }
+    }
+
+    /// Who is there changed in another way than by sessions.
+    pub fn census_again(&mut self) {
+        self.census_round = u64::MAX;
+    }
+}
+
+/// The addresses for sessions, the nearest first; those alike in turn by the courier's rank, so that not all go to one.
+fn nearest(info: &CourierInfo, rank: u32, me: &Hello, others: &[&Hello]) -> Vec<String> {
+    let mut all: Vec<&Hello> = std::iter::once(me).chain(others.iter().copied()).collect();
+    all.sort_by_key(|hello| &hello.address);
+    let turn = rank as usize % all.len();
+    all.rotate_left(turn);
+    all.sort_by_key(|hello| (hello.zone != info.zone, hello.region != info.region));
+    all.into_iter().map(|hello| hello.session.clone()).collect()
+}
+
+fn steps(book: &Book, from: u64) -> Option<Bytes> {
+    let frames = book.changes_since(from)?;
+    Some(frames.iter().flat_map(frames::frame).collect::<Vec<u8>>().into())
+}
+
+fn whole_of(kept: &mut Option<(u64, Bytes)>, book: &Book) -> Option<Bytes> {
+    let number = book.configuration_number();
+    if kept.as_ref().is_none_or(|(known, _)| *known != number) {
+        *kept = Some((number, bytes(&book.whole()?)));
+    }
+    kept.as_ref().map(|(_, bytes)| bytes.clone())
+}
--- /dev/null
+++ b/crates/sandtrack-postmaster/src/socket.rs
@@ -0,0 +1,149 @@
+//! Sockets of the system's own traffic: frames in and out over one connection, and a way out that never holds anyone up. It
+//! owns the bytes under way; it must never know what they say.
+use async_io::{Async, Timer};
+use borsh::BorshDeserialize;
+use futures_lite::future;
+use sandtrack_postmark::frames;
+use sandtrack_sidecar::client::ACCEPT_PAUSE;
+use std::cell::Cell;
+use std::io::{self, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Bytes that may wait to be written when more come: an end that does not read is given up.
+const WAITING_MOST: usize = 4 << 20;
+/// What is written without being taken by the other machine breaks the connection after this, in ms.
+const UNTAKEN_MS: u32 = 1500;
+/// Bytes read at a time.
+const PIECE: usize = 8192;
+
+/// Sends what is written at once, and breaks a connection whose other end takes nothing. A socket that can't serves all the
+/// same.
+pub fn prepare(stream: &Async<TcpStream>) {
+    if let Err(error) = stream.get_ref().set_nodelay(true) {
+        log::debug!("no TCP_NODELAY: {error}");
+    }
+    if let Err(error) = rustix::net::sockopt::set_tcp_user_timeout(stream, UNTAKEN_MS) {
+        log::debug!("no TCP_USER_TIMEOUT: {error}");
+    }
+}
+
+/// The way to a connection's task. It closes when it is dropped: what waits is written before.
+pub struct Way {
+    sender: async_channel::Sender<Rc<[u8]>>,
+    waiting: Rc<Cell<usize>>,
+}
+
+/// The task's end of it.
+pub struct Outgoing {
+    receiver: async_channel::Receiver<Rc<[u8]>>,
+    waiting: Rc<Cell<usize>>,
+}
+
+pub fn way() -> (Way, Outgoing) {
+    let (sender, receiver) = async_channel::unbounded();
+    let waiting = Rc::new(Cell::new(0));
+    (Way { sender, waiting: waiting.clone() }, Outgoing { receiver, waiting })
+}
+
+impl Way {
+    /// No where the other end has too much still to take, or is gone: the connection is of no further use.
+    #[must_use]
+    pub fn send(&self, bytes: Rc<[u8]>) -> bool {
+        if self.waiting.get() > WAITING_MOST {
+            return false;
+        }
+        self.waiting.set(self.waiting.get() + bytes.len());
+        self.sender.try_send(bytes).is_ok()
+    }
+}
+
+/// Accepts for as long as the task lives.
+pub async fn listen(listener: Async<TcpListener>, mut opened: impl FnMut(Async<TcpStream>)) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                prepare(&stream);
+                opened(stream);
+                future::yield_now().await;
+            }
+            Err(error) => {
+                log::debug!("accept failed: {error}");
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Carries frames both ways until an end closes; each that comes is told.
+pub async fn carry<T: BorshDeserialize>(stream: &Async<TcpStream>, outgoing: &Outgoing, told: impl FnMut(T)) {
+    let read = async {
+        match read_frames(stream, told).await {
+            Ok(()) => {}
+            Err(error) => log::debug!("a connection broke: {error}"),
+        }
+    };
+    let write = async {
+        if let Err(error) = write_frames(stream, outgoing).await {
+            log::debug!("a connection broke: {error}");
+        }
+    };
+    future::or(write, read).await;
+}
+
+/// Until the way to it is dropped; then what waits is written, and the other end is told that this is all.
+async fn write_frames(stream: &Async<TcpStream>, outgoing: &Outgoing) -> io::Result<()> {
+    while let Ok(bytes) = outgoing.receiver.recv().await {
+        let mut rest = &bytes[..];
+        while !rest.is_empty() {
+            let count = stream.write_with(|mut socket| socket.write(rest)).await?;
+            rest = &rest[count..];
+        }
+        outgoing.waiting.set(outgoing.waiting.get().saturating_sub(bytes.len()));
+    }
+    stream.get_ref().shutdown(std::net::Shutdown::Write)
+}
+
+async fn read_frames<T: BorshDeserialize>(
+    stream: &Async<TcpStream>, mut told: impl FnMut(T),
+) -> io::Result<()> {
+    let mut bytes: Vec<u8> = Vec::new();
+    loop {
+        let start = bytes.len();
+        bytes.resize(start + PIECE, 0);
+        let count = stream.read_with(|mut socket| socket.read(&mut bytes[start..])).await;
+        bytes.truncate(start + count.as_ref().map_or(0, |count| *count));
+        if count? == 0 {
+            return Ok(());
+        }
+        let mut taken = 0;
+        while let Some((frame, length)) = frames::take(&bytes[taken..])
+            .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))?
+        {
+            told(frame);
+            taken += length;
+        }
+        bytes.drain(..taken);
+        if bytes.is_empty() && bytes.capacity() > 4 * PIECE {
+            bytes.shrink_to(PIECE);
+        }
+        future::yield_now().await;
+    }
+}
+
+/// Connects, unless it is given up first.
+pub async fn connect(address: &str, patience: Duration) -> io::Result<Async<TcpStream>> {
+    let address: std::net::SocketAddr =
+        address.parse().map_err(|error| io::Error::new(io::ErrorKind::InvalidInput, error))?;
+    let connect = async {
+        let stream = Async::<TcpStream>::connect(address).await?;
+        prepare(&stream);
+        Ok(stream)
+    };
+    let late = async {
+        Timer::after(patience).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    future::or(connect, late).await
+}
--- /dev/null
+++ b/crates/sandtrack-postmaster/src/upstreams.rs
@@ -0,0 +1,168 @@
+//! The upstreams as the platform's list shows them. It owns the table and the journal of what changed in it; it must never
+//! ask the platform.
+use crate::journal::Journal;
+use crate::roll::Fnv;
+use crate::Millis;
+use sandtrack_postmark::frames::UpstreamEntry;
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{Hash, Hasher};
+
+const EVENTS_KEPT: usize = 4096;
+/// Remaining times that differ by less than this, in ms, are the same time: the list tells them at different ages.
+const SAME_MS: Millis = 600.0;
+
+/// An upstream, with its remaining times as moments of the steady clock.
+#[derive(Clone, Debug, PartialEq)]
+struct Kept {
+    entry: UpstreamEntry,
+    cold_until: Millis,
+    ends: Option<Millis>,
+}
+
+impl Kept {
+    fn new(entry: UpstreamEntry, at: Millis) -> Kept {
+        let cold_until = at + f64::from(entry.cold_remaining_ms);
+        let ends = entry.time_left_ms.map(|left| at + f64::from(left));
+        Kept { entry: UpstreamEntry { cold_remaining_ms: 0, time_left_ms: None, ..entry }, cold_until, ends }
+    }
+
+    /// As it is at this moment.
+    fn now(&self, now: Millis) -> UpstreamEntry {
+        let left = |until: Millis| (until - now).max(0.0) as u32;
+        UpstreamEntry {
+            cold_remaining_ms: left(self.cold_until),
+            time_left_ms: self.ends.map(left),
+            ..self.entry.clone()
+        }
+    }
+
+    fn is_like(&self, other: &Kept, now: Millis) -> bool {
+        let same = |one: Millis, other: Millis| (one - other).abs() < SAME_MS || one <= now && other <= now;
+        let ends = match (self.ends, other.ends) {
+            (None, None) => true,
+            (Some(one), Some(other)) => same(one, other),
+            _ => false,
+        };
+        self.entry == other.entry && ends && same(self.cold_until, other.cold_until)
+    }
+
+    fn digest(&self) -> u64 {
+        let mut sum = Fnv(0xcbf2_9ce4_8422_2325);
+        let entry = &self.entry;
+        (&entry.identifier, &entry.service, &entry.address, &entry.zone).hash(&mut sum);
+        (entry.slots, entry.draining, self.ends.is_some()).hash(&mut sum);
+        sum.finish()
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Upstreams {
+    table: BTreeMap<String, Kept>,
+    /// Identifiers of those of which something changed.
+    journal: Journal<String>,
+    /// Rises with each reading.
+    round: u64,
+    /// Sum of the digests of all.
+    sum: u64,
+}
+
+impl Default for Upstreams {
+    fn default() -> Upstreams {
+        Upstreams { table: BTreeMap::new(), journal: Journal::new(EVENTS_KEPT), round: 0, sum: 0 }
+    }
+}
+
+/// What is passed on of the list: all of it, or what changed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Excerpt {
+    pub whole: bool,
+    pub round: u64,
+    pub entries: Vec<UpstreamEntry>,
+    pub gone: Vec<String>,
+}
+
+impl Upstreams {
+    /// The list shows an upstream; its remaining times count from `at`.
+    pub fn set(&mut self, at: Millis, entry: UpstreamEntry) {
+        let kept = Kept::new(entry, at);
+        if !self.table.get(&kept.entry.identifier).is_some_and(|known| known.is_like(&kept, at)) {
+            self.journal.append(kept.entry.identifier.clone());
+            self.sum = self.sum.wrapping_add(kept.digest());
+            let before = self.table.insert(kept.entry.identifier.clone(), kept);
+            self.sum = self.sum.wrapping_sub(before.map_or(0, |before| before.digest()));
+        }
+    }
+
+    /// The list no longer shows it.
+    pub fn remove(&mut self, identifier: &str) {
+        if let Some(before) = self.table.remove(identifier) {
+            self.sum = self.sum.wrapping_sub(before.digest());
+            self.journal.append(identifier.to_owned());
+        }
+    }
+
+    /// A reading is over, as the `round` before it at least.
+    pub fn turn(&mut self, round: u64) {
+        self.round = self.round.max(round);
+    }
+
+    /// Another postmaster passes on what it read.
+    pub fn take(&mut self, now: Millis, excerpt: Excerpt) {
+        if excerpt.whole {
+            let kept: BTreeSet<&str> =
+                excerpt.entries.iter().map(|entry| entry.identifier.as_str()).collect();
+            let lost: Vec<String> =
+                self.table.keys().filter(|known| !kept.contains(known.as_str())).cloned().collect();
+            lost.iter().for_each(|identifier| self.remove(identifier));
+        }
+        excerpt.gone.iter().for_each(|identifier| self.remove(identifier));
+        excerpt.entries.into_iter().for_each(|entry| self.set(now, entry));
+        self.round = self.round.max(excerpt.round);
+    }
+
+    /// Place of the newest event.
+    pub fn end(&self) -> u64 {
+        self.journal.end()
+    }
+
+    /// What one is to be told that was told up to `place`; all where it was told nothing yet.
+    pub fn since(&self, now: Millis, place: Option<u64>) -> Excerpt {
+        let Some(events) = place.and_then(|place| self.journal.since(place)) else {
+            let entries = self.table.values().map(|kept| kept.now(now)).collect();
+            return Excerpt { whole: true, round: self.round, entries, gone: Vec::new() };
+        };
+        let mut excerpt = Excerpt { whole: false, round: self.round, entries: Vec::new(), gone: Vec::new() };
+        for identifier in events.collect::<BTreeSet<&String>>() {
+            match self.table.get(identifier) {
+                Some(kept) => excerpt.entries.push(kept.now(now)),
+                None => excerpt.gone.push(identifier.clone()),
+            }
+        }
+        excerpt
+    }
+
+    /// How many readings were heard of; 0: nothing is known.
+    pub fn round(&self) -> u64 {
+        self.round
+    }
+
+    /// How many there are, and a digest of them.
+    pub fn digest(&self) -> (u32, u64) {
+        (self.table.len() as u32, self.sum)
+    }
+
+    pub fn identifiers(&self) -> impl Iterator<Item = &str> {
+        self.table.keys().map(String::as_str)
+    }
+
+    /// For each service: how many upstreams, and how many of them drain.
+    pub fn counts(&self) -> BTreeMap<&str, (usize, usize)> {
+        let mut counts: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+        for kept in self.table.values() {
+            let count = counts.entry(&kept.entry.service).or_default();
+            count.0 += 1;
+            count.1 += usize::from(kept.entry.draining);
+        }
+        counts
+    }
+}
