Transcripts of the operators' calls: invalid ones, repeats, races, evacuations

Cause: what an operator is told has to stay as it was approved. Ruled out: refusing an update that lost a race as invalid because of what won: it builds on another version, and is told so.

--- a/crates/sandtrack-postmaster/src/book.rs
+++ b/crates/sandtrack-postmaster/src/book.rs
@@ -158,13 +158,17 @@
         if let Some(known) = self.taken.iter().find(|known| known.digest == digest) {
             return Outcome::Taken { version: known.version };
         }
-        let next = match next(&self.document).and_then(|next| Configuration::read(&next).map(|_| next)) {
+        let next = match next(&self.document) {
             Ok(next) => next,
             Err(invalid) => return invalid.into(),
         };
+        // An update that builds on another version may be valid there and not here: that it lost is what counts.
         if based_on != self.document.version {
             return Outcome::Other { current: self.document.version };
         }
+        if let Err(invalid) = Configuration::read(&next) {
+            return invalid.into();
+        }
         if next.version <= self.document.version {
             let place = format!("version_number {}, current {}", next.version, self.document.version);
             return Invalid::new(codes::VERSION_NOT_ABOVE, place).into();
