rules.rs split by concern, its ordinary path called from sandtrack-tiers; the same draws

Now src/rules.rs holds events, timers and the list; src/rules/ holds admission, outcome, pick, prediction, probing and retry; smoothing, failure runs, tiers, pick and probe timing are the package's. The state and what is merely read off it (the struct itself, a class's share, warmth by the settings, the end of use) is in state.rs.

Ruled out: other draws.

Not renamed: the part in use (a subset), as docs/assumptions.md names its constants.

--- a/crates/sandtrack-tiers/src/lib.rs
+++ b/crates/sandtrack-tiers/src/lib.rs
@@ -1,9 +1,8 @@
-//! The ordinary path of "extractedprism", pure: no I/O, no clock. Both data planes call it, and it exists once.
+//! The ordinary path of "extractedprism", pure: no I/O, no clock. Both data planes call it; it exists once.
 //!
-//! - [`Smoothed`]: the average of an upstream's probe times; [`FailureRun`]: whether it is healthy;
-//!   [`next_probe`]: when it is probed again (`probe.rs`).
-//! - [`Tiers::regroup`]: which upstreams are about as near as the best of them (`tiers.rs`).
-//! - [`pick`]: which upstream a send goes to, and its parts [`ladder`], [`lowest`], [`crowd_limit`] (`pick.rs`).
+//! - `probe.rs`: [`Smoothed`] probe times, health by [`FailureRun`], when to probe: [`next_probe`]
+//! - `tiers.rs`: [`Tiers::regroup`], which upstreams are about as near as the best of them
+//! - `pick.rs`: [`pick`], the upstream that a send goes to; its parts [`ladder`], [`lowest`], [`crowd_limit`]
 //!
 //! "Design" beside a constant: the source's own figure; "ours": the design leaves it open.
 mod pick;
--- a/crates/sandtrack-tiers/src/pick.rs
+++ b/crates/sandtrack-tiers/src/pick.rs
@@ -11,9 +11,9 @@
     (own.sum::<usize>() as f64 / count + 1.0) * FAR
 }
 
-/// The tiers of the candidates, lowest first; in each the candidates keep their order. `rank` gives the side that
-/// one is on (own zone or region before others; `()` where there is but one), which comes before its tier, and
-/// its tier. `None`: it has no sample yet and is of every tier of its side, which has one tier if none has a sample.
+/// The tiers of the candidates, lowest first; in each the candidates keep their order. `rank`: one's side
+/// (own zone or region before others; `()`: there is but one), which comes before its tier, and its tier.
+/// `None`: it has no sample yet and is of every tier of its side. A side without any sample is one tier.
 pub fn ladder<S: Ord + Copy>(
     candidates: impl Iterator<Item = usize>, rank: impl Fn(usize) -> (S, Option<usize>),
 ) -> Vec<Vec<usize>> {
@@ -32,20 +32,20 @@
     tiers.into_iter().map(members).collect()
 }
 
-/// One drawn at random of what `keep` leaves of the first tier of which it leaves any. Takes one draw, none if
-/// nothing is left anywhere.
+/// One drawn at random of what `keep` leaves of the first tier of which it leaves any. Takes one draw, none
+/// if nothing is left anywhere.
 pub fn lowest(
-    rng: &mut (impl Rng + ?Sized), tiers: &[Vec<usize>], mut keep: impl FnMut(&[usize]) -> Vec<usize>,
+    rng: &mut impl Rng, tiers: &[Vec<usize>], mut keep: impl FnMut(&[usize]) -> Vec<usize>,
 ) -> Option<usize> {
     let left = tiers.iter().map(|members| keep(members)).find(|left| !left.is_empty())?;
     Some(left[rng.gen_range(0..left.len())])
 }
 
-/// The design's pick among `candidates`: random in the lowest tier that has one which `may_take` the send (it is
-/// healthy, not draining or gone, and whatever else the caller asks), those without a sample included. One far
-/// above the mean `own` attempts out is skipped for another in its tier, but never for one of a higher tier.
+/// The design's pick: random in the lowest tier that has a candidate which `may_take` the send (healthy, not
+/// draining or gone, and whatever else the caller asks), those without a sample included. One far above the
+/// mean `own` attempts out is skipped for another in its tier, but never for one of a higher tier.
 pub fn pick<S: Ord + Copy>(
-    rng: &mut (impl Rng + ?Sized), candidates: &[usize], may_take: impl Fn(usize) -> bool,
+    rng: &mut impl Rng, candidates: &[usize], may_take: impl Fn(usize) -> bool,
     rank: impl Fn(usize) -> (S, Option<usize>), own: impl Fn(usize) -> usize,
 ) -> Option<usize> {
     let able: Vec<usize> = candidates.iter().copied().filter(|place| may_take(*place)).collect();
--- a/crates/sandtrack-tiers/src/probe.rs
+++ b/crates/sandtrack-tiers/src/probe.rs
@@ -2,7 +2,7 @@
 use crate::Millis;
 use rand::Rng;
 
-/// Weight of a new probe time in the average, a fraction (ours: the design's start value, three probes of memory).
+/// Weight of a new probe time in the average, a fraction (ours, the start value: three probes of memory).
 pub const WEIGHT: f64 = 0.3;
 /// A sample counts as this many averages at most, and one under its inverse replaces the average (design).
 pub const CAP: f64 = 4.0;
@@ -68,14 +68,12 @@
 }
 
 /// A factor from 1 to 1 + [`JITTER`]; takes one draw.
-pub fn jitter(rng: &mut (impl Rng + ?Sized)) -> f64 {
+pub fn jitter(rng: &mut impl Rng) -> f64 {
     1.0 + JITTER * rng.gen::<f64>()
 }
 
 /// When an upstream is probed, ms: at once if it never was, else `interval` ms or a little less after `last`,
 /// never over [`GAP_MOST`]. Takes one draw, none for the first.
-pub fn next_probe(
-    rng: &mut (impl Rng + ?Sized), now: Millis, last: Option<Millis>, interval: Millis,
-) -> Millis {
+pub fn next_probe(rng: &mut impl Rng, now: Millis, last: Option<Millis>, interval: Millis) -> Millis {
     last.map_or(now, |last| last + interval.min(GAP_MOST) / jitter(rng))
 }
--- a/crates/sandtrack-tiers/src/tiers.rs
+++ b/crates/sandtrack-tiers/src/tiers.rs
@@ -32,9 +32,9 @@
 }
 
 impl Tiers {
-    /// Each tier takes what lies within max(best + 2 ms, 2 x best) of what the tiers above left over; members of
-    /// the same group stay until 25% past that. `places` are those that take part: unhealthy and draining ones
-    /// too, whose averages stand still, so that they keep their tier.
+    /// Each tier takes what lies within max(best + 2 ms, 2 x best) of what the tiers above left over; members
+    /// of the same group stay until 25% past that. `places`: who takes part, unhealthy and draining ones too:
+    /// their averages stand still, so that they keep their tier.
     pub fn regroup<F, M>(&mut self, upstreams: &mut F, places: impl IntoIterator<Item = usize>)
     where
         F: IndexMut<usize, Output = M> + ?Sized,
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,9 +1,121 @@
-//! What a balancer remembers: plain data, and how it is kept. Nothing is decided here: see `src/rules.rs`.
+//! What a balancer remembers: plain data, how it is kept, and what is read off it. Nothing is decided here: see
+//! `src/rules.rs`.
 use crate::interface::*;
 use rand::Rng;
+use rand_pcg::Pcg32;
+use sandtrack_tiers::{FailureRun, Member, Membership, Smoothed, Tiers};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 
+/// Decisions of one balancer. Deterministic: the same settings, seed and events give the same actions.
+pub struct Balancer {
+    pub(crate) settings: Settings,
+    pub(crate) rng: Pcg32,
+    pub(crate) fleet: Fleet,
+    pub(crate) tiers: Tiers,
+    /// Places of the upstreams in use, how many warm ones are wanted there, when they were chosen.
+    pub(crate) part: Vec<usize>,
+    pub(crate) part_size: f64,
+    pub(crate) part_at: Millis,
+    pub(crate) requests: HashMap<RequestId, Request>,
+    pub(crate) timers: Timers,
+    pub(crate) turns: Turns,
+    pub(crate) traffic: Traffic,
+    /// Attempts beyond the first that are earned and not used yet.
+    pub(crate) retries: f64,
+    pub(crate) unserved: Unserved,
+    /// Gap before the list is asked for again after a failure; 0: the last call went well.
+    pub(crate) ask_gap: Millis,
+    /// The typical pace, and when it was looked for: that goes over all upstreams in use.
+    pub(crate) typical: (Millis, [Option<Millis>; 2]),
+}
+
+impl Balancer {
+    /// One that has seen nothing yet.
+    pub(crate) fn remembering(
+        settings: Settings, rng: Pcg32, traffic: Traffic, part_size: f64, retries: f64,
+    ) -> Self {
+        Balancer {
+            settings,
+            rng,
+            fleet: Fleet::default(),
+            tiers: Tiers::default(),
+            part: Vec::new(),
+            part_size,
+            part_at: 0.0,
+            requests: HashMap::new(),
+            timers: Timers::default(),
+            turns: Turns::default(),
+            traffic,
+            retries,
+            unserved: Unserved::default(),
+            ask_gap: 0.0,
+            typical: (f64::NEG_INFINITY, [None; 2]),
+        }
+    }
+
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// The key by which the request keeps its place, where its class asks for that.
+    pub(crate) fn ordered(&self, request: &Request) -> Option<u64> {
+        request.arrival.key.filter(|_| self.settings.classes[request.arrival.class.0].in_order)
+    }
+
+    pub(crate) fn is_waiting(&self, id: RequestId) -> bool {
+        self.requests.get(&id).is_some_and(|r| r.open && r.asked.is_none() && r.attempts.is_empty())
+    }
+
+    /// Time in which each upstream in use gets a request from here in the mean.
+    pub(crate) fn turn(&self, now: Millis) -> Millis {
+        self.part.len() as f64 / self.traffic.rate(now)
+    }
+
+    /// How much longer than the mean class this one takes: what an upstream's pace is learnt of has a mix of
+    /// classes, and one that waits on others for long must not look like a queue to the rest.
+    pub(crate) fn class_share(&self, class: ClassId) -> f64 {
+        self.traffic.class_share(class, |n| self.settings.classes[n].offered)
+    }
+
+    /// When its answer is worth nothing any more.
+    pub(crate) fn useful_until(&self, request: &Request) -> Millis {
+        let class = &self.settings.classes[request.arrival.class.0];
+        if class.late_worth > 0.0 {
+            return request.arrival.not_after;
+        }
+        let stretch = class.aim_stretch * request.arrival.cost.unwrap_or(0.0);
+        let aim = (class.aim + stretch).min(class.deadline.max(class.aim));
+        request.arrival.not_after.min(request.began + aim)
+    }
+
+    /// The part of its capacity that a cold upstream has at least; 1 when it is warm.
+    pub(crate) fn warmth(&self, upstream: &Upstream, now: Millis) -> f64 {
+        let rules = &self.settings.rules;
+        let Some(since) = upstream.entry.since else { return 1.0 };
+        let climb = ((now - since - rules.start_drift) / rules.cold.max(1.0)).clamp(0.0, 1.0);
+        rules.cold_share + (1.0 - rules.cold_share) * climb
+    }
+
+    /// Forgets a request that has its answer and of which nothing is out; the next with its key may go.
+    pub(crate) fn forget(&mut self, id: RequestId) {
+        let Some(request) = self.requests.remove(&id) else { return };
+        if let Some(key) = self.ordered(&request) {
+            let at = self.turns.leave(key, id);
+            self.timers.set(at, Timer::Turn(key));
+        }
+    }
+}
+
+/// What predictions go by beside the upstream itself: found once for each try, not for each upstream.
+#[derive(Clone, Copy)]
+pub struct Peers {
+    /// Typical pace of near and of far ones, and that of a rested one.
+    pub pace: [Option<Millis>; 2],
+    pub rested: Millis,
+    pub memory: Millis,
+}
+
 pub struct Upstream {
     pub entry: Entry,
     pub listed: bool,
@@ -15,10 +127,9 @@
     pub probed: bool,
     pub timed: bool,
     /// Smoothed probe time and the group of upstreams (tier) it belongs to.
-    pub average: Option<Millis>,
-    pub group: Option<u32>,
-    pub tier: usize,
-    pub failures: u32,
+    pub average: Smoothed,
+    pub membership: Membership,
+    pub failures: FailureRun,
     /// The list has it as gone, or not at all, and it may still serve.
     pub doubted: bool,
     pub probe_sent: Option<Millis>,
@@ -88,6 +199,12 @@
     bits ^ (bits >> 31)
 }
 
+/// The lower of the two middle ones where their number is even.
+pub fn median(mut figures: Vec<f64>) -> Option<f64> {
+    let middle = figures.len().saturating_sub(1) / 2;
+    (!figures.is_empty()).then(|| *figures.select_nth_unstable_by(middle, f64::total_cmp).1)
+}
+
 /// A mean of all figures at first, and of the latest once `1 / least` have come.
 #[derive(Clone, Copy, Default)]
 pub struct Mean {
@@ -195,7 +312,7 @@
             if entry.since != upstream.entry.since {
                 // A new process: what the old one taught is void, and it may be cold.
                 upstream.learnt = Learnt::default();
-                upstream.failures = 0;
+                upstream.failures.succeeded();
             }
             upstream.entry = entry;
             (upstream.listed, upstream.doubted) = (true, false);
@@ -226,10 +343,9 @@
             used: false,
             probed: true,
             timed: false,
-            average: None,
-            group: None,
-            tier: 0,
-            failures: 0,
+            average: Smoothed::default(),
+            membership: Membership::default(),
+            failures: FailureRun::default(),
             doubted: false,
             probe_sent: None,
             out: Vec::new(),
@@ -238,11 +354,44 @@
         }
     }
 
+    /// New work may go there: rule 3 is kept from the moment a drain or removal is told.
+    pub fn offered(&self) -> bool {
+        self.listed && self.entry.standing == Standing::Ready
+    }
+
+    pub fn healthy(&self) -> bool {
+        self.failures.is_healthy()
+    }
+
+    /// The tier that it is in; `None`: it has no sample yet and is of any.
+    pub fn tier(&self) -> Option<usize> {
+        self.average.get().map(|_| self.membership.tier)
+    }
+
+    /// Timed probes: it is in the part that pays for them, or failed and only a probe tells that it is back.
+    pub fn is_probed(&self) -> bool {
+        self.used && (self.probed || !self.failures.is_empty())
+    }
+
+    pub fn succeeded(&mut self, now: Millis) {
+        self.failures.succeeded();
+        self.heard = now;
+    }
+
+    pub fn probe(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        if self.probe_sent.is_none() {
+            self.probe_sent = Some(now);
+            actions.push(Action::Probe { upstream: self.entry.upstream });
+        }
+    }
+
     /// The list has it no more. Where only draining binds that is one sign of failure; it is left with the next.
     pub fn gone(&mut self, soft: bool) {
         self.doubted = soft && self.listed && self.entry.standing == Standing::Ready;
         self.listed = self.doubted;
-        self.failures = self.failures.max(u32::from(self.doubted));
+        if self.doubted && self.failures.is_empty() {
+            self.failures.failed();
+        }
     }
 
     pub fn take_report(&mut self, now: Millis, report: Option<Report>) {
@@ -252,11 +401,31 @@
         }
     }
 
+    /// Takes the time of an answer into the pace, with this weight at least.
+    pub fn learn_pace(&mut self, elapsed: Millis, held: [f64; 2], now: Millis, memory: Millis, least: f64) {
+        let sample = held.map(|held| elapsed / (held + 1.0));
+        // The longer nothing was learnt, the less the old pace says: few answers must not lag behind.
+        let weight = least.max(1.0 - (-(now - self.learnt.pace_at) / memory).exp());
+        let learn = |load: usize| match self.learnt.pace {
+            Some(pace) => pace[load] + weight * (sample[load] - pace[load]),
+            None => sample[load],
+        };
+        self.learnt.pace = Some([learn(0), learn(1)]);
+        self.learnt.pace_at = now;
+    }
+
     /// A pace that it taught, fading towards that of a rested one while nothing more is learnt.
     pub fn faded(&self, pace: Millis, rested: Millis, now: Millis, memory: Millis) -> Millis {
         rested + (pace - rested) * (-(now - self.learnt.pace_at) / memory).exp()
     }
 
+    /// One that turned work away is full or takes no connections, whatever its probes and reports say: it is
+    /// left alone until its queue has had time to shrink, and longer each time it does so again.
+    pub fn turn_away(&mut self, now: Millis, rest: Millis, longest: Millis) {
+        self.learnt.rest_until = now + (rest * f64::powi(2.0, self.learnt.turned_away)).min(longest);
+        self.learnt.turned_away = (self.learnt.turned_away + 1).min(10);
+    }
+
     /// An answer or an error; the weight of one in the part of errors.
     pub fn ended(&mut self, error: bool, weight: f64) {
         self.learnt.errors += weight * (f64::from(u8::from(error)) - self.learnt.errors);
@@ -286,7 +455,22 @@
     }
 }
 
+impl Member for Upstream {
+    /// What the list has no more takes no part.
+    fn average(&self) -> Option<Millis> {
+        self.average.get().filter(|_| self.listed)
+    }
+
+    fn membership(&mut self) -> &mut Membership {
+        &mut self.membership
+    }
+}
+
 impl Request {
+    pub fn new(arrival: Arrival, limits: Limits, began: Millis) -> Self {
+        Request { arrival, limits, began, open: true, streaming: false, asked: None, attempts: Vec::new() }
+    }
+
     pub fn out(&self) -> usize {
         self.attempts.iter().filter(|a| a.outcome.is_none()).count()
     }
