Page for operators: start, change, evacuate, lose, replace, roll, what the log says; tests hold it to the programs

Cause: what an operator does and sees stood nowhere. Tests read every command of the page and of the example with the program's own parser, and look for every log line of the page in the sources. `clerk status` lists the voters, as the page says to look at them.

--- a/crates/sandtrack-clerk/src/status.rs
+++ b/crates/sandtrack-clerk/src/status.rs
@@ -90,8 +90,9 @@
         let mut lines = vec![
             format!("told by     {} {}", self.node, self.address),
             format!("version     {} (change {})", self.version, self.number),
-            format!("view        {}, {} voters", self.epoch, self.voters.len()),
+            format!("view        {}", self.epoch),
             format!("chain       {}", or_none(&self.chain, " > ")),
+            format!("voters      {}", or_none(&self.voters, " ")),
             format!("reader      {}", if self.reader.is_empty() { "none" } else { &self.reader }),
             format!("evacuated   {}", self.evacuated_line()),
         ];
--- /dev/null
+++ b/crates/sandtrack-clerk/tests/pages.rs
@@ -0,0 +1,87 @@
+//! The operators' pages, as far as a test can tell whether they are true: commands can be read, and log lines are logged.
+use sandtrack_clerk::cli::parser;
+use std::path::{Path, PathBuf};
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn page(path: &str) -> String {
+    std::fs::read_to_string(root().join(path)).expect(path)
+}
+
+/// Texts in backticks.
+fn quoted(text: &str) -> impl Iterator<Item = &str> {
+    text.split('`').skip(1).step_by(2)
+}
+
+fn is_command_line(words: &[&str]) -> bool {
+    parser().run_inner(words).is_ok()
+}
+
+#[test]
+fn every_command_of_the_pages_can_be_read() {
+    let mut commands = Vec::new();
+    for path in ["docs/system/operations.md", "examples/system/README.md"] {
+        let page = page(path);
+        for line in page.lines().filter(|line| line.starts_with("    ")) {
+            let line = line.split('#').next().unwrap_or_default().trim();
+            let line = line.strip_prefix("target/release/").unwrap_or(line);
+            commands.extend(line.strip_prefix("clerk ").map(str::to_owned));
+        }
+        commands.extend(quoted(&page).filter_map(|text| text.strip_prefix("clerk ")).map(str::to_owned));
+    }
+    commands.sort_unstable();
+    commands.dedup();
+    assert!(commands.len() > 15, "{commands:?}");
+    for command in commands {
+        let words: Vec<&str> = command.split(';').next().unwrap_or_default().split_whitespace().collect();
+        assert!(is_command_line(&words), "clerk {command}");
+    }
+    assert!(!is_command_line(&["configuration", "write", "FILE"]));
+}
+
+/// What stands in the sources of an event of the page: all but the words that stand for something.
+fn fragments(event: &str) -> Vec<String> {
+    let mut fragments = vec![String::new()];
+    for word in event.split_inclusive([' ', ':']) {
+        let bare = word.trim_end_matches([' ', ':']);
+        let stands_for = bare.len() == 1 && bare.chars().all(|letter| letter.is_ascii_uppercase());
+        let is_code =
+            bare.strip_prefix('E').is_some_and(|code| code.len() == 3 && code.parse::<u16>().is_ok());
+        if stands_for || is_code {
+            fragments.push(word[bare.len()..].to_owned());
+        } else if let Some(last) = fragments.last_mut() {
+            last.push_str(word);
+        }
+    }
+    fragments.retain(|fragment| fragment.trim().len() > 1);
+    fragments
+}
+
+#[test]
+fn every_log_line_of_the_page_is_logged() {
+    let mut sources = String::new();
+    for package in ["postmaster", "courier"] {
+        let folder = root().join(format!("crates/sandtrack-{package}/src"));
+        for file in std::fs::read_dir(folder).expect("the sources") {
+            sources.push_str(&std::fs::read_to_string(file.expect("a file").path()).expect("a source"));
+        }
+    }
+    let page = page("docs/system/operations.md");
+    let rows = page.lines().skip_while(|line| !line.starts_with("| event |")).skip(2);
+    let mut events = 0;
+    for row in rows.take_while(|line| line.starts_with('|')) {
+        for event in quoted(row.split('|').nth(1).unwrap_or_default()) {
+            events += 1;
+            let fragments = fragments(event);
+            assert!(!fragments.is_empty(), "{event}");
+            for fragment in fragments {
+                assert!(sources.contains(&fragment), "`{event}`: `{fragment}` is logged nowhere");
+            }
+        }
+    }
+    assert!(events > 15, "{events} events");
+    assert_eq!(fragments("view N: chain A B C"), ["view ", ": chain "]);
+    assert_eq!(fragments("E502: it starts anew"), [": it starts anew"]);
+}
--- a/crates/sandtrack-postmark/tests/codes.rs
+++ b/crates/sandtrack-postmark/tests/codes.rs
@@ -5,7 +5,8 @@
 
 /// The table of the page.
 fn table() -> String {
-    let row = |(code, name, meaning): &(Code, &str, &str)| format!("| E{:03} | `{name}` | {meaning} |\n", code.0);
+    let row =
+        |(code, name, meaning): &(Code, &str, &str)| format!("| E{:03} | `{name}` | {meaning} |\n", code.0);
     let rows: String = TABLE.iter().map(row).collect();
     format!("| code | name | meaning |\n| --- | --- | --- |\n{rows}")
 }
