The postmaster looks through links and sessions only where something is new

Cause: every input went over all sessions, which grows with the square of couriers. Tested: operator tests, 6 passed; three processes on loopback with two trial couriers: configuration, change, evacuation and census came at once.

--- a/crates/sandtrack-postmaster/src/directory.rs
+++ b/crates/sandtrack-postmaster/src/directory.rs
@@ -80,6 +80,7 @@
         of(&|_| true)
     };
     chosen.sort_unstable();
+    chosen.dedup();
     if chosen.len() > ADDRESSES {
         let shift = turn.wrapping_mul(ADDRESSES) % chosen.len();
         chosen.rotate_left(shift);
--- a/crates/sandtrack-postmaster/src/postmaster.rs
+++ b/crates/sandtrack-postmaster/src/postmaster.rs
@@ -119,6 +119,8 @@
     next_call: u64,
     /// Clients that the directory has answered.
     turn: usize,
+    /// How far the links were told of sessions and the list: where nothing is new they are not looked through.
+    told: (u64, u64),
     last: Millis,
     leaving: Option<Millis>,
 }
@@ -176,6 +178,7 @@
             calls: BTreeMap::new(),
             next_call: 0,
             turn: 0,
+            told: (0, 0),
             last: now,
             leaving: None,
         };
@@ -367,11 +370,13 @@
                 if let Some((sessions, _)) = self.peers.told(link) {
                     *sessions = None;
                 }
+                self.tell_peer(now, link, out);
             }
             PeerFrame::WantList => {
                 if let Some((_, list)) = self.peers.told(link) {
                     *list = None;
                 }
+                self.tell_peer(now, link, out);
             }
             PeerFrame::List { whole, round, entries, gone } => {
                 if !self.duty.is_holder() {
@@ -575,7 +580,13 @@
 
     /// Tells the others and the couriers what is new.
     fn spread(&mut self, now: Millis, out: &mut Vec<Effect>) {
-        self.tell_peers(now, out);
+        let ends = (self.roll.end(), self.upstreams.end());
+        if std::mem::replace(&mut self.told, ends) != ends {
+            self.tell_peers(now, out);
+        }
+        if !self.sessions.is_due(now, self.relay.machine(), &self.upstreams, &self.roll) {
+            return;
+        }
         let attached = self.is_attached(now);
         let others: Vec<&Hello> =
             self.peers.all().filter(|(_, linked, _)| *linked).filter_map(|(_, _, hello)| hello).collect();
--- a/crates/sandtrack-postmaster/src/reader.rs
+++ b/crates/sandtrack-postmaster/src/reader.rs
@@ -18,7 +18,7 @@
 const STALE_MS: Millis = 1500.0;
 /// After a 429 or a failure, in ms: at first, and at most.
 const BACK_OFF_MS: Millis = 200.0;
-const BACK_OFF_MOST_MS: Millis = 2000.0;
+const BACK_OFF_MOST_MS: Millis = 800.0;
 /// A holder that says nothing for so long, in ms, has lost the duty.
 pub const HOLDER_SILENT_MS: Millis = 800.0;
 /// One that hears no holder for so long, in ms, and can't get a majority reads for itself.
--- a/crates/sandtrack-postmaster/src/sessions.rs
+++ b/crates/sandtrack-postmaster/src/sessions.rs
@@ -153,21 +153,22 @@
         self.sessions.clear();
     }
 
+    fn census_due(&self, now: Millis, roll: &Roll) -> bool {
+        now >= self.next_census && self.census_round != roll.round()
+    }
+
+    /// Whether there is anything to tell.
+    pub fn is_due(&self, now: Millis, book: &Book, upstreams: &Upstreams, roll: &Roll) -> bool {
+        state(book, upstreams) != self.told || self.census_due(now, roll)
+    }
+
     /// Brings each session up to what is committed and known.
     pub fn tell(
         &mut self, now: Millis, me: &Hello, others: &[&Hello], news: &News<'_>,
         orders: &mut Vec<SessionOrder>,
     ) {
-        let state = (
-            news.book.configuration_number(),
-            news.book.evacuation_number(),
-            news.upstreams.end(),
-            u64::from(news.upstreams.round() > 0),
-        );
-        let census = now >= self.next_census && self.census_round != news.roll.round();
-        if state == self.told && !census {
-            return;
-        }
+        let state = state(news.book, news.upstreams);
+        let census = self.census_due(now, news.roll);
         let new = self.told.0 == u64::MAX;
         self.told = state;
         let mut lists: BTreeMap<Option<u64>, Bytes> = BTreeMap::new();
@@ -263,6 +264,12 @@
     all.into_iter().map(|hello| hello.session.clone()).collect()
 }
 
+/// What all sessions are told up to.
+fn state(book: &Book, upstreams: &Upstreams) -> (u64, u64, u64, u64) {
+    let numbers = (book.configuration_number(), book.evacuation_number());
+    (numbers.0, numbers.1, upstreams.end(), u64::from(upstreams.round() > 0))
+}
+
 fn steps(book: &Book, from: u64) -> Option<Bytes> {
     let frames = book.changes_since(from)?;
     Some(frames.iter().flat_map(frames::frame).collect::<Vec<u8>>().into())
