A repair of the chain does not detach couriers

Ruled out: taking a majority alone for attached: one that learns the state is not. Tested: postmaster's tests, 21 passed.

--- a/crates/sandtrack-postmaster/src/postmaster.rs
+++ b/crates/sandtrack-postmaster/src/postmaster.rs
@@ -18,6 +18,9 @@
 
 /// A voter that was heard within so many ms is there.
 const VOTER_MS: Millis = 1000.0;
+/// A repair of the chain may take so long, in ms, without a courier having to look for another postmaster: it would find
+/// the same there.
+const REPAIR_MS: Millis = 2500.0;
 /// A process whose clock went on by more than this without it, in ms, was frozen.
 const FROZEN_MS: Millis = 700.0;
 /// It looks at what is due at least this often, in ms.
@@ -121,6 +124,8 @@
     turn: usize,
     /// How far the links were told of sessions and the list: where nothing is new they are not looked through.
     told: (u64, u64),
+    /// When it was caught up last, in this stretch of running.
+    caught_up: Option<Millis>,
     last: Millis,
     leaving: Option<Millis>,
 }
@@ -179,6 +184,7 @@
             next_call: 0,
             turn: 0,
             told: (0, 0),
+            caught_up: None,
             last: now,
             leaving: None,
         };
@@ -231,6 +237,7 @@
             log::warn!("this process did not run for {:.0} ms", now - self.last);
             self.peers.woke(now);
             self.sessions.woke(now);
+            self.caught_up = None;
             if now - self.last > HOLDER_SILENT_MS {
                 self.duty.woke(now);
             }
@@ -448,6 +455,9 @@
     /// Looks at what is due.
     fn look(&mut self, now: Millis, out: &mut Vec<Effect>) {
         self.relay(now, relay::Input::Tick, out);
+        if self.relay.is_caught_up() {
+            self.caught_up = Some(now);
+        }
         self.reach(now);
         let mut orders = Vec::new();
         let (lost, beat) = self.peers.tick(now, &mut orders);
@@ -529,12 +539,13 @@
         }
     }
 
-    /// Whether it hears a majority of those that agree on the view, and has caught up.
+    /// Whether it hears a majority of those that agree on the view, and has caught up, or had before a repair.
     pub fn is_attached(&self, now: Millis) -> bool {
         let voters = self.voters();
         let here = |one: &&Address| **one == self.peers.me.address || self.peers.is_heard(now, one, VOTER_MS);
         let heard = voters.iter().filter(here).count();
-        2 * heard > voters.len() && self.relay.is_caught_up()
+        let caught_up = self.caught_up.is_some_and(|at| now - at <= REPAIR_MS);
+        2 * heard > voters.len() && (caught_up || self.relay.is_caught_up())
     }
 
     fn beat_one(&mut self, now: Millis, peer: &str, out: &mut Vec<Effect>) {
--- a/crates/sandtrack-postmaster/tests/reader.rs
+++ b/crates/sandtrack-postmaster/tests/reader.rs
@@ -228,7 +228,7 @@
                     self.transcript.push_str(&format!("{:>6.0} {name} takes the duty\n", self.now));
                 }
             }
-            if self.now as u64 % 150 == 0 {
+            if (self.now as u64).is_multiple_of(150) {
                 let up: Vec<String> =
                     order.iter().filter(|name| !self.down.contains(*name)).cloned().collect();
                 up.iter().for_each(|name| self.beat(name));
