Whole exchanges of three postmasters as transcripts: start, races, kills, cuts, freezes

Cause: the parts were tested one by one; a town with links, disks, couriers, callers and a platform on a counted clock holds them together.

--- a/crates/sandtrack-postmaster/src/postmaster.rs
+++ b/crates/sandtrack-postmaster/src/postmaster.rs
@@ -675,8 +675,13 @@
         Reply { status: 200, body }
     }
 
-    /// The committed state, for tests and operators.
+    /// The committed state as it is known here.
     pub fn book(&self) -> &Book {
         self.relay.machine()
     }
+
+    /// The platform's list as it is known here.
+    pub fn upstreams(&self) -> &Upstreams {
+        &self.upstreams
+    }
 }
--- a/crates/sandtrack-postmaster/tests/common/mod.rs
+++ b/crates/sandtrack-postmaster/tests/common/mod.rs
@@ -6,6 +6,8 @@
 use sandtrack_sidecar::ring::Ring;
 use std::path::Path;
 
+pub mod town;
+
 /// Holds a transcript against the approved one. With APPROVE set it is written instead, to be read and committed.
 ///
 /// # Panics
--- /dev/null
+++ b/crates/sandtrack-postmaster/tests/common/town.rs
@@ -0,0 +1,577 @@
+//! A town of postmasters: several of them with links, disks, couriers, callers and a platform, all in one thread on a clock
+//! that is only counted. What is asked of each is carried out after a delay.
+use super::{message, settings};
+use sandtrack_postmark::frames::{self, CourierInfo, CourierState, ToCourier, ToPostmaster, UpstreamEntry};
+use sandtrack_postmaster::control::Reply;
+use sandtrack_postmaster::peers::{LinkOrder, PeerFrame};
+use sandtrack_postmaster::postmaster::{Effect, Input, Postmaster, Start};
+use sandtrack_postmaster::reader::{Call, Page};
+use sandtrack_postmaster::sessions::SessionOrder;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// One way between two machines, to the disk and back, and to the platform and back, in ms.
+const WAY: f64 = 5.0;
+const DISK: f64 = 0.5;
+const PLATFORM: f64 = 8.0;
+
+enum Event {
+    Input(usize, u64, Input),
+    /// A link that was dialed comes up.
+    Accept {
+        from: usize,
+        link: u64,
+        to: usize,
+    },
+    /// A frame of a courier, or the end of its session.
+    Courier(String, Option<ToPostmaster>),
+    ToCourier(String, u64, Option<ToCourier>),
+    Answer(u64, Reply),
+}
+
+struct House {
+    postmaster: Option<Postmaster>,
+    /// Rises with each start: what was meant for an earlier life is not for this one.
+    life: u64,
+    ledger: Vec<Vec<u8>>,
+    frozen: bool,
+    exited: bool,
+    /// Calls to the platform, by when they were made.
+    fetches: Vec<f64>,
+}
+
+/// A courier as a test sees it: its session, and what came over it without the beats.
+pub struct Courier {
+    info: CourierInfo,
+    state: CourierState,
+    pub house: usize,
+    session: Option<(u64, u64)>,
+    /// It says nothing.
+    pub silent: bool,
+    pub frames: Vec<ToCourier>,
+    pub attached: Option<bool>,
+}
+
+pub struct Town {
+    pub now: f64,
+    houses: BTreeMap<usize, House>,
+    events: BTreeMap<(u64, u64), Event>,
+    order: u64,
+    /// Pairs of link ends: (house, life, link).
+    ends: BTreeMap<(usize, u64), (usize, u64)>,
+    cut: BTreeSet<(usize, usize)>,
+    pub couriers: BTreeMap<String, Courier>,
+    calls: BTreeMap<(usize, u64, u64), u64>,
+    next_call: u64,
+    /// When each call was made, and the answer with its time.
+    pub answers: BTreeMap<u64, (f64, Option<(f64, Reply)>)>,
+    /// The platform's list; none: it is down.
+    pub list: Option<Vec<UpstreamEntry>>,
+    pub transcript: String,
+}
+
+impl Town {
+    /// Postmasters 1 to `count` that start for the very first time.
+    pub fn start(count: usize) -> Town {
+        let mut town = Town {
+            now: 0.0,
+            houses: BTreeMap::new(),
+            events: BTreeMap::new(),
+            order: 0,
+            ends: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            couriers: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            next_call: 0,
+            answers: BTreeMap::new(),
+            list: Some(Vec::new()),
+            transcript: String::new(),
+        };
+        for number in 1..=count {
+            town.boot(number, true);
+        }
+        town
+    }
+
+    /// Starts a postmaster with what its disk holds.
+    pub fn boot(&mut self, number: usize, first_start: bool) {
+        let mut settings = settings(number);
+        settings.first_start = first_start;
+        let before = self.houses.remove(&number);
+        let (life, ledger) = before.map_or((1, Vec::new()), |before| (before.life + 1, before.ledger));
+        let start = Start { incarnation: number as u64 * 1000 + life, recovered: ledger.clone(), disk: true };
+        let (postmaster, effects) = Postmaster::new(settings, start, self.now);
+        let house = House {
+            postmaster: Some(postmaster),
+            life,
+            ledger,
+            frozen: false,
+            exited: false,
+            fetches: Vec::new(),
+        };
+        self.houses.insert(number, house);
+        self.perform(number, effects);
+    }
+
+    /// Ends a process at once. `quiet`: nobody is told, as at a loss of power; else its connections are reset.
+    pub fn kill(&mut self, number: usize, quiet: bool) {
+        let mine: Vec<((usize, u64), (usize, u64))> = self
+            .ends
+            .iter()
+            .filter(|((house, _), _)| *house == number)
+            .map(|(one, other)| (*one, *other))
+            .collect();
+        for (one, other) in mine {
+            self.ends.remove(&one);
+            self.ends.remove(&other);
+            if !quiet {
+                let life = self.life(other.0);
+                self.later(WAY, Event::Input(other.0, life, Input::LinkClosed { link: other.1 }));
+            }
+        }
+        let names: Vec<String> = self
+            .couriers
+            .iter()
+            .filter(|(_, courier)| courier.house == number && courier.session.is_some())
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in names {
+            if let Some(courier) = self.couriers.get_mut(&name) {
+                courier.session = None;
+            }
+        }
+        if let Some(house) = self.houses.get_mut(&number) {
+            house.postmaster = None;
+        }
+    }
+
+    /// The disk of a machine is empty from now on.
+    pub fn wipe(&mut self, number: usize) {
+        if let Some(house) = self.houses.get_mut(&number) {
+            house.ledger.clear();
+        }
+    }
+
+    /// Stops or goes on running a process; what comes meanwhile waits.
+    pub fn freeze(&mut self, number: usize, frozen: bool) {
+        if let Some(house) = self.houses.get_mut(&number) {
+            house.frozen = frozen;
+        }
+    }
+
+    /// Cuts two machines from each other, or joins them: what is under way between them is lost.
+    pub fn cut(&mut self, one: usize, other: usize, cut: bool) {
+        for pair in [(one, other), (other, one)] {
+            if cut {
+                self.cut.insert(pair);
+            } else {
+                self.cut.remove(&pair);
+            }
+        }
+    }
+
+    /// SIGTERM.
+    pub fn terminate(&mut self, number: usize) {
+        self.input(number, Input::Terminate);
+    }
+
+    pub fn is_up(&self, number: usize) -> bool {
+        self.houses.get(&number).is_some_and(|house| house.postmaster.is_some())
+    }
+
+    pub fn has_exited(&self, number: usize) -> bool {
+        self.houses.get(&number).is_some_and(|house| house.exited)
+    }
+
+    /// When a postmaster called the platform since `at`, in count.
+    pub fn fetches_since(&self, number: usize, at: f64) -> usize {
+        self.houses.get(&number).map_or(0, |house| house.fetches.iter().filter(|made| **made >= at).count())
+    }
+
+    pub fn postmaster(&mut self, number: usize) -> &mut Postmaster {
+        let house = self.houses.get_mut(&number).and_then(|house| house.postmaster.as_mut());
+        house.expect("a postmaster that runs")
+    }
+
+    fn life(&self, number: usize) -> u64 {
+        self.houses.get(&number).map_or(0, |house| house.life)
+    }
+
+    fn later(&mut self, ms: f64, event: Event) {
+        self.order += 1;
+        self.events.insert((((self.now + ms) * 1000.0) as u64, self.order), event);
+    }
+
+    fn input(&mut self, number: usize, input: Input) {
+        let now = self.now;
+        let Some(house) = self.houses.get_mut(&number) else { return };
+        let Some(postmaster) = house.postmaster.as_mut() else { return };
+        let mut effects = Vec::new();
+        postmaster.handle(now, input, &mut effects);
+        self.perform(number, effects);
+    }
+
+    fn perform(&mut self, number: usize, effects: Vec<Effect>) {
+        let life = self.life(number);
+        for effect in effects {
+            match effect {
+                Effect::Reply { call, reply } => {
+                    if let Some(call) = self.calls.remove(&(number, life, call)) {
+                        self.later(WAY, Event::Answer(call, reply));
+                    }
+                }
+                Effect::Link(order) => self.link_order(number, order),
+                Effect::Session(SessionOrder::Send { session, bytes }) => {
+                    let mut at = 0;
+                    while let Some((frame, length)) = frames::take::<ToCourier>(&bytes[at..]).expect("frames")
+                    {
+                        at += length;
+                        if let Some(name) = self.courier_of(number, session) {
+                            self.later(WAY, Event::ToCourier(name, session, Some(frame)));
+                        }
+                    }
+                }
+                Effect::Session(SessionOrder::Close { session }) => {
+                    if let Some(name) = self.courier_of(number, session) {
+                        self.later(WAY, Event::ToCourier(name, session, None));
+                    }
+                }
+                Effect::Write { ticket, records } => {
+                    if let Some(house) = self.houses.get_mut(&number) {
+                        house.ledger.extend(records);
+                    }
+                    self.later(DISK, Event::Input(number, life, Input::Written { ticket }));
+                }
+                Effect::Rewrite { ticket, records } => {
+                    if let Some(house) = self.houses.get_mut(&number) {
+                        house.ledger = records;
+                    }
+                    self.later(DISK, Event::Input(number, life, Input::Written { ticket }));
+                }
+                Effect::Fetch { .. } => {
+                    if let Some(house) = self.houses.get_mut(&number) {
+                        house.fetches.push(self.now);
+                    }
+                    let call = match &self.list {
+                        Some(list) => Call::Page(Page { entries: list.clone(), next_token: None }),
+                        None => Call::Failed("down".to_owned()),
+                    };
+                    self.later(PLATFORM, Event::Input(number, life, Input::Called(call)));
+                }
+                Effect::Exit => {
+                    if let Some(house) = self.houses.get_mut(&number) {
+                        house.exited = true;
+                    }
+                    self.kill(number, false);
+                }
+            }
+        }
+    }
+
+    fn link_order(&mut self, number: usize, order: LinkOrder) {
+        let life = self.life(number);
+        match order {
+            LinkOrder::Dial { link, address } => {
+                let to: usize = address.split('.').nth(1).and_then(|part| part.parse().ok()).unwrap_or(0);
+                if self.cut.contains(&(number, to)) {
+                    // Nothing is heard of it; the dialing end gives up by itself.
+                } else if self.is_up(to) {
+                    self.later(2.0 * WAY, Event::Accept { from: number, link, to });
+                } else {
+                    self.later(WAY, Event::Input(number, life, Input::LinkClosed { link }));
+                }
+            }
+            LinkOrder::Send { link, frame } => {
+                if let Some((to, end)) = self.ends.get(&(number, link)).copied() {
+                    if !self.cut.contains(&(number, to)) {
+                        // As it goes over the wire.
+                        let bytes = frames::frame(&frame);
+                        let (frame, _) =
+                            frames::take::<PeerFrame>(&bytes).expect("a frame").expect("a whole frame");
+                        let life = self.life(to);
+                        self.later(WAY, Event::Input(to, life, Input::LinkFrame { link: end, frame }));
+                    }
+                }
+            }
+            LinkOrder::Close { link } => {
+                if let Some((to, end)) = self.ends.remove(&(number, link)) {
+                    self.ends.remove(&(to, end));
+                    if !self.cut.contains(&(number, to)) {
+                        let life = self.life(to);
+                        self.later(WAY, Event::Input(to, life, Input::LinkClosed { link: end }));
+                    }
+                }
+            }
+        }
+    }
+
+    fn courier_of(&self, house: usize, session: u64) -> Option<String> {
+        let life = self.life(house);
+        let mine = |courier: &&Courier| courier.house == house && courier.session == Some((life, session));
+        self.couriers.values().find(mine).map(|courier| courier.info.node_name.clone())
+    }
+
+    /// A courier opens a session with a postmaster; it may have had another before, which then ends.
+    pub fn connect(&mut self, name: &str, zone: &str, region: &str, house: usize) {
+        self.disconnect(name);
+        let now = self.now;
+        let session = self.postmaster(house).session_accepted(now);
+        let life = self.life(house);
+        let info = CourierInfo {
+            node_name: name.to_owned(),
+            incarnation: 1,
+            zone: zone.to_owned(),
+            region: region.to_owned(),
+            front: format!("{name}:8161"),
+        };
+        let state = CourierState { ready: true, ..CourierState::default() };
+        let before = self.couriers.remove(name);
+        let state = before.map_or(state, |before| before.state);
+        let courier = Courier {
+            info: info.clone(),
+            state: state.clone(),
+            house,
+            session: Some((life, session)),
+            silent: false,
+            frames: Vec::new(),
+            attached: None,
+        };
+        self.couriers.insert(name.to_owned(), courier);
+        let hello = ToPostmaster::Hello { format: frames::FORMAT, info, state };
+        self.later(WAY, Event::Courier(name.to_owned(), Some(hello)));
+    }
+
+    /// The courier ends its session.
+    pub fn disconnect(&mut self, name: &str) {
+        let Some(courier) = self.couriers.get_mut(name) else { return };
+        if let Some((life, session)) = courier.session.take() {
+            let house = courier.house;
+            self.later(WAY, Event::Input(house, life, Input::SessionClosed { session }));
+        }
+    }
+
+    /// The courier tells something of itself.
+    pub fn state(&mut self, name: &str, change: impl FnOnce(&mut CourierState)) {
+        if let Some(courier) = self.couriers.get_mut(name) {
+            change(&mut courier.state);
+            let state = courier.state.clone();
+            self.later(0.0, Event::Courier(name.to_owned(), Some(ToPostmaster::State(state))));
+        }
+    }
+
+    /// A caller's call to a postmaster; its number, for the answer.
+    pub fn call(&mut self, house: usize, method: &str, target: &str, based_on: u64, body: &str) -> u64 {
+        self.next_call += 1;
+        let number = self.next_call;
+        self.answers.insert(number, (self.now, None));
+        if self.is_up(house) {
+            let based_on = based_on.to_string();
+            let message = message(method, target, &[("Based-On-Version", &based_on)], body);
+            let life = self.life(house);
+            let call = self.postmaster(house).call_begun();
+            self.calls.insert((house, life, call), number);
+            self.later(WAY, Event::Input(house, life, Input::Call { call, message }));
+        }
+        number
+    }
+
+    /// What a call was answered, and after how many ms.
+    pub fn answer(&self, call: u64) -> Option<(f64, &Reply)> {
+        let (made, answer) = self.answers.get(&call)?;
+        answer.as_ref().map(|(at, reply)| (at - made, reply))
+    }
+
+    /// Asks a directory.
+    pub fn resolve(&mut self, house: usize, zone: &str) -> String {
+        let now = self.now;
+        let target = format!("/v1/resolution?name=x&zone={zone}&region=ishikari");
+        let reply = self.postmaster(house).resolve(now, &message("GET", &target, &[], "").head);
+        format!("{} {}", reply.status, reply.body)
+    }
+
+    pub fn run(&mut self, ms: f64) {
+        let until = self.now + ms;
+        let mut next_state = self.now;
+        while self.now < until {
+            if self.now >= next_state {
+                next_state = self.now + 250.0;
+                let names: Vec<String> = self.couriers.keys().cloned().collect();
+                for name in names {
+                    let courier = &self.couriers[&name];
+                    if !courier.silent && courier.session.is_some() {
+                        let state = ToPostmaster::State(courier.state.clone());
+                        self.later(WAY, Event::Courier(name, Some(state)));
+                    }
+                }
+            }
+            let ready: Vec<usize> = self
+                .houses
+                .iter()
+                .filter(|(_, house)| {
+                    let due = house.postmaster.as_ref().map(Postmaster::next_due);
+                    !house.frozen && due.is_some_and(|due| due <= self.now)
+                })
+                .map(|(number, _)| *number)
+                .collect();
+            ready.into_iter().for_each(|number| self.input(number, Input::Tick));
+            while let Some(entry) = self.events.first_entry() {
+                if entry.key().0 as f64 / 1000.0 > self.now {
+                    break;
+                }
+                let event = entry.remove();
+                self.happen(event);
+            }
+            self.now += 1.0;
+        }
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Input(number, life, input) => {
+                let frozen = self.houses.get(&number).is_some_and(|house| house.frozen);
+                if frozen {
+                    self.later(1.0, Event::Input(number, life, input));
+                } else if self.life(number) == life {
+                    self.input(number, input);
+                }
+            }
+            Event::Accept { from, link, to } => {
+                if !self.is_up(to) || !self.is_up(from) || self.cut.contains(&(from, to)) {
+                    return;
+                }
+                let now = self.now;
+                let end = self.postmaster(to).link_accepted(now);
+                self.ends.insert((from, link), (to, end));
+                self.ends.insert((to, end), (from, link));
+                let lives = (self.life(from), self.life(to));
+                self.later(0.0, Event::Input(from, lives.0, Input::LinkOpened { link }));
+                self.later(0.0, Event::Input(to, lives.1, Input::LinkOpened { link: end }));
+            }
+            Event::Courier(name, frame) => {
+                let Some(courier) = self.couriers.get(&name) else { return };
+                let Some((life, session)) = courier.session else { return };
+                let house = courier.house;
+                let input = match frame {
+                    Some(frame) => Input::SessionFrame { session, frame },
+                    None => Input::SessionClosed { session },
+                };
+                self.later(0.0, Event::Input(house, life, input));
+            }
+            Event::ToCourier(name, session, frame) => {
+                let Some(courier) = self.couriers.get_mut(&name) else { return };
+                if courier.session.is_none_or(|(_, mine)| mine != session) {
+                    return;
+                }
+                match frame {
+                    Some(ToCourier::Beat { attached }) => courier.attached = Some(attached),
+                    Some(frame) => {
+                        if let ToCourier::Configuration { version, .. } | ToCourier::Changes { version, .. } =
+                            &frame
+                        {
+                            courier.state.version = *version;
+                        }
+                        courier.frames.push(frame);
+                    }
+                    None => courier.session = None,
+                }
+            }
+            Event::Answer(call, reply) => {
+                let now = self.now;
+                if let Some((_, answer)) = self.answers.get_mut(&call) {
+                    *answer = Some((now, reply));
+                }
+            }
+        }
+    }
+
+    pub fn say(&mut self, what: &str) {
+        self.transcript.push_str(&format!("# {what}\n"));
+    }
+
+    pub fn note(&mut self, what: &str) {
+        self.transcript.push_str(&format!("{what}\n"));
+    }
+
+    /// Notes what came to the couriers since it was noted last, and where their sessions stand.
+    pub fn note_couriers(&mut self) {
+        let mut lines = String::new();
+        for (name, courier) in &mut self.couriers {
+            let stands = match (courier.session, courier.attached) {
+                (None, _) => "no session".to_owned(),
+                (Some(_), Some(false)) => format!("at {}, detached", courier.house),
+                (Some(_), _) => format!("at {}", courier.house),
+            };
+            lines.push_str(&format!("{name} ({stands})\n"));
+            for frame in courier.frames.drain(..) {
+                lines.push_str(&format!("  {}\n", told(&frame)));
+            }
+        }
+        self.transcript.push_str(&lines);
+    }
+
+    /// Notes the answer of a call.
+    pub fn note_answer(&mut self, what: &str, call: u64) {
+        let line = match self.answer(call) {
+            Some((after, reply)) => {
+                let late =
+                    if after > 1000.0 { format!(" after {after:.0} ms: too late") } else { String::new() };
+                format!("{what} -> {} {}{late}", reply.status, reply.body)
+            }
+            None => format!("{what} -> silence"),
+        };
+        self.note(&line);
+    }
+
+    pub fn note_directory(&mut self, house: usize, zone: &str) {
+        let answer = self.resolve(house, zone);
+        self.note(&format!("directory of {house} for {zone} -> {answer}"));
+    }
+}
+
+/// A frame in words.
+fn told(frame: &ToCourier) -> String {
+    match frame {
+        ToCourier::Welcome { postmaster, attached, .. } => {
+            format!("Welcome of {postmaster}, attached {attached}")
+        }
+        ToCourier::Configuration { number, version, document } => {
+            format!("Configuration {number}, version {version}: {} bytes", document.len())
+        }
+        ToCourier::Changes { from_number, number, version, items, fields } => {
+            let items: Vec<String> = items
+                .iter()
+                .map(|item| {
+                    let sign = if item.json.is_some() { '+' } else { '-' };
+                    format!("{sign}{} {}", item.list, item.name)
+                })
+                .collect();
+            let fields: Vec<&str> = fields.iter().map(|(name, _)| name.as_str()).collect();
+            format!("Changes {from_number} to {number}, version {version}: {items:?} {fields:?}")
+        }
+        ToCourier::Evacuated { number, zones } => format!("Evacuated {number}: {zones:?}"),
+        ToCourier::Upstreams { whole, entries, gone, .. } => {
+            let entries: Vec<String> = entries
+                .iter()
+                .map(|entry| format!("{}{}", entry.identifier, if entry.draining { " draining" } else { "" }))
+                .collect();
+            let whole = if *whole { "whole: " } else { "" };
+            format!("Upstreams {whole}{entries:?}, gone {gone:?}")
+        }
+        ToCourier::Census { postmasters, couriers, rank } => {
+            format!("Census: {couriers} couriers, rank {rank}, postmasters {}", postmasters.join(" "))
+        }
+        ToCourier::Beat { attached } => format!("Beat {attached}"),
+    }
+}
+
+/// An upstream of the platform's list.
+pub fn upstream(identifier: &str, draining: bool) -> UpstreamEntry {
+    UpstreamEntry {
+        identifier: identifier.to_owned(),
+        service: "print".to_owned(),
+        address: format!("{identifier}:8080"),
+        zone: "odori-hall".to_owned(),
+        slots: 6,
+        draining,
+        ..UpstreamEntry::default()
+    }
+}
