Shares of what holds over all are told only when all are known, and kept in cuts

Cause: after a kill of all, a postmaster told its first courier that it is the only one, which then had the whole of the retry budget and of cold rates; and the rest of a cut system took the shares of those cut off after 4 s. Ruled out: telling a guess: the courier has one of its own until it is told.

--- a/crates/sandtrack-postmaster/src/peers.rs
+++ b/crates/sandtrack-postmaster/src/peers.rs
@@ -70,6 +70,8 @@
         list: (u64, u32, u64),
         /// It was told to stop.
         leaving: bool,
+        /// It knows how many couriers there are.
+        settled: bool,
     },
 }
 
@@ -97,6 +99,7 @@
     heard: Millis,
     word: Word,
     leaving: bool,
+    settled: bool,
 }
 
 /// What the program is to do with a link.
@@ -209,7 +212,8 @@
         let known = self.known.entry(address.clone()).or_default();
         known.dialing = known.dialing.filter(|dialing| *dialing != link);
         known.link = Some(link);
-        (known.heard, known.leaving, known.word) = (now, false, Word::default());
+        (known.heard, known.leaving, known.settled) = (now, false, false);
+        known.word = Word::default();
         known.hello = Some(hello);
         if let Some(link) = self.links.get_mut(&link) {
             link.peer = Some(address.clone());
@@ -240,12 +244,17 @@
     }
 
     /// Another one says that it is there.
-    pub fn word(&mut self, peer: &str, word: Word, leaving: bool) {
+    pub fn word(&mut self, peer: &str, word: Word, leaving: bool, settled: bool) {
         if let Some(known) = self.known.get_mut(peer) {
-            (known.word, known.leaving) = (word, leaving);
+            (known.word, known.leaving, known.settled) = (word, leaving, settled);
         }
     }
 
+    /// Whether one that is linked knows how many couriers there are.
+    pub fn is_any_settled(&self) -> bool {
+        self.known.values().any(|known| known.link.is_some() && known.settled)
+    }
+
     /// This process did not run for a while: what the others said meanwhile is still to be read.
     pub fn woke(&mut self, now: Millis) {
         self.links.values_mut().for_each(|link| link.heard = now);
--- a/crates/sandtrack-postmaster/src/postmaster.rs
+++ b/crates/sandtrack-postmaster/src/postmaster.rs
@@ -21,6 +21,8 @@
 /// A repair of the chain may take so long, in ms, without a courier having to look for another postmaster: it would find
 /// the same there.
 const REPAIR_MS: Millis = 2500.0;
+/// After its start, in ms, it takes the couriers that have come for all that there are; sooner where another one knows.
+const SETTLE_MS: Millis = 2500.0;
 /// A process whose clock went on by more than this without it, in ms, was frozen.
 const FROZEN_MS: Millis = 700.0;
 /// It looks at what is due at least this often, in ms.
@@ -126,6 +128,9 @@
     told: (u64, u64),
     /// When it was caught up last, in this stretch of running.
     caught_up: Option<Millis>,
+    started: Millis,
+    /// It knows how many couriers there are: what holds over all of them may be shared out.
+    settled: bool,
     last: Millis,
     leaving: Option<Millis>,
 }
@@ -185,6 +190,8 @@
             turn: 0,
             told: (0, 0),
             caught_up: None,
+            started: now,
+            settled: false,
             last: now,
             leaving: None,
         };
@@ -390,7 +397,7 @@
                     self.upstreams.take(now, Excerpt { whole, round, entries, gone });
                 }
             }
-            PeerFrame::Beat { claim, silent, sessions, list, leaving } => {
+            PeerFrame::Beat { claim, silent, sessions, list, leaving, settled } => {
                 let held = self.duty.is_holder();
                 self.duty.told(now, &peer, &claim);
                 if held != self.duty.is_holder() {
@@ -398,7 +405,7 @@
                     self.reader.stop();
                 }
                 let from_holder = claim.holder == peer && *self.duty.claim() == claim;
-                self.peers.word(&peer, Word { claim, silent }, leaving);
+                self.peers.word(&peer, Word { claim, silent }, leaving, settled);
                 if sessions != self.roll.digest_of(&peer) {
                     out.push(Effect::Link(LinkOrder::Send { link, frame: PeerFrame::WantSessions }));
                 }
@@ -471,6 +478,10 @@
             }
         }
         let attached = self.is_attached(now);
+        if attached && !self.settled {
+            self.settled = now - self.started >= SETTLE_MS || self.peers.is_any_settled();
+            self.sessions.census_again();
+        }
         let mut orders = Vec::new();
         for gone in self.sessions.tick(now, attached, &mut orders) {
             log::info!("{} fell silent", gone.node_name);
@@ -558,6 +569,7 @@
             sessions: self.roll.digest(),
             list: (self.upstreams.round(), count, sum),
             leaving: self.leaving.is_some(),
+            settled: self.settled,
         };
         out.push(Effect::Link(LinkOrder::Send { link, frame }));
     }
@@ -601,8 +613,13 @@
         let attached = self.is_attached(now);
         let others: Vec<&Hello> =
             self.peers.all().filter(|(_, linked, _)| *linked).filter_map(|(_, _, hello)| hello).collect();
-        let news =
-            News { book: self.relay.machine(), upstreams: &self.upstreams, roll: &self.roll, attached };
+        let news = News {
+            book: self.relay.machine(),
+            upstreams: &self.upstreams,
+            roll: &self.roll,
+            attached,
+            settled: self.settled,
+        };
         let mut orders = Vec::new();
         self.sessions.tell(now, &self.peers.me, &others, &news, &mut orders);
         out.extend(orders.into_iter().map(Effect::Session));
--- a/crates/sandtrack-postmaster/src/roll.rs
+++ b/crates/sandtrack-postmaster/src/roll.rs
@@ -9,10 +9,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash, Hasher};
 
-/// The members of a postmaster that fell silent are kept for this long, in ms: they come back elsewhere.
-pub const KEPT_MS: Millis = 4000.0;
-/// ... and clients are sent to them for this long.
+/// The members of a postmaster that fell silent are kept for this long, in ms: they come back elsewhere, or are cut off and
+/// go on with their shares of what holds over all.
+pub const KEPT_MS: Millis = 30_000.0;
+/// ... and clients are sent to them for this long; for the longer one where there is nobody else.
 const SHOWN_MS: Millis = 1500.0;
+const SHOWN_ALONE_MS: Millis = 4000.0;
 const EVENTS_KEPT: usize = 2048;
 
 /// A courier and what it tells of itself.
@@ -194,15 +196,16 @@
     /// The couriers that clients may be sent to. What a silent postmaster told holds a little while; longer where nothing
     /// else is known.
     pub fn ready(&self, now: Millis) -> Vec<&CourierInfo> {
-        let serving = |members: BTreeMap<&str, &'_ Member>| -> BTreeSet<String> {
-            let ready = members.into_iter().filter(|(_, member)| member.state.ready && !member.state.leaving);
-            ready.map(|(name, _)| name.to_owned()).collect()
+        let ready = |within: Millis| -> Vec<&CourierInfo> {
+            let members = self.fold(|others| others.lost.is_none_or(|lost| now - lost < within));
+            let ready = members.into_values().filter(|member| member.state.ready && !member.state.leaving);
+            ready.map(|member| &member.info).collect()
         };
-        let fresh = self.fold(|others| others.lost.is_none_or(|lost| now - lost < SHOWN_MS));
-        let names = serving(fresh.clone());
-        let fresh = if names.is_empty() { self.members() } else { fresh };
-        let ready = fresh.into_values().filter(|member| member.state.ready && !member.state.leaving);
-        ready.map(|member| &member.info).collect()
+        let shown = ready(SHOWN_MS);
+        if shown.is_empty() {
+            return ready(SHOWN_ALONE_MS);
+        }
+        shown
     }
 
     /// Own members, by name.
--- a/crates/sandtrack-postmaster/src/sessions.rs
+++ b/crates/sandtrack-postmaster/src/sessions.rs
@@ -34,6 +34,8 @@
     pub upstreams: &'a Upstreams,
     pub roll: &'a Roll,
     pub attached: bool,
+    /// It is known how many couriers there are.
+    pub settled: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -215,7 +217,8 @@
                 session.list = Some(news.upstreams.end());
             }
         }
-        if census || new {
+        // Nobody is told of a share in what holds over all before all are known.
+        if news.settled && (census || new) {
             self.census(now, me, others, news, census, orders);
         }
     }
