--- a/crates/sandtrack-postmaster/src/postmaster.rs
+++ b/crates/sandtrack-postmaster/src/postmaster.rs
@@ -18,6 +18,11 @@
 
 /// A voter that was heard within so many ms is there.
 const VOTER_MS: Millis = 1000.0;
+/// A repair of the chain may take so long, in ms, without a courier having to look for another postmaster: it would find
+/// the same there.
+const REPAIR_MS: Millis = 2500.0;
+/// After its start, in ms, it takes the couriers that have come for all that there are; sooner where another one knows.
+const SETTLE_MS: Millis = 2500.0;
 /// A process whose clock went on by more than this without it, in ms, was frozen.
 const FROZEN_MS: Millis = 700.0;
 /// It looks at what is due at least this often, in ms.
@@ -119,6 +124,13 @@
     next_call: u64,
     /// Clients that the directory has answered.
     turn: usize,
+    /// How far the links were told of sessions and the list: where nothing is new they are not looked through.
+    told: (u64, u64),
+    /// When it was caught up last, in this stretch of running.
+    caught_up: Option<Millis>,
+    started: Millis,
+    /// It knows how many couriers there are: what holds over all of them may be shared out.
+    settled: bool,
     last: Millis,
     leaving: Option<Millis>,
 }
@@ -176,6 +188,10 @@
             calls: BTreeMap::new(),
             next_call: 0,
             turn: 0,
+            told: (0, 0),
+            caught_up: None,
+            started: now,
+            settled: false,
             last: now,
             leaving: None,
         };
@@ -228,6 +244,7 @@
             log::warn!("this process did not run for {:.0} ms", now - self.last);
             self.peers.woke(now);
             self.sessions.woke(now);
+            self.caught_up = None;
             if now - self.last > HOLDER_SILENT_MS {
                 self.duty.woke(now);
             }
@@ -367,18 +384,20 @@
                 if let Some((sessions, _)) = self.peers.told(link) {
                     *sessions = None;
                 }
+                self.tell_peer(now, link, out);
             }
             PeerFrame::WantList => {
                 if let Some((_, list)) = self.peers.told(link) {
                     *list = None;
                 }
+                self.tell_peer(now, link, out);
             }
             PeerFrame::List { whole, round, entries, gone } => {
                 if !self.duty.is_holder() {
                     self.upstreams.take(now, Excerpt { whole, round, entries, gone });
                 }
             }
-            PeerFrame::Beat { claim, silent, sessions, list, leaving } => {
+            PeerFrame::Beat { claim, silent, sessions, list, leaving, settled } => {
                 let held = self.duty.is_holder();
                 self.duty.told(now, &peer, &claim);
                 if held != self.duty.is_holder() {
@@ -386,7 +405,7 @@
                     self.reader.stop();
                 }
                 let from_holder = claim.holder == peer && *self.duty.claim() == claim;
-                self.peers.word(&peer, Word { claim, silent }, leaving);
+                self.peers.word(&peer, Word { claim, silent }, leaving, settled);
                 if sessions != self.roll.digest_of(&peer) {
                     out.push(Effect::Link(LinkOrder::Send { link, frame: PeerFrame::WantSessions }));
                 }
@@ -443,6 +462,9 @@
     /// Looks at what is due.
     fn look(&mut self, now: Millis, out: &mut Vec<Effect>) {
         self.relay(now, relay::Input::Tick, out);
+        if self.relay.is_caught_up() {
+            self.caught_up = Some(now);
+        }
         self.reach(now);
         let mut orders = Vec::new();
         let (lost, beat) = self.peers.tick(now, &mut orders);
@@ -456,6 +478,10 @@
             }
         }
         let attached = self.is_attached(now);
+        if attached && !self.settled {
+            self.settled = now - self.started >= SETTLE_MS || self.peers.is_any_settled();
+            self.sessions.census_again();
+        }
         let mut orders = Vec::new();
         for gone in self.sessions.tick(now, attached, &mut orders) {
             log::info!("{} fell silent", gone.node_name);
@@ -524,12 +550,13 @@
         }
     }
 
-    /// Whether it hears a majority of those that agree on the view, and has caught up.
+    /// Whether it hears a majority of those that agree on the view, and has caught up, or had before a repair.
     pub fn is_attached(&self, now: Millis) -> bool {
         let voters = self.voters();
         let here = |one: &&Address| **one == self.peers.me.address || self.peers.is_heard(now, one, VOTER_MS);
         let heard = voters.iter().filter(here).count();
-        2 * heard > voters.len() && self.relay.is_caught_up()
+        let caught_up = self.caught_up.is_some_and(|at| now - at <= REPAIR_MS);
+        2 * heard > voters.len() && (caught_up || self.relay.is_caught_up())
     }
 
     fn beat_one(&mut self, now: Millis, peer: &str, out: &mut Vec<Effect>) {
@@ -542,6 +569,7 @@
             sessions: self.roll.digest(),
             list: (self.upstreams.round(), count, sum),
             leaving: self.leaving.is_some(),
+            settled: self.settled,
         };
         out.push(Effect::Link(LinkOrder::Send { link, frame }));
     }
@@ -575,12 +603,23 @@
 
     /// Tells the others and the couriers what is new.
     fn spread(&mut self, now: Millis, out: &mut Vec<Effect>) {
-        self.tell_peers(now, out);
+        let ends = (self.roll.end(), self.upstreams.end());
+        if std::mem::replace(&mut self.told, ends) != ends {
+            self.tell_peers(now, out);
+        }
+        if !self.sessions.is_due(now, self.relay.machine(), &self.upstreams, &self.roll) {
+            return;
+        }
         let attached = self.is_attached(now);
         let others: Vec<&Hello> =
             self.peers.all().filter(|(_, linked, _)| *linked).filter_map(|(_, _, hello)| hello).collect();
-        let news =
-            News { book: self.relay.machine(), upstreams: &self.upstreams, roll: &self.roll, attached };
+        let news = News {
+            book: self.relay.machine(),
+            upstreams: &self.upstreams,
+            roll: &self.roll,
+            attached,
+            settled: self.settled,
+        };
         let mut orders = Vec::new();
         self.sessions.tell(now, &self.peers.me, &others, &news, &mut orders);
         out.extend(orders.into_iter().map(Effect::Session));
@@ -653,8 +692,13 @@
         Reply { status: 200, body }
     }
 
-    /// The committed state, for tests and operators.
+    /// The committed state as it is known here.
     pub fn book(&self) -> &Book {
         self.relay.machine()
     }
+
+    /// The platform's list as it is known here.
+    pub fn upstreams(&self) -> &Upstreams {
+        &self.upstreams
+    }
 }
