--- a/crates/sandtrack-courier/src/carry.rs
+++ b/crates/sandtrack-courier/src/carry.rs
@@ -5,7 +5,7 @@
 use crate::office::Ended;
 use crate::placement::{Placed, HOLD};
 use crate::pool::{connect, Connection};
-use crate::program::Shared;
+use crate::shared::Shared;
 use crate::upstreams::Load;
 use async_io::{Async, Timer};
 use futures_lite::future;
@@ -25,11 +25,10 @@
 const LOOK_AGAIN: Millis = 10.0;
 /// A connection that does not come up within this, and twice the upstream's probe time, is given up, in ms (ours).
 const CONNECT_PATIENCE: Millis = 400.0;
-/// An upstream that is silent for so long is suspected and probed at once, in ms, besides its probe time and the time to
-/// read the prompt (ours).
-const SILENCE: Millis = 300.0;
-/// Prompt tokens read in a ms, at least (ours: half of what the slowest known engine reads).
-const TOKENS_PER_MS: f64 = 25.0;
+/// A pause of this part of the longest that is in time makes an upstream suspect in the middle of a stream (ours).
+const PAUSE: f64 = 0.6;
+/// The longest pause that is in time where the route does not say, in ms.
+const GAP_AIM: Millis = 500.0;
 /// While an upstream is suspected it is looked this often whether it was found dead, in ms.
 const SUSPECT_LOOK: Millis = 100.0;
 /// A client that takes nothing for so long is gone.
@@ -211,7 +210,8 @@
         let first = pin!(self.once(place, last_event));
         let started = Cell::new(false);
         let second = pin!(async {
-            sleep(self.silence(place)).await;
+            let patience = self.shared.office.borrow().patience(self.errand, place);
+            self.until_silent(place, patience).await;
             let other = loop {
                 if let Some(other) = self.spare(place) {
                     break other;
@@ -255,11 +255,16 @@
         allowed.then_some(place)
     }
 
-    /// So long an upstream may be silent before it is suspected, in ms.
-    fn silence(&self, place: usize) -> Millis {
-        let average = self.shared.office.borrow().upstreams.get(place).average.get().unwrap_or(0.0);
-        let prompt = self.errand.tokens.map_or(0.0, |(prompt, _)| prompt as f64) / TOKENS_PER_MS;
-        SILENCE + 2.0 * average + prompt
+    /// Waits for `patience` ms, or until the upstream was found dead.
+    async fn until_silent(&self, place: usize, patience: Millis) {
+        let until = self.shared.clock.now() + patience;
+        loop {
+            let left = until - self.shared.clock.now();
+            if left <= 0.0 || !self.shared.office.borrow().upstreams.get(place).run.is_healthy() {
+                return;
+            }
+            sleep(left.min(SUSPECT_LOOK)).await;
+        }
     }
 
     /// Sends it to one upstream, up to the first part of a streamed body or the whole of another.
@@ -309,13 +314,14 @@
                 }
             }
         };
-        let now = clock.now();
+        let asked = clock.now();
+        let now = asked;
         let bytes = written(errand, &identifier, errand.left(now), last_event);
         if !ask(&connection, &bytes, errand.left(now)).await {
             sent.ended = Ended::Broken;
             return Began::Failed;
         }
-        let wait = Wait { shared, errand, place };
+        let wait = Wait { shared, errand };
         let head = match wait.part(&mut connection).await {
             Ok(Part::Head(head)) => head,
             Ok(_) => return Began::Failed,
@@ -338,6 +344,7 @@
         if errand.is_stream() && head.status == 200 {
             return match wait.part(&mut connection).await {
                 Ok(first) => {
+                    shared.office.borrow_mut().paced(errand, place, clock.now() - asked);
                     let stream = Stream { sent, connection, identifier, head };
                     Began::Stream(Box::new(stream), first)
                 }
@@ -372,14 +379,14 @@
             return Began::Error(head, body);
         }
         sent.ended = Ended::Answered;
+        shared.office.borrow_mut().paced(errand, place, clock.now() - asked);
         Began::Whole(head, body)
     }
 
     /// Passes a stream's events on as they come, whole.
     async fn pass_on(&self, mut stream: Stream<'a>, first: Part, passed: &mut Passed) -> Passing {
         passed.scanner.resume();
-        let place = stream.sent.place;
-        let wait = Wait { shared: self.shared, errand: self.errand, place };
+        let wait = Wait { shared: self.shared, errand: self.errand };
         let mut part = first;
         loop {
             let (bytes, over, spoilt) = match part {
@@ -434,10 +441,10 @@
     ) -> Result<Part, Waiting> {
         let last_event = passed.scanner.last_id();
         let place = stream.sent.place;
-        let aim = self.errand.route.gap_aim_ms.unwrap_or(SILENCE);
+        let aim = self.errand.route.gap_aim_ms.unwrap_or(GAP_AIM);
         let won = {
             let other = async {
-                sleep((aim * 0.6).max(SILENCE * 0.6) + 2.0 * self.average(place)).await;
+                self.until_silent(place, aim * PAUSE + 2.0 * self.average(place)).await;
                 loop {
                     if let Some(other) = self.spare(place) {
                         let began = self.once(other, last_event).await;
@@ -490,8 +497,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Waiting {
     Broke(Broke),
-    /// Its upstream was found dead by probes, and the request may run elsewhere.
-    Dead,
     /// The request's time is over.
     Late,
 }
@@ -501,40 +506,25 @@
     fn ended(self) -> Ended {
         match self {
             Waiting::Broke(Broke::Spoilt) => Ended::Faulty,
-            Waiting::Broke(Broke::Connection) | Waiting::Dead => Ended::Broken,
+            Waiting::Broke(Broke::Connection) => Ended::Broken,
             Waiting::Late => Ended::GivenUp,
         }
     }
 }
 
-/// Waits for the parts of an answer.
+/// Waits for the parts of an answer until the request's time is over.
 struct Wait<'a> {
     shared: &'a Shared,
     errand: &'a Errand,
-    place: usize,
 }
 
 impl Wait<'_> {
-    /// The next part. A request that may run elsewhere does not wait for an upstream that probes found dead.
+    /// The next part. A silent upstream is no reason to give up here: another one may be tried beside it.
     async fn part(&self, connection: &mut Connection) -> Result<Part, Waiting> {
-        let clock = self.shared.clock;
-        let mut look = clock.now() + SILENCE;
-        loop {
-            match next(connection, clock, look.min(self.errand.deadline)).await {
-                Waited::Part(part) => return Ok(part),
-                Waited::Broke(broke) => return Err(Waiting::Broke(broke)),
-                Waited::Time => {
-                    let now = clock.now();
-                    if now >= self.errand.deadline {
-                        return Err(Waiting::Late);
-                    }
-                    let healthy = self.shared.office.borrow().upstreams.get(self.place).run.is_healthy();
-                    if self.errand.is_idempotent() && !healthy {
-                        return Err(Waiting::Dead);
-                    }
-                    look = now + SUSPECT_LOOK;
-                }
-            }
+        match next(connection, self.shared.clock, self.errand.deadline).await {
+            Waited::Part(part) => Ok(part),
+            Waited::Broke(broke) => Err(Waiting::Broke(broke)),
+            Waited::Time => Err(Waiting::Late),
         }
     }
 }
--- a/crates/sandtrack-courier/src/front.rs
+++ b/crates/sandtrack-courier/src/front.rs
@@ -1,7 +1,7 @@
 //! Clients' connections: reads one request after another and has each carried. It owns those sockets.
 use crate::carry::{carry, own_answer};
 use crate::errand::{Errand, Refused};
-use crate::program::Shared;
+use crate::shared::Shared;
 use async_io::{Async, Timer};
 use futures_lite::future;
 use sandtrack_core::message::Head;
--- a/crates/sandtrack-courier/src/lib.rs
+++ b/crates/sandtrack-courier/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod probing;
 pub mod program;
 pub mod session;
+pub mod shared;
 pub mod upstreams;
--- a/crates/sandtrack-courier/src/office.rs
+++ b/crates/sandtrack-courier/src/office.rs
@@ -20,6 +20,41 @@
 /// A couple of probes a minute short of the design's five seconds, so that timers that run late stay within.
 const PROBE_EVERY: Millis = GAP_MOST - 200.0;
 
+/// What the first part of an answer takes: a mean and a mean deviation, as TCP keeps of round trips (RFC 6298).
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Pace {
+    mean: Millis,
+    deviation: Millis,
+    count: u32,
+}
+
+/// An answer is overdue after its mean and so many deviations (RFC 6298) ...
+const DEVIATIONS: f64 = 4.0;
+/// ... but not before this, in ms, and after this part of its aim in any case (ours).
+const PATIENCE_LEAST: Millis = 80.0;
+const PATIENCE_MOST: f64 = 0.35;
+
+impl Pace {
+    pub fn add(&mut self, elapsed: Millis) {
+        if self.count == 0 {
+            (self.mean, self.deviation) = (elapsed, elapsed / 2.0);
+        } else {
+            self.deviation += ((self.mean - elapsed).abs() - self.deviation) / 16.0;
+            self.mean += (elapsed - self.mean) / 32.0;
+        }
+        self.count = self.count.saturating_add(1);
+    }
+
+    /// When an answer is overdue, for one that is to be there within `aim` ms.
+    pub fn patience(&self, aim: Millis) -> Millis {
+        let most = (aim * PATIENCE_MOST).max(PATIENCE_LEAST);
+        if self.count == 0 {
+            return most;
+        }
+        (self.mean + DEVIATIONS * self.deviation).clamp(PATIENCE_LEAST, most)
+    }
+}
+
 /// How a send ended, as far as the upstream is judged by it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ended {
@@ -59,6 +94,8 @@
     pub postmasters: Vec<String>,
     tiers: HashMap<String, Tiers>,
     retries: HashMap<String, RetryBudget>,
+    /// By route, and whether the upstream is in another region.
+    paces: HashMap<(String, bool), Pace>,
     pub rng: Pcg32,
     /// Tells couriers apart where a share is under one.
     identity: u64,
@@ -87,6 +124,7 @@
             postmasters: Vec::new(),
             tiers: HashMap::new(),
             retries: HashMap::new(),
+            paces: HashMap::new(),
             rng: Pcg32::seed_from_u64(seed),
             identity: hash(&settings.node_name),
             leaving: false,
@@ -167,6 +205,8 @@
             Ok(configuration) => {
                 log::info!("configuration {} in force", configuration.version);
                 self.number = number;
+                self.paces
+                    .retain(|(name, _), _| configuration.routes.iter().any(|route| route.name == *name));
                 self.document = Some(document);
                 self.configuration = Some(Rc::new(configuration));
                 self.changed = true;
@@ -246,6 +286,19 @@
         }
     }
 
+    /// The first part of an answer came after `elapsed` ms.
+    pub fn paced(&mut self, errand: &Errand, place: usize, elapsed: Millis) {
+        let far = self.upstreams.get(place).region != self.region;
+        self.paces.entry((errand.route.name.clone(), far)).or_default().add(elapsed);
+    }
+
+    /// So long an upstream may be silent before the request is offered to another as well, in ms.
+    pub fn patience(&self, errand: &Errand, place: usize) -> Millis {
+        let far = self.upstreams.get(place).region != self.region;
+        let pace = self.paces.get(&(errand.route.name.clone(), far)).copied().unwrap_or_default();
+        pace.patience(errand.route.target_latency_ms)
+    }
+
     /// Something at an upstream takes too long: it is probed at once.
     pub fn suspect(&mut self, now: Millis, place: usize) {
         let upstream = self.upstreams.get_mut(place);
--- a/crates/sandtrack-courier/src/placement.rs
+++ b/crates/sandtrack-courier/src/placement.rs
@@ -13,6 +13,9 @@
 pub const KEPT_TOKENS: u64 = 1000;
 /// Beyond its slots an upstream queues so many times as many again before it is full (ours).
 const QUEUE: f64 = 0.5;
+/// Ways between regions that a request on a new connection takes, and the part of its aim that they may fill (ours).
+const TRIPS: f64 = 3.0;
+const FAR_SHARE: f64 = 0.4;
 /// Own requests at the one that keeps a prompt before the next one is looked at, beyond the mean.
 const HOME_SLACK: f64 = 2.0;
 
@@ -87,10 +90,29 @@
         upstream.load(now) + 1.0 <= upstream.slots() * (1.0 + queue)
     }
 
+    /// Regions by how many routes to the service are bound to them: what others can't leave is kept free of what can.
+    fn bound(&self, service: &str, region: &str) -> usize {
+        let routes = self.configuration.as_ref().map(|all| all.routes.iter()).into_iter().flatten();
+        let to_it = routes.filter(|route| route.split.iter().any(|(name, _)| name == service));
+        to_it.filter(|route| route.home_regions.iter().any(|home| home == region)).count()
+    }
+
+    /// Whether a long prompt may as well go to another region: the way there and back, three times with the connection,
+    /// leaves most of its aim.
+    fn near_enough(&self, errand: &Errand, place: usize) -> bool {
+        let upstream = self.upstreams.get(place);
+        let way = upstream.average.get().map(|average| average * TRIPS);
+        upstream.region == self.region
+            || way.is_some_and(|way| way <= errand.route.target_latency_ms * FAR_SHARE)
+    }
+
     fn draw(&mut self, now: Millis, errand: &Errand, able: &[usize]) -> Option<usize> {
         if able.is_empty() {
             return None;
         }
+        if errand.shared_tokens() >= KEPT_TOKENS {
+            return self.draw_keeper(now, errand, able);
+        }
         let region = self.region.clone();
         let upstreams = &self.upstreams;
         let rank = |place: usize| {
@@ -100,24 +122,34 @@
         let load = |place: usize| upstreams.get(place).load(now);
         let limit = crowd_limit(able.iter().map(|place| load(*place) as usize));
         let tiers = ladder(able.iter().copied(), rank);
-        let keeps = errand.shared_tokens() >= KEPT_TOKENS;
-        let key = errand.shared_key();
         lowest(&mut self.rng, &tiers, |members| {
             let near: Vec<usize> = members.iter().copied().filter(|place| load(*place) < limit).collect();
-            let near = if near.is_empty() { members.to_vec() } else { near };
-            if !keeps {
-                return near;
+            if near.is_empty() {
+                members.to_vec()
+            } else {
+                near
             }
-            // The departure for long shared parts: the same upstream for all couriers, the next one where that is
-            // far above the mean.
-            let mean = members.iter().map(|place| load(*place)).sum::<f64>() / members.len().max(1) as f64;
-            let mut homes = near;
-            homes.sort_unstable_by_key(|place| std::cmp::Reverse(mix(key ^ upstreams.get(*place).hash)));
-            let home = homes.iter().position(|place| load(*place) <= mean * 1.5 + HOME_SLACK).unwrap_or(0);
-            homes.get(home).copied().into_iter().collect()
         })
     }
 
+    /// The departure for long shared parts: the same upstream for all couriers, wherever it is, found by rendezvous
+    /// hashing; the next one where that is far above the mean. Reading such a part once more costs ten times what the
+    /// request costs on its way to another region.
+    fn draw_keeper(&self, now: Millis, errand: &Errand, able: &[usize]) -> Option<usize> {
+        let load = |place: usize| self.upstreams.get(place).load(now);
+        let near: Vec<usize> =
+            able.iter().copied().filter(|place| self.near_enough(errand, *place)).collect();
+        let able = if near.is_empty() { able } else { &near };
+        let bound = |place: usize| self.bound(&errand.service, &self.upstreams.get(place).region);
+        let least = able.iter().map(|place| bound(*place)).min()?;
+        let mut keepers: Vec<usize> = able.iter().copied().filter(|place| bound(*place) == least).collect();
+        let mean = keepers.iter().map(|place| load(*place)).sum::<f64>() / keepers.len() as f64;
+        let key = errand.shared_key();
+        keepers.sort_unstable_by_key(|place| std::cmp::Reverse(mix(key ^ self.upstreams.get(*place).hash)));
+        let keeper = keepers.iter().position(|place| load(*place) <= mean * 1.5 + HOME_SLACK).unwrap_or(0);
+        keepers.get(keeper).copied()
+    }
+
     /// Draws a number from 0 to 1.
     pub fn toss(&mut self) -> f64 {
         self.rng.gen()
--- a/crates/sandtrack-courier/src/probing.rs
+++ b/crates/sandtrack-courier/src/probing.rs
@@ -1,7 +1,7 @@
 //! Health probes: asks upstreams that are due, each in a task of its own.
 use crate::office::SUSPECT_EVERY;
 use crate::pool::connect;
-use crate::program::Shared;
+use crate::shared::Shared;
 use crate::upstreams::Load;
 use async_io::Timer;
 use futures_lite::future;
--- a/crates/sandtrack-courier/src/program.rs
+++ b/crates/sandtrack-courier/src/program.rs
@@ -1,6 +1,6 @@
 //! The courier's process: settings, listeners, signals, and the tasks that share one thread.
 use crate::office::Office;
-use crate::pool::Pool;
+use crate::shared::Shared;
 use crate::{front, probing, session};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -10,8 +10,6 @@
 use sandtrack_postmark::codes;
 use sandtrack_postmark::logs;
 use sandtrack_postmark::settings::Settings;
-use sandtrack_sidecar::net::Clock;
-use std::cell::{Cell, RefCell};
 use std::collections::hash_map::RandomState;
 use std::hash::{BuildHasher, Hasher};
 use std::net::{SocketAddr, TcpListener};
@@ -26,35 +24,6 @@
 /// Part of the grace that is kept back, in ms.
 const GRACE_MARGIN: f64 = 400.0;
 
-/// What the tasks share.
-pub struct Shared {
-    pub settings: RefCell<Settings>,
-    pub office: RefCell<Office>,
-    pub pool: RefCell<Pool>,
-    pub clock: Clock,
-    pub executor: Rc<LocalExecutor<'static>>,
-    pub incarnation: u64,
-    /// Closed once this process was told to stop.
-    pub left: async_channel::Receiver<()>,
-    /// Something changed that control is told at once.
-    pub news: async_channel::Receiver<()>,
-    news_sender: async_channel::Sender<()>,
-    /// Clients' connections.
-    pub connections: Cell<usize>,
-}
-
-impl Shared {
-    pub fn tell_news(&self) {
-        let _ = self.news_sender.try_send(());
-    }
-
-    /// Counts requests in hand.
-    pub fn open(&self, change: i32) {
-        let mut office = self.office.borrow_mut();
-        office.open = office.open.saturating_add_signed(change);
-    }
-}
-
 struct Options {
     check: bool,
     log_level: String,
@@ -114,22 +83,11 @@
     let seed = RandomState::new().build_hasher().finish();
     let (leave, left) = async_channel::bounded::<()>(1);
     let (stop, stopped) = async_channel::bounded::<()>(1);
-    let (news_sender, news) = async_channel::bounded(1);
     let grace = settings.bounds.grace_s * 1000.0;
     let listener = bind(&settings, "front")?;
     let checks = bind(&settings, "readiness")?;
-    let shared = Rc::new(Shared {
-        office: RefCell::new(Office::new(&settings, seed)),
-        pool: RefCell::new(Pool::default()),
-        clock: Clock::start(),
-        executor: executor.clone(),
-        incarnation: seed,
-        settings: RefCell::new(settings),
-        left,
-        news,
-        news_sender,
-        connections: Cell::new(0),
-    });
+    let office = Office::new(&settings, seed);
+    let shared = Rc::new(Shared::new(settings, office, executor.clone(), seed, left));
     if let Some(listener) = listener {
         executor.spawn(front::accept(shared.clone(), listener, stopped)).detach();
     }
--- a/crates/sandtrack-courier/src/session.rs
+++ b/crates/sandtrack-courier/src/session.rs
@@ -1,7 +1,7 @@
 //! The session with the control plane: this courier is a member while it stands. Opened with the nearest postmaster that
 //! answers and hears a majority of its kind; opened anew elsewhere when that falls silent.
 use crate::office::Folded;
-use crate::program::Shared;
+use crate::shared::Shared;
 use async_io::{Async, Timer};
 use futures_lite::future;
 use sandtrack_postmark::frames::{
--- /dev/null
+++ b/crates/sandtrack-courier/src/shared.rs
@@ -0,0 +1,55 @@
+//! What the tasks of a courier share.
+use crate::office::Office;
+use crate::pool::Pool;
+use async_executor::LocalExecutor;
+use sandtrack_postmark::settings::Settings;
+use sandtrack_sidecar::net::Clock;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+pub struct Shared {
+    pub settings: RefCell<Settings>,
+    pub office: RefCell<Office>,
+    pub pool: RefCell<Pool>,
+    pub clock: Clock,
+    pub executor: Rc<LocalExecutor<'static>>,
+    pub incarnation: u64,
+    /// Closed once this process was told to stop.
+    pub left: async_channel::Receiver<()>,
+    /// Something changed that control is told at once.
+    pub news: async_channel::Receiver<()>,
+    news_sender: async_channel::Sender<()>,
+    /// Clients' connections.
+    pub connections: Cell<usize>,
+}
+
+impl Shared {
+    pub fn new(
+        settings: Settings, office: Office, executor: Rc<LocalExecutor<'static>>, incarnation: u64,
+        left: async_channel::Receiver<()>,
+    ) -> Shared {
+        let (news_sender, news) = async_channel::bounded(1);
+        Shared {
+            settings: RefCell::new(settings),
+            office: RefCell::new(office),
+            pool: RefCell::new(Pool::default()),
+            clock: Clock::start(),
+            executor,
+            incarnation,
+            left,
+            news,
+            news_sender,
+            connections: Cell::new(0),
+        }
+    }
+
+    pub fn tell_news(&self) {
+        let _ = self.news_sender.try_send(());
+    }
+
+    /// Counts requests in hand.
+    pub fn open(&self, change: i32) {
+        let mut office = self.office.borrow_mut();
+        office.open = office.open.saturating_add_signed(change);
+    }
+}
