--- a/crates/sandtrack-courier/src/carry.rs
+++ b/crates/sandtrack-courier/src/carry.rs
@@ -267,17 +267,16 @@
         }
     }
 
-    /// Sends it to one upstream, up to the first part of a streamed body or the whole of another.
+    /// Sends it to one upstream, up to the first part of a streamed body or the whole of another. It counts from its start,
+    /// so that two that are out together are two.
     async fn once(&self, place: usize, last_event: Option<u64>) -> Began<'a> {
+        self.sends.set(self.sends.get() + 1);
         let began = self.attempt(place, last_event).await;
         self.tried.borrow_mut().push(place);
         match began {
-            Began::NotSent => {}
-            Began::NotRun => self.sends.set(self.sends.get() + 1),
-            _ => {
-                self.sends.set(self.sends.get() + 1);
-                self.may_have_run.set(true);
-            }
+            Began::NotSent => self.sends.set(self.sends.get() - 1),
+            Began::NotRun => {}
+            _ => self.may_have_run.set(true),
         }
         began
     }
@@ -332,15 +331,21 @@
                 return if failed == Waiting::Late { Began::Late } else { Began::Failed };
             }
         };
-        if head.headers.get("request-id").is_some_and(|id| id != errand.id) {
-            log::info!("request {}: an answer to another request came from {identifier}", errand.id);
+        let not_run = head.headers.get("not-executed").is_some() || head.status == 421;
+        let success = (200..300).contains(&head.status);
+        let ours = match head.headers.get("request-id") {
+            Some(id) => id == errand.id,
+            // One that turns a request away before it looks at it may leave the id out; nothing else is on a new connection.
+            None => not_run && !connection.reused,
+        };
+        if !ours || success && head.headers.get("server-seal").is_none() {
+            log::info!("request {}: {identifier} sent what is no answer to it", errand.id);
             sent.ended = Ended::Faulty;
             return Began::Failed;
         }
         let load = head.headers.get("server-load").and_then(Load::parse);
         let cold = head.headers.get("cold-remaining").and_then(|value| value.trim().parse().ok());
         shared.office.borrow_mut().told(clock.now(), place, load, cold);
-        let not_run = head.headers.get("not-executed").is_some() || head.status == 421;
         if errand.is_stream() && head.status == 200 {
             return match wait.part(&mut connection).await {
                 Ok(first) => {
--- a/crates/sandtrack-courier/src/program.rs
+++ b/crates/sandtrack-courier/src/program.rs
@@ -20,7 +20,9 @@
 
 /// Clients hold an answer of the directory for up to three times its lifetime of a second: so long after it was told to
 /// stop, this process still accepts, in ms.
-const ACCEPT_ON: u64 = 3300;
+const ACCEPT_ON: f64 = 3300.0;
+/// ... and this part of its grace at most.
+const ACCEPT_SHARE: f64 = 0.5;
 /// Part of the grace that is kept back, in ms.
 const GRACE_MARGIN: f64 = 400.0;
 
@@ -116,7 +118,7 @@
     shared.tell_news();
     leave.close();
     log::info!("told to stop");
-    Timer::after(Duration::from_millis(ACCEPT_ON)).await;
+    Timer::after(Duration::from_secs_f64(ACCEPT_ON.min(grace * ACCEPT_SHARE) / 1000.0)).await;
     stop.close();
     while shared.connections.get() > 0 && shared.clock.now() - told < grace - GRACE_MARGIN {
         Timer::after(Duration::from_millis(20)).await;
--- a/crates/sandtrack-postmark/src/document.rs
+++ b/crates/sandtrack-postmark/src/document.rs
@@ -152,6 +152,7 @@
     }
 
     fn set(&mut self, list: &str, item: Item) {
+        self.fields.retain(|(field, _)| field != list);
         let at = self.lists.iter().position(|(name, _)| name == list);
         if at.is_none() {
             self.lists.push((list.to_owned(), Vec::new()));
@@ -165,13 +166,14 @@
     }
 
     fn set_field(&mut self, name: &str, value: OwnedValue) {
+        self.lists.retain(|(list, _)| list != name);
         match self.fields.iter_mut().find(|(field, _)| field == name) {
             Some((_, known)) => *known = value,
             None => self.fields.push((name.to_owned(), value)),
         }
     }
 
-    /// The items and fields that lead from `self` to `next`.
+    /// The items and fields that lead from `self` to `next`; a field that is no longer there has an empty text.
     pub fn changes(&self, next: &Document) -> (Vec<ItemChange>, Vec<(String, String)>) {
         let mut changes = Vec::new();
         for (list, items) in &next.lists {
@@ -195,7 +197,9 @@
         }
         let changed = |(name, value): &&(String, OwnedValue)| self.field(name) != Some(value);
         let fields = next.fields.iter().filter(changed).map(|(name, value)| (name.clone(), value.encode()));
-        (changes, fields.collect())
+        let gone = self.fields.iter().filter(|(name, _)| next.field(name).is_none());
+        let gone = gone.map(|(name, _)| (name.clone(), String::new()));
+        (changes, fields.chain(gone).collect())
     }
 
     /// Carries out what [`Document::changes`] gave.
@@ -222,7 +226,11 @@
             }
         }
         for (name, json) in fields {
-            next.set_field(name, parse(json.as_bytes())?);
+            if json.is_empty() {
+                next.fields.retain(|(field, _)| field != name);
+            } else {
+                next.set_field(name, parse(json.as_bytes())?);
+            }
         }
         Ok(next)
     }
