--- a/crates/sandtrack-courier/src/office.rs
+++ b/crates/sandtrack-courier/src/office.rs
@@ -15,6 +15,9 @@
 
 /// An upstream that turned a request away or failed one rests for so long, in ms (ours).
 const REST: Millis = 150.0;
+/// Couriers that share an upstream's connections until their number is told, and the part of its limit that is used (ours).
+const USUAL: f64 = 16.0;
+const CONNECTIONS_USED: f64 = 0.9;
 /// One that is suspected or unhealthy is probed this often, in ms (ours: two probes tell within a second).
 pub const SUSPECT_EVERY: Millis = 300.0;
 /// A couple of probes a minute short of the design's five seconds, so that timers that run late stay within.
@@ -91,6 +94,8 @@
     evacuated_number: u64,
     pub evacuated: HashSet<String>,
     pub couriers: u32,
+    /// It was told how many couriers there are.
+    counted: bool,
     pub postmasters: Vec<String>,
     tiers: HashMap<String, Tiers>,
     retries: HashMap<String, RetryBudget>,
@@ -121,6 +126,7 @@
             evacuated: HashSet::new(),
             // Until it is told better: more than most fleets have, so that shares are small.
             couriers: 100,
+            counted: false,
             postmasters: Vec::new(),
             tiers: HashMap::new(),
             retries: HashMap::new(),
@@ -193,6 +199,7 @@
             }
             ToCourier::Census { postmasters, couriers, .. } => {
                 self.couriers = couriers.max(1);
+                self.counted = true;
                 self.postmasters = postmasters;
             }
             ToCourier::Welcome { .. } | ToCourier::Beat { .. } => {}
@@ -233,7 +240,9 @@
         let service = self.upstreams.get(place).entry.service.as_str();
         let service = self.configuration.as_ref().and_then(|all| all.service(service));
         let limit = service.map_or(100.0, |service| f64::from(service.connection_limit));
-        ((limit * 0.9 / f64::from(self.couriers)) as usize).max(1)
+        // What an upstream does not take it resets, and no rule is broken: until the number is known a usual one serves.
+        let couriers = if self.counted { f64::from(self.couriers) } else { USUAL };
+        ((limit * CONNECTIONS_USED / couriers) as usize).max(1)
     }
 
     /// A request for a service came.
--- a/crates/sandtrack-courier/src/program.rs
+++ b/crates/sandtrack-courier/src/program.rs
@@ -23,6 +23,10 @@
 const ACCEPT_ON: f64 = 3300.0;
 /// ... and this part of its grace at most.
 const ACCEPT_SHARE: f64 = 0.5;
+/// So long after its start a process lets clients wait for a configuration, in ms: a connection that is not read from for a
+/// second is given up by its client.
+const READY_PATIENCE: f64 = 800.0;
+const READY_LOOK: Duration = Duration::from_millis(10);
 /// Part of the grace that is kept back, in ms.
 const GRACE_MARGIN: f64 = 400.0;
 
@@ -72,6 +76,15 @@
     }
 }
 
+/// Clients wait in the listener's queue until there is a configuration to serve by; after [`READY_PATIENCE`] they are told
+/// that there is none.
+async fn until_ready(shared: &Shared) {
+    let late = shared.clock.now() + READY_PATIENCE;
+    while !shared.office.borrow().is_ready() && shared.clock.now() < late {
+        Timer::after(READY_LOOK).await;
+    }
+}
+
 fn bind(settings: &Settings, name: &str) -> std::io::Result<Option<Async<TcpListener>>> {
     let Some(address) = settings.listen.get(name) else { return Ok(None) };
     let wrong = |_| std::io::Error::other(format!("{name}: `{address}` is no address"));
@@ -91,7 +104,12 @@
     let office = Office::new(&settings, seed);
     let shared = Rc::new(Shared::new(settings, office, executor.clone(), seed, left));
     if let Some(listener) = listener {
-        executor.spawn(front::accept(shared.clone(), listener, stopped)).detach();
+        let serving = shared.clone();
+        let accepting = async move {
+            until_ready(&serving).await;
+            front::accept(serving, listener, stopped).await;
+        };
+        executor.spawn(accepting).detach();
     }
     if let Some(checks) = checks {
         executor.spawn(front::readiness(shared.clone(), checks)).detach();
--- a/crates/sandtrack-courier/src/session.rs
+++ b/crates/sandtrack-courier/src/session.rs
@@ -160,7 +160,9 @@
             let now = shared.clock.now();
             match &message {
                 ToCourier::Welcome { format, postmaster, attached } => {
-                    if *format != FORMAT || !attached && !accept_detached {
+                    // Where nothing is known, what one without a majority knows is better: it was committed once.
+                    let nothing_known = !shared.office.borrow().is_ready();
+                    if *format != FORMAT || !attached && !accept_detached && !nothing_known {
                         return false;
                     }
                     log::info!("session with {postmaster} stands");
@@ -171,7 +173,7 @@
                 ToCourier::Beat { attached: false } => {
                     let since = *detached_since.get_or_insert(now);
                     if now - since > DETACHED_LOOK {
-                        return stood && accept_detached;
+                        return false;
                     }
                 }
                 _ => {}
--- a/crates/sandtrack-courier/tests/placement.rs
+++ b/crates/sandtrack-courier/tests/placement.rs
@@ -154,3 +154,20 @@
     assert_eq!(office.fold(1.0, changes), sandtrack_courier::office::Folded::Taken);
     assert_eq!(office.configuration.as_ref().map(|all| all.version), Some(9));
 }
+
+#[test]
+fn until_the_couriers_are_counted_connections_suffice_to_serve_and_cold_ones_are_spared() {
+    let mut office = sandtrack_courier::office::Office::new(&common::settings(), 1);
+    let document = common::CONFIGURATION.to_owned();
+    office.fold(0.0, ToCourier::Configuration { number: 3, version: 7, document });
+    let entries = vec![entry("a0", "model", "a"), entry("p0", "printer", "a")];
+    office.fold(0.0, ToCourier::Upstreams { whole: true, round: 1, entries, gone: Vec::new() });
+    let place = |office: &sandtrack_courier::office::Office, name| {
+        office.upstreams.place(name).expect("it is listed")
+    };
+    assert_eq!(office.connection_share(place(&office, "a0")), 21);
+    assert_eq!(office.connection_share(place(&office, "p0")), 7);
+    assert!(office.cold_share(place(&office, "a0")) <= 1);
+    office.fold(0.0, ToCourier::Census { postmasters: Vec::new(), couriers: 39, rank: 0 });
+    assert_eq!(office.connection_share(place(&office, "a0")), 9);
+}
