What an observer learned is not an acknowledgement of its own epoch

Cause: a member whose disk would not take the next view learned its commits as an observer, and told them in its status under its old epoch; a former head that came back took that as an acknowledgement of its own, different entry, and applied it. Ruled out: dropping the status as an acknowledgement, since commits are found again by it after a restart. Also: the worlds lose disks only while nothing else is lost, as many at once as are borne.

--- a/crates/sandtrack-relay/src/brief.rs
+++ b/crates/sandtrack-relay/src/brief.rs
@@ -88,7 +88,7 @@
 
 impl Display for Status {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        write!(f, "aligned {} synced {} committed {}", self.aligned, self.synced, self.committed)?;
+        write!(f, "aligned {} synced {} applied {}", self.aligned, self.synced, self.applied)?;
         match self.disk {
             DiskHealth::Well => {}
             DiskHealth::Stalled => write!(f, ", disk stalled")?,
--- a/crates/sandtrack-relay/src/chain.rs
+++ b/crates/sandtrack-relay/src/chain.rs
@@ -76,7 +76,7 @@
     /// A status of the successor says as much as an acknowledgement, once it is in line.
     pub(crate) fn successor_told(&mut self, sender: &Member, status: &Status, effects: &mut Vec<Effect>) {
         if status.aligned == self.image.view.epoch {
-            self.take_ack(sender, status.synced, status.committed, effects);
+            self.take_ack(sender, status.synced, status.confirmed, effects);
         }
     }
 
@@ -183,7 +183,7 @@
                 && neighbours.iter().flatten().all(heard);
         }
         let source = self.source.as_ref().and_then(near).filter(|peer| peer.epoch >= self.latest.epoch);
-        let committed = source.and_then(|peer| peer.status.as_ref()).map(|status| status.committed);
-        committed.is_some_and(|committed| committed <= self.applied.at.number)
+        let committed = source.and_then(|peer| peer.status.as_ref()).map(|status| status.applied);
+        committed.is_some_and(|applied| applied <= self.applied.at.number)
     }
 }
--- a/crates/sandtrack-relay/src/desire.rs
+++ b/crates/sandtrack-relay/src/desire.rs
@@ -19,7 +19,7 @@
     pub(crate) disk: DiskHealth,
     pub(crate) epoch: u64,
     pub(crate) aligned: u64,
-    pub(crate) committed: u64,
+    pub(crate) applied: u64,
     pub(crate) hears: Vec<Address>,
     /// Heard of late, and hears this process.
     pub(crate) alive: bool,
@@ -37,7 +37,7 @@
             disk: DiskHealth::Well,
             epoch: 0,
             aligned: 0,
-            committed: 0,
+            applied: 0,
             hears: Vec::new(),
             alive: false,
             silent: awake > silence,
@@ -179,7 +179,7 @@
 /// Takes processes that are ready in at the end of the chain; true when there were any.
 fn join(view: &View, next: &mut View, me: &Member, known: &Everyone, limits: &Limits) -> bool {
     let full = CHAIN.max(2 * limits.machines_borne + 1);
-    let committed = known.values().filter(|it| it.alive).map(|it| it.committed).max().unwrap_or(0);
+    let newest = known.values().filter(|it| it.alive).map(|it| it.applied).max().unwrap_or(0);
     let without_disk = |it: &Known| it.disk == DiskHealth::Absent;
     let all_without = view.chain.iter().filter_map(|member| known.get(&member.address)).all(without_disk);
     let mut joined = false;
@@ -190,7 +190,7 @@
             .filter_map(|(address, it)| {
                 let incarnation = it.incarnation?;
                 let member = Member { address: address.clone(), incarnation };
-                let fresh = needed || it.committed + BEHIND >= committed;
+                let fresh = needed || it.applied + BEHIND >= newest;
                 let ready = it.alive && it.epoch == view.epoch && it.disk_works() && fresh;
                 let fits = (all_without || !without_disk(it)) && !next.chain.contains(&member);
                 let tail = next.chain.last()?;
--- a/crates/sandtrack-relay/src/learning.rs
+++ b/crates/sandtrack-relay/src/learning.rs
@@ -26,15 +26,15 @@
     /// Sends one observer what it lacks, if it wants to learn from this process.
     pub(crate) fn teach(&mut self, to: &Address, status: &Status, effects: &mut Vec<Effect>) {
         let last = self.applied.at.number;
-        if status.source.as_ref() != Some(&self.me.address) || status.committed >= last {
+        if status.source.as_ref() != Some(&self.me.address) || status.applied >= last {
             return;
         }
         let Some(peer) = self.peers.all.get_mut(to) else {
             return;
         };
         let (taught, when) = peer.taught;
-        let lately = self.now - when < self.settings.timings.repeat && taught > status.committed;
-        let after = if lately { taught } else { status.committed };
+        let lately = self.now - when < self.settings.timings.repeat && taught > status.applied;
+        let after = if lately { taught } else { status.applied };
         if after >= last {
             return;
         }
--- a/crates/sandtrack-relay/src/message.rs
+++ b/crates/sandtrack-relay/src/message.rs
@@ -104,8 +104,11 @@
     pub(crate) aligned: u64,
     /// The end of the log on its disk.
     pub(crate) synced: u64,
-    /// What it knows to be committed.
-    pub(crate) committed: u64,
+    /// What it has applied, from its log or as an observer.
+    pub(crate) applied: u64,
+    /// What of its log is known to be committed by all of the chain of `epoch`, confirmed in this epoch. What it
+    /// learned as an observer is not in it: that may be of a later epoch, and differ from the log.
+    pub(crate) confirmed: u64,
     /// Whom it heard from of late.
     pub(crate) hears: Vec<Address>,
     /// Whom it wants to learn from.
--- a/crates/sandtrack-relay/src/relay.rs
+++ b/crates/sandtrack-relay/src/relay.rs
@@ -294,7 +294,8 @@
             disk: self.disk_health(),
             aligned: self.image.aligned,
             synced: self.image.end().number,
-            committed: self.applied.at.number,
+            applied: self.applied.at.number,
+            confirmed: if self.in_line() { self.chain.confirmed } else { 0 },
             hears: self.peers.heard_within(self.now, self.settings.timings.silence),
             source: self.source.clone(),
         }
--- a/crates/sandtrack-relay/tests/world/faults.rs
+++ b/crates/sandtrack-relay/tests/world/faults.rs
@@ -16,8 +16,6 @@
 #[derive(Default)]
 pub struct Troubles {
     undo: Vec<(Time, Undo)>,
-    /// Disks lost since the view was last whole.
-    lost: usize,
 }
 
 impl Troubles {
@@ -120,18 +118,7 @@
                     }
                 }
             }
-            7 | 8 if self.may_lose(world, index) => {
-                self.lost += 1;
-                world.wipe(index);
-                self.later(world, 50.0, 3000.0, Undo::Start(index));
-            }
-            9 if self.may_lose(world, index) && count < 10 => {
-                self.lost += 1;
-                world.wipe(index);
-                world.nodes[index].removed = true;
-                let new = world.add(true);
-                self.later(world, 50.0, 3000.0, Undo::Start(new));
-            }
+            7..=9 if world.is_whole() => self.lose_disks(world),
             10 => {
                 world.network.loss = world.random.gen_range(0.0..0.3);
                 world.network.doubled = world.random.gen_range(0.0..0.3);
@@ -160,12 +147,32 @@
         self.later(world, 200.0, 6000.0, Undo::Heal(pairs));
     }
 
-    /// Whether the disk of a machine may go, with all rules still to hold.
-    fn may_lose(&mut self, world: &World, index: usize) -> bool {
-        if world.is_whole() {
-            self.lost = 0;
+    /// As many disks as are borne are lost at one moment, sometimes as all others lose power; the machines come
+    /// back empty, or others in their place.
+    fn lose_disks(&mut self, world: &mut World) {
+        let with_disk = |world: &World, index: usize| {
+            let node = &world.nodes[index];
+            node.has_disk && !node.removed
+        };
+        let mut left: Vec<usize> = (0..world.nodes.len()).filter(|index| with_disk(world, *index)).collect();
+        for _ in 0..world.random.gen_range(1..=world.borne) {
+            let index = left.swap_remove(world.random.gen_range(0..left.len()));
+            world.wipe(index);
+            let mut new = index;
+            if world.random.gen_bool(0.4) && world.nodes.len() < 12 {
+                world.nodes[index].removed = true;
+                new = world.add(true);
+            }
+            self.later(world, 50.0, 3000.0, Undo::Start(new));
+        }
+        if world.random.gen_bool(0.3) {
+            for index in left {
+                if world.nodes[index].relay.is_some() {
+                    world.kill(index);
+                    self.later(world, 50.0, 1000.0, Undo::Start(index));
+                }
+            }
         }
-        self.lost < world.borne && !world.nodes[index].removed && world.nodes[index].has_disk
     }
 }
 
--- a/crates/sandtrack-relay/tests/world/mod.rs
+++ b/crates/sandtrack-relay/tests/world/mod.rs
@@ -495,7 +495,8 @@
         machines.max_by_key(|machine| machine.applied).cloned().unwrap_or_default()
     }
 
-    /// Whether all that the newest view builds on is there: its voters' disks, and enough members in line.
+    /// Whether all that the newest view builds on is there: its voters' disks, and a chain that is long enough
+    /// with all of its members in line. From here the disks of as many machines as are borne may go.
     pub fn is_whole(&self) -> bool {
         let Some(view) = self.checks.newest_view() else {
             return false;
@@ -503,12 +504,12 @@
         let has_disk = |member: &Member| {
             self.nodes.iter().any(|node| !node.removed && node.member.as_ref() == Some(member))
         };
-        let in_line = |member: &&Member| {
+        let in_line = |member: &Member| {
             self.nodes.iter().filter_map(|node| node.relay.as_ref()).any(|relay| {
-                relay.member() == *member && relay.view().epoch == view.epoch && relay.is_caught_up()
+                relay.member() == member && relay.view().epoch == view.epoch && relay.is_caught_up()
             })
         };
-        view.voters.iter().all(has_disk) && view.chain.iter().filter(in_line).count() > self.borne
+        view.voters.iter().all(has_disk) && view.chain.len() > self.borne && view.chain.iter().all(in_line)
     }
 
     pub fn running(&self) -> Vec<usize> {
