--- a/crates/sandtrack-relay/src/desire.rs
+++ b/crates/sandtrack-relay/src/desire.rs
@@ -81,8 +81,11 @@
     let (stay, lost) = staying(view, me, known);
     let (stay, apart) = without_gaps(stay, known);
     let mut next = kept(view, &stay, known)?;
-    let joined = join(view, &mut next, me, known, limits);
-    next.voters = voters(view, &next.chain, known, limits);
+    let mut joined = join(view, &mut next, me, known, limits);
+    if limits.zones_borne > 0 && !lost && !apart && !joined {
+        joined = spread(view, &mut next, me, known, limits);
+    }
+    choose_voters(view, &mut next, known, limits);
     if next.chain == view.chain && next.voters == view.voters {
         return None;
     }
@@ -172,77 +175,139 @@
     Some(next)
 }
 
+/// As the process tells it, or as the view knows it.
 fn zone(view: &View, member: &Member, known: &Everyone) -> String {
-    let told = known.get(&member.address).map(|known| known.zone.clone()).filter(|zone| !zone.is_empty());
-    let position = view.position(member);
-    told.or_else(|| position.and_then(|position| view.zones.get(position).cloned())).unwrap_or_default()
+    let it = known.get(&member.address).filter(|it| it.incarnation == Some(member.incarnation));
+    let told = it.map(|it| it.zone.clone()).filter(|zone| !zone.is_empty());
+    let chain = view.chain.iter().zip(&view.zones);
+    let mut all = chain.chain(view.voters.iter().zip(&view.voter_zones));
+    told.or_else(|| all.find(|(other, _)| *other == member).map(|(_, zone)| zone.clone())).unwrap_or_default()
 }
 
 /// Takes processes that are ready in at the end of the chain; true when there were any.
 fn join(view: &View, next: &mut View, me: &Member, known: &Everyone, limits: &Limits) -> bool {
     let full = CHAIN.max(2 * limits.machines_borne + 1);
-    let newest = known.values().filter(|it| it.alive).map(|it| it.applied).max().unwrap_or(0);
-    let without_disk = |it: &Known| it.disk == DiskHealth::Absent;
-    let all_without = view.chain.iter().filter_map(|member| known.get(&member.address)).all(without_disk);
     let mut joined = false;
     while next.chain.len() < full {
-        let needed = !next.may_commit(limits.machines_borne, limits.zones_borne);
-        let best = known
-            .iter()
-            .filter_map(|(address, it)| {
-                let incarnation = it.incarnation?;
-                let member = Member { address: address.clone(), incarnation };
-                let fresh = needed || it.applied + BEHIND >= newest;
-                let ready = it.alive && it.epoch == view.epoch && it.disk_works() && fresh;
-                let fits = (all_without || !without_disk(it)) && !next.chain.contains(&member);
-                let tail = next.chain.last()?;
-                let linked = known.get(&tail.address).is_some_and(|tail| tail.alive)
-                    && hear_each_other(&tail.address, address, known);
-                (ready && fits && linked).then_some((member, it))
-            })
-            .min_by_key(|(member, it)| {
-                let zone_there = !it.zone.is_empty() && next.zones.contains(&it.zone);
-                (zone_there, !view.voters.contains(member), member != me, member.address.clone())
-            });
-        let Some((member, it)) = best else {
+        let Some(member) = best_joiner(view, next, me, known, limits) else {
             break;
         };
-        next.chain.push(member);
-        next.since.push(next.epoch);
-        next.zones.push(it.zone.clone());
+        push(next, member, known);
         joined = true;
     }
     joined
 }
 
-/// The voters: each of the chain takes the place of its own former identity, or a free one, or that of the
-/// voter outside the chain that has been dead for longest.
-fn voters(view: &View, chain: &[Member], known: &Everyone, limits: &Limits) -> Vec<Member> {
+fn push(next: &mut View, member: Member, known: &Everyone) {
+    next.zones.push(known.get(&member.address).map(|it| it.zone.clone()).unwrap_or_default());
+    next.since.push(next.epoch);
+    next.chain.push(member);
+}
+
+/// Of the processes outside the chain that are ready: one of a zone that the chain lacks, a voter, the first.
+fn best_joiner(view: &View, next: &View, me: &Member, known: &Everyone, limits: &Limits) -> Option<Member> {
+    let newest = known.values().filter(|it| it.alive).map(|it| it.applied).max().unwrap_or(0);
+    let needed = !next.may_commit(limits.machines_borne, limits.zones_borne);
+    let tail = next.chain.last()?;
+    let ready = known.iter().filter_map(|(address, it)| {
+        let member = ready(view, address, it, known)?;
+        let fresh = needed || it.applied + BEHIND >= newest;
+        let linked = known.get(&tail.address).is_some_and(|tail| tail.alive)
+            && hear_each_other(&tail.address, address, known);
+        (fresh && linked && !next.chain.contains(&member)).then_some((member, it))
+    });
+    let best = ready.min_by_key(|(member, it)| {
+        let zone_there = !it.zone.is_empty() && next.zones.contains(&it.zone);
+        (zone_there, !view.voters.contains(member), member != me, member.address.clone())
+    });
+    best.map(|(member, _)| member)
+}
+
+/// The process as a member, if it could be taken in: it is here, has this view, and can write.
+fn ready(view: &View, address: &Address, it: &Known, known: &Everyone) -> Option<Member> {
+    let without_disk = |it: &Known| it.disk == DiskHealth::Absent;
+    let all_without = || view.chain.iter().filter_map(|member| known.get(&member.address)).all(without_disk);
+    let fits = it.alive && it.epoch == view.epoch && it.disk_works() && (!without_disk(it) || all_without());
+    fits.then_some(Member { address: address.clone(), incarnation: it.incarnation? })
+}
+
+/// Puts a process of a zone that a full chain lacks in the place of the last member whose zone it has twice. True
+/// when that was done.
+fn spread(view: &View, next: &mut View, me: &Member, known: &Everyone, limits: &Limits) -> bool {
+    let twice = (0..next.chain.len()).rev().find(|position| {
+        next.zones[..*position].contains(&next.zones[*position]) && !next.zones[*position].is_empty()
+    });
+    let Some(position) = twice else {
+        return false;
+    };
+    let mut other = next.clone();
+    other.chain.remove(position);
+    other.since.remove(position);
+    other.zones.remove(position);
+    let complete = other.since.iter().filter(|since| **since < other.epoch).count();
+    let joiner = best_joiner(view, &other, me, known, limits).filter(|joiner| {
+        known.get(&joiner.address).is_some_and(|it| !it.zone.is_empty() && !other.zones.contains(&it.zone))
+    });
+    let Some(joiner) = joiner.filter(|_| complete > limits.machines_borne) else {
+        return false;
+    };
+    push(&mut other, joiner, known);
+    *next = other;
+    true
+}
+
+/// The voters: each of the chain, and then each other process that is ready, takes the place of its own former
+/// identity, or a free one, or that of the voter outside the chain that has been dead for longest; never so that the
+/// loss of a zone that is to be borne would take the majority.
+fn choose_voters(view: &View, next: &mut View, known: &Everyone, limits: &Limits) {
     let most = CHAIN.max(2 * limits.machines_borne + 1).max(view.voters.len());
-    let mut voters = view.voters.clone();
-    for member in chain {
-        if voters.contains(member) {
+    next.voters = view.voters.clone();
+    next.voter_zones = view.voters.iter().map(|voter| zone(view, voter, known)).collect();
+    let mut candidates = next.chain.clone();
+    candidates.extend(known.iter().filter_map(|(address, it)| ready(view, address, it, known)));
+    for member in candidates {
+        if next.voters.contains(&member) {
+            continue;
+        }
+        if let Some(position) = next.voters.iter().position(|voter| voter.address == member.address) {
+            next.voters[position] = member;
             continue;
         }
-        let former = voters.iter().position(|voter| voter.address == member.address);
-        let dead = || {
-            let dead = voters
-                .iter()
-                .enumerate()
-                .filter(|(_, voter)| !chain.contains(voter) && is_dead(voter, known, limits.replace));
-            let longest = dead.max_by(|one, other| {
-                let silent = |voter: &Member| known.get(&voter.address).map_or(f64::MAX, |it| it.silent_for);
-                silent(one.1).total_cmp(&silent(other.1))
-            });
-            longest.map(|(position, _)| position)
+        let free = (next.voters.len() < most).then_some(next.voters.len());
+        let place = dead_voter(next, known, limits.replace).or(free).or_else(|| crowded_voter(next, limits));
+        let Some(position) = place else {
+            continue;
         };
-        match former.or_else(dead) {
-            Some(position) => voters[position] = member.clone(),
-            None if voters.len() < most => voters.push(member.clone()),
-            None => {}
+        let mut other = next.clone();
+        other.voters.truncate(position);
+        other.voters.push(member.clone());
+        other.voters.extend(next.voters.iter().skip(position + 1).cloned());
+        other.voter_zones.truncate(position);
+        other.voter_zones.push(zone(view, &member, known));
+        other.voter_zones.extend(next.voter_zones.iter().skip(position + 1).cloned());
+        if other.voters_outlast(limits.zones_borne) || !next.voters_outlast(limits.zones_borne) {
+            *next = other;
         }
     }
-    voters
+}
+
+/// The voter outside the chain that has been dead for longest.
+fn dead_voter(next: &View, known: &Everyone, replace: f64) -> Option<usize> {
+    let silent = |voter: &Member| known.get(&voter.address).map_or(f64::MAX, |it| it.silent_for);
+    let outside = next.voters.iter().enumerate().filter(|(_, voter)| !next.chain.contains(voter));
+    let dead = outside.filter(|(_, voter)| is_dead(voter, known, replace));
+    dead.max_by(|one, other| silent(one.1).total_cmp(&silent(other.1))).map(|(position, _)| position)
+}
+
+/// While the loss of a zone would take the majority: the last voter outside the chain that shares its zone.
+fn crowded_voter(next: &View, limits: &Limits) -> Option<usize> {
+    if next.voters_outlast(limits.zones_borne) {
+        return None;
+    }
+    (0..next.voters.len()).rev().find(|position| {
+        let shared = next.voter_zones[..*position].contains(&next.voter_zones[*position]);
+        shared && !next.chain.contains(&next.voters[*position])
+    })
 }
 
 fn is_dead(voter: &Member, known: &Everyone, replace: f64) -> bool {
--- a/crates/sandtrack-relay/src/view.rs
+++ b/crates/sandtrack-relay/src/view.rs
@@ -1,4 +1,6 @@
 //! Who may take part: members, and the views that a majority of the former voters agreed upon.
+use std::collections::BTreeMap;
+
 use borsh::{BorshDeserialize, BorshSerialize};
 
 /// "ip:port" of a postmaster's link to its peers.
@@ -24,12 +26,21 @@
     pub since: Vec<u64>,
     /// For each of `chain`: its zone; empty where it isn't known (the first view).
     pub zones: Vec<String>,
+    /// The same for each of `voters`.
+    pub voter_zones: Vec<String>,
 }
 
 impl View {
     /// Before any view is known.
     pub(crate) fn none() -> Self {
-        Self { epoch: 0, chain: Vec::new(), voters: Vec::new(), since: Vec::new(), zones: Vec::new() }
+        Self {
+            epoch: 0,
+            chain: Vec::new(),
+            voters: Vec::new(),
+            since: Vec::new(),
+            zones: Vec::new(),
+            voter_zones: Vec::new(),
+        }
     }
 
     /// The first view of the system: the seeds as they were given, all empty.
@@ -40,6 +51,7 @@
             epoch: 1,
             since: vec![1; members.len()],
             zones: vec![String::new(); members.len()],
+            voter_zones: vec![String::new(); members.len()],
             voters: members.clone(),
             chain: members,
         }
@@ -68,11 +80,13 @@
     /// Whether what is on all of the chain's disks outlasts the losses that are to be borne. Members whose
     /// zone isn't known count as in zones of their own.
     pub(crate) fn may_commit(&self, machines_borne: usize, zones_borne: usize) -> bool {
-        let unknown = self.zones.iter().filter(|zone| zone.is_empty()).count();
-        let mut zones: Vec<&String> = self.zones.iter().filter(|zone| !zone.is_empty()).collect();
-        zones.sort();
-        zones.dedup();
-        self.chain.len() > machines_borne && unknown + zones.len() > zones_borne
+        self.chain.len() > machines_borne && crowds(&self.zones).len() > zones_borne
+    }
+
+    /// Whether a majority of the voters is left when the most crowded zones that may be lost are.
+    pub(crate) fn voters_outlast(&self, zones_borne: usize) -> bool {
+        let lost: usize = crowds(&self.voter_zones).into_iter().take(zones_borne).sum();
+        self.voters.len() - lost >= self.majority()
     }
 
     /// Addresses of the chain and of the voters, each once.
@@ -86,3 +100,15 @@
         all
     }
 }
+
+/// How many are in each zone, most first; who isn't known to be in one is in a zone of its own.
+fn crowds(zones: &[String]) -> Vec<usize> {
+    let mut known: BTreeMap<&String, usize> = BTreeMap::new();
+    for zone in zones.iter().filter(|zone| !zone.is_empty()) {
+        *known.entry(zone).or_default() += 1;
+    }
+    let mut crowds: Vec<usize> = known.into_values().collect();
+    crowds.extend(zones.iter().filter(|zone| zone.is_empty()).map(|_| 1));
+    crowds.sort_unstable_by(|one, other| other.cmp(one));
+    crowds
+}
--- a/crates/sandtrack-relay/tests/troubled.rs
+++ b/crates/sandtrack-relay/tests/troubled.rs
@@ -12,6 +12,7 @@
 fn play(seed: u64, machines: usize, borne: usize, log: bool) -> World {
     let mut world = World::new(seed, machines, 1 + (seed % 2) as usize, borne);
     world.log = log.then(Vec::new);
+    world.zones_borne = usize::from(machines == 6);
     if seed.is_multiple_of(3) {
         // Two regions.
         world.network.delay = 28.0;
@@ -103,6 +104,6 @@
 }
 
 #[test]
-fn six_machines_bear_the_loss_of_one() {
+fn six_machines_bear_the_loss_of_one_or_of_a_zone() {
     play_all(6, 1);
 }
--- a/crates/sandtrack-relay/tests/world/faults.rs
+++ b/crates/sandtrack-relay/tests/world/faults.rs
@@ -155,7 +155,7 @@
         self.later(world, 200.0, 6000.0, Undo::Heal(pairs));
     }
 
-    /// As many disks as are borne are lost at one moment, sometimes as all others lose power; the machines come
+    /// As many disks as are borne, or those of a zone where one is, are lost at one moment, sometimes as all others lose power; the machines come
     /// back empty, or others in their place.
     fn lose_disks(&mut self, world: &mut World) {
         let with_disk = |world: &World, index: usize| {
@@ -163,8 +163,17 @@
             node.has_disk && !node.removed
         };
         let mut left: Vec<usize> = (0..world.nodes.len()).filter(|index| with_disk(world, *index)).collect();
+        let mut victims = Vec::new();
         for _ in 0..world.random.gen_range(1..=world.borne) {
-            let index = left.swap_remove(world.random.gen_range(0..left.len()));
+            victims.push(left.swap_remove(world.random.gen_range(0..left.len())));
+        }
+        if world.zones_borne > 0 && world.random.gen_bool(0.5) {
+            let zone = world.nodes[victims[0]].zone.clone();
+            let (lost, rest) = left.into_iter().partition(|index| world.nodes[*index].zone == zone);
+            left = rest;
+            victims.extend::<Vec<usize>>(lost);
+        }
+        for index in victims {
             world.wipe(index);
             let mut new = index;
             if world.random.gen_bool(0.4) && world.nodes.len() < 12 {
--- a/crates/sandtrack-relay/tests/world/mod.rs
+++ b/crates/sandtrack-relay/tests/world/mod.rs
@@ -108,6 +108,7 @@
     pub nodes: Vec<Node>,
     pub network: Network,
     pub borne: usize,
+    pub zones_borne: usize,
     pub seeds: Vec<String>,
     pub calls: BTreeMap<u64, Call>,
     pub checks: Checks,
@@ -138,6 +139,7 @@
                 cut: BTreeSet::new(),
             },
             borne,
+            zones_borne: 0,
             seeds: (0..seeds.min(3)).map(name).collect(),
             calls: BTreeMap::new(),
             checks: Checks::default(),
@@ -202,6 +204,7 @@
         settings.first_start = first_start;
         settings.disk = node.has_disk;
         settings.machines_borne = self.borne;
+        settings.zones_borne = self.zones_borne;
         settings.seed = index as u64 * 1000 + node.generation;
         settings.incarnation_if_new = index as u64 * 1000 + 100 + node.wipes * 10 + node.generation;
         let (relay, effects) = Relay::new(settings, node.disk.clone(), Register::default(), self.now);
