A process that ends in an orderly way says so, and is left out at once

Cause: machines are stopped and started in turn; each stop would cost 900 ms of suspicion. Also: observers tell only which members they hear.

--- a/crates/sandtrack-relay/src/api.rs
+++ b/crates/sandtrack-relay/src/api.rs
@@ -120,6 +120,8 @@
         call: u64,
         question: Vec<u8>,
     },
+    /// The process is about to end in an orderly way: the others are to go on without it at once.
+    Leave,
     Tick,
 }
 
--- a/crates/sandtrack-relay/src/brief.rs
+++ b/crates/sandtrack-relay/src/brief.rs
@@ -94,6 +94,7 @@
             DiskHealth::Stalled => write!(f, ", disk stalled")?,
             DiskHealth::Full => write!(f, ", disk full")?,
             DiskHealth::Absent => write!(f, ", no disk")?,
+            DiskHealth::Leaving => write!(f, ", leaving")?,
         }
         write!(f, ", hears [{}]", self.hears.join(" "))?;
         match &self.source {
--- a/crates/sandtrack-relay/src/message.rs
+++ b/crates/sandtrack-relay/src/message.rs
@@ -124,6 +124,8 @@
     Full,
     /// There is no disk.
     Absent,
+    /// The process is about to end.
+    Leaving,
 }
 
 /// Ordered; no two proposals share one, also when a proposer starts again.
--- a/crates/sandtrack-relay/src/relay.rs
+++ b/crates/sandtrack-relay/src/relay.rs
@@ -38,6 +38,7 @@
     pub(crate) source: Option<Address>,
     /// When those were last sent a status that were never heard.
     unheard_pulse: f64,
+    leaving: bool,
     /// Messages to this process itself.
     inward: VecDeque<Message>,
 }
@@ -77,6 +78,7 @@
             calls: Calls::default(),
             source: None,
             unheard_pulse: f64::NEG_INFINITY,
+            leaving: false,
             inward: VecDeque::new(),
             me,
             settings,
@@ -108,6 +110,7 @@
             Input::WriteFailed { ticket } => self.write_failed(ticket, effects),
             Input::Submit { call, command } => self.submit(call, command, effects),
             Input::Read { call, question } => self.read(call, question, effects),
+            Input::Leave => self.leave(effects),
             Input::Tick => self.tick(effects),
         }
         self.settle(effects);
@@ -289,6 +292,12 @@
     }
 
     pub(crate) fn status(&self) -> Status {
+        let mut hears = self.peers.heard_within(self.now, self.settings.timings.silence);
+        let members = self.latest.addresses();
+        if !members.is_empty() && !members.contains(&self.me.address) {
+            // What observers hear of each other matters to nobody.
+            hears.retain(|address| members.contains(address));
+        }
         Status {
             zone: self.settings.zone.clone(),
             disk: self.disk_health(),
@@ -296,7 +305,7 @@
             synced: self.image.end().number,
             applied: self.applied.at.number,
             confirmed: if self.in_line() { self.chain.confirmed } else { 0 },
-            hears: self.peers.heard_within(self.now, self.settings.timings.silence),
+            hears,
             source: self.source.clone(),
         }
     }
@@ -364,8 +373,18 @@
         }
     }
 
+    fn leave(&mut self, effects: &mut Vec<Effect>) {
+        self.leaving = true;
+        for address in self.latest.addresses() {
+            self.send_status(&address, effects);
+        }
+    }
+
     /// Health of the disk as others are told.
     pub(crate) fn disk_health(&self) -> DiskHealth {
+        if self.leaving {
+            return DiskHealth::Leaving;
+        }
         self.disk.health(self.now, self.settings.timings.stall)
     }
 }
--- a/crates/sandtrack-relay/tests/rare.rs
+++ b/crates/sandtrack-relay/tests/rare.rs
@@ -111,3 +111,17 @@
     assert!(calls.iter().all(|call| world.outcome(*call).unwrap().is_err()));
     assert!(!world.nodes[2].relay.as_ref().unwrap().is_caught_up());
 }
+
+/// A member that ends in an orderly way is left out before anyone would suspect it.
+#[test]
+fn a_member_that_leaves_is_left_out_at_once() {
+    for leaver in 0..3 {
+        let mut world = calm(3, 0, 1);
+        world.input(leaver, sandtrack_relay::Input::Leave);
+        world.run(300.0);
+        world.kill(leaver);
+        let call = world.submit((leaver + 1) % 3, 0);
+        world.run(50.0);
+        assert_eq!(world.outcome(call), Some(Ok("won 1".to_string())), "{leaver} left");
+    }
+}
