--- a/crates/sandtrack-relay/src/learning.rs
+++ b/crates/sandtrack-relay/src/learning.rs
@@ -4,7 +4,7 @@
 use crate::{Address, Effect, Machine, Relay};
 
 impl<M: Machine> Relay<M> {
-    /// Picks whom to learn from: a member of the chain that was heard of late.
+    /// Picks whom to learn from: a member of the chain that was heard of late, or else whoever knows more.
     pub(crate) fn choose_source(&mut self) {
         let near = self.peers.heard_within(self.now, self.settings.timings.silence * 2.0);
         if self.in_chain() {
@@ -20,21 +20,27 @@
         }
         let sum: usize = self.me.address.bytes().map(usize::from).sum();
         let turned = (0..chain.len()).map(|step| &chain[(sum + step) % chain.len()].address);
-        self.source = turned.into_iter().find(|address| fits(address)).cloned();
+        let knows_more = |address: &&Address| {
+            let status = self.peers.all.get(*address).and_then(|peer| peer.status.as_ref());
+            status.is_some_and(|status| status.applied > self.applied.at.number)
+        };
+        let source =
+            turned.into_iter().find(|address| fits(address)).or_else(|| near.iter().find(knows_more));
+        self.source = source.cloned();
     }
 
     /// Sends one observer what it lacks, if it wants to learn from this process.
     pub(crate) fn teach(&mut self, to: &Address, status: &Status, effects: &mut Vec<Effect>) {
         let last = self.applied.at.number;
-        if status.source.as_ref() != Some(&self.me.address) || status.committed >= last {
+        if status.source.as_ref() != Some(&self.me.address) || status.applied >= last {
             return;
         }
         let Some(peer) = self.peers.all.get_mut(to) else {
             return;
         };
         let (taught, when) = peer.taught;
-        let lately = self.now - when < self.settings.timings.repeat && taught > status.committed;
-        let after = if lately { taught } else { status.committed };
+        let lately = self.now - when < self.settings.timings.repeat && taught > status.applied;
+        let after = if lately { taught } else { status.applied };
         if after >= last {
             return;
         }
