--- a/crates/sandtrack-postmark/src/document.rs
+++ b/crates/sandtrack-postmark/src/document.rs
@@ -171,7 +171,7 @@
         }
     }
 
-    /// The items and fields that lead from `self` to `next`.
+    /// The items and fields that lead from `self` to `next`; a field that is gone has an empty text.
     pub fn changes(&self, next: &Document) -> (Vec<ItemChange>, Vec<(String, String)>) {
         let mut changes = Vec::new();
         for (list, items) in &next.lists {
@@ -195,7 +195,8 @@
         }
         let changed = |(name, value): &&(String, OwnedValue)| self.field(name) != Some(value);
         let fields = next.fields.iter().filter(changed).map(|(name, value)| (name.clone(), value.encode()));
-        (changes, fields.collect())
+        let gone = self.fields.iter().filter(|(name, _)| next.field(name).is_none());
+        (changes, fields.chain(gone.map(|(name, _)| (name.clone(), String::new()))).collect())
     }
 
     /// Carries out what [`Document::changes`] gave.
@@ -222,7 +223,11 @@
             }
         }
         for (name, json) in fields {
-            next.set_field(name, parse(json.as_bytes())?);
+            if json.is_empty() {
+                next.fields.retain(|(field, _)| field != name);
+            } else {
+                next.set_field(name, parse(json.as_bytes())?);
+            }
         }
         Ok(next)
     }
