The program as a process on loopback: command line, calls cut short, a courier, ends

Cause: sockets, signals and exit codes were only tried by hand. Tested: program, 2 passed (three starts of one postmaster, SIGTERM, SIGKILL, SIGINT).

--- /dev/null
+++ b/crates/sandtrack-postmaster/tests/program.rs
@@ -0,0 +1,212 @@
+//! The program as a process on loopback: its command line, its sockets and its ends. It waits for what the process says and
+//! answers, and never sleeps.
+mod common;
+use common::good;
+use sandtrack_postmark::frames::{self, CourierInfo, CourierState, ToCourier, ToPostmaster};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
+
+/// A folder of this test's own, with a settings file for a postmaster that is alone at this address.
+struct Place {
+    folder: PathBuf,
+    ip: String,
+}
+
+impl Place {
+    fn new(name: &str, ip: &str) -> Place {
+        let folder = std::env::temp_dir().join(format!("postmaster-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(folder.join("data")).expect("a folder");
+        let place = Place { folder, ip: ip.to_owned() };
+        place.write(&place.settings());
+        place
+    }
+
+    fn settings(&self) -> String {
+        let (ip, data) = (&self.ip, self.folder.join("data"));
+        format!(
+            r#"{{"node_name":"front-odori-hall-1","ip_address":"{ip}","zone":"odori-hall","region":"ishikari",
+            "zones":{{"odori-hall":"ishikari"}},"listen_addresses":{{"control":"{ip}:8166","directory":"{ip}:8164"}},
+            "internal_port_range":[7720,7735],"seed_nodes":["{ip}:8166"],"first_start":true,
+            "data_directory":"{}","tolerated_losses":{{"machines":0,"zones":0}},
+            "cloud_api":{{"address":"","rate_per_s":47.0}}}}"#,
+            data.display()
+        )
+    }
+
+    fn write(&self, text: &str) {
+        std::fs::write(self.folder.join("settings.json"), text).expect("a file");
+    }
+
+    fn command(&self, words: &[&str]) -> Command {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_postmaster"));
+        command.args(words).env("SANDTRACK_BOOT", self.folder.join("settings.json"));
+        command
+    }
+
+    /// Starts it and waits until it serves.
+    fn start(&self) -> Running {
+        let mut child = self.command(&["run"]).stderr(Stdio::piped()).spawn().expect("a process");
+        let mut lines = BufReader::new(child.stderr.take().expect("its errors")).lines();
+        let serving = lines.find(|line| line.as_ref().is_ok_and(|line| line.contains("serving control")));
+        assert!(serving.is_some(), "it does not serve");
+        // What it says further must not hold it up.
+        std::thread::spawn(move || lines.count());
+        Running { child }
+    }
+
+    fn exchange(&self, port: u16, text: &str) -> String {
+        let mut stream = TcpStream::connect((self.ip.as_str(), port)).expect("a connection");
+        stream.set_read_timeout(Some(Duration::from_secs(20))).expect("a time limit");
+        stream.write_all(text.as_bytes()).expect("written");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer");
+        answer
+    }
+
+    fn call(&self, method: &str, target: &str, body: &str) -> String {
+        let length = body.len();
+        self.exchange(
+            8166,
+            &format!(
+                "{method} {target} HTTP/1.1\r\nHost: x\r\nBased-On-Version: 0\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n{body}"
+            ),
+        )
+    }
+
+    /// The same, repeated until it is acknowledged, as a caller does.
+    fn call_until_taken(&self, method: &str, target: &str, body: &str) -> String {
+        for _ in 0..100 {
+            let answer = self.call(method, target, body);
+            if !answer.starts_with("HTTP/1.1 503") {
+                return answer;
+            }
+        }
+        panic!("never acknowledged");
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+struct Running {
+    child: Child,
+}
+
+impl Running {
+    fn end(mut self, signal: rustix::process::Signal) -> ExitStatus {
+        let id = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(id, signal).expect("a signal");
+        self.child.wait().expect("its end")
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+#[test]
+fn settings_are_checked_with_numbered_errors() {
+    let place = Place::new("check", "127.0.7.1");
+    let run = |place: &Place, words: &[&str]| {
+        let output = place.command(words).output().expect("an end");
+        let said = String::from_utf8_lossy(&[output.stdout, output.stderr].concat()).into_owned();
+        (output.status.code(), said)
+    };
+    let (code, said) = run(&place, &["check"]);
+    assert_eq!(code, Some(0), "{said}");
+    place.write(&place.settings().replace("\"control\"", "\"other\""));
+    for words in [&["check"][..], &["run"], &[]] {
+        let (code, said) = run(&place, words);
+        assert_eq!(code, Some(102), "{said}");
+        assert!(said.contains("E102") && said.contains("listen_addresses.control"), "{said}");
+    }
+    place.write("{\"node_name\":");
+    let (code, said) = run(&place, &["check"]);
+    assert!(code == Some(101) && said.contains("E101"), "{said}");
+    place.write(&place.settings().replace(":8166\",\"directory\"", ":none\",\"directory\""));
+    let (code, said) = run(&place, &["run"]);
+    assert!(code == Some(103) && said.contains("E103"), "{said}");
+    let (code, said) = run(&place, &["--help"]);
+    assert!(code == Some(0) && said.contains("check") && said.contains("--log-level"), "{said}");
+    let (code, _) = run(&place, &["nonsense"]);
+    assert_eq!(code, Some(1));
+}
+
+#[test]
+fn it_takes_a_configuration_tells_a_courier_and_ends_in_order() {
+    let place = Place::new("serve", "127.0.7.2");
+    let running = place.start();
+    let whole = good(7);
+    // A body cut short: nothing happens.
+    let mut cut = TcpStream::connect((place.ip.as_str(), 8166)).expect("a connection");
+    let head = format!(
+        "POST /v1/configuration/replace HTTP/1.1\r\nBased-On-Version: 0\r\nContent-Length: {}\r\n\r\n",
+        whole.len()
+    );
+    cut.write_all(head.as_bytes()).expect("written");
+    cut.write_all(&whole.as_bytes()[..100]).expect("written");
+    cut.shutdown(Shutdown::Write).expect("ended");
+    let mut nothing = Vec::new();
+    let _ = cut.read_to_end(&mut nothing);
+    assert!(nothing.is_empty());
+    assert!(place.call_until_taken("GET", "/v1/configuration/read", "").starts_with("HTTP/1.1 404"));
+    assert!(place.call_until_taken("POST", "/v1/configuration/replace", &whole).starts_with("HTTP/1.1 200"));
+    assert!(place.call("POST", "/v1/configuration/replace", &whole).starts_with("HTTP/1.1 200"), "a repeat");
+    assert!(place.call("GET", "/v1/configuration/read", "").contains("\"version_number\":7"));
+    assert!(place.call("PUT", "/v1/configuration/read", "").starts_with("HTTP/1.1 405"));
+    assert!(place.exchange(8166, "rubbish\r\n\r\n").starts_with("HTTP/1.1 400"));
+    let ask = "GET /v1/resolution?name=x HTTP/1.1\r\nConnection: close\r\n\r\n";
+    assert!(place.exchange(8164, ask).starts_with("HTTP/1.1 503"), "nobody is ready");
+    let mut session = TcpStream::connect((place.ip.as_str(), 7721)).expect("a session");
+    session.set_read_timeout(Some(Duration::from_secs(20))).expect("a time limit");
+    let info = CourierInfo {
+        node_name: "c".to_owned(),
+        front: "10.1.0.9:8161".to_owned(),
+        ..CourierInfo::default()
+    };
+    let state = CourierState { ready: true, ..CourierState::default() };
+    let hello = ToPostmaster::Hello { format: frames::FORMAT, info, state };
+    session.write_all(&frames::frame(&hello)).expect("written");
+    let (mut bytes, mut told) = (Vec::new(), Vec::new());
+    while told.len() < 3 {
+        let mut piece = [0; 4096];
+        let count = session.read(&mut piece).expect("frames");
+        assert!(count > 0, "the session stands");
+        bytes.extend_from_slice(&piece[..count]);
+        while let Some((frame, length)) = frames::take::<ToCourier>(&bytes).expect("frames") {
+            bytes.drain(..length);
+            told.push(frame);
+        }
+    }
+    assert!(matches!(told[0], ToCourier::Welcome { .. }), "{told:?}");
+    assert!(matches!(told[1], ToCourier::Configuration { version: 7, .. }), "{told:?}");
+    assert!(place.exchange(8164, ask).contains("{\"addresses\":[\"10.1.0.9:8161\"],\"lifetime_s\":1}"));
+    let status = place.call("GET", "/v1/status", "");
+    let body = status.split("\r\n\r\n").nth(1).unwrap_or_default();
+    let status = simd_json::to_owned_value(&mut body.as_bytes().to_vec()).expect("JSON");
+    assert_eq!(status["version_number"], 7);
+    assert_eq!(status["couriers"][0]["node"], "c");
+    assert_eq!(running.end(rustix::process::Signal::TERM).code(), Some(0));
+    let mut rest = Vec::new();
+    let _ = session.read_to_end(&mut rest);
+    // What was acknowledged is on the disk, also after a kill.
+    let again = place.start();
+    assert!(place.call_until_taken("GET", "/v1/configuration/read", "").contains("\"version_number\":7"));
+    assert!(place
+        .call_until_taken("POST", "/v1/evacuation/odori-hall/begin", "")
+        .starts_with("HTTP/1.1 200"));
+    again.end(rustix::process::Signal::KILL);
+    let third = place.start();
+    assert!(place.call_until_taken("GET", "/v1/configuration/read", "").contains("\"version_number\":7"));
+    assert!(place.call("GET", "/v1/status", "").contains("\"evacuated\":[\"odori-hall\"]"));
+    third.end(rustix::process::Signal::INT);
+}
