--- a/crates/sandtrack-postmark/src/document.rs
+++ b/crates/sandtrack-postmark/src/document.rs
@@ -183,9 +183,25 @@
                 .iter()
                 .map(|item| (item.name.as_str(), &item.value))
                 .collect();
-            for item in items.iter().filter(|item| known.get(item.name.as_str()) != Some(&&item.value)) {
-                let json = Some(item.value.encode());
-                changes.push(ItemChange { list: list.clone(), name: item.name.clone(), json });
+            // What stays keeps its order, and what is new comes last; from where that is another order than the wanted
+            // one, items are taken out and put in again.
+            let wanted: std::collections::HashSet<&str> =
+                items.iter().map(|item| item.name.as_str()).collect();
+            let stays = self.list(list).unwrap_or_default().iter().map(|item| item.name.as_str());
+            let comes = items.iter().map(|item| item.name.as_str()).filter(|name| !known.contains_key(name));
+            let order = stays.filter(|name| wanted.contains(name)).chain(comes);
+            let same = items.iter().zip(order).take_while(|(item, name)| item.name == *name).count();
+            for (at, item) in items.iter().enumerate() {
+                let before = known.get(item.name.as_str());
+                let mut push = |json| {
+                    changes.push(ItemChange { list: list.clone(), name: item.name.clone(), json });
+                };
+                if at >= same && before.is_some() {
+                    push(None);
+                }
+                if at >= same || before != Some(&&item.value) {
+                    push(Some(item.value.encode()));
+                }
             }
         }
         for (list, items) in &self.lists {
