--- a/crates/sandtrack-courier/src/office.rs
+++ b/crates/sandtrack-courier/src/office.rs
@@ -103,7 +103,7 @@
     paces: HashMap<(String, bool), Pace>,
     pub rng: Pcg32,
     /// Tells couriers apart where a share is under one.
-    identity: u64,
+    pub(crate) identity: u64,
     pub leaving: bool,
     pub open: u32,
     /// Set when something changed that the control plane is told at once.
@@ -317,14 +317,24 @@
     /// Upstreams to be probed now, with the path to ask; each is taken for being probed.
     pub fn probes_due(&mut self, now: Millis) -> Vec<(usize, String, String)> {
         let Some(configuration) = self.configuration.clone() else { return Vec::new() };
-        let due: Vec<usize> = self
-            .upstreams
-            .listed()
-            .filter(|place| {
+        // Those in use, and those that failed: a success is to restore them.
+        let mut watched = Vec::new();
+        for service in &configuration.services {
+            let of_it = |place: &usize| {
                 let upstream = self.upstreams.get(*place);
-                !upstream.probing && !upstream.entry.draining && upstream.next_probe <= now
-            })
-            .collect();
+                upstream.entry.service == service.name && !upstream.entry.draining
+            };
+            let of_it: Vec<usize> = self.upstreams.listed().filter(of_it).collect();
+            let (healthy, failed): (Vec<usize>, Vec<usize>) =
+                of_it.into_iter().partition(|place| self.upstreams.get(*place).run.is_empty());
+            watched.extend(self.circle(&healthy));
+            watched.extend(failed);
+        }
+        let is_due = |place: &usize| {
+            let upstream = self.upstreams.get(*place);
+            !upstream.probing && upstream.next_probe <= now
+        };
+        let due: Vec<usize> = watched.into_iter().filter(is_due).collect();
         let mut probes = Vec::new();
         for place in due {
             let upstream = self.upstreams.get_mut(place);
--- a/crates/sandtrack-courier/src/placement.rs
+++ b/crates/sandtrack-courier/src/placement.rs
@@ -11,6 +11,9 @@
 /// Shared parts of a prompt of this many tokens or more go where they are kept: fewer are read anew in less time than one
 /// request waits for another (ours).
 pub const KEPT_TOKENS: u64 = 1000;
+/// Upstreams of a service that a courier uses in each region, where there are more: enough for tiers, for a random pick and
+/// for the loss of some; 1,500 couriers are then in 8 x 1,500 / 400 = 30 circles an upstream of a region of 400 (ours).
+const CIRCLE: usize = 8;
 /// Beyond its slots an upstream queues so many times as many again before it is full (ours).
 const QUEUE: f64 = 0.5;
 /// Ways between regions that a request on a new connection takes, and the part of its aim that they may fill (ours).
@@ -60,19 +63,49 @@
             usable.iter().copied().filter(|place| self.upstreams.get(*place).run.is_healthy()).collect();
         // Where all look bad, the signs are more likely wrong than all of them dead.
         let usable = if healthy.is_empty() { usable } else { healthy };
-        let able: Vec<usize> = usable.iter().copied().filter(|place| self.may_start(now, *place)).collect();
-        let roomy: Vec<usize> = able.iter().copied().filter(|place| self.room(now, *place, 0.0)).collect();
-        let roomy = if roomy.is_empty() {
-            able.iter().copied().filter(|place| self.room(now, *place, QUEUE)).collect()
-        } else {
-            roomy
-        };
-        let Some(place) = self.draw(now, errand, &roomy) else { return Placed::Wait };
+        let keeps = errand.shared_tokens() >= KEPT_TOKENS;
+        let circle = if keeps { usable.clone() } else { self.circle(&usable) };
+        // Where the circle has no slot free all others are looked at, and only then what queues.
+        for (among, queue) in [(&circle, 0.0), (&usable, 0.0), (&usable, QUEUE)] {
+            if let Some(place) = self.place_among(now, errand, among, queue) {
+                return Placed::Send(place);
+            }
+        }
+        Placed::Wait
+    }
+
+    /// Of each region the upstreams that this courier uses, and probes: with many of them, few connections and probes for
+    /// each pair. Drawn by rendezvous hashing, so that each upstream is in as many circles as another, and when one goes
+    /// only its place is filled anew.
+    pub fn circle(&self, usable: &[usize]) -> Vec<usize> {
+        let mut ranked: Vec<usize> = usable.to_vec();
+        ranked.sort_unstable_by_key(|place| {
+            std::cmp::Reverse(mix(self.identity ^ self.upstreams.get(*place).hash))
+        });
+        let mut taken: Vec<(&str, usize)> = Vec::new();
+        let mut circle = Vec::new();
+        for place in ranked {
+            let region = self.upstreams.get(place).region.as_str();
+            match taken.iter_mut().find(|(name, _)| *name == region) {
+                Some((_, count)) if *count >= CIRCLE => continue,
+                Some((_, count)) => *count += 1,
+                None => taken.push((region, 1)),
+            }
+            circle.push(place);
+        }
+        circle.sort_unstable();
+        circle
+    }
+
+    fn place_among(&mut self, now: Millis, errand: &Errand, among: &[usize], queue: f64) -> Option<usize> {
+        let able: Vec<usize> = among.iter().copied().filter(|place| self.may_start(now, *place)).collect();
+        let roomy: Vec<usize> = able.into_iter().filter(|place| self.room(now, *place, queue)).collect();
+        let place = self.draw(now, errand, &roomy)?;
         let upstream = self.upstreams.get_mut(place);
         if upstream.is_cold(now) {
             upstream.cold_sends.note(now);
         }
-        Placed::Send(place)
+        Some(place)
     }
 
     /// It does not rest, and bears one more while cold.
@@ -101,7 +134,12 @@
     /// leaves most of its aim.
     fn near_enough(&self, errand: &Errand, place: usize) -> bool {
         let upstream = self.upstreams.get(place);
-        let way = upstream.average.get().map(|average| average * TRIPS);
+        // One that is not probed is as far as others of its region.
+        let alike = || {
+            let same = |other: &usize| self.upstreams.get(*other).region == upstream.region;
+            self.upstreams.listed().filter(same).find_map(|other| self.upstreams.get(other).average.get())
+        };
+        let way = upstream.average.get().or_else(alike).map(|average| average * TRIPS);
         upstream.region == self.region
             || way.is_some_and(|way| way <= errand.route.target_latency_ms * FAR_SHARE)
     }
--- a/crates/sandtrack-courier/src/pool.rs
+++ b/crates/sandtrack-courier/src/pool.rs
@@ -13,8 +13,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// An idle connection is used again within this time, in ms, unless its upstream names a shorter one (ours).
-const IDLE_MOST: Millis = 4000.0;
+/// An idle connection is used again within this time, in ms, unless its upstream names a shorter one (ours): longer than two
+/// probes are apart.
+const IDLE_MOST: Millis = 12_000.0;
 /// It is not used in the last part of the time that its upstream named, in ms: the close may be on its way.
 const IDLE_MARGIN: Millis = 700.0;
 /// Responses' heads may be this long, in bytes.
--- a/crates/sandtrack-courier/tests/placement.rs
+++ b/crates/sandtrack-courier/tests/placement.rs
@@ -171,3 +171,62 @@
     office.fold(0.0, ToCourier::Census { postmasters: Vec::new(), couriers: 39, rank: 0 });
     assert_eq!(office.connection_share(place(&office, "a0")), 9);
 }
+
+#[test]
+fn with_many_upstreams_a_courier_uses_and_probes_few_and_all_are_used_alike() {
+    let entries: Vec<_> = (0..120).map(|at| entry(&format!("a{at}"), "model", "a")).collect();
+    let mut uses: BTreeMap<String, usize> = BTreeMap::new();
+    for courier in 0..300 {
+        let settings = common::SETTINGS.replace("front-a-1", &format!("front-a-{courier}"));
+        let settings =
+            sandtrack_postmark::settings::Settings::parse(settings.into_bytes()).expect("good settings");
+        let mut office = sandtrack_courier::office::Office::new(&settings, courier);
+        let document = common::CONFIGURATION.to_owned();
+        office.fold(0.0, ToCourier::Configuration { number: 3, version: 7, document });
+        office.fold(
+            0.0,
+            ToCourier::Upstreams { whole: true, round: 1, entries: entries.clone(), gone: Vec::new() },
+        );
+        assert_eq!(office.probes_due(0.0).len(), 8);
+        let drawn = draws(&mut office, "/letters/1", 100);
+        assert!(drawn.len() <= 8, "{drawn:?}");
+        drawn.into_keys().for_each(|name| *uses.entry(name).or_default() += 1);
+    }
+    assert_eq!(uses.len(), 120);
+    assert!(uses.values().all(|count| (6..=40).contains(count)), "{uses:?}");
+}
+
+#[test]
+fn one_of_the_circle_that_fails_is_replaced_probed_on_and_comes_back() {
+    let entries: Vec<_> = (0..40).map(|at| entry(&format!("a{at}"), "model", "a")).collect();
+    let mut office = office(entries);
+    probe_all(&mut office, 0.0);
+    let before: BTreeSet<String> = draws(&mut office, "/letters/1", 200).into_keys().collect();
+    let lost = before.first().cloned().expect("some are used");
+    let place = office.upstreams.place(&lost).expect("it is listed");
+    for _ in 0..2 {
+        office.sent(place);
+        office.ended(10.0, place, Ended::Broken);
+    }
+    let after: BTreeSet<String> = draws(&mut office, "/letters/1", 200).into_keys().collect();
+    assert_eq!(before.difference(&after).collect::<Vec<_>>(), [&lost]);
+    assert_eq!(after.difference(&before).count(), 1);
+    assert!(office.probes_due(500.0).iter().any(|(probed, _, _)| *probed == place));
+    office.probed(501.0, place, Some(1.0));
+    let again: BTreeSet<String> = draws(&mut office, "/letters/1", 200).into_keys().collect();
+    assert!(again.contains(&lost));
+}
+
+#[test]
+fn a_circle_without_room_is_no_reason_to_refuse() {
+    let entries: Vec<_> = (0..20).map(|at| entry(&format!("a{at}"), "model", "a")).collect();
+    let mut office = office(entries);
+    probe_all(&mut office, 0.0);
+    let letter = errand(&office, "/letters/1", &[]);
+    // Twenty upstreams of four slots, half as many again queue.
+    for at in 0..120 {
+        let Placed::Send(place) = office.place(1000.0, &letter, &[]) else { panic!("no room after {at}") };
+        office.sent(place);
+    }
+    assert_eq!(office.place(1000.0, &letter, &[]), Placed::Wait);
+}
