--- a/crates/sandtrack-courier/src/placement.rs
+++ b/crates/sandtrack-courier/src/placement.rs
@@ -19,6 +19,8 @@
 /// Ways between regions that a request on a new connection takes, and the part of its aim that they may fill (ours).
 const TRIPS: f64 = 3.0;
 const FAR_SHARE: f64 = 0.4;
+/// Weight, as one that keeps long prompts, of an upstream in a region to which more routes are bound than to others (ours).
+const BOUND_WEIGHT: f64 = 0.35;
 /// Own requests at the one that keeps a prompt before the next one is looked at, beyond the mean.
 const HOME_SLACK: f64 = 2.0;
 
@@ -180,10 +182,17 @@
         let able = if near.is_empty() { able } else { &near };
         let bound = |place: usize| self.bound(&errand.service, &self.upstreams.get(place).region);
         let least = able.iter().map(|place| bound(*place)).min()?;
-        let mut keepers: Vec<usize> = able.iter().copied().filter(|place| bound(*place) == least).collect();
-        let mean = keepers.iter().map(|place| load(*place)).sum::<f64>() / keepers.len() as f64;
         let key = errand.shared_key();
-        keepers.sort_unstable_by_key(|place| std::cmp::Reverse(mix(key ^ self.upstreams.get(*place).hash)));
+        // Weighted rendezvous hashing: a share of the draws in proportion to the weight, and few move when one goes.
+        let weight = |place: usize| if bound(place) == least { 1.0 } else { BOUND_WEIGHT };
+        let rank = |place: usize| {
+            let draw = (mix(key ^ self.upstreams.get(place).hash) >> 11) as f64 / (1u64 << 53) as f64;
+            -(draw.max(f64::MIN_POSITIVE)).ln() / weight(place)
+        };
+        let mut keepers: Vec<(f64, usize)> = able.iter().map(|place| (rank(*place), *place)).collect();
+        keepers.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+        let keepers: Vec<usize> = keepers.into_iter().map(|(_, place)| place).collect();
+        let mean = keepers.iter().map(|place| load(*place)).sum::<f64>() / keepers.len() as f64;
         let keeper = keepers.iter().position(|place| load(*place) <= mean * 1.5 + HOME_SLACK).unwrap_or(0);
         keepers.get(keeper).copied()
     }
