Worlds in which few calls are changes

Cause: a guard taken out as a trial (the head answers reads alone) was found by no world: a side that is cut off always held an unfinished change, and so answered nothing anyway.

--- a/crates/sandtrack-relay/tests/troubled.rs
+++ b/crates/sandtrack-relay/tests/troubled.rs
@@ -19,7 +19,9 @@
     }
     world.start_all(true);
     world.run(2000.0);
+    // In some worlds few calls are changes, so that a side that is cut off holds nothing unfinished.
     let mut troubles = Troubles::default();
+    troubles.writes = [0.5, 0.5, 0.05][(seed / 3 % 3) as usize];
     troubles.play(&mut world, 25_000.0);
     troubles.end_all(&mut world);
     for index in 0..world.nodes.len() {
--- a/crates/sandtrack-relay/tests/world/faults.rs
+++ b/crates/sandtrack-relay/tests/world/faults.rs
@@ -19,6 +19,8 @@
 #[derive(Default)]
 pub struct Troubles {
     undo: Vec<(Time, Undo)>,
+    /// The share of calls that are changes.
+    pub writes: f64,
 }
 
 impl Troubles {
@@ -45,7 +47,7 @@
             let running = world.running();
             if !running.is_empty() {
                 let node = running[world.random.gen_range(0..running.len())];
-                if world.random.gen_bool(0.5) {
+                if world.random.gen_bool(self.writes) {
                     let base = world.newest().version;
                     world.submit(node, base);
                 } else {
