Hundreds of couriers at once: a hello costs its own session, the queue is longer

Cause: a trial with a herd on loopback: each hello went over all sessions and counted all members; of 1,000 connections at once those beyond 128 came again after 1 s. Ruled out: a thread for accepting: the loop is idle while they wait. Tested: postmaster's tests, all passed, transcripts unchanged.

--- a/crates/sandtrack-postmaster/src/postmaster.rs
+++ b/crates/sandtrack-postmaster/src/postmaster.rs
@@ -438,8 +438,7 @@
     }
 
     fn session_frame(&mut self, now: Millis, session: u64, frame: ToPostmaster, out: &mut Vec<Effect>) {
-        let info = self.sessions.heard(now, session).cloned();
-        match (info, frame) {
+        match (self.sessions.heard(now, session), frame) {
             (_, ToPostmaster::Hello { format, info, state }) => {
                 let mut orders = Vec::new();
                 if format != frames::FORMAT || self.leaving.is_some() {
@@ -453,7 +452,7 @@
                 }
                 out.extend(orders.into_iter().map(Effect::Session));
             }
-            (Some(info), ToPostmaster::State(state)) => self.roll.set(Member { info, state }),
+            (Some(info), ToPostmaster::State(state)) => self.roll.state(info, state),
             (Some(_), ToPostmaster::WantConfiguration) => self.sessions.want_configuration(session),
             (None, _) => {}
         }
@@ -607,19 +606,19 @@
         if std::mem::replace(&mut self.told, ends) != ends {
             self.tell_peers(now, out);
         }
-        if !self.sessions.is_due(now, self.relay.machine(), &self.upstreams, &self.roll) {
-            return;
-        }
-        let attached = self.is_attached(now);
-        let others: Vec<&Hello> =
-            self.peers.all().filter(|(_, linked, _)| *linked).filter_map(|(_, _, hello)| hello).collect();
-        let news = News {
+        let mut news = News {
             book: self.relay.machine(),
             upstreams: &self.upstreams,
             roll: &self.roll,
-            attached,
+            attached: false,
             settled: self.settled,
         };
+        if !self.sessions.is_due(now, &news) {
+            return;
+        }
+        news.attached = self.is_attached(now);
+        let others: Vec<&Hello> =
+            self.peers.all().filter(|(_, linked, _)| *linked).filter_map(|(_, _, hello)| hello).collect();
         let mut orders = Vec::new();
         self.sessions.tell(now, &self.peers.me, &others, &news, &mut orders);
         out.extend(orders.into_iter().map(Effect::Session));
--- a/crates/sandtrack-postmaster/src/program.rs
+++ b/crates/sandtrack-postmaster/src/program.rs
@@ -38,6 +38,8 @@
 const IDLE: Duration = Duration::from_secs(30);
 /// Opening a link may take this long.
 const DIAL_PATIENCE: Duration = Duration::from_millis(900);
+/// So many new connections may wait to be accepted.
+const BACKLOG: i32 = 1024;
 /// How often it is looked whether the settings file has changed.
 const SETTINGS_EVERY: Duration = Duration::from_secs(2);
 
@@ -143,7 +145,12 @@
     let parsed: SocketAddr = address
         .parse()
         .map_err(|error| wrong(std::io::Error::new(std::io::ErrorKind::InvalidInput, error)))?;
-    Async::<TcpListener>::bind(parsed).map_err(wrong)
+    let listener = Async::<TcpListener>::bind(parsed).map_err(wrong)?;
+    // The library's own is short: where hundreds come at once, the rest would come again only after a second.
+    if let Err(error) = rustix::net::listen(&listener, BACKLOG) {
+        log::debug!("a queue of new connections stays short: {error}");
+    }
+    Ok(listener)
 }
 
 /// What tasks and the loop share.
--- a/crates/sandtrack-postmaster/src/roll.rs
+++ b/crates/sandtrack-postmaster/src/roll.rs
@@ -91,6 +91,21 @@
         }
     }
 
+    /// The courier of an own session tells its state.
+    pub fn state(&mut self, info: &CourierInfo, state: CourierState) {
+        match self.own.get_mut(&info.node_name) {
+            Some(member) if member.info == *info => {
+                let marks = |state: &CourierState| (state.ready, state.leaving, state.version);
+                let changed = marks(&member.state) != marks(&state);
+                member.state = state;
+                if changed {
+                    self.journal.append(info.node_name.clone());
+                }
+            }
+            _ => self.set(Member { info: info.clone(), state }),
+        }
+    }
+
     /// An own session is over.
     pub fn gone(&mut self, name: &str) {
         if self.own.remove(name).is_some() {
--- a/crates/sandtrack-postmaster/src/sessions.rs
+++ b/crates/sandtrack-postmaster/src/sessions.rs
@@ -6,7 +6,7 @@
 use crate::upstreams::{Excerpt, Upstreams};
 use crate::Millis;
 use sandtrack_postmark::frames::{self, CourierInfo, ToCourier};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 /// Bytes of frames, shared by all that get the same.
@@ -41,6 +41,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Sessions {
     sessions: BTreeMap<u64, Session>,
+    /// The session of each courier, by name.
+    names: BTreeMap<String, u64>,
+    /// Those that want more than what is new to all.
+    fresh: BTreeSet<u64>,
     next_session: u64,
     next_beat: Millis,
     next_census: Millis,
@@ -81,32 +85,34 @@
 
     /// A courier says who it is: it takes the place of an earlier session of the same name, which is closed.
     pub fn hello(&mut self, session: u64, info: CourierInfo, orders: &mut Vec<SessionOrder>) {
-        let same = |(number, known): (&u64, &Session)| {
-            let name = known.info.as_ref().map(|info| info.node_name.as_str());
-            (*number != session && name == Some(info.node_name.as_str())).then_some(*number)
-        };
-        let before: Vec<u64> = self.sessions.iter().filter_map(same).collect();
-        for before in before {
-            self.sessions.remove(&before);
-            orders.push(SessionOrder::Close { session: before });
+        if let Some(before) = self.names.insert(info.node_name.clone(), session) {
+            if before != session && self.sessions.remove(&before).is_some() {
+                orders.push(SessionOrder::Close { session: before });
+            }
         }
-        if let Some(session) = self.sessions.get_mut(&session) {
-            session.info = Some(info);
-            self.told = (u64::MAX, 0, 0, 0);
+        if let Some(known) = self.sessions.get_mut(&session) {
+            known.info = Some(info);
+            self.fresh.insert(session);
+            self.census_round = u64::MAX;
         }
     }
 
     /// It wants the whole configuration.
     pub fn want_configuration(&mut self, session: u64) {
-        if let Some(session) = self.sessions.get_mut(&session) {
-            session.configuration = None;
-            self.told = (u64::MAX, 0, 0, 0);
+        if let Some(known) = self.sessions.get_mut(&session) {
+            known.configuration = None;
+            self.fresh.insert(session);
         }
     }
 
     /// The socket is gone; whose it was, where that is a member by this session.
     pub fn closed(&mut self, session: u64) -> Option<CourierInfo> {
-        self.sessions.remove(&session)?.info
+        self.fresh.remove(&session);
+        let info = self.sessions.remove(&session)?.info?;
+        if self.names.get(&info.node_name) == Some(&session) {
+            self.names.remove(&info.node_name);
+        }
+        Some(info)
     }
 
     /// This process did not run for a while: what couriers said meanwhile is still to be read.
@@ -153,15 +159,17 @@
     pub fn close_all(&mut self, orders: &mut Vec<SessionOrder>) {
         orders.extend(self.sessions.keys().map(|session| SessionOrder::Close { session: *session }));
         self.sessions.clear();
+        self.names.clear();
     }
 
-    fn census_due(&self, now: Millis, roll: &Roll) -> bool {
-        now >= self.next_census && self.census_round != roll.round()
+    fn census_due(&self, now: Millis, roll: &Roll, settled: bool) -> bool {
+        settled && now >= self.next_census && self.census_round != roll.round()
     }
 
     /// Whether there is anything to tell.
-    pub fn is_due(&self, now: Millis, book: &Book, upstreams: &Upstreams, roll: &Roll) -> bool {
-        state(book, upstreams) != self.told || self.census_due(now, roll)
+    pub fn is_due(&self, now: Millis, news: &News<'_>) -> bool {
+        let new = !self.fresh.is_empty() || state(news.book, news.upstreams) != self.told;
+        new || self.census_due(now, news.roll, news.settled)
     }
 
     /// Brings each session up to what is committed and known.
@@ -170,14 +178,20 @@
         orders: &mut Vec<SessionOrder>,
     ) {
         let state = state(news.book, news.upstreams);
-        let census = self.census_due(now, news.roll);
-        let new = self.told.0 == u64::MAX;
-        self.told = state;
+        let census = self.census_due(now, news.roll, news.settled);
+        if state != self.told {
+            self.fresh = self.sessions.keys().copied().collect();
+            self.told = state;
+        }
+        let fresh = std::mem::take(&mut self.fresh);
         let mut lists: BTreeMap<Option<u64>, Bytes> = BTreeMap::new();
         let mut changes: BTreeMap<u64, Option<Bytes>> = BTreeMap::new();
         let Sessions { sessions, whole, .. } = self;
         let mut evacuated: Option<Bytes> = None;
-        for (number, session) in sessions.iter_mut().filter(|(_, session)| session.info.is_some()) {
+        for number in &fresh {
+            let Some(session) = sessions.get_mut(number).filter(|session| session.info.is_some()) else {
+                continue;
+            };
             let mut send = |bytes: Bytes| orders.push(SessionOrder::Send { session: *number, bytes });
             if !session.welcomed {
                 session.welcomed = true;
@@ -218,14 +232,14 @@
             }
         }
         // Nobody is told of a share in what holds over all before all are known.
-        if news.settled && (census || new) {
-            self.census(now, me, others, news, census, orders);
+        if census {
+            self.census(now, me, others, news, orders);
         }
     }
 
-    /// Tells who is there: all, or only those that were never told.
+    /// Tells who is there to those for whom that has changed.
     fn census(
-        &mut self, now: Millis, me: &Hello, others: &[&Hello], news: &News<'_>, all: bool,
+        &mut self, now: Millis, me: &Hello, others: &[&Hello], news: &News<'_>,
         orders: &mut Vec<SessionOrder>,
     ) {
         let members = news.roll.members();
@@ -235,9 +249,7 @@
         // Cut off from the others, it does not hear of members that are there all the same: their shares stay theirs.
         self.couriers = if news.attached { count } else { self.couriers.max(count) };
         for (number, session) in &mut self.sessions {
-            let Some(info) = session.info.as_ref().filter(|_| all || session.census.is_none()) else {
-                continue;
-            };
+            let Some(info) = session.info.as_ref() else { continue };
             let rank = ranks.get(info.node_name.as_str()).copied().unwrap_or(0);
             let postmasters = nearest(info, rank, me, others);
             let frame = ToCourier::Census { postmasters, couriers: self.couriers, rank };
@@ -246,9 +258,7 @@
                 session.census = Some(frame);
             }
         }
-        if all {
-            (self.census_round, self.next_census) = (news.roll.round(), now + CENSUS_MS);
-        }
+        (self.census_round, self.next_census) = (news.roll.round(), now + CENSUS_MS);
     }
 
     /// Who is there changed in another way than by sessions.
