hollow: one process holds N courier sessions to real postmasters

Cause: no figure of a postmaster or courier was known at the users' size; 1,500 real couriers don't fit on one machine.

--- /dev/null
+++ b/crates/sandtrack-hollow/src/lib.rs
@@ -0,0 +1,22 @@
+//! Hollow processes: one process that stands for many couriers, the platform's list, upstreams and an operator, so that a
+//! real postmaster or courier is measured at sizes that one machine can't hold in real ones. Loopback only; every run is
+//! bounded in time and count. `skim`, `document`, `listing` and `slope` are pure.
+pub mod control;
+pub mod courier;
+pub mod document;
+pub mod http;
+pub mod listing;
+pub mod process;
+pub mod program;
+pub mod sessions;
+pub mod skim;
+pub mod slope;
+
+/// Why a run is not one.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    #[error("{0}")]
+    System(#[from] std::io::Error),
+    #[error("{0}")]
+    Run(String),
+}
--- /dev/null
+++ b/crates/sandtrack-hollow/src/program.rs
@@ -0,0 +1,174 @@
+//! The command line: what is measured, and the line of figures that a run leaves.
+use crate::{control, courier, Fault};
+use async_executor::LocalExecutor;
+use bpaf::{construct, long, OptionParser, Parser};
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// No run takes longer than this, whatever happens.
+const MOST: Duration = Duration::from_secs(420);
+/// More than these are refused: other work runs on the machine as well.
+const PROCESSES_MOST: usize = 100;
+const COURIERS_MOST: usize = 4000;
+
+#[derive(Clone, Debug)]
+enum Verb {
+    Control(control::Plan),
+    Courier(courier::Plan),
+}
+
+#[derive(Clone, Debug)]
+struct Cli {
+    out: Option<PathBuf>,
+    why: String,
+    verb: Verb,
+}
+
+fn number(name: &'static str, help: &'static str, fallback: usize) -> impl Parser<usize> {
+    long(name).help(help).argument::<usize>("N").fallback(fallback)
+}
+
+fn seconds() -> impl Parser<f64> {
+    long("seconds")
+        .help("How long the calm stretch is")
+        .argument::<f64>("S")
+        .fallback(20.0)
+        .guard(|seconds| (1.0..=120.0).contains(seconds), "1 to 120 seconds")
+}
+
+fn control_plan() -> impl Parser<Verb> {
+    let postmaster = long("postmaster")
+        .help("The program")
+        .argument::<PathBuf>("PATH")
+        .fallback(PathBuf::from("target/release/postmaster"));
+    let postmasters = number("postmasters", "Real postmasters, one a zone", 3)
+        .guard(|count| (1..=PROCESSES_MOST).contains(count), "1 to 100 processes");
+    let couriers =
+        number("couriers", "Hollow couriers", 12).guard(|count| *count <= COURIERS_MOST, "4000 at most");
+    let upstreams = number("upstreams", "Upstreams in the list", 14);
+    let tenants = number("tenants", "Items of the configuration besides routes and services", 0);
+    let seconds = seconds();
+    let changes = number("changes", "Changes of one item, a second apart", 10);
+    let marks = number("marks", "Upstreams marked as draining, one after the other", 3);
+    let rate = long("rate").help("Calls a second that the list takes").argument::<f64>("R").fallback(47.0);
+    let page = number("page", "Upstreams on a page of the list", 50);
+    let kill = long("kill").help("Kill the postmaster with most sessions at the end").switch();
+    construct!(control::Plan {
+        postmaster,
+        postmasters,
+        couriers,
+        upstreams,
+        tenants,
+        seconds,
+        changes,
+        marks,
+        rate,
+        page,
+        kill
+    })
+    .map(Verb::Control)
+}
+
+fn courier_plan() -> impl Parser<Verb> {
+    let courier = long("courier")
+        .help("The program")
+        .argument::<PathBuf>("PATH")
+        .fallback(PathBuf::from("target/release/courier"));
+    let upstreams = number("upstreams", "Upstreams in the list", 14);
+    let tenants = number("tenants", "Items of the configuration besides routes and services", 0);
+    let zones = number("zones", "Zones", 41);
+    let seconds = seconds();
+    let changes = number("changes", "Changes of one item, a second apart", 5);
+    construct!(courier::Plan { courier, upstreams, tenants, zones, seconds, changes }).map(Verb::Courier)
+}
+
+fn cli() -> OptionParser<Cli> {
+    let out =
+        long("out").help("Append the line of figures to this file").argument::<PathBuf>("FILE").optional();
+    let why = long("why").help("What the run is for").argument::<String>("TEXT").fallback(String::new());
+    let control =
+        control_plan().to_options().descr("Real postmasters with hollow couriers").command("control");
+    let courier =
+        courier_plan().to_options().descr("One real courier with stand-ins around it").command("courier");
+    let verb = construct!([control, courier]);
+    construct!(Cli { out, why, verb })
+        .to_options()
+        .descr("Measures processes of the system at a size, on loopback")
+}
+
+/// The machine's load over a minute: figures of a busy machine are told as such.
+fn load() -> f64 {
+    let text = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    text.split(' ').next().and_then(|load| load.parse().ok()).unwrap_or(-1.0)
+}
+
+/// The line that a run leaves.
+fn line(cli: &Cli, load: f64, figures: &BTreeMap<String, f64>) -> String {
+    let (kind, sizes) = match &cli.verb {
+        Verb::Control(plan) => (
+            "control",
+            format!(
+                "\"postmasters\":{},\"couriers\":{},\"upstreams\":{},\"tenants\":{},\"rate\":{},\"page\":{}",
+                plan.postmasters, plan.couriers, plan.upstreams, plan.tenants, plan.rate, plan.page
+            ),
+        ),
+        Verb::Courier(plan) => {
+            ("courier", format!("\"upstreams\":{},\"tenants\":{}", plan.upstreams, plan.tenants))
+        }
+    };
+    let figures: Vec<String> = figures.iter().map(|(name, figure)| format!("\"{name}\":{figure}")).collect();
+    let why = cli.why.replace(['"', '\\'], "'");
+    format!(
+        "{{\"kind\":\"{kind}\",\"why\":\"{why}\",\"load_before\":{load},{sizes},\"figures\":{{{}}}}}",
+        figures.join(",")
+    )
+}
+
+fn play(cli: &Cli, folder: &Path) -> Result<String, Fault> {
+    let executor = Rc::new(LocalExecutor::new());
+    let load = load();
+    let here = executor.clone();
+    let run = async move {
+        match &cli.verb {
+            Verb::Control(plan) => control::run(plan, here, folder).await,
+            Verb::Courier(plan) => courier::run(plan, here, folder).await,
+        }
+    };
+    let late = async {
+        async_io::Timer::after(MOST).await;
+        Err(Fault::Run("the run took too long and was ended".to_owned()))
+    };
+    let figures = async_io::block_on(executor.run(futures_lite::future::or(run, late)))?;
+    Ok(line(cli, load, &figures))
+}
+
+/// The program.
+pub fn main() -> ExitCode {
+    let cli = cli().run();
+    let folder = std::env::temp_dir().join(format!("hollow-{}", std::process::id()));
+    let played = std::fs::create_dir_all(&folder).map_err(Fault::from).and_then(|()| play(&cli, &folder));
+    let keep = std::env::var_os("HOLLOW_KEEP").is_some();
+    if !keep {
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+    let line = match played {
+        Ok(line) => line,
+        Err(fault) => {
+            eprintln!("hollow: {fault}");
+            return ExitCode::FAILURE;
+        }
+    };
+    println!("{line}");
+    let file = cli.out.map(|out| std::fs::OpenOptions::new().create(true).append(true).open(out));
+    match file.transpose().and_then(|file| file.map(|mut file| writeln!(file, "{line}")).transpose()) {
+        Ok(_) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("hollow: the line was not kept: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
