--- a/crates/sandtrack-hollow/src/courier.rs
+++ b/crates/sandtrack-hollow/src/courier.rs
@@ -40,6 +40,8 @@
     ready: Cell<bool>,
     told: Cell<u64>,
     sessions: Cell<u64>,
+    /// Bytes of health questions and answers.
+    probe_bytes: Cell<u64>,
 }
 
 fn bind(address: &str) -> Result<Async<TcpListener>, Fault> {
@@ -88,7 +90,7 @@
     }
     note("ready_s", f64::from(waited) * 0.02);
     Timer::after(Duration::from_secs(8)).await;
-    let moment = || (courier.used(), counts.probes.get(), counts.connections.get());
+    let moment = || (courier.used(), counts.probes.get(), counts.connections.get(), counts.probe_bytes.get());
     let before = moment();
     Timer::after(Duration::from_secs_f64(plan.seconds)).await;
     let after = moment();
@@ -99,6 +101,7 @@
     note("descriptors", after.0.descriptors as f64);
     note("probes_s", (after.1 - before.1) as f64 / plan.seconds);
     note("connections_s", (after.2 - before.2) as f64 / plan.seconds);
+    note("probe_bytes_s", (after.3 - before.3) as f64 / plan.seconds);
     note("connections_open", counts.open.get() as f64);
     note("sessions", counts.sessions.get() as f64);
     note("told_bytes", counts.told.get() as f64);
@@ -180,10 +183,12 @@
             let answer = async move {
                 let _ = stream.get_ref().set_nodelay(true);
                 let mut held = Vec::new();
-                while let Ok(Some(_)) = http::read(&mut stream, &mut held).await {
+                while let Ok(Some((length, _, _))) = http::read_sized(&mut stream, &mut held).await {
                     counts.probes.set(counts.probes.get() + 1);
                     let headers = [("Server-Load", "0,0,64")].into_iter();
-                    if stream.write_all(&message::response(200, headers, b"", false)).await.is_err() {
+                    let answer = message::response(200, headers, b"", false);
+                    counts.probe_bytes.set(counts.probe_bytes.get() + (length + answer.len()) as u64);
+                    if stream.write_all(&answer).await.is_err() {
                         break;
                     }
                 }
--- a/crates/sandtrack-hollow/src/http.rs
+++ b/crates/sandtrack-hollow/src/http.rs
@@ -13,6 +13,16 @@
 pub async fn read(
     stream: &mut Async<TcpStream>, held: &mut Vec<u8>,
 ) -> io::Result<Option<(String, Vec<u8>)>> {
+    Ok(read_sized(stream, held).await?.map(|(_, line, body)| (line, body)))
+}
+
+/// The same, with its length on the wire.
+///
+/// # Errors
+/// As there.
+pub async fn read_sized(
+    stream: &mut Async<TcpStream>, held: &mut Vec<u8>,
+) -> io::Result<Option<(usize, String, Vec<u8>)>> {
     let mut piece = [0; 16 * 1024];
     loop {
         if let Some(end) = held.windows(4).position(|four| four == b"\r\n\r\n") {
@@ -28,7 +38,8 @@
             }
             let body = held[end + 4..end + 4 + length].to_vec();
             held.drain(..end + 4 + length);
-            return Ok(Some((head.lines().next().unwrap_or_default().to_owned(), body)));
+            let line = head.lines().next().unwrap_or_default().to_owned();
+            return Ok(Some((end + 4 + length, line, body)));
         }
         match stream.read(&mut piece).await? {
             0 => return Ok(None),
--- a/crates/sandtrack-hollow/src/program.rs
+++ b/crates/sandtrack-hollow/src/program.rs
@@ -1,5 +1,5 @@
 //! The command line: what is measured, and the line of figures that a run leaves.
-use crate::{control, courier, Fault};
+use crate::{control, courier, slope, Fault};
 use async_executor::LocalExecutor;
 use bpaf::{construct, long, OptionParser, Parser};
 use std::collections::BTreeMap;
@@ -19,6 +19,17 @@
 enum Verb {
     Control(control::Plan),
     Courier(courier::Plan),
+    Line(Ask),
+}
+
+/// A line through figures that runs left.
+#[derive(Clone, Debug)]
+struct Ask {
+    from: PathBuf,
+    runs: String,
+    by: String,
+    figure: String,
+    at: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -86,6 +97,28 @@
     construct!(courier::Plan { courier, upstreams, tenants, zones, seconds, changes }).map(Verb::Courier)
 }
 
+fn ask() -> impl Parser<Verb> {
+    let from = long("from").help("The file of lines").argument::<PathBuf>("FILE");
+    let runs = long("runs").help("What the runs were for, as they say").argument::<String>("TEXT");
+    let by =
+        long("by").help("The size: couriers, upstreams, tenants, postmasters").argument::<String>("SIZE");
+    let figure = long("figure").help("The figure").argument::<String>("NAME");
+    let at = long("at").help("The size to go on to").argument::<f64>("N");
+    construct!(Ask { from, runs, by, figure, at }).map(Verb::Line)
+}
+
+/// The line through what was measured, with the standard error of its slope, and where it ends up.
+fn drawn(ask: &Ask) -> Result<String, Fault> {
+    let points = slope::points(&std::fs::read_to_string(&ask.from)?, &ask.runs, &ask.by, &ask.figure);
+    let line = slope::Line::through(&points);
+    let line = line.ok_or_else(|| Fault::Run("fewer than three sizes: no slope".to_owned()))?;
+    let Ask { by, figure, at, .. } = ask;
+    let (base, slope, error, end) = (line.base, line.slope, line.slope_error, line.at(*at));
+    Ok(format!(
+        "{figure} = {base:.6} + {slope:.3e} (+- {error:.1e}) x {by}: {end:.6} at {at}; points {points:?}"
+    ))
+}
+
 fn cli() -> OptionParser<Cli> {
     let out =
         long("out").help("Append the line of figures to this file").argument::<PathBuf>("FILE").optional();
@@ -94,7 +127,8 @@
         control_plan().to_options().descr("Real postmasters with hollow couriers").command("control");
     let courier =
         courier_plan().to_options().descr("One real courier with stand-ins around it").command("courier");
-    let verb = construct!([control, courier]);
+    let line = ask().to_options().descr("A line through the figures of runs").command("line");
+    let verb = construct!([control, courier, line]);
     construct!(Cli { out, why, verb })
         .to_options()
         .descr("Measures processes of the system at a size, on loopback")
@@ -119,6 +153,7 @@
         Verb::Courier(plan) => {
             ("courier", format!("\"upstreams\":{},\"tenants\":{}", plan.upstreams, plan.tenants))
         }
+        Verb::Line(_) => ("line", String::new()),
     };
     let figures: Vec<String> = figures.iter().map(|(name, figure)| format!("\"{name}\":{figure}")).collect();
     let why = cli.why.replace(['"', '\\'], "'");
@@ -136,6 +171,7 @@
         match &cli.verb {
             Verb::Control(plan) => control::run(plan, here, folder).await,
             Verb::Courier(plan) => courier::run(plan, here, folder).await,
+            Verb::Line(_) => Ok(BTreeMap::new()),
         }
     };
     let late = async {
@@ -149,6 +185,18 @@
 /// The program.
 pub fn main() -> ExitCode {
     let cli = cli().run();
+    if let Verb::Line(ask) = &cli.verb {
+        return match drawn(ask) {
+            Ok(line) => {
+                println!("{line}");
+                ExitCode::SUCCESS
+            }
+            Err(fault) => {
+                eprintln!("hollow: {fault}");
+                ExitCode::FAILURE
+            }
+        };
+    }
     let folder = std::env::temp_dir().join(format!("hollow-{}", std::process::id()));
     let played = std::fs::create_dir_all(&folder).map_err(Fault::from).and_then(|()| play(&cli, &folder));
     let keep = std::env::var_os("HOLLOW_KEEP").is_some();
--- a/crates/sandtrack-hollow/src/slope.rs
+++ b/crates/sandtrack-hollow/src/slope.rs
@@ -1,4 +1,5 @@
 //! Figures of a run: parts of a sample, and a line through what was measured at several sizes. Pure.
+use simd_json::prelude::*;
 
 /// The value that `part` (0 to 1) of the sample do not pass: nearest rank.
 pub fn quantile(sample: &[f64], part: f64) -> Option<f64> {
@@ -36,3 +37,15 @@
         self.base + self.slope * size
     }
 }
+
+/// The figures of run lines of one kind: (size, figure), where `why` is theirs.
+pub fn points(lines: &str, why: &str, by: &str, figure: &str) -> Vec<(f64, f64)> {
+    let point = |line: &str| {
+        let value = simd_json::to_owned_value(&mut line.as_bytes().to_vec()).ok()?;
+        let named = value.get_str("why") == Some(why);
+        let size = value.get(by).and_then(ValueAsScalar::cast_f64)?;
+        let figure = value.get("figures")?.get(figure).and_then(ValueAsScalar::cast_f64)?;
+        named.then_some((size, figure))
+    };
+    lines.lines().filter_map(point).collect()
+}
--- a/crates/sandtrack-hollow/tests/pure.rs
+++ b/crates/sandtrack-hollow/tests/pure.rs
@@ -3,7 +3,7 @@
 use sandtrack_hollow::document;
 use sandtrack_hollow::listing::{Bucket, Listing};
 use sandtrack_hollow::skim::{NoFrame, Skimmer, Told, KEPT};
-use sandtrack_hollow::slope::{quantile, Line};
+use sandtrack_hollow::slope::{points, quantile, Line};
 use sandtrack_postmark::configuration::Configuration;
 use sandtrack_postmark::document::{Document, Update};
 use sandtrack_postmark::frames::{frame, ItemChange, ToCourier};
@@ -124,3 +124,12 @@
     assert_eq!(quantile(&sample, 0.0), Some(1.0));
     assert_eq!(quantile(&[], 0.5), None);
 }
+
+#[test]
+fn points_are_of_the_runs_that_were_made_for_one_thing() {
+    let lines = "{\"why\":\"a\",\"couriers\":12,\"figures\":{\"x\":1.5}}\nnot a line\n\
+                 {\"why\":\"b\",\"couriers\":13,\"figures\":{\"x\":2}}\n\
+                 {\"why\":\"a\",\"couriers\":14,\"figures\":{}}\n{\"why\":\"a\",\"couriers\":15,\"figures\":{\"x\":3}}";
+    assert_eq!(points(lines, "a", "couriers", "x"), [(12.0, 1.5), (15.0, 3.0)]);
+    assert_eq!(points(lines, "c", "couriers", "x"), []);
+}
