hollow: a run that is told to end ends the processes that it started

Cause: SIGTERM ended hollow alone, its postmasters went on. Ruled out: a process group, which would take the caller's too.

--- a/crates/sandtrack-hollow/src/program.rs
+++ b/crates/sandtrack-hollow/src/program.rs
@@ -1,7 +1,9 @@
 //! The command line: what is measured, and the line of figures that a run leaves.
 use crate::{control, courier, slope, Fault};
 use async_executor::LocalExecutor;
+use async_signal::{Signal, Signals};
 use bpaf::{construct, long, OptionParser, Parser};
+use futures_lite::{future, StreamExt};
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::path::{Path, PathBuf};
@@ -178,7 +180,14 @@
         async_io::Timer::after(MOST).await;
         Err(Fault::Run("the run took too long and was ended".to_owned()))
     };
-    let figures = async_io::block_on(executor.run(futures_lite::future::or(run, late)))?;
+    // A run that is ended ends what it started: the processes go with what holds them.
+    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+    let told = async {
+        signals.next().await;
+        Err(Fault::Run("the run was told to end".to_owned()))
+    };
+    let run = future::or(told, future::or(run, late));
+    let figures = async_io::block_on(executor.run(run))?;
     Ok(line(cli, load, &figures))
 }
 
