--- a/crates/sandtrack-relay/src/agreement.rs
+++ b/crates/sandtrack-relay/src/agreement.rs
@@ -91,7 +91,7 @@
         // What may have been agreed upon already has to stay.
         let bound = proposal.promises.values().flatten().max_by(|one, other| one.0.cmp(&other.0));
         let bound = bound.map(|(_, view)| view.clone());
-        let Some(view) = bound.or_else(|| self.desired_view().map(|(view, _)| view)) else {
+        let Some(view) = bound.or_else(|| self.desired_view(&self.known()).map(|(view, _)| view)) else {
             self.proposing.proposal = None;
             return;
         };
@@ -157,7 +157,11 @@
             }
             return;
         }
-        let Some((view, reason)) = self.desired_view() else {
+        // A view that some voter accepted has to be brought to its end while all are there: left alone, it could
+        // come back when the members that it builds on are gone.
+        let unfinished = self.image.accepted.clone().map(|(_, view)| (view, Reason::Unfinished));
+        let known = self.known();
+        let Some((view, reason)) = self.desired_view(&known).or(unfinished) else {
             self.proposing.wanted = None;
             return;
         };
@@ -175,11 +179,12 @@
             Reason::Lost => 0.0,
             Reason::Joined => JOIN_WAIT,
             Reason::Apart => self.settings.timings.silence,
+            Reason::Unfinished => self.settings.timings.proposal / 2.0,
         };
-        let stagger = (self.rank() as f64 + jitter) * self.settings.timings.stagger;
+        let stagger = (self.rank(&known) as f64 + jitter) * self.settings.timings.stagger;
         if self.now >= self.proposing.quiet_until
             && self.now - since >= wait + stagger
-            && self.majority_near()
+            && self.majority_near(&known)
         {
             self.propose(effects);
         }
@@ -229,8 +234,7 @@
     }
 
     /// The place of this process among the voters that may propose: the chain first, then the rest.
-    fn rank(&self) -> usize {
-        let known = self.known();
+    fn rank(&self, known: &BTreeMap<Address, Known>) -> usize {
         let alive = |member: &&Member| known.get(&member.address).is_some_and(|known| known.is_alive(member));
         let view = &self.image.view;
         let rest = view.voters.iter().filter(|voter| !view.chain.contains(voter));
@@ -240,21 +244,20 @@
     }
 
     /// Whether a majority of the voters is heard, hears this process, and can write.
-    fn majority_near(&self) -> bool {
-        let known = self.known();
+    fn majority_near(&self, known: &BTreeMap<Address, Known>) -> bool {
         let near = self.image.view.voters.iter().filter(|voter| {
             known.get(&voter.address).is_some_and(|known| known.is_alive(voter) && known.disk_works())
         });
         near.count() >= self.image.view.majority()
     }
 
-    fn desired_view(&self) -> Option<(View, Reason)> {
+    fn desired_view(&self, known: &BTreeMap<Address, Known>) -> Option<(View, Reason)> {
         let limits = Limits {
             machines_borne: self.settings.machines_borne,
             zones_borne: self.settings.zones_borne,
             replace: self.settings.timings.replace,
         };
-        desired(&self.image.view, &self.me, &self.known(), &limits)
+        desired(&self.image.view, &self.me, known, &limits)
     }
 
     /// What is known of each process that matters for the next view, this one too.
@@ -277,7 +280,7 @@
                 disk: status.disk,
                 epoch: peer.epoch,
                 aligned: status.aligned,
-                committed: status.committed,
+                applied: status.applied,
                 hears: status.hears.clone(),
                 alive: heard <= silence && two_way <= patience,
                 silent: two_way.min(self.now - self.awake_since) > silence,
@@ -292,7 +295,7 @@
             disk: me.disk,
             epoch: self.image.view.epoch,
             aligned: me.aligned,
-            committed: me.committed,
+            applied: me.applied,
             hears: me.hears,
             alive: true,
             silent: false,
--- a/crates/sandtrack-relay/src/brief.rs
+++ b/crates/sandtrack-relay/src/brief.rs
@@ -88,12 +88,13 @@
 
 impl Display for Status {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        write!(f, "aligned {} synced {} committed {}", self.aligned, self.synced, self.committed)?;
+        write!(f, "aligned {} synced {} applied {}", self.aligned, self.synced, self.applied)?;
         match self.disk {
             DiskHealth::Well => {}
             DiskHealth::Stalled => write!(f, ", disk stalled")?,
             DiskHealth::Full => write!(f, ", disk full")?,
             DiskHealth::Absent => write!(f, ", no disk")?,
+            DiskHealth::Leaving => write!(f, ", leaving")?,
         }
         write!(f, ", hears [{}]", self.hears.join(" "))?;
         match &self.source {
--- a/crates/sandtrack-relay/tests/world/faults.rs
+++ b/crates/sandtrack-relay/tests/world/faults.rs
@@ -3,6 +3,9 @@
 
 use super::{DiskMode, Time, World};
 
+/// A machine counts as lost for so many milliseconds after it returned: no disk is lost before.
+const CATCH_UP: Time = 4000.0;
+
 /// How a trouble ends.
 #[derive(Clone, Debug)]
 enum Undo {
@@ -16,8 +19,6 @@
 #[derive(Default)]
 pub struct Troubles {
     undo: Vec<(Time, Undo)>,
-    /// Disks lost since the view was last whole.
-    lost: usize,
 }
 
 impl Troubles {
@@ -25,9 +26,13 @@
     pub fn play(&mut self, world: &mut World, span: Time) {
         let end = world.now + span;
         while world.now < end {
-            let pause = world.random.gen_range(50.0..1500.0);
+            // Now and then a calm, long enough for disks to be lost after it.
+            let calm = world.random.gen_bool(0.15);
+            let pause = if calm { 8000.0 } else { world.random.gen_range(50.0..1500.0) };
             self.calls(world, pause);
-            if world.random.gen_bool(0.6) {
+            if calm && world.now - world.troubled >= CATCH_UP {
+                self.lose_disks(world);
+            } else if world.random.gen_bool(0.6) {
                 self.begin(world);
             }
         }
@@ -50,6 +55,7 @@
             let pause = world.random.gen_range(1.0..120.0);
             world.run(pause);
             self.end_due(world);
+            world.watch();
         }
     }
 
@@ -80,7 +86,7 @@
         let count = world.nodes.len();
         let index = world.random.gen_range(0..count);
         let runs = world.nodes[index].relay.is_some();
-        match world.random.gen_range(0..13) {
+        match world.random.gen_range(0..11) {
             0 | 1 if runs => {
                 world.kill(index);
                 self.later(world, 50.0, 4000.0, Undo::Start(index));
@@ -120,26 +126,15 @@
                     }
                 }
             }
-            7 | 8 if self.may_lose(world, index) => {
-                self.lost += 1;
-                world.wipe(index);
-                self.later(world, 50.0, 3000.0, Undo::Start(index));
-            }
-            9 if self.may_lose(world, index) && count < 10 => {
-                self.lost += 1;
-                world.wipe(index);
-                world.nodes[index].removed = true;
-                let new = world.add(true);
-                self.later(world, 50.0, 3000.0, Undo::Start(new));
-            }
-            10 => {
+            7 if world.now - world.troubled >= CATCH_UP => self.lose_disks(world),
+            8 => {
                 world.network.loss = world.random.gen_range(0.0..0.3);
                 world.network.doubled = world.random.gen_range(0.0..0.3);
                 world.network.late = world.random.gen_range(0.0..0.1);
                 world.network.spread = world.random.gen_range(0.0..100.0);
                 self.later(world, 500.0, 5000.0, Undo::Network);
             }
-            11 => {
+            9 => {
                 // The head, or the tail, right now.
                 let chain = world.checks.newest_view().map(|view| view.chain.clone()).unwrap_or_default();
                 let end = if world.random.gen() { chain.first() } else { chain.last() };
@@ -160,12 +155,41 @@
         self.later(world, 200.0, 6000.0, Undo::Heal(pairs));
     }
 
-    /// Whether the disk of a machine may go, with all rules still to hold.
-    fn may_lose(&mut self, world: &World, index: usize) -> bool {
-        if world.is_whole() {
-            self.lost = 0;
+    /// As many disks as are borne, or those of a zone where one is, are lost at one moment, sometimes as all others lose power; the machines come
+    /// back empty, or others in their place.
+    fn lose_disks(&mut self, world: &mut World) {
+        let with_disk = |world: &World, index: usize| {
+            let node = &world.nodes[index];
+            node.has_disk && !node.removed
+        };
+        let mut left: Vec<usize> = (0..world.nodes.len()).filter(|index| with_disk(world, *index)).collect();
+        let mut victims = Vec::new();
+        for _ in 0..world.random.gen_range(1..=world.borne) {
+            victims.push(left.swap_remove(world.random.gen_range(0..left.len())));
+        }
+        if world.zones_borne > 0 && world.random.gen_bool(0.5) {
+            let zone = world.nodes[victims[0]].zone.clone();
+            let (lost, rest) = left.into_iter().partition(|index| world.nodes[*index].zone == zone);
+            left = rest;
+            victims.extend::<Vec<usize>>(lost);
+        }
+        for index in victims {
+            world.wipe(index);
+            let mut new = index;
+            if world.random.gen_bool(0.4) && world.nodes.len() < 12 {
+                world.nodes[index].removed = true;
+                new = world.add(true);
+            }
+            self.later(world, 50.0, 3000.0, Undo::Start(new));
+        }
+        if world.random.gen_bool(0.3) {
+            for index in left {
+                if world.nodes[index].relay.is_some() {
+                    world.kill(index);
+                    self.later(world, 50.0, 1000.0, Undo::Start(index));
+                }
+            }
         }
-        self.lost < world.borne && !world.nodes[index].removed && world.nodes[index].has_disk
     }
 }
 
--- a/crates/sandtrack-relay/tests/world/mod.rs
+++ b/crates/sandtrack-relay/tests/world/mod.rs
@@ -108,6 +108,7 @@
     pub nodes: Vec<Node>,
     pub network: Network,
     pub borne: usize,
+    pub zones_borne: usize,
     pub seeds: Vec<String>,
     pub calls: BTreeMap<u64, Call>,
     pub checks: Checks,
@@ -118,6 +119,8 @@
     next_call: u64,
     next_version: u64,
     pub messages: u64,
+    /// When trouble was last seen: a machine down or frozen, a disk not well, a cut, or the view not whole.
+    pub troubled: Time,
 }
 
 impl World {
@@ -136,6 +139,7 @@
                 cut: BTreeSet::new(),
             },
             borne,
+            zones_borne: 0,
             seeds: (0..seeds.min(3)).map(name).collect(),
             calls: BTreeMap::new(),
             checks: Checks::default(),
@@ -145,6 +149,7 @@
             next_call: 0,
             next_version: 0,
             messages: 0,
+            troubled: 0.0,
         };
         for index in 0..seeds + observers {
             world.add(index < seeds);
@@ -199,6 +204,7 @@
         settings.first_start = first_start;
         settings.disk = node.has_disk;
         settings.machines_borne = self.borne;
+        settings.zones_borne = self.zones_borne;
         settings.seed = index as u64 * 1000 + node.generation;
         settings.incarnation_if_new = index as u64 * 1000 + 100 + node.wipes * 10 + node.generation;
         let (relay, effects) = Relay::new(settings, node.disk.clone(), Register::default(), self.now);
@@ -307,6 +313,15 @@
         self.now = end;
     }
 
+    /// Takes note of trouble.
+    pub fn watch(&mut self) {
+        let well =
+            |node: &Node| node.removed || node.relay.is_some() && !node.frozen && node.mode == DiskMode::Well;
+        if !self.nodes.iter().all(well) || !self.network.cut.is_empty() || !self.is_whole() {
+            self.troubled = self.now;
+        }
+    }
+
     /// Plays until it holds, for at most `span` milliseconds; whether it does.
     pub fn run_until(&mut self, span: Time, holds: impl Fn(&Self) -> bool) -> bool {
         let end = self.now + span;
@@ -495,7 +510,8 @@
         machines.max_by_key(|machine| machine.applied).cloned().unwrap_or_default()
     }
 
-    /// Whether all that the newest view builds on is there: its voters' disks, and enough members in line.
+    /// Whether all that the newest view builds on is there: its voters' disks, and a chain that is long enough
+    /// with all of its members in line. From here the disks of as many machines as are borne may go.
     pub fn is_whole(&self) -> bool {
         let Some(view) = self.checks.newest_view() else {
             return false;
@@ -503,12 +519,12 @@
         let has_disk = |member: &Member| {
             self.nodes.iter().any(|node| !node.removed && node.member.as_ref() == Some(member))
         };
-        let in_line = |member: &&Member| {
+        let in_line = |member: &Member| {
             self.nodes.iter().filter_map(|node| node.relay.as_ref()).any(|relay| {
-                relay.member() == *member && relay.view().epoch == view.epoch && relay.is_caught_up()
+                relay.member() == member && relay.view().epoch == view.epoch && relay.is_caught_up()
             })
         };
-        view.voters.iter().all(has_disk) && view.chain.iter().filter(in_line).count() > self.borne
+        view.voters.iter().all(has_disk) && view.chain.len() > self.borne && view.chain.iter().all(in_line)
     }
 
     pub fn running(&self) -> Vec<usize> {
