courier: without a free region half of the upstreams read long prompts, the rest stream

Ruled out: darkness of the upstreams (an ordered evacuation loses as much as a crash), too little room (nothing refused, 64 slots), lost connections (503 and 502: none).

--- a/crates/sandtrack-courier/src/office.rs
+++ b/crates/sandtrack-courier/src/office.rs
@@ -101,6 +101,8 @@
     retries: HashMap<String, RetryBudget>,
     /// By route, and whether the upstream is in another region.
     paces: HashMap<(String, bool), Pace>,
+    /// When a request with a long prompt was placed last.
+    pub long_prompt_at: Option<Millis>,
     pub rng: Pcg32,
     /// Tells couriers apart where a share is under one.
     identity: u64,
@@ -131,6 +133,7 @@
             tiers: HashMap::new(),
             retries: HashMap::new(),
             paces: HashMap::new(),
+            long_prompt_at: None,
             rng: Pcg32::seed_from_u64(seed),
             identity: hash(&settings.node_name),
             leaving: false,
--- a/crates/sandtrack-courier/src/placement.rs
+++ b/crates/sandtrack-courier/src/placement.rs
@@ -5,6 +5,7 @@
 use crate::office::Office;
 use rand::Rng;
 use sandtrack_tiers::{crowd_limit, ladder, lowest, Millis};
+use std::collections::BTreeSet;
 
 /// A request is offered to an upstream or refused within this part of its aim (RULES.md: a quarter).
 pub const HOLD: f64 = 0.2;
@@ -19,6 +20,11 @@
 /// Own requests at the one that keeps a prompt before the next one is looked at, beyond the mean.
 const HOME_SLACK: f64 = 2.0;
 
+/// Where long prompts have to be read beside requests that are bound to a region, one upstream in so many reads them (ours).
+const READERS: usize = 2;
+/// That is so for this long after the last long prompt, in ms (ours).
+const READING: Millis = 4000.0;
+
 /// Where a request goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Placed {
@@ -67,6 +73,9 @@
         } else {
             roomy
         };
+        if errand.shared_tokens() >= KEPT_TOKENS {
+            self.long_prompt_at = Some(now);
+        }
         let Some(place) = self.draw(now, errand, &roomy) else { return Placed::Wait };
         let upstream = self.upstreams.get_mut(place);
         if upstream.is_cold(now) {
@@ -106,11 +115,45 @@
             || way.is_some_and(|way| way <= errand.route.target_latency_ms * FAR_SHARE)
     }
 
+    /// The upstreams that read long prompts where no region is free of requests that are bound to it: a long prompt is read
+    /// in pieces between the tokens of others, so that spread over all it would hold up every stream of the region. The
+    /// same for all couriers, but for what they believe dead. Empty where a region is free, or there are no long prompts.
+    fn readers(&self, now: Millis, service: &str) -> Vec<usize> {
+        if self.long_prompt_at.is_none_or(|at| now - at > READING) {
+            return Vec::new();
+        }
+        let serving = |place: &usize| {
+            let upstream = self.upstreams.get(*place);
+            upstream.entry.service == service
+                && !upstream.entry.draining
+                && !self.evacuated.contains(&upstream.entry.zone)
+                && upstream.run.is_healthy()
+        };
+        let mut serving: Vec<usize> = self.upstreams.listed().filter(serving).collect();
+        let region = |place: &usize| self.upstreams.get(*place).region.as_str();
+        let regions: BTreeSet<&str> = serving.iter().map(region).collect();
+        let bounds: Vec<(&str, usize)> =
+            regions.into_iter().map(|region| (region, self.bound(service, region))).collect();
+        let least = bounds.iter().map(|(_, bound)| *bound).min().unwrap_or(0);
+        if least == 0 {
+            return Vec::new();
+        }
+        serving.retain(|place| bounds.contains(&(region(place), least)));
+        serving.sort_unstable_by_key(|place| std::cmp::Reverse(self.upstreams.get(*place).hash));
+        serving.truncate(serving.len() / READERS);
+        serving
+    }
+
     fn draw(&mut self, now: Millis, errand: &Errand, able: &[usize]) -> Option<usize> {
         if able.is_empty() {
             return None;
         }
-        if errand.shared_tokens() >= KEPT_TOKENS {
+        let readers = self.readers(now, &errand.service);
+        let long = errand.shared_tokens() >= KEPT_TOKENS;
+        let apart: Vec<usize> =
+            able.iter().copied().filter(|place| readers.contains(place) == long).collect();
+        let able = if readers.is_empty() || apart.is_empty() { able } else { &apart };
+        if long {
             return self.draw_keeper(now, errand, able);
         }
         let region = self.region.clone();
