--- a/crates/sandtrack-postmaster/src/lib.rs
+++ b/crates/sandtrack-postmaster/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod directory;
 pub mod disk;
 pub mod journal;
+pub mod peer_frames;
 pub mod peers;
 pub mod platform;
 pub mod postmaster;
--- a/crates/sandtrack-postmaster/src/peers.rs
+++ b/crates/sandtrack-postmaster/src/peers.rs
@@ -1,15 +1,11 @@
 //! The other postmasters: one link a pair, over which relays talk, sessions and the list are told, and each says that it is
 //! there. It owns what is known of links and when to open one; it must never touch a socket.
-use crate::reader::{Claim, Word};
-use crate::roll::Member;
+pub use crate::peer_frames::{Hello, PeerFrame, FORMAT};
+use crate::reader::Word;
 use crate::Millis;
-use borsh::{BorshDeserialize, BorshSerialize};
-use sandtrack_postmark::frames::UpstreamEntry;
-use sandtrack_relay::{Address, Message};
+use sandtrack_relay::Address;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// The first number of a link: another one is another format, and the link is ended.
-pub const FORMAT: u16 = 1;
 /// How often each end says that it is there, in ms.
 pub const BEAT_MS: Millis = 150.0;
 /// A link on which nothing was heard for so long, in ms, is closed and opened anew.
@@ -20,61 +16,6 @@
 /// One that nobody names any more and that was not heard for so long, in ms, is forgotten.
 const FORGOTTEN_MS: Millis = 60_000.0;
 
-/// Who a postmaster is, and where it serves.
-#[derive(Clone, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
-pub struct Hello {
-    pub format: u16,
-    /// Where others open links to it: its name among them.
-    pub address: Address,
-    /// Drawn at each start of the process.
-    pub incarnation: u64,
-    pub node_name: String,
-    pub zone: String,
-    pub region: String,
-    pub control: String,
-    pub directory: String,
-    /// Where couriers open their sessions.
-    pub session: String,
-}
-
-/// What postmasters say to each other.
-#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
-pub enum PeerFrame {
-    /// First frame of a link, from both ends.
-    Hello(Hello),
-    Relay(Message),
-    /// The couriers that have a session with the sender, or what changed of them.
-    Sessions {
-        whole: bool,
-        present: Vec<Member>,
-        gone: Vec<String>,
-    },
-    /// What was told of sessions does not add up: all of them are wanted.
-    WantSessions,
-    /// The platform's list as it was read, or what changed of it; remaining times are as of this frame.
-    List {
-        whole: bool,
-        round: u64,
-        entries: Vec<UpstreamEntry>,
-        gone: Vec<String>,
-    },
-    WantList,
-    /// Each [`BEAT_MS`]: that it is there, and what the other end should know of it.
-    Beat {
-        claim: Claim,
-        /// It does not hear the holder of the duty to read.
-        silent: bool,
-        /// How many sessions it has, and their digest.
-        sessions: (u32, u64),
-        /// Readings of the list it knows of; how many upstreams, and their digest.
-        list: (u64, u32, u64),
-        /// It was told to stop.
-        leaving: bool,
-        /// It knows how many couriers there are.
-        settled: bool,
-    },
-}
-
 /// One link, of which the program holds the socket.
 #[derive(Clone, Debug)]
 struct Link {
--- a/crates/sandtrack-postmaster/src/reader.rs
+++ b/crates/sandtrack-postmaster/src/reader.rs
@@ -1,8 +1,8 @@
 //! The reading of the platform's list: whose duty it is, and the pace and the pages of a reading. It is pure: what it wants
 //! is called elsewhere.
+pub use crate::peer_frames::Claim;
 use crate::upstreams::Upstreams;
 use crate::Millis;
-use borsh::{BorshDeserialize, BorshSerialize};
 use sandtrack_postmark::frames::UpstreamEntry;
 use sandtrack_relay::Address;
 use simd_json::prelude::*;
@@ -24,15 +24,6 @@
 /// One that hears no holder for so long, in ms, and can't get a majority reads for itself.
 const ALONE_MS: Millis = 1600.0;
 
-/// Who has the duty: the higher one holds.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, BorshSerialize, BorshDeserialize)]
-pub struct Claim {
-    /// Rises with each change of the holder.
-    pub term: u64,
-    /// Empty: nobody yet.
-    pub holder: Address,
-}
-
 /// What another postmaster said last of the duty.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Word {
--- a/crates/sandtrack-postmaster/src/roll.rs
+++ b/crates/sandtrack-postmaster/src/roll.rs
@@ -1,13 +1,12 @@
 //! The roll: who the couriers are. A courier is a member while its session with a postmaster stands, and postmasters tell
 //! each other their sessions. It owns what is known of the members; it must never ask a socket.
 use crate::journal::Journal;
-use crate::peers::PeerFrame;
+use crate::peer_frames::PeerFrame;
+pub use crate::peer_frames::{Fnv, Member};
 use crate::Millis;
-use borsh::{BorshDeserialize, BorshSerialize};
 use sandtrack_postmark::frames::{CourierInfo, CourierState};
 use sandtrack_relay::Address;
 use std::collections::{BTreeMap, BTreeSet};
-use std::hash::{Hash, Hasher};
 
 /// The members of a postmaster that fell silent are kept for this long, in ms: they come back elsewhere, or are cut off and
 /// go on with their shares of what holds over all.
@@ -17,42 +16,6 @@
 const SHOWN_ALONE_MS: Millis = 4000.0;
 const EVENTS_KEPT: usize = 2048;
 
-/// A courier and what it tells of itself.
-#[derive(Clone, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
-pub struct Member {
-    pub info: CourierInfo,
-    pub state: CourierState,
-}
-
-impl Member {
-    /// What others are told at once when it changes: not how many requests it has in hand.
-    fn marks(&self) -> (&CourierInfo, bool, bool, u64) {
-        (&self.info, self.state.ready, self.state.leaving, self.state.version)
-    }
-
-    fn digest(&self) -> u64 {
-        let mut sum = Fnv(0xcbf2_9ce4_8422_2325);
-        self.info.node_name.hash(&mut sum);
-        (self.info.incarnation, self.state.ready, self.state.leaving, self.state.version).hash(&mut sum);
-        sum.finish()
-    }
-}
-
-/// FNV-1a: the same on both ends, whatever the library does.
-pub struct Fnv(pub u64);
-
-impl Hasher for Fnv {
-    fn write(&mut self, bytes: &[u8]) {
-        for byte in bytes {
-            self.0 = (self.0 ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
-        }
-    }
-
-    fn finish(&self) -> u64 {
-        self.0
-    }
-}
-
 /// Members of another postmaster.
 #[derive(Clone, Debug, Default)]
 struct Others {
--- a/crates/sandtrack-postmaster/src/upstreams.rs
+++ b/crates/sandtrack-postmaster/src/upstreams.rs
@@ -1,7 +1,7 @@
 //! The upstreams as the platform's list shows them. It owns the table and the journal of what changed in it; it must never
 //! ask the platform.
 use crate::journal::Journal;
-use crate::roll::Fnv;
+use crate::peer_frames::Fnv;
 use crate::Millis;
 use sandtrack_postmark::frames::UpstreamEntry;
 use std::collections::{BTreeMap, BTreeSet};
