postmaster: a configuration longer than what may wait ends no session

Cause (found with hollow sessions): 4 MiB may wait when more comes, so at 33,000 tenants and above the frame behind the configuration ended the session, 15,600 times in a row, and links between postmasters alike. Now it counts behind the largest frame.

--- a/crates/sandtrack-postmaster/src/socket.rs
+++ b/crates/sandtrack-postmaster/src/socket.rs
@@ -11,7 +11,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Bytes that may wait to be written when more come: an end that does not read is given up.
+/// Bytes that may wait to be written behind the largest frame when more come: an end that does not read is given up. A whole
+/// configuration may be longer than that by itself.
 const WAITING_MOST: usize = 4 << 20;
 /// What is written without being taken by the other machine breaks the connection after this, in ms.
 const UNTAKEN_MS: u32 = 1500;
@@ -33,6 +34,8 @@
 pub struct Way {
     sender: async_channel::Sender<Rc<[u8]>>,
     waiting: Rc<Cell<usize>>,
+    /// Bytes of the largest frame so far.
+    largest: Cell<usize>,
 }
 
 /// The task's end of it.
@@ -44,16 +47,17 @@
 pub fn way() -> (Way, Outgoing) {
     let (sender, receiver) = async_channel::unbounded();
     let waiting = Rc::new(Cell::new(0));
-    (Way { sender, waiting: waiting.clone() }, Outgoing { receiver, waiting })
+    (Way { sender, waiting: waiting.clone(), largest: Cell::new(0) }, Outgoing { receiver, waiting })
 }
 
 impl Way {
     /// No where the other end has too much still to take, or is gone: the connection is of no further use.
     #[must_use]
     pub fn send(&self, bytes: Rc<[u8]>) -> bool {
-        if self.waiting.get() > WAITING_MOST {
+        if self.waiting.get() > WAITING_MOST + self.largest.get() {
             return false;
         }
+        self.largest.set(self.largest.get().max(bytes.len()));
         self.waiting.set(self.waiting.get() + bytes.len());
         self.sender.try_send(bytes).is_ok()
     }
--- /dev/null
+++ b/crates/sandtrack-postmaster/tests/socket.rs
@@ -0,0 +1,19 @@
+//! What waits to be written to an end.
+use sandtrack_postmaster::socket::way;
+use std::rc::Rc;
+
+#[test]
+fn a_frame_longer_than_what_may_wait_does_not_end_its_connection() {
+    let (way, _outgoing) = way();
+    let whole: Rc<[u8]> = vec![0; 6 << 20].into();
+    assert!(way.send(whole));
+    assert!(way.send(vec![0; 100].into()), "a beat behind a whole configuration");
+}
+
+#[test]
+fn an_end_that_reads_nothing_is_given_up() {
+    let (way, _outgoing) = way();
+    let piece: Rc<[u8]> = vec![0; 1 << 20].into();
+    let taken = (0..20).filter(|_| way.send(piece.clone())).count();
+    assert!((4..=7).contains(&taken), "{taken}");
+}
