courier: three copies of names that did nothing are gone

Found when the change was read once more; no behaviour changed. Left for the next: Office::draw computes the readers of long prompts anew for each set of upstreams that it looks at, up to three times a request.

--- a/crates/sandtrack-courier/src/carry.rs
+++ b/crates/sandtrack-courier/src/carry.rs
@@ -207,9 +207,9 @@
     /// counts, and the other is dropped.
     async fn begin(&self, place: usize, passed: &Passed) -> Began<'a> {
         let last_event = if passed.begun { passed.scanner.last_id() } else { None };
-        let first = pin!(self.once(place, last_event));
+        let mut first = pin!(self.once(place, last_event));
         let started = Cell::new(false);
-        let second = pin!(async {
+        let mut second = pin!(async {
             let patience = self.shared.office.borrow().patience(self.errand, place);
             self.until_silent(place, patience).await;
             let other = loop {
@@ -221,7 +221,6 @@
             started.set(true);
             self.once(other, last_event).await
         });
-        let (mut first, mut second) = (first, second);
         let came =
             future::or(async { (true, first.as_mut().await) }, async { (false, second.as_mut().await) });
         match came.await {
@@ -314,9 +313,8 @@
             }
         };
         let asked = clock.now();
-        let now = asked;
-        let bytes = written(errand, &identifier, errand.left(now), last_event);
-        if !ask(&connection, &bytes, errand.left(now)).await {
+        let bytes = written(errand, &identifier, errand.left(asked), last_event);
+        if !ask(&connection, &bytes, errand.left(asked)).await {
             sent.ended = Ended::Broken;
             return Began::Failed;
         }
--- a/crates/sandtrack-courier/src/front.rs
+++ b/crates/sandtrack-courier/src/front.rs
@@ -112,8 +112,7 @@
                     gone(&stream, &mut input).await;
                     false
                 };
-                let close_now = close;
-                future::or(gone, carry(&shared, &errand, &stream, close_now)).await
+                future::or(gone, carry(&shared, &errand, &stream, close)).await
             }
         };
         if !open {
