--- a/crates/sandtrack-cli/src/explain.rs
+++ b/crates/sandtrack-cli/src/explain.rs
@@ -1,9 +1,9 @@
-//! Which route and service a request takes, and why: the same decoding as the data plane's. Pure.
+//! Which route and service a request takes, and why: the same matching as the data plane's. Pure.
 use crate::error::CliError;
-use sandtrack_core::message::{origin_form, Head, Headers};
+use sandtrack_core::message::origin_form;
+use sandtrack_protocol::codes;
 use sandtrack_protocol::configuration::{Configuration, Kind, Route};
 use sandtrack_protocol::logs::escape;
-use sandtrack_proxy::request::{ProxyRequest, Refused};
 
 /// What becomes of a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -19,18 +19,9 @@
 /// # Errors
 /// Where none matches, with what there is instead.
 pub fn explain(configuration: &Configuration, host: &str, path: &str) -> Result<Explanation, CliError> {
-    let head = Head {
-        method: "GET".to_owned(),
-        target: path.to_owned(),
-        status: 0,
-        headers: Headers(vec![("Host".to_owned(), host.to_owned())]),
-        keep_alive: true,
-        chunks: true,
-    };
-    match ProxyRequest::decode(configuration, head, Vec::new(), 0.0, 0.0) {
-        Ok(request) => {
-            let path = origin_form(path);
-            let route = request.route;
+    let path = origin_form(path);
+    match configuration.route_of_request(host, &path).cloned() {
+        Some(route) => {
             let also = |other: &&Route| {
                 other.host == route.host && other.name != route.name && path.starts_with(&other.path_prefix)
             };
@@ -38,7 +29,7 @@
             others.sort_by_key(|other| std::cmp::Reverse(other.path_prefix.len()));
             Ok(Explanation { version: configuration.version, route, others })
         }
-        Err(Refused(_, code)) => {
+        None => {
             let host = host.to_ascii_lowercase();
             let of_host: Vec<&str> = configuration
                 .routes
@@ -50,7 +41,7 @@
                 [] => format!("no route has host `{host}`"),
                 prefixes => format!("host `{host}` has only {}", prefixes.join(" ")),
             };
-            Err(CliError::coded(code, format!("version {}: {why}", configuration.version)))
+            Err(CliError::coded(codes::NO_ROUTE, format!("version {}: {why}", configuration.version)))
         }
     }
 }
--- a/crates/sandtrack-control/src/platform.rs
+++ b/crates/sandtrack-control/src/platform.rs
@@ -4,9 +4,9 @@
 use crate::socket;
 use async_io::{Async, Timer};
 use futures_lite::future;
-use sandtrack_sidecar::http::{self, Parser, Part, Side};
-use sandtrack_sidecar::net::{read_into, write_all};
-use sandtrack_sidecar::ring::Ring;
+use sandtrack_net::http::{self, Parser, Part, Side};
+use sandtrack_net::ring::Ring;
+use sandtrack_net::socket::{read_into, write_all};
 use std::net::TcpStream;
 use std::time::Duration;
 
--- a/crates/sandtrack-control/src/socket.rs
+++ b/crates/sandtrack-control/src/socket.rs
@@ -3,8 +3,8 @@
 use async_io::{Async, Timer};
 use borsh::BorshDeserialize;
 use futures_lite::future;
+use sandtrack_net::socket::ACCEPT_PAUSE;
 use sandtrack_protocol::frames;
-use sandtrack_sidecar::client::ACCEPT_PAUSE;
 use std::cell::Cell;
 use std::io::{self, Read, Write};
 use std::net::{TcpListener, TcpStream};
--- /dev/null
+++ b/crates/sandtrack-net/src/lib.rs
@@ -0,0 +1,7 @@
+//! Plumbing beneath the sidecar, the control plane, the data plane and the operators' client: an incremental HTTP/1.1
+//! parser (`http`), the buffer between a socket and a parser or writer (`ring`), and moves between sockets and buffers
+//! (`socket`). It decides nothing and keeps no state of its own.
+#![forbid(unsafe_code)]
+pub mod http;
+pub mod ring;
+pub mod socket;
--- a/crates/sandtrack-sidecar/src/ring.rs
+++ b/crates/sandtrack-net/src/ring.rs
@@ -4,7 +4,7 @@
 use std::io::IoSlice;
 
 /// Room that an empty buffer may keep.
-const KEPT: usize = 4096;
+pub const KEPT: usize = 4096;
 
 pub struct Ring {
     bytes: VecDeque<u8>,
@@ -24,6 +24,11 @@
         self.bytes.is_empty()
     }
 
+    /// Bytes of memory that it keeps.
+    pub fn capacity(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// How many bytes more it may hold.
     pub fn room(&self) -> usize {
         self.bound.saturating_sub(self.bytes.len())
@@ -58,20 +63,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn it_holds_no_more_than_its_bound_and_gives_back_the_room() {
-        let mut ring = Ring::new(100_000);
-        assert!(ring.push(&[7; 100_000]));
-        assert!(!ring.push(&[7]));
-        ring.consume(60_000);
-        assert!(ring.push(&[8; 60_000]), "what was consumed is room again");
-        assert_eq!(ring.peek()[39_999..40_001], [7, 8]);
-        ring.consume(usize::MAX);
-        assert!(ring.is_empty() && ring.bytes.capacity() <= KEPT);
-    }
-}
--- a/crates/sandtrack-sidecar/tests/http.rs
+++ b/crates/sandtrack-net/tests/http.rs
@@ -1,7 +1,7 @@
 //! The parser from outside: every split of its input gives the same messages, and no input makes it panic.
 use proptest::prelude::*;
-use sandtrack_sidecar::http::*;
-use sandtrack_sidecar::ring::Ring;
+use sandtrack_net::http::*;
+use sandtrack_net::ring::Ring;
 
 /// All messages in the bytes, fed in the given pieces, until the first fault.
 fn messages(side: Side, bytes: &[u8], cuts: &[usize]) -> (Vec<Message>, Option<Bad>) {
--- a/crates/sandtrack-protocol/src/configuration.rs
+++ b/crates/sandtrack-protocol/src/configuration.rs
@@ -215,6 +215,15 @@
         matching.max_by_key(|route| route.path_prefix.len())
     }
 
+    /// The route of a request by its `Host` header, with or without a port, and its target, with or without a query.
+    pub fn route_of_request(&self, host_header: &str, target: &str) -> Option<&Route> {
+        let path = target.split(['?', '#']).next().unwrap_or_default();
+        let with_port =
+            host_header.rsplit_once(':').filter(|(_, port)| port.bytes().all(|byte| byte.is_ascii_digit()));
+        let host = with_port.map_or(host_header, |(name, _)| name);
+        self.route(host, path)
+    }
+
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.iter().find(|service| service.name == name)
     }
--- a/crates/sandtrack-proxy/src/exchange.rs
+++ b/crates/sandtrack-proxy/src/exchange.rs
@@ -4,9 +4,9 @@
 use async_io::Timer;
 use futures_lite::future;
 use sandtrack_core::message;
-use sandtrack_sidecar::http::Part;
-use sandtrack_sidecar::net::{read_into, write_within, Clock};
-use sandtrack_sidecar::ring::Ring;
+use sandtrack_net::http::Part;
+use sandtrack_net::ring::Ring;
+use sandtrack_net::socket::{read_into, write_within, Clock};
 use sandtrack_tiers::Millis;
 use std::time::Duration;
 
--- a/crates/sandtrack-proxy/src/pool.rs
+++ b/crates/sandtrack-proxy/src/pool.rs
@@ -3,9 +3,9 @@
 use async_io::{Async, Timer};
 use futures_lite::future;
 use sandtrack_core::message::Head;
-use sandtrack_sidecar::http::{Parser, Side, READ_RING};
-use sandtrack_sidecar::net::{no_delay, read_into};
-use sandtrack_sidecar::ring::Ring;
+use sandtrack_net::http::{Parser, Side, READ_RING};
+use sandtrack_net::ring::Ring;
+use sandtrack_net::socket::{no_delay, read_into};
 use sandtrack_tiers::Millis;
 use std::cell::Cell;
 use std::collections::HashMap;
--- a/crates/sandtrack-proxy/src/probing.rs
+++ b/crates/sandtrack-proxy/src/probing.rs
@@ -6,9 +6,9 @@
 use async_io::Timer;
 use futures_lite::future;
 use sandtrack_core::message;
-use sandtrack_sidecar::http::Part;
-use sandtrack_sidecar::net::write_within;
-use sandtrack_sidecar::ring::Ring;
+use sandtrack_net::http::Part;
+use sandtrack_net::ring::Ring;
+use sandtrack_net::socket::write_within;
 use std::rc::Rc;
 use std::time::Duration;
 
--- a/crates/sandtrack-proxy/src/request.rs
+++ b/crates/sandtrack-proxy/src/request.rs
@@ -38,11 +38,9 @@
     ) -> Result<ProxyRequest, Refused> {
         use sandtrack_protocol::codes;
         let target = origin_form(&head.target).into_owned();
-        let path = target.split(['?', '#']).next().unwrap_or_default();
         let host = head.headers.get("host").unwrap_or_default();
-        let host = host.rsplit_once(':').filter(|(_, port)| port.bytes().all(|b| b.is_ascii_digit()));
-        let host = host.map_or(head.headers.get("host").unwrap_or_default(), |(name, _)| name);
-        let route = configuration.route(host, path).ok_or(Refused(404, codes::NO_ROUTE))?.clone();
+        let route =
+            configuration.route_of_request(host, &target).ok_or(Refused(404, codes::NO_ROUTE))?.clone();
         let told = head.headers.get("deadline-remaining").and_then(|value| value.trim().parse::<f64>().ok());
         let left =
             told.filter(|left| *left >= 0.0).map_or(route.timeout_ms, |left| left.min(route.timeout_ms));
--- a/crates/sandtrack-proxy/src/shared.rs
+++ b/crates/sandtrack-proxy/src/shared.rs
@@ -2,8 +2,8 @@
 use crate::balancer::Balancer;
 use crate::pool::Pool;
 use async_executor::LocalExecutor;
+use sandtrack_net::socket::Clock;
 use sandtrack_protocol::settings::Settings;
-use sandtrack_sidecar::net::Clock;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
--- a/crates/sandtrack-rig/src/discovery.rs
+++ b/crates/sandtrack-rig/src/discovery.rs
@@ -5,7 +5,7 @@
 use crate::upstream::Shared as Upstream;
 use async_io::{Async, Timer};
 use sandtrack_core::message;
-use sandtrack_sidecar::http::Side;
+use sandtrack_net::http::Side;
 use serde_json::{json, Value};
 use std::cell::RefCell;
 use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream};
--- a/crates/sandtrack-rig/src/http.rs
+++ b/crates/sandtrack-rig/src/http.rs
@@ -3,9 +3,9 @@
 use async_io::{Async, Timer};
 use futures_lite::future;
 use sandtrack_core::message::{self, Message};
-use sandtrack_sidecar::http::{Collector, Side, Taken, READ_RING, WRITE_RING};
-use sandtrack_sidecar::net::{no_delay, read_into, write_all};
-use sandtrack_sidecar::ring::Ring;
+use sandtrack_net::http::{Collector, Side, Taken, READ_RING, WRITE_RING};
+use sandtrack_net::ring::Ring;
+use sandtrack_net::socket::{no_delay, read_into, write_all};
 use std::net::{SocketAddr, SocketAddrV4, TcpStream};
 use std::time::Duration;
 
--- a/crates/sandtrack-rig/src/upstream.rs
+++ b/crates/sandtrack-rig/src/upstream.rs
@@ -11,7 +11,7 @@
 use rand_distr::{Distribution, Exp1};
 use rand_pcg::Pcg64;
 use sandtrack_core::message;
-use sandtrack_sidecar::http::Side;
+use sandtrack_net::http::Side;
 use std::cell::RefCell;
 use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream};
 use std::rc::Rc;
--- a/crates/sandtrack-sidecar/src/admin.rs
+++ b/crates/sandtrack-sidecar/src/admin.rs
@@ -1,12 +1,13 @@
 //! The second address, for staff: its listener and one task a call. It owns those sockets, tells the reducer each call
 //! whole and writes the one answer; it must never answer of its own accord, nor take a second call on a connection.
-use crate::client::{linger, ACCEPT_PAUSE};
-use crate::http::{self, Bad, Collector, Side, Taken};
-use crate::net::{next, no_delay, unless_closed, write_within, Inputs, Next, Order, Orders};
-use crate::ring::Ring;
+use crate::net::{next, unless_closed, Inputs, Next, Order, Orders};
 use async_io::{Async, Timer};
 use futures_lite::future;
 use sandtrack_core::reducer::{ConnId, Input};
+use sandtrack_net::http::{self, Bad, Collector, Side, Taken};
+use sandtrack_net::ring::Ring;
+use sandtrack_net::socket::{linger, ACCEPT_PAUSE};
+use sandtrack_net::socket::{no_delay, write_within};
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
 
--- a/crates/sandtrack-sidecar/src/catalog.rs
+++ b/crates/sandtrack-sidecar/src/catalog.rs
@@ -1,11 +1,12 @@
 //! Discovery: the watch that follows its list. It owns the one connection of a watch call, and must
 //! never keep a list, judge an entry or call again by itself: the reducer does.
-use crate::http::{self, Parser, Part, Side};
-use crate::net::{read_into, unless_closed, write_all, Inputs, Orders};
-use crate::ring::Ring;
+use crate::net::{unless_closed, Inputs, Orders};
 use async_io::Async;
 use sandtrack_core::catalog::Catalog;
 use sandtrack_core::reducer::{CallId, Input};
+use sandtrack_net::http::{self, Parser, Part, Side};
+use sandtrack_net::ring::Ring;
+use sandtrack_net::socket::{read_into, write_all};
 use std::net::{SocketAddr, TcpStream};
 
 /// The longest list taken: one of a few ten thousand upstreams, indented.
--- a/crates/sandtrack-sidecar/src/client.rs
+++ b/crates/sandtrack-sidecar/src/client.rs
@@ -1,30 +1,24 @@
 //! The client side: the listener and one task a client connection. It owns those sockets and their buffers, tells
 //! the reducer each request, whole or, if it is large, piece by piece as it is wanted, and must never answer of its own
 //! accord nor read a second request while one is unanswered.
-use crate::http::{self, Collector, Side, Taken};
-use crate::net::{has_left, next, no_delay, read_into, write_within, Inputs, Next, Order, Orders};
-use crate::ring::Ring;
+use crate::net::{next, Inputs, Next, Order, Orders};
 use async_io::{Async, Timer};
 use futures_lite::future;
 use sandtrack_core::reducer::{ConnId, Input};
+use sandtrack_net::http::{self, Collector, Side, Taken};
+use sandtrack_net::ring::Ring;
+use sandtrack_net::socket::{has_left, linger, no_delay, read_into, write_within, ACCEPT_PAUSE};
 use std::future::Future;
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
 
 /// A client that takes no bytes for this long is gone.
 const WRITE_PATIENCE: Duration = Duration::from_secs(5);
-/// How long the last answer may stay unread before the socket is closed under it, and how much is read on for it: one
-/// that sends at full speed then waits for its own buffer, and not the others for this task.
-const LINGER: Duration = Duration::from_millis(200);
-const LINGER_MOST: usize = 128 * 1024;
 /// After a bad request, which is answered at once, a connection is read on after this long: one that sends the same again
 /// without end takes no more turns than others.
 const NEXT_TURN: Duration = Duration::from_millis(50);
 /// How often it is looked whether a client is still there from which nothing is read.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
-/// Pause of the listener when the process is out of descriptors.
-pub const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
-
 /// Accepts until told to stop, then takes what is already waiting, unless that is left to another process, and closes its
 /// end of the listener.
 pub async fn accept(
@@ -230,28 +224,3 @@
         tracing::debug!(%error, "no reset");
     }
 }
-
-/// Ends the sending side and waits a little for the client to end its own: a socket that is closed with bytes
-/// unread resets the connection, and the client could lose the answer that is on its way.
-pub async fn linger(stream: &Async<TcpStream>) {
-    if stream.get_ref().shutdown(Shutdown::Write).is_err() {
-        return;
-    }
-    let mut scrap = Ring::new(http::READ_RING);
-    let ended = async {
-        let mut read = 0;
-        while read < LINGER_MOST {
-            match read_into(stream, &mut scrap).await {
-                Ok(count) if count > 0 => read += count,
-                _ => return,
-            }
-            scrap.consume(usize::MAX);
-            future::yield_now().await;
-        }
-        future::pending().await
-    };
-    let enough = async {
-        Timer::after(LINGER).await;
-    };
-    future::or(ended, enough).await;
-}
--- a/crates/sandtrack-sidecar/src/net.rs
+++ b/crates/sandtrack-sidecar/src/net.rs
@@ -1,15 +1,12 @@
-//! What the connection tasks share: the way to the reducer, the orders that come back, the clock, and the two
-//! moves between a socket and a ring buffer. It owns no connection and keeps no state.
-use crate::ring::Ring;
-use async_io::{Async, Timer};
+//! What the connection tasks share: the way to the reducer and the orders that come back. It owns no connection and keeps
+//! no state.
+use async_io::Async;
 use futures_lite::future;
-use rustix::event::{poll, PollFd, PollFlags, Timespec};
-use sandtrack::interface::Millis;
 use sandtrack_core::reducer::Input;
+use sandtrack_net::ring::Ring;
+use sandtrack_net::socket::{read_into, Clock};
 use std::future::Future;
-use std::io::{self, Read, Write};
 use std::net::TcpStream;
-use std::time::{Duration, Instant};
 
 /// What the reducer tells the task that owns a connection.
 pub enum Order {
@@ -47,25 +44,6 @@
 
 pub type Orders = async_channel::Receiver<Order>;
 
-/// Milliseconds since the process began.
-#[derive(Clone, Copy)]
-pub struct Clock(Instant);
-
-impl Clock {
-    pub fn start() -> Self {
-        Clock(Instant::now())
-    }
-
-    pub fn now(&self) -> Millis {
-        self.0.elapsed().as_secs_f64() * 1000.0
-    }
-
-    /// The instant at which the clock shows this time.
-    pub fn at(&self, time: Millis) -> Instant {
-        self.0 + Duration::from_secs_f64((time / 1000.0).max(0.0))
-    }
-}
-
 /// The way to the reducer: never full, as all that is sent is bounded by the connections that are open.
 #[derive(Clone)]
 pub struct Inputs {
@@ -103,53 +81,6 @@
     future::or(order, read).await
 }
 
-/// Whether the other side has ended, though what it sent before is not read yet. One that can't be asked is there.
-pub fn has_left(stream: &Async<TcpStream>) -> bool {
-    let mut asked = [PollFd::new(stream, PollFlags::RDHUP)];
-    let over = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
-    poll(&mut asked, Some(&Timespec::default())).is_ok() && asked[0].revents().intersects(over)
-}
-
-/// Reads what there is, as much as the buffer has room for.
-pub async fn read_into(stream: &Async<TcpStream>, ring: &mut Ring) -> io::Result<usize> {
-    let mut bytes = [0; 8192];
-    let room = ring.room().min(bytes.len());
-    let count = stream.read_with(|mut socket| socket.read(&mut bytes[..room])).await?;
-    if !ring.push(&bytes[..count]) {
-        return Err(io::ErrorKind::OutOfMemory.into());
-    }
-    Ok(count)
-}
-
-/// Writes all that the buffer holds, in one call where the socket takes it.
-pub async fn write_all(stream: &Async<TcpStream>, ring: &mut Ring) -> io::Result<()> {
-    while !ring.is_empty() {
-        let count = stream.write_with(|mut socket| socket.write_vectored(&ring.slices())).await?;
-        if count == 0 {
-            return Err(io::ErrorKind::WriteZero.into());
-        }
-        ring.consume(count);
-    }
-    Ok(())
-}
-
-/// The same; no when the connection broke, or did not take it all within this time.
-pub async fn write_within(stream: &Async<TcpStream>, ring: &mut Ring, patience: Duration) -> bool {
-    let write = async { write_all(stream, ring).await.is_ok() };
-    let patience = async {
-        Timer::after(patience).await;
-        false
-    };
-    future::or(write, patience).await
-}
-
-/// Sends what is written at once. A socket that can't serves all the same.
-pub fn no_delay(stream: &Async<TcpStream>) {
-    if let Err(error) = stream.get_ref().set_nodelay(true) {
-        tracing::debug!(%error, "no TCP_NODELAY");
-    }
-}
-
 /// The outcome of the work, or `None` once it is ordered closed; the order goes first.
 pub async fn unless_closed<T>(orders: &Orders, work: impl Future<Output = T>) -> Option<T> {
     let closed = async {
--- a/crates/sandtrack-sidecar/src/program.rs
+++ b/crates/sandtrack-sidecar/src/program.rs
@@ -2,7 +2,7 @@
 //! carries out its effects. It owns the tasks and their order channels, and must never change state by itself.
 use crate::config::{self, Config, Source};
 use crate::handover::{self, Handover};
-use crate::net::{Clock, Inputs, Order, Orders};
+use crate::net::{Inputs, Order, Orders};
 use crate::{admin, catalog, client, fleet, staff, upstream};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -10,6 +10,7 @@
 use clap::Parser;
 use futures_lite::{future, stream, StreamExt};
 use sandtrack_core::reducer::{CallId, ConnId, Effect, Input, Reducer, Ways};
+use sandtrack_net::socket::Clock;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream};
--- a/crates/sandtrack-sidecar/src/upstream.rs
+++ b/crates/sandtrack-sidecar/src/upstream.rs
@@ -1,13 +1,12 @@
 //! Upstream connections: one task each. It owns its socket and buffers, writes what it is ordered to and tells the
 //! whole answer; it must never write a message twice, and says of each break whether the last byte was written.
-use crate::http::{self, Collector, Side, Taken};
-use crate::net::{
-    next, no_delay, ordered_closed, read_into, unless_closed, write_within, Inputs, Next, Order, Orders,
-};
-use crate::ring::Ring;
+use crate::net::{next, ordered_closed, unless_closed, Inputs, Next, Order, Orders};
 use async_io::Async;
 use futures_lite::future;
 use sandtrack_core::reducer::{ConnId, Input, Written};
+use sandtrack_net::http::{self, Collector, Side, Taken};
+use sandtrack_net::ring::Ring;
+use sandtrack_net::socket::{no_delay, read_into, write_within};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
--- a/crates/sandtrack-sidecar/tests/tasks.rs
+++ b/crates/sandtrack-sidecar/tests/tasks.rs
@@ -2,8 +2,10 @@
 use async_io::Async;
 use futures_lite::future::block_on;
 use sandtrack_core::reducer::{Input, Written};
-use sandtrack_sidecar::net::{Clock, Inputs, Order};
-use sandtrack_sidecar::{client, http, upstream};
+use sandtrack_net::http;
+use sandtrack_net::socket::Clock;
+use sandtrack_sidecar::net::{Inputs, Order};
+use sandtrack_sidecar::{client, upstream};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 
