--- a/crates/sandtrack-protocol/src/lib.rs
+++ b/crates/sandtrack-protocol/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod frames;
 pub mod logs;
 pub mod settings;
+pub mod settings_fields;
--- a/crates/sandtrack-protocol/src/settings.rs
+++ b/crates/sandtrack-protocol/src/settings.rs
@@ -1,7 +1,7 @@
 //! The settings file of a process, whose path is in `SANDTRACK_BOOT` (DEPLOY.md). Unknown fields are ignored.
 use crate::codes::{self, Code};
+use crate::settings_fields::{at, default_number};
 use simd_json::prelude::*;
-use simd_json::OwnedValue;
 use std::collections::BTreeMap;
 use std::path::Path;
 
@@ -108,14 +108,12 @@
             let entries = object.into_iter().flat_map(|map| map.iter());
             entries.filter_map(|(key, value)| Some((key.clone(), value.as_str()?.to_owned()))).collect()
         };
-        let number = |part: &str, field: &str, default: f64| {
-            value
-                .get(part)
-                .and_then(|part| part.get(field))
-                .and_then(ValueAsScalar::cast_f64)
-                .unwrap_or(default)
+        // What a file leaves out is in the table of fields.
+        let number = |path: &str| {
+            let told = at(&value, path).and_then(ValueAsScalar::cast_f64);
+            told.unwrap_or_else(|| default_number(path))
         };
-        let bound = |field: &str, default: f64| number("bounds", field, default);
+        let bound = |field: &str| number(&format!("bounds.{field}"));
         let ports = value.get_array("internal_port_range").and_then(|range| {
             let port = |at: usize| range.get(at)?.as_u64().and_then(|port| u16::try_from(port).ok());
             Some((port(0)?, port(1)?))
@@ -136,31 +134,34 @@
             first_start: value.get_bool("first_start").unwrap_or(false),
             loss_counted: value.get_bool("loss_counted").unwrap_or(false),
             data_directory: value.get_str("data_directory").map(str::to_owned),
-            memory_mb: number("limits", "memory_mb", 256.0),
-            file_descriptors: number("limits", "file_descriptors", 1024.0) as usize,
-            machines_borne: number("tolerated_losses", "machines", 1.0) as usize,
-            zones_borne: number("tolerated_losses", "zones", 0.0) as usize,
+            memory_mb: number("limits.memory_mb"),
+            file_descriptors: number("limits.file_descriptors") as usize,
+            machines_borne: number("tolerated_losses.machines") as usize,
+            zones_borne: number("tolerated_losses.zones") as usize,
             bounds: Bounds {
-                in_touch_ms: bound("in_touch_ms", 4000.0),
-                acknowledge_ms: bound("acknowledge_ms", 5000.0),
-                drain_ms: bound("drain_ms", 4000.0),
-                grace_s: bound("grace_s", 8.0),
-                configuration_apply_ms: bound("configuration_apply_ms", 3000.0),
-                evacuation_ms: bound("evacuation_ms", 5000.0),
-                retry_budget_ratio: bound("retry_budget_ratio", 0.1),
-                retry_window_s: bound("retry_window_s", 10.0),
-                retry_budget_slack: bound("retry_budget_slack", 32.0),
-                cold_overshoot: bound("cold_overshoot", 1.2),
-                cold_slack: bound("cold_slack", 2.0),
-                pass_ms: bound("pass_ms", 300.0),
-                recovery_s: bound("recovery_s", 10.0),
-                ttl_max_s: bound("ttl_max_s", 5.0),
-                address_reuse_s: bound("address_reuse_s", 2.0),
+                in_touch_ms: bound("in_touch_ms"),
+                acknowledge_ms: bound("acknowledge_ms"),
+                drain_ms: bound("drain_ms"),
+                grace_s: bound("grace_s"),
+                configuration_apply_ms: bound("configuration_apply_ms"),
+                evacuation_ms: bound("evacuation_ms"),
+                retry_budget_ratio: bound("retry_budget_ratio"),
+                retry_window_s: bound("retry_window_s"),
+                retry_budget_slack: bound("retry_budget_slack"),
+                cold_overshoot: bound("cold_overshoot"),
+                cold_slack: bound("cold_slack"),
+                pass_ms: bound("pass_ms"),
+                recovery_s: bound("recovery_s"),
+                ttl_max_s: bound("ttl_max_s"),
+                address_reuse_s: bound("address_reuse_s"),
             },
             cloud_api: CloudApi {
-                address: cloud(&value, "address").unwrap_or_default(),
-                rate_per_s: number("cloud_api", "rate_per_s", 1.0),
-                lag_ms: number("cloud_api", "lag_ms", 0.0),
+                address: at(&value, "cloud_api.address")
+                    .and_then(|address| address.as_str())
+                    .unwrap_or_default()
+                    .to_owned(),
+                rate_per_s: number("cloud_api.rate_per_s"),
+                lag_ms: number("cloud_api.lag_ms"),
             },
         })
     }
@@ -180,7 +181,3 @@
         address.rsplit_once(':').map_or(address, |(ip, _)| ip)
     }
 }
-
-fn cloud(value: &OwnedValue, field: &str) -> Option<String> {
-    value.get("cloud_api")?.get_str(field).map(str::to_owned)
-}
