Control: the log tells which command each number is

Cause: "number 5: version 3" did not say what had been applied, so a late order could not be told from an early one.

--- a/crates/sandtrack-control/src/control_state.rs
+++ b/crates/sandtrack-control/src/control_state.rs
@@ -8,6 +8,7 @@
 use sandtrack_protocol::frames::{ItemChange, ToProxy};
 use sandtrack_replication::StateMachine;
 use std::collections::{BTreeSet, VecDeque};
+use std::fmt;
 
 /// So many of the configurations taken last are known again when they are sent once more.
 const TAKEN_KEPT: usize = 256;
@@ -23,6 +24,18 @@
     Evacuate { zone: String, begin: bool },
 }
 
+impl fmt::Display for Command {
+    /// Kind, zone or base, and size: a line of the log.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Command::Replace { based_on, body } => write!(f, "replace on {based_on}, {} bytes", body.len()),
+            Command::Update { based_on, body } => write!(f, "update on {based_on}, {} bytes", body.len()),
+            Command::Evacuate { zone, begin: true } => write!(f, "evacuation of {zone} begins"),
+            Command::Evacuate { zone, begin: false } => write!(f, "evacuation of {zone} is over"),
+        }
+    }
+}
+
 /// What came of a command.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum Outcome {
--- a/crates/sandtrack-control/src/node.rs
+++ b/crates/sandtrack-control/src/node.rs
@@ -1,7 +1,7 @@
 //! The control node: the parts put together. Inputs go in, effects come out; it is pure and deterministic, so that tests play
 //! whole exchanges of several of them. It owns all state; it must never touch a socket, a file or a clock.
 use crate::control::{self, Order, Reply};
-use crate::control_state::{ControlState, Question};
+use crate::control_state::{Command, ControlState, Question};
 use crate::directory;
 use crate::membership::{Member, Membership};
 use crate::peers::{Heard, Hello, LinkOrder, PeerFrame, Peers, FORMAT};
@@ -319,8 +319,12 @@
                 replication::Effect::Rewrite { ticket, records } => {
                     out.push(Effect::Rewrite { ticket, records })
                 }
-                replication::Effect::Applied { number, .. } => {
-                    log::info!("number {number}: version {}", self.replica.machine().version());
+                replication::Effect::Applied { number, command, .. } => {
+                    let version = self.replica.machine().version();
+                    match borsh::from_slice::<Command>(&command) {
+                        Ok(command) => log::info!("number {number}: version {version}, after {command}"),
+                        Err(error) => log::warn!("number {number}: version {version}, unknown: {error}"),
+                    }
                 }
                 replication::Effect::Restored { number } => {
                     log::info!("restored to number {number}: version {}", self.replica.machine().version());
