A failure under another status no longer bears its upstream's seal

Cause: an upstream's 408, 429 or 503 without Not-Executed promises nothing, and was passed on as 502 with all its headers: the seal stood beside a status that the upstream had not given (rule MIXED). Ruled out: dropping the seal alone, as body and Retry-After belong to the upstream's status too. Change: such an answer is replaced by the proxy's own 502 (E404's table).

--- a/crates/sandtrack-proxy/src/carry.rs
+++ b/crates/sandtrack-proxy/src/carry.rs
@@ -149,6 +149,11 @@
         let (request, may_have_run) = (self.request, self.may_have_run.get());
         log::debug!("request {} given up: E{}", request.id, why.0);
         match error {
+            // Under another status it is no longer the upstream's answer, and does not bear its seal.
+            Some((head, _)) if is_promise(head.status) => {
+                refuse(self.client, request, may_have_run, codes::UPSTREAM_FAILED, self.close).await
+                    && !self.close
+            }
             Some((head, body)) => answer_with(self.client, &head, &body, self.close).await && !self.close,
             None => refuse(self.client, request, may_have_run, why, self.close).await && !self.close,
         }
@@ -555,10 +560,14 @@
     output.push(&bytes) && write_within(client, &mut output, CLIENT_PATIENCE).await
 }
 
-/// Passes an upstream's answer on. One that would promise that the request has not run, though it may have, does not.
+/// A status that promises a client that its request has not run and never will.
+fn is_promise(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
+/// Passes an upstream's answer on.
 async fn answer_with(client: &Async<TcpStream>, head: &Head, body: &[u8], close: bool) -> bool {
-    let status = if matches!(head.status, 408 | 421 | 429 | 503) { 502 } else { head.status };
-    write(client, message::response(status, head.headers.end_to_end(), body, close)).await
+    write(client, message::response(head.status, head.headers.end_to_end(), body, close)).await
 }
 
 /// This process's own final answer.
--- a/crates/sandtrack-proxy/tests/exchange/once.rs
+++ b/crates/sandtrack-proxy/tests/exchange/once.rs
@@ -304,6 +304,28 @@
     stage.finish_unwritten();
 }
 
+/// MIXED: a failure that is not passed on with its own status does not bear its upstream's seal. The same for what may run
+/// twice, where no further upstream may be asked.
+#[test]
+fn a_failure_under_another_status_bears_no_seal() {
+    let stage = Stage::serving("a_failure_under_another_status_bears_no_seal", 3);
+    let mut client = stage.client();
+    for (at, status) in ["503 Busy", "429 Slow", "408 Late"].iter().enumerate() {
+        for target in ["/pay/once/a", "/slips/once/a"] {
+            let id = format!("r{at}{}", &target[1..4]);
+            client.post(target, &id, "body");
+            let mut asked = stage.asked();
+            let seal = format!("Server-Seal: {}\r\nRetry-After: 1\r\n", seal(&id, "x"));
+            asked.say(&refusal(&id, status, &seal));
+            asked.keep();
+            let answer = client.answer();
+            assert_eq!((answer.status(), answer.header("server-seal")), (502, None), "{status}");
+            assert_eq!(answer.header("retry-after"), None, "it may have run: no promise");
+        }
+    }
+    stage.finish_unwritten();
+}
+
 /// A refusal that breaks off says as little as any other answer that does.
 #[test]
 fn a_cut_refusal_with_not_executed_is_one_all_the_same() {
