Control gives no configuration without contact with a majority; proxies keep sessions

Cause: a control node told its sessions whatever state it held. One that was cut off, came back after an absence or woke from a freeze gave a proxy that started then a configuration that was not in force any more.

Ruled out: holding it back while `is_attached` is false. That stops the cut and the return, not the freeze: what lay in the links' sockets is taken for contact.

Now it stands while the others are asked, and is left only for one that hears a majority. What is decided there is apart from the sockets.

--- a/crates/sandtrack-control/src/lib.rs
+++ b/crates/sandtrack-control/src/lib.rs
@@ -1,5 +1,6 @@
 //! The control plane: configuration, membership, the list of upstreams, the directory. `control node` puts the parts
 //! together and is pure; `program` carries out what it asks for on sockets, a disk and a clock.
+pub mod contact;
 pub mod control;
 pub mod control_state;
 pub mod directory;
--- a/crates/sandtrack-control/src/node.rs
+++ b/crates/sandtrack-control/src/node.rs
@@ -1,5 +1,6 @@
 //! The control node: the parts put together. Inputs go in, effects come out; it is pure and deterministic, so that tests play
 //! whole exchanges of several of them. It owns all state; it must never touch a socket, a file or a clock.
+use crate::contact::Contact;
 use crate::control::{self, Order, Reply};
 use crate::control_state::{ControlState, Question};
 use crate::directory;
@@ -115,6 +116,7 @@
     settings: Settings,
     replica: Replica<ControlState>,
     peers: Peers,
+    contact: Contact,
     sessions: Sessions,
     membership: Membership,
     upstreams: Upstreams,
@@ -182,6 +184,7 @@
             peers: Peers::new(me, now),
             settings,
             replica,
+            contact: Contact::default(),
             sessions: Sessions::default(),
             membership: Membership::default(),
             upstreams: Upstreams::default(),
@@ -244,6 +247,7 @@
         if now - self.last > FROZEN_MS {
             log::warn!("this process did not run for {:.0} ms", now - self.last);
             self.peers.woke(now);
+            self.contact.woke(now);
             self.sessions.woke(now);
             self.caught_up = None;
             if now - self.last > HOLDER_SILENT_MS {
@@ -367,6 +371,9 @@
 
     fn link_frame(&mut self, now: Millis, link: u64, frame: PeerFrame, out: &mut Vec<Effect>) {
         let peer = self.peers.heard(now, link);
+        if let Some(peer) = &peer {
+            self.contact.heard(now, peer, None);
+        }
         let (peer, frame) = match (peer, frame) {
             (_, PeerFrame::Hello(hello)) => {
                 let mut orders = Vec::new();
@@ -381,7 +388,9 @@
         match frame {
             PeerFrame::Hello(_) => {}
             PeerFrame::Replication(message) => {
-                self.replica(now, replication::Input::Received { from: peer, message }, out);
+                let received = replication::Input::Received { from: peer.clone(), message };
+                self.replica(now, received, out);
+                self.contact.heard(now, &peer, self.replica.heard_epoch(&peer));
             }
             PeerFrame::Sessions { whole, present, gone } => {
                 self.membership.told(now, &peer, whole, present, &gone);
@@ -431,11 +440,13 @@
         match heard {
             Some(Heard::Found(peer)) => {
                 log::info!("linked with {peer}");
+                self.contact.lost(&peer);
                 self.sessions.census_again();
                 self.beat_one(now, &peer, out);
             }
             Some(Heard::Lost(peer)) => {
                 log::info!("the link with {peer} is lost");
+                self.contact.lost(&peer);
                 self.membership.lost(now, &peer);
                 self.sessions.census_again();
             }
@@ -565,6 +576,12 @@
         2 * heard > voters.len() && (caught_up || self.replica.is_caught_up())
     }
 
+    /// Whether sessions are given configurations and evacuations: what is known here was confirmed within the lease.
+    fn feeds(&self, now: Millis) -> bool {
+        let epoch = self.replica.view().epoch;
+        self.is_attached(now) && self.contact.is_confirmed(now, &self.peers.me.address, &self.voters(), epoch)
+    }
+
     fn beat_one(&mut self, now: Millis, peer: &str, out: &mut Vec<Effect>) {
         let Some(link) = self.peers.link_to(peer) else { return };
         self.tell_peer(now, link, out);
@@ -618,12 +635,13 @@
             upstreams: &self.upstreams,
             membership: &self.membership,
             attached: false,
+            feeds: self.sessions.is_holding_back() && self.feeds(now),
             settled: self.settled,
         };
         if !self.sessions.is_due(now, &news) {
             return;
         }
-        news.attached = self.is_attached(now);
+        (news.attached, news.feeds) = (self.is_attached(now), self.feeds(now));
         let others: Vec<&Hello> =
             self.peers.all().filter(|(_, linked, _)| *linked).filter_map(|(_, _, hello)| hello).collect();
         let mut orders = Vec::new();
--- a/crates/sandtrack-control/src/sessions.rs
+++ b/crates/sandtrack-control/src/sessions.rs
@@ -34,6 +34,8 @@
     pub upstreams: &'a Upstreams,
     pub membership: &'a Membership,
     pub attached: bool,
+    /// Configurations and evacuations may be told: contact with a majority was confirmed within the lease.
+    pub feeds: bool,
     /// It is known how many proxies there are.
     pub settled: bool,
 }
@@ -45,6 +47,8 @@
     names: BTreeMap<String, u64>,
     /// Those that want more than what is new to all.
     fresh: BTreeSet<u64>,
+    /// Those from which a configuration or evacuations are held back until contact with a majority is confirmed.
+    held_back: BTreeSet<u64>,
     next_session: u64,
     next_beat: Millis,
     next_census: Millis,
@@ -68,6 +72,46 @@
     frames::frame(frame).into()
 }
 
+impl Session {
+    /// Whether it was not told all of the committed state.
+    fn lacks(&self, control_state: &ControlState) -> bool {
+        let configuration = control_state.configuration_number();
+        let evacuation = control_state.evacuation_number();
+        let ordered = configuration > 0 || evacuation > 0;
+        configuration > 0 && self.configuration != Some(configuration)
+            || ordered && self.evacuation != Some(evacuation)
+    }
+
+    /// Brings it up to the committed state. Frames that others get as well are made once: `whole`, `changes` (by the
+    /// number that they lead from) and `evacuated`.
+    fn tell_state(
+        &mut self, control_state: &ControlState, whole: &mut Option<(u64, Bytes)>,
+        changes: &mut BTreeMap<u64, Option<Bytes>>, evacuated: &mut Option<Bytes>,
+        send: &mut impl FnMut(Bytes),
+    ) {
+        let configuration = control_state.configuration_number();
+        if configuration > 0 && self.configuration != Some(configuration) {
+            let changed = self
+                .configuration
+                .and_then(|from| changes.entry(from).or_insert_with(|| steps(control_state, from)).clone());
+            if let Some(bytes) = changed.or_else(|| whole_of(whole, control_state)) {
+                send(bytes);
+            }
+            self.configuration = Some(configuration);
+        }
+        let evacuation = control_state.evacuation_number();
+        let ordered = configuration > 0 || evacuation > 0;
+        if ordered && self.evacuation != Some(evacuation) {
+            self.evacuation = Some(evacuation);
+            let frame = evacuated.get_or_insert_with(|| {
+                let zones = control_state.evacuated().map(str::to_owned).collect();
+                bytes(&ToProxy::Evacuated { number: evacuation, zones })
+            });
+            send(frame.clone());
+        }
+    }
+}
+
 impl Sessions {
     /// A number for a session whose socket was accepted.
     pub fn accepted(&mut self, now: Millis) -> u64 {
@@ -108,6 +152,7 @@
     /// The socket is gone; whose it was, where that is a member by this session.
     pub fn closed(&mut self, session: u64) -> Option<ProxyInfo> {
         self.fresh.remove(&session);
+        self.held_back.remove(&session);
         let info = self.sessions.remove(&session)?.info?;
         if self.names.get(&info.node_name) == Some(&session) {
             self.names.remove(&info.node_name);
@@ -166,9 +211,16 @@
         settled && now >= self.next_census && self.census_round != membership.round()
     }
 
+    /// Whether some session is to get a configuration or evacuations that it was not told yet.
+    pub fn is_holding_back(&self) -> bool {
+        !self.held_back.is_empty()
+    }
+
     /// Whether there is anything to tell.
     pub fn is_due(&self, now: Millis, news: &News<'_>) -> bool {
-        let new = !self.fresh.is_empty() || state(news.control_state, news.upstreams) != self.told;
+        let new = !self.fresh.is_empty()
+            || news.feeds && self.is_holding_back()
+            || state(news.control_state, news.upstreams) != self.told;
         new || self.census_due(now, news.membership, news.settled)
     }
 
@@ -183,10 +235,13 @@
             self.fresh = self.sessions.keys().copied().collect();
             self.told = state;
         }
-        let fresh = std::mem::take(&mut self.fresh);
+        let mut fresh = std::mem::take(&mut self.fresh);
+        if news.feeds {
+            fresh.append(&mut self.held_back);
+        }
         let mut lists: BTreeMap<Option<u64>, Bytes> = BTreeMap::new();
         let mut changes: BTreeMap<u64, Option<Bytes>> = BTreeMap::new();
-        let Sessions { sessions, whole, .. } = self;
+        let Sessions { sessions, whole, held_back, .. } = self;
         let mut evacuated: Option<Bytes> = None;
         for number in &fresh {
             let Some(session) = sessions.get_mut(number).filter(|session| session.info.is_some()) else {
@@ -201,26 +256,10 @@
                     attached: news.attached,
                 }));
             }
-            let configuration = news.control_state.configuration_number();
-            if configuration > 0 && session.configuration != Some(configuration) {
-                let changed = session.configuration.and_then(|from| {
-                    changes.entry(from).or_insert_with(|| steps(news.control_state, from)).clone()
-                });
-                if let Some(bytes) = changed.or_else(|| whole_of(whole, news.control_state)) {
-                    send(bytes);
-                }
-                session.configuration = Some(configuration);
-            }
-            let ordered = configuration > 0 || news.control_state.evacuation_number() > 0;
-            if ordered && session.evacuation != Some(news.control_state.evacuation_number()) {
-                session.evacuation = Some(news.control_state.evacuation_number());
-                let frame = evacuated.get_or_insert_with(|| {
-                    bytes(&ToProxy::Evacuated {
-                        number: news.control_state.evacuation_number(),
-                        zones: news.control_state.evacuated().map(str::to_owned).collect(),
-                    })
-                });
-                send(frame.clone());
+            if news.feeds {
+                session.tell_state(news.control_state, whole, &mut changes, &mut evacuated, &mut send);
+            } else if session.lacks(news.control_state) {
+                held_back.insert(*number);
             }
             if news.upstreams.round() > 0 && session.list != Some(news.upstreams.end()) {
                 let frame = lists.entry(session.list).or_insert_with(|| {
--- a/crates/sandtrack-proxy/src/lib.rs
+++ b/crates/sandtrack-proxy/src/lib.rs
@@ -1,7 +1,7 @@
 //! The data plane of the system: takes clients' requests and carries each to an upstream of its route's service.
 //!
 //! What is decided is pure and apart from sockets: [`balancer`] (what is known, and where a request goes), [`budget`]
-//! (bounds that hold over all proxies), [`events`] (pieces of a stream). The rest owns sockets, one task each:
+//! (bounds that hold over all proxies), [`events`] (pieces of a stream), [`session_policy`] (which control node). The rest owns sockets, one task each:
 //! [`front`] (clients), [`carry`] (one request), [`exchange`] and [`pool`] (upstream connections), [`probing`],
 //! [`session`] (the control plane), [`program`].
 pub mod balancer;
@@ -16,5 +16,6 @@
 pub mod program;
 pub mod request;
 pub mod session;
+pub mod session_policy;
 pub mod shared;
 pub mod upstreams;
--- a/crates/sandtrack-proxy/src/session.rs
+++ b/crates/sandtrack-proxy/src/session.rs
@@ -1,14 +1,15 @@
 //! The session with the control plane: this proxy is a member while it stands. Opened with the nearest control node that
-//! answers and hears a majority of its kind; opened anew elsewhere when that falls silent.
+//! answers and hears a majority of its kind; opened anew elsewhere when that falls silent. What is decided is in
+//! `session_policy`; here are the sockets.
 use crate::balancer::Folded;
+use crate::session_policy::{candidates, judge_welcome, Accepted, Standing};
 use crate::shared::Shared;
 use async_io::{Async, Timer};
 use futures_lite::future;
 use sandtrack_protocol::frames::{frame, take, ProxyInfo, ToControl, ToProxy, BEAT_MS, FORMAT, SILENCE_MS};
-use sandtrack_protocol::settings::{Settings, SESSION_PORT};
 use sandtrack_sidecar::net::{no_delay, write_within};
 use sandtrack_sidecar::ring::Ring;
-use sandtrack_tiers::Millis;
+use std::cell::RefCell;
 use std::io::Read;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -18,73 +19,154 @@
 const CONNECT: Duration = Duration::from_millis(350);
 /// Pause after all were tried in vain.
 const PAUSE: Duration = Duration::from_millis(100);
-/// With one that hears no majority, it is looked for a better one this often, in ms.
-const DETACHED_LOOK: Millis = 1000.0;
+/// How often it is seen whether another control node is to be looked for.
+const LOOK_EVERY: Duration = Duration::from_millis(BEAT_MS);
+/// Bytes that are kept for what was read of a session and is not a whole frame yet.
+const HELD_KEPT: usize = 64 * 1024;
 
-/// Addresses to try, nearest first, each once: this machine's own, those that control named, those of the seeds.
-pub fn candidates(settings: &Settings, named: &[String]) -> Vec<String> {
-    let seeds = settings.seed_nodes.iter().map(|seed| Settings::ip_of(seed));
-    let seeds = seeds.map(|ip| settings.internal_address(ip, SESSION_PORT));
-    let mut all: Vec<String> = Vec::new();
-    let own = settings.internal_address(&settings.ip_address, SESSION_PORT);
-    let own = settings.loss_counted.then_some(own);
-    for address in own.into_iter().chain(named.iter().cloned()).chain(seeds) {
-        if !all.contains(&address) {
-            all.push(address);
+/// A session that was accepted, with what came after its first frame.
+struct Session {
+    address: String,
+    stream: Async<TcpStream>,
+    incoming: Incoming,
+    standing: RefCell<Standing>,
+}
+
+/// Frames as they come over a session.
+struct Incoming {
+    held: Vec<u8>,
+    buffer: Vec<u8>,
+}
+
+impl Incoming {
+    fn new() -> Incoming {
+        Incoming { held: Vec::new(), buffer: vec![0; 16 * 1024] }
+    }
+
+    /// The next frame; `None` where the session is over, silent, or speaks something else.
+    async fn next(&mut self, stream: &Async<TcpStream>) -> Option<ToProxy> {
+        loop {
+            match take::<ToProxy>(&self.held) {
+                Ok(Some((message, length))) => {
+                    self.held.drain(..length);
+                    if self.held.is_empty() {
+                        self.held.shrink_to(HELD_KEPT);
+                    }
+                    return Some(message);
+                }
+                Ok(None) => {}
+                Err(error) => {
+                    log::error!("session with control: {error}");
+                    return None;
+                }
+            }
+            let late = async {
+                Timer::after(Duration::from_millis(SILENCE_MS)).await;
+                None
+            };
+            let buffer = &mut self.buffer;
+            let read = async { Some(stream.read_with(|mut socket| socket.read(buffer)).await) };
+            match future::or(read, late).await {
+                Some(Ok(count)) if count > 0 => self.held.extend_from_slice(&self.buffer[..count]),
+                _ => return None,
+            }
         }
     }
-    all
 }
 
 /// Keeps a session for the life of the process.
 pub async fn run(shared: Rc<Shared>) {
-    // One that heard no majority is taken only where no other does.
-    let mut accept_detached = false;
+    let mut vain_rounds = 0;
     loop {
-        let tried = candidates(&shared.settings.borrow(), &shared.balancer.borrow().control_nodes);
-        let mut stood = false;
-        for address in tried {
-            if hold(&shared, &address, accept_detached).await {
-                stood = true;
-                break;
-            }
-        }
-        accept_detached = !stood && !accept_detached;
-        if !stood {
+        let accepted = Accepted::in_round(shared.balancer.borrow().is_ready(), vain_rounds);
+        let mut session = seek(&shared, accepted, None).await;
+        vain_rounds = if session.is_none() { vain_rounds + 1 } else { 0 };
+        if session.is_none() {
             Timer::after(PAUSE).await;
         }
+        while let Some(held) = session {
+            session = hold(&shared, held).await;
+        }
     }
 }
 
-/// Holds a session until it breaks; whether it stood.
-async fn hold(shared: &Rc<Shared>, address: &str, accept_detached: bool) -> bool {
-    let Ok(address) = address.parse::<SocketAddr>() else { return false };
+/// Asks one candidate after the other, but for the one that it is with.
+async fn seek(shared: &Shared, accepted: Accepted, except: Option<&str>) -> Option<Session> {
+    let tried = candidates(&shared.settings.borrow(), &shared.balancer.borrow().control_nodes);
+    for address in tried.iter().filter(|address| Some(address.as_str()) != except) {
+        if let Some(session) = open(shared, address, accepted).await {
+            return Some(session);
+        }
+    }
+    None
+}
+
+/// Opens a session with one control node; none where that does not answer or is not accepted.
+async fn open(shared: &Shared, address: &str, accepted: Accepted) -> Option<Session> {
     let late = async {
         Timer::after(CONNECT).await;
         Err(std::io::ErrorKind::TimedOut.into())
     };
-    let Ok(stream) = future::or(Async::<TcpStream>::connect(address), late).await else { return false };
+    let connecting = Async::<TcpStream>::connect(address.parse::<SocketAddr>().ok()?);
+    let stream = future::or(connecting, late).await.ok()?;
     no_delay(&stream);
-    let info = {
-        let settings = shared.settings.borrow();
-        ProxyInfo {
-            node_name: settings.node_name.clone(),
-            incarnation: shared.incarnation,
-            zone: settings.zone.clone(),
-            region: settings.region.clone(),
-            front: settings.listen.get("front").cloned().unwrap_or_default(),
-        }
+    if !write(&stream, &hello(shared)).await {
+        return None;
+    }
+    let mut incoming = Incoming::new();
+    let first = incoming.next(&stream).await?;
+    let ToProxy::Welcome { format, control_node, attached } = &first else {
+        log::error!("session with control: {address} does not begin with a welcome");
+        return None;
     };
-    let hello = ToControl::Hello { format: FORMAT, info, state: shared.balancer.borrow().state() };
-    if !write(&stream, &hello).await {
-        return false;
+    if let Err(refused) = judge_welcome(*format, *attached, accepted) {
+        log::debug!("no session with {control_node}: {refused}");
+        return None;
     }
+    log::info!("session with {control_node} stands");
+    let standing = RefCell::new(Standing::new(shared.clock.now(), *attached));
+    Some(Session { address: address.to_owned(), stream, incoming, standing })
+}
+
+fn hello(shared: &Shared) -> ToControl {
+    let settings = shared.settings.borrow();
+    let info = ProxyInfo {
+        node_name: settings.node_name.clone(),
+        incarnation: shared.incarnation,
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        front: settings.listen.get("front").cloned().unwrap_or_default(),
+    };
+    ToControl::Hello { format: FORMAT, info, state: shared.balancer.borrow().state() }
+}
+
+/// Holds a session until it breaks; a better one where such was found before that.
+async fn hold(shared: &Shared, session: Session) -> Option<Session> {
+    let Session { address, stream, incoming, standing } = session;
     let (want, wants) = async_channel::unbounded();
     let telling = async {
         tell(shared, &stream, wants).await;
-        false
+        None
     };
-    future::or(listen(shared, &stream, want, accept_detached), telling).await
+    let listening = async {
+        listen(shared, &stream, incoming, &standing, want).await;
+        None
+    };
+    let looking = look(shared, &address, &standing);
+    future::or(listening, future::or(telling, async { Some(looking.await) })).await
+}
+
+/// While its control node hears no majority, asks the others for one that does, and goes on with this one meanwhile.
+async fn look(shared: &Shared, address: &str, standing: &RefCell<Standing>) -> Session {
+    loop {
+        Timer::after(LOOK_EVERY).await;
+        let due = standing.borrow_mut().take_look(shared.clock.now());
+        if due {
+            if let Some(better) = seek(shared, Accepted::Attached, Some(address)).await {
+                return better;
+            }
+        }
+    }
 }
 
 async fn write(stream: &Async<TcpStream>, message: &ToControl) -> bool {
@@ -124,69 +206,23 @@
     }
 }
 
-/// Takes what control tells until the session breaks; whether it stood.
+/// Takes what control tells until the session breaks.
 async fn listen(
-    shared: &Shared, stream: &Async<TcpStream>, want: async_channel::Sender<ToControl>, accept_detached: bool,
-) -> bool {
-    let mut held: Vec<u8> = Vec::new();
-    let mut stood = false;
-    let mut detached_since: Option<Millis> = None;
-    let mut bytes = vec![0; 16 * 1024];
-    loop {
-        let late = async {
-            Timer::after(Duration::from_millis(SILENCE_MS)).await;
-            None
-        };
-        let read = async { Some(stream.read_with(|mut socket| socket.read(&mut bytes)).await) };
-        let count = match future::or(read, late).await {
-            Some(Ok(count)) if count > 0 => count,
-            _ => return stood,
-        };
-        held.extend_from_slice(&bytes[..count]);
-        let mut taken = 0;
-        loop {
-            let (message, length) = match take::<ToProxy>(&held[taken..]) {
-                Ok(Some(taken)) => taken,
-                Ok(None) => break,
-                Err(error) => {
-                    log::error!("session with control: {error}");
-                    return stood;
-                }
-            };
-            taken += length;
-            let now = shared.clock.now();
-            match &message {
-                ToProxy::Welcome { format, control_node, attached } => {
-                    // Where nothing is known, what one without a majority knows is better: it was committed once.
-                    let nothing_known = !shared.balancer.borrow().is_ready();
-                    if *format != FORMAT || !attached && !accept_detached && !nothing_known {
-                        return false;
-                    }
-                    log::info!("session with {control_node} stands");
-                    stood = true;
-                    detached_since = (!attached).then_some(now);
-                }
-                ToProxy::Beat { attached: true } => detached_since = None,
-                ToProxy::Beat { attached: false } => {
-                    let since = *detached_since.get_or_insert(now);
-                    if now - since > DETACHED_LOOK {
-                        return false;
-                    }
-                }
-                _ => {}
-            }
-            let folded = shared.balancer.borrow_mut().fold(now, message);
-            if folded == Folded::WantConfiguration {
-                let _ = want.try_send(ToControl::WantConfiguration);
-                shared.tell_news();
-            }
-            if std::mem::take(&mut shared.balancer.borrow_mut().changed) {
-                shared.tell_news();
-            }
+    shared: &Shared, stream: &Async<TcpStream>, mut incoming: Incoming, standing: &RefCell<Standing>,
+    want: async_channel::Sender<ToControl>,
+) {
+    while let Some(message) = incoming.next(stream).await {
+        let now = shared.clock.now();
+        if let ToProxy::Beat { attached } = &message {
+            standing.borrow_mut().beat(now, *attached);
+        }
+        let folded = shared.balancer.borrow_mut().fold(now, message);
+        if folded == Folded::WantConfiguration {
+            let _ = want.try_send(ToControl::WantConfiguration);
+            shared.tell_news();
         }
-        held.drain(..taken);
-        if held.is_empty() {
-            held.shrink_to(64 * 1024);
+        if std::mem::take(&mut shared.balancer.borrow_mut().changed) {
+            shared.tell_news();
         }
     }
 }
--- a/crates/sandtrack-proxy/tests/exchange/sessions.rs
+++ b/crates/sandtrack-proxy/tests/exchange/sessions.rs
@@ -168,3 +168,19 @@
     stage.control_node.die();
     named.until_hello();
 }
+
+/// Where no other hears a majority, its session stands while the others are asked: it is not opened anew each time.
+#[test]
+fn a_detached_control_node_is_kept_while_others_are_asked() {
+    let (alone_ip, alone) = control_node(false);
+    let (other_ip, other) = control_node(false);
+    let name = "a_detached_control_node_is_kept_while_others_are_asked";
+    let (_, _proxy) = proxy(name, &[&alone_ip, &other_ip]);
+    alone.until_hello();
+    for _ in 0..2 {
+        other.until_hello();
+        other.until("the end of what was only asked", |heard| *heard == Heard::Ended);
+    }
+    let heard = alone.heard_up_to_now();
+    assert!(!heard.contains(&Heard::Ended), "it stays with the one that it had: {heard:?}");
+}
--- a/crates/sandtrack-replication/src/replica.rs
+++ b/crates/sandtrack-replication/src/replica.rs
@@ -146,6 +146,11 @@
         &self.latest
     }
 
+    /// The latest epoch that another process named, since it started.
+    pub fn heard_epoch(&self, address: &str) -> Option<u64> {
+        self.peers.all.get(address).map(|peer| peer.epoch)
+    }
+
     /// Links of the known control processes without this one: chain, voters, observers.
     pub fn peers(&self) -> Vec<Address> {
         let mut all = self.latest.addresses();
