--- /dev/null
+++ b/crates/sandtrack-days/tests/verdict.rs
@@ -0,0 +1,98 @@
+//! Reports and log lines of played days.
+
+use sandtrack_days::verdict::{suspicions, Report};
+
+const CLEAN: &str = r#"{"G": 0.78, "breaks": {}, "short": [], "exits_n": 0, "fault": null, "config_ack_ms": 3683,
+  "events": [{"at_s": 4, "to_s": 7.5, "kind": "evacuate (warm)", "what": "quay", "planned": true},
+             {"at_s": 3.9, "to_s": 10.9, "kind": "node_freeze", "what": "front-quay-1", "planned": false}]}"#;
+
+fn line(at_s: f64, node: &str, event: &str) -> String {
+    format!("  {at_s:.4} {node}/control {{\"at\":1.0,\"part\":\"sandtrack_control::node\",\"event\":\"{event}\"}}\n")
+}
+
+fn suspicions_of(lines: &[String]) -> Vec<String> {
+    suspicions(&lines.concat(), &Report::parse(CLEAN).expect("a report"))
+}
+
+#[test]
+fn a_clean_report_is_no_find() {
+    let report = Report::parse(CLEAN).expect("a report");
+    assert!(!report.is_find());
+    assert_eq!((report.worth, report.slowest_ack_ms), (0.78, 3683));
+    assert_eq!(report.evacuation_s, [4.0, 7.5]);
+}
+
+#[test]
+fn broken_rules_failed_gates_exits_and_faults_are_finds() {
+    let changes = [
+        ("\"breaks\": {}", r#""breaks": {"CONFIG": [3, "an acknowledged change is not read back"]}"#),
+        ("\"short\": []", r#""short": ["Acks"]"#),
+        ("\"exits_n\": 0", "\"exits_n\": 1"),
+        ("\"fault\": null", "\"fault\": \"too busy\""),
+    ];
+    for (from, to) in changes {
+        let report = Report::parse(&CLEAN.replace(from, to)).expect("a report");
+        assert!(report.is_find(), "{to}");
+    }
+}
+
+#[test]
+fn a_text_that_is_no_json_is_an_error() {
+    assert!(Report::parse("no report").is_err());
+}
+
+#[test]
+fn an_ordinary_log_raises_no_suspicion() {
+    let lines = [
+        line(-9.1, "a", "number 1: version 3"),
+        line(-9.0, "b", "number 1: version 3"),
+        line(4.2, "a", "number 2: version 3"),
+        line(5.0, "b", "this process did not run for 2400 ms"),
+        line(5.1, "b", "number 2: version 3"),
+        line(5.3, "a", "number 3: version 4"),
+    ];
+    assert_eq!(suspicions_of(&lines), Vec::<String>::new());
+}
+
+#[test]
+fn numbers_and_versions_that_go_back_are_told() {
+    let back = [line(1.0, "a", "number 7: version 9"), line(2.0, "a", "number 6: version 8")];
+    assert_eq!(suspicions_of(&back).len(), 1);
+    let older = [line(1.0, "a", "number 7: version 9"), line(2.0, "a", "number 8: version 8")];
+    assert_eq!(suspicions_of(&older).len(), 1);
+    let restarted = [
+        line(1.0, "a", "number 7: version 9"),
+        line(2.0, "a", "serving control at 10.1.0.13:8166").replace("::node", "::program"),
+        line(2.1, "a", "number 7: version 9"),
+    ];
+    assert_eq!(suspicions_of(&restarted), Vec::<String>::new());
+}
+
+#[test]
+fn one_number_with_two_versions_is_told() {
+    let split = [line(1.0, "a", "number 7: version 9"), line(1.5, "b", "number 7: version 10")];
+    assert_eq!(suspicions_of(&split).len(), 1);
+}
+
+#[test]
+fn an_evacuation_applied_right_after_a_process_woke_is_told() {
+    let late = [
+        line(-9.0, "a", "number 1: version 3"),
+        line(4.3, "a", "number 2: version 3"),
+        line(7.6, "a", "number 3: version 3"),
+        line(10.9, "b", "this process did not run for 7010 ms"),
+        line(11.2, "a", "number 4: version 3"),
+    ];
+    let found = suspicions_of(&late);
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert!(found[0].contains("number 4"));
+}
+
+#[test]
+fn panics_and_loops_of_pauses_are_told() {
+    let panicked = ["  3.0 a/proxy thread 'main' panicked at src/main.rs\n".to_owned()];
+    assert_eq!(suspicions_of(&panicked).len(), 1);
+    let paused: Vec<String> =
+        (0..10).map(|n| line(f64::from(n), "a", "this process did not run for 300 ms")).collect();
+    assert_eq!(suspicions_of(&paused).len(), 1);
+}
