--- a/crates/sandtrack-days/src/draw.rs
+++ b/crates/sandtrack-days/src/draw.rs
@@ -157,7 +157,9 @@
 
     /// Adds one entry of any kind of `plane`, near `moment_s` or anywhere.
     fn push_any(&mut self, entries: &mut Vec<Drawn>, plane: Plane, moment_s: Option<f64>) {
-        let fitting: Vec<&'static Kind> = KINDS.iter().filter(|kind| kind.plane == plane).collect();
+        let contracts = &self.site.contracts;
+        let fitting: Vec<&'static Kind> =
+            KINDS.iter().filter(|kind| kind.plane == plane && kind.fits(contracts)).collect();
         if let Some(kind) = fitting.choose(&mut self.rng) {
             self.push_kind(entries, kind, moment_s);
         }
--- a/crates/sandtrack-days/src/kinds.rs
+++ b/crates/sandtrack-days/src/kinds.rs
@@ -56,6 +56,15 @@
     pub how: &'static [Words],
     /// The kind takes counted machines away, so the bench makes it wait while as many are lost as are tolerated.
     pub loses_core: bool,
+    /// The part of the rules that a site must have in force for the kind to be taken.
+    pub contract: Option<&'static str>,
+}
+
+impl Kind {
+    /// Whether a site with these parts of the rules in force takes the kind.
+    pub fn fits(&self, contracts: &[String]) -> bool {
+        self.contract.is_none_or(|contract| contracts.iter().any(|open| open == contract))
+    }
 }
 
 /// Which machine: the one that acted or acknowledged last, the reader of the platform's list, a seed.
@@ -73,7 +82,15 @@
 const MOMENT: Words = (0.7, &["kill", "timed", "taken"]);
 
 const fn control(name: &'static str, fields: &'static [Field], how: &'static [Words]) -> Kind {
-    Kind { name, plane: Plane::Control, section: Section::Faults, fields, how, loses_core: false }
+    Kind {
+        name,
+        plane: Plane::Control,
+        section: Section::Faults,
+        fields,
+        how,
+        loses_core: false,
+        contract: None,
+    }
 }
 
 const fn loss(name: &'static str, fields: &'static [Field], how: &'static [Words]) -> Kind {
@@ -88,6 +105,10 @@
     Kind { plane: Plane::Data, ..control(name, fields, how) }
 }
 
+const fn under(contract: &'static str, kind: Kind) -> Kind {
+    Kind { contract: Some(contract), ..kind }
+}
+
 const fn work(name: &'static str, fields: &'static [Field], how: &'static [Words]) -> Kind {
     Kind { section: Section::Plan, ..data(name, fields, how) }
 }
@@ -171,12 +192,15 @@
         &[(1.0, &["errors one_zone", "hang one_zone", "reset one_zone"])],
     ),
     data("srv_grey", &[Share(0.1, 0.25), Strength(4.0, 8.0), Duration(3.0, 8.0)], &[(1.0, &["slow"])]),
-    data(
-        "srv_lying_health",
-        &[Share(0.1, 0.2), Duration(3.0, 8.0)],
-        &[(0.9, &["errors", "hang", "reset", "bad"])],
+    under(
+        "health",
+        data(
+            "srv_lying_health",
+            &[Share(0.1, 0.2), Duration(3.0, 8.0)],
+            &[(0.9, &["errors", "hang", "reset", "bad"])],
+        ),
     ),
-    data("srv_flap", &[Share(0.1, 0.2), Gap(0.8, 2.0), Duration(3.0, 8.0)], &[]),
+    under("health", data("srv_flap", &[Share(0.1, 0.2), Gap(0.8, 2.0), Duration(3.0, 8.0)], &[])),
     data("cold_return", &[Zone, Duration(2.0, 5.0)], &[(0.4, &["dark"])]),
     data("answer_lost", &[Share(0.3, 0.7), Strength(0.02, 0.08), Duration(3.0, 8.0)], &[(0.4, &["reset"])]),
     data(
@@ -184,7 +208,7 @@
         &[Share(0.3, 0.7), Strength(0.01, 0.05), Duration(3.0, 8.0)],
         &[(0.6, &["extra", "extra late"])],
     ),
-    data("idle_race", &[Share(0.3, 0.7), Strength(100.0, 500.0), Duration(3.0, 8.0)], &[]),
+    under("pool", data("idle_race", &[Share(0.3, 0.7), Strength(100.0, 500.0), Duration(3.0, 8.0)], &[])),
     data("replace_with_reuse", &[Share(0.1, 0.2)], &[(0.7, &["drain", "dark"])]),
     work("release", &[Share(0.2, 0.5), Strength(1.0, 2.0), Gap(0.7, 1.2)], &[]),
     work("scale_out", &[Share(0.2, 0.4), Gap(0.5, 2.0)], &[]),
--- a/crates/sandtrack-days/src/site.rs
+++ b/crates/sandtrack-days/src/site.rs
@@ -20,6 +20,8 @@
     pub services: Vec<String>,
     /// Kinds of requests.
     pub classes: Vec<String>,
+    /// Parts of the rules in force; some kinds of trouble belong to one.
+    pub contracts: Vec<String>,
     /// Length of an ordinary day, in seconds of traffic.
     pub length_s: f64,
     /// Seconds after its return for which a machine still counts as lost.
@@ -37,6 +39,7 @@
             zones: names(&table, "zones")?,
             services: names(&table, "services")?,
             classes: names(&table, "classes")?,
+            contracts: texts(&table, "contracts")?,
             length_s: number(table.get("length_s")).ok_or(SiteError::Missing("length_s"))?,
             catch_up_s: number(entry(&table, "timing", "catch_up_s"))
                 .ok_or(SiteError::Missing("timing.catch_up_s"))?,
@@ -69,3 +72,9 @@
     }
     Ok(names)
 }
+
+/// An array of texts; it may be empty.
+fn texts(table: &Table, key: &'static str) -> Result<Vec<String>, SiteError> {
+    let array = table.get(key).and_then(Value::as_array).ok_or(SiteError::Missing(key))?;
+    Ok(array.iter().filter_map(Value::as_str).map(str::to_owned).collect())
+}
--- a/crates/sandtrack-days/tests/draw.rs
+++ b/crates/sandtrack-days/tests/draw.rs
@@ -26,6 +26,7 @@
     assert_eq!(site.zones, ["quay", "pier", "dock"]);
     assert_eq!(site.services, ["tide-model", "berth-app"]);
     assert_eq!(site.classes, ["forecast", "booking"]);
+    assert_eq!(site.contracts, ["base", "config", "health", "pool"]);
     assert_eq!((site.length_s, site.catch_up_s, site.tolerated_machines), (30.0, 4.0, 1));
 }
 
@@ -126,6 +127,17 @@
     assert!(days.iter().filter(|day| !day.faults.is_empty()).filter(together).count() >= 40);
 }
 
+#[test]
+fn kinds_of_a_part_that_is_not_in_force_are_left_out() {
+    let site = Site { contracts: vec!["base".to_owned()], ..site() };
+    for seed in 0..SEEDS {
+        let day = draw::day(seed, &site);
+        assert!(!day
+            .entries()
+            .any(|entry| ["srv_flap", "srv_lying_health", "idle_race"].contains(&entry.kind)));
+    }
+}
+
 /// The bench lets losses of counted machines wait for each other; a day that holds more than fit into it would mostly
 /// not be played.
 #[test]
