--- a/crates/sandtrack-days/src/hunt.rs
+++ b/crates/sandtrack-days/src/hunt.rs
@@ -42,17 +42,20 @@
 struct Files {
     day: PathBuf,
     report: PathBuf,
+    /// What the bench says of the day.
+    summary: PathBuf,
+    /// What the processes wrote; the bench passes it on to its standard error.
     log: PathBuf,
 }
 
 impl Files {
     fn new(folder: &Path, site: &str, seed: u64) -> Files {
         let file = |suffix| folder.join(format!("{site}-{seed}.{suffix}"));
-        Files { day: file("toml"), report: file("json"), log: file("log") }
+        Files { day: file("toml"), report: file("json"), summary: file("txt"), log: file("log") }
     }
 
     fn remove(&self) {
-        for file in [&self.day, &self.report, &self.log] {
+        for file in [&self.day, &self.report, &self.summary, &self.log] {
             // A file that was never written is no loss.
             let _ = fs::remove_file(file);
         }
@@ -104,16 +107,14 @@
             .arg(&files.report)
             .args(["--why", &format!("{}: seed {seed}", self.why)])
             .stdin(Stdio::null())
-            .stdout(fs::File::create(&files.log)?)
-            .stderr(Stdio::null())
+            .stdout(fs::File::create(&files.summary)?)
+            .stderr(fs::File::create(&files.log)?)
             .status()?;
-        let Ok(text) = fs::read_to_string(&files.report) else {
+        if !files.report.exists() {
             return Err(format!("the bench wrote no report ({status}), see {}", files.log.display()).into());
-        };
-        let report = Report::parse(&text)?;
-        let log = fs::read(&files.log)?;
-        let suspicions = suspicions(&String::from_utf8_lossy(&log), &report);
-        print_line(site, seed, &report, &suspicions);
+        }
+        let (report, suspicions) = judge(&files.report, &files.log)?;
+        print!("{} seed {seed}: {}", site.name, told(&report, &suspicions));
         let is_find = report.is_find() || !suspicions.is_empty();
         if !is_find {
             files.remove();
@@ -122,22 +123,36 @@
     }
 }
 
-fn print_line(site: &Site, seed: u64, report: &Report, suspicions: &[String]) {
-    let mut line = format!(
-        "{} seed {seed}: worth {:.3}, slowest ack {} ms, exits {}",
-        site.name, report.worth, report.slowest_ack_ms, report.exits
+/// Prints what came out of one day that was played.
+pub fn read(report: &Path, log: &Path) -> Result<(), Box<dyn Error>> {
+    let (report, suspicions) = judge(report, log)?;
+    print!("{}", told(&report, &suspicions));
+    Ok(())
+}
+
+fn judge(report: &Path, log: &Path) -> Result<(Report, Vec<String>), Box<dyn Error>> {
+    let report = Report::parse(&fs::read_to_string(report)?)?;
+    let log = fs::read(log)?;
+    let suspicions = suspicions(&String::from_utf8_lossy(&log), &report);
+    Ok((report, suspicions))
+}
+
+/// One line, and one more for all that went wrong.
+fn told(report: &Report, suspicions: &[String]) -> String {
+    let mut text = format!(
+        "worth {:.3}, slowest ack {} ms, exits {}\n",
+        report.worth, report.slowest_ack_ms, report.exits
     );
-    for rule in &report.broken_rules {
-        line += &format!("\n  BROKEN {rule}");
-    }
-    for gate in &report.failed_gates {
-        line += &format!("\n  GATE {gate}");
-    }
-    if let Some(fault) = &report.fault {
-        line += &format!("\n  FAULT {fault}");
-    }
-    for suspicion in suspicions {
-        line += &format!("\n  suspect: {suspicion}");
+    let parts = [
+        ("BROKEN", report.broken_rules.as_slice()),
+        ("GATE", report.failed_gates.as_slice()),
+        ("FAULT", report.fault.as_slice()),
+        ("suspect:", suspicions),
+    ];
+    for (mark, lines) in parts {
+        for line in lines {
+            text += &format!("  {mark} {line}\n");
+        }
     }
-    println!("{line}");
+    text
 }
--- a/crates/sandtrack-days/src/main.rs
+++ b/crates/sandtrack-days/src/main.rs
@@ -22,6 +22,16 @@
         #[bpaf(argument("SITE.toml"))]
         site: PathBuf,
     },
+    /// Read the report and the log lines of a day that was played
+    #[bpaf(command)]
+    Read {
+        /// The bench's report
+        #[bpaf(argument("FILE"))]
+        report: PathBuf,
+        /// What the bench wrote to its standard error with `--log all`
+        #[bpaf(argument("FILE"))]
+        log: PathBuf,
+    },
     /// Play the days of consecutive seeds, print one line for each, keep the finds
     #[bpaf(command)]
     Hunt(#[bpaf(external(hunt::hunt))] hunt::Hunt),
@@ -30,6 +40,7 @@
 fn main() -> ExitCode {
     let done = match command().run() {
         Command::Draw { seed, site } => draw_one(seed, &site),
+        Command::Read { report, log } => hunt::read(&report, &log),
         Command::Hunt(hunt) => hunt.run(),
     };
     match done {
--- a/crates/sandtrack-days/src/verdict.rs
+++ b/crates/sandtrack-days/src/verdict.rs
@@ -117,6 +117,8 @@
     applied: BTreeMap<&'l str, (u64, u64)>,
     /// Version of each number when it was first applied anywhere.
     versions: BTreeMap<u64, u64>,
+    /// Version of the configuration that each proxy has in force.
+    in_force: BTreeMap<&'l str, u64>,
     pauses: BTreeMap<&'l str, usize>,
     last_long_pause_s: Option<f64>,
 }
@@ -129,6 +131,12 @@
         if line.text.contains("program\",\"event\":\"serving") {
             self.applied.remove(line.process);
         }
+        if line.text.contains("\"event\":\"proxy started") {
+            self.in_force.remove(line.process);
+        }
+        if let Some(version) = number_after(line.text, "\"configuration ") {
+            self.put_in_force(line, version);
+        }
         if let Some(pause_ms) = number_after(line.text, "did not run for ") {
             *self.pauses.entry(line.process).or_default() += 1;
             if pause_ms >= LONG_PAUSE_MS {
@@ -142,6 +150,16 @@
         }
     }
 
+    fn put_in_force(&mut self, line: &Line<'l>, version: u64) {
+        let before = self.in_force.insert(line.process, version);
+        if let Some(before) = before.filter(|before| *before > version) {
+            self.found.push(format!(
+                "{:.3} {} goes back from configuration {before} to {version}",
+                line.at_s, line.process
+            ));
+        }
+    }
+
     fn apply(&mut self, line: &Line<'l>, number: u64, version: u64, report: &Report) {
         if let Some((number_before, version_before)) = self.applied.insert(line.process, (number, version)) {
             if number <= number_before || version < version_before {
--- a/crates/sandtrack-days/tests/verdict.rs
+++ b/crates/sandtrack-days/tests/verdict.rs
@@ -68,6 +68,19 @@
     assert_eq!(suspicions_of(&restarted), Vec::<String>::new());
 }
 
+#[test]
+fn a_proxy_whose_configuration_goes_back_is_told() {
+    let back = [line(1.0, "a", "configuration 7 in force"), line(2.0, "a", "configuration 6 in force")];
+    assert_eq!(suspicions_of(&back).len(), 1);
+    let others = [
+        line(1.0, "a", "configuration 7 in force"),
+        line(1.5, "b", "configuration 6 in force"),
+        line(2.0, "a", "proxy started"),
+        line(2.1, "a", "configuration 6 in force"),
+    ];
+    assert_eq!(suspicions_of(&others), Vec::<String>::new());
+}
+
 #[test]
 fn one_number_with_two_versions_is_told() {
     let split = [line(1.0, "a", "number 7: version 9"), line(1.5, "b", "number 7: version 10")];
