One exchange is decided by a pure state machine; nothing is held beyond its time

Cause: decisions on sends, races, promises and kept connections stood between awaits in carry.rs (592 lines) and could be tried only through sockets. Ruled out: silent upstreams before and behind their head, upstreams that take no bytes, and places without room; those were within their time already. Change: exchange_state.rs (every decision, no clock or socket), attempt.rs (one send), answers.rs (what a client gets); carry.rs only does what is decided. A request's time counts from its first byte. No approved transcript changed.

--- /dev/null
+++ b/crates/sandtrack-proxy/src/attempt.rs
@@ -0,0 +1,240 @@
+//! One send of a request to one upstream: opens or takes a connection, writes the request and reads the answer, a step at a
+//! time. What a step's outcome means is decided in `exchange_state`.
+use crate::balancer::Ended;
+use crate::exchange::{ask, next, written, Asked, Waited};
+use crate::exchange_state::{AnswerId, Broke, HeadFacts, SendEvent, Terms};
+use crate::pool::{connect, kept_for, Connection};
+use crate::request::ProxyRequest;
+use crate::shared::Shared;
+use crate::upstreams::Load;
+use sandtrack_core::message::Head;
+use sandtrack_sidecar::http::Part;
+use sandtrack_tiers::Millis;
+
+/// A connection that does not come up within this, and twice the upstream's probe time, is given up, in ms (ours).
+const CONNECT_PATIENCE: Millis = 400.0;
+/// A whole answer may be so long; a longer one is no answer of these services.
+const ANSWER_MAX: usize = 8 << 20;
+
+/// Tells the balancer when a send is over, whatever becomes of it.
+struct Reported<'a> {
+    shared: &'a Shared,
+    place: usize,
+    ended: Ended,
+}
+
+impl Drop for Reported<'_> {
+    fn drop(&mut self) {
+        let now = self.shared.clock.now();
+        self.shared.balancer.borrow_mut().ended(now, self.place, self.ended);
+    }
+}
+
+/// What a send needs to know of its upstream.
+struct Upstream {
+    identifier: String,
+    address: String,
+    /// Mean time of a probe.
+    average: Millis,
+    /// Connections that this proxy may hold to it.
+    connection_share: usize,
+}
+
+pub struct Attempt<'a> {
+    shared: &'a Shared,
+    request: &'a ProxyRequest,
+    terms: Terms,
+    upstream: Upstream,
+    /// An idle connection will do.
+    reuse: bool,
+    resume: Option<u64>,
+    // Closed before the balancer is told.
+    connection: Option<Connection>,
+    reported: Reported<'a>,
+    /// When the request was begun to be written.
+    asked: Option<Millis>,
+    written: bool,
+    head: Option<Head>,
+    /// The body so far of an answer that is collected.
+    body: Vec<u8>,
+}
+
+impl<'a> Attempt<'a> {
+    /// Counts from here on as a send at its upstream.
+    pub fn new(
+        shared: &'a Shared, request: &'a ProxyRequest, terms: Terms, place: usize, reuse: bool,
+        resume: Option<u64>,
+    ) -> Attempt<'a> {
+        let mut balancer = shared.balancer.borrow_mut();
+        balancer.sent(place);
+        let connection_share = balancer.connection_share(place);
+        let known = balancer.upstreams.get(place);
+        let upstream = Upstream {
+            identifier: known.entry.identifier.clone(),
+            address: known.entry.address.clone(),
+            average: known.average.get().unwrap_or(0.0),
+            connection_share,
+        };
+        Attempt {
+            shared,
+            request,
+            terms,
+            upstream,
+            reuse,
+            resume,
+            connection: None,
+            reported: Reported { shared, place, ended: Ended::GivenUp },
+            asked: None,
+            written: false,
+            head: None,
+            body: Vec::new(),
+        }
+    }
+
+    pub fn place(&self) -> usize {
+        self.reported.place
+    }
+
+    pub fn head(&self) -> Option<&Head> {
+        self.head.as_ref()
+    }
+
+    /// The collected answer.
+    pub fn take_answer(&mut self) -> Option<(Head, Vec<u8>)> {
+        self.head.take().map(|head| (head, std::mem::take(&mut self.body)))
+    }
+
+    /// The next thing that happens.
+    pub async fn step(&mut self) -> SendEvent {
+        if self.connection.is_none() {
+            self.connect().await
+        } else if !self.written {
+            self.write().await
+        } else {
+            self.read().await
+        }
+    }
+
+    /// The upstream's load and its coldness, as the head tells them.
+    pub fn heed(&self) {
+        let Some(head) = &self.head else { return };
+        let load = head.headers.get("server-load").and_then(Load::parse);
+        let cold = head.headers.get("cold-remaining").and_then(|value| value.trim().parse().ok());
+        self.shared.balancer.borrow_mut().told(self.shared.clock.now(), self.place(), load, cold);
+    }
+
+    /// How long the first part of the answer took.
+    pub fn note_pace(&self) {
+        if let Some(asked) = self.asked {
+            let elapsed = self.shared.clock.now() - asked;
+            self.shared.balancer.borrow_mut().paced(self.request, self.place(), elapsed);
+        }
+    }
+
+    /// Ends it, and closes its connection.
+    pub fn close(mut self, ended: Ended) {
+        self.reported.ended = ended;
+    }
+
+    /// Ends it, and leaves its connection to the next request.
+    pub fn pool(&mut self, ended: Ended) {
+        self.reported.ended = ended;
+        if let (Some(connection), Some(head)) = (self.connection.take(), &self.head) {
+            let now = self.shared.clock.now();
+            self.shared.pool.borrow_mut().give(&self.upstream.identifier, connection, head, now);
+        }
+    }
+
+    async fn connect(&mut self) -> SendEvent {
+        let (shared, clock) = (self.shared, self.shared.clock);
+        let identifier = self.upstream.identifier.as_str();
+        let idle = self.reuse.then(|| shared.pool.borrow_mut().take(identifier, clock.now())).flatten();
+        if let Some(connection) = idle {
+            let reused = connection.reused;
+            self.connection = Some(connection);
+            return SendEvent::Connected { reused };
+        }
+        let full = shared.pool.borrow().open(identifier) >= self.upstream.connection_share;
+        if full && !shared.pool.borrow_mut().drop_idle(identifier) {
+            return SendEvent::NoConnection { share_full: true };
+        }
+        let patience = (CONNECT_PATIENCE + 2.0 * self.upstream.average).min(self.request.left(clock.now()));
+        match connect(&shared.pool, identifier, &self.upstream.address, patience).await {
+            Ok(connection) => {
+                self.connection = Some(connection);
+                SendEvent::Connected { reused: false }
+            }
+            Err(error) => {
+                log::debug!("request {}: no connection to {identifier}: {error}", self.request.id);
+                SendEvent::NoConnection { share_full: false }
+            }
+        }
+    }
+
+    async fn write(&mut self) -> SendEvent {
+        let Some(connection) = &self.connection else { return SendEvent::WriteFailed };
+        let now = self.shared.clock.now();
+        self.asked = Some(now);
+        let left = self.request.left(now);
+        let bytes = written(self.request, &self.upstream.identifier, left, self.resume);
+        match ask(connection, &bytes, left).await {
+            Asked::Written => {
+                self.written = true;
+                SendEvent::Written
+            }
+            Asked::Broke => SendEvent::WriteFailed,
+            Asked::Time => SendEvent::TimeOver,
+        }
+    }
+
+    /// The next part of the answer; of one that is collected, its head or its end.
+    async fn read(&mut self) -> SendEvent {
+        loop {
+            let Some(connection) = &mut self.connection else { return SendEvent::Broke(Broke::Connection) };
+            match next(connection, self.shared.clock, self.request.deadline).await {
+                Waited::Broke(broke) => return SendEvent::Broke(broke),
+                Waited::Time => return SendEvent::TimeOver,
+                Waited::Part(Part::Head(_)) if self.head.is_some() => return SendEvent::Broke(Broke::Spoilt),
+                Waited::Part(Part::Head(head)) => return SendEvent::Head(self.took_head(head)),
+                Waited::Part(Part::End) => {
+                    return SendEvent::End { surplus: !connection.input.is_empty() };
+                }
+                Waited::Part(Part::Data(data)) if self.is_relayed() => return SendEvent::Data(data),
+                Waited::Part(Part::Data(data)) => {
+                    self.body.extend(data);
+                    if self.body.len() > ANSWER_MAX {
+                        return SendEvent::Broke(Broke::Spoilt);
+                    }
+                }
+            }
+        }
+    }
+
+    fn is_relayed(&self) -> bool {
+        self.head.as_ref().is_some_and(|head| self.terms.relays(head.status))
+    }
+
+    fn took_head(&mut self, head: Head) -> HeadFacts {
+        let facts = head_facts(&head, &self.request.id);
+        if facts.id != AnswerId::Own {
+            log::debug!("request {}: {} answers without its id", self.request.id, self.upstream.identifier);
+        }
+        self.head = Some(head);
+        facts
+    }
+}
+
+/// What counts of an answer's head for the request of this id.
+pub fn head_facts(head: &Head, request_id: &str) -> HeadFacts {
+    HeadFacts {
+        id: match head.headers.get("request-id") {
+            Some(id) if id == request_id => AnswerId::Own,
+            Some(_) => AnswerId::Other,
+            None => AnswerId::Missing,
+        },
+        status: head.status,
+        not_executed: head.headers.get("not-executed").is_some(),
+        sealed: head.headers.get("server-seal").is_some(),
+        keeps_open: kept_for(head).is_some(),
+    }
+}
--- a/crates/sandtrack-proxy/src/events.rs
+++ b/crates/sandtrack-proxy/src/events.rs
@@ -2,11 +2,13 @@
 //! taken up elsewhere, and none comes twice or out of order. Pure.
 
 /// Splits a stream into whole events.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Scanner {
     held: Vec<u8>,
-    /// Id of the last event that was passed on.
+    /// Id of the last event that was passed on and had one.
     last: Option<u64>,
+    /// Data without an id was passed on behind it: a run that goes on behind the id would bring it again.
+    unnumbered: bool,
 }
 
 /// What a piece of a stream came to.
@@ -31,6 +33,9 @@
                     return Scanned::Spoilt(self.held.drain(..whole).collect());
                 }
                 self.last = Some(id);
+                self.unnumbered = false;
+            } else if has_data(event) {
+                self.unnumbered = true;
             }
             whole += end;
         }
@@ -52,10 +57,15 @@
         self.held.clear();
     }
 
-    /// Id of the last event that was passed on.
+    /// Id of the last event that was passed on and had one.
     pub fn last_id(&self) -> Option<u64> {
         self.last
     }
+
+    /// The event behind which another run may go on without a piece that comes twice or is missing.
+    pub fn resume_point(&self) -> Option<u64> {
+        self.last.filter(|_| !self.unnumbered)
+    }
 }
 
 /// Length of the first event with the empty line that ends it.
@@ -72,6 +82,10 @@
     None
 }
 
+fn has_data(event: &[u8]) -> bool {
+    event.split(|byte| *byte == b'\n').any(|line| line.starts_with(b"data"))
+}
+
 fn id_of(event: &[u8]) -> Option<u64> {
     let mut lines = event.split(|byte| *byte == b'\n');
     let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
--- a/crates/sandtrack-proxy/src/exchange.rs
+++ b/crates/sandtrack-proxy/src/exchange.rs
@@ -1,22 +1,28 @@
-//! One request on one connection to an upstream: writes it, and reads the answer's parts.
+//! The wire of one request on one connection to an upstream: writes it, and reads the answer's parts.
+use crate::exchange_state::Broke;
 use crate::pool::Connection;
 use crate::request::ProxyRequest;
 use async_io::Timer;
 use futures_lite::future;
 use sandtrack_core::message;
 use sandtrack_sidecar::http::Part;
-use sandtrack_sidecar::net::{read_into, write_within, Clock};
+use sandtrack_sidecar::net::{read_into, write_all, Clock};
 use sandtrack_sidecar::ring::Ring;
 use sandtrack_tiers::Millis;
 use std::time::Duration;
 
-/// Why an exchange came to nothing.
+/// Parts that are there already are taken for so long beyond the time to wait, in ms: a process that was held up finds its
+/// answer in the socket, and an answer that never stops is no reason to go on.
+const OVERTIME: Millis = 100.0;
+
+/// What came of writing a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Broke {
+pub enum Asked {
+    Written,
     /// The connection ended or broke.
-    Connection,
-    /// What came is no answer, or not the answer to this request.
-    Spoilt,
+    Broke,
+    /// The time to write is over.
+    Time,
 }
 
 /// What came of waiting for a part.
@@ -47,11 +53,23 @@
     message::request(&request.method, &request.target, headers, &request.body)
 }
 
-/// Writes the request; whether all of it was taken within `patience` ms.
-pub async fn ask(connection: &Connection, bytes: &[u8], patience: Millis) -> bool {
+/// Writes the request, all of it within `patience` ms.
+pub async fn ask(connection: &Connection, bytes: &[u8], patience: Millis) -> Asked {
     let mut output = Ring::new(bytes.len());
-    let patience = Duration::from_secs_f64(patience.max(1.0) / 1000.0);
-    output.push(bytes) && write_within(&connection.stream, &mut output, patience).await
+    if !output.push(bytes) {
+        return Asked::Broke;
+    }
+    let write = async {
+        match write_all(&connection.stream, &mut output).await {
+            Ok(()) => Asked::Written,
+            Err(_) => Asked::Broke,
+        }
+    };
+    let late = async {
+        Timer::after(Duration::from_secs_f64(patience.max(1.0) / 1000.0)).await;
+        Asked::Time
+    };
+    future::or(write, late).await
 }
 
 /// The next part of the answer, waited for until `until`.
@@ -62,6 +80,9 @@
             Err(_) => return Waited::Broke(Broke::Spoilt),
             Ok(None) => {}
         }
+        if clock.now() > until + OVERTIME {
+            return Waited::Time;
+        }
         let read = async { Some(read_into(&connection.stream, &mut connection.input).await) };
         let late = async {
             Timer::at(clock.at(until)).await;
--- a/crates/sandtrack-proxy/src/front.rs
+++ b/crates/sandtrack-proxy/src/front.rs
@@ -1,6 +1,8 @@
 //! Clients' connections: reads one request after another and has each carried. It owns those sockets.
-use crate::carry::{carry, own_answer};
-use crate::request::{ProxyRequest, Refused};
+use crate::answers::Client;
+use crate::carry::carry;
+use crate::exchange_state::is_promise;
+use crate::request::{held_at_most, ProxyRequest, Refused};
 use crate::shared::Shared;
 use async_io::{Async, Timer};
 use futures_lite::future;
@@ -11,6 +13,7 @@
 use sandtrack_sidecar::net::{has_left, no_delay, read_into, write_within};
 use sandtrack_sidecar::ring::Ring;
 use sandtrack_tiers::Millis;
+use std::cell::Cell;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,6 +27,12 @@
 const BODY_MAX: usize = 4 << 20;
 const IDLE: Millis = 15_000.0;
 const HEAD_TIME: Millis = 3_000.0;
+/// A body may take this many times as long as a head, counted as [`BODY_HEAD_TIME`] at least, and not over the time that the
+/// request may be held (ours).
+const BODY_TIMES: f64 = 4.0;
+const BODY_HEAD_TIME: Millis = 5_000.0;
+/// One that was refused before it was carried may come back after so many seconds (ours).
+const COME_BACK: &str = "0.2";
 
 /// Accepts until the listener is told to stop (the sender of `stop` is closed).
 pub async fn accept(shared: Rc<Shared>, listener: Async<TcpListener>, stop: async_channel::Receiver<()>) {
@@ -48,9 +57,10 @@
 
 /// What reading came to.
 enum Came {
+    /// Its head, its body, and when its first byte was there.
     Request(Head, Vec<u8>, Millis),
-    /// It is refused: status and what of it.
-    Bad(u16, codes::Code),
+    /// It is refused: with this status, code, and the request's id where it is proper so far.
+    Bad(u16, codes::Code, String),
     /// The connection is over.
     Ended,
 }
@@ -80,12 +90,15 @@
     let head_max = limits(&shared).head;
     let mut input = Ring::new(2 * head_max.max(8192));
     let mut parser = Parser::with_head_max(Side::Request, head_max);
+    // When the first byte of the next request came while the last one was carried.
+    let early = Cell::new(None);
     loop {
-        let came = read(&shared, &stream, &mut parser, &mut input).await;
+        let came = read(&shared, &stream, &mut parser, &mut input, early.take()).await;
         let (head, body, arrived) = match came {
             Came::Ended => return,
-            Came::Bad(status, why) => {
-                own_answer(&stream, status, "", None, why, true).await;
+            Came::Bad(status, why, id) => {
+                let again = is_promise(status).then_some(COME_BACK);
+                Client { stream: &stream, close: true }.own(status, &id, again, why).await;
                 return linger(&stream).await;
             }
             Came::Request(head, body, arrived) => (head, body, arrived),
@@ -102,17 +115,17 @@
         };
         let open = match decoded {
             Err(Refused(status, why)) => {
-                let again = (status == 503).then_some("0.2");
-                own_answer(&stream, status, &id, again, why, close).await && !close
+                let again = is_promise(status).then_some(COME_BACK);
+                Client { stream: &stream, close }.own(status, &id, again, why).await && !close
             }
             Ok(request) => {
                 shared.open(1);
                 let _open = OpenRequest(shared.clone());
                 let gone = async {
-                    gone(&stream, &mut input).await;
+                    gone(&shared, &stream, &mut input, &early).await;
                     false
                 };
-                future::or(gone, carry(&shared, &request, &stream, close)).await
+                future::or(gone, carry(&shared, &request, Client { stream: &stream, close })).await
             }
         };
         if !open {
@@ -137,11 +150,14 @@
     }
 }
 
-/// Returns once the client is gone. What it sends meanwhile waits.
-async fn gone(stream: &Async<TcpStream>, input: &mut Ring) {
+/// Returns once the client is gone. What it sends meanwhile waits, and its time counts from then (`early`).
+async fn gone(shared: &Shared, stream: &Async<TcpStream>, input: &mut Ring, early: &Cell<Option<Millis>>) {
+    if !input.is_empty() {
+        early.set(Some(shared.clock.now()));
+    }
     while input.room() > 0 {
         match read_into(stream, input).await {
-            Ok(count) if count > 0 => {}
+            Ok(count) if count > 0 => early.set(early.get().or(Some(shared.clock.now()))),
             _ => return,
         }
     }
@@ -150,13 +166,32 @@
     }
 }
 
-/// Reads the next request whole.
-async fn read(shared: &Shared, stream: &Async<TcpStream>, parser: &mut Parser, input: &mut Ring) -> Came {
+/// A request that is not there whole.
+struct Begun {
+    head: Head,
+    /// When its first byte was there.
+    arrived: Millis,
+    /// When the whole of it must be there.
+    until: Millis,
+}
+
+/// Until when a request is waited for whose head is there and whose body is not.
+fn body_until(shared: &Shared, head: &Head, arrived: Millis, head_time: Millis) -> Millis {
+    let balancer = shared.balancer.borrow();
+    let held = balancer.configuration.as_ref().and_then(|configuration| held_at_most(configuration, head));
+    let most = BODY_TIMES * head_time.max(BODY_HEAD_TIME);
+    arrived + held.map_or(most, |held| held.min(most))
+}
+
+/// Reads the next request whole. `early`: its first bytes were read at that time.
+async fn read(
+    shared: &Shared, stream: &Async<TcpStream>, parser: &mut Parser, input: &mut Ring, early: Option<Millis>,
+) -> Came {
     let limits = limits(shared);
     let clock = shared.clock;
     let began = clock.now();
-    let mut first_byte: Option<Millis> = None;
-    let mut head: Option<(Head, Millis)> = None;
+    let mut first_byte = early;
+    let mut begun: Option<Begun> = None;
     let mut body = Vec::new();
     loop {
         match parser.next(input) {
@@ -167,34 +202,42 @@
                         return Came::Ended;
                     }
                 }
-                head = Some((next, clock.now()));
+                let arrived = first_byte.unwrap_or_else(|| clock.now());
+                begun = Some(Begun { head: next, arrived, until: f64::INFINITY });
                 continue;
             }
             Ok(Some(Part::Data(data))) => {
                 body.extend(data);
                 if body.len() > limits.body {
-                    return Came::Bad(413, codes::TOO_LARGE);
+                    return Came::Bad(413, codes::TOO_LARGE, String::new());
                 }
                 continue;
             }
             Ok(Some(Part::End)) => {
-                let Some((head, arrived)) = head else { return Came::Bad(400, codes::MALFORMED) };
-                return Came::Request(head, body, arrived);
+                return match begun {
+                    Some(Begun { head, arrived, .. }) => Came::Request(head, body, arrived),
+                    None => Came::Bad(400, codes::MALFORMED, String::new()),
+                };
             }
             Ok(None) => {}
             Err(bad) => {
                 let why = if bad == Bad::Malformed { codes::MALFORMED } else { codes::TOO_LARGE };
-                return Came::Bad(bad.status(), why);
+                return Came::Bad(bad.status(), why, String::new());
             }
         }
         let within = parser.within(input);
         if within && first_byte.is_none() {
             first_byte = Some(clock.now());
         }
-        let until = match (first_byte, &head) {
-            (None, _) => began + limits.idle,
-            (Some(at), None) => at + limits.head_time,
-            (Some(at), Some(_)) => at + 4.0 * limits.head_time.max(5000.0),
+        let until = match (first_byte, &mut begun) {
+            (None, None) => began + limits.idle,
+            (Some(at), None) => at.max(began) + limits.head_time,
+            (_, Some(begun)) => {
+                if begun.until.is_infinite() {
+                    begun.until = body_until(shared, &begun.head, begun.arrived, limits.head_time);
+                }
+                begun.until
+            }
         };
         let read = async { Some(read_into(stream, input).await) };
         let late = async {
@@ -216,12 +259,18 @@
         match future::or(read, late).await {
             Some(Ok(count)) if count > 0 => {}
             Some(_) => return Came::Ended,
-            None if within => return Came::Bad(408, codes::DEADLINE),
+            None if within => return Came::Bad(408, codes::DEADLINE, id_of(&begun)),
             None => return Came::Ended,
         }
     }
 }
 
+/// The id of a request whose head is there.
+fn id_of(begun: &Option<Begun>) -> String {
+    let id = begun.as_ref().and_then(|begun| begun.head.headers.get("request-id"));
+    id.unwrap_or_default().to_owned()
+}
+
 /// The platform's own check: whether this process takes traffic.
 pub async fn readiness(shared: Rc<Shared>, listener: Async<TcpListener>) {
     loop {
@@ -240,7 +289,7 @@
 async fn check(shared: Rc<Shared>, stream: Async<TcpStream>) {
     let mut input = Ring::new(HEAD_MAX);
     let mut parser = Parser::new(Side::Request);
-    while let Came::Request(head, _, _) = read(&shared, &stream, &mut parser, &mut input).await {
+    while let Came::Request(head, _, _) = read(&shared, &stream, &mut parser, &mut input, None).await {
         let ready = shared.balancer.borrow().is_ready();
         let (status, body): (u16, &[u8]) = match (head.target.as_str(), ready) {
             ("/v1/readiness", true) => (200, b"{\"ready\":true}"),
--- a/crates/sandtrack-proxy/src/lib.rs
+++ b/crates/sandtrack-proxy/src/lib.rs
@@ -1,14 +1,18 @@
 //! The data plane of the system: takes clients' requests and carries each to an upstream of its route's service.
 //!
 //! What is decided is pure and apart from sockets: [`balancer`] (what is known, and where a request goes), [`budget`]
-//! (bounds that hold over all proxies), [`events`] (pieces of a stream). The rest owns sockets, one task each:
-//! [`front`] (clients), [`carry`] (one request), [`exchange`] and [`pool`] (upstream connections), [`probing`],
-//! [`session`] (the control plane), [`program`].
+//! (bounds that hold over all proxies), [`exchange_state`] (one request: where it is sent, and what its client gets),
+//! [`events`] (pieces of a stream). The rest owns sockets, one task each: [`front`] (clients), [`carry`] (one request) with
+//! [`attempt`] (one send of it) and [`answers`], [`exchange`] and [`pool`] (upstream connections), [`probing`], [`session`]
+//! (the control plane), [`program`].
+pub mod answers;
+pub mod attempt;
 pub mod balancer;
 pub mod budget;
 pub mod carry;
 pub mod events;
 pub mod exchange;
+pub mod exchange_state;
 pub mod front;
 pub mod placement;
 pub mod pool;
--- a/crates/sandtrack-proxy/src/pool.rs
+++ b/crates/sandtrack-proxy/src/pool.rs
@@ -1,5 +1,6 @@
 //! Connections to upstreams that stand idle, and how many are open. It owns idle sockets; one that is handed out belongs to
 //! the exchange until it is given back or dropped.
+use crate::exchange_state::may_use_idle;
 use async_io::{Async, Timer};
 use futures_lite::future;
 use sandtrack_core::message::Head;
@@ -62,11 +63,10 @@
     pub fn take(&mut self, identifier: &str, now: Millis) -> Option<Connection> {
         let upstream = self.upstreams.get_mut(identifier)?;
         upstream.idle.retain(|idle| idle.until > now);
-        while let Some(Idle { mut connection, .. }) = upstream.idle.pop() {
-            // Whatever comes while nothing was asked belongs to no request.
-            if future::block_on(future::poll_once(read_into(&connection.stream, &mut connection.input)))
-                .is_none()
-            {
+        while let Some(Idle { mut connection, until }) = upstream.idle.pop() {
+            let read = future::poll_once(read_into(&connection.stream, &mut connection.input));
+            let quiet = future::block_on(read).is_none();
+            if may_use_idle(quiet, now, until) {
                 return Some(connection);
             }
         }
@@ -92,13 +92,9 @@
 
     /// Takes a connection back after a whole answer with this head.
     pub fn give(&mut self, identifier: &str, mut connection: Connection, head: &Head, now: Millis) {
-        let told = head.headers.all("keep-alive").flat_map(|value| value.split(',')).find_map(|part| {
-            let seconds = part.trim().strip_prefix("timeout=")?;
-            seconds.trim().parse::<f64>().ok()
-        });
-        let most = told.map_or(IDLE_MOST, |seconds| (seconds * 1000.0 - IDLE_MARGIN).min(IDLE_MOST));
+        let Some(most) = kept_for(head) else { return };
         // Bytes behind a whole answer belong to no request.
-        if head.keep_alive && most > 0.0 && connection.input.is_empty() {
+        if connection.input.is_empty() {
             connection.reused = true;
             let upstream = self.upstreams.entry(identifier.to_owned()).or_default();
             upstream.idle.push(Idle { connection, until: now + most });
@@ -114,6 +110,17 @@
     }
 }
 
+/// How long a connection may stand idle behind an answer with this head, in ms; `None` where it is to be closed.
+pub fn kept_for(head: &Head) -> Option<Millis> {
+    let mut told = head.headers.all("keep-alive").flat_map(|value| value.split(','));
+    let told = told.find_map(|part| {
+        let seconds = part.trim().strip_prefix("timeout=")?;
+        seconds.trim().parse::<f64>().ok()
+    });
+    let most = told.map_or(IDLE_MOST, |seconds| (seconds * 1000.0 - IDLE_MARGIN).min(IDLE_MOST));
+    (head.keep_alive && most > 0.0).then_some(most)
+}
+
 /// Opens a connection, within `patience` ms.
 ///
 /// # Errors
--- a/crates/sandtrack-proxy/src/request.rs
+++ b/crates/sandtrack-proxy/src/request.rs
@@ -14,7 +14,7 @@
     pub route: Route,
     /// The service drawn from the route's split.
     pub service: String,
-    /// When the request's head was there, and when its time is over.
+    /// When its first byte was there, and when its time is over.
     pub arrived: Millis,
     pub deadline: Millis,
     pub model: Option<String>,
@@ -37,15 +37,9 @@
         configuration: &Configuration, head: Head, body: Vec<u8>, arrived: Millis, draw: f64,
     ) -> Result<ProxyRequest, Refused> {
         use sandtrack_protocol::codes;
+        let route = route_of(configuration, &head).ok_or(Refused(404, codes::NO_ROUTE))?.clone();
+        let left = allowed(&route, &head);
         let target = origin_form(&head.target).into_owned();
-        let path = target.split(['?', '#']).next().unwrap_or_default();
-        let host = head.headers.get("host").unwrap_or_default();
-        let host = host.rsplit_once(':').filter(|(_, port)| port.bytes().all(|b| b.is_ascii_digit()));
-        let host = host.map_or(head.headers.get("host").unwrap_or_default(), |(name, _)| name);
-        let route = configuration.route(host, path).ok_or(Refused(404, codes::NO_ROUTE))?.clone();
-        let told = head.headers.get("deadline-remaining").and_then(|value| value.trim().parse::<f64>().ok());
-        let left =
-            told.filter(|left| *left >= 0.0).map_or(route.timeout_ms, |left| left.min(route.timeout_ms));
         let tokens = head.headers.get("token-counts").and_then(|value| {
             let (prompt, out) = value.split_once(',')?;
             Some((prompt.trim().parse().ok()?, out.trim().parse().ok()?))
@@ -95,6 +89,29 @@
     }
 }
 
+/// The route of the request with this head.
+fn route_of<'a>(configuration: &'a Configuration, head: &Head) -> Option<&'a Route> {
+    let target = origin_form(&head.target);
+    let path = target.split(['?', '#']).next().unwrap_or_default();
+    let host = head.headers.get("host").unwrap_or_default();
+    let host = match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    };
+    configuration.route(host, path)
+}
+
+/// How long the request with this head may be held, in ms: what its client waits, and not over the route's time.
+fn allowed(route: &Route, head: &Head) -> Millis {
+    let told = head.headers.get("deadline-remaining").and_then(|value| value.trim().parse::<f64>().ok());
+    told.filter(|left| *left >= 0.0).map_or(route.timeout_ms, |left| left.min(route.timeout_ms))
+}
+
+/// How long the request with this head may be held, in ms, before its body is there; `None` where no route matches.
+pub fn held_at_most(configuration: &Configuration, head: &Head) -> Option<Millis> {
+    route_of(configuration, head).map(|route| allowed(route, head))
+}
+
 /// The service at `draw` (0 to 1) of the weights.
 fn drawn(split: &[(String, f64)], draw: f64) -> &str {
     let mut rest = draw * split.iter().map(|(_, weight)| weight).sum::<f64>();
--- a/crates/sandtrack-proxy/tests/exchange/main.rs
+++ b/crates/sandtrack-proxy/tests/exchange/main.rs
@@ -2,6 +2,7 @@
 //! addresses. Tests wait on sockets and never on the clock. What was said is held against approved transcripts
 //! (tests/transcripts): with `APPROVE_TRANSCRIPTS=1` they are written anew, to be read before they are committed.
 mod control_node;
+mod held;
 mod mixed;
 mod once;
 mod placing;
--- a/crates/sandtrack-proxy/tests/exchange/stage.rs
+++ b/crates/sandtrack-proxy/tests/exchange/stage.rs
@@ -372,6 +372,17 @@
         assert_eq!(self.event().as_deref(), Some(format!("id: {id}\ndata: {data}").as_str()));
     }
 
+    /// Takes pieces of a stream that are too many for a transcript, until it is cut.
+    pub fn drain_until_cut(&mut self) {
+        loop {
+            match self.wire.chunk() {
+                Chunk::Data(_) => {}
+                Chunk::Cut => return,
+                Chunk::Last => panic!("it looks complete"),
+            }
+        }
+    }
+
     pub fn stream_is_whole(&mut self) {
         assert_eq!(self.event(), None, "no more events");
         assert_eq!(self.ended, Some(Chunk::Last));
--- a/crates/sandtrack-proxy/tests/exchange/streams.rs
+++ b/crates/sandtrack-proxy/tests/exchange/streams.rs
@@ -275,6 +275,61 @@
     stage.finish();
 }
 
+/// The silent one breaks off while another is asked to take it up: that one goes on with it.
+#[test]
+fn a_silent_stream_that_breaks_is_taken_up_by_the_one_that_was_asked() {
+    let stage = Stage::serving("a_silent_stream_that_breaks_is_taken_up_by_the_one_that_was_asked", 2);
+    let mut client = stage.client();
+    client.post_with("/tags/a", "r1", &[], "prompt");
+    let mut first = stage.asked();
+    first.begin_stream();
+    first.event(1, "one");
+    client.stream();
+    client.gets_event(1, "one");
+    let mut second = stage.asked();
+    first.reset();
+    stage.control_node.heard_up_to_now();
+    for _ in 0..2 {
+        stage.control_node.until_state("a beat", |_| true);
+    }
+    second.begin_stream();
+    second.event(2, "two");
+    client.gets_event(2, "two");
+    second.end_stream();
+    client.stream_is_whole();
+    stage.finish();
+}
+
+/// ORDER: a new run would bring events without ids once more. A stream with such an event stays where it is, silent or broken.
+#[test]
+fn a_stream_with_events_that_have_no_id_is_not_taken_up() {
+    let stage = Stage::serving("a_stream_with_events_that_have_no_id_is_not_taken_up", 2);
+    let events = [("r1", vec!["data: one\n\n"]), ("r2", vec!["id: 1\ndata: one\n\n", "data: two\n\n"])];
+    for (id, events) in events {
+        for breaks in [false, true] {
+            let mut client = stage.client();
+            let id = format!("{id}{breaks}");
+            client.post_with("/tags/a", &id, &["Deadline-Remaining: 2500"], "prompt");
+            let mut asked = stage.asked();
+            asked.begin_stream();
+            events.iter().for_each(|event| asked.chunk(event));
+            client.stream();
+            for event in &events {
+                assert_eq!(client.event().as_deref(), Some(event.trim_end()));
+            }
+            if breaks {
+                asked.reset();
+                client.stream_is_cut();
+            } else {
+                client.stream_is_cut();
+                asked.until_closed();
+            }
+        }
+    }
+    // Which of the two it goes to is drawn.
+    stage.finish_unwritten();
+}
+
 /// Silent before its first event, with its head or without: another is asked as well, and the first event counts.
 #[test]
 fn a_stream_silent_before_its_first_event_is_raced() {
--- a/crates/sandtrack-proxy/tests/exchange/upstream.rs
+++ b/crates/sandtrack-proxy/tests/exchange/upstream.rs
@@ -195,6 +195,11 @@
         stream
     }
 
+    /// This end of the connection, to be written to by hand.
+    pub fn into_stream(self) -> TcpStream {
+        self.wire.stream.try_clone().unwrap()
+    }
+
     pub fn close(self) {
         self.transcript.note(&format!("{} closes", self.name), "");
     }
