A large state is caught up with piece by piece, and nobody is suspected for it

On a link of 10 Mbit/s a state of 4 MiB takes 3.4 s, in which the receiver hears nothing else; it is asked for again each 100 ms, and begun anew at each break. Down the chain, what was not acknowledged within 250 ms was passed again whole, also while it was still under way.

Entries travel in lots of 64 KiB, to joiners, to observers and down the chain. A joiner that lacks more than the log of its source holds learns outside the chain, also when it is needed for any commit; in line, its log begins with the state that it has already, so that nothing is sent twice. A member that is not in line and makes no progress for 3 s is left out for 10 s.

The world of the tests learns links of a limited speed, states and commands of a size, and messages that are lost or altered. The peers' format is 2: links of another one are ended with E306.

--- a/crates/sandtrack-control/src/node.rs
+++ b/crates/sandtrack-control/src/node.rs
@@ -10,6 +10,7 @@
 use crate::upstreams::{Excerpt, Upstreams};
 use crate::Millis;
 use sandtrack_core::message::{Head, Message};
+use sandtrack_protocol::codes;
 use sandtrack_protocol::frames::{self, ToControl, ToProxy};
 use sandtrack_protocol::logs::escape;
 use sandtrack_protocol::settings::{Settings, PEER_PORT, SESSION_PORT};
@@ -300,7 +301,11 @@
 
     fn replica(&mut self, now: Millis, input: replication::Input, out: &mut Vec<Effect>) {
         let mut effects = Vec::new();
+        let refused = self.replica.snapshots_refused();
         self.replica.handle(now, input, &mut effects);
+        if self.replica.snapshots_refused() > refused {
+            log::warn!("E{} a snapshot was refused: it is fetched anew", codes::SNAPSHOT_REFUSED.0);
+        }
         self.carry_out(now, effects, out);
     }
 
--- a/crates/sandtrack-control/src/peer_frames.rs
+++ b/crates/sandtrack-control/src/peer_frames.rs
@@ -5,7 +5,7 @@
 use std::hash::{Hash, Hasher};
 
 /// The first number of a link: another one is another format, and the link is ended.
-pub const FORMAT: u16 = 1;
+pub const FORMAT: u16 = 2;
 
 /// Who a control node is, and where it serves.
 #[derive(Clone, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
--- a/crates/sandtrack-control/src/peers.rs
+++ b/crates/sandtrack-control/src/peers.rs
@@ -3,6 +3,7 @@
 pub use crate::peer_frames::{Hello, PeerFrame, FORMAT};
 use crate::reader::PeerReport;
 use crate::Millis;
+use sandtrack_protocol::codes;
 use sandtrack_replication::Address;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -131,7 +132,8 @@
         let address = hello.address.clone();
         let dialed_here = self.links.get(&link)?.dialed.is_some();
         if hello.format != FORMAT || address == self.me.address {
-            log::warn!("a link with {address} of format {} is ended", hello.format);
+            let code = codes::PEER_FORMAT.0;
+            log::warn!("E{code} a link with {address} of format {} is ended", hello.format);
             self.drop_link(now, link, orders);
             return None;
         }
--- a/crates/sandtrack-protocol/src/codes.rs
+++ b/crates/sandtrack-protocol/src/codes.rs
@@ -33,6 +33,7 @@
     NOT_NOW = 303, "control can't acknowledge now: too few of its machines reach each other";
     UNSURE = 304, "no acknowledgement in time: the order may or may not be in force";
     NO_PROXY = 305, "no proxy is ready to take clients: ask another directory";
+    PEER_FORMAT = 306, "another process of the system speaks another format: the link is ended";
     NO_ROUTE = 401, "no route matches the host and path";
     NO_CONFIGURATION = 402, "no configuration has reached this process yet";
     NO_ROOM = 403, "no upstream has room for the request in the time that it has";
@@ -42,4 +43,5 @@
     TOO_LARGE = 407, "the request's head or body passes the configured limit";
     WAL_FOREIGN = 501, "the data file is not one of this program, or of a later format";
     WAL_FULL = 502, "the disk refuses to be written to";
+    SNAPSHOT_REFUSED = 503, "a snapshot does not match its digest or can't be read: it is fetched anew";
 }
--- a/crates/sandtrack-replication/src/chain.rs
+++ b/crates/sandtrack-replication/src/chain.rs
@@ -1,10 +1,16 @@
 //! The chain: entries go down from the head, each member passing on only what is on its own disk, so that
 //! each log is a prefix of its predecessor's. What the tail has synced is on all disks: committed. That goes
 //! back up, and the head answers last.
+use crate::alignment::LOT;
 use crate::image::Record;
 use crate::message::{Body, Entry, Status};
 use crate::{Effect, Member, Replica, StateMachine};
 
+/// Bytes that may be passed and not yet acknowledged when more is passed.
+const WINDOW: usize = 4 * LOT;
+/// Bytes for each millisecond of the slowest link: what was passed is on its way for that long before it counts as lost.
+const SLOWEST_LINK: f64 = 600.0;
+
 /// What a member knows of the chain in the epoch of the view on its disk. Lost at a restart, and found again
 /// by the statuses of the neighbours.
 #[derive(Debug, Default)]
@@ -15,7 +21,7 @@
     pub(crate) floor: u64,
     /// The end of the successor's log, once it is known to be in line.
     successor: Option<u64>,
-    /// Up to where the successor was sent entries, and when.
+    /// Up to where the successor was sent entries, and when it was or last acknowledged some.
     sent: u64,
     sent_at: f64,
     /// Entries from the predecessor that are not on the disk yet.
@@ -68,6 +74,9 @@
         if self.chain.successor.is_none() {
             self.chain.sent = synced;
         }
+        if synced > known {
+            self.chain.sent_at = self.now;
+        }
         self.chain.successor = Some(known.max(synced));
         self.confirm(committed, effects);
         self.chain_moved(effects);
@@ -94,20 +103,33 @@
             self.ack(effects);
             return;
         };
-        if self.chain.successor.is_some() && self.chain.sent < end {
-            self.pass_on(&successor, self.chain.sent, effects);
+        while self.chain.sent < end && self.unacknowledged().is_some_and(|bytes| bytes < WINDOW) {
+            if !self.pass_on(&successor, effects) {
+                return;
+            }
         }
     }
 
-    fn pass_on(&mut self, successor: &Member, after: u64, effects: &mut Vec<Effect>) {
+    /// Bytes that were passed and not acknowledged; None before the successor is known to be in line.
+    fn unacknowledged(&self) -> Option<usize> {
+        Some(self.image.bytes_between(self.chain.successor?, self.chain.sent))
+    }
+
+    /// Passes the next lot; false when the log has none.
+    fn pass_on(&mut self, successor: &Member, effects: &mut Vec<Effect>) -> bool {
+        let after = self.chain.sent;
         if after < self.image.base.number {
             // The successor holds less than the log does: it has to be brought in line again.
-            return;
+            return false;
         }
-        self.chain.sent = self.image.end().number;
+        let entries = self.image.lot(after, self.image.end().number, LOT);
+        let Some(last) = entries.last().map(|entry| entry.at.number) else {
+            return false;
+        };
+        self.chain.sent = last;
         self.chain.sent_at = self.now;
-        let entries = self.image.after(after);
         self.send(&successor.address, Body::Pass { entries }, effects);
+        true
     }
 
     /// Takes note that all up to `number` is committed.
@@ -154,14 +176,17 @@
 
     /// Passes again what the successor doesn't seem to have got.
     pub(crate) fn chain_tick(&mut self, effects: &mut Vec<Effect>) {
-        if !self.in_line() || self.now - self.chain.sent_at < self.settings.timings.repeat {
+        let (Some(synced), Some(bytes)) = (self.chain.successor, self.unacknowledged()) else {
+            return;
+        };
+        let on_its_way = self.settings.timings.repeat + bytes as f64 / SLOWEST_LINK;
+        if !self.in_line() || self.now - self.chain.sent_at < on_its_way {
             return;
         }
         let successor = self.image.view.successor(&self.me).cloned();
-        if let (Some(successor), Some(synced)) = (successor, self.chain.successor) {
-            if synced < self.image.end().number {
-                self.pass_on(&successor, synced, effects);
-            }
+        if let Some(successor) = successor.filter(|_| synced < self.image.end().number) {
+            self.chain.sent = synced;
+            self.pass_on(&successor, effects);
         }
     }
 
--- a/crates/sandtrack-replication/src/disk.rs
+++ b/crates/sandtrack-replication/src/disk.rs
@@ -7,6 +7,8 @@
 /// The log is compacted beyond this number of entries, or bytes of records since the last rewrite.
 const ENTRIES: usize = 512;
 const BYTES: usize = 1 << 20;
+/// The log may be so many times as long while a snapshot is fetched from here.
+const WHILE_SENDING: usize = 4;
 /// A committed index that nothing else carries is written after this calm, in milliseconds.
 const LAZY: f64 = 500.0;
 
@@ -191,7 +193,10 @@
     }
 
     fn gather_compaction(&mut self, records: &mut Vec<Record>) -> bool {
-        let long = self.image.entries.len() > ENTRIES || self.disk.appended > BYTES.max(self.disk.rewritten);
+        // Who fetches a snapshot from here will want the log after it.
+        let patience = if self.transfers.is_sending() { WHILE_SENDING } else { 1 };
+        let long = self.image.entries.len() > ENTRIES * patience
+            || self.disk.appended > BYTES.max(self.disk.rewritten) * patience;
         // An entry that no one may read again has to be behind the snapshot.
         if !long || self.applied.at.number < self.image.base.number || self.disk.full {
             return false;
@@ -205,7 +210,7 @@
     }
 
     fn write(
-        &mut self, records: Vec<Record>, after: Vec<After>, calls: Vec<CallId>, rewrite: bool,
+        &mut self, mut records: Vec<Record>, after: Vec<After>, calls: Vec<CallId>, rewrite: bool,
         effects: &mut Vec<Effect>,
     ) {
         let ticket = self.disk.next_ticket;
@@ -214,6 +219,12 @@
         let bytes: Vec<Vec<u8>> =
             records.iter().map(|record| borsh::to_vec(record).unwrap_or_default()).collect();
         let size = bytes.iter().map(Vec::len).sum();
+        // The state of a snapshot is in `bytes`, and not wanted again.
+        for record in &mut records {
+            if let Record::Snapshot(snapshot) = record {
+                snapshot.state = Vec::new();
+            }
+        }
         self.disk.in_flight =
             Some(InFlight { ticket, records, after, calls, since: self.now, bytes: size, rewrite });
         if !self.disk.present {
@@ -238,7 +249,7 @@
         } else {
             self.disk.appended += write.bytes;
         }
-        let aligned_before = self.image.aligned;
+        let (aligned_before, end_before) = (self.image.aligned, self.image.end());
         for record in &write.records {
             self.image.fold(record);
         }
@@ -255,6 +266,9 @@
         if self.image.aligned != aligned_before {
             self.came_in_line(effects);
         }
+        if self.image.end() != end_before {
+            self.came_nearer(effects);
+        }
         self.chain_moved(effects);
     }
 
--- a/crates/sandtrack-replication/src/display.rs
+++ b/crates/sandtrack-replication/src/display.rs
@@ -2,7 +2,7 @@
 //! are drawn at random.
 use std::fmt::{self, Display, Formatter};
 
-use crate::message::{Ballot, Body, CallId, DiskHealth, Entry, Position, Snapshot, Status};
+use crate::message::{Ballot, Body, CallId, DiskHealth, Entry, Position, SnapshotId, Status};
 use crate::{Member, Message, View};
 
 impl Display for Member {
@@ -41,12 +41,13 @@
             Self::Accept { ballot, view } => write!(f, "accept {ballot}: {view}"),
             Self::Accepted { ballot } => write!(f, "accepted {ballot}"),
             Self::Outbid { ballot, promised } => write!(f, "outbid {ballot} by {promised}"),
-            Self::Align { ends } => {
+            Self::Align { ends, applied: _ } => {
                 let ends: Vec<String> = ends.iter().map(Position::to_string).collect();
                 write!(f, "align me, ends {}", ends.join(" "))
             }
-            Self::InLine { after, snapshot, entries } => {
-                write!(f, "in line after {after}{}: {}", taken(snapshot), listed(entries))
+            Self::InLine { after, on_applied, entries, more } => {
+                let on_applied = if *on_applied { " on its own state" } else { "" };
+                write!(f, "in line after {after}{on_applied}: {}{}", listed(entries), followed(*more))
             }
             Self::Pass { entries } => write!(f, "pass {}", listed(entries)),
             Self::Ack { synced, committed } => write!(f, "ack synced {synced} committed {committed}"),
@@ -66,13 +67,28 @@
             Self::ReadOutcome { call, answer } => {
                 write!(f, "read outcome {call} {}", String::from_utf8_lossy(answer))
             }
-            Self::Learn { snapshot, entries } => write!(f, "learn{}: {}", taken(snapshot), listed(entries)),
+            Self::Learn { entries, more } => write!(f, "learn: {}{}", listed(entries), followed(*more)),
+            Self::Offer(id) => write!(f, "offer {id}"),
+            Self::Fetch { id, offset } => write!(f, "fetch {id} from byte {offset}"),
+            Self::Piece { id, offset, bytes } => {
+                write!(f, "piece of {id}, {} bytes from byte {offset}", bytes.len())
+            }
         }
     }
 }
 
-fn taken(snapshot: &Option<Snapshot>) -> String {
-    snapshot.as_ref().map_or(String::new(), |snapshot| format!(" with the snapshot of {}", snapshot.at))
+fn followed(more: bool) -> &'static str {
+    if more {
+        ", more follow"
+    } else {
+        ""
+    }
+}
+
+impl Display for SnapshotId {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "the snapshot of {}", self.at)
+    }
 }
 
 fn listed(entries: &[Entry]) -> String {
@@ -94,6 +110,7 @@
             DiskHealth::Stalled => write!(f, ", disk stalled")?,
             DiskHealth::Full => write!(f, ", disk full")?,
             DiskHealth::Absent => write!(f, ", no disk")?,
+            DiskHealth::CatchingUp => write!(f, ", catching up")?,
             DiskHealth::Leaving => write!(f, ", leaving")?,
         }
         write!(f, ", hears [{}]", self.hears.join(" "))?;
--- a/crates/sandtrack-replication/src/image.rs
+++ b/crates/sandtrack-replication/src/image.rs
@@ -145,6 +145,26 @@
         self.entries.iter().skip(number.saturating_sub(self.base.number) as usize).cloned().collect()
     }
 
+    /// The entries after a number and up to another, as many as `bytes` hold; one where there is any.
+    pub(crate) fn lot(&self, after: u64, up_to: u64, bytes: usize) -> Vec<Entry> {
+        let mut size = 0;
+        let fits = |entry: &&Entry| {
+            size += entry.size();
+            size == entry.size() || size <= bytes
+        };
+        self.between(after, up_to).take_while(fits).cloned().collect()
+    }
+
+    /// Bytes of the entries after a number and up to another.
+    pub(crate) fn bytes_between(&self, after: u64, up_to: u64) -> usize {
+        self.between(after, up_to).map(Entry::size).sum()
+    }
+
+    fn between(&self, after: u64, up_to: u64) -> impl Iterator<Item = &Entry> {
+        let skipped = after.saturating_sub(self.base.number) as usize;
+        self.entries.iter().skip(skipped).take_while(move |entry| entry.at.number <= up_to)
+    }
+
     /// The last position of each epoch in the log, from the log's begin.
     pub(crate) fn ends(&self) -> Vec<Position> {
         let mut ends = vec![self.base];
--- a/crates/sandtrack-replication/src/learning.rs
+++ b/crates/sandtrack-replication/src/learning.rs
@@ -1,7 +1,8 @@
 //! Processes outside the chain learn what is committed from a member of it; each picks one, so that not all
 //! ask the same. What is committed stays so, whichever the epoch.
-use crate::message::{Body, Entry, Snapshot, Status};
-use crate::{Address, Effect, Replica, StateMachine};
+use crate::alignment::LOT;
+use crate::message::{Body, Entry, Status};
+use crate::{Address, Effect, Member, Replica, StateMachine};
 
 impl<M: StateMachine> Replica<M> {
     /// Picks whom to learn from: a member of the chain that was heard of late, or else whoever knows more.
@@ -44,16 +45,18 @@
         if after >= last {
             return;
         }
-        peer.taught = (last, self.now);
         let follows = after >= self.image.base.number && self.image.at(last) == Some(self.applied.at);
-        let body = if follows {
-            let entries =
-                self.image.after(after).into_iter().filter(|entry| entry.at.number <= last).collect();
-            Body::Learn { snapshot: None, entries }
-        } else {
-            Body::Learn { snapshot: Some(self.applied.snapshot()), entries: Vec::new() }
-        };
-        self.send(to, body, effects);
+        if !follows {
+            return self.offer_snapshot(to, effects);
+        }
+        // The next lot is sent when the observer tells of the one before.
+        if self.image.bytes_between(status.applied, after) > LOT {
+            return;
+        }
+        let entries = self.image.lot(after, last, LOT);
+        let taught = entries.last().map_or(after, |entry| entry.at.number);
+        peer.taught = (taught, self.now);
+        self.send(to, Body::Learn { entries, more: taught < last }, effects);
     }
 
     /// Sends all observers that learn from here what was just committed.
@@ -73,18 +76,27 @@
     }
 
     /// Takes committed entries in.
-    pub(crate) fn learn(
-        &mut self, snapshot: Option<Snapshot>, entries: Vec<Entry>, effects: &mut Vec<Effect>,
+    pub(crate) fn take_learn(
+        &mut self, sender: &Member, entries: Vec<Entry>, more: bool, effects: &mut Vec<Effect>,
     ) {
-        if let Some(snapshot) = snapshot {
-            if snapshot.at.number > self.applied.at.number && self.applied.restore(&snapshot) {
-                effects.push(Effect::Restored { number: snapshot.at.number });
-            }
-        }
+        let before = self.applied.at.number;
         for entry in entries {
             if entry.at.number == self.applied.at.number + 1 {
                 self.apply(&entry, effects);
             }
         }
+        if more && self.applied.at.number > before {
+            self.send_status(&sender.address, effects);
+        }
+    }
+
+    /// Outside the chain, and lacking more than the log of the source holds: the chain would have to wait for a
+    /// snapshot to be fetched if it took this process in now.
+    pub(crate) fn is_far_behind(&self) -> bool {
+        let Some(source) = self.source.as_ref().filter(|_| !self.latest.chain.contains(&self.me)) else {
+            return false;
+        };
+        let status = self.peers.all.get(source).and_then(|peer| peer.status.as_ref());
+        status.is_none_or(|status| status.base > self.applied.at.number) || self.transfers.is_fetching()
     }
 }
--- a/crates/sandtrack-replication/src/lib.rs
+++ b/crates/sandtrack-replication/src/lib.rs
@@ -5,7 +5,7 @@
 //! Why it is safe is told in `docs/system/control.md`; each rule stands where it is kept:
 //! `agreement` (one view for each epoch), `reconfiguration` (which view to propose), `chain` (passing down, commits
 //! back up), `alignment` (a member is brought in line with its predecessor), `reads`, `calls` (a caller's
-//! submit or read on its way to the head), `learning` (observers), `disk` (one write at a time).
+//! submit or read on its way to the head), `learning` (observers), `transfer` (snapshots, piece by piece), `disk` (one write at a time).
 #![forbid(unsafe_code)]
 mod agreement;
 mod alignment;
@@ -23,6 +23,7 @@
 mod reads;
 mod reconfiguration;
 mod replica;
+mod transfer;
 mod view;
 
 pub use api::{Effect, Input, Refusal, Settings, StateMachine, Timings};
--- a/crates/sandtrack-replication/src/message.rs
+++ b/crates/sandtrack-replication/src/message.rs
@@ -3,6 +3,9 @@
 
 use crate::{Address, Member, View};
 
+/// Bytes of an entry besides its command, about.
+const ENTRY_OVERHEAD: usize = 64;
+
 /// One message from a replica to another; what it holds is the replicas' own affair.
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct Message {
@@ -40,15 +43,19 @@
         ballot: Ballot,
         promised: Ballot,
     },
-    /// To the predecessor: bring me in line. `ends` are the last numbers of each epoch in the sender's log.
+    /// To the predecessor: bring me in line. `ends` are the last numbers of each epoch in the sender's log,
+    /// `applied` is the position of its committed state.
     Align {
         ends: Vec<Position>,
+        applied: Position,
     },
-    /// To the successor: the log after `after`; or after a snapshot, when there is one.
+    /// To the successor: what follows `after` in the log. With `on_applied` it follows the receiver's committed
+    /// state, which takes the place of its log; with `more` it does not go up to the end.
     InLine {
         after: Position,
-        snapshot: Option<Snapshot>,
+        on_applied: bool,
         entries: Vec<Entry>,
+        more: bool,
     },
     /// Down the chain.
     Pass {
@@ -88,13 +95,35 @@
         call: CallId,
         answer: Vec<u8>,
     },
-    /// Committed entries for an observer.
+    /// Committed entries for an observer; with `more` others follow once the observer's status tells of these.
     Learn {
-        snapshot: Option<Snapshot>,
         entries: Vec<Entry>,
+        more: bool,
+    },
+    /// The receiver lacks more than the log holds: this snapshot can be fetched from the sender.
+    Offer(SnapshotId),
+    /// Asks for the piece of a snapshot at an offset; its length means that the snapshot is complete.
+    Fetch {
+        id: SnapshotId,
+        offset: u64,
+    },
+    Piece {
+        id: SnapshotId,
+        offset: u64,
+        bytes: Vec<u8>,
     },
 }
 
+/// Which snapshot it is: the same on every member that takes one at that position.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub(crate) struct SnapshotId {
+    pub(crate) at: Position,
+    /// Bytes of the state.
+    pub(crate) length: u64,
+    /// CRC-32 of the state.
+    pub(crate) digest: u32,
+}
+
 /// What a replica tells of itself at each pulse.
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub(crate) struct Status {
@@ -104,6 +133,8 @@
     pub(crate) aligned: u64,
     /// The end of the log on its disk.
     pub(crate) synced: u64,
+    /// Where the log on its disk begins: who has applied less needs a snapshot.
+    pub(crate) base: u64,
     /// What it has applied, from its log or as an observer.
     pub(crate) applied: u64,
     /// What of its log is known to be committed by all of the chain of `epoch`, confirmed in this epoch. What it
@@ -124,6 +155,9 @@
     Full,
     /// There is no disk.
     Absent,
+    /// The disk works, but the state is not there yet: outside the chain, one that lacks more than the log of its
+    /// source holds; in the chain, one that makes no progress on its way into line.
+    CatchingUp,
     /// The process is about to end.
     Leaving,
 }
@@ -158,6 +192,13 @@
     pub(crate) command: Vec<u8>,
 }
 
+impl Entry {
+    /// Bytes that it takes in a message, near enough.
+    pub(crate) fn size(&self) -> usize {
+        self.command.len() + ENTRY_OVERHEAD
+    }
+}
+
 /// The state after the entry at `at`, in place of all entries up to it.
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub(crate) struct Snapshot {
--- a/crates/sandtrack-replication/src/reconfiguration.rs
+++ b/crates/sandtrack-replication/src/reconfiguration.rs
@@ -50,7 +50,7 @@
     }
 
     pub(crate) fn disk_works(&self) -> bool {
-        matches!(self.disk, DiskHealth::Well | DiskHealth::Absent)
+        matches!(self.disk, DiskHealth::Well | DiskHealth::Absent | DiskHealth::CatchingUp)
     }
 }
 
@@ -109,6 +109,9 @@
     if it.incarnation.is_some_and(|incarnation| incarnation != member.incarnation) || !it.disk_works() {
         return true;
     }
+    if it.disk == DiskHealth::CatchingUp {
+        return true;
+    }
     if it.alive || !it.silent {
         return false;
     }
@@ -211,7 +214,8 @@
     let tail = next.chain.last()?;
     let ready = known.iter().filter_map(|(address, it)| {
         let member = ready(view, address, it, known)?;
-        let fresh = needed || it.applied + BEHIND >= newest;
+        // The chain can't go on while a member fetches the state, so also one that is needed does so before.
+        let fresh = it.disk != DiskHealth::CatchingUp && (needed || it.applied + BEHIND >= newest);
         let linked = known.get(&tail.address).is_some_and(|tail| tail.alive)
             && hear_each_other(&tail.address, address, known);
         (fresh && linked && !next.chain.contains(&member)).then_some((member, it))
--- a/crates/sandtrack-replication/src/replica.rs
+++ b/crates/sandtrack-replication/src/replica.rs
@@ -2,7 +2,7 @@
 use std::collections::VecDeque;
 
 use crate::agreement::Proposing;
-use crate::alignment::Aligning;
+use crate::alignment::{Aligning, Lot};
 use crate::applied::Applied;
 use crate::calls::Calls;
 use crate::chain::ChainState;
@@ -11,6 +11,7 @@
 use crate::message::{Body, DiskHealth, Message, Status};
 use crate::peers::Peers;
 use crate::random::Random;
+use crate::transfer::Transfers;
 use crate::{Address, Effect, Input, Member, Settings, StateMachine, View};
 
 /// One control node's part in the control state.
@@ -33,6 +34,7 @@
     pub(crate) proposing: Proposing,
     pub(crate) chain: ChainState,
     pub(crate) aligning: Aligning,
+    pub(crate) transfers: Transfers,
     pub(crate) calls: Calls,
     /// Whom this process learns from while it is outside the chain.
     pub(crate) source: Option<Address>,
@@ -75,6 +77,7 @@
             proposing: Proposing::default(),
             chain: ChainState::default(),
             aligning: Aligning::default(),
+            transfers: Transfers::default(),
             calls: Calls::default(),
             source: None,
             unheard_pulse: f64::NEG_INFINITY,
@@ -227,7 +230,10 @@
             Body::Outcome { call, outcome } => self.take_outcome(call, outcome, effects),
             Body::DiskFull { call, head } => self.take_disk_full(call, head, effects),
             Body::ReadOutcome { call, answer } => self.take_read_outcome(call, answer, effects),
-            Body::Learn { snapshot, entries } => self.learn(snapshot, entries, effects),
+            Body::Learn { entries, more } => self.take_learn(sender, entries, more, effects),
+            Body::Offer(id) => self.take_offer(sender, id, effects),
+            Body::Fetch { id, offset } => self.take_fetch(sender, id, offset, effects),
+            Body::Piece { id, offset, bytes } => self.take_piece(sender, id, offset, bytes, effects),
             // What follows belongs to one epoch, and is refused in any other.
             _ if !now_in => {}
             Body::Prepare { ballot } => self.take_prepare(sender, ballot, effects),
@@ -235,9 +241,9 @@
             Body::Accept { ballot, view } => self.take_accept(sender, ballot, view, effects),
             Body::Accepted { ballot } => self.take_accepted(sender, ballot, effects),
             Body::Outbid { ballot, promised } => self.take_outbid(ballot, promised),
-            Body::Align { ends } => self.take_align(sender, ends, effects),
-            Body::InLine { after, snapshot, entries } => {
-                self.take_in_line(sender, after, snapshot, entries, effects);
+            Body::Align { ends, applied } => self.take_align(sender, &ends, applied, effects),
+            Body::InLine { after, on_applied, entries, more } => {
+                self.take_in_line(sender, Lot { after, on_applied, entries, more });
             }
             Body::Pass { entries } => self.take_pass(sender, entries),
             Body::Ack { synced, committed } => self.take_ack(sender, synced, committed, effects),
@@ -280,7 +286,7 @@
     /// The start of this process's part in the view on its disk.
     pub(crate) fn enter(&mut self, effects: &mut Vec<Effect>) {
         self.chain = ChainState::new(self.image.end().number);
-        self.aligning = Aligning::default();
+        self.aligning.begin_anew();
         self.disk.drop_wanted();
         self.choose_source();
         for address in self.image.view.addresses() {
@@ -303,6 +309,7 @@
             disk: self.disk_health(),
             aligned: self.image.aligned,
             synced: self.image.end().number,
+            base: self.image.base.number,
             applied: self.applied.at.number,
             confirmed: if self.in_line() { self.chain.confirmed } else { 0 },
             hears,
@@ -341,6 +348,7 @@
         self.pulse(effects);
         self.choose_source();
         self.ask_to_be_aligned(effects);
+        self.transfers_tick(effects);
         self.chain_tick(effects);
         self.agreement_tick(effects);
         self.calls_tick(effects);
@@ -385,6 +393,9 @@
         if self.leaving {
             return DiskHealth::Leaving;
         }
-        self.disk.health(self.now, self.settings.timings.stall)
+        match self.disk.health(self.now, self.settings.timings.stall) {
+            DiskHealth::Well if self.is_far_behind() || self.makes_no_progress() => DiskHealth::CatchingUp,
+            health => health,
+        }
     }
 }
--- /dev/null
+++ b/crates/sandtrack-replication/src/transfer.rs
@@ -0,0 +1,246 @@
+//! Snapshots on their way to a process that lacks more than the log of its source holds. The receiver fetches a
+//! snapshot piece by piece, with few pieces under way, so that heartbeats pass between them also on a slow link. What
+//! it has got stays valid for as long as the same snapshot (position, length, digest) is offered, so a break of the
+//! link costs no more than the pieces that were under way. The sender keeps one snapshot at most, for all receivers,
+//! and drops it when none of them fetches it any more.
+use std::collections::BTreeMap;
+
+use crate::message::{Body, Position, Snapshot, SnapshotId};
+use crate::{Address, Effect, Member, Replica, StateMachine};
+
+/// Bytes of a piece: 13 ms on a link of 10 Mbit/s.
+const PIECE: usize = 16 * 1024;
+/// Bytes that may be asked for and not received.
+const WINDOW: u64 = 4 * PIECE as u64;
+/// Bytes of the longest snapshot that is fetched.
+const LONGEST: u64 = 64 << 20;
+/// Milliseconds after which pieces that did not come are asked for again.
+const ASK_AGAIN: f64 = 500.0;
+/// Milliseconds after which another snapshot is fetched in place of one of which nothing came.
+const GIVEN_UP: f64 = 1000.0;
+/// Milliseconds after which a receiver that asked for nothing more is forgotten.
+const FORGOTTEN: f64 = 10_000.0;
+
+/// A snapshot that is being sent.
+#[derive(Debug)]
+struct Outgoing {
+    id: SnapshotId,
+    state: Vec<u8>,
+    /// Who fetches it, and when each was last offered it or asked for a piece.
+    receivers: BTreeMap<Address, f64>,
+}
+
+/// A snapshot that is being fetched.
+#[derive(Debug)]
+struct Incoming {
+    id: SnapshotId,
+    from: Address,
+    /// The state up to the first piece that lacks.
+    state: Vec<u8>,
+    /// Pieces that came before one in front of them.
+    early: BTreeMap<u64, Vec<u8>>,
+    /// Up to which byte pieces were asked for.
+    asked: u64,
+    /// When a piece last came, or was last asked for anew.
+    moved: f64,
+    /// When a piece last came.
+    progress: f64,
+}
+
+impl Incoming {
+    fn new(id: SnapshotId, from: Address, now: f64) -> Self {
+        Self { id, from, state: Vec::new(), early: BTreeMap::new(), asked: 0, moved: now, progress: now }
+    }
+
+    fn received(&self) -> u64 {
+        self.state.len() as u64
+    }
+
+    /// The offsets to ask for now.
+    fn next_offsets(&mut self) -> Vec<u64> {
+        let mut offsets = Vec::new();
+        while self.asked < self.id.length.min(self.received() + WINDOW) {
+            offsets.push(self.asked);
+            self.asked += PIECE as u64;
+        }
+        offsets
+    }
+
+    fn take(&mut self, offset: u64, bytes: Vec<u8>) {
+        if offset >= self.received() && offset < self.received() + WINDOW {
+            self.early.insert(offset, bytes);
+        }
+        while let Some(bytes) = self.early.remove(&self.received()) {
+            self.state.extend(bytes);
+        }
+    }
+
+    fn is_complete(&self) -> bool {
+        self.received() >= self.id.length
+    }
+
+    /// The snapshot, when it is the one that was offered.
+    fn into_snapshot(self) -> Option<Snapshot> {
+        (self.id == identify(self.id.at, &self.state))
+            .then_some(Snapshot { at: self.id.at, state: self.state })
+    }
+}
+
+/// What is being sent and fetched.
+#[derive(Debug, Default)]
+pub(crate) struct Transfers {
+    outgoing: Option<Outgoing>,
+    incoming: Option<Incoming>,
+    refused: u64,
+}
+
+impl Transfers {
+    /// Whether some process fetches a snapshot from here, and will want the log after it.
+    pub(crate) fn is_sending(&self) -> bool {
+        self.outgoing.is_some()
+    }
+
+    pub(crate) fn is_fetching(&self) -> bool {
+        self.incoming.is_some()
+    }
+
+    /// When a piece last came, in milliseconds; None while nothing is fetched.
+    pub(crate) fn progress(&self) -> Option<f64> {
+        self.incoming.as_ref().map(|incoming| incoming.progress)
+    }
+}
+
+fn identify(at: Position, state: &[u8]) -> SnapshotId {
+    SnapshotId { at, length: state.len() as u64, digest: crc32fast::hash(state) }
+}
+
+impl<M: StateMachine> Replica<M> {
+    /// Snapshots that did not match their digest, or could not be read, since the start of the process (code E503).
+    pub fn snapshots_refused(&self) -> u64 {
+        self.transfers.refused
+    }
+
+    /// Bytes of the snapshots that are kept for transfers.
+    pub fn transfer_bytes(&self) -> usize {
+        let outgoing = self.transfers.outgoing.as_ref().map_or(0, |outgoing| outgoing.state.len());
+        outgoing + self.transfers.incoming.as_ref().map_or(0, |incoming| incoming.state.len())
+    }
+
+    /// Offers a snapshot to a process that lacks more than the log holds: the one that is being sent already, where
+    /// the log still goes on from it.
+    pub(crate) fn offer_snapshot(&mut self, to: &Address, effects: &mut Vec<Effect>) {
+        let follows = |at: Position| at == self.applied.at || self.holds(at);
+        if !self.transfers.outgoing.as_ref().is_some_and(|outgoing| follows(outgoing.id.at)) {
+            let Snapshot { at, state } = self.applied.snapshot();
+            let id = identify(at, &state);
+            self.transfers.outgoing = Some(Outgoing { id, state, receivers: BTreeMap::new() });
+        }
+        if let Some(outgoing) = &mut self.transfers.outgoing {
+            outgoing.receivers.insert(to.clone(), self.now);
+            let id = outgoing.id;
+            self.send(to, Body::Offer(id), effects);
+        }
+    }
+
+    pub(crate) fn take_offer(&mut self, sender: &Member, id: SnapshotId, effects: &mut Vec<Effect>) {
+        if id.at.number <= self.applied.at.number || id.length > LONGEST {
+            return;
+        }
+        let now = self.now;
+        match &mut self.transfers.incoming {
+            Some(incoming) if incoming.id == id => {
+                if now - incoming.progress > GIVEN_UP {
+                    incoming.from = sender.address.clone();
+                }
+            }
+            // The sender of the one that is being fetched has it no more, or is not there.
+            Some(incoming) if incoming.from != sender.address && now - incoming.progress <= GIVEN_UP => {}
+            incoming => *incoming = Some(Incoming::new(id, sender.address.clone(), now)),
+        }
+        self.fetch(effects);
+    }
+
+    /// Asks for the pieces that may be under way.
+    fn fetch(&mut self, effects: &mut Vec<Effect>) {
+        let Some(incoming) = &mut self.transfers.incoming else {
+            return;
+        };
+        let (id, from) = (incoming.id, incoming.from.clone());
+        for offset in incoming.next_offsets() {
+            self.send(&from, Body::Fetch { id, offset }, effects);
+        }
+    }
+
+    pub(crate) fn take_fetch(
+        &mut self, sender: &Member, id: SnapshotId, offset: u64, effects: &mut Vec<Effect>,
+    ) {
+        let now = self.now;
+        let Some(outgoing) = self.transfers.outgoing.as_mut().filter(|outgoing| outgoing.id == id) else {
+            return; // it is offered another one when it tells what it lacks
+        };
+        if offset >= id.length {
+            outgoing.receivers.remove(&sender.address);
+            if outgoing.receivers.is_empty() {
+                self.transfers.outgoing = None;
+            }
+            return;
+        }
+        outgoing.receivers.insert(sender.address.clone(), now);
+        let start = offset as usize;
+        let bytes = outgoing.state[start..(start + PIECE).min(outgoing.state.len())].to_vec();
+        self.send(&sender.address, Body::Piece { id, offset, bytes }, effects);
+    }
+
+    pub(crate) fn take_piece(
+        &mut self, sender: &Member, id: SnapshotId, offset: u64, bytes: Vec<u8>, effects: &mut Vec<Effect>,
+    ) {
+        let now = self.now;
+        let Some(incoming) = self.transfers.incoming.as_mut().filter(|incoming| incoming.id == id) else {
+            return;
+        };
+        incoming.take(offset, bytes);
+        (incoming.moved, incoming.progress) = (now, now);
+        if !incoming.is_complete() {
+            return self.fetch(effects);
+        }
+        let snapshot = self.transfers.incoming.take().and_then(Incoming::into_snapshot);
+        self.send(&sender.address, Body::Fetch { id, offset: id.length }, effects);
+        if snapshot.is_some_and(|snapshot| self.restore(&snapshot, effects)) {
+            self.send_status(&sender.address, effects);
+            self.align_at_once(effects);
+        } else {
+            self.transfers.refused += 1;
+        }
+    }
+
+    /// Takes the committed state of a snapshot; false when it can't be read.
+    fn restore(&mut self, snapshot: &Snapshot, effects: &mut Vec<Effect>) -> bool {
+        if snapshot.at.number <= self.applied.at.number {
+            return true;
+        }
+        let restored = self.applied.restore(snapshot);
+        if restored {
+            effects.push(Effect::Restored { number: snapshot.at.number });
+        }
+        restored
+    }
+
+    /// Asks again for what did not come, and forgets what nobody wants any more.
+    pub(crate) fn transfers_tick(&mut self, effects: &mut Vec<Effect>) {
+        let (now, applied) = (self.now, self.applied.at.number);
+        self.transfers
+            .incoming
+            .take_if(|incoming| incoming.id.at.number <= applied || now - incoming.progress > FORGOTTEN);
+        if let Some(incoming) = &mut self.transfers.incoming {
+            if now - incoming.moved > ASK_AGAIN {
+                incoming.moved = now;
+                incoming.asked = incoming.received();
+                self.fetch(effects);
+            }
+        }
+        self.transfers.outgoing.take_if(|outgoing| {
+            outgoing.receivers.retain(|_, asked| now - *asked <= FORGOTTEN);
+            outgoing.receivers.is_empty()
+        });
+    }
+}
--- a/crates/sandtrack-replication/tests/world/mod.rs
+++ b/crates/sandtrack-replication/tests/world/mod.rs
@@ -1,5 +1,6 @@
 //! A simulated world of control nodes: machines, disks, a network and callers, all from one seed.
 #![allow(dead_code)] // each test file uses its part
+pub mod bandwidth;
 pub mod checks;
 pub mod faults;
 pub mod register;
@@ -10,6 +11,7 @@
 use rand_pcg::Pcg64Mcg;
 use sandtrack_replication::{Effect, Input, Member, Message, Refusal, Replica, Settings};
 
+use bandwidth::Bandwidth;
 use checks::Checks;
 use register::Register;
 
@@ -89,6 +91,10 @@
     pub late: f64,
     /// From, to.
     pub cut: BTreeSet<(usize, usize)>,
+    pub bandwidth: Bandwidth,
+    /// Messages to a machine with these words are lost, or come with a flipped bit.
+    pub lost_words: Option<(usize, &'static str)>,
+    pub flipped_words: Option<(usize, &'static str)>,
 }
 
 /// A call and what came of it.
@@ -109,6 +115,9 @@
     pub network: Network,
     pub borne: usize,
     pub zones_borne: usize,
+    /// Bytes of the state besides the register, and of a command besides its numbers.
+    pub ballast: usize,
+    pub padding: usize,
     pub seeds: Vec<String>,
     pub calls: BTreeMap<u64, Call>,
     pub checks: Checks,
@@ -137,9 +146,14 @@
                 doubled: 0.0,
                 late: 0.0,
                 cut: BTreeSet::new(),
+                bandwidth: Bandwidth::default(),
+                lost_words: None,
+                flipped_words: None,
             },
             borne,
             zones_borne: 0,
+            ballast: 0,
+            padding: 0,
             seeds: (0..seeds.min(3)).map(name).collect(),
             calls: BTreeMap::new(),
             checks: Checks::default(),
@@ -207,7 +221,8 @@
         settings.zones_borne = self.zones_borne;
         settings.seed = index as u64 * 1000 + node.generation;
         settings.incarnation_if_new = index as u64 * 1000 + 100 + node.wipes * 10 + node.generation;
-        let (replica, effects) = Replica::new(settings, node.disk.clone(), Register::default(), self.now);
+        let machine = Register { ballast: self.ballast, ..Register::default() };
+        let (replica, effects) = Replica::new(settings, node.disk.clone(), machine, self.now);
         node.member = Some(replica.member().clone());
         node.replica = Some(replica);
         self.say(|world| format!("{} starts", world.nodes[index].address));
@@ -441,9 +456,19 @@
         if self.network.cut.contains(&(from, to)) || self.random.gen_bool(self.network.loss) {
             return;
         }
+        let has = |words: Option<(usize, &str)>| {
+            words.is_some_and(|(machine, words)| machine == to && message.to_string().contains(words))
+        };
+        if has(self.network.lost_words) {
+            return;
+        }
+        let message = if has(self.network.flipped_words) { flipped(&message) } else { message };
+        let Some(queued) = self.network.bandwidth.pass(self.now, from, to, &message) else {
+            return;
+        };
         let copies = if self.random.gen_bool(self.network.doubled) { 2 } else { 1 };
         for _ in 0..copies {
-            let mut after = self.network.delay + self.network.spread * self.random.gen::<f64>();
+            let mut after = queued + self.network.delay + self.network.spread * self.random.gen::<f64>();
             if self.random.gen_bool(self.network.late) {
                 after += 2000.0 * self.random.gen::<f64>();
             }
@@ -458,7 +483,11 @@
         self.next_version = version;
         let call = self.begin_call(node, Some((base, version)));
         self.say(|world| format!("{} is asked to set {base} {version}", world.nodes[node].address));
-        let command = format!("set {base} {version}").into_bytes();
+        let mut command = format!("set {base} {version}").into_bytes();
+        if self.padding > 0 {
+            command.push(b' ');
+            command.resize(command.len() + self.padding, b'0');
+        }
         self.input(node, Input::Submit { call, command });
         call
     }
@@ -549,6 +578,13 @@
     disk.extend(records);
 }
 
+/// The message with a bit of its last byte flipped.
+fn flipped(message: &Message) -> Message {
+    let mut bytes = borsh::to_vec(message).unwrap();
+    *bytes.last_mut().unwrap() ^= 1;
+    borsh::from_slice(&bytes).unwrap()
+}
+
 pub fn name(index: usize) -> String {
     format!("m{}", index + 1)
 }
--- a/crates/sandtrack-replication/tests/world/register.rs
+++ b/crates/sandtrack-replication/tests/world/register.rs
@@ -9,6 +9,8 @@
     pub applied: u64,
     /// Base and version of each command that won.
     pub wins: Vec<(u64, u64)>,
+    /// Bytes that a snapshot holds besides.
+    pub ballast: usize,
 }
 
 impl StateMachine for Register {
@@ -34,11 +36,16 @@
         for (base, version) in &self.wins {
             text.push_str(&format!(" {base} {version}"));
         }
-        text.into_bytes()
+        text.push('\n');
+        let mut bytes = text.into_bytes();
+        bytes.extend((0..self.ballast).map(|at| at as u8));
+        bytes
     }
 
     fn restore(&mut self, snapshot: &[u8]) -> bool {
-        let text = String::from_utf8(snapshot.to_vec()).unwrap();
+        let end = snapshot.iter().position(|byte| *byte == b'\n').unwrap();
+        let text = String::from_utf8(snapshot[..end].to_vec()).unwrap();
+        self.ballast = snapshot.len() - end - 1;
         let words: Vec<u64> = text.split(' ').map(|word| word.parse().unwrap()).collect();
         self.version = words[0];
         self.applied = words[1];
