Entries that arrive out of order wait for the gap to be filled

Cause: what came behind a gap was dropped and passed again only after the time that counts it as lost.

Change: a member keeps what was passed by number and writes what follows without a gap; in one epoch the log of the predecessor only grows, so what waits stays valid.

--- a/crates/sandtrack-replication/src/chain.rs
+++ b/crates/sandtrack-replication/src/chain.rs
@@ -1,6 +1,8 @@
 //! The chain: entries go down from the head, each member passing on only what is on its own disk, so that
 //! each log is a prefix of its predecessor's. What the tail has synced is on all disks: committed. That goes
 //! back up, and the head answers last.
+use std::collections::BTreeMap;
+
 use crate::alignment::LOT;
 use crate::image::Record;
 use crate::message::{Body, Entry, Status};
@@ -24,8 +26,9 @@
     /// Up to where the successor was sent entries, and when it was or last acknowledged some.
     sent: u64,
     sent_at: f64,
-    /// Entries from the predecessor that are not on the disk yet.
-    passed: Vec<Entry>,
+    /// Entries from the predecessor that are not on the disk yet, by their numbers. Those behind a gap wait for it to be
+    /// filled: in one epoch the predecessor's log only grows.
+    passed: BTreeMap<u64, Entry>,
     /// What was last told to the predecessor.
     acked: Option<(u64, u64)>,
 }
@@ -41,26 +44,23 @@
         if !self.in_line() || self.image.view.predecessor(&self.me) != Some(sender) {
             return;
         }
-        for entry in entries {
-            let next = self.chain.passed.last().map_or(self.image.end(), |entry| entry.at).number + 1;
-            if entry.at.number == next {
-                self.chain.passed.push(entry);
-            }
-        }
+        let end = self.image.end().number;
+        let new = entries.into_iter().filter(|entry| entry.at.number > end);
+        self.chain.passed.extend(new.map(|entry| (entry.at.number, entry)));
     }
 
     pub(crate) fn gather_passed(&mut self, records: &mut Vec<Record>) {
         let end = self.image.end().number;
-        let passed = std::mem::take(&mut self.chain.passed);
+        self.chain.passed.retain(|number, _| *number > end);
         if !self.in_line() {
+            self.chain.passed.clear();
             return;
         }
         let committed = self.committed_in_log();
-        let next = passed.into_iter().filter(|entry| entry.at.number > end);
-        for (number, entry) in (end + 1..).zip(next) {
-            if entry.at.number == number {
-                records.push(Record::Entry { entry, committed });
-            }
+        let mut next = end + 1;
+        while let Some(entry) = self.chain.passed.remove(&next) {
+            records.push(Record::Entry { entry, committed });
+            next += 1;
         }
     }
 
