A gap in the chain is filled while orders keep coming

Cause: what a member passes on is sent again 250 ms after the last pass; each new order counts as a pass. A successor that restarts before anyone suspects it (within some 900 ms) lacks what was passed meanwhile, takes nothing after the gap, and with more than four orders a second nothing is committed until the orders pause. Callers get R2 after 4 s. Ruled out: the view (it stays, rightly), alignment (the member is in line in this epoch). Change: the time runs since the successor last acknowledged more, not since the last pass. Tests: a_gap_is_filled_while_orders_keep_coming fails without it.

--- a/crates/sandtrack-replication/src/chain.rs
+++ b/crates/sandtrack-replication/src/chain.rs
@@ -15,9 +15,11 @@
     pub(crate) floor: u64,
     /// The end of the successor's log, once it is known to be in line.
     successor: Option<u64>,
-    /// Up to where the successor was sent entries, and when.
+    /// Up to where the successor was sent entries.
     sent: u64,
-    sent_at: f64,
+    /// Since when the successor has not acknowledged any more of them. Entries that are sent meanwhile don't count:
+    /// while they keep coming, a gap before them would never be filled.
+    unacknowledged_since: f64,
     /// Entries from the predecessor that are not on the disk yet.
     passed: Vec<Entry>,
     /// What was last told to the predecessor.
@@ -68,6 +70,9 @@
         if self.chain.successor.is_none() {
             self.chain.sent = synced;
         }
+        if synced > known {
+            self.chain.unacknowledged_since = self.now;
+        }
         self.chain.successor = Some(known.max(synced));
         self.confirm(committed, effects);
         self.chain_moved(effects);
@@ -94,7 +99,13 @@
             self.ack(effects);
             return;
         };
-        if self.chain.successor.is_some() && self.chain.sent < end {
+        let Some(acknowledged) = self.chain.successor else {
+            return;
+        };
+        if self.chain.sent < end {
+            if acknowledged >= self.chain.sent {
+                self.chain.unacknowledged_since = self.now;
+            }
             self.pass_on(&successor, self.chain.sent, effects);
         }
     }
@@ -105,7 +116,6 @@
             return;
         }
         self.chain.sent = self.image.end().number;
-        self.chain.sent_at = self.now;
         let entries = self.image.after(after);
         self.send(&successor.address, Body::Pass { entries }, effects);
     }
@@ -154,12 +164,13 @@
 
     /// Passes again what the successor doesn't seem to have got.
     pub(crate) fn chain_tick(&mut self, effects: &mut Vec<Effect>) {
-        if !self.in_line() || self.now - self.chain.sent_at < self.settings.timings.repeat {
+        if !self.in_line() || self.now - self.chain.unacknowledged_since < self.settings.timings.repeat {
             return;
         }
         let successor = self.image.view.successor(&self.me).cloned();
         if let (Some(successor), Some(synced)) = (successor, self.chain.successor) {
             if synced < self.image.end().number {
+                self.chain.unacknowledged_since = self.now;
                 self.pass_on(&successor, synced, effects);
             }
         }
--- a/crates/sandtrack-replication/tests/rare.rs
+++ b/crates/sandtrack-replication/tests/rare.rs
@@ -135,3 +135,23 @@
         assert_eq!(world.outcome(call), Some(Ok("won 1".to_string())), "{leaver} left");
     }
 }
+
+/// A member that is back before anyone suspects it lacks what came meanwhile. It gets it while new orders keep coming,
+/// not only in a pause between them.
+#[test]
+fn a_gap_is_filled_while_orders_keep_coming() {
+    for returning in [1, 2] {
+        let mut world = calm(3, 0, 1);
+        world.kill(returning);
+        let mut calls = Vec::new();
+        for round in 0..60 {
+            if round == 12 {
+                world.start(returning, false);
+            }
+            calls.push(world.submit(0, world.newest().version));
+            world.run(50.0);
+        }
+        let early: Vec<u64> = calls.into_iter().take(40).collect();
+        assert!(early.iter().all(|call| matches!(world.outcome(*call), Some(Ok(_)))), "{returning} returned");
+    }
+}
