A member that is told to stop stays while the others need what it holds

Cause: a control node that was told to stop ended within 1.2 s whatever it held. Where another member was down or being replaced it took the only copy of what was acknowledged last, or the majority, with it. After a planned replacement its voter's place was given away only 2.5 s later, so one more loss right after it found no majority. Ruled out: ending later by a fixed time (it is a question of who holds what, not of time). Change: the replica tells that it leaves as soon as it is told to stop; the others leave it out where their complete members are enough to commit, else they take joiners in beside it first; a ready process takes its voter's place in the same view. Replica::is_needed says whether it has to stay; the control node ends when it isn't needed, or 1 s before grace_s. Meanwhile callers get 503 with Retry-After where another control node stays.

--- a/crates/sandtrack-control/src/node.rs
+++ b/crates/sandtrack-control/src/node.rs
@@ -10,6 +10,7 @@
 use crate::upstreams::{Excerpt, Upstreams};
 use crate::Millis;
 use sandtrack_core::message::{Head, Message};
+use sandtrack_protocol::codes;
 use sandtrack_protocol::frames::{self, ToControl, ToProxy};
 use sandtrack_protocol::logs::escape;
 use sandtrack_protocol::settings::{Settings, PEER_PORT, SESSION_PORT};
@@ -27,8 +28,10 @@
 const FROZEN_MS: Millis = 700.0;
 /// It looks at what is due at least this often, in ms.
 const LOOK_MS: Millis = 50.0;
-/// Told to stop, it ends after this, in ms, whatever is under way.
+/// Told to stop, it waits for the calls under way for this long, in ms.
 const LEAVE_MS: Millis = 1200.0;
+/// Told to stop, and needed by the others, it ends so many ms before the platform would kill it.
+const LEAVE_MARGIN_MS: Millis = 1000.0;
 
 /// What happened.
 #[derive(Debug)]
@@ -339,6 +342,9 @@
         let until = now + control::PATIENCE_MS;
         match control::decode(message, &self.settings) {
             Err(reply) => out.push(Effect::Reply { call, reply }),
+            Ok(Order::Submit(_) | Order::Read) if self.passes_callers_on() => {
+                out.push(Effect::Reply { call, reply: Reply::error(503, codes::NOT_NOW, "control") });
+            }
             Ok(Order::Status) => out.push(Effect::Reply { call, reply: self.status(now) }),
             Ok(Order::Submit(command)) => {
                 let command = borsh::to_vec(&command).unwrap_or_default();
@@ -353,6 +359,11 @@
         }
     }
 
+    /// Whether callers are to go to another control node: this one is about to end, and another is there.
+    fn passes_callers_on(&self) -> bool {
+        self.leaving.is_some() && self.peers.all().any(|(_, stays, _)| stays)
+    }
+
     /// What came of a call; one that was answered before, or whose caller has left, is none any more.
     fn answer(&mut self, call: u64, result: Result<Vec<u8>, Refusal>, out: &mut Vec<Effect>) {
         let Some(pending) = self.calls.remove(&call) else { return };
@@ -501,14 +512,19 @@
             self.calls.remove(&call);
             out.push(Effect::Reply { call, reply: control::unsure() });
         }
-        if let Some(since) = self.leaving {
-            if self.calls.is_empty() || now - since > LEAVE_MS {
-                self.replica(now, replication::Input::Leave, out);
-                out.push(Effect::Exit);
-            }
+        if self.leaving.is_some_and(|since| self.may_end(now - since)) {
+            out.push(Effect::Exit);
         }
     }
 
+    /// Whether it may end so many ms after it was told to stop: calls under way are finished, and the others hold what it
+    /// holds; or its time is over.
+    fn may_end(&self, span: Millis) -> bool {
+        let calls_over = self.calls.is_empty() || span > LEAVE_MS;
+        let time_over = span > self.settings.bounds.grace_s * 1000.0 - LEAVE_MARGIN_MS;
+        calls_over && !self.replica.is_needed() || time_over
+    }
+
     fn reach(&mut self, now: Millis) {
         let (seeds, known) = (seeds(&self.settings), self.replica.peers());
         self.peers.reach(now, seeds.iter().chain(&known).map(String::as_str));
@@ -638,6 +654,7 @@
         }
         log::info!("told to stop");
         self.leaving = Some(now);
+        self.replica(now, replication::Input::Leave, out);
         let (order, live) = (self.order(), self.peers.live(now, HOLDER_SILENT_MS));
         if self.duty.leave(&order, &live) {
             log::info!("the platform's list is read by {} from now on", self.duty.claim().holder);
--- a/crates/sandtrack-replication/src/agreement.rs
+++ b/crates/sandtrack-replication/src/agreement.rs
@@ -246,7 +246,7 @@
     /// Whether a majority of the voters is heard, hears this process, and can write.
     fn majority_near(&self, known: &BTreeMap<Address, Known>) -> bool {
         let near = self.image.view.voters.iter().filter(|voter| {
-            known.get(&voter.address).is_some_and(|known| known.is_alive(voter) && known.disk_works())
+            known.get(&voter.address).is_some_and(|known| known.is_alive(voter) && known.can_write())
         });
         near.count() >= self.image.view.majority()
     }
@@ -261,7 +261,7 @@
     }
 
     /// What is known of each process that matters for the next view, this one too.
-    fn known(&self) -> BTreeMap<Address, Known> {
+    pub(crate) fn known(&self) -> BTreeMap<Address, Known> {
         let silence = self.settings.timings.silence;
         let mut known = BTreeMap::new();
         for address in self.image.view.addresses() {
--- a/crates/sandtrack-replication/src/api.rs
+++ b/crates/sandtrack-replication/src/api.rs
@@ -120,7 +120,8 @@
         call: u64,
         question: Vec<u8>,
     },
-    /// The process is about to end in an orderly way: the others are to go on without it at once.
+    /// The process was told to stop: the others are to go on without it as soon as they can. It ends once
+    /// `Replica::is_needed` is false.
     Leave,
     Tick,
 }
--- a/crates/sandtrack-replication/src/reconfiguration.rs
+++ b/crates/sandtrack-replication/src/reconfiguration.rs
@@ -49,9 +49,19 @@
         self.alive && self.incarnation == Some(member.incarnation)
     }
 
+    /// It can write, and stays.
     pub(crate) fn disk_works(&self) -> bool {
         matches!(self.disk, DiskHealth::Well | DiskHealth::Absent)
     }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.disk == DiskHealth::Leaving
+    }
+
+    /// It can write; it may be about to leave.
+    pub(crate) fn can_write(&self) -> bool {
+        self.disk_works() || self.is_leaving()
+    }
 }
 
 pub(crate) struct Limits {
@@ -78,7 +88,9 @@
 
 /// The view that should follow, and why; None when the present one is as good as can be.
 pub(crate) fn desired(view: &View, me: &Member, known: &Everyone, limits: &Limits) -> Option<(View, Reason)> {
-    let (stay, lost) = staying(view, me, known);
+    let stay = staying(view, me, known);
+    let stay = without_leavers(view, stay, known, limits);
+    let lost = stay.len() < view.chain.len();
     let (stay, apart) = without_gaps(stay, known);
     let mut next = kept(view, &stay, known)?;
     let mut joined = join(view, &mut next, me, known, limits);
@@ -106,7 +118,7 @@
     let Some(it) = known.get(&member.address) else {
         return true;
     };
-    if it.incarnation.is_some_and(|incarnation| incarnation != member.incarnation) || !it.disk_works() {
+    if it.incarnation.is_some_and(|incarnation| incarnation != member.incarnation) || !it.can_write() {
         return true;
     }
     if it.alive || !it.silent {
@@ -117,12 +129,57 @@
         || !known.values().any(|other| other.alive && other.hears.contains(&member.address))
 }
 
-/// The members of the chain that are not suspected, and whether others are.
-fn staying(view: &View, me: &Member, known: &Everyone) -> (Vec<Member>, bool) {
+/// Whether `me`, which was told to stop, has to stay until the others can go on without it: it is in the chain (see
+/// [`without_leavers`]), or a majority of the voters is not there without it.
+pub(crate) fn is_needed(view: &View, me: &Member, known: &Everyone) -> bool {
+    let mut members = view.chain.iter().chain(&view.voters);
+    if members.all(|member| member == me) {
+        return false; // nobody could take its place
+    }
+    let stays = |voter: &&Member| {
+        let it = known.get(&voter.address).filter(|it| it.is_alive(voter));
+        // One of the chain that is about to leave has to stay as well.
+        *voter != me && it.is_some_and(|it| it.disk_works() || it.is_leaving() && view.chain.contains(voter))
+    };
+    let is_vote_needed =
+        || view.voters.contains(me) && view.voters.iter().filter(stays).count() < view.majority();
+    view.chain.contains(me) || is_vote_needed()
+}
+
+/// The members of the chain that are not suspected.
+fn staying(view: &View, me: &Member, known: &Everyone) -> Vec<Member> {
     let suspect = |member: &&Member| !is_suspect(view, me, member, known);
-    let stay: Vec<Member> = view.chain.iter().filter(suspect).cloned().collect();
-    let lost = stay.len() < view.chain.len();
-    (stay, lost)
+    view.chain.iter().filter(suspect).cloned().collect()
+}
+
+/// Leaves out each member that is about to leave, the last first, as long as the complete ones among the others are
+/// enough to commit: they hold all that was ever committed, and outlast what is to be borne.
+fn without_leavers(view: &View, stay: Vec<Member>, known: &Everyone, limits: &Limits) -> Vec<Member> {
+    let mut rest = stay;
+    for position in (0..rest.len()).rev() {
+        if !known.get(&rest[position].address).is_some_and(Known::is_leaving) {
+            continue;
+        }
+        let mut others = rest.clone();
+        others.remove(position);
+        let complete: Vec<Member> =
+            others.iter().filter(|member| is_complete(view, member, known)).cloned().collect();
+        let suffices = kept(view, &complete, known)
+            .is_some_and(|left| left.may_commit(limits.machines_borne, limits.zones_borne));
+        if suffices {
+            rest = others;
+        }
+    }
+    rest
+}
+
+/// Whether a member of the chain has all that was ever committed. The head of a view has, or the view would not have
+/// been proposed.
+fn is_complete(view: &View, member: &Member, known: &Everyone) -> bool {
+    let Some(position) = view.position(member) else {
+        return false;
+    };
+    position == 0 || known.get(&member.address).is_some_and(|it| it.aligned >= view.since[position])
 }
 
 fn hear_each_other(one: &Address, other: &Address, known: &Everyone) -> bool {
@@ -153,10 +210,7 @@
     let mut incomplete = Vec::new();
     for member in stay {
         let position = view.position(member)?;
-        let it = known.get(&member.address);
-        // The head of a view is complete, or the view would not have been proposed.
-        let complete = position == 0 || it.is_some_and(|it| it.aligned >= view.since[position]);
-        if complete {
+        if is_complete(view, member, known) {
             next.chain.push(member.clone());
             next.since.push(view.since[position]);
             next.zones.push(zone(view, member, known));
@@ -188,6 +242,9 @@
 fn join(view: &View, next: &mut View, me: &Member, known: &Everyone, limits: &Limits) -> bool {
     let full = CHAIN.max(2 * limits.machines_borne + 1);
     let mut joined = false;
+    let leaves = |member: &&Member| known.get(&member.address).is_some_and(Known::is_leaving);
+    // A member that is about to leave, and has to wait for others, takes no place of theirs.
+    let full = full + next.chain.iter().filter(leaves).count();
     while next.chain.len() < full {
         let Some(member) = best_joiner(view, next, me, known, limits) else {
             break;
@@ -257,13 +314,14 @@
 }
 
 /// The voters: each of the chain, and then each other process that is ready, takes the place of its own former
-/// identity, or a free one, or that of the voter outside the chain that has been dead for longest; never so that the
+/// identity, or a free one, or that of the voter outside the chain that leaves or has been dead for longest; never so that the
 /// loss of a zone that is to be borne would take the majority.
 fn choose_voters(view: &View, next: &mut View, known: &Everyone, limits: &Limits) {
     let most = CHAIN.max(2 * limits.machines_borne + 1).max(view.voters.len());
     next.voters = view.voters.clone();
     next.voter_zones = view.voters.iter().map(|voter| zone(view, voter, known)).collect();
-    let mut candidates = next.chain.clone();
+    let leaves = |member: &&Member| known.get(&member.address).is_some_and(Known::is_leaving);
+    let mut candidates: Vec<Member> = next.chain.iter().filter(|member| !leaves(member)).cloned().collect();
     candidates.extend(known.iter().filter_map(|(address, it)| ready(view, address, it, known)));
     for member in &candidates {
         if next.voters.contains(member) {
@@ -324,7 +382,7 @@
     larger.into_iter().find(|larger| larger.voters_outlast(limits.zones_borne))
 }
 
-/// The voter outside the chain that has been dead for longest.
+/// The voter outside the chain that has been dead for longest, or leaves.
 fn dead_voter(next: &View, known: &Everyone, replace: f64) -> Option<usize> {
     let silent = |voter: &Member| known.get(&voter.address).map_or(f64::MAX, |it| it.silent_for);
     let outside = next.voters.iter().enumerate().filter(|(_, voter)| !next.chain.contains(voter));
@@ -349,5 +407,5 @@
     };
     let other_identity = it.incarnation.is_some_and(|incarnation| incarnation != voter.incarnation);
     let heard = known.values().any(|other| other.alive && other.hears.contains(&voter.address));
-    other_identity || (it.silent_for > replace && !heard)
+    other_identity || it.is_leaving() || (it.silent_for > replace && !heard)
 }
--- a/crates/sandtrack-replication/src/replica.rs
+++ b/crates/sandtrack-replication/src/replica.rs
@@ -11,6 +11,7 @@
 use crate::message::{Body, DiskHealth, Message, Status};
 use crate::peers::Peers;
 use crate::random::Random;
+use crate::reconfiguration::is_needed;
 use crate::{Address, Effect, Input, Member, Settings, StateMachine, View};
 
 /// One control node's part in the control state.
@@ -380,16 +381,17 @@
         }
     }
 
-    /// Whether a process that is leaving has to stay.
+    /// Whether a process that was told to stop has to run on, since the others can't go on without what it holds.
+    /// Asked again after each input; its caller ends it after some time whatever the answer.
     pub fn is_needed(&self) -> bool {
-        false
+        is_needed(&self.latest, &self.me, &self.known())
     }
 
     /// Health of the disk as others are told.
     pub(crate) fn disk_health(&self) -> DiskHealth {
-        if self.leaving {
-            return DiskHealth::Leaving;
+        match self.disk.health(self.now, self.settings.timings.stall) {
+            DiskHealth::Well | DiskHealth::Absent if self.leaving => DiskHealth::Leaving,
+            health => health,
         }
-        self.disk.health(self.now, self.settings.timings.stall)
     }
 }
