--- a/crates/sandtrack-control/src/disk.rs
+++ b/crates/sandtrack-control/src/disk.rs
@@ -27,7 +27,10 @@
 }
 
 /// Opens the WAL and gives what it holds, as soon as the disk lets it.
-pub fn open(folder: &str) -> (Wal, Vec<Vec<u8>>) {
+///
+/// # Errors
+/// Where the WAL is of a later format: this program can't serve on it, and leaves it as it is.
+pub fn open(folder: &str) -> Result<(Wal, Vec<Vec<u8>>), WalError> {
     loop {
         match Wal::open(Path::new(folder), NAME) {
             Ok((wal, records, report)) => {
@@ -38,8 +41,9 @@
                         report.set_aside
                     );
                 }
-                return (wal, records);
+                return Ok((wal, records));
             }
+            Err(error @ WalError::Newer(_)) => return Err(error),
             Err(error) => {
                 log::error!("{error}; trying again");
                 std::thread::sleep(AGAIN);
--- a/crates/sandtrack-control/src/program.rs
+++ b/crates/sandtrack-control/src/program.rs
@@ -84,6 +84,8 @@
     Listen { address: String, why: std::io::Error },
     #[error("{0}")]
     System(#[from] std::io::Error),
+    #[error("E{code} {why}", code = codes::WAL_FOREIGN.0)]
+    Wal { why: sandtrack_wal::WalError },
 }
 
 impl Fault {
@@ -92,7 +94,7 @@
         match self {
             Fault::Settings(error) => ExitCode::from(u8::try_from(error.code().0).unwrap_or(1)),
             Fault::Listen { .. } => ExitCode::from(u8::try_from(codes::LISTEN.0).unwrap_or(1)),
-            Fault::System(_) => ExitCode::FAILURE,
+            Fault::System(_) | Fault::Wal { .. } => ExitCode::FAILURE,
         }
     }
 }
@@ -180,7 +182,7 @@
     let (inputs, received) = async_channel::unbounded();
     let (recovered, wal) = match &settings.data_directory {
         Some(folder) => {
-            let (wal, recovered) = disk::open(folder);
+            let (wal, recovered) = disk::open(folder).map_err(|why| Fault::Wal { why })?;
             (recovered, Some(wal))
         }
         None => (Vec::new(), None),
--- a/crates/sandtrack-replication/src/disk.rs
+++ b/crates/sandtrack-replication/src/disk.rs
@@ -107,6 +107,8 @@
             if self.image.member.is_none() {
                 records = self.first_records();
                 after.push(After::Entered);
+                // What was found could not be read, or is another member's: nothing of it may be read with this.
+                rewrite = self.disk.appended > 0;
             } else if self.latest.epoch > self.image.view.epoch {
                 records.push(Record::View(self.latest.clone()));
                 after.push(After::Entered);
--- a/crates/sandtrack-wal/src/format.rs
+++ b/crates/sandtrack-wal/src/format.rs
@@ -9,8 +9,12 @@
 
 /// The bytes that every file begins with.
 pub(crate) fn head() -> Vec<u8> {
+    head_of(FORMAT)
+}
+
+fn head_of(format: u32) -> Vec<u8> {
     let mut bytes = NAME.to_vec();
-    bytes.extend(FORMAT.to_le_bytes());
+    bytes.extend(format.to_le_bytes());
     let sum = crc32fast::hash(&bytes);
     bytes.extend(sum.to_le_bytes());
     bytes
@@ -18,15 +22,16 @@
 
 /// One frame with all of the records. Records are shorter than 4 GiB in sum.
 pub(crate) fn frame(records: &[Vec<u8>]) -> Vec<u8> {
-    let mut body = Vec::with_capacity(records.iter().map(|record| record.len() + 4).sum());
+    let length: usize = records.iter().map(|record| record.len() + 4).sum();
+    let mut bytes = Vec::with_capacity(FRAME + length);
+    bytes.extend((length as u32).to_le_bytes());
+    bytes.extend([0; 4]); // the checksum, once the records stand behind it
     for record in records {
-        body.extend((record.len() as u32).to_le_bytes());
-        body.extend(record);
+        bytes.extend((record.len() as u32).to_le_bytes());
+        bytes.extend(record);
     }
-    let mut bytes = Vec::with_capacity(FRAME + body.len());
-    bytes.extend((body.len() as u32).to_le_bytes());
-    bytes.extend(checksum(&body).to_le_bytes());
-    bytes.extend(body);
+    let sum = checksum(&bytes[FRAME..]);
+    bytes[4..FRAME].copy_from_slice(&sum.to_le_bytes());
     bytes
 }
 
@@ -45,18 +50,25 @@
     Unbegun,
     /// Not of this format.
     Foreign,
+    /// Of a later format, by its number.
+    Newer(u32),
+    /// Frames that were synced are not whole any more.
+    Damaged,
     /// The records of the whole frames, and where these end.
     Records { records: Vec<Vec<u8>>, end: usize },
 }
 
-/// Reads up to the first frame that isn't whole.
+/// Reads up to the first frame that isn't whole. An append that was never synced leaves such a frame, or the part of
+/// one, at the very end: there is one append at a time, and what it leaves is cut off before the next. A whole frame
+/// behind one that isn't whole tells that synced bytes were lost.
 pub(crate) fn read(bytes: &[u8]) -> Content {
-    let head = head();
     if bytes.len() < HEAD {
-        return if head.starts_with(bytes) { Content::Unbegun } else { Content::Foreign };
+        return if head().starts_with(bytes) { Content::Unbegun } else { Content::Foreign };
     }
-    if bytes[..HEAD] != head[..] {
-        return Content::Foreign;
+    match format_of(bytes) {
+        Some(FORMAT) => {}
+        Some(format) if format > FORMAT => return Content::Newer(format),
+        _ => return Content::Foreign,
     }
     let mut records = Vec::new();
     let mut end = HEAD;
@@ -64,9 +76,23 @@
         records.extend(found);
         end += length;
     }
+    if holds_a_frame(&bytes[end..]) {
+        return Content::Damaged;
+    }
     Content::Records { records, end }
 }
 
+/// The number in a head that is whole.
+fn format_of(bytes: &[u8]) -> Option<u32> {
+    let format = number(bytes, NAME.len())?;
+    bytes.starts_with(&head_of(format)).then_some(format)
+}
+
+/// Whether a whole frame that holds something stands anywhere in the bytes.
+fn holds_a_frame(bytes: &[u8]) -> bool {
+    (0..bytes.len()).any(|at| read_frame(&bytes[at..]).is_some_and(|(records, _)| !records.is_empty()))
+}
+
 fn number(bytes: &[u8], at: usize) -> Option<u32> {
     Some(u32::from_le_bytes(bytes.get(at..at.checked_add(4)?)?.try_into().ok()?))
 }
