--- a/crates/sandtrack-control/src/control.rs
+++ b/crates/sandtrack-control/src/control.rs
@@ -1,10 +1,9 @@
 //! The operators' interface: a call is decoded into an order, which is carried out elsewhere, and what came of it is
 //! written as an answer. It is pure; PROTOCOL.md says what is spoken, docs/system/codes.md what the codes mean.
-use crate::control_state::{Answer, Command, ControlState, Outcome};
+use crate::control_state::{Answer, Command, ControlState, Form, Outcome};
 use sandtrack_core::message::{self, Message};
 use sandtrack_protocol::codes::{self, Code};
 use sandtrack_protocol::logs::escape;
-use sandtrack_protocol::settings::Settings;
 use sandtrack_replication::Refusal;
 
 /// A body may be this long, in bytes.
@@ -18,7 +17,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Order {
     /// Through the replica, acknowledged when it is committed.
-    Submit(Command),
+    Configure(Command),
+    /// The same, once it is stamped with what is known of the zone.
+    Evacuate { zone: String, begin: bool },
     /// The newest configuration, through the replica.
     Read,
     /// What this control node knows of itself and the others.
@@ -55,8 +56,8 @@
 /// The order of a call.
 ///
 /// # Errors
-/// The answer to a call that orders nothing.
-pub fn decode(call: &Message, settings: &Settings) -> Result<Order, Reply> {
+/// The answer to a call that orders nothing. It rests on the call alone.
+pub fn decode(call: &Message) -> Result<Order, Reply> {
     let target = message::origin_form(&call.head.target);
     let path = target.split('?').next().unwrap_or_default();
     let words: Vec<&str> = path.split('/').skip(1).collect();
@@ -77,28 +78,25 @@
                 // It can be told at once, and without the others.
                 ControlState::check(&call.body)
                     .map_err(|invalid| Reply::told(400, invalid.code, &invalid.place, &invalid.what))?;
-                Ok(Order::Submit(Command::Replace { based_on, body: call.body.clone() }))
+                Ok(configure(Form::Replace, based_on, &call.body))
             }),
         ),
-        ["v1", "configuration", "update"] => wants(
-            "POST",
-            based_on().map(|based_on| Order::Submit(Command::Update { based_on, body: call.body.clone() })),
-        ),
+        ["v1", "configuration", "update"] => {
+            wants("POST", based_on().map(|based_on| configure(Form::Update, based_on, &call.body)))
+        }
         ["v1", "configuration", "read"] => wants("GET", Ok(Order::Read)),
         ["v1", "status"] => wants("GET", Ok(Order::Status)),
         ["v1", "evacuation", zone, verb @ ("begin" | "finish")] => {
-            let order = match settings.zones.contains_key(*zone) || *zone == settings.zone {
-                true => {
-                    Ok(Order::Submit(Command::Evacuate { zone: (*zone).to_owned(), begin: *verb == "begin" }))
-                }
-                false => Err(Reply::error(404, codes::UNKNOWN_ZONE, zone)),
-            };
-            wants("POST", order)
+            wants("POST", Ok(Order::Evacuate { zone: (*zone).to_owned(), begin: *verb == "begin" }))
         }
         _ => Err(Reply::error(404, codes::BAD_CALL, path)),
     }
 }
 
+fn configure(form: Form, based_on: u64, body: &[u8]) -> Order {
+    Order::Configure(Command::Configure { form, based_on, body: body.to_vec() })
+}
+
 /// The answer to an order for what came of it.
 pub fn outcome(result: Result<Outcome, Refusal>) -> Reply {
     match result {
@@ -109,10 +107,24 @@
             Reply::error(412, codes::ANOTHER_VERSION, &format!("current {current}"))
         }
         Ok(Outcome::Invalid { code, place, what }) => Reply::told(400, Code(code), &place, &what),
+        Ok(Outcome::Superseded { number }) => {
+            Reply::error(503, codes::OVERTAKEN, &format!("by number {number}"))
+        }
+        Ok(Outcome::Forgotten) => unsure(),
         Err(refusal) => refused(refusal),
     }
 }
 
+/// The answer to an order for a zone that nothing names, the chain having just answered.
+pub fn unknown_zone(zone: &str) -> Reply {
+    Reply::error(404, codes::UNKNOWN_ZONE, zone)
+}
+
+/// The answer to a call that may have waited for so long that its caller has sent it elsewhere.
+pub fn too_late() -> Reply {
+    Reply::error(503, codes::TOO_LATE, "control")
+}
+
 /// The answer to a read.
 pub fn answer(result: Result<Answer, Refusal>) -> Reply {
     match result {
@@ -122,7 +134,8 @@
     }
 }
 
-fn refused(refusal: Refusal) -> Reply {
+/// The answer to a call that the replica refused.
+pub fn refused(refusal: Refusal) -> Reply {
     match refusal {
         Refusal::NoMajority => Reply::error(503, codes::NOT_NOW, "control"),
         Refusal::Full => Reply::error(503, codes::WAL_FULL, "disk"),
--- /dev/null
+++ b/crates/sandtrack-control/src/evacuations.rs
@@ -0,0 +1,92 @@
+//! Which zones are evacuated, and the number of the last order for each: an order that was overtaken on its way takes no
+//! effect. Pure; part of the control state.
+use crate::commands::Outcome;
+use borsh::{BorshDeserialize, BorshSerialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What a snapshot of format 2 adds.
+#[derive(Clone, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct OrderNumbers {
+    /// Number of the last order for each zone that was acknowledged, whether or not it changed anything.
+    by_zone: BTreeMap<String, u64>,
+    /// Number of the last change by an order of format 1, whichever its zone: it counts for all of them, since a snapshot
+    /// of that format holds no other.
+    format_1: u64,
+}
+
+impl OrderNumbers {
+    /// As far as a snapshot of format 1 tells them.
+    pub fn of_format_1(last_change: u64) -> OrderNumbers {
+        OrderNumbers { by_zone: BTreeMap::new(), format_1: last_change }
+    }
+
+    fn last(&self, zone: &str) -> u64 {
+        self.by_zone.get(zone).copied().unwrap_or(0).max(self.format_1)
+    }
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Evacuations {
+    zones: BTreeSet<String>,
+    /// Number of the command that last changed which zones are evacuated.
+    changed: u64,
+    orders: OrderNumbers,
+}
+
+impl Evacuations {
+    pub fn restored(zones: Vec<String>, changed: u64, orders: OrderNumbers) -> Evacuations {
+        Evacuations { zones: zones.into_iter().collect(), changed, orders }
+    }
+
+    pub fn zones(&self) -> impl Iterator<Item = &str> {
+        self.zones.iter().map(String::as_str)
+    }
+
+    pub fn changed(&self) -> u64 {
+        self.changed
+    }
+
+    pub fn orders(&self) -> &OrderNumbers {
+        &self.orders
+    }
+
+    /// Number of the last order for a zone; 0 where there was none.
+    pub fn last_order(&self, zone: &str) -> u64 {
+        self.orders.last(zone)
+    }
+
+    /// Whether there ever was an order for the zone.
+    pub fn names(&self, zone: &str) -> bool {
+        self.orders.by_zone.contains_key(zone) || self.zones.contains(zone)
+    }
+
+    /// An order of format 1, which does not tell what its control node knew.
+    pub fn set_format_1(&mut self, number: u64, zone: String, begin: bool) {
+        if self.change(number, &zone, begin) {
+            self.orders.format_1 = number;
+        }
+    }
+
+    /// An order that was read when `seen` was the number of the last one for its zone. One that finds the zone as it wants
+    /// it is acknowledged, and overtakes others all the same: its caller has been told that it is in force.
+    ///
+    /// # Errors
+    /// It was overtaken.
+    pub fn set(&mut self, number: u64, zone: String, begin: bool, seen: u64) -> Result<(), Outcome> {
+        let last = self.orders.last(&zone);
+        if seen < last && self.zones.contains(&zone) != begin {
+            return Err(Outcome::Superseded { number: last });
+        }
+        self.change(number, &zone, begin);
+        self.orders.by_zone.insert(zone, number);
+        Ok(())
+    }
+
+    fn change(&mut self, number: u64, zone: &str, begin: bool) -> bool {
+        let changed = if begin { self.zones.insert(zone.to_owned()) } else { self.zones.remove(zone) };
+        if changed {
+            self.changed = number;
+        }
+        changed
+    }
+}
--- a/crates/sandtrack-control/src/node.rs
+++ b/crates/sandtrack-control/src/node.rs
@@ -1,9 +1,11 @@
 //! The control node: the parts put together. Inputs go in, effects come out; it is pure and deterministic, so that tests play
 //! whole exchanges of several of them. It owns all state; it must never touch a socket, a file or a clock.
-use crate::control::{self, Order, Reply};
-use crate::control_state::{Command, ControlState, Question};
+use crate::arrivals::Arrival;
+use crate::control::{self, Reply};
+use crate::control_state::{Command, ControlState};
 use crate::directory;
 use crate::membership::{Member, Membership};
+use crate::operator_calls::{Known, OperatorCalls, Step};
 use crate::peers::{Heard, Hello, LinkOrder, PeerFrame, Peers, FORMAT};
 use crate::reader::{self, Duty, PeerReport, Reader, HOLDER_SILENT_MS};
 use crate::sessions::{News, SessionOrder, Sessions};
@@ -13,8 +15,8 @@
 use sandtrack_protocol::frames::{self, ToControl, ToProxy};
 use sandtrack_protocol::logs::escape;
 use sandtrack_protocol::settings::{Settings, PEER_PORT, SESSION_PORT};
-use sandtrack_replication::{self as replication, Address, Refusal, Replica};
-use std::collections::{BTreeMap, BTreeSet};
+use sandtrack_replication::{self as replication, Address, Replica, Timings};
+use std::collections::BTreeSet;
 
 /// A voter that was heard within so many ms is there.
 const VOTER_MS: Millis = 1000.0;
@@ -93,13 +95,6 @@
     Exit,
 }
 
-/// A call that waits for the replica.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Pending {
-    until: Millis,
-    reads: bool,
-}
-
 /// What a process is given at its start besides its settings.
 #[derive(Clone, Debug, Default)]
 pub struct Start {
@@ -120,8 +115,7 @@
     upstreams: Upstreams,
     duty: Duty,
     reader: Reader,
-    calls: BTreeMap<u64, Pending>,
-    next_call: u64,
+    calls: OperatorCalls,
     /// Clients that the directory has answered.
     turn: usize,
     /// How far the links were told of sessions and the list: where nothing is new they are not looked through.
@@ -161,6 +155,30 @@
     PeerFrame::List { whole, round, entries, gone }
 }
 
+/// What is known here of zones and their orders.
+struct Knowledge<'a> {
+    settings: &'a Settings,
+    control_state: &'a ControlState,
+    peers: &'a Peers,
+    membership: &'a Membership,
+    upstreams: &'a Upstreams,
+}
+
+impl Known for Knowledge<'_> {
+    fn last_order(&self, zone: &str) -> u64 {
+        self.control_state.last_order(zone)
+    }
+
+    fn names_zone(&self, zone: &str) -> bool {
+        self.settings.zones.contains_key(zone)
+            || self.settings.zone == zone
+            || self.control_state.names_zone(zone)
+            || self.peers.all().any(|(_, _, hello)| hello.is_some_and(|hello| hello.zone == zone))
+            || self.membership.members().values().any(|member| member.info.zone == zone)
+            || self.upstreams.names_zone(zone)
+    }
+}
+
 impl ControlNode {
     pub fn new(settings: Settings, start: Start, now: Millis) -> (ControlNode, Vec<Effect>) {
         let me = hello(&settings, start.incarnation);
@@ -173,6 +191,8 @@
             machines_borne: settings.machines_borne,
             zones_borne: settings.zones_borne,
             seed: start.incarnation,
+            // Nobody waits for longer: what is tried on after that could only come late.
+            timings: Timings { call: control::PATIENCE_MS, ..Timings::default() },
             ..replication::Settings::new(&me.address, &[])
         };
         let (replica, effects) =
@@ -186,8 +206,7 @@
             membership: Membership::default(),
             upstreams: Upstreams::default(),
             reader: Reader::default(),
-            calls: BTreeMap::new(),
-            next_call: 0,
+            calls: OperatorCalls::new(now),
             turn: 0,
             told: (0, 0),
             caught_up: None,
@@ -212,10 +231,14 @@
         self.sessions.accepted(now)
     }
 
-    /// A number for an operator's call.
-    pub fn call_begun(&mut self) -> u64 {
-        self.next_call += 1;
-        self.next_call
+    /// A number for an operator's call that was read whole.
+    pub fn call_begun(&mut self, arrival: Arrival) -> u64 {
+        self.calls.begin(arrival)
+    }
+
+    /// Since when this process has run without being held up.
+    pub fn awake_since(&self) -> Millis {
+        self.calls.awake_since()
     }
 
     /// Answers a client that asks where to go.
@@ -233,7 +256,7 @@
 
     /// When it has to look at what is due.
     pub fn next_due(&self) -> Millis {
-        let calls = self.calls.values().map(|call| call.until);
+        let calls = self.calls.next_due().into_iter();
         let reader = self.reader.next_due().filter(|_| self.duty.reads(self.last));
         let due = calls.chain(reader).fold(self.last + LOOK_MS, Millis::min);
         due.min(self.replica.next_tick()).max(self.last)
@@ -251,6 +274,9 @@
             }
         }
         self.last = now;
+        for step in self.calls.look(now) {
+            self.step(now, step, out);
+        }
         match input {
             Input::Tick => self.look(now, out),
             Input::Call { call, message } => self.call(now, call, &message, out),
@@ -305,6 +331,7 @@
     }
 
     fn carry_out(&mut self, now: Millis, effects: Vec<replication::Effect>, out: &mut Vec<Effect>) {
+        let mut answers = Vec::new();
         for effect in effects {
             match effect {
                 replication::Effect::Send { to, message } => {
@@ -329,7 +356,7 @@
                 replication::Effect::Restored { number } => {
                     log::info!("restored to number {number}: version {}", self.replica.machine().version());
                 }
-                replication::Effect::Answer { call, result } => self.answer(call, result, out),
+                replication::Effect::Answer { call, result } => answers.push((call, result)),
                 replication::Effect::ViewIs(view) => {
                     let chain: Vec<&str> = view.chain.iter().map(|member| member.address.as_str()).collect();
                     log::info!("view {}: chain {}", view.epoch, chain.join(" "));
@@ -337,38 +364,56 @@
                 }
             }
         }
+        // What an answer leads to comes after all that came with it.
+        for (call, result) in answers {
+            self.answer(now, call, result, out);
+        }
     }
 
     fn call(&mut self, now: Millis, call: u64, message: &Message, out: &mut Vec<Effect>) {
-        let until = now + control::PATIENCE_MS;
-        match control::decode(message, &self.settings) {
-            Err(reply) => out.push(Effect::Reply { call, reply }),
-            Ok(Order::Status) => out.push(Effect::Reply { call, reply: self.status(now) }),
-            Ok(Order::Submit(command)) => {
+        let known = Knowledge {
+            settings: &self.settings,
+            control_state: self.replica.machine(),
+            peers: &self.peers,
+            membership: &self.membership,
+            upstreams: &self.upstreams,
+        };
+        let step = self.calls.call(now, call, message, &known);
+        self.step(now, step, out);
+    }
+
+    fn answer(
+        &mut self, now: Millis, call: u64, result: Result<Vec<u8>, replication::Refusal>,
+        out: &mut Vec<Effect>,
+    ) {
+        let known = Knowledge {
+            settings: &self.settings,
+            control_state: self.replica.machine(),
+            peers: &self.peers,
+            membership: &self.membership,
+            upstreams: &self.upstreams,
+        };
+        if let Some(step) = self.calls.answer(now, call, result, &known) {
+            self.step(now, step, out);
+        }
+    }
+
+    /// Does what an operator's call needs next.
+    fn step(&mut self, now: Millis, step: Step, out: &mut Vec<Effect>) {
+        match step {
+            Step::Reply { call, reply } => out.push(Effect::Reply { call, reply }),
+            Step::Status { call } => out.push(Effect::Reply { call, reply: self.status(now) }),
+            Step::Submit { call, command } => {
                 let command = borsh::to_vec(&command).unwrap_or_default();
-                self.calls.insert(call, Pending { until, reads: false });
                 self.replica(now, replication::Input::Submit { call, command }, out);
             }
-            Ok(Order::Read) => {
-                let question = borsh::to_vec(&Question::Configuration).unwrap_or_default();
-                self.calls.insert(call, Pending { until, reads: true });
+            Step::Read { call, question } => {
+                let question = borsh::to_vec(&question).unwrap_or_default();
                 self.replica(now, replication::Input::Read { call, question }, out);
             }
         }
     }
 
-    /// What came of a call; one that was answered before, or whose caller has left, is none any more.
-    fn answer(&mut self, call: u64, result: Result<Vec<u8>, Refusal>, out: &mut Vec<Effect>) {
-        let Some(pending) = self.calls.remove(&call) else { return };
-        let reply = if pending.reads {
-            control::answer(result.map(|bytes| borsh::from_slice(&bytes).ok().flatten()))
-        } else {
-            let unreadable = Err(Refusal::TimedOut);
-            control::outcome(result.and_then(|bytes| borsh::from_slice(&bytes).map_or(unreadable, Ok)))
-        };
-        out.push(Effect::Reply { call, reply });
-    }
-
     fn link_frame(&mut self, now: Millis, link: u64, frame: PeerFrame, out: &mut Vec<Effect>) {
         let peer = self.peers.heard(now, link);
         let (peer, frame) = match (peer, frame) {
@@ -499,11 +544,8 @@
         out.extend(orders.into_iter().map(Effect::Session));
         self.membership.tick(now);
         self.read(now, out);
-        let late: Vec<u64> =
-            self.calls.iter().filter(|(_, call)| now >= call.until).map(|(call, _)| *call).collect();
-        for call in late {
-            self.calls.remove(&call);
-            out.push(Effect::Reply { call, reply: control::unsure() });
+        for step in self.calls.late(now) {
+            self.step(now, step, out);
         }
         if let Some(since) = self.leaving {
             if self.calls.is_empty() || now - since > LEAVE_MS {
--- /dev/null
+++ b/crates/sandtrack-control/src/operator_calls.rs
@@ -0,0 +1,203 @@
+//! Operators' calls under way in a control node: each is decoded, given to the replica, and answered once, in time. Pure: the
+//! control node carries out the steps.
+use crate::arrivals::{Arrival, Awake};
+use crate::commands::{Command, Outcome, Question};
+use crate::control::{self, Order, Reply, PATIENCE_MS};
+use crate::Millis;
+use sandtrack_core::message::Message;
+use sandtrack_replication::Refusal;
+use std::collections::BTreeMap;
+
+/// What is to be done for a call.
+#[derive(Debug, PartialEq)]
+pub enum Step {
+    Reply {
+        call: u64,
+        reply: Reply,
+    },
+    Submit {
+        call: u64,
+        command: Command,
+    },
+    Read {
+        call: u64,
+        question: Question,
+    },
+    /// Answer with what this control node knows of itself and the others.
+    Status {
+        call: u64,
+    },
+}
+
+/// What the control node knows as a call is looked at.
+pub trait Known {
+    /// Number of the last order for a zone in the committed state here.
+    fn last_order(&self, zone: &str) -> u64;
+    /// Whether the settings, or anything that was learned, names the zone.
+    fn names_zone(&self, zone: &str) -> bool;
+}
+
+/// What a call waits for.
+#[derive(Clone, Debug, PartialEq)]
+enum Waits {
+    Configuration,
+    Evacuation {
+        zone: String,
+        begin: bool,
+    },
+    /// For the chain to answer at all, before it is said that there is no such zone.
+    Zone {
+        zone: String,
+        begin: bool,
+    },
+    Read,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct Pending {
+    arrival: Arrival,
+    until: Millis,
+    waits: Waits,
+}
+
+#[derive(Debug)]
+pub struct OperatorCalls {
+    awake: Awake,
+    next: u64,
+    /// Calls that were begun and not given to `call` yet.
+    begun: BTreeMap<u64, Arrival>,
+    pending: BTreeMap<u64, Pending>,
+}
+
+impl OperatorCalls {
+    pub fn new(now: Millis) -> OperatorCalls {
+        OperatorCalls { awake: Awake::new(now), next: 0, begun: BTreeMap::new(), pending: BTreeMap::new() }
+    }
+
+    /// A number for a call that was read.
+    pub fn begin(&mut self, arrival: Arrival) -> u64 {
+        self.next += 1;
+        self.begun.insert(self.next, arrival);
+        self.next
+    }
+
+    pub fn awake_since(&self) -> Millis {
+        self.awake.since()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.pending.is_empty()
+    }
+
+    /// When the next call has waited for long enough.
+    pub fn next_due(&self) -> Option<Millis> {
+        self.pending.values().map(|pending| pending.until).reduce(Millis::min)
+    }
+
+    /// Before all else that happens. After a pause nobody waits any more for what was under way: no answer that comes now
+    /// is given as a definite one.
+    pub fn look(&mut self, now: Millis) -> Vec<Step> {
+        if !self.awake.look(now) {
+            return Vec::new();
+        }
+        let pending = std::mem::take(&mut self.pending);
+        pending.into_keys().map(|call| Step::Reply { call, reply: control::unsure() }).collect()
+    }
+
+    /// A call was read whole.
+    pub fn call(&mut self, now: Millis, call: u64, message: &Message, known: &impl Known) -> Step {
+        let arrival = self.begun.remove(&call).unwrap_or(Arrival::at(now));
+        let order = match control::decode(message) {
+            Ok(Order::Status) => return Step::Status { call },
+            Err(reply) => return Step::Reply { call, reply },
+            Ok(order) => order,
+        };
+        if !self.awake.has_run_since(&arrival) {
+            return Step::Reply { call, reply: control::too_late() };
+        }
+        let mut wait = |waits: Waits| {
+            let until = now + PATIENCE_MS;
+            self.pending.insert(call, Pending { arrival, until, waits });
+        };
+        match order {
+            Order::Status => Step::Status { call },
+            Order::Configure(command) => {
+                wait(Waits::Configuration);
+                Step::Submit { call, command }
+            }
+            Order::Read => {
+                wait(Waits::Read);
+                Step::Read { call, question: Question::Configuration }
+            }
+            Order::Evacuate { zone, begin } if known.names_zone(&zone) => {
+                wait(Waits::Evacuation { zone: zone.clone(), begin });
+                let seen = known.last_order(&zone);
+                self.order_evacuation(now, call, zone, begin, seen)
+            }
+            Order::Evacuate { zone, begin } => {
+                wait(Waits::Zone { zone, begin });
+                Step::Read { call, question: Question::Contact }
+            }
+        }
+    }
+
+    /// Stamps the order with what is known now, unless its caller may have sent it elsewhere by now.
+    fn order_evacuation(&mut self, now: Millis, call: u64, zone: String, begin: bool, seen: u64) -> Step {
+        let recent = |pending: &&Pending| self.awake.is_recent(now, &pending.arrival);
+        if self.pending.get(&call).filter(recent).is_none() {
+            self.pending.remove(&call);
+            return Step::Reply { call, reply: control::too_late() };
+        }
+        Step::Submit { call, command: Command::SetEvacuation { zone, begin, seen } }
+    }
+
+    /// What came of a call; nothing for one that was answered before.
+    pub fn answer(
+        &mut self, now: Millis, call: u64, result: Result<Vec<u8>, Refusal>, known: &impl Known,
+    ) -> Option<Step> {
+        let waits = self.pending.get(&call)?.waits.clone();
+        match waits {
+            Waits::Zone { zone, begin } if result.is_ok() && known.names_zone(&zone) => {
+                if let Some(pending) = self.pending.get_mut(&call) {
+                    pending.waits = Waits::Evacuation { zone: zone.clone(), begin };
+                }
+                let seen = known.last_order(&zone);
+                Some(self.order_evacuation(now, call, zone, begin, seen))
+            }
+            Waits::Evacuation { zone, begin } => match outcome(result) {
+                Ok(Outcome::Superseded { number }) => {
+                    // What is known here may lag behind the chain.
+                    let seen = known.last_order(&zone).max(number);
+                    Some(self.order_evacuation(now, call, zone, begin, seen))
+                }
+                other => Some(self.end(call, control::outcome(other))),
+            },
+            Waits::Zone { zone, .. } => {
+                let reply = result.map_or_else(control::refused, |_| control::unknown_zone(&zone));
+                Some(self.end(call, reply))
+            }
+            Waits::Configuration => Some(self.end(call, control::outcome(outcome(result)))),
+            Waits::Read => {
+                let reply = control::answer(result.map(|bytes| borsh::from_slice(&bytes).ok().flatten()));
+                Some(self.end(call, reply))
+            }
+        }
+    }
+
+    fn end(&mut self, call: u64, reply: Reply) -> Step {
+        self.pending.remove(&call);
+        Step::Reply { call, reply }
+    }
+
+    /// The calls that have waited for long enough.
+    pub fn late(&mut self, now: Millis) -> Vec<Step> {
+        let late = |(call, pending): (&u64, &Pending)| (now >= pending.until).then_some(*call);
+        let late: Vec<u64> = self.pending.iter().filter_map(late).collect();
+        late.into_iter().map(|call| self.end(call, control::unsure())).collect()
+    }
+}
+
+fn outcome(result: Result<Vec<u8>, Refusal>) -> Result<Outcome, Refusal> {
+    // What can't be read is of a later program: it may be in force.
+    result.and_then(|bytes| borsh::from_slice(&bytes).map_err(|_| Refusal::TimedOut))
+}
--- /dev/null
+++ b/crates/sandtrack-control/src/operators.rs
@@ -0,0 +1,152 @@
+//! The sockets of the HTTP interfaces: operators' calls, one a connection, and the directory's. It owns the bytes under way and
+//! tells the control node when a connection came; it must never decide what that means.
+use crate::arrivals::Arrival;
+use crate::control::{self, Reply, BODY_MAX, PATIENCE_MS};
+use crate::socket::prepare;
+use crate::Millis;
+use async_io::{Async, Timer};
+use futures_lite::future;
+use sandtrack_core::message::{Head, Message};
+use sandtrack_protocol::codes;
+use sandtrack_sidecar::client::{linger, ACCEPT_PAUSE};
+use sandtrack_sidecar::http::{self, Part, Side, CONTINUE};
+use sandtrack_sidecar::net::{has_left, read_into, write_within, Clock};
+use sandtrack_sidecar::ring::Ring;
+use std::future::Future;
+use std::io::ErrorKind;
+use std::net::{TcpListener, TcpStream};
+use std::time::Duration;
+
+/// A caller that takes no bytes for this long is gone.
+const WRITE_PATIENCE: Duration = Duration::from_secs(2);
+/// A connection on which no call begins for this long is closed.
+const IDLE: Duration = Duration::from_secs(30);
+/// An answer is given as a definite one for so many ms after its call was read, which is a little more than what the control
+/// node takes at most.
+const ANSWER_MS: Millis = PATIENCE_MS + 150.0;
+
+/// Accepts operators' connections for as long as the task lives. `look_again` tells that the process was held up: whether the
+/// queue is empty is then looked at anew, so that what comes later is not taken for what waited.
+pub async fn listen(
+    listener: Async<TcpListener>, clock: Clock, look_again: async_channel::Receiver<()>,
+    mut opened: impl FnMut(Async<TcpStream>, Arrival),
+) {
+    // What waits already has waited for an unknown time.
+    let mut queued_since = Millis::NEG_INFINITY;
+    loop {
+        let before = clock.now();
+        match listener.get_ref().accept() {
+            Ok((stream, _)) => match Async::new(stream) {
+                Ok(stream) => {
+                    prepare(&stream);
+                    opened(stream, Arrival { queued_since, accepted: before });
+                    future::yield_now().await;
+                }
+                Err(error) => log::debug!("a connection can't be served: {error}"),
+            },
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                queued_since = before;
+                let come = async { listener.readable().await.is_ok() };
+                let again = async { look_again.recv().await.is_ok() };
+                future::or(come, again).await;
+            }
+            Err(error) => {
+                log::debug!("accept failed: {error}");
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Takes one call off an operator's connection, and answers it. A call whose caller has left is not made: it will have been
+/// sent elsewhere.
+pub async fn serve_call<F: Future<Output = Option<Reply>>>(
+    stream: &Async<TcpStream>, clock: Clock, submit: impl FnOnce(Message) -> F,
+) {
+    let mut input = Ring::new(http::READ_RING);
+    let mut parser = http::Parser::new(Side::Request);
+    let reply = match read_patiently(stream, &mut input, &mut parser).await {
+        None => return,
+        Some(Err(status)) => Reply::error(status, codes::BAD_CALL, "not a call"),
+        Some(Ok(_)) if has_left(stream) => return,
+        Some(Ok(message)) => {
+            let read = clock.now();
+            match submit(message).await {
+                None => return,
+                Some(_) if clock.now() - read > ANSWER_MS => control::unsure(),
+                Some(reply) => reply,
+            }
+        }
+    };
+    let mut output = Ring::new(2 * BODY_MAX);
+    if write(stream, &mut output, &reply, true).await {
+        linger(stream).await;
+    }
+}
+
+/// Takes one call after another off a connection and answers each at once.
+pub async fn serve_calls(stream: &Async<TcpStream>, answer: impl Fn(&Message) -> Reply) {
+    let mut input = Ring::new(http::READ_RING);
+    let mut output = Ring::new(2 * BODY_MAX);
+    let mut parser = http::Parser::new(Side::Request);
+    loop {
+        let (reply, close) = match read_patiently(stream, &mut input, &mut parser).await {
+            None => return,
+            Some(Err(status)) => (Reply::error(status, codes::BAD_CALL, "not a call"), true),
+            Some(Ok(message)) => (answer(&message), !message.head.keep_alive),
+        };
+        if !write(stream, &mut output, &reply, close).await {
+            return;
+        }
+        if close {
+            return linger(stream).await;
+        }
+    }
+}
+
+async fn write(stream: &Async<TcpStream>, output: &mut Ring, reply: &Reply, close: bool) -> bool {
+    output.push(&reply.bytes(close)) && write_within(stream, output, WRITE_PATIENCE).await
+}
+
+/// One call, as `read_call`; `None` as well where none came whole for a long time: nothing happens then.
+async fn read_patiently(
+    stream: &Async<TcpStream>, input: &mut Ring, parser: &mut http::Parser,
+) -> Option<Result<Message, u16>> {
+    let idle = async {
+        Timer::after(IDLE).await;
+        None
+    };
+    future::or(read_call(stream, input, parser), idle).await
+}
+
+/// One call, whole; `None` where the connection ended before, the status where it is no call.
+async fn read_call(
+    stream: &Async<TcpStream>, input: &mut Ring, parser: &mut http::Parser,
+) -> Option<Result<Message, u16>> {
+    let (mut head, mut body): (Option<Head>, Vec<u8>) = (None, Vec::new());
+    loop {
+        match parser.next(input) {
+            Err(bad) => return Some(Err(bad.status())),
+            Ok(Some(Part::Head(mut read))) => {
+                if http::take_expectation(&mut read) && input.is_empty() {
+                    let mut output = Ring::new(CONTINUE.len());
+                    if !output.push(CONTINUE) || !write_within(stream, &mut output, WRITE_PATIENCE).await {
+                        return None;
+                    }
+                }
+                head = Some(read);
+            }
+            Ok(Some(Part::Data(data))) => {
+                if body.len() + data.len() > BODY_MAX {
+                    return Some(Err(413));
+                }
+                body.extend(data);
+            }
+            Ok(Some(Part::End)) => return head.map(|head| Ok(Message { head, body })),
+            Ok(None) => match read_into(stream, input).await {
+                Ok(count) if count > 0 => {}
+                _ => return None,
+            },
+        }
+    }
+}
--- a/crates/sandtrack-control/src/program.rs
+++ b/crates/sandtrack-control/src/program.rs
@@ -1,8 +1,10 @@
 //! The process: command line, executor, clock, signals, sockets, and the loop that hands inputs to the control node and
 //! carries out its effects. It owns the tasks; it must never decide anything.
-use crate::control::{Reply, BODY_MAX};
+use crate::arrivals::Arrival;
+use crate::control::Reply;
 use crate::disk::{self, Done};
 use crate::node::{ControlNode, Effect, Input, Start};
+use crate::operators;
 use crate::peers::{LinkOrder, PeerFrame};
 use crate::platform::{self, Fetch};
 use crate::sessions::SessionOrder;
@@ -12,15 +14,12 @@
 use async_signal::{Signal, Signals};
 use bpaf::{construct, long, OptionParser, Parser};
 use futures_lite::{future, StreamExt};
-use sandtrack_core::message::{Head, Message};
+use sandtrack_core::message::Message;
 use sandtrack_protocol::codes;
 use sandtrack_protocol::frames::{self, ToControl};
 use sandtrack_protocol::logs;
 use sandtrack_protocol::settings::{Settings, SettingsError, PEER_PORT, SESSION_PORT};
-use sandtrack_sidecar::client::linger;
-use sandtrack_sidecar::http::{self, Part, Side, CONTINUE};
-use sandtrack_sidecar::net::{read_into, write_within, Clock};
-use sandtrack_sidecar::ring::Ring;
+use sandtrack_sidecar::net::Clock;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::hash::{BuildHasher, Hasher, RandomState};
@@ -32,10 +31,6 @@
 
 /// Where the path of the settings file is.
 pub const BOOT: &str = "SANDTRACK_BOOT";
-/// A caller that takes no bytes for this long is gone.
-const WRITE_PATIENCE: Duration = Duration::from_secs(2);
-/// A connection on which no call begins for this long is closed.
-const IDLE: Duration = Duration::from_secs(30);
 /// Opening a link may take this long.
 const DIAL_PATIENCE: Duration = Duration::from_millis(900);
 /// So many new connections may wait to be accepted.
@@ -236,9 +231,11 @@
             let _ = called.try_send(Input::Called(call));
         }))
         .detach();
-    spawn_listeners(&runtime, control, directory, peers, sessions);
+    let (held_up, look_again) = async_channel::bounded(1);
+    spawn_listeners(&runtime, control, directory, peers, sessions, look_again);
     executor.spawn(watch_settings(runtime.inputs.clone())).detach();
     perform(&runtime, effects);
+    let mut awake_since = runtime.control_node.borrow().awake_since();
 
     loop {
         let due = clock.at(runtime.control_node.borrow().next_due());
@@ -266,6 +263,10 @@
         if clock.at(runtime.control_node.borrow().next_due()) <= std::time::Instant::now() {
             runtime.control_node.borrow_mut().handle(clock.now(), Input::Tick, &mut effects);
         }
+        let since = runtime.control_node.borrow().awake_since();
+        if std::mem::replace(&mut awake_since, since) != since {
+            let _ = held_up.try_send(());
+        }
         if perform(&runtime, effects) {
             // What is still to be written goes out before the process does.
             runtime.links.borrow_mut().clear();
@@ -307,18 +308,28 @@
 
 fn spawn_listeners(
     runtime: &Rc<Runtime<'_>>, control: Async<TcpListener>, directory: Async<TcpListener>,
-    peers: Async<TcpListener>, sessions: Async<TcpListener>,
+    peers: Async<TcpListener>, sessions: Async<TcpListener>, look_again: async_channel::Receiver<()>,
 ) {
     let here = runtime.clone();
-    let accept = socket::listen(control, move |stream| {
+    let accept = operators::listen(control, runtime.clock, look_again, move |stream, arrival| {
         let runtime = here.clone();
-        here.executor.spawn(async move { http_calls(&runtime, &stream, true).await }).detach();
+        let run = async move {
+            let submit = |message| submit(&runtime, arrival, message);
+            operators::serve_call(&stream, runtime.clock, submit).await;
+        };
+        here.executor.spawn(run).detach();
     });
     runtime.executor.spawn(accept).detach();
     let here = runtime.clone();
     let accept = socket::listen(directory, move |stream| {
         let runtime = here.clone();
-        here.executor.spawn(async move { http_calls(&runtime, &stream, false).await }).detach();
+        let run = async move {
+            let answer = |message: &Message| {
+                runtime.control_node.borrow_mut().resolve(runtime.clock.now(), &message.head)
+            };
+            operators::serve_calls(&stream, answer).await;
+        };
+        here.executor.spawn(run).detach();
     });
     runtime.executor.spawn(accept).detach();
     let here = runtime.clone();
@@ -424,79 +435,10 @@
     }
 }
 
-/// Takes one call after another off a connection: the operators', or the directory's.
-async fn http_calls(runtime: &Runtime<'_>, stream: &Async<TcpStream>, control: bool) {
-    let mut input = Ring::new(http::READ_RING);
-    let mut output = Ring::new(2 * BODY_MAX);
-    let mut parser = http::Parser::new(Side::Request);
-    loop {
-        let idle = async {
-            Timer::after(IDLE).await;
-            None
-        };
-        // A call that does not come whole is none: nothing happens.
-        let read = future::or(read_call(stream, &mut input, &mut parser), idle).await;
-        let (reply, close) = match read {
-            None => return,
-            Some(Err(status)) => (Reply::error(status, codes::BAD_CALL, "not a call"), true),
-            Some(Ok(message)) => {
-                let close = !message.head.keep_alive;
-                if control {
-                    match submit(runtime, message).await {
-                        Some(reply) => (reply, close),
-                        None => return,
-                    }
-                } else {
-                    let reply = runtime.control_node.borrow_mut().resolve(runtime.clock.now(), &message.head);
-                    (reply, close)
-                }
-            }
-        };
-        if !output.push(&reply.bytes(close)) || !write_within(stream, &mut output, WRITE_PATIENCE).await {
-            return;
-        }
-        if close {
-            return linger(stream).await;
-        }
-    }
-}
-
-async fn submit(runtime: &Runtime<'_>, message: Message) -> Option<Reply> {
+async fn submit(runtime: &Runtime<'_>, arrival: Arrival, message: Message) -> Option<Reply> {
     let (sender, reply) = async_channel::bounded(1);
-    let call = runtime.control_node.borrow_mut().call_begun();
+    let call = runtime.control_node.borrow_mut().call_begun(arrival);
     runtime.calls.borrow_mut().insert(call, sender);
     runtime.tell(Input::Call { call, message });
     reply.recv().await.ok()
 }
-
-/// One call, whole; `None` where the connection ended before, the status where it is no call.
-async fn read_call(
-    stream: &Async<TcpStream>, input: &mut Ring, parser: &mut http::Parser,
-) -> Option<Result<Message, u16>> {
-    let (mut head, mut body): (Option<Head>, Vec<u8>) = (None, Vec::new());
-    loop {
-        match parser.next(input) {
-            Err(bad) => return Some(Err(bad.status())),
-            Ok(Some(Part::Head(mut read))) => {
-                if http::take_expectation(&mut read) && input.is_empty() {
-                    let mut output = Ring::new(CONTINUE.len());
-                    if !output.push(CONTINUE) || !write_within(stream, &mut output, WRITE_PATIENCE).await {
-                        return None;
-                    }
-                }
-                head = Some(read);
-            }
-            Ok(Some(Part::Data(data))) => {
-                if body.len() + data.len() > BODY_MAX {
-                    return Some(Err(413));
-                }
-                body.extend(data);
-            }
-            Ok(Some(Part::End)) => return head.map(|head| Ok(Message { head, body })),
-            Ok(None) => match read_into(stream, input).await {
-                Ok(count) if count > 0 => {}
-                _ => return None,
-            },
-        }
-    }
-}
--- a/crates/sandtrack-control/src/upstreams.rs
+++ b/crates/sandtrack-control/src/upstreams.rs
@@ -155,6 +155,11 @@
         self.table.keys().map(String::as_str)
     }
 
+    /// Whether an upstream is in the zone.
+    pub fn names_zone(&self, zone: &str) -> bool {
+        self.table.values().any(|kept| kept.entry.zone == zone)
+    }
+
     /// For each service: how many upstreams, and how many of them drain.
     pub fn counts(&self) -> BTreeMap<&str, (usize, usize)> {
         let mut counts: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
--- /dev/null
+++ b/crates/sandtrack-control/tests/late_orders.rs
@@ -0,0 +1,243 @@
+//! An order that reaches the head late, by whichever way, takes no effect once a later one for the same zone was confirmed.
+mod common;
+use common::cluster::Cluster;
+use common::{good, message};
+use sandtrack_control::arrivals::{Arrival, Awake, ARRIVAL_MS, HELD_UP_MS};
+use sandtrack_control::control_state::{Command, ControlState, Outcome};
+use sandtrack_control::operator_calls::{Known, OperatorCalls, Step};
+use sandtrack_replication::StateMachine;
+
+const BEGIN: &str = "/v1/evacuation/kita-hall/begin";
+const FINISH: &str = "/v1/evacuation/kita-hall/finish";
+
+/// This many control nodes with a configuration, the first three in the chain.
+fn settled(count: usize) -> Cluster {
+    let mut cluster = Cluster::start(count);
+    cluster.run(1000.0);
+    cluster.insist(&[2], "/v1/configuration/replace", 0, &good(7));
+    cluster.run(1500.0);
+    cluster.submits.clear();
+    cluster
+}
+
+fn assert_not_evacuated(cluster: &mut Cluster) {
+    cluster.run(4000.0);
+    let evacuated = cluster.evacuated();
+    assert!(evacuated.iter().all(Vec::is_empty), "the confirmed finish stands: {evacuated:?}");
+}
+
+fn status(cluster: &Cluster, call: u64) -> Option<u16> {
+    cluster.answer(call).map(|(_, reply)| reply.status)
+}
+
+#[test]
+fn left_in_the_socket_of_a_frozen_machine() {
+    for frozen in 1..=3 {
+        let others: Vec<usize> = (1..=3).filter(|house| *house != frozen).collect();
+        let mut cluster = settled(3);
+        cluster.freeze(frozen, true);
+        let late = cluster.call(frozen, "POST", BEGIN, 0, "");
+        cluster.run(1200.0);
+        cluster.insist(&others, BEGIN, 0, "");
+        cluster.insist(&others, FINISH, 0, "");
+        cluster.run(2000.0);
+        cluster.freeze(frozen, false);
+        assert_not_evacuated(&mut cluster);
+        assert_eq!(status(&cluster, late), Some(503), "at {frozen}: nothing definite");
+    }
+}
+
+#[test]
+fn read_just_before_its_machine_froze() {
+    for frozen in 1..=3 {
+        let others: Vec<usize> = (1..=3).filter(|house| *house != frozen).collect();
+        for ran in [1.0, 6.0, 12.0] {
+            let mut cluster = settled(3);
+            let late = cluster.call(frozen, "POST", BEGIN, 0, "");
+            cluster.run(ran);
+            cluster.freeze(frozen, true);
+            cluster.run(1200.0);
+            cluster.insist(&others, BEGIN, 0, "");
+            cluster.insist(&others, FINISH, 0, "");
+            cluster.run(2000.0);
+            cluster.freeze(frozen, false);
+            assert_not_evacuated(&mut cluster);
+            assert_ne!(status(&cluster, late), Some(404), "{frozen}");
+        }
+    }
+}
+
+#[test]
+fn delayed_on_the_link_to_the_head() {
+    let mut cluster = settled(4);
+    // An observer's call goes to the head, and to members that pass it on: all of that is slow.
+    for to in 1..=3 {
+        cluster.slow(4, to, 800.0);
+    }
+    let late = cluster.call(4, "POST", BEGIN, 0, "");
+    cluster.run(100.0);
+    cluster.insist(&[3], BEGIN, 0, "");
+    cluster.insist(&[2], FINISH, 0, "");
+    assert_not_evacuated(&mut cluster);
+    assert_eq!(status(&cluster, late), Some(503));
+    assert!(cluster.submits.iter().any(|(_, from, _, _)| *from == 4), "it was on its way");
+}
+
+#[test]
+fn delayed_as_it_is_passed_on_to_the_head() {
+    let mut cluster = settled(4);
+    // The fourth's own way to the head is cut: the second passes its call on, and just that takes long.
+    let (head, second) = (1, 2);
+    cluster.cut_one_way(4, head, true);
+    cluster.slow(second, head, 1500.0);
+    let late = cluster.call(4, "POST", BEGIN, 0, "");
+    let passed_on = |(_, from, to, _): &(f64, usize, usize, String)| (*from, *to) == (second, head);
+    for _ in 0..80 {
+        if !cluster.submits.iter().any(passed_on) {
+            cluster.run(5.0);
+        }
+    }
+    assert!(cluster.submits.iter().any(passed_on), "the second passes it on");
+    cluster.slow(second, head, 0.0);
+    // Nothing more comes from the fourth: what it tries again is lost.
+    (1..=3).for_each(|to| cluster.cut_one_way(4, to, true));
+    cluster.run(100.0);
+    assert!(cluster.evacuated().iter().all(Vec::is_empty), "it has not come yet");
+    cluster.insist(&[head], BEGIN, 0, "");
+    cluster.insist(&[head], FINISH, 0, "");
+    assert_not_evacuated(&mut cluster);
+    assert_ne!(status(&cluster, late), Some(200));
+}
+
+#[test]
+fn tried_again_by_a_machine_that_was_cut_off() {
+    let mut cluster = settled(3);
+    cluster.cut(3, 1, true);
+    cluster.cut(3, 2, true);
+    let late = cluster.call(3, "POST", BEGIN, 0, "");
+    cluster.run(1000.0);
+    assert_eq!(status(&cluster, late), Some(503));
+    cluster.insist(&[1, 2], BEGIN, 0, "");
+    cluster.insist(&[2, 1], FINISH, 0, "");
+    let answered = cluster.now;
+    cluster.cut(3, 1, false);
+    cluster.cut(3, 2, false);
+    assert_not_evacuated(&mut cluster);
+    let later = cluster.submits.iter().filter(|(at, from, _, _)| *at >= answered && *from == 3);
+    assert_eq!(later.count(), 0, "a call that was answered is not tried any more");
+}
+
+/// A zone as a member of the chain knows it.
+struct Zone(u64);
+
+impl Known for Zone {
+    fn last_order(&self, _: &str) -> u64 {
+        self.0
+    }
+
+    fn names_zone(&self, zone: &str) -> bool {
+        zone == "kita-hall"
+    }
+}
+
+fn begin(calls: &mut OperatorCalls, now: f64, arrival: Arrival) -> (u64, Step) {
+    let call = calls.begin(arrival);
+    (call, calls.call(now, call, &message("POST", BEGIN, &[], ""), &Zone(4)))
+}
+
+fn is_submitted(step: &Step, stamp: u64) -> bool {
+    matches!(step, Step::Submit { command: Command::SetEvacuation { seen, .. }, .. } if *seen == stamp)
+}
+
+fn is_refused(step: &Step) -> bool {
+    matches!(step, Step::Reply { reply, .. } if reply.status == 503)
+}
+
+/// The state may have been caught up before the late call is read: then its stamp would be a new one.
+#[test]
+fn what_waited_while_the_process_stood_still_is_not_carried_out() {
+    let mut calls = OperatorCalls::new(0.0);
+    for at in 1..=40 {
+        assert!(calls.look(f64::from(at) * 50.0).is_empty());
+    }
+    let (_, step) = begin(&mut calls, 2000.0, Arrival::at(1990.0));
+    assert!(is_submitted(&step, 4), "{step:?}");
+    // It stands still from 2000 to 9000: what was under way is answered at once, without a definite answer.
+    let steps = calls.look(9000.0);
+    assert!(steps.len() == 1 && is_refused(&steps[0]), "{steps:?}");
+    // Accepted before; waiting in the queue; and accepted after it, when the queue was not seen empty since.
+    for arrival in [
+        Arrival::at(1990.0),
+        Arrival { queued_since: 1950.0, accepted: 9000.0 },
+        Arrival { queued_since: 1950.0, accepted: 9100.0 },
+    ] {
+        let (_, step) = begin(&mut calls, 9110.0, arrival);
+        assert!(is_refused(&step), "{arrival:?}: {step:?}");
+    }
+    let (_, step) = begin(&mut calls, 9120.0, Arrival { queued_since: 9001.0, accepted: 9110.0 });
+    assert!(is_submitted(&step, 4), "a new one is taken: {step:?}");
+}
+
+#[test]
+fn a_call_that_took_long_to_come_is_not_carried_out() {
+    let mut calls = OperatorCalls::new(0.0);
+    (0..20).for_each(|at| drop(calls.look(f64::from(at) * 100.0)));
+    let (_, step) = begin(&mut calls, 1900.0, Arrival::at(1900.0 - ARRIVAL_MS - 1.0));
+    assert!(is_refused(&step), "{step:?}");
+    let (_, step) = begin(&mut calls, 1900.0, Arrival::at(1900.0 - ARRIVAL_MS));
+    assert!(is_submitted(&step, 4), "{step:?}");
+    const { assert!(HELD_UP_MS + ARRIVAL_MS < 1000.0, "together less than the patience of callers") };
+}
+
+#[test]
+fn an_overtaken_order_is_stamped_anew_only_while_it_is_recent() {
+    let overtaken = borsh::to_vec(&Outcome::Superseded { number: 6 }).expect("an outcome");
+    let mut calls = OperatorCalls::new(0.0);
+    (0..20).for_each(|at| drop(calls.look(f64::from(at) * 100.0)));
+    let (call, _) = begin(&mut calls, 1900.0, Arrival::at(1900.0));
+    let step = calls.answer(1950.0, call, Ok(overtaken.clone()), &Zone(4)).expect("a step");
+    assert!(is_submitted(&step, 6), "as if it were read now: {step:?}");
+    let step = calls.answer(1900.0 + ARRIVAL_MS + 1.0, call, Ok(overtaken), &Zone(6)).expect("a step");
+    assert!(is_refused(&step), "{step:?}");
+    let taken = borsh::to_vec(&Outcome::Taken { version: 7 }).expect("an outcome");
+    assert_eq!(calls.answer(2350.0, call, Ok(taken), &Zone(6)), None, "answered once");
+}
+
+#[test]
+fn a_process_is_held_up_by_what_it_did_not_look_at() {
+    let mut awake = Awake::new(100.0);
+    assert!(!awake.look(100.0 + HELD_UP_MS));
+    assert!(awake.has_run_since(&Arrival::at(100.0)));
+    assert!(awake.look(101.0 + 2.0 * HELD_UP_MS));
+    assert_eq!(awake.since(), 101.0 + 2.0 * HELD_UP_MS);
+    assert!(!awake.has_run_since(&Arrival::at(100.0 + HELD_UP_MS)));
+}
+
+fn order(state: &mut ControlState, number: u64, begin: bool, seen: u64) -> Outcome {
+    let command = Command::SetEvacuation { zone: "kita-hall".to_owned(), begin, seen };
+    let outcome = state.apply(number, &borsh::to_vec(&command).expect("a command"));
+    borsh::from_slice(&outcome).expect("an outcome")
+}
+
+/// Every way of delay comes to this: an order applied after others that were confirmed since it was read.
+#[test]
+fn an_order_that_was_overtaken_changes_nothing() {
+    let taken = Outcome::Taken { version: 0 };
+    let mut state = ControlState::default();
+    assert_eq!(order(&mut state, 1, true, 0), taken);
+    assert_eq!(order(&mut state, 2, true, 0), taken, "its repeat finds it done");
+    assert_eq!(order(&mut state, 3, false, 2), taken);
+    assert_eq!(order(&mut state, 4, true, 0), Outcome::Superseded { number: 3 });
+    assert_eq!(order(&mut state, 5, true, 2), Outcome::Superseded { number: 3 });
+    assert_eq!((state.evacuated().count(), state.evacuation_number()), (0, 3));
+    assert_eq!(order(&mut state, 6, false, 1), taken, "late, and as it is already");
+    // Confirmed without a change, it overtakes what was read before it as well.
+    assert_eq!(order(&mut state, 7, true, 3), Outcome::Superseded { number: 6 });
+    assert_eq!(order(&mut state, 8, true, 6), taken);
+    let mut other = ControlState::default();
+    assert!(other.restore(&state.snapshot()));
+    for state in [&mut state, &mut other] {
+        assert_eq!(order(state, 9, false, 6), Outcome::Superseded { number: 8 }, "also after a snapshot");
+        assert_eq!(state.evacuated().collect::<Vec<_>>(), ["kita-hall"]);
+    }
+}
--- a/crates/sandtrack-protocol/src/codes.rs
+++ b/crates/sandtrack-protocol/src/codes.rs
@@ -33,6 +33,8 @@
     NOT_NOW = 303, "control can't acknowledge now: too few of its machines reach each other";
     UNSURE = 304, "no acknowledgement in time: the order may or may not be in force";
     NO_PROXY = 305, "no proxy is ready to take clients: ask another directory";
+    OVERTAKEN = 306, "a later order for the same zone came first: this one was not carried out";
+    TOO_LATE = 307, "the call may have waited for too long in this process: it was not carried out";
     NO_ROUTE = 401, "no route matches the host and path";
     NO_CONFIGURATION = 402, "no configuration has reached this process yet";
     NO_ROOM = 403, "no upstream has room for the request in the time that it has";
--- a/crates/sandtrack-replication/src/api.rs
+++ b/crates/sandtrack-replication/src/api.rs
@@ -72,7 +72,7 @@
     pub proposal: f64,
     /// A voter outside the chain that was silent for so long may be replaced.
     pub replace: f64,
-    /// A call that found no answer is refused.
+    /// A call that found no answer is refused, and not tried any more: as long as its caller waits.
     pub call: f64,
     /// A full disk is tried again.
     pub disk_again: f64,
--- a/crates/sandtrack-replication/src/calls.rs
+++ b/crates/sandtrack-replication/src/calls.rs
@@ -32,6 +32,8 @@
     handed: BTreeSet<Member>,
     /// Those whose disk was too full for it. They refuse it for good.
     full: BTreeSet<Member>,
+    /// It was given to another process to pass on, which may know of other heads.
+    relayed: bool,
 }
 
 /// A command at the head, not in a write yet.
@@ -42,6 +44,17 @@
     since: f64,
 }
 
+impl Pending {
+    /// Why there was no answer.
+    fn refusal(&self) -> Refusal {
+        match &self.kind {
+            _ if self.handed.is_empty() => Refusal::NoMajority,
+            Kind::Submit(_) if self.handed == self.full && !self.relayed => Refusal::Full,
+            _ => Refusal::TimedOut,
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 pub(crate) struct Calls {
     next: u64,
@@ -66,10 +79,9 @@
         let (began, tried) = (self.now, f64::NEG_INFINITY);
         self.calls.next += 1;
         let number = self.calls.next;
-        self.calls.pending.insert(
-            number,
-            Pending { call, kind, began, tried, tries: 0, handed: BTreeSet::new(), full: BTreeSet::new() },
-        );
+        let (handed, full) = (BTreeSet::new(), BTreeSet::new());
+        let pending = Pending { call, kind, began, tried, tries: 0, handed, full, relayed: false };
+        self.calls.pending.insert(number, pending);
         self.route(number, effects);
     }
 
@@ -87,9 +99,14 @@
         };
         let call = CallId { origin: self.me.address.clone(), start: self.start, number };
         let head = self.latest.chain.first().cloned();
+        let patience = self.settings.timings.call;
         let Some(pending) = self.calls.pending.get_mut(&number) else {
             return;
         };
+        if self.now - pending.began > patience {
+            // Its caller does not wait any more; this process may not have run for a while.
+            return;
+        }
         pending.tried = self.now;
         pending.tries += 1;
         let body = match &pending.kind {
@@ -97,6 +114,7 @@
             Kind::Read(question) => Body::Read { call, question: question.clone(), hops: 1 },
         };
         if to != self.me.address {
+            pending.relayed |= head.as_ref().is_none_or(|head| head.address != to);
             pending.handed.extend(head);
         }
         self.send(&to, body, effects);
@@ -260,12 +278,7 @@
                 continue;
             };
             if now - pending.began > timings.call {
-                let refusal = match &pending.kind {
-                    _ if pending.handed.is_empty() => Refusal::NoMajority,
-                    Kind::Submit(_) if pending.handed == pending.full => Refusal::Full,
-                    _ => Refusal::TimedOut,
-                };
-                effects.push(Effect::Answer { call: pending.call, result: Err(refusal) });
+                effects.push(Effect::Answer { call: pending.call, result: Err(pending.refusal()) });
                 self.calls.pending.remove(&number);
             } else if now - pending.tried >= timings.repeat {
                 self.route(number, effects);
