--- a/crates/sandtrack-proxy/src/attempt.rs
+++ b/crates/sandtrack-proxy/src/attempt.rs
@@ -216,8 +216,15 @@
 
     fn took_head(&mut self, head: Head) -> HeadFacts {
         let facts = head_facts(&head, &self.request.id);
-        if facts.id != AnswerId::Own {
-            log::debug!("request {}: {} answers without its id", self.request.id, self.upstream.identifier);
+        let turned_away = facts.not_executed || facts.status == 421;
+        let is_anothers = match facts.id {
+            AnswerId::Own => false,
+            AnswerId::Other => true,
+            AnswerId::Missing => !turned_away,
+        };
+        if is_anothers || facts.is_success() && !facts.sealed {
+            let identifier = &self.upstream.identifier;
+            log::info!("request {}: {identifier} sent what is no answer to it", self.request.id);
         }
         self.head = Some(head);
         facts
