--- a/crates/sandtrack-proxy/src/exchange_state.rs
+++ b/crates/sandtrack-proxy/src/exchange_state.rs
@@ -59,7 +59,8 @@
         self.not_executed || self.status == 421
     }
 
-    fn is_success(&self) -> bool {
+    /// Whether the status is a 2xx.
+    pub fn is_success(&self) -> bool {
         (200..300).contains(&self.status)
     }
 
