--- a/crates/sandtrack-control/tests/program.rs
+++ b/crates/sandtrack-control/tests/program.rs
@@ -106,6 +106,20 @@
     }
 }
 
+impl Running {
+    /// SIGSTOP; returns once it stands still.
+    fn stop(&self) {
+        let id = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(id, rustix::process::Signal::STOP).expect("a signal");
+        rustix::process::waitpid(Some(id), rustix::process::WaitOptions::UNTRACED).expect("it stands still");
+    }
+
+    fn go_on(&self) {
+        let id = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(id, rustix::process::Signal::CONT).expect("a signal");
+    }
+}
+
 impl Drop for Running {
     fn drop(&mut self) {
         let _ = self.child.kill();
@@ -207,3 +221,66 @@
     assert!(place.call("GET", "/v1/status", "").contains("\"evacuated\":[\"odori-hall\"]"));
     third.end(rustix::process::Signal::INT);
 }
+
+const BEGIN: &str = "POST /v1/evacuation/odori-hall/begin HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
+
+fn is_evacuated(place: &Place) -> bool {
+    place.call("GET", "/v1/status", "").contains("\"evacuated\":[\"odori-hall\"]")
+}
+
+#[test]
+fn a_connection_carries_one_call() {
+    let place = Place::new("one-call", "127.0.7.3");
+    let running = place.start();
+    // It does not ask for the connection to be closed, and has sent a second call.
+    let answer = place.exchange(8166, &"GET /v1/status HTTP/1.1\r\nHost: x\r\n\r\n".repeat(2));
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("Connection: close"), "{answer}");
+    assert_eq!(answer.matches("HTTP/1.1 ").count(), 1, "{answer}");
+    running.end(rustix::process::Signal::TERM);
+}
+
+#[test]
+fn a_call_whose_caller_has_left_is_not_made() {
+    let place = Place::new("left", "127.0.7.4");
+    let running = place.start();
+    assert!(place.call_until_taken("GET", "/v1/configuration/read", "").starts_with("HTTP/1.1 404"));
+    running.stop();
+    let mut stream = TcpStream::connect((place.ip.as_str(), 8166)).expect("a connection");
+    stream.write_all(BEGIN.as_bytes()).expect("written");
+    drop(stream);
+    running.go_on();
+    // This one came after it, and is committed after it.
+    let whole = good(7);
+    assert!(place.call_until_taken("POST", "/v1/configuration/replace", &whole).starts_with("HTTP/1.1 200"));
+    assert!(!is_evacuated(&place));
+    running.end(rustix::process::Signal::TERM);
+}
+
+#[test]
+fn what_waited_while_it_stood_still_is_not_carried_out() {
+    let place = Place::new("still", "127.0.7.5");
+    let running = place.start();
+    assert!(place.call_until_taken("GET", "/v1/configuration/read", "").starts_with("HTTP/1.1 404"));
+    // One connection has been accepted before, the other waits in the queue.
+    let mut accepted = TcpStream::connect((place.ip.as_str(), 8166)).expect("a connection");
+    assert!(place.call("GET", "/v1/status", "").starts_with("HTTP/1.1 200"));
+    running.stop();
+    let mut queued = TcpStream::connect((place.ip.as_str(), 8166)).expect("a connection");
+    for stream in [&mut accepted, &mut queued] {
+        stream.write_all(BEGIN.as_bytes()).expect("written");
+        stream.set_read_timeout(Some(Duration::from_millis(600))).expect("a time limit");
+        assert!(stream.read(&mut [0; 1]).is_err(), "no answer from a process that stands still");
+    }
+    running.go_on();
+    for stream in [&mut accepted, &mut queued] {
+        stream.set_read_timeout(Some(Duration::from_secs(20))).expect("a time limit");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer");
+        assert!(answer.starts_with("HTTP/1.1 503") && answer.contains("E307"), "{answer}");
+    }
+    assert!(!is_evacuated(&place));
+    let begin = "/v1/evacuation/odori-hall/begin";
+    assert!(place.call_until_taken("POST", begin, "").starts_with("HTTP/1.1 200"));
+    assert!(is_evacuated(&place));
+    running.end(rustix::process::Signal::TERM);
+}
