--- a/crates/sandtrack-control/src/lib.rs
+++ b/crates/sandtrack-control/src/lib.rs
@@ -2,6 +2,7 @@
 //! together and is pure; `program` carries out what it asks for on sockets, a disk and a clock.
 pub mod arrivals;
 pub mod commands;
+pub mod contact;
 pub mod control;
 pub mod control_state;
 pub mod directory;
--- a/crates/sandtrack-control/src/node.rs
+++ b/crates/sandtrack-control/src/node.rs
@@ -1,6 +1,7 @@
 //! The control node: the parts put together. Inputs go in, effects come out; it is pure and deterministic, so that tests play
 //! whole exchanges of several of them. It owns all state; it must never touch a socket, a file or a clock.
 use crate::arrivals::Arrival;
+use crate::contact::Contact;
 use crate::control::{self, Reply};
 use crate::control_state::{Command, ControlState};
 use crate::directory;
@@ -12,6 +13,7 @@
 use crate::upstreams::{Excerpt, Upstreams};
 use crate::Millis;
 use sandtrack_core::message::{Head, Message};
+use sandtrack_protocol::codes;
 use sandtrack_protocol::frames::{self, ToControl, ToProxy};
 use sandtrack_protocol::logs::escape;
 use sandtrack_protocol::settings::{Settings, PEER_PORT, SESSION_PORT};
@@ -29,8 +31,10 @@
 const FROZEN_MS: Millis = 700.0;
 /// It looks at what is due at least this often, in ms.
 const LOOK_MS: Millis = 50.0;
-/// Told to stop, it ends after this, in ms, whatever is under way.
+/// Told to stop, it waits for the calls under way for this long, in ms.
 const LEAVE_MS: Millis = 1200.0;
+/// Told to stop, and needed by the others, it ends so many ms before the platform would kill it.
+const LEAVE_MARGIN_MS: Millis = 1000.0;
 
 /// What happened.
 #[derive(Debug)]
@@ -110,6 +114,7 @@
     settings: Settings,
     replica: Replica<ControlState>,
     peers: Peers,
+    contact: Contact,
     sessions: Sessions,
     membership: Membership,
     upstreams: Upstreams,
@@ -162,9 +167,15 @@
     peers: &'a Peers,
     membership: &'a Membership,
     upstreams: &'a Upstreams,
+    /// It was told to stop.
+    leaving: bool,
 }
 
 impl Known for Knowledge<'_> {
+    fn passes_callers_on(&self) -> bool {
+        self.leaving && self.peers.all().any(|(_, stays, _)| stays)
+    }
+
     fn last_order(&self, zone: &str) -> u64 {
         self.control_state.last_order(zone)
     }
@@ -202,6 +213,7 @@
             peers: Peers::new(me, now),
             settings,
             replica,
+            contact: Contact::default(),
             sessions: Sessions::default(),
             membership: Membership::default(),
             upstreams: Upstreams::default(),
@@ -267,6 +279,7 @@
         if now - self.last > FROZEN_MS {
             log::warn!("this process did not run for {:.0} ms", now - self.last);
             self.peers.woke(now);
+            self.contact.woke(now);
             self.sessions.woke(now);
             self.caught_up = None;
             if now - self.last > HOLDER_SILENT_MS {
@@ -326,7 +339,11 @@
 
     fn replica(&mut self, now: Millis, input: replication::Input, out: &mut Vec<Effect>) {
         let mut effects = Vec::new();
+        let refused = self.replica.snapshots_refused();
         self.replica.handle(now, input, &mut effects);
+        if self.replica.snapshots_refused() > refused {
+            log::warn!("E{} a snapshot was refused: it is fetched anew", codes::SNAPSHOT_REFUSED.0);
+        }
         self.carry_out(now, effects, out);
     }
 
@@ -377,6 +394,7 @@
             peers: &self.peers,
             membership: &self.membership,
             upstreams: &self.upstreams,
+            leaving: self.leaving.is_some(),
         };
         let step = self.calls.call(now, call, message, &known);
         self.step(now, step, out);
@@ -392,6 +410,7 @@
             peers: &self.peers,
             membership: &self.membership,
             upstreams: &self.upstreams,
+            leaving: self.leaving.is_some(),
         };
         if let Some(step) = self.calls.answer(now, call, result, &known) {
             self.step(now, step, out);
@@ -416,6 +435,9 @@
 
     fn link_frame(&mut self, now: Millis, link: u64, frame: PeerFrame, out: &mut Vec<Effect>) {
         let peer = self.peers.heard(now, link);
+        if let Some(peer) = &peer {
+            self.contact.heard(now, peer, None);
+        }
         let (peer, frame) = match (peer, frame) {
             (_, PeerFrame::Hello(hello)) => {
                 let mut orders = Vec::new();
@@ -430,7 +452,9 @@
         match frame {
             PeerFrame::Hello(_) => {}
             PeerFrame::Replication(message) => {
-                self.replica(now, replication::Input::Received { from: peer, message }, out);
+                let received = replication::Input::Received { from: peer.clone(), message };
+                self.replica(now, received, out);
+                self.contact.heard(now, &peer, self.replica.heard_epoch(&peer));
             }
             PeerFrame::Sessions { whole, present, gone } => {
                 self.membership.told(now, &peer, whole, present, &gone);
@@ -480,11 +504,13 @@
         match heard {
             Some(Heard::Found(peer)) => {
                 log::info!("linked with {peer}");
+                self.contact.lost(&peer);
                 self.sessions.census_again();
                 self.beat_one(now, &peer, out);
             }
             Some(Heard::Lost(peer)) => {
                 log::info!("the link with {peer} is lost");
+                self.contact.lost(&peer);
                 self.membership.lost(now, &peer);
                 self.sessions.census_again();
             }
@@ -547,14 +573,19 @@
         for step in self.calls.late(now) {
             self.step(now, step, out);
         }
-        if let Some(since) = self.leaving {
-            if self.calls.is_empty() || now - since > LEAVE_MS {
-                self.replica(now, replication::Input::Leave, out);
-                out.push(Effect::Exit);
-            }
+        if self.leaving.is_some_and(|since| self.may_end(now - since)) {
+            out.push(Effect::Exit);
         }
     }
 
+    /// Whether it may end so many ms after it was told to stop: calls under way are finished, and the others hold what it
+    /// holds; or its time is over.
+    fn may_end(&self, span: Millis) -> bool {
+        let calls_over = self.calls.is_empty() || span > LEAVE_MS;
+        let time_over = span > self.settings.bounds.grace_s * 1000.0 - LEAVE_MARGIN_MS;
+        calls_over && !self.replica.is_needed() || time_over
+    }
+
     fn reach(&mut self, now: Millis) {
         let (seeds, known) = (seeds(&self.settings), self.replica.peers());
         self.peers.reach(now, seeds.iter().chain(&known).map(String::as_str));
@@ -611,6 +642,12 @@
         2 * heard > voters.len() && (caught_up || self.replica.is_caught_up())
     }
 
+    /// Whether sessions are given configurations and evacuations: what is known here was confirmed within the lease.
+    fn feeds(&self, now: Millis) -> bool {
+        let epoch = self.replica.view().epoch;
+        self.is_attached(now) && self.contact.is_confirmed(now, &self.peers.me.address, &self.voters(), epoch)
+    }
+
     fn beat_one(&mut self, now: Millis, peer: &str, out: &mut Vec<Effect>) {
         let Some(link) = self.peers.link_to(peer) else { return };
         self.tell_peer(now, link, out);
@@ -664,12 +701,13 @@
             upstreams: &self.upstreams,
             membership: &self.membership,
             attached: false,
+            feeds: self.sessions.is_holding_back() && self.feeds(now),
             settled: self.settled,
         };
         if !self.sessions.is_due(now, &news) {
             return;
         }
-        news.attached = self.is_attached(now);
+        (news.attached, news.feeds) = (self.is_attached(now), self.feeds(now));
         let others: Vec<&Hello> =
             self.peers.all().filter(|(_, linked, _)| *linked).filter_map(|(_, _, hello)| hello).collect();
         let mut orders = Vec::new();
@@ -684,6 +722,7 @@
         }
         log::info!("told to stop");
         self.leaving = Some(now);
+        self.replica(now, replication::Input::Leave, out);
         let (order, live) = (self.order(), self.peers.live(now, HOLDER_SILENT_MS));
         if self.duty.leave(&order, &live) {
             log::info!("the platform's list is read by {} from now on", self.duty.claim().holder);
--- a/crates/sandtrack-control/src/operator_calls.rs
+++ b/crates/sandtrack-control/src/operator_calls.rs
@@ -31,6 +31,8 @@
 
 /// What the control node knows as a call is looked at.
 pub trait Known {
+    /// Whether callers are to go to another control node: this one is about to end, and another is there.
+    fn passes_callers_on(&self) -> bool;
     /// Number of the last order for a zone in the committed state here.
     fn last_order(&self, zone: &str) -> u64;
     /// Whether the settings, or anything that was learned, names the zone.
@@ -112,6 +114,9 @@
             Err(reply) => return Step::Reply { call, reply },
             Ok(order) => order,
         };
+        if known.passes_callers_on() {
+            return Step::Reply { call, reply: control::refused(Refusal::NoMajority) };
+        }
         if !self.awake.has_run_since(&arrival) {
             return Step::Reply { call, reply: control::too_late() };
         }
--- a/crates/sandtrack-control/tests/program.rs
+++ b/crates/sandtrack-control/tests/program.rs
@@ -276,7 +276,7 @@
         stream.set_read_timeout(Some(Duration::from_secs(20))).expect("a time limit");
         let mut answer = String::new();
         stream.read_to_string(&mut answer).expect("an answer");
-        assert!(answer.starts_with("HTTP/1.1 503") && answer.contains("E307"), "{answer}");
+        assert!(answer.starts_with("HTTP/1.1 503") && answer.contains("E308"), "{answer}");
     }
     assert!(!is_evacuated(&place));
     let begin = "/v1/evacuation/odori-hall/begin";
