--- a/crates/sandtrack-control/src/node.rs
+++ b/crates/sandtrack-control/src/node.rs
@@ -2,7 +2,7 @@
 //! whole exchanges of several of them. It owns all state; it must never touch a socket, a file or a clock.
 use crate::arrivals::Arrival;
 use crate::contact::Contact;
-use crate::control::{self, Order, Reply};
+use crate::control::{self, Reply};
 use crate::control_state::{Command, ControlState};
 use crate::directory;
 use crate::membership::{Member, Membership};
@@ -167,9 +167,15 @@
     peers: &'a Peers,
     membership: &'a Membership,
     upstreams: &'a Upstreams,
+    /// It was told to stop.
+    leaving: bool,
 }
 
 impl Known for Knowledge<'_> {
+    fn passes_callers_on(&self) -> bool {
+        self.leaving && self.peers.all().any(|(_, stays, _)| stays)
+    }
+
     fn last_order(&self, zone: &str) -> u64 {
         self.control_state.last_order(zone)
     }
@@ -381,23 +387,14 @@
         }
     }
 
-    /// Whether callers are to go to another control node: this one is about to end, and another is there.
-    fn passes_callers_on(&self) -> bool {
-        self.leaving.is_some() && self.peers.all().any(|(_, stays, _)| stays)
-    }
-
     fn call(&mut self, now: Millis, call: u64, message: &Message, out: &mut Vec<Effect>) {
-        let goes_elsewhere = |order: Order| order != Order::Status;
-        if self.passes_callers_on() && control::decode(message).is_ok_and(goes_elsewhere) {
-            let reply = Reply::error(503, codes::NOT_NOW, "control");
-            return out.push(Effect::Reply { call, reply });
-        }
         let known = Knowledge {
             settings: &self.settings,
             control_state: self.replica.machine(),
             peers: &self.peers,
             membership: &self.membership,
             upstreams: &self.upstreams,
+            leaving: self.leaving.is_some(),
         };
         let step = self.calls.call(now, call, message, &known);
         self.step(now, step, out);
@@ -413,6 +410,7 @@
             peers: &self.peers,
             membership: &self.membership,
             upstreams: &self.upstreams,
+            leaving: self.leaving.is_some(),
         };
         if let Some(step) = self.calls.answer(now, call, result, &known) {
             self.step(now, step, out);
--- a/crates/sandtrack-control/tests/late_orders.rs
+++ b/crates/sandtrack-control/tests/late_orders.rs
@@ -131,6 +131,10 @@
 struct Zone(u64);
 
 impl Known for Zone {
+    fn passes_callers_on(&self) -> bool {
+        false
+    }
+
     fn last_order(&self, _: &str) -> u64 {
         self.0
     }
