WAL: a rewrite copies its records once

Cause: head and frame were built apart and joined, so that a state of some megabytes stood in memory three times beside its record. Now the file is built in one buffer. Tests of the crate pass; memory was not measured.

--- a/crates/sandtrack-wal/src/format.rs
+++ b/crates/sandtrack-wal/src/format.rs
@@ -22,16 +22,27 @@
 
 /// One frame with all of the records. Records are shorter than 4 GiB in sum.
 pub(crate) fn frame(records: &[Vec<u8>]) -> Vec<u8> {
+    framed(Vec::new(), records)
+}
+
+/// A whole file with one frame.
+pub(crate) fn file(records: &[Vec<u8>]) -> Vec<u8> {
+    framed(head(), records)
+}
+
+/// The bytes with a frame behind them; large records are copied once.
+fn framed(mut bytes: Vec<u8>, records: &[Vec<u8>]) -> Vec<u8> {
     let length: usize = records.iter().map(|record| record.len() + 4).sum();
-    let mut bytes = Vec::with_capacity(FRAME + length);
+    let start = bytes.len();
+    bytes.reserve_exact(FRAME + length);
     bytes.extend((length as u32).to_le_bytes());
     bytes.extend([0; 4]); // the checksum, once the records stand behind it
     for record in records {
         bytes.extend((record.len() as u32).to_le_bytes());
         bytes.extend(record);
     }
-    let sum = checksum(&bytes[FRAME..]);
-    bytes[4..FRAME].copy_from_slice(&sum.to_le_bytes());
+    let sum = checksum(&bytes[start + FRAME..]);
+    bytes[start + 4..start + FRAME].copy_from_slice(&sum.to_le_bytes());
     bytes
 }
 
--- a/crates/sandtrack-wal/src/wal.rs
+++ b/crates/sandtrack-wal/src/wal.rs
@@ -182,8 +182,7 @@
 
     fn try_rewrite(&mut self, records: &[Vec<u8>]) -> Result<(), WalError> {
         let new = rewritten(&self.name);
-        let mut bytes = format::head();
-        bytes.extend(format::frame(records));
+        let bytes = format::file(records);
         let written = self
             .store
             .remove(&new)
