--- a/crates/sandtrack-replication/src/chain.rs
+++ b/crates/sandtrack-replication/src/chain.rs
@@ -37,14 +37,16 @@
         if !self.in_line() || self.image.view.predecessor(&self.me) != Some(sender) {
             return;
         }
+        let written = self.disk.last_entry_under_way().unwrap_or(self.image.end());
         for entry in entries {
-            let next = self.chain.passed.last().map_or(self.image.end(), |entry| entry.at).number + 1;
+            let next = self.chain.passed.last().map_or(written, |entry| entry.at).number + 1;
             if entry.at.number == next {
                 self.chain.passed.push(entry);
             }
         }
     }
 
+    /// What was passed, as far as it follows the log: where a write was refused it may not.
     pub(crate) fn gather_passed(&mut self, records: &mut Vec<Record>) {
         let end = self.image.end().number;
         let passed = std::mem::take(&mut self.chain.passed);
--- a/crates/sandtrack-replication/src/disk.rs
+++ b/crates/sandtrack-replication/src/disk.rs
@@ -88,6 +88,15 @@
         self.accept = None;
     }
 
+    /// The last entry of the write that is under way.
+    pub(crate) fn last_entry_under_way(&self) -> Option<Position> {
+        let records = &self.in_flight.as_ref()?.records;
+        records.iter().rev().find_map(|record| match record {
+            Record::Entry { entry, .. } => Some(entry.at),
+            _ => None,
+        })
+    }
+
     /// Whether a call's command is being written.
     pub(crate) fn is_writing(&self, call: &CallId) -> bool {
         self.in_flight.as_ref().is_some_and(|write| write.calls.contains(call))
--- a/crates/sandtrack-replication/tests/rare.rs
+++ b/crates/sandtrack-replication/tests/rare.rs
@@ -4,7 +4,11 @@
 use world::{DiskMode, World};
 
 fn calm(seeds: usize, observers: usize, borne: usize) -> World {
-    let mut world = World::new(3, seeds, observers, borne);
+    calm_from(3, seeds, observers, borne)
+}
+
+fn calm_from(seed: u64, seeds: usize, observers: usize, borne: usize) -> World {
+    let mut world = World::new(seed, seeds, observers, borne);
     world.network.spread = 0.0;
     world.start_all(true);
     world.run(4000.0);
@@ -156,6 +160,46 @@
     }
 }
 
+/// What a member is passed while its own disk still writes goes with its next write; it is not passed again for want
+/// of room, after a wait.
+#[test]
+fn a_slower_disk_down_the_chain_takes_what_comes_meanwhile() {
+    let mut world = calm(3, 0, 1);
+    world.set_disk(2, DiskMode::Slow(10.0));
+    let mut calls = Vec::new();
+    for _ in 0..40 {
+        calls.push(world.submit(0, world.newest().version));
+        world.run(4.0);
+    }
+    world.run(200.0);
+    let slowest = calls.iter().map(|call| world.took(*call).unwrap_or(f64::MAX)).fold(0.0, f64::max);
+    assert!(slowest < 60.0, "{slowest}");
+}
+
+/// What was passed while a write was under way follows that write: when the write is refused, it follows nothing.
+#[test]
+fn entries_after_a_refused_write_are_not_taken() {
+    let mut world = calm(3, 0, 1);
+    world.set_disk(2, DiskMode::Stalled);
+    world.submit(0, 0);
+    world.run(5.0); // under way on the disk of the last
+    world.submit(0, 0);
+    world.run(5.0); // waits there
+    assert!(said(&world, "m2 -> m3: e1 pass 2@1"));
+    // Nobody hears that its disk was full: it stays in the chain, and tries again.
+    world.network.cut.extend([(2, 0), (2, 1)]);
+    world.set_disk(2, DiskMode::Full);
+    world.run(5.0);
+    world.set_disk(2, DiskMode::Well);
+    world.run(600.0);
+    world.heal();
+    let call = world.submit(0, 0);
+    world.run(4000.0);
+    assert!(matches!(world.outcome(call), Some(Ok(_))), "{:?}", world.outcome(call));
+    let replica = world.nodes[2].replica.as_ref().unwrap();
+    assert!(replica.machine().applied == 3 && replica.is_caught_up());
+}
+
 /// Six machines in three zones that bear the loss of two, or of a zone: a majority of the voters outlasts both. A
 /// fourth voter alone would let a zone take it, so two more come at once.
 #[test]
@@ -176,3 +220,72 @@
     world.run(500.0);
     assert_eq!(world.outcome(call), Some(Ok("won 1".to_string())));
 }
+
+/// Ballots begin anew with each epoch, so a late answer of the epoch before may bear the name of a proposal of this
+/// one. It is no promise for it, and no acceptance.
+#[test]
+fn late_answers_of_an_earlier_epoch_count_for_nothing() {
+    let mut world = calm(3, 0, 1);
+    world.kill(2);
+    world.hold = ["m1 -> m2: e1 promise", "m1 -> m2: e1 accepted"].map(str::to_string).to_vec();
+    world.run_until(3000.0, |world| said(world, "held back: m1 -> m2: e1 promise"));
+    assert!(world.release("m1 -> m2: e1 promise 1 of m2/0"));
+    world.run_until(500.0, |world| said(world, "held back: m1 -> m2: e1 accepted"));
+    assert!(world.release("m1 -> m2: e1 accepted 1 of m2/0"));
+    world.run(500.0);
+    assert_eq!(world.checks.newest_view().unwrap().epoch, 2);
+    // In epoch 2 the same member proposes to take the third in, and hears nobody from then on.
+    world.start(2, false);
+    assert!(world.run_until(2000.0, |world| said(world, "m2 -> m3: e2 prepare 1 of m2/0")));
+    world.cut(&[1], &[0, 2]);
+    world.run(5.0);
+    assert!(world.release("m1 -> m2: e1 promise 1 of m2/0"));
+    world.run(5.0);
+    assert!(world.release("m1 -> m2: e1 accepted 1 of m2/0"));
+    world.run(200.0);
+    assert_eq!(world.nodes[1].replica.as_ref().unwrap().view().epoch, 2, "alone it decides nothing");
+    world.run(5000.0);
+    let call = world.submit(0, 0);
+    world.run(100.0);
+    assert_eq!(world.outcome(call), Some(Ok("won 1".to_string())));
+}
+
+/// A proposer that starts anew has lost what it didn't write, also the number of its proposal. What it proposed before
+/// may still be under way, and is not taken for its new proposal.
+#[test]
+fn a_proposer_that_starts_anew_uses_another_ballot() {
+    for seed in 0..4 {
+        let mut world = calm_from(seed, 3, 0, 1);
+        world.kill(2);
+        world.run(2500.0);
+        let view = world.checks.newest_view().unwrap().to_string();
+        assert_eq!(view, "view 2: chain [m1/0 m2/0] voters [m1/0 m2/0 m3/0]");
+        // The first proposal: m2 never writes its own promise; its acceptances are under way for long.
+        world.start(2, false);
+        let held =
+            ["m2 -> m1: e2 accept", "m2 -> m3: e2 accept", "m1 -> m2: e2 prepare", "m1 -> m3: e2 prepare"];
+        world.hold = held.map(str::to_string).to_vec();
+        world.set_disk(1, DiskMode::Stalled);
+        let first = "m2 -> m3: e2 accept 1 of m2/0: view 3: chain [m1/0 m2/0 m3/0]";
+        assert!(world.run_until(2000.0, |world| said(world, &format!("held back: {first}"))));
+        world.lose_power(0);
+        world.lose_power(1);
+        // The second one is another: m1 is gone.
+        world.set_disk(1, DiskMode::Well);
+        world.start(1, false);
+        let second = "held back: m2 -> m3: e2 accept 1 of m2/0: view 3: chain [m2/0 m3/0]";
+        world.run_until(3000.0, |world| said(world, second));
+        assert!(world.release(first));
+        world.network.cut.extend([(1, 0), (1, 2)]); // what m2 takes for decided, nobody else hears
+        world.run(5.0);
+        world.cut(&[1], &[0, 2]);
+        world.hold.clear();
+        world.start(0, false);
+        world.run(5000.0);
+        world.heal();
+        world.run(5000.0);
+        let call = world.submit(0, 0);
+        world.run(100.0);
+        assert_eq!(world.outcome(call), Some(Ok("won 1".to_string())));
+    }
+}
--- a/crates/sandtrack-replication/tests/world/mod.rs
+++ b/crates/sandtrack-replication/tests/world/mod.rs
@@ -121,6 +121,9 @@
     next_call: u64,
     next_version: u64,
     pub messages: u64,
+    /// Messages that begin so are held back; see `release`.
+    pub hold: Vec<String>,
+    held: Vec<(usize, usize, Message)>,
     /// When trouble was last seen: a machine down or frozen, a disk not well, a cut, or the view not whole.
     pub troubled: Time,
 }
@@ -152,6 +155,8 @@
             next_call: 0,
             next_version: 0,
             messages: 0,
+            hold: Vec::new(),
+            held: Vec::new(),
             troubled: 0.0,
         };
         for index in 0..seeds + observers {
@@ -297,6 +302,20 @@
         cuts.join(" ")
     }
 
+    /// Delivers one of the messages that were held back, and keeps it: it may come again. Whether there is one.
+    pub fn release(&mut self, begin: &str) -> bool {
+        let text = |(from, to, message): &(usize, usize, Message)| {
+            format!("{} -> {}: {message}", name(*from), name(*to))
+        };
+        let Some((from, to, message)) = self.held.iter().find(|held| text(held).starts_with(begin)).cloned()
+        else {
+            return false;
+        };
+        self.say(|_| format!("released: {} -> {}: {message}", name(from), name(to)));
+        self.input(to, Input::Received { from: name(from), message });
+        true
+    }
+
     fn plan(&mut self, after: Time, event: Event) {
         self.order += 1;
         self.events.push(Timed { at: self.now + after, order: self.order, event });
@@ -347,6 +366,13 @@
                 if self.nodes[to].replica.is_none() || self.network.cut.contains(&(from, to)) {
                     return;
                 }
+                if !self.hold.is_empty() {
+                    let text = format!("{} -> {}: {message}", name(from), name(to));
+                    if self.hold.iter().any(|begin| text.starts_with(begin)) {
+                        self.say(|_| format!("held back: {text}"));
+                        return self.held.push((from, to, message));
+                    }
+                }
                 self.messages += 1;
                 self.say(|world| format!("{} -> {}: {message}", name(from), world.nodes[to].address));
                 let input = Input::Received { from: self.nodes[from].address.clone(), message };
