--- a/crates/sandtrack-control/tests/common/cluster.rs
+++ b/crates/sandtrack-control/tests/common/cluster.rs
@@ -169,6 +169,11 @@
         }
     }
 
+    /// Cuts one way: what `from` sends to `to` is lost.
+    pub fn cut_way(&mut self, from: usize, to: usize) {
+        self.cut.insert((from, to));
+    }
+
     /// SIGTERM.
     pub fn terminate(&mut self, number: usize) {
         self.input(number, Input::Terminate);
