--- a/crates/sandtrack-replication/src/chain.rs
+++ b/crates/sandtrack-replication/src/chain.rs
@@ -51,6 +51,7 @@
         self.chain.passed.extend(new.map(|entry| (entry.at.number, entry)));
     }
 
+    /// What was passed, as far as it follows the log.
     pub(crate) fn gather_passed(&mut self, records: &mut Vec<Record>) {
         let end = self.image.end().number;
         self.chain.passed.retain(|number, _| *number > end);
