What waits for bytes holds no buffer; one timer watches a send for silence

Cause: the step of a send that is waited for held the 8 KB that a read takes, as did each idle client's task, and the timer of silence was registered anew at each part of an answer. Change: reading.rs; the watch keeps its timer while silence counts anew. Tests: races, attempts and the point to resume from, one function each, for guards that no rule of the enumeration needs.

--- a/crates/sandtrack-proxy/src/carry.rs
+++ b/crates/sandtrack-proxy/src/carry.rs
@@ -75,7 +75,8 @@
 struct Watch {
     watched: Watched,
     silent_at: Millis,
-    look_at: Millis,
+    /// When it is looked again, not after `silent_at`.
+    look: Timer,
 }
 
 /// One request on its way.
@@ -242,11 +243,9 @@
             let Carried { lanes: [first, second], watch, .. } = self;
             let first = async { Some(Input::Send(0, first.event().await)) };
             let second = async { Some(Input::Send(1, second.event().await)) };
-            let look_at = watch.as_ref().map(|watch| watch.look_at);
-            let clock = self.shared.clock;
             let look = async {
-                match look_at {
-                    Some(at) => Timer::at(clock.at(at)).await,
+                match watch {
+                    Some(watch) => (&mut watch.look).await,
                     None => future::pending().await,
                 };
                 None
@@ -267,11 +266,11 @@
         let place = watch.watched.place;
         let healthy = self.shared.balancer.borrow().upstreams.get(place).run.is_healthy();
         if now < watch.silent_at && healthy {
-            watch.look_at = watch.silent_at.min(now + SUSPECT_LOOK);
+            watch.look.set_at(self.shared.clock.at(watch.silent_at.min(now + SUSPECT_LOOK)));
             return None;
         }
         watch.silent_at = now;
-        watch.look_at = now + SUSPECT_LOOK;
+        watch.look.set_at(self.shared.clock.at(now + SUSPECT_LOOK));
         self.shared.balancer.borrow_mut().suspect(now, place);
         if !self.exchange.may_race() {
             return None;
@@ -291,29 +290,43 @@
             return;
         };
         let relaying = self.exchange.phase() == Phase::Relaying(watched.send);
-        let silent_at = match (&self.watch, relaying) {
-            (_, true) if from == Some(watched.send) => now + self.longest_pause(watched.place),
-            (Some(_), _) => return,
-            (None, false) => now + self.shared.balancer.borrow().patience(self.request, watched.place),
-            // The one that raced it came to nothing: it is silent still.
-            (None, true) => {
-                self.watch = Some(Watch { watched, silent_at: now, look_at: now + SUSPECT_LOOK });
-                return;
+        let relayed = relaying && from == Some(watched.send);
+        if let Some(watch) = self.watch.as_mut().filter(|watch| watch.watched == watched) {
+            if relayed {
+                // It is looked when it would have been: that is before this silence is over.
+                watch.silent_at = now + longest_pause(self.shared, self.request, watched.place);
             }
+            return;
+        }
+        let clock = self.shared.clock;
+        let (silent_at, look_at) = if relaying && !relayed {
+            // The one that raced it came to nothing: it is silent still.
+            (now, now + SUSPECT_LOOK)
+        } else {
+            let silent_at = now + self.patience(relaying, watched.place);
+            let healthy = self.shared.balancer.borrow().upstreams.get(watched.place).run.is_healthy();
+            (silent_at, if healthy { silent_at.min(now + SUSPECT_LOOK) } else { now })
         };
-        let healthy = self.shared.balancer.borrow().upstreams.get(watched.place).run.is_healthy();
-        let look_at = if healthy { silent_at.min(now + SUSPECT_LOOK) } else { now };
-        self.watch = Some(Watch { watched, silent_at, look_at });
+        self.watch = Some(Watch { watched, silent_at, look: Timer::at(clock.at(look_at)) });
     }
 
-    /// A stream that pauses for longer is silent.
-    fn longest_pause(&self, place: usize) -> Millis {
-        let aim = self.request.route.gap_aim_ms.unwrap_or(GAP_AIM);
-        let average = self.shared.balancer.borrow().upstreams.get(place).average.get().unwrap_or(0.0);
-        aim * PAUSE + 2.0 * average
+    /// How long the send at this place may be silent from now on, in ms.
+    fn patience(&self, relaying: bool, place: usize) -> Millis {
+        if relaying {
+            longest_pause(self.shared, self.request, place)
+        } else {
+            self.shared.balancer.borrow().patience(self.request, place)
+        }
     }
 }
 
+/// A stream that pauses for longer is silent, in ms.
+fn longest_pause(shared: &Shared, request: &ProxyRequest, place: usize) -> Millis {
+    let aim = request.route.gap_aim_ms.unwrap_or(GAP_AIM);
+    let average = shared.balancer.borrow().upstreams.get(place).average.get().unwrap_or(0.0);
+    aim * PAUSE + 2.0 * average
+}
+
 async fn sleep(time: Millis) {
     Timer::after(Duration::from_secs_f64(time / 1000.0)).await;
 }
--- a/crates/sandtrack-proxy/src/exchange.rs
+++ b/crates/sandtrack-proxy/src/exchange.rs
@@ -1,12 +1,13 @@
 //! The wire of one request on one connection to an upstream: writes it, and reads the answer's parts.
 use crate::exchange_state::Broke;
 use crate::pool::Connection;
+use crate::reading::read_some;
 use crate::request::ProxyRequest;
 use async_io::Timer;
 use futures_lite::future;
 use sandtrack_core::message;
 use sandtrack_sidecar::http::Part;
-use sandtrack_sidecar::net::{read_into, write_all, Clock};
+use sandtrack_sidecar::net::{write_all, Clock};
 use sandtrack_sidecar::ring::Ring;
 use sandtrack_tiers::Millis;
 use std::time::Duration;
@@ -83,7 +84,7 @@
         if clock.now() > until + OVERTIME {
             return Waited::Time;
         }
-        let read = async { Some(read_into(&connection.stream, &mut connection.input).await) };
+        let read = async { Some(read_some(&connection.stream, &mut connection.input).await) };
         let late = async {
             Timer::at(clock.at(until)).await;
             None
--- a/crates/sandtrack-proxy/src/front.rs
+++ b/crates/sandtrack-proxy/src/front.rs
@@ -2,6 +2,7 @@
 use crate::answers::Client;
 use crate::carry::carry;
 use crate::exchange_state::is_promise;
+use crate::reading::read_some;
 use crate::request::{held_at_most, ProxyRequest, Refused};
 use crate::shared::Shared;
 use async_io::{Async, Timer};
@@ -10,7 +11,7 @@
 use sandtrack_protocol::codes;
 use sandtrack_sidecar::client::linger;
 use sandtrack_sidecar::http::{take_expectation, Bad, Parser, Part, Side, CONTINUE};
-use sandtrack_sidecar::net::{has_left, no_delay, read_into, write_within};
+use sandtrack_sidecar::net::{has_left, no_delay, write_within};
 use sandtrack_sidecar::ring::Ring;
 use sandtrack_tiers::Millis;
 use std::cell::Cell;
@@ -156,7 +157,7 @@
         early.set(Some(shared.clock.now()));
     }
     while input.room() > 0 {
-        match read_into(stream, input).await {
+        match read_some(stream, input).await {
             Ok(count) if count > 0 => early.set(early.get().or(Some(shared.clock.now()))),
             _ => return,
         }
@@ -239,7 +240,7 @@
                 begun.until
             }
         };
-        let read = async { Some(read_into(stream, input).await) };
+        let read = async { Some(read_some(stream, input).await) };
         let late = async {
             if within {
                 Timer::at(clock.at(until)).await;
--- a/crates/sandtrack-proxy/src/lib.rs
+++ b/crates/sandtrack-proxy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod pool;
 pub mod probing;
 pub mod program;
+pub mod reading;
 pub mod request;
 pub mod session;
 pub mod shared;
--- a/crates/sandtrack-proxy/tests/exchange_states.rs
+++ b/crates/sandtrack-proxy/tests/exchange_states.rs
@@ -543,3 +543,59 @@
     }
     println!("{count} scripts of up to {SCRIPT_LENGTH} inputs, {:?}", began.elapsed());
 }
+
+const RESUMABLE: Terms = Terms { idempotent: true, streaming: true, attempts: 3 };
+
+/// The inputs of one send up to its head.
+fn head_came(send: SendId) -> [Input; 3] {
+    let own = heads(RESUMABLE)[0];
+    [SendEvent::Connected { reused: false }, SendEvent::Written, SendEvent::Head(own)]
+        .map(|event| Input::Send(send, event))
+}
+
+/// What the last of these inputs leads to.
+fn outcome(inputs: impl IntoIterator<Item = Input>) -> Vec<Action> {
+    let mut exchange = Exchange::new(RESUMABLE);
+    inputs.into_iter().map(|input| exchange.on(input)).last().unwrap_or_default()
+}
+
+/// One that was raced, and whose rival failed, is waited for: a third upstream is not made to work beside it.
+#[test]
+fn a_silent_send_is_raced_once() {
+    let raced = [Input::Placed(0), Input::Spare(1)];
+    let start = Action::Start { send: 1, place: 1, reuse: true, resume: None };
+    assert_eq!(outcome(raced.clone()), [start]);
+    let failed = Input::Send(1, SendEvent::NoConnection { share_full: false });
+    assert_eq!(outcome(raced.into_iter().chain([failed, Input::Spare(2)])), []);
+}
+
+#[test]
+fn a_stream_that_broke_goes_on_behind_its_last_event() {
+    let inputs = [Input::Placed(0)].into_iter().chain(head_came(0)).chain([
+        Input::Send(0, SendEvent::Data(event(true, 1))),
+        Input::Send(0, SendEvent::Broke(Broke::Connection)),
+        Input::Placed(1),
+    ]);
+    assert_eq!(outcome(inputs), [Action::Start { send: 0, place: 1, reuse: true, resume: Some(1) }]);
+}
+
+/// The one that was asked to take a silent stream up goes on with it where the silent one breaks.
+#[test]
+fn a_silent_stream_that_breaks_leaves_its_rival() {
+    let inputs = [Input::Placed(0)].into_iter().chain(head_came(0)).chain([
+        Input::Send(0, SendEvent::Data(event(true, 1))),
+        Input::Spare(1),
+        Input::Send(0, SendEvent::Broke(Broke::Connection)),
+    ]);
+    assert_eq!(outcome(inputs), [Action::Close(0, Ended::Broken)]);
+}
+
+/// With one attempt: what never got a byte may still go to another upstream.
+#[test]
+fn a_connection_that_never_came_up_is_no_attempt() {
+    let mut exchange = Exchange::new(Terms { idempotent: false, streaming: false, attempts: 1 });
+    exchange.on(Input::Placed(0));
+    exchange.on(Input::Send(0, SendEvent::NoConnection { share_full: false }));
+    let again = exchange.on(Input::Placed(1));
+    assert_eq!(again, [Action::Start { send: 0, place: 1, reuse: false, resume: None }]);
+}
