--- a/crates/sandtrack-control/src/lib.rs
+++ b/crates/sandtrack-control/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod disk;
 pub mod evacuations;
 pub mod journal;
+pub mod knowledge;
 pub mod membership;
 pub mod node;
 pub mod operator_calls;
--- a/crates/sandtrack-control/src/node.rs
+++ b/crates/sandtrack-control/src/node.rs
@@ -5,8 +5,9 @@
 use crate::control::{self, Reply};
 use crate::control_state::{Command, ControlState};
 use crate::directory;
+use crate::knowledge::Knowledge;
 use crate::membership::{Member, Membership};
-use crate::operator_calls::{Known, OperatorCalls, Step};
+use crate::operator_calls::{OperatorCalls, Step};
 use crate::peers::{Heard, Hello, LinkOrder, PeerFrame, Peers, FORMAT};
 use crate::reader::{self, Duty, PeerReport, Reader, HOLDER_SILENT_MS};
 use crate::sessions::{News, SessionOrder, Sessions};
@@ -160,36 +161,6 @@
     PeerFrame::List { whole, round, entries, gone }
 }
 
-/// What is known here of zones and their orders.
-struct Knowledge<'a> {
-    settings: &'a Settings,
-    control_state: &'a ControlState,
-    peers: &'a Peers,
-    membership: &'a Membership,
-    upstreams: &'a Upstreams,
-    /// It was told to stop.
-    leaving: bool,
-}
-
-impl Known for Knowledge<'_> {
-    fn passes_callers_on(&self) -> bool {
-        self.leaving && self.peers.all().any(|(_, stays, _)| stays)
-    }
-
-    fn last_order(&self, zone: &str) -> u64 {
-        self.control_state.last_order(zone)
-    }
-
-    fn names_zone(&self, zone: &str) -> bool {
-        self.settings.zones.contains_key(zone)
-            || self.settings.zone == zone
-            || self.control_state.names_zone(zone)
-            || self.peers.all().any(|(_, _, hello)| hello.is_some_and(|hello| hello.zone == zone))
-            || self.membership.members().values().any(|member| member.info.zone == zone)
-            || self.upstreams.names_zone(zone)
-    }
-}
-
 impl ControlNode {
     pub fn new(settings: Settings, start: Start, now: Millis) -> (ControlNode, Vec<Effect>) {
         let me = hello(&settings, start.incarnation);
@@ -292,7 +263,9 @@
         }
         match input {
             Input::Tick => self.look(now, out),
-            Input::Call { call, message } => self.call(now, call, &message, out),
+            Input::Call { call, message } => {
+                self.look_at_calls(now, out, |calls, known| Some(calls.call(now, call, &message, known)));
+            }
             Input::LinkOpened { link } => {
                 let mut orders = Vec::new();
                 self.peers.opened(now, link, &mut orders);
@@ -383,26 +356,14 @@
         }
         // What an answer leads to comes after all that came with it.
         for (call, result) in answers {
-            self.answer(now, call, result, out);
+            self.look_at_calls(now, out, |calls, known| calls.answer(now, call, result, known));
         }
     }
 
-    fn call(&mut self, now: Millis, call: u64, message: &Message, out: &mut Vec<Effect>) {
-        let known = Knowledge {
-            settings: &self.settings,
-            control_state: self.replica.machine(),
-            peers: &self.peers,
-            membership: &self.membership,
-            upstreams: &self.upstreams,
-            leaving: self.leaving.is_some(),
-        };
-        let step = self.calls.call(now, call, message, &known);
-        self.step(now, step, out);
-    }
-
-    fn answer(
-        &mut self, now: Millis, call: u64, result: Result<Vec<u8>, replication::Refusal>,
-        out: &mut Vec<Effect>,
+    /// Looks at the operators' calls with what is known here, and does what one of them needs next.
+    fn look_at_calls(
+        &mut self, now: Millis, out: &mut Vec<Effect>,
+        next: impl FnOnce(&mut OperatorCalls, &Knowledge<'_>) -> Option<Step>,
     ) {
         let known = Knowledge {
             settings: &self.settings,
@@ -412,7 +373,7 @@
             upstreams: &self.upstreams,
             leaving: self.leaving.is_some(),
         };
-        if let Some(step) = self.calls.answer(now, call, result, &known) {
+        if let Some(step) = next(&mut self.calls, &known) {
             self.step(now, step, out);
         }
     }
