--- a/crates/sandtrack-replication/tests/catching_up.rs
+++ b/crates/sandtrack-replication/tests/catching_up.rs
@@ -294,3 +294,42 @@
         assert!((0..3).all(|machine| is_in_line(&world, machine)), "{slow} is back");
     }
 }
+
+/// A new machine lacks only some dozen changes by their number, but the log begins after them, and the state is large.
+#[test]
+fn a_joiner_that_lacks_few_changes_but_the_whole_state_learns_first() {
+    let mut world = World::new(11, 3, 0, 1);
+    (world.ballast, world.padding) = (STATE, 32 * 1024);
+    world.start_all(true);
+    world.run(2000.0);
+    world.kill(AWAY);
+    world.run(2500.0);
+    change(&mut world, 36);
+    world.padding = 0;
+    for machine in 0..3 {
+        world.network.bandwidth.limit(machine, TEN_MBIT);
+    }
+    world.wipe(AWAY);
+    world.start(AWAY, false);
+    let (in_line, slowest) = changes_go_on(&mut world, 2.0 * ON_THE_WAY, |world| is_in_line(world, AWAY));
+    assert!(in_line);
+    println!("slowest change {slowest:.0} ms");
+    assert!(slowest < 1000.0, "a change took {slowest} ms");
+}
+
+/// More changes come during the transfer than a log holds: it is kept, so that one transfer is enough.
+#[test]
+fn the_log_is_kept_while_a_snapshot_is_on_its_way() {
+    let mut world = with_one_away();
+    world.start(AWAY, false);
+    received(&mut world, AWAY);
+    let end = world.now + 2.0 * ON_THE_WAY;
+    while world.now < end && !is_in_line(&world, AWAY) {
+        world.submit(0, world.newest().version);
+        world.run(8.0);
+    }
+    assert!(is_in_line(&world, AWAY));
+    let bytes = received(&mut world, AWAY);
+    println!("{bytes} bytes");
+    assert!(bytes < STATE + STATE / 4, "{bytes} bytes were sent for a state of {STATE}");
+}
