--- a/crates/sandtrack-replication/src/chain.rs
+++ b/crates/sandtrack-replication/src/chain.rs
@@ -23,9 +23,11 @@
     pub(crate) floor: u64,
     /// The end of the successor's log, once it is known to be in line.
     successor: Option<u64>,
-    /// Up to where the successor was sent entries, and when it was or last acknowledged some.
+    /// Up to where the successor was sent entries.
     sent: u64,
-    sent_at: f64,
+    /// Since when the successor has not acknowledged any more of them. Entries that are sent meanwhile don't count:
+    /// while they keep coming, a gap before them would never be filled.
+    unacknowledged_since: f64,
     /// Entries from the predecessor that are not on the disk yet, by their numbers. Those behind a gap wait for it to be
     /// filled: in one epoch the predecessor's log only grows.
     passed: BTreeMap<u64, Entry>,
@@ -75,7 +77,7 @@
             self.chain.sent = synced;
         }
         if synced > known {
-            self.chain.sent_at = self.now;
+            self.chain.unacknowledged_since = self.now;
         }
         self.chain.successor = Some(known.max(synced));
         self.confirm(committed, effects);
@@ -103,6 +105,9 @@
             self.ack(effects);
             return;
         };
+        if self.chain.successor.is_some_and(|acknowledged| acknowledged >= self.chain.sent) {
+            self.chain.unacknowledged_since = self.now;
+        }
         while self.chain.sent < end && self.unacknowledged().is_some_and(|bytes| bytes < WINDOW) {
             if !self.pass_on(&successor, effects) {
                 return;
@@ -127,7 +132,6 @@
             return false;
         };
         self.chain.sent = last;
-        self.chain.sent_at = self.now;
         self.send(&successor.address, Body::Pass { entries }, effects);
         true
     }
@@ -180,12 +184,13 @@
             return;
         };
         let on_its_way = self.settings.timings.repeat + bytes as f64 / SLOWEST_LINK;
-        if !self.in_line() || self.now - self.chain.sent_at < on_its_way {
+        if !self.in_line() || self.now - self.chain.unacknowledged_since < on_its_way {
             return;
         }
         let successor = self.image.view.successor(&self.me).cloned();
         if let Some(successor) = successor.filter(|_| synced < self.image.end().number) {
             self.chain.sent = synced;
+            self.chain.unacknowledged_since = self.now;
             self.pass_on(&successor, effects);
         }
     }
