A deaf member whose neighbours have no vote is left out; harsher and long worlds

Cause: a machine of six that was cut off inward (it is heard, and hears nobody) came into a chain at its end in the last moments in which it seemed there. Everybody heard it, and only neighbours judge a member that others hear; its neighbour had no vote. Nothing was committed for 3.6 s, orders got R2 after 4 s. Ruled out: parting neighbours by what a silent member tells (a deaf head then parts from all: 2 of 60 orders of losses with 55 ms and slow disks failed), letting all voters judge a deaf member at once (their proposals outbid each other: 1 of 60 failed). Both were trials. Change: a member that says it hears none of the chain is suspected by all voters when no neighbour of it is one. Tests: a_thousand_changes_through_losses_in_turn (1 of 3 orders of 30 losses of six failed without it; all pass now); harsher worlds of 3, 5 and 6 machines (100 each, no failure, before and after); a failing order of losses is shrunk; the seeds of the former worlds are played as they were.

--- a/crates/sandtrack-replication/src/reconfiguration.rs
+++ b/crates/sandtrack-replication/src/reconfiguration.rs
@@ -21,6 +21,8 @@
     pub(crate) aligned: u64,
     pub(crate) applied: u64,
     pub(crate) hears: Vec<Address>,
+    /// Heard of late: what it tells is as new as that.
+    pub(crate) heard: bool,
     /// Heard of late, and hears this process.
     pub(crate) alive: bool,
     /// Neither for so long, while this process was awake.
@@ -39,6 +41,7 @@
             aligned: 0,
             applied: 0,
             hears: Vec::new(),
+            heard: false,
             alive: false,
             silent: awake > silence,
             silent_for: awake,
@@ -125,7 +128,12 @@
         return false;
     }
     let neighbours = [view.predecessor(member), view.successor(member)];
+    // One that hears nobody of the chain may still be heard by all. Its neighbours find out, if they have a vote.
+    let hears = |other: &Member| other != member && it.hears.contains(&other.address);
+    let is_deaf = it.heard && !view.chain.iter().any(hears);
+    let has_judge = neighbours.iter().flatten().any(|neighbour| view.voters.contains(neighbour));
     neighbours.contains(&Some(me))
+        || is_deaf && !has_judge
         || !known.values().any(|other| other.alive && other.hears.contains(&member.address))
 }
 
--- a/crates/sandtrack-replication/tests/leaving.rs
+++ b/crates/sandtrack-replication/tests/leaving.rs
@@ -1,7 +1,6 @@
 //! Members that are told to stop: they go at once where the others have what they hold, and stay where not.
 mod world;
 
-use sandtrack_replication::Input;
 use world::{Time, World};
 
 /// A process that was told to stop is ended after so many milliseconds, whatever it does.
@@ -15,19 +14,10 @@
     world
 }
 
-fn is_needed(world: &World, index: usize) -> bool {
-    world.nodes[index].replica.as_ref().is_some_and(|replica| replica.is_needed())
-}
-
-fn tell_to_stop(world: &mut World, index: usize) {
-    world.say(|_| format!("{} is told to stop", world::name(index)));
-    world.input(index, Input::Leave);
-}
-
 /// Told to stop, it runs until it may end; gives how long it stayed.
 fn end(world: &mut World, index: usize) -> Time {
     let told = world.now;
-    world.run_until(GRACE, |world| !is_needed(world, index));
+    world.run_until(GRACE, |world| !world.is_needed(index));
     world.kill(index);
     world.now - told
 }
@@ -49,9 +39,9 @@
     order(&mut world, 0, 100.0); // on machines 0 and 1 alone
     world.wipe(1);
     world.start(2, false);
-    tell_to_stop(&mut world, 0);
+    world.tell_to_stop(0);
     world.run(1000.0);
-    assert!(is_needed(&world, 0), "the others don't have it");
+    assert!(world.is_needed(0), "the others don't have it");
     world.start(1, false);
     let stayed = end(&mut world, 0);
     assert!(stayed < GRACE, "it goes as soon as the others have it");
@@ -72,11 +62,11 @@
         let mut world = calm(3, 1);
         world.kill(2);
         world.run(2500.0);
-        tell_to_stop(&mut world, leaver);
+        world.tell_to_stop(leaver);
         for _ in 0..8 {
             order(&mut world, other, 500.0);
         }
-        assert!(is_needed(&world, leaver));
+        assert!(world.is_needed(leaver));
         world.start(2, false);
         assert!(end(&mut world, leaver) < 1500.0);
         order(&mut world, other, 100.0);
@@ -93,7 +83,7 @@
         let successor = world.add(true);
         world.start(successor, false);
         world.run(1000.0);
-        tell_to_stop(&mut world, leaver);
+        world.tell_to_stop(leaver);
         let stayed = end(&mut world, leaver);
         assert!(stayed < 300.0, "{stayed}");
         world.nodes[leaver].removed = true;
@@ -115,7 +105,7 @@
     for (machines, borne) in [(3, 1), (6, 2)] {
         let mut world = calm(machines, borne);
         for leaver in 0..machines {
-            tell_to_stop(&mut world, leaver);
+            world.tell_to_stop(leaver);
             order(&mut world, (leaver + 1) % machines, 200.0);
             assert!(end(&mut world, leaver) < 300.0);
             for _ in 0..10 {
@@ -135,7 +125,7 @@
 fn a_hasty_restart_of_all_in_turn_goes_through() {
     let mut world = calm(3, 1);
     for leaver in [0, 1, 2, 0, 1, 2] {
-        tell_to_stop(&mut world, leaver);
+        world.tell_to_stop(leaver);
         assert!(end(&mut world, leaver) < 1500.0);
         world.start(leaver, false);
         order(&mut world, (leaver + 1) % 3, 1500.0);
@@ -148,10 +138,10 @@
 fn of_two_that_leave_one_stays() {
     for (one, other) in [(0, 1), (1, 2), (0, 2)] {
         let mut world = calm(3, 1);
-        tell_to_stop(&mut world, one);
-        tell_to_stop(&mut world, other);
+        world.tell_to_stop(one);
+        world.tell_to_stop(other);
         world.run(500.0);
-        let needed = [is_needed(&world, one), is_needed(&world, other)];
+        let needed = [world.is_needed(one), world.is_needed(other)];
         assert_eq!(needed.iter().filter(|needed| **needed).count(), 1, "{one} and {other}: {needed:?}");
         let (first, second) = if needed[0] { (other, one) } else { (one, other) };
         world.kill(first);
@@ -169,6 +159,6 @@
     world.start_all(true);
     world.run(2000.0);
     order(&mut world, 0, 100.0);
-    tell_to_stop(&mut world, 0);
-    assert!(!is_needed(&world, 0));
+    world.tell_to_stop(0);
+    assert!(!world.is_needed(0));
 }
--- a/crates/sandtrack-replication/tests/spacing.rs
+++ b/crates/sandtrack-replication/tests/spacing.rs
@@ -7,7 +7,7 @@
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use sandtrack_replication::{Input, Member, View};
+use sandtrack_replication::{Member, View};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Mutex;
 use world::{DiskMode, Time, World};
@@ -242,17 +242,11 @@
     }
 
     fn leave(&mut self, leaver: usize, returns: bool) {
-        self.world.say(|_| format!("{} is told to stop", world::name(leaver)));
-        self.world.input(leaver, Input::Leave);
+        self.world.tell_to_stop(leaver);
         let at_latest = self.world.now + GRACE;
         self.later(0.0, Due::End { leaver, returns, at_latest });
     }
 
-    /// Whether a process that was told to stop may end.
-    fn may_end(&self, leaver: usize) -> bool {
-        self.world.nodes[leaver].replica.as_ref().is_none_or(|replica| !replica.is_needed())
-    }
-
     fn happen(&mut self, due: Due) {
         match due {
             Due::Start(index) => self.world.start(index, false),
@@ -260,7 +254,7 @@
             Due::Heal(index) => self.heal(index),
             Due::Leave { leaver, successor } => self.leave(leaver, successor.is_none()),
             Due::End { leaver, returns, at_latest } => {
-                if !self.may_end(leaver) && self.world.now < at_latest {
+                if self.world.is_needed(leaver) && self.world.now < at_latest {
                     return self.later(10.0, due);
                 }
                 self.world.kill(leaver);
@@ -433,9 +427,31 @@
     for number in failed.iter().take(40) {
         println!("SANDTRACK_SPACING_ONE={number}: {:?}", cases[*number]);
     }
+    if let Some(number) = failed.first() {
+        let least = shrunk(*number as u64, layout, cases[*number].clone());
+        println!("SANDTRACK_SPACING_ONE={number}, shrunk: {least:?}");
+    }
     assert!(failed.is_empty(), "{name}: {} of {} failed: {failed:?}", failed.len(), cases.len());
 }
 
+/// A failing case without the losses that it fails without.
+fn shrunk(seed: u64, layout: Layout, case: Vec<Vec<Hit>>) -> Vec<Vec<Hit>> {
+    let fails =
+        |case: &[Vec<Hit>]| std::panic::catch_unwind(|| drop(play(seed, layout, case, false))).is_err();
+    let mut least = case;
+    let mut moment = 0;
+    while moment < least.len() {
+        let mut smaller = least.clone();
+        smaller.remove(moment);
+        if fails(&smaller) {
+            least = smaller;
+        } else {
+            moment += 1;
+        }
+    }
+    least
+}
+
 /// Every loss at every place of a chain of three.
 fn single_losses() -> Vec<Hit> {
     LOSSES.iter().flat_map(|loss| (0..3).map(move |place| (*loss, place))).collect()
@@ -494,3 +510,13 @@
     let layout = Layout { between_regions: 55.0, disk: 15.0, ..GROWN };
     play_all("two of six, far and slow", layout, &drawn(samples(60), 2, 2, 6));
 }
+
+#[test]
+fn a_thousand_changes_through_losses_in_turn() {
+    for (name, layout, at_once) in [("long, three", SMALL, 1), ("long, six", GROWN, 2)] {
+        play_all(name, layout, &drawn(samples(3), 30, at_once, layout.machines));
+    }
+    let case = &drawn(1, 30, 1, 3)[0];
+    let applied = play(0, SMALL, case, false).newest().applied;
+    assert!(applied > 1000, "{applied} changes");
+}
--- a/crates/sandtrack-replication/tests/troubled.rs
+++ b/crates/sandtrack-replication/tests/troubled.rs
@@ -9,7 +9,7 @@
 use world::World;
 
 /// 25 seconds of troubles, five of calm; then every process answers within three.
-fn play(seed: u64, machines: usize, borne: usize, log: bool) -> World {
+fn play(seed: u64, machines: usize, borne: usize, harsh: bool, log: bool) -> World {
     let mut world = World::new(seed, machines, 1 + (seed % 2) as usize, borne);
     world.log = log.then(Vec::new);
     world.zones_borne = usize::from(machines == 6);
@@ -21,6 +21,7 @@
     world.run(2000.0);
     // In some worlds few calls are changes, so that a side that is cut off holds nothing unfinished.
     let mut troubles = Troubles::default();
+    troubles.harsh = harsh;
     troubles.writes = [0.5, 0.5, 0.05][(seed / 3 % 3) as usize];
     troubles.play(&mut world, 25_000.0);
     troubles.end_all(&mut world);
@@ -53,9 +54,9 @@
     [world.checks.answered, world.checks.views() as u64, disks]
 }
 
-fn play_all(machines: usize, borne: usize) {
+fn play_all(machines: usize, borne: usize, harsh: bool) {
     if let Ok(seed) = std::env::var("SANDTRACK_WORLD") {
-        return play_one(seed.parse().unwrap(), machines, borne);
+        return play_one(seed.parse().unwrap(), machines, borne, harsh);
     }
     let count: u64 = std::env::var("SANDTRACK_WORLDS").map_or(100, |count| count.parse().unwrap());
     let next = AtomicU64::new(1);
@@ -68,7 +69,7 @@
                 if seed > count {
                     return;
                 }
-                match std::panic::catch_unwind(|| figures(&play(seed, machines, borne, false))) {
+                match std::panic::catch_unwind(|| figures(&play(seed, machines, borne, harsh, false))) {
                     Ok(figures) => {
                         for (total, figure) in totals.iter().zip(figures) {
                             total.fetch_add(figure, Ordering::Relaxed);
@@ -84,12 +85,15 @@
         "{machines} machines: {count} worlds, {calls} calls answered, {views} views, {disks} disks lost"
     );
     let failed = failed.lock().unwrap();
+    for seed in failed.iter().take(3) {
+        println!("again with its log: SANDTRACK_WORLD={seed}, and the name of this test");
+    }
     assert!(failed.is_empty(), "{machines} machines, {} of {count} seeds failed: {failed:?}", failed.len());
 }
 
 /// One world with its log, also when it fails.
-fn play_one(seed: u64, machines: usize, borne: usize) {
-    let mut world = play(seed, machines, borne, true);
+fn play_one(seed: u64, machines: usize, borne: usize, harsh: bool) {
+    let mut world = play(seed, machines, borne, harsh, true);
     for line in world.log.take().unwrap() {
         println!("{line}");
     }
@@ -97,15 +101,30 @@
 
 #[test]
 fn three_machines_bear_the_loss_of_one() {
-    play_all(3, 1);
+    play_all(3, 1, false);
 }
 
 #[test]
 fn five_machines_bear_the_loss_of_two() {
-    play_all(5, 2);
+    play_all(5, 2, false);
 }
 
 #[test]
 fn six_machines_bear_the_loss_of_one_or_of_a_zone() {
-    play_all(6, 1);
+    play_all(6, 1, false);
+}
+
+#[test]
+fn three_machines_in_harsher_worlds() {
+    play_all(3, 1, true);
+}
+
+#[test]
+fn five_machines_in_harsher_worlds() {
+    play_all(5, 2, true);
+}
+
+#[test]
+fn six_machines_in_harsher_worlds() {
+    play_all(6, 1, true);
 }
--- a/crates/sandtrack-replication/tests/world/faults.rs
+++ b/crates/sandtrack-replication/tests/world/faults.rs
@@ -14,13 +14,25 @@
     Disk(usize),
     Heal(Vec<(usize, usize)>),
     Network,
+    /// A process that was told to stop ends as soon as it may. Another one may be there in its place.
+    End {
+        index: usize,
+        replaced: bool,
+        at_latest: Time,
+    },
 }
 
+/// A process that was told to stop is ended after so many milliseconds, whatever it does.
+const GRACE: Time = 7000.0;
+
 #[derive(Default)]
 pub struct Troubles {
     undo: Vec<(Time, Undo)>,
     /// The share of calls that are changes.
     pub writes: f64,
+    /// Also machines that are told to stop and replaced as planned, cuts of twenty seconds, messages that come many
+    /// seconds late, and disks that are slower.
+    pub harsh: bool,
 }
 
 impl Troubles {
@@ -67,7 +79,27 @@
         self.undo = rest;
         let due: Vec<(Time, Undo)> = due;
         for (_, undo) in due {
-            end(world, undo);
+            match undo {
+                Undo::End { index, at_latest, .. } if world.is_needed(index) && now < at_latest => {
+                    self.undo.push((now, undo));
+                }
+                Undo::End { index, replaced, .. } => self.end_leaver(world, index, replaced),
+                undo => end(world, undo),
+            }
+        }
+    }
+
+    /// A machine that was replaced goes for good, if the others don't need it; else it comes back.
+    fn end_leaver(&mut self, world: &mut World, index: usize, replaced: bool) {
+        if world.nodes[index].replica.is_none() || !world.nodes[index].leaving {
+            return; // it was killed meanwhile
+        }
+        if replaced && !world.is_needed(index) {
+            world.wipe(index);
+            world.nodes[index].removed = true;
+        } else {
+            world.kill(index);
+            self.later(world, 50.0, 2000.0, Undo::Start(index));
         }
     }
 
@@ -88,7 +120,8 @@
         let count = world.nodes.len();
         let index = world.random.gen_range(0..count);
         let runs = world.nodes[index].replica.is_some();
-        match world.random.gen_range(0..11) {
+        let kinds = if self.harsh { 15 } else { 11 };
+        match world.random.gen_range(0..kinds) {
             0 | 1 if runs => {
                 world.kill(index);
                 self.later(world, 50.0, 4000.0, Undo::Start(index));
@@ -147,10 +180,45 @@
                     self.later(world, 50.0, 4000.0, Undo::Start(index));
                 }
             }
+            11 if runs && !world.nodes[index].frozen && !world.nodes[index].leaving => {
+                self.tell_to_stop(world, index);
+            }
+            12 => {
+                let way = world.random.gen_range(0..3);
+                let pairs: Vec<(usize, usize)> = pairs(count)
+                    .filter(|(from, to)| way != 1 && *from == index || way != 0 && *to == index)
+                    .collect();
+                world.network.cut.extend(pairs.iter().copied());
+                self.undo.push((world.now + 20_000.0, Undo::Heal(pairs)));
+            }
+            13 => {
+                world.network.doubled = 0.5;
+                world.network.late = world.random.gen_range(0.0..0.2);
+                world.network.latest = 20_000.0;
+                self.later(world, 500.0, 8000.0, Undo::Network);
+            }
+            14 => {
+                let span = world.random.gen_range(13.0..40.0);
+                world.set_disk(index, DiskMode::Slow(span));
+                self.later(world, 300.0, 8000.0, Undo::Disk(index));
+            }
             _ => {}
         }
     }
 
+    /// To be started again; or, in a calm, for good, with another machine in its place.
+    fn tell_to_stop(&mut self, world: &mut World, index: usize) {
+        let calm = world.now - world.troubled >= CATCH_UP;
+        let replaced = calm && world.nodes[index].has_disk && world.nodes.len() < 12 && world.random.gen();
+        if replaced {
+            let successor = world.add(true);
+            world.start(successor, false);
+        }
+        world.tell_to_stop(index);
+        let at_latest = world.now + GRACE;
+        self.undo.push((world.now, Undo::End { index, replaced, at_latest }));
+    }
+
     fn cut(&mut self, world: &mut World, pairs: Vec<(usize, usize)>) {
         world.network.cut.extend(pairs.iter().copied());
         world.say(|_| format!("cut {pairs:?}"));
@@ -208,7 +276,13 @@
                 world.network.cut.remove(&pair);
             }
         }
+        Undo::End { index, .. } if world.nodes[index].leaving && !world.nodes[index].removed => {
+            world.kill(index);
+            world.start(index, false);
+        }
+        Undo::End { .. } => {}
         Undo::Network => {
+            world.network.latest = 2000.0;
             world.network.loss = 0.0;
             world.network.doubled = 0.0;
             world.network.late = 0.0;
--- a/crates/sandtrack-replication/tests/world/mod.rs
+++ b/crates/sandtrack-replication/tests/world/mod.rs
@@ -41,6 +41,8 @@
     /// Of the disk: a new one at each wipe.
     pub wipes: u64,
     pub frozen: bool,
+    /// Told to stop, and not ended yet.
+    pub leaving: bool,
     waiting: VecDeque<Input>,
     /// The write under way: ticket, records, whether it replaces all.
     write: Option<(u64, Vec<Vec<u8>>, bool)>,
@@ -85,8 +87,9 @@
     pub spread: Time,
     pub loss: f64,
     pub doubled: f64,
-    /// Share of messages that take up to two seconds.
+    /// Share of messages that take up to `latest` milliseconds longer.
     pub late: f64,
+    pub latest: Time,
     /// What a message between the two regions takes longer; machines of odd and even numbers are in one each.
     pub between_regions: Time,
     /// From, to.
@@ -141,6 +144,7 @@
                 loss: 0.0,
                 doubled: 0.0,
                 late: 0.0,
+                latest: 2000.0,
                 between_regions: 0.0,
                 cut: BTreeSet::new(),
             },
@@ -179,6 +183,7 @@
             wipes: 0,
             member: None,
             frozen: false,
+            leaving: false,
             waiting: VecDeque::new(),
             write: None,
             removed: false,
@@ -230,6 +235,7 @@
         let node = &mut self.nodes[index];
         node.replica = None;
         node.frozen = false;
+        node.leaving = false;
         node.waiting.clear();
         if let Some((_, records, replaces)) = node.write.take() {
             if done && node.mode != DiskMode::Full {
@@ -238,6 +244,18 @@
         }
     }
 
+    /// The process is told to stop; it runs on until it is killed.
+    pub fn tell_to_stop(&mut self, index: usize) {
+        self.say(|world| format!("{} is told to stop", world.nodes[index].address));
+        self.nodes[index].leaving = true;
+        self.input(index, Input::Leave);
+    }
+
+    /// Whether a process has to run on after it was told to stop.
+    pub fn is_needed(&self, index: usize) -> bool {
+        self.nodes[index].replica.as_ref().is_some_and(Replica::is_needed)
+    }
+
     /// The machine loses power: the write under way is not on its disk.
     pub fn lose_power(&mut self, index: usize) {
         self.nodes[index].write = None;
@@ -344,7 +362,8 @@
     /// Takes note of trouble.
     pub fn watch(&mut self) {
         let well = |node: &Node| {
-            node.removed || node.replica.is_some() && !node.frozen && node.mode == DiskMode::Well
+            let runs = node.replica.is_some() && !node.frozen && !node.leaving;
+            node.removed || runs && node.mode == DiskMode::Well
         };
         if !self.nodes.iter().all(well) || !self.network.cut.is_empty() || !self.is_whole() {
             self.troubled = self.now;
@@ -483,7 +502,7 @@
                 after += self.network.between_regions;
             }
             if self.random.gen_bool(self.network.late) {
-                after += 2000.0 * self.random.gen::<f64>();
+                after += self.network.latest * self.random.gen::<f64>();
             }
             self.plan(after, Event::Deliver { from, to, message: message.clone() });
         }
