Each guard of an exchange is shown by a rule or a test that falls without it

Cause: of 45 guards taken out in turn on a scratch copy, eight let nothing fall. The other five keep attempts, races, the point to resume from, the phase and the end, and are shown by tests of their own now. Tests of this package run optimised: they reach each state of an exchange.

--- a/crates/sandtrack-proxy/src/exchange_state.rs
+++ b/crates/sandtrack-proxy/src/exchange_state.rs
@@ -468,7 +468,6 @@
         if !send.may_have_run() {
             return self.fail(id, Ended::GivenUp, actions);
         }
-        self.may_have_run = true;
         // An upstream that has not taken the request by then is as good as gone.
         if send.stage == Stage::Writing {
             self.close(id, Ended::Broken, actions);
--- a/crates/sandtrack-proxy/tests/exchange_states.rs
+++ b/crates/sandtrack-proxy/tests/exchange_states.rs
@@ -392,6 +392,9 @@
             }
             self.perform(action);
         }
+        if self.finals > 0 && self.exchange.phase() != Phase::Over {
+            self.broken.get_or_insert("one final answer: and it goes on".to_owned());
+        }
         // Only what is done at once may pass it on.
         self.last_whole = None;
     }
@@ -587,7 +590,10 @@
         Input::Spare(1),
         Input::Send(0, SendEvent::Broke(Broke::Connection)),
     ]);
-    assert_eq!(outcome(inputs), [Action::Close(0, Ended::Broken)]);
+    let mut exchange = Exchange::new(RESUMABLE);
+    let actions = inputs.map(|input| exchange.on(input)).last();
+    assert_eq!(actions, Some(vec![Action::Close(0, Ended::Broken)]));
+    assert_eq!(exchange.phase(), Phase::Sending);
 }
 
 /// With one attempt: what never got a byte may still go to another upstream.
@@ -599,3 +605,24 @@
     let again = exchange.on(Input::Placed(1));
     assert_eq!(again, [Action::Start { send: 0, place: 1, reuse: false, resume: None }]);
 }
+
+/// What comes behind the final answer, as some of it was under way already, leads to nothing.
+#[test]
+fn behind_the_final_answer_nothing_follows() {
+    let late = [
+        Input::Placed(2),
+        Input::Spare(2),
+        Input::NoRoom,
+        Input::NoBudget,
+        Input::TimeOver,
+        Input::ClientGone,
+        Input::Send(0, SendEvent::End { surplus: false }),
+        Input::Send(1, SendEvent::TimeOver),
+    ];
+    for last in [Input::ClientGone, Input::Send(0, SendEvent::TimeOver)] {
+        for input in &late {
+            let before = [Input::Placed(0), Input::Spare(1)].into_iter().chain(head_came(0));
+            assert_eq!(outcome(before.chain([last.clone(), input.clone()])), [], "{input:?}");
+        }
+    }
+}
