--- a/crates/sandtrack-control/src/node.rs
+++ b/crates/sandtrack-control/src/node.rs
@@ -1,20 +1,24 @@
 //! The control node: the parts put together. Inputs go in, effects come out; it is pure and deterministic, so that tests play
 //! whole exchanges of several of them. It owns all state; it must never touch a socket, a file or a clock.
+use crate::arrivals::Arrival;
+use crate::contact::Contact;
 use crate::control::{self, Order, Reply};
-use crate::control_state::{ControlState, Question};
+use crate::control_state::{Command, ControlState};
 use crate::directory;
 use crate::membership::{Member, Membership};
+use crate::operator_calls::{Known, OperatorCalls, Step};
 use crate::peers::{Heard, Hello, LinkOrder, PeerFrame, Peers, FORMAT};
 use crate::reader::{self, Duty, PeerReport, Reader, HOLDER_SILENT_MS};
 use crate::sessions::{News, SessionOrder, Sessions};
 use crate::upstreams::{Excerpt, Upstreams};
 use crate::Millis;
 use sandtrack_core::message::{Head, Message};
+use sandtrack_protocol::codes;
 use sandtrack_protocol::frames::{self, ToControl, ToProxy};
 use sandtrack_protocol::logs::escape;
 use sandtrack_protocol::settings::{Settings, PEER_PORT, SESSION_PORT};
-use sandtrack_replication::{self as replication, Address, Refusal, Replica};
-use std::collections::{BTreeMap, BTreeSet};
+use sandtrack_replication::{self as replication, Address, Replica, Timings};
+use std::collections::BTreeSet;
 
 /// A voter that was heard within so many ms is there.
 const VOTER_MS: Millis = 1000.0;
@@ -27,8 +31,10 @@
 const FROZEN_MS: Millis = 700.0;
 /// It looks at what is due at least this often, in ms.
 const LOOK_MS: Millis = 50.0;
-/// Told to stop, it ends after this, in ms, whatever is under way.
+/// Told to stop, it waits for the calls under way for this long, in ms.
 const LEAVE_MS: Millis = 1200.0;
+/// Told to stop, and needed by the others, it ends so many ms before the platform would kill it.
+const LEAVE_MARGIN_MS: Millis = 1000.0;
 
 /// What happened.
 #[derive(Debug)]
@@ -93,13 +99,6 @@
     Exit,
 }
 
-/// A call that waits for the replica.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Pending {
-    until: Millis,
-    reads: bool,
-}
-
 /// What a process is given at its start besides its settings.
 #[derive(Clone, Debug, Default)]
 pub struct Start {
@@ -115,13 +114,13 @@
     settings: Settings,
     replica: Replica<ControlState>,
     peers: Peers,
+    contact: Contact,
     sessions: Sessions,
     membership: Membership,
     upstreams: Upstreams,
     duty: Duty,
     reader: Reader,
-    calls: BTreeMap<u64, Pending>,
-    next_call: u64,
+    calls: OperatorCalls,
     /// Clients that the directory has answered.
     turn: usize,
     /// How far the links were told of sessions and the list: where nothing is new they are not looked through.
@@ -161,6 +160,30 @@
     PeerFrame::List { whole, round, entries, gone }
 }
 
+/// What is known here of zones and their orders.
+struct Knowledge<'a> {
+    settings: &'a Settings,
+    control_state: &'a ControlState,
+    peers: &'a Peers,
+    membership: &'a Membership,
+    upstreams: &'a Upstreams,
+}
+
+impl Known for Knowledge<'_> {
+    fn last_order(&self, zone: &str) -> u64 {
+        self.control_state.last_order(zone)
+    }
+
+    fn names_zone(&self, zone: &str) -> bool {
+        self.settings.zones.contains_key(zone)
+            || self.settings.zone == zone
+            || self.control_state.names_zone(zone)
+            || self.peers.all().any(|(_, _, hello)| hello.is_some_and(|hello| hello.zone == zone))
+            || self.membership.members().values().any(|member| member.info.zone == zone)
+            || self.upstreams.names_zone(zone)
+    }
+}
+
 impl ControlNode {
     pub fn new(settings: Settings, start: Start, now: Millis) -> (ControlNode, Vec<Effect>) {
         let me = hello(&settings, start.incarnation);
@@ -173,6 +196,8 @@
             machines_borne: settings.machines_borne,
             zones_borne: settings.zones_borne,
             seed: start.incarnation,
+            // Nobody waits for longer: what is tried on after that could only come late.
+            timings: Timings { call: control::PATIENCE_MS, ..Timings::default() },
             ..replication::Settings::new(&me.address, &[])
         };
         let (replica, effects) =
@@ -182,12 +207,12 @@
             peers: Peers::new(me, now),
             settings,
             replica,
+            contact: Contact::default(),
             sessions: Sessions::default(),
             membership: Membership::default(),
             upstreams: Upstreams::default(),
             reader: Reader::default(),
-            calls: BTreeMap::new(),
-            next_call: 0,
+            calls: OperatorCalls::new(now),
             turn: 0,
             told: (0, 0),
             caught_up: None,
@@ -212,10 +237,14 @@
         self.sessions.accepted(now)
     }
 
-    /// A number for an operator's call.
-    pub fn call_begun(&mut self) -> u64 {
-        self.next_call += 1;
-        self.next_call
+    /// A number for an operator's call that was read whole.
+    pub fn call_begun(&mut self, arrival: Arrival) -> u64 {
+        self.calls.begin(arrival)
+    }
+
+    /// Since when this process has run without being held up.
+    pub fn awake_since(&self) -> Millis {
+        self.calls.awake_since()
     }
 
     /// Answers a client that asks where to go.
@@ -233,7 +262,7 @@
 
     /// When it has to look at what is due.
     pub fn next_due(&self) -> Millis {
-        let calls = self.calls.values().map(|call| call.until);
+        let calls = self.calls.next_due().into_iter();
         let reader = self.reader.next_due().filter(|_| self.duty.reads(self.last));
         let due = calls.chain(reader).fold(self.last + LOOK_MS, Millis::min);
         due.min(self.replica.next_tick()).max(self.last)
@@ -244,6 +273,7 @@
         if now - self.last > FROZEN_MS {
             log::warn!("this process did not run for {:.0} ms", now - self.last);
             self.peers.woke(now);
+            self.contact.woke(now);
             self.sessions.woke(now);
             self.caught_up = None;
             if now - self.last > HOLDER_SILENT_MS {
@@ -251,6 +281,9 @@
             }
         }
         self.last = now;
+        for step in self.calls.look(now) {
+            self.step(now, step, out);
+        }
         match input {
             Input::Tick => self.look(now, out),
             Input::Call { call, message } => self.call(now, call, &message, out),
@@ -300,11 +333,16 @@
 
     fn replica(&mut self, now: Millis, input: replication::Input, out: &mut Vec<Effect>) {
         let mut effects = Vec::new();
+        let refused = self.replica.snapshots_refused();
         self.replica.handle(now, input, &mut effects);
+        if self.replica.snapshots_refused() > refused {
+            log::warn!("E{} a snapshot was refused: it is fetched anew", codes::SNAPSHOT_REFUSED.0);
+        }
         self.carry_out(now, effects, out);
     }
 
     fn carry_out(&mut self, now: Millis, effects: Vec<replication::Effect>, out: &mut Vec<Effect>) {
+        let mut answers = Vec::new();
         for effect in effects {
             match effect {
                 replication::Effect::Send { to, message } => {
@@ -319,13 +357,17 @@
                 replication::Effect::Rewrite { ticket, records } => {
                     out.push(Effect::Rewrite { ticket, records })
                 }
-                replication::Effect::Applied { number, .. } => {
-                    log::info!("number {number}: version {}", self.replica.machine().version());
+                replication::Effect::Applied { number, command, .. } => {
+                    let version = self.replica.machine().version();
+                    match borsh::from_slice::<Command>(&command) {
+                        Ok(command) => log::info!("number {number}: version {version}, after {command}"),
+                        Err(error) => log::warn!("number {number}: version {version}, unknown: {error}"),
+                    }
                 }
                 replication::Effect::Restored { number } => {
                     log::info!("restored to number {number}: version {}", self.replica.machine().version());
                 }
-                replication::Effect::Answer { call, result } => self.answer(call, result, out),
+                replication::Effect::Answer { call, result } => answers.push((call, result)),
                 replication::Effect::ViewIs(view) => {
                     let chain: Vec<&str> = view.chain.iter().map(|member| member.address.as_str()).collect();
                     log::info!("view {}: chain {}", view.epoch, chain.join(" "));
@@ -333,40 +375,71 @@
                 }
             }
         }
+        // What an answer leads to comes after all that came with it.
+        for (call, result) in answers {
+            self.answer(now, call, result, out);
+        }
+    }
+
+    /// Whether callers are to go to another control node: this one is about to end, and another is there.
+    fn passes_callers_on(&self) -> bool {
+        self.leaving.is_some() && self.peers.all().any(|(_, stays, _)| stays)
     }
 
     fn call(&mut self, now: Millis, call: u64, message: &Message, out: &mut Vec<Effect>) {
-        let until = now + control::PATIENCE_MS;
-        match control::decode(message, &self.settings) {
-            Err(reply) => out.push(Effect::Reply { call, reply }),
-            Ok(Order::Status) => out.push(Effect::Reply { call, reply: self.status(now) }),
-            Ok(Order::Submit(command)) => {
+        let goes_elsewhere = |order: Order| order != Order::Status;
+        if self.passes_callers_on() && control::decode(message).is_ok_and(goes_elsewhere) {
+            let reply = Reply::error(503, codes::NOT_NOW, "control");
+            return out.push(Effect::Reply { call, reply });
+        }
+        let known = Knowledge {
+            settings: &self.settings,
+            control_state: self.replica.machine(),
+            peers: &self.peers,
+            membership: &self.membership,
+            upstreams: &self.upstreams,
+        };
+        let step = self.calls.call(now, call, message, &known);
+        self.step(now, step, out);
+    }
+
+    fn answer(
+        &mut self, now: Millis, call: u64, result: Result<Vec<u8>, replication::Refusal>,
+        out: &mut Vec<Effect>,
+    ) {
+        let known = Knowledge {
+            settings: &self.settings,
+            control_state: self.replica.machine(),
+            peers: &self.peers,
+            membership: &self.membership,
+            upstreams: &self.upstreams,
+        };
+        if let Some(step) = self.calls.answer(now, call, result, &known) {
+            self.step(now, step, out);
+        }
+    }
+
+    /// Does what an operator's call needs next.
+    fn step(&mut self, now: Millis, step: Step, out: &mut Vec<Effect>) {
+        match step {
+            Step::Reply { call, reply } => out.push(Effect::Reply { call, reply }),
+            Step::Status { call } => out.push(Effect::Reply { call, reply: self.status(now) }),
+            Step::Submit { call, command } => {
                 let command = borsh::to_vec(&command).unwrap_or_default();
-                self.calls.insert(call, Pending { until, reads: false });
                 self.replica(now, replication::Input::Submit { call, command }, out);
             }
-            Ok(Order::Read) => {
-                let question = borsh::to_vec(&Question::Configuration).unwrap_or_default();
-                self.calls.insert(call, Pending { until, reads: true });
+            Step::Read { call, question } => {
+                let question = borsh::to_vec(&question).unwrap_or_default();
                 self.replica(now, replication::Input::Read { call, question }, out);
             }
         }
     }
 
-    /// What came of a call; one that was answered before, or whose caller has left, is none any more.
-    fn answer(&mut self, call: u64, result: Result<Vec<u8>, Refusal>, out: &mut Vec<Effect>) {
-        let Some(pending) = self.calls.remove(&call) else { return };
-        let reply = if pending.reads {
-            control::answer(result.map(|bytes| borsh::from_slice(&bytes).ok().flatten()))
-        } else {
-            let unreadable = Err(Refusal::TimedOut);
-            control::outcome(result.and_then(|bytes| borsh::from_slice(&bytes).map_or(unreadable, Ok)))
-        };
-        out.push(Effect::Reply { call, reply });
-    }
-
     fn link_frame(&mut self, now: Millis, link: u64, frame: PeerFrame, out: &mut Vec<Effect>) {
         let peer = self.peers.heard(now, link);
+        if let Some(peer) = &peer {
+            self.contact.heard(now, peer, None);
+        }
         let (peer, frame) = match (peer, frame) {
             (_, PeerFrame::Hello(hello)) => {
                 let mut orders = Vec::new();
@@ -381,7 +454,9 @@
         match frame {
             PeerFrame::Hello(_) => {}
             PeerFrame::Replication(message) => {
-                self.replica(now, replication::Input::Received { from: peer, message }, out);
+                let received = replication::Input::Received { from: peer.clone(), message };
+                self.replica(now, received, out);
+                self.contact.heard(now, &peer, self.replica.heard_epoch(&peer));
             }
             PeerFrame::Sessions { whole, present, gone } => {
                 self.membership.told(now, &peer, whole, present, &gone);
@@ -431,11 +506,13 @@
         match heard {
             Some(Heard::Found(peer)) => {
                 log::info!("linked with {peer}");
+                self.contact.lost(&peer);
                 self.sessions.census_again();
                 self.beat_one(now, &peer, out);
             }
             Some(Heard::Lost(peer)) => {
                 log::info!("the link with {peer} is lost");
+                self.contact.lost(&peer);
                 self.membership.lost(now, &peer);
                 self.sessions.census_again();
             }
@@ -495,18 +572,20 @@
         out.extend(orders.into_iter().map(Effect::Session));
         self.membership.tick(now);
         self.read(now, out);
-        let late: Vec<u64> =
-            self.calls.iter().filter(|(_, call)| now >= call.until).map(|(call, _)| *call).collect();
-        for call in late {
-            self.calls.remove(&call);
-            out.push(Effect::Reply { call, reply: control::unsure() });
-        }
-        if let Some(since) = self.leaving {
-            if self.calls.is_empty() || now - since > LEAVE_MS {
-                self.replica(now, replication::Input::Leave, out);
-                out.push(Effect::Exit);
-            }
+        for step in self.calls.late(now) {
+            self.step(now, step, out);
         }
+        if self.leaving.is_some_and(|since| self.may_end(now - since)) {
+            out.push(Effect::Exit);
+        }
+    }
+
+    /// Whether it may end so many ms after it was told to stop: calls under way are finished, and the others hold what it
+    /// holds; or its time is over.
+    fn may_end(&self, span: Millis) -> bool {
+        let calls_over = self.calls.is_empty() || span > LEAVE_MS;
+        let time_over = span > self.settings.bounds.grace_s * 1000.0 - LEAVE_MARGIN_MS;
+        calls_over && !self.replica.is_needed() || time_over
     }
 
     fn reach(&mut self, now: Millis) {
@@ -565,6 +644,12 @@
         2 * heard > voters.len() && (caught_up || self.replica.is_caught_up())
     }
 
+    /// Whether sessions are given configurations and evacuations: what is known here was confirmed within the lease.
+    fn feeds(&self, now: Millis) -> bool {
+        let epoch = self.replica.view().epoch;
+        self.is_attached(now) && self.contact.is_confirmed(now, &self.peers.me.address, &self.voters(), epoch)
+    }
+
     fn beat_one(&mut self, now: Millis, peer: &str, out: &mut Vec<Effect>) {
         let Some(link) = self.peers.link_to(peer) else { return };
         self.tell_peer(now, link, out);
@@ -618,12 +703,13 @@
             upstreams: &self.upstreams,
             membership: &self.membership,
             attached: false,
+            feeds: self.sessions.is_holding_back() && self.feeds(now),
             settled: self.settled,
         };
         if !self.sessions.is_due(now, &news) {
             return;
         }
-        news.attached = self.is_attached(now);
+        (news.attached, news.feeds) = (self.is_attached(now), self.feeds(now));
         let others: Vec<&Hello> =
             self.peers.all().filter(|(_, linked, _)| *linked).filter_map(|(_, _, hello)| hello).collect();
         let mut orders = Vec::new();
@@ -638,6 +724,7 @@
         }
         log::info!("told to stop");
         self.leaving = Some(now);
+        self.replica(now, replication::Input::Leave, out);
         let (order, live) = (self.order(), self.peers.live(now, HOLDER_SILENT_MS));
         if self.duty.leave(&order, &live) {
             log::info!("the platform's list is read by {} from now on", self.duty.claim().holder);
--- a/crates/sandtrack-proxy/src/answers.rs
+++ b/crates/sandtrack-proxy/src/answers.rs
@@ -1,9 +1,9 @@
 //! What a client is answered: an upstream's answer as it is, pieces of a stream, or an answer of this process's own.
 use async_io::Async;
 use sandtrack_core::message::{self, Flow, Head};
+use sandtrack_net::ring::Ring;
+use sandtrack_net::socket::write_within;
 use sandtrack_protocol::codes::{self, Code};
-use sandtrack_sidecar::net::write_within;
-use sandtrack_sidecar::ring::Ring;
 use sandtrack_tiers::Millis;
 use std::net::TcpStream;
 use std::time::Duration;
--- a/crates/sandtrack-proxy/src/lib.rs
+++ b/crates/sandtrack-proxy/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! What is decided is pure and apart from sockets: [`balancer`] (what is known, and where a request goes), [`budget`]
 //! (bounds that hold over all proxies), [`exchange_state`] (one request: where it is sent, and what its client gets),
-//! [`events`] (pieces of a stream). The rest owns sockets, one task each: [`front`] (clients), [`carry`] (one request) with
+//! [`events`] (pieces of a stream), [`session_policy`] (which control node). The rest owns sockets, one task each: [`front`] (clients), [`carry`] (one request) with
 //! [`attempt`] (one send of it) and [`answers`], [`exchange`] and [`pool`] (upstream connections), [`probing`], [`session`]
 //! (the control plane), [`program`].
 pub mod answers;
@@ -21,5 +21,6 @@
 pub mod reading;
 pub mod request;
 pub mod session;
+pub mod session_policy;
 pub mod shared;
 pub mod upstreams;
--- a/crates/sandtrack-proxy/src/reading.rs
+++ b/crates/sandtrack-proxy/src/reading.rs
@@ -1,7 +1,7 @@
 //! Reading from a socket into a ring buffer with a small future: what waits for bytes holds no buffer of its own, which counts
 //! where thousands of connections are idle.
 use async_io::Async;
-use sandtrack_sidecar::ring::Ring;
+use sandtrack_net::ring::Ring;
 use std::io::{self, ErrorKind, Read};
 use std::net::TcpStream;
 
--- a/crates/sandtrack-proxy/src/request.rs
+++ b/crates/sandtrack-proxy/src/request.rs
@@ -91,14 +91,8 @@
 
 /// The route of the request with this head.
 fn route_of<'a>(configuration: &'a Configuration, head: &Head) -> Option<&'a Route> {
-    let target = origin_form(&head.target);
-    let path = target.split(['?', '#']).next().unwrap_or_default();
     let host = head.headers.get("host").unwrap_or_default();
-    let host = match host.rsplit_once(':') {
-        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
-        _ => host,
-    };
-    configuration.route(host, path)
+    configuration.route_of_request(host, &origin_form(&head.target))
 }
 
 /// How long the request with this head may be held, in ms: what its client waits, and not over the route's time.
