--- a/crates/sandtrack-days/tests/verdict.rs
+++ b/crates/sandtrack-days/tests/verdict.rs
@@ -87,6 +87,18 @@
     assert_eq!(suspicions_of(&split).len(), 1);
 }
 
+/// Of several orders of one write the log tells the version of the last.
+#[test]
+fn orders_of_one_write_are_told_with_the_last_version() {
+    let lines = [
+        line(1.0, "a", "number 7: version 9"),
+        line(1.5, "a", "number 8: version 10"),
+        line(2.0, "b", "number 7: version 10"),
+        line(2.0, "b", "number 8: version 10"),
+    ];
+    assert_eq!(suspicions_of(&lines), Vec::<String>::new());
+}
+
 #[test]
 fn an_evacuation_applied_right_after_a_process_woke_is_told() {
     let late = [
