--- a/crates/sandtrack-control/src/node.rs
+++ b/crates/sandtrack-control/src/node.rs
@@ -1,7 +1,8 @@
 //! The control node: the parts put together. Inputs go in, effects come out; it is pure and deterministic, so that tests play
 //! whole exchanges of several of them. It owns all state; it must never touch a socket, a file or a clock.
+use crate::contact::Contact;
 use crate::control::{self, Order, Reply};
-use crate::control_state::{ControlState, Question};
+use crate::control_state::{Command, ControlState, Question};
 use crate::directory;
 use crate::membership::{Member, Membership};
 use crate::peers::{Heard, Hello, LinkOrder, PeerFrame, Peers, FORMAT};
@@ -115,6 +116,7 @@
     settings: Settings,
     replica: Replica<ControlState>,
     peers: Peers,
+    contact: Contact,
     sessions: Sessions,
     membership: Membership,
     upstreams: Upstreams,
@@ -182,6 +184,7 @@
             peers: Peers::new(me, now),
             settings,
             replica,
+            contact: Contact::default(),
             sessions: Sessions::default(),
             membership: Membership::default(),
             upstreams: Upstreams::default(),
@@ -244,6 +247,7 @@
         if now - self.last > FROZEN_MS {
             log::warn!("this process did not run for {:.0} ms", now - self.last);
             self.peers.woke(now);
+            self.contact.woke(now);
             self.sessions.woke(now);
             self.caught_up = None;
             if now - self.last > HOLDER_SILENT_MS {
@@ -319,8 +323,12 @@
                 replication::Effect::Rewrite { ticket, records } => {
                     out.push(Effect::Rewrite { ticket, records })
                 }
-                replication::Effect::Applied { number, .. } => {
-                    log::info!("number {number}: version {}", self.replica.machine().version());
+                replication::Effect::Applied { number, command, .. } => {
+                    let version = self.replica.machine().version();
+                    match borsh::from_slice::<Command>(&command) {
+                        Ok(command) => log::info!("number {number}: version {version}, after {command}"),
+                        Err(error) => log::warn!("number {number}: version {version}, unknown: {error}"),
+                    }
                 }
                 replication::Effect::Restored { number } => {
                     log::info!("restored to number {number}: version {}", self.replica.machine().version());
@@ -367,6 +375,9 @@
 
     fn link_frame(&mut self, now: Millis, link: u64, frame: PeerFrame, out: &mut Vec<Effect>) {
         let peer = self.peers.heard(now, link);
+        if let Some(peer) = &peer {
+            self.contact.heard(now, peer, None);
+        }
         let (peer, frame) = match (peer, frame) {
             (_, PeerFrame::Hello(hello)) => {
                 let mut orders = Vec::new();
@@ -381,7 +392,9 @@
         match frame {
             PeerFrame::Hello(_) => {}
             PeerFrame::Replication(message) => {
-                self.replica(now, replication::Input::Received { from: peer, message }, out);
+                let received = replication::Input::Received { from: peer.clone(), message };
+                self.replica(now, received, out);
+                self.contact.heard(now, &peer, self.replica.heard_epoch(&peer));
             }
             PeerFrame::Sessions { whole, present, gone } => {
                 self.membership.told(now, &peer, whole, present, &gone);
@@ -431,11 +444,13 @@
         match heard {
             Some(Heard::Found(peer)) => {
                 log::info!("linked with {peer}");
+                self.contact.lost(&peer);
                 self.sessions.census_again();
                 self.beat_one(now, &peer, out);
             }
             Some(Heard::Lost(peer)) => {
                 log::info!("the link with {peer} is lost");
+                self.contact.lost(&peer);
                 self.membership.lost(now, &peer);
                 self.sessions.census_again();
             }
@@ -565,6 +580,12 @@
         2 * heard > voters.len() && (caught_up || self.replica.is_caught_up())
     }
 
+    /// Whether sessions are given configurations and evacuations: what is known here was confirmed within the lease.
+    fn feeds(&self, now: Millis) -> bool {
+        let epoch = self.replica.view().epoch;
+        self.is_attached(now) && self.contact.is_confirmed(now, &self.peers.me.address, &self.voters(), epoch)
+    }
+
     fn beat_one(&mut self, now: Millis, peer: &str, out: &mut Vec<Effect>) {
         let Some(link) = self.peers.link_to(peer) else { return };
         self.tell_peer(now, link, out);
@@ -618,12 +639,13 @@
             upstreams: &self.upstreams,
             membership: &self.membership,
             attached: false,
+            feeds: self.sessions.is_holding_back() && self.feeds(now),
             settled: self.settled,
         };
         if !self.sessions.is_due(now, &news) {
             return;
         }
-        news.attached = self.is_attached(now);
+        (news.attached, news.feeds) = (self.is_attached(now), self.feeds(now));
         let others: Vec<&Hello> =
             self.peers.all().filter(|(_, linked, _)| *linked).filter_map(|(_, _, hello)| hello).collect();
         let mut orders = Vec::new();
