--- a/crates/sandtrack-days/src/verdict.rs
+++ b/crates/sandtrack-days/src/verdict.rs
@@ -6,12 +6,8 @@
 use simd_json::OwnedValue;
 use thiserror::Error;
 
-/// A process that reports a pause of this long was stopped from outside or starved.
-const LONG_PAUSE_MS: u64 = 2_000;
-/// An order that is applied within this time of a woken process may be one that lay in its sockets.
-const AFTER_PAUSE_S: f64 = 1.0;
-/// An order is expected within this time of the operator's begin or finish.
-const ORDER_S: f64 = 1.0;
+/// For so long after it ordered a finish the operator may repeat it.
+const REPEATS_S: f64 = 15.0;
 /// What a process applies within this time came with one write.
 const ONE_WRITE_S: f64 = 0.005;
 /// So many pauses reported by one process are a loop.
@@ -37,8 +33,17 @@
     pub fault: Option<String>,
     /// Slowest acknowledgement of an order, in milliseconds.
     pub slowest_ack_ms: u64,
-    /// Times at which the operator began or finished an evacuation.
-    pub evacuation_s: Vec<f64>,
+    pub evacuations: Vec<Evacuation>,
+}
+
+/// An evacuation as the operator ordered it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Evacuation {
+    pub zone: String,
+    /// When it was ordered to begin.
+    pub begin_s: f64,
+    /// When it was ordered to be over.
+    pub finish_s: f64,
 }
 
 impl Report {
@@ -53,7 +58,7 @@
             exits: value.get_u64("exits_n").unwrap_or(0),
             fault: value.get_str("fault").map(str::to_owned),
             slowest_ack_ms: value.get_u64("config_ack_ms").unwrap_or(0),
-            evacuation_s: evacuations(&value),
+            evacuations: evacuations(&value),
         })
     }
 
@@ -76,14 +81,18 @@
     array.map(Writable::encode).collect()
 }
 
-fn evacuations(value: &OwnedValue) -> Vec<f64> {
-    let mut times = Vec::new();
+fn evacuations(value: &OwnedValue) -> Vec<Evacuation> {
+    let mut found = Vec::new();
     for event in value.get_array("events").into_iter().flatten() {
-        if event.get_str("kind").is_some_and(|kind| kind.starts_with("evacuate")) {
-            times.extend(["at_s", "to_s"].iter().filter_map(|key| event.get(*key)?.cast_f64()));
+        let time = |key: &str| event.get(key).and_then(ValueAsScalar::cast_f64);
+        let is_evacuation = event.get_str("kind").is_some_and(|kind| kind.starts_with("evacuate"));
+        if let (true, Some(zone), Some(begin_s), Some(finish_s)) =
+            (is_evacuation, event.get_str("what"), time("at_s"), time("to_s"))
+        {
+            found.push(Evacuation { zone: zone.to_owned(), begin_s, finish_s });
         }
     }
-    times
+    found
 }
 
 /// Reads the lines that the processes wrote and tells what looks wrong and no rule counts.
@@ -118,8 +127,8 @@
     process: &'l str,
     number: u64,
     version: u64,
-    /// A process reported a long pause right before.
-    woken: bool,
+    /// The text of the line, which names the command.
+    text: &'l str,
 }
 
 #[derive(Default)]
@@ -133,7 +142,6 @@
     /// Version of the configuration that each proxy has in force.
     in_force: BTreeMap<&'l str, u64>,
     pauses: BTreeMap<&'l str, usize>,
-    last_long_pause_s: Option<f64>,
 }
 
 impl<'l> LogReader<'l> {
@@ -150,11 +158,8 @@
         if let Some(version) = number_after(line.text, "\"configuration ") {
             self.put_in_force(line, version);
         }
-        if let Some(pause_ms) = number_after(line.text, "did not run for ") {
+        if line.text.contains("did not run for ") {
             *self.pauses.entry(line.process).or_default() += 1;
-            if pause_ms >= LONG_PAUSE_MS {
-                self.last_long_pause_s = Some(line.at_s);
-            }
         }
         if let (Some(number), Some(version)) =
             (number_after(line.text, "\"number "), number_after(line.text, ": version "))
@@ -174,8 +179,8 @@
     }
 
     fn apply(&mut self, line: &Line<'l>, number: u64, version: u64) {
-        let woken = self.last_long_pause_s.is_some_and(|at_s| line.at_s - at_s < AFTER_PAUSE_S);
-        let application = Application { at_s: line.at_s, process: line.process, number, version, woken };
+        let application =
+            Application { at_s: line.at_s, process: line.process, number, version, text: line.text };
         let Some(before) = self.last.insert(line.process, application) else { return };
         if number <= before.number || version < before.version {
             self.found.push(format!(
@@ -193,8 +198,10 @@
         applied.extend(std::mem::take(&mut self.last).into_values());
         applied.sort_by(|one, other| one.at_s.total_cmp(&other.at_s));
         let mut versions = BTreeMap::new();
+        let mut zones = BTreeMap::new();
         for application in &applied {
-            self.compare(application, &mut versions, report);
+            self.compare(application, &mut versions);
+            self.check_evacuation(application, &mut zones, report);
         }
         for (process, pauses) in &self.pauses {
             if *pauses >= PAUSES {
@@ -205,29 +212,54 @@
     }
 
     /// Compares an application with those before it, of any process: `versions` by number.
-    fn compare(&mut self, it: &Application, versions: &mut BTreeMap<u64, u64>, report: &Report) {
-        match versions.insert(it.number, it.version) {
-            None if self.is_unordered(it, versions, report) => self.found.push(format!(
-                "{:.3} {} applies number {} right after a process woke: ordered by nobody then?",
-                it.at_s, it.process, it.number
-            )),
-            Some(other) if other != it.version => self.found.push(format!(
+    fn compare(&mut self, it: &Application, versions: &mut BTreeMap<u64, u64>) {
+        let other = versions.insert(it.number, it.version).filter(|other| *other != it.version);
+        if let Some(other) = other {
+            self.found.push(format!(
                 "{:.3} {} applies number {} as version {}, another applied it as version {other}",
                 it.at_s, it.process, it.number, it.version
-            )),
-            _ => {}
+            ));
         }
     }
 
-    /// An order that leaves the version as it was is an evacuation's begin or finish; right after a process woke, and away
-    /// from both, nobody ordered it then.
-    fn is_unordered(&self, it: &Application, versions: &BTreeMap<u64, u64>, report: &Report) -> bool {
-        let is_evacuation = it.number > 1 && versions.get(&(it.number - 1)) == Some(&it.version);
-        let expected = report.evacuation_s.iter().any(|at_s| (0.0..ORDER_S).contains(&(it.at_s - at_s)));
-        is_evacuation && it.woken && !expected
+    /// Tells a begin that undoes a finish, and a finish that undoes a begin, while the operator ordered neither; `zones`:
+    /// the number and whether an evacuation began with it, of the last such order of each zone.
+    fn check_evacuation(
+        &mut self, it: &Application<'l>, zones: &mut BTreeMap<&'l str, (u64, bool)>, report: &Report,
+    ) {
+        let Some((zone, begins)) = evacuation_in(it.text) else { return };
+        let (number, began) = zones.get(zone).copied().unwrap_or((0, false));
+        if it.number <= number {
+            return;
+        }
+        zones.insert(zone, (it.number, begins));
+        let mut here = report.evacuations.iter().filter(|evacuation| evacuation.zone == zone);
+        let ordered = here.any(|evacuation| {
+            if begins {
+                (evacuation.begin_s..evacuation.finish_s + ONE_WRITE_S).contains(&it.at_s)
+            } else {
+                (evacuation.finish_s..evacuation.finish_s + REPEATS_S).contains(&it.at_s)
+            }
+        });
+        if began != begins && !ordered {
+            self.found.push(format!(
+                "{:.3} {} applies number {}, an evacuation of {zone} {}: ordered by nobody then",
+                it.at_s,
+                it.process,
+                it.number,
+                if begins { "begins" } else { "is over" }
+            ));
+        }
     }
 }
 
+/// The zone of an evacuation's order that a line names, and whether it begins.
+fn evacuation_in(text: &str) -> Option<(&str, bool)> {
+    let (_, rest) = text.split_once("after evacuation of ")?;
+    let (zone, rest) = rest.split_once(' ')?;
+    Some((zone, rest.starts_with("begins")))
+}
+
 /// The digits right after the first `mark` in `text`.
 fn number_after(text: &str, mark: &str) -> Option<u64> {
     let (_, rest) = text.split_once(mark)?;
--- a/crates/sandtrack-days/tests/verdict.rs
+++ b/crates/sandtrack-days/tests/verdict.rs
@@ -1,6 +1,6 @@
 //! Reports and log lines of played days.
 
-use sandtrack_days::verdict::{suspicions, Report};
+use sandtrack_days::verdict::{suspicions, Evacuation, Report};
 
 const CLEAN: &str = r#"{"G": 0.78, "breaks": {}, "short": [], "exits_n": 0, "fault": null, "config_ack_ms": 3683,
   "events": [{"at_s": 4, "to_s": 7.5, "kind": "evacuate (warm)", "what": "quay", "planned": true},
@@ -19,7 +19,8 @@
     let report = Report::parse(CLEAN).expect("a report");
     assert!(!report.is_find());
     assert_eq!((report.worth, report.slowest_ack_ms), (0.78, 3683));
-    assert_eq!(report.evacuation_s, [4.0, 7.5]);
+    let evacuation = Evacuation { zone: "quay".to_owned(), begin_s: 4.0, finish_s: 7.5 };
+    assert_eq!(report.evacuations, [evacuation]);
 }
 
 #[test]
@@ -99,20 +100,45 @@
     assert_eq!(suspicions_of(&lines), Vec::<String>::new());
 }
 
+/// The evacuation of `quay` is ordered at 4.0 and over at 7.5.
+fn evacuation(at_s: f64, node: &str, number: u64, what: &str) -> String {
+    line(at_s, node, &format!("number {number}: version 3, after evacuation of quay {what}"))
+}
+
 #[test]
-fn an_evacuation_applied_right_after_a_process_woke_is_told() {
+fn a_begin_that_undoes_a_confirmed_finish_is_told() {
     let late = [
-        line(-9.0, "a", "number 1: version 3"),
-        line(4.3, "a", "number 2: version 3"),
-        line(7.6, "a", "number 3: version 3"),
-        line(10.9, "b", "this process did not run for 7010 ms"),
-        line(11.2, "a", "number 4: version 3"),
+        evacuation(4.3, "a", 2, "begins"),
+        evacuation(7.6, "a", 3, "is over"),
+        evacuation(11.2, "a", 4, "begins"),
+        evacuation(11.3, "b", 4, "begins"),
     ];
     let found = suspicions_of(&late);
     assert_eq!(found.len(), 1, "{found:?}");
     assert!(found[0].contains("number 4"));
 }
 
+#[test]
+fn a_finish_that_undoes_a_begin_is_told() {
+    let late = [evacuation(4.3, "a", 2, "begins"), evacuation(5.0, "a", 3, "is over")];
+    assert_eq!(suspicions_of(&late).len(), 1);
+}
+
+#[test]
+fn ordered_evacuations_and_their_copies_raise_no_suspicion() {
+    let lines = [
+        evacuation(4.3, "a", 2, "begins"),
+        evacuation(4.4, "b", 2, "begins"),
+        evacuation(5.9, "a", 3, "begins"),
+        evacuation(8.1, "a", 4, "is over"),
+        evacuation(9.0, "a", 5, "is over"),
+        evacuation(9.1, "b", 3, "begins"),
+        evacuation(9.1, "b", 4, "is over"),
+        evacuation(9.2, "b", 5, "is over"),
+    ];
+    assert_eq!(suspicions_of(&lines), Vec::<String>::new());
+}
+
 #[test]
 fn panics_and_loops_of_pauses_are_told() {
     let panicked = ["  3.0 a/proxy thread 'main' panicked at src/main.rs\n".to_owned()];
