--- a/crates/sandtrack-days/src/verdict.rs
+++ b/crates/sandtrack-days/src/verdict.rs
@@ -1,6 +1,7 @@
 //! What came out of a played day: read from the bench's report, and from the log lines for what no rule of it counts.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
@@ -233,13 +234,8 @@
             return;
         }
         zones.insert(zone, (it.number, begins));
-        let mut here = report.evacuations.iter().filter(|evacuation| evacuation.zone == zone);
-        let ordered = here.any(|evacuation| {
-            if begins {
-                (evacuation.begin_s..evacuation.finish_s + ONE_WRITE_S).contains(&it.at_s)
-            } else {
-                (evacuation.finish_s..evacuation.finish_s + REPEATS_S).contains(&it.at_s)
-            }
+        let ordered = report.evacuations.iter().any(|evacuation| {
+            evacuation.zone == zone && expects(report, evacuation, begins).contains(&it.at_s)
         });
         if began != begins && !ordered {
             self.found.push(format!(
@@ -253,6 +249,17 @@
     }
 }
 
+/// When an order of this evacuation is expected: its begin until it was ordered to be over, its finish until the zone is
+/// evacuated again.
+fn expects(report: &Report, evacuation: &Evacuation, begins: bool) -> Range<f64> {
+    if begins {
+        return evacuation.begin_s..evacuation.finish_s + ONE_WRITE_S;
+    }
+    let later = |next: &&Evacuation| next.zone == evacuation.zone && next.begin_s > evacuation.finish_s;
+    let next_s = report.evacuations.iter().filter(later).map(|next| next.begin_s);
+    evacuation.finish_s..next_s.fold(evacuation.finish_s + REPEATS_S, f64::min)
+}
+
 /// The zone of an evacuation's order that a line names, and whether it begins.
 fn evacuation_in(text: &str) -> Option<(&str, bool)> {
     let (_, rest) = text.split_once("after evacuation of ")?;
--- a/crates/sandtrack-days/tests/verdict.rs
+++ b/crates/sandtrack-days/tests/verdict.rs
@@ -124,6 +124,23 @@
     assert_eq!(suspicions_of(&late).len(), 1);
 }
 
+#[test]
+fn a_finish_that_comes_after_the_next_begin_is_told() {
+    let again = CLEAN.replace(
+        "\"events\": [",
+        r#""events": [{"at_s": 9, "to_s": 20, "kind": "evacuate", "what": "quay", "planned": true}, "#,
+    );
+    let late = [
+        evacuation(4.3, "a", 2, "begins"),
+        evacuation(7.6, "a", 3, "is over"),
+        evacuation(9.2, "a", 4, "begins"),
+        evacuation(11.2, "a", 5, "is over"),
+    ];
+    let found = suspicions(&late.concat(), &Report::parse(&again).expect("a report"));
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert!(found[0].contains("number 5"));
+}
+
 #[test]
 fn ordered_evacuations_and_their_copies_raise_no_suspicion() {
     let lines = [
