--- a/crates/sandtrack-days/src/kinds.rs
+++ b/crates/sandtrack-days/src/kinds.rs
@@ -179,7 +179,9 @@
     data("reset_conns", &[Share(0.1, 0.5), Strength(0.3, 1.0)], &[]),
     work("roll_term", &[Share(0.3, 1.0), Strength(1.0, 1.0), Gap(0.8, 1.5)], &[(0.5, &["busy", "remove"])]),
     // Upstreams.
-    data("srv_crash", &[Service, Share(0.1, 0.25), Duration(2.0, 5.0)], &[(0.5, &["dark", "gone"]), SPREAD]),
+    // Without `all`: a service that is gone for good as a whole cannot be served again.
+    data("srv_crash", &[Service, Share(0.1, 0.25)], &[(1.0, &["gone"])]),
+    data("srv_crash", &[Service, Share(0.1, 0.25), Duration(2.0, 5.0)], &[(0.5, &["dark"]), SPREAD]),
     data("srv_slow", &[Share(0.1, 0.25), Strength(3.0, 6.0), Duration(3.0, 8.0)], &[SPREAD]),
     data(
         "srv_grey",
--- a/crates/sandtrack-days/tests/draw.rs
+++ b/crates/sandtrack-days/tests/draw.rs
@@ -138,6 +138,16 @@
     }
 }
 
+/// A service of which all upstreams are gone for good cannot recover, whatever the system does.
+#[test]
+fn no_service_is_gone_for_good_as_a_whole() {
+    for day in days() {
+        for entry in day.entries() {
+            assert!(!(entry.how.contains("gone") && entry.how.contains("all")), "{}: {entry}", day.name);
+        }
+    }
+}
+
 /// The bench lets losses of counted machines wait for each other; a day that holds more than fit into it would mostly
 /// not be played.
 #[test]
