A model checker over the real replicas, with a bounded run in the tests

Change: crate sandtrack-model (stateright; not a default member) drives `Replica` with the real control state or a register over a modelled network, disks, clocks and callers. Delay-bounded scheduling for depth, free scheduling for all orders of few events. Eleven properties, one function each. Counterexamples are files that replay. In sandtrack-replication only derives and fingerprint.rs.

Found and mended in the model itself, before it was believed: a view that is agreed upon in the step in which its proposer accepts it was counted one vote short; a machine whose neighbour was cut off counted as lost; a removal did not begin the calm that has to lie between losses anew.

Shown: on the register, whose evacuations have no identity as the control state's have none, the late repeat of a confirmed begin undoes a confirmed finish: 27 actions, counterexamples/late-order.trace. No other property fell.

--- /dev/null
+++ b/crates/sandtrack-model/src/main.rs
@@ -0,0 +1,158 @@
+//! `sandtrack-model check` searches, `sandtrack-model replay FILE` plays a trace, `sandtrack-model setups` lists the
+//! set-ups.
+#![forbid(unsafe_code)]
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::{construct, long, positional, OptionParser, Parser};
+use sandtrack_control::control_state::ControlState;
+use sandtrack_model::checker::{search, Bounds, Report, Search};
+use sandtrack_model::machine::{Machine, Register};
+use sandtrack_model::setup::Setup;
+use sandtrack_model::trace::{Kind, Trace};
+
+#[derive(Clone, Debug)]
+enum Command {
+    Check(Check),
+    Replay { file: PathBuf },
+    Setups,
+}
+
+#[derive(Clone, Debug)]
+struct Check {
+    setup: String,
+    property: Option<String>,
+    machine: Kind,
+    search: String,
+    seed: u64,
+    depth: usize,
+    states: usize,
+    seconds: u64,
+    threads: usize,
+    deviations: Option<u8>,
+    ticks: Option<u8>,
+    sends: Option<u8>,
+    out: Option<PathBuf>,
+}
+
+fn check() -> impl Parser<Command> {
+    let setup = long("setup").help("one of `setups`").argument("NAME").fallback("everything".to_owned());
+    let property = long("property").help("only this one").argument("NAME").optional();
+    let machine = long("machine")
+        .help("register (the fast one) or control (the real control state)")
+        .argument::<String>("KIND")
+        .parse(|name| Kind::named(&name).ok_or("register or control"))
+        .fallback(Kind::Register);
+    let search = long("search").help("bfs, dfs or walks").argument("HOW").fallback("bfs".to_owned());
+    let seed = long("seed").help("of the walks").argument("N").fallback(1);
+    let depth = long("depth").help("0: no bound").argument("N").fallback(0);
+    let states = long("states").help("0: no bound").argument("N").fallback(1_000_000);
+    let seconds = long("seconds").help("0: no bound").argument("N").fallback(60);
+    let threads = long("threads").argument("N").fallback(1);
+    let deviations = long("deviations").help("instead of the set-up's").argument("N").optional();
+    let ticks = long("ticks").help("instead of the set-up's").argument("N").optional();
+    let sends = long("sends").help("instead of the set-up's").argument("N").optional();
+    let out = long("out").help("folder for counterexamples").argument("FOLDER").optional();
+    construct!(Check {
+        setup,
+        property,
+        machine,
+        search,
+        seed,
+        depth,
+        states,
+        seconds,
+        threads,
+        deviations,
+        ticks,
+        sends,
+        out
+    })
+    .map(Command::Check)
+}
+
+fn options() -> OptionParser<Command> {
+    let check = check().to_options().command("check").help("search a set-up's states");
+    let file = positional("FILE");
+    let replay = construct!(Command::Replay { file }).to_options().command("replay").help("play a trace");
+    let setups = bpaf::pure(Command::Setups).to_options().command("setups").help("list the set-ups");
+    construct!([check, replay, setups]).to_options()
+}
+
+fn run_check(check: &Check) -> Result<bool, String> {
+    let mut setup = Setup::named(&check.setup).ok_or("no such set-up")?;
+    let budget = &mut setup.budget;
+    budget.deviations = check.deviations.unwrap_or(budget.deviations);
+    budget.ticks = check.ticks.unwrap_or(budget.ticks);
+    budget.sends = check.sends.unwrap_or(budget.sends);
+    let how = match check.search.as_str() {
+        "bfs" => Search::BreadthFirst,
+        "dfs" => Search::DepthFirst,
+        "walks" => Search::Walks { seed: check.seed },
+        _ => return Err("bfs, dfs or walks".to_owned()),
+    };
+    let bounds =
+        Bounds { depth: check.depth, states: check.states, seconds: check.seconds, threads: check.threads };
+    let report = match check.machine {
+        Kind::Register => search::<Register>(&setup, check.property.clone(), how, bounds),
+        Kind::Control => search::<ControlState>(&setup, check.property.clone(), how, bounds),
+    };
+    println!("{report}");
+    write_traces(check, &setup, &report)?;
+    Ok(report.fell.is_empty())
+}
+
+fn write_traces(check: &Check, setup: &Setup, report: &Report) -> Result<(), String> {
+    let Some(folder) = &check.out else {
+        return Ok(());
+    };
+    std::fs::create_dir_all(folder).map_err(|error| error.to_string())?;
+    for (name, actions) in &report.fell {
+        let trace = Trace { setup: setup.clone(), kind: check.machine, actions: actions.clone() };
+        let path = folder.join(format!("{name}.trace"));
+        std::fs::write(&path, trace.to_text()).map_err(|error| error.to_string())?;
+        println!("  {}", path.display());
+    }
+    Ok(())
+}
+
+fn play<M: Machine>(trace: &Trace) -> Result<bool, String> {
+    let told = trace.play::<M>(|action, world| {
+        let about = world.about(*action).unwrap_or_else(|| format!("{world:?}"));
+        println!("{:<14} {about}", action.to_string());
+    });
+    let outcome = told.map_err(|error| error.to_string())?;
+    println!("{} actions, broken: {:?}", outcome.steps, outcome.broken);
+    Ok(outcome.broken.is_empty())
+}
+
+fn run(command: &Command) -> Result<bool, String> {
+    match command {
+        Command::Check(check) => run_check(check),
+        Command::Replay { file } => {
+            let text = std::fs::read_to_string(file).map_err(|error| error.to_string())?;
+            let trace = Trace::parse(&text).map_err(|error| error.to_string())?;
+            match trace.kind {
+                Kind::Register => play::<Register>(&trace),
+                Kind::Control => play::<ControlState>(&trace),
+            }
+        }
+        Command::Setups => {
+            for setup in Setup::all() {
+                println!("{}: {:?}, {:?}", setup.name, setup.scheduling, setup.budget);
+            }
+            Ok(true)
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match run(&options().run()) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/sandtrack-model/src/node.rs
@@ -0,0 +1,165 @@
+//! One machine of the model: the process with its replica, its disk with the write under way, and its steady clock.
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use sandtrack_replication::{Effect, Input, Member, Replica, Settings, Timings};
+
+use crate::hashing::HashWriter;
+use crate::machine::Machine;
+
+/// Milliseconds between two ticks. The timings of the model are the real ones rounded to whole ticks.
+pub const TICK: f64 = 300.0;
+
+/// What the disk was asked for and has not confirmed.
+#[derive(Clone, PartialEq, Eq, Hash)]
+pub struct PendingWrite {
+    pub ticket: u64,
+    pub records: Vec<Vec<u8>>,
+    pub replaces: bool,
+}
+
+/// Whether the machine is part of the system.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Place {
+    /// It takes the place of one that is removed.
+    Spare,
+    Present,
+    /// It is gone with its disk.
+    Removed,
+}
+
+#[derive(Clone)]
+pub struct Node<M> {
+    pub index: usize,
+    pub place: Place,
+    pub replica: Option<Replica<M>>,
+    pub disk: Vec<Vec<u8>>,
+    pub write: Option<PendingWrite>,
+    /// Whose disk it is, as of the last start.
+    pub member: Option<Member>,
+    pub starts: u64,
+    pub frozen: bool,
+    /// Milliseconds of the steady clock.
+    pub clock: f64,
+    fingerprint: u64,
+}
+
+/// The address of a machine's link.
+pub fn address(index: usize) -> String {
+    format!("m{}", index + 1)
+}
+
+fn timings() -> Timings {
+    Timings {
+        tick: TICK,
+        pulse: TICK,
+        silence: 3.0 * TICK,
+        stall: 4.0 * TICK,
+        repeat: TICK,
+        stagger: TICK,
+        proposal: 3.0 * TICK,
+        replace: 8.0 * TICK,
+        call: 12.0 * TICK,
+        disk_again: 2.0 * TICK,
+    }
+}
+
+impl<M: Machine> Node<M> {
+    pub fn new(index: usize, place: Place) -> Self {
+        let mut node = Self {
+            index,
+            place,
+            replica: None,
+            disk: Vec::new(),
+            write: None,
+            member: None,
+            starts: 0,
+            frozen: false,
+            clock: 0.0,
+            fingerprint: 0,
+        };
+        node.refresh();
+        node
+    }
+
+    /// Whether its process takes steps.
+    pub fn is_awake(&self) -> bool {
+        self.replica.is_some() && !self.frozen
+    }
+
+    /// The process starts with what the disk holds. `seeds`: the first three of the operators' list as it stands.
+    pub fn start(&mut self, seeds: &[String], first_start: bool) -> Vec<Effect> {
+        self.starts += 1;
+        let seeds: Vec<&str> = seeds.iter().map(String::as_str).collect();
+        let mut settings = Settings::new(&address(self.index), &seeds);
+        settings.first_start = first_start;
+        settings.zone = format!("zone-{}", self.index);
+        settings.seed = self.index as u64 * 1000 + self.starts;
+        settings.incarnation_if_new = self.index as u64 * 1000 + 100 + self.starts;
+        settings.timings = timings();
+        let (replica, effects) = Replica::new(settings, self.disk.clone(), M::default(), self.clock);
+        self.member = Some(replica.member().clone());
+        self.replica = Some(replica);
+        effects
+    }
+
+    /// The process takes an input; nothing where it does not run.
+    pub fn handle(&mut self, input: Input) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if let Some(replica) = &mut self.replica {
+            replica.handle(self.clock, input, &mut effects);
+        }
+        effects
+    }
+
+    /// The write under way ends: all of it is on the disk.
+    pub fn store(&mut self) {
+        if let Some(write) = self.write.take() {
+            if write.replaces {
+                self.disk.clear();
+            }
+            self.disk.extend(write.records);
+        }
+    }
+
+    /// The process ends. The write under way was done (`kept`), or is missing or torn: the WAL cuts a torn frame off when
+    /// it is opened, so both are the same here.
+    pub fn crash(&mut self, kept: bool) {
+        if kept {
+            self.store();
+        }
+        self.write = None;
+        self.replica = None;
+        self.frozen = false;
+    }
+
+    /// The disk is lost; the identity that was on it is returned.
+    pub fn wipe(&mut self) -> Option<Member> {
+        self.crash(false);
+        self.disk.clear();
+        self.member.take()
+    }
+
+    /// Takes the state anew into the fingerprint. While the process runs, its image stands for the disk.
+    pub fn refresh(&mut self) {
+        let mut hasher = DefaultHasher::new();
+        (self.place, self.starts, self.frozen, self.clock.to_bits()).hash(&mut hasher);
+        match &self.replica {
+            Some(replica) => {
+                let mut writer = HashWriter::default();
+                // A hasher refuses nothing.
+                let _ = replica.write_state(&mut writer);
+                writer.finish().hash(&mut hasher);
+                self.write.as_ref().map(|write| write.ticket).hash(&mut hasher);
+            }
+            None => (&self.disk, &self.member).hash(&mut hasher),
+        }
+        self.fingerprint = hasher.finish();
+    }
+}
+
+impl<M> Node<M> {
+    /// As of the last change.
+    pub fn fingerprint_into(&self, state: &mut impl Hasher) {
+        self.fingerprint.hash(state);
+    }
+}
--- a/crates/sandtrack-replication/src/agreement.rs
+++ b/crates/sandtrack-replication/src/agreement.rs
@@ -3,6 +3,8 @@
 //! of one epoch can't both be agreed upon.
 use std::collections::{BTreeMap, BTreeSet};
 
+use borsh::BorshSerialize;
+
 use crate::message::{Ballot, Body};
 use crate::reconfiguration::{desired, Known, Limits, Reason};
 use crate::{Address, Effect, Member, Replica, StateMachine, View};
@@ -10,7 +12,7 @@
 /// A joiner waits for this long, in milliseconds, so that several come in one view.
 const JOIN_WAIT: f64 = 200.0;
 
-#[derive(Default)]
+#[derive(Clone, Default, BorshSerialize)]
 pub(crate) struct Proposing {
     /// The change that is wanted, and since when.
     wanted: Option<(View, f64)>,
@@ -21,6 +23,7 @@
     jitter: Option<f64>,
 }
 
+#[derive(Clone, BorshSerialize)]
 struct Proposal {
     ballot: Ballot,
     started: f64,
--- a/crates/sandtrack-replication/src/alignment.rs
+++ b/crates/sandtrack-replication/src/alignment.rs
@@ -1,6 +1,8 @@
 //! At the start of a view each member is brought in line with its predecessor: the head's log is the
 //! authority, and what others hold beyond it was never committed. Nothing commits before all are in line,
 //! since the tail passes nothing back up before.
+use borsh::BorshSerialize;
+
 use crate::image::Record;
 use crate::message::{Body, Entry, Position, Snapshot};
 use crate::{Effect, Member, Replica, StateMachine};
@@ -8,7 +10,7 @@
 /// Milliseconds between two requests to be brought in line.
 const ASK_AGAIN: f64 = 100.0;
 
-#[derive(Debug)]
+#[derive(Clone, Debug, BorshSerialize)]
 pub(crate) struct Aligning {
     asked: f64,
     /// What the predecessor sent, until it is written.
--- a/crates/sandtrack-replication/src/applied.rs
+++ b/crates/sandtrack-replication/src/applied.rs
@@ -10,6 +10,7 @@
 /// Calls whose outcomes are kept.
 const OUTCOMES: usize = 256;
 
+#[derive(Clone)]
 pub(crate) struct Applied<M> {
     pub(crate) machine: M,
     /// The last entry applied.
--- a/crates/sandtrack-replication/src/calls.rs
+++ b/crates/sandtrack-replication/src/calls.rs
@@ -2,6 +2,8 @@
 //! that a command that is already in the log, or committed, is not run again.
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use borsh::BorshSerialize;
+
 use crate::image::Record;
 use crate::message::{Body, CallId, Entry, Position};
 use crate::{Address, Effect, Member, Refusal, Replica, StateMachine};
@@ -14,14 +16,14 @@
 const BATCH: usize = 64;
 const BATCH_BYTES: usize = 1 << 20;
 
-#[derive(Debug)]
+#[derive(Clone, Debug, BorshSerialize)]
 enum Kind {
     Submit(Vec<u8>),
     Read(Vec<u8>),
 }
 
 /// A call of this process, not answered yet.
-#[derive(Debug)]
+#[derive(Clone, Debug, BorshSerialize)]
 struct Pending {
     call: u64,
     kind: Kind,
@@ -35,14 +37,14 @@
 }
 
 /// A command at the head, not in a write yet.
-#[derive(Debug)]
+#[derive(Clone, Debug, BorshSerialize)]
 struct Queued {
     call: CallId,
     command: Vec<u8>,
     since: f64,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, BorshSerialize)]
 pub(crate) struct Calls {
     next: u64,
     pending: BTreeMap<u64, Pending>,
--- a/crates/sandtrack-replication/src/chain.rs
+++ b/crates/sandtrack-replication/src/chain.rs
@@ -1,13 +1,15 @@
 //! The chain: entries go down from the head, each member passing on only what is on its own disk, so that
 //! each log is a prefix of its predecessor's. What the tail has synced is on all disks: committed. That goes
 //! back up, and the head answers last.
+use borsh::BorshSerialize;
+
 use crate::image::Record;
 use crate::message::{Body, Entry, Status};
 use crate::{Effect, Member, Replica, StateMachine};
 
 /// What a member knows of the chain in the epoch of the view on its disk. Lost at a restart, and found again
 /// by the statuses of the neighbours.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, BorshSerialize)]
 pub(crate) struct ChainState {
     /// Committed, as confirmed in this epoch and since the start of this process.
     pub(crate) confirmed: u64,
--- a/crates/sandtrack-replication/src/disk.rs
+++ b/crates/sandtrack-replication/src/disk.rs
@@ -1,5 +1,7 @@
 //! The disk: one write at a time, gathered from all that wants to be on it. What is wanted is judged on the
 //! image, that is on what is durable; when a write is refused, nothing has to be taken back.
+use borsh::BorshSerialize;
+
 use crate::image::Record;
 use crate::message::{Ballot, Body, CallId, DiskHealth, Entry, Position, Snapshot};
 use crate::{Address, Effect, Replica, StateMachine, View};
@@ -11,13 +13,14 @@
 const LAZY: f64 = 500.0;
 
 /// What is told to others once a write is durable.
-#[derive(Debug)]
+#[derive(Clone, Debug, BorshSerialize)]
 enum After {
     Promised { to: Address, ballot: Ballot },
     Accepted { to: Address, ballot: Ballot },
     Entered,
 }
 
+#[derive(Clone, BorshSerialize)]
 struct InFlight {
     ticket: u64,
     records: Vec<Record>,
@@ -29,6 +32,7 @@
     rewrite: bool,
 }
 
+#[derive(Clone, BorshSerialize)]
 pub(crate) struct DiskState {
     present: bool,
     in_flight: Option<InFlight>,
--- /dev/null
+++ b/crates/sandtrack-replication/src/fingerprint.rs
@@ -0,0 +1,56 @@
+//! What a model checker needs of a replica beyond its inputs and effects: its whole state as bytes, and the few facts of
+//! its disk that properties are stated on. Nothing here takes part in a decision.
+use std::io::{Result, Write};
+
+use borsh::BorshSerialize;
+
+use crate::applied::Applied;
+use crate::message::Body;
+use crate::{Message, Replica, StateMachine, View};
+
+/// What of a replica is durable, as far as properties speak of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DurableFacts {
+    /// Epoch of the view on the disk.
+    pub epoch: u64,
+    /// The last epoch in which the log was brought in line.
+    pub aligned: u64,
+    /// Number of the last entry in the log.
+    pub end: u64,
+    /// The view that was accepted to follow the one on the disk.
+    pub accepted: Option<View>,
+}
+
+impl<M: StateMachine> Replica<M> {
+    /// Writes all that the replica's further course depends on, except its settings. Equal bytes mean equal
+    /// behaviour under equal inputs. Times are absolute milliseconds of the steady clock.
+    ///
+    /// # Errors
+    /// Those of the writer; a hasher has none.
+    pub fn write_state(&self, writer: &mut impl Write) -> Result<()> {
+        self.serialize(writer)
+    }
+
+    pub fn durable_facts(&self) -> DurableFacts {
+        DurableFacts {
+            epoch: self.image.view.epoch,
+            aligned: self.image.aligned,
+            end: self.image.end().number,
+            accepted: self.image.accepted.as_ref().map(|(_, view)| view.clone()),
+        }
+    }
+}
+
+impl Message {
+    /// Whether it is a heartbeat: each replaces the one before it.
+    pub fn is_status(&self) -> bool {
+        matches!(*self.body, Body::Status(_))
+    }
+}
+
+/// The state machine by its snapshot, beside the outcomes that are kept.
+impl<M: StateMachine> BorshSerialize for Applied<M> {
+    fn serialize<W: Write>(&self, writer: &mut W) -> Result<()> {
+        self.snapshot().serialize(writer)
+    }
+}
--- a/crates/sandtrack-replication/src/image.rs
+++ b/crates/sandtrack-replication/src/image.rs
@@ -41,7 +41,7 @@
     Snapshot(Snapshot),
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, BorshSerialize)]
 pub(crate) struct Image {
     pub(crate) member: Option<Member>,
     pub(crate) view: View,
--- a/crates/sandtrack-replication/src/lib.rs
+++ b/crates/sandtrack-replication/src/lib.rs
@@ -15,6 +15,7 @@
 mod chain;
 mod disk;
 mod display;
+mod fingerprint;
 mod image;
 mod learning;
 mod message;
@@ -26,6 +27,7 @@
 mod view;
 
 pub use api::{Effect, Input, Refusal, Settings, StateMachine, Timings};
+pub use fingerprint::DurableFacts;
 pub use message::Message;
 pub use replica::Replica;
 pub use view::{Address, Member, View};
--- a/crates/sandtrack-replication/src/peers.rs
+++ b/crates/sandtrack-replication/src/peers.rs
@@ -1,13 +1,15 @@
 //! Who was heard, when, and what they told of themselves.
 use std::collections::BTreeMap;
 
+use borsh::BorshSerialize;
+
 use crate::message::Status;
 use crate::Address;
 
 /// Spans in milliseconds; a peer is forgotten after this silence, unless it is in the view.
 const FORGET: f64 = 10_000.0;
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, BorshSerialize)]
 pub(crate) struct Peer {
     /// The last message of it.
     pub(crate) heard: f64,
@@ -25,7 +27,7 @@
     pub(crate) taught: (u64, f64),
 }
 
-#[derive(Default)]
+#[derive(Clone, Default, BorshSerialize)]
 pub(crate) struct Peers {
     pub(crate) all: BTreeMap<Address, Peer>,
 }
--- a/crates/sandtrack-replication/src/random.rs
+++ b/crates/sandtrack-replication/src/random.rs
@@ -1,5 +1,7 @@
 //! Numbers from a seed (SplitMix64): jitter, and the names of calls.
+use borsh::BorshSerialize;
 
+#[derive(Clone, BorshSerialize)]
 pub(crate) struct Random(u64);
 
 impl Random {
--- a/crates/sandtrack-replication/src/replica.rs
+++ b/crates/sandtrack-replication/src/replica.rs
@@ -1,6 +1,8 @@
 //! The replica: its parts, its start, and who is handed what happened.
 use std::collections::VecDeque;
 
+use borsh::BorshSerialize;
+
 use crate::agreement::Proposing;
 use crate::alignment::Aligning;
 use crate::applied::Applied;
@@ -14,7 +16,10 @@
 use crate::{Address, Effect, Input, Member, Settings, StateMachine, View};
 
 /// One control node's part in the control state.
+#[derive(Clone, BorshSerialize)]
 pub struct Replica<M> {
+    /// Constant for one start of the process, so not part of its fingerprint.
+    #[borsh(skip)]
     pub(crate) settings: Settings,
     pub(crate) me: Member,
     /// Another number at each start of the process.
@@ -28,6 +33,7 @@
     pub(crate) latest: View,
     pub(crate) image: Image,
     pub(crate) disk: DiskState,
+    #[borsh(bound(serialize = "M: StateMachine"))]
     pub(crate) applied: Applied<M>,
     pub(crate) peers: Peers,
     pub(crate) proposing: Proposing,
--- a/crates/sandtrack-replication/src/view.rs
+++ b/crates/sandtrack-replication/src/view.rs
@@ -15,7 +15,7 @@
 }
 
 /// An agreed view. There is at most one for each epoch.
-#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, BorshSerialize, BorshDeserialize)]
 pub struct View {
     pub epoch: u64,
     /// From the head to the tail.
