--- a/crates/sandtrack-replication/src/alignment.rs
+++ b/crates/sandtrack-replication/src/alignment.rs
@@ -5,6 +5,8 @@
 //! A member that lacks more than the log of its predecessor holds first fetches the committed state (`transfer`); its
 //! log then begins with that state. The entries come in lots of bounded size, each on the disk before the next is
 //! asked for; only with the last one is the member in line.
+use borsh::BorshSerialize;
+
 use crate::image::Record;
 use crate::message::{Body, Entry, Position};
 use crate::{Effect, Member, Replica, StateMachine};
@@ -19,7 +21,7 @@
 const STAYS_OUT: f64 = 10_000.0;
 
 /// Entries from the predecessor.
-#[derive(Debug)]
+#[derive(Clone, Debug, BorshSerialize)]
 pub(crate) struct Lot {
     pub(crate) after: Position,
     /// They follow this member's committed state, not its log.
@@ -29,7 +31,7 @@
     pub(crate) more: bool,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug, BorshSerialize)]
 pub(crate) struct Aligning {
     asked: f64,
     /// When it last came nearer to being in line, or could not for want of its predecessor.
--- a/crates/sandtrack-replication/src/chain.rs
+++ b/crates/sandtrack-replication/src/chain.rs
@@ -3,6 +3,8 @@
 //! back up, and the head answers last.
 use std::collections::BTreeMap;
 
+use borsh::BorshSerialize;
+
 use crate::alignment::LOT;
 use crate::image::Record;
 use crate::message::{Body, Entry, Status};
@@ -15,7 +17,7 @@
 
 /// What a member knows of the chain in the epoch of the view on its disk. Lost at a restart, and found again
 /// by the statuses of the neighbours.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, BorshSerialize)]
 pub(crate) struct ChainState {
     /// Committed, as confirmed in this epoch and since the start of this process.
     pub(crate) confirmed: u64,
--- a/crates/sandtrack-replication/src/transfer.rs
+++ b/crates/sandtrack-replication/src/transfer.rs
@@ -5,6 +5,8 @@
 //! and drops it when none of them fetches it any more.
 use std::collections::BTreeMap;
 
+use borsh::BorshSerialize;
+
 use crate::message::{Body, Position, Snapshot, SnapshotId};
 use crate::{Address, Effect, Member, Replica, StateMachine};
 
@@ -22,7 +24,7 @@
 const FORGOTTEN: f64 = 10_000.0;
 
 /// A snapshot that is being sent.
-#[derive(Debug)]
+#[derive(Clone, Debug, BorshSerialize)]
 struct Outgoing {
     id: SnapshotId,
     state: Vec<u8>,
@@ -31,7 +33,7 @@
 }
 
 /// A snapshot that is being fetched.
-#[derive(Debug)]
+#[derive(Clone, Debug, BorshSerialize)]
 struct Incoming {
     id: SnapshotId,
     from: Address,
@@ -87,7 +89,7 @@
 }
 
 /// What is being sent and fetched.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, BorshSerialize)]
 pub(crate) struct Transfers {
     outgoing: Option<Outgoing>,
     incoming: Option<Incoming>,
