--- a/crates/sandtrack-cli/src/settings.rs
+++ b/crates/sandtrack-cli/src/settings.rs
@@ -107,7 +107,9 @@
         "listen_addresses",
         Kind::TextsByName,
         Without::Taken("{}"),
-        "`front` and `readiness` (proxy), `control` and `directory` (control node needs both: E102)",
+        "`front` and `readiness` (proxy), `control` and `directory` (control node needs both: E102); `peers` and \
+         `sessions`: where a control node listens for the system's own traffic when a relay stands at the address that it \
+         tells others",
     ),
     field(
         "internal_port_range",
--- a/crates/sandtrack-control/src/program.rs
+++ b/crates/sandtrack-control/src/program.rs
@@ -153,6 +153,13 @@
     Ok(listener)
 }
 
+/// Where it listens for the system's own traffic: at the address that others are told, unless something that passes the
+/// traffic on stands there and `listen_addresses` names another one.
+fn internal_listener(settings: &Settings, name: &str, offset: u16) -> String {
+    let told = || settings.internal_address(&settings.ip_address, offset);
+    settings.listen.get(name).cloned().unwrap_or_else(told)
+}
+
 /// What tasks and the loop share.
 struct Runtime<'a> {
     executor: Rc<LocalExecutor<'a>>,
@@ -187,8 +194,8 @@
     };
     let control = bind(&settings.listen["control"])?;
     let directory = bind(&settings.listen["directory"])?;
-    let peers = bind(&settings.internal_address(&settings.ip_address, PEER_PORT))?;
-    let sessions = bind(&settings.internal_address(&settings.ip_address, SESSION_PORT))?;
+    let peers = bind(&internal_listener(&settings, "peers", PEER_PORT))?;
+    let sessions = bind(&internal_listener(&settings, "sessions", SESSION_PORT))?;
     let clock = Clock::start();
     let incarnation = RandomState::new().build_hasher().finish();
     let disk = match wal {
--- a/crates/sandtrack-rig/src/http.rs
+++ b/crates/sandtrack-rig/src/http.rs
@@ -49,6 +49,19 @@
         }
     }
 
+    /// Bytes have come that were not read as part of a message.
+    pub fn has_surplus(&self) -> bool {
+        !self.input.is_empty() || self.stream.get_ref().peek(&mut [0]).is_ok_and(|count| count > 0)
+    }
+
+    /// The other end has closed.
+    pub fn is_over(&self) -> bool {
+        match self.stream.get_ref().peek(&mut [0]) {
+            Ok(count) => count == 0,
+            Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
+        }
+    }
+
     pub async fn write(&self, bytes: &[u8]) -> bool {
         let mut output = Ring::new(WRITE_RING.max(bytes.len()));
         output.push(bytes) && write_all(&self.stream, &mut output).await.is_ok()
--- a/crates/sandtrack-rig/src/main.rs
+++ b/crates/sandtrack-rig/src/main.rs
@@ -4,10 +4,13 @@
 use sandtrack_rig::report::Report;
 use sandtrack_rig::run::{play, Options};
 use sandtrack_rig::scenario::{self, Scenario};
+use sandtrack_rig::system::scenarios::{play as play_system, Options as SystemOptions, Scenario as System};
+use sandtrack_rig::system::settings::Role;
 use std::collections::BTreeMap;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Command as Process, ExitCode};
+use std::time::Duration;
 
 #[derive(Parser)]
 #[command(
@@ -51,6 +54,21 @@
         #[arg(long)]
         quiet: bool,
     },
+    /// Plays a scenario of the whole system: real control nodes and proxies, with a relay on every link.
+    System {
+        scenario: System,
+        /// A folder with other builds of the programs than those that the rig was built with.
+        #[arg(long)]
+        programs: Option<PathBuf>,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How long a cut lasts, in s.
+        #[arg(long, default_value_t = 20.0)]
+        cut_s: f64,
+        /// Keeps settings, logs and disks in this folder.
+        #[arg(long)]
+        keep: Option<PathBuf>,
+    },
     /// One process of the program: this is what the rig starts. It ends with the rig, whatever ends that.
     #[command(hide = true)]
     Program {
@@ -63,8 +81,17 @@
 const DEMO: &str = include_str!("../scenarios/demo.toml");
 
 fn main() -> ExitCode {
+    if let Some(role) = called_as() {
+        return system_process(role);
+    }
     match Cli::parse().command {
         Command::Program { build } => program(build.as_deref()),
+        Command::System { scenario, programs, seed, cut_s, keep } => {
+            let Ok(rig) = std::env::current_exe() else { return input("the rig's own path is not known") };
+            let cut = Duration::from_secs_f64(cut_s.clamp(5.0, 600.0));
+            let options = SystemOptions { seed, keep, cut, ..SystemOptions::new(rig, programs) };
+            system(scenario, &options)
+        }
         Command::Demo { html } => match scenario::read(DEMO) {
             Ok(scenario) => finish(run(&scenario, 1, None, None, true), None, html.as_deref(), true),
             Err(fault) => input(&fault.to_string()),
@@ -89,12 +116,43 @@
     ExitCode::from(2)
 }
 
-/// The program itself, in this process. Where the rig is killed outright, the kernel ends it too.
+/// The program of the whole system under whose name the rig was started: it is all of them, so that no second build is needed.
+fn called_as() -> Option<Role> {
+    let name = PathBuf::from(std::env::args_os().next()?);
+    let name = name.file_name()?.to_str()?.to_owned();
+    [Role::Control, Role::Proxy].into_iter().find(|role| role.program() == name)
+}
+
+fn system_process(role: Role) -> ExitCode {
+    if let Err(fault) = end_with_parent() {
+        return input(&fault);
+    }
+    match role {
+        Role::Control => sandtrack_control::program::main(),
+        Role::Proxy => sandtrack_proxy::program::main(),
+    }
+}
+
+fn system(scenario: System, options: &SystemOptions) -> ExitCode {
+    match play_system(scenario, options) {
+        Ok(report) => {
+            print!("{}", report.text());
+            ExitCode::from(u8::from(!report.is_kept()))
+        }
+        Err(error) => input(&error.to_string()),
+    }
+}
+
+/// Where the rig is killed outright, the kernel ends this process too.
+fn end_with_parent() -> Result<(), String> {
+    let set = rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL));
+    set.map_err(|error| format!("the end of the rig would not end this process: {error}"))
+}
+
+/// The program itself, in this process.
 fn program(build: Option<&Path>) -> ExitCode {
-    if let Err(error) = rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL))
-    {
-        eprintln!("the end of the rig would not end this process: {error}");
-        return ExitCode::from(2);
+    if let Err(fault) = end_with_parent() {
+        return input(&fault);
     }
     match build {
         None => sandtrack_sidecar::program::serve_only(),
--- a/crates/sandtrack-rig/src/plan.rs
+++ b/crates/sandtrack-rig/src/plan.rs
@@ -61,6 +61,26 @@
         self.at(16 + zone as u8, upstream, 9000)
     }
 
+    /// Where a machine of the whole system is reached by others: relays listen there, and what is not relayed.
+    pub fn announced(&self, machine: usize, port: u16) -> SocketAddrV4 {
+        self.at(8, machine, port)
+    }
+
+    /// Where a machine's processes listen behind the relays.
+    pub fn behind(&self, machine: usize, port: u16) -> SocketAddrV4 {
+        self.at(9, machine, port)
+    }
+
+    /// The stand-in for the platform's list of the whole system.
+    pub fn platform(&self) -> SocketAddrV4 {
+        self.at(10, 0, 8169)
+    }
+
+    /// An upstream of the whole system.
+    pub fn system_upstream(&self, upstream: usize) -> SocketAddrV4 {
+        self.at(11, upstream, 9000)
+    }
+
     /// A socket of the rig's own, for what nobody else sends.
     pub fn stranger(&self) -> SocketAddrV4 {
         self.at(6, 0, 7946)
--- /dev/null
+++ b/crates/sandtrack-rig/src/system/process.rs
@@ -0,0 +1,177 @@
+//! One real process of the system: settings file, start, signals, end, disk. It owns the child, and never leaves one behind.
+use super::settings::{node_name, Role};
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+use std::io;
+use std::os::unix::process::CommandExt;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+/// Which builds of the programs are started.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// The rig itself, which is all of them under their names.
+    pub rig: PathBuf,
+    /// A folder with other builds.
+    pub builds: Option<PathBuf>,
+}
+
+impl Programs {
+    /// The command that starts a program; the kernel ends it with the rig.
+    fn command(&self, role: Role) -> Command {
+        let mut command = Command::new(&self.rig);
+        match &self.builds {
+            None => {
+                command.arg0(role.program());
+            }
+            Some(builds) => {
+                command.args(["program", "--build"]).arg(builds.join(role.program()));
+            }
+        }
+        command
+    }
+}
+
+/// A way for a process to be gone that nobody ordered.
+#[derive(Debug, thiserror::Error)]
+#[error("{name} ended by itself: {status}")]
+pub struct EndedByItself {
+    name: String,
+    status: ExitStatus,
+}
+
+pub struct Process {
+    pub role: Role,
+    pub machine: usize,
+    name: String,
+    folder: PathBuf,
+    settings: Value,
+    programs: Programs,
+    child: Option<Child>,
+    /// It was told to end.
+    leaving: bool,
+}
+
+impl Process {
+    pub fn new(role: Role, machine: usize, settings: Value, folder: &Path, programs: &Programs) -> Process {
+        Process {
+            role,
+            machine,
+            name: node_name(role, machine),
+            folder: folder.to_owned(),
+            settings,
+            programs: programs.clone(),
+            child: None,
+            leaving: false,
+        }
+    }
+
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// The folder of a process's disk.
+    pub fn data(folder: &Path, role: Role, machine: usize) -> PathBuf {
+        folder.join(format!("{}.data", node_name(role, machine)))
+    }
+
+    fn file(&self, end: &str) -> PathBuf {
+        self.folder.join(format!("{}.{end}", self.name))
+    }
+
+    /// Changes the settings file; a running process looks at it again at SIGHUP, or after a while.
+    ///
+    /// # Errors
+    /// Where the file can't be written.
+    pub fn reconfigure(&mut self, change: impl FnOnce(&mut Value)) -> io::Result<()> {
+        change(&mut self.settings);
+        // Whole or not at all, as the process may read it at any moment.
+        let new = self.file("settings.new");
+        std::fs::write(&new, self.settings.to_string())?;
+        std::fs::rename(new, self.file("settings.json"))
+    }
+
+    /// # Errors
+    /// Where files or the process can't be made.
+    pub fn start(&mut self) -> io::Result<()> {
+        if self.child.is_some() {
+            return Ok(());
+        }
+        std::fs::create_dir_all(Process::data(&self.folder, self.role, self.machine))?;
+        self.reconfigure(|_| {})?;
+        let log = std::fs::File::options().create(true).append(true).open(self.file("log"))?;
+        let mut command = self.programs.command(self.role);
+        command.env("SANDTRACK_BOOT", self.file("settings.json"));
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        self.child = Some(command.spawn()?);
+        self.leaving = false;
+        // Only the very first start of the whole system is one.
+        self.settings["first_start"] = json!(false);
+        Ok(())
+    }
+
+    fn signal(&self, signal: Signal) {
+        let id = self.child.as_ref().map(Pid::from_child);
+        // It fails only where the process has ended, which is found out when it is reaped.
+        let _ = id.map(|id| kill_process(id, signal));
+    }
+
+    /// SIGKILL; it is gone when this returns. Its disk stays.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Its disk is empty from now on; it must not run.
+    ///
+    /// # Errors
+    /// Where the disk's folder can't be removed.
+    pub fn wipe(&self) -> io::Result<()> {
+        let data = Process::data(&self.folder, self.role, self.machine);
+        std::fs::remove_dir_all(&data)?;
+        std::fs::create_dir_all(data)
+    }
+
+    /// SIGSTOP: it stands still with all its sockets open.
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// SIGCONT.
+    pub fn thaw(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// SIGTERM.
+    pub fn terminate(&mut self) {
+        self.leaving = true;
+        self.signal(Signal::TERM);
+    }
+
+    /// SIGHUP.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
+    /// Whether it runs; finds out if it has ended.
+    ///
+    /// # Errors
+    /// Where it ended without having been told to, or not in order.
+    pub fn is_running(&mut self) -> Result<bool, EndedByItself> {
+        let status = self.child.as_mut().and_then(|child| child.try_wait().ok().flatten());
+        let Some(status) = status else { return Ok(self.child.is_some()) };
+        self.child = None;
+        match self.leaving && status.success() {
+            true => Ok(false),
+            false => Err(EndedByItself { name: self.name.clone(), status }),
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/sandtrack-rig/tests/system.rs
@@ -0,0 +1,41 @@
+//! The users' points with real control nodes and proxies. Verdicts are by what operators, clients and
+//! upstreams saw; a slow machine takes longer and comes to the same.
+use sandtrack_rig::system::scenarios::{play, Options, Scenario};
+use std::path::PathBuf;
+use std::sync::Mutex;
+
+/// One after the other: the processes share the machine with all other tests.
+static TURN: Mutex<()> = Mutex::new(());
+
+/// As a program's first thread has it: without optimisation a whole scenario takes more than a test's thread.
+const STACK: usize = 8 << 20;
+
+fn held(scenario: Scenario) {
+    let _turn = TURN.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let options = Options::new(PathBuf::from(env!("CARGO_BIN_EXE_sandtrack-rig")), None);
+    let played = std::thread::Builder::new().stack_size(STACK).spawn(move || play(scenario, &options));
+    let played = played.expect("a thread").join().expect("a report");
+    let report = played.unwrap_or_else(|error| panic!("{scenario:?}: {error}"));
+    eprint!("{}", report.text());
+    assert!(report.is_kept(), "{}", report.text());
+}
+
+#[test]
+fn of_two_operators_under_one_number_one_is_confirmed() {
+    held(Scenario::TwoOperators);
+}
+
+#[test]
+fn losses_right_after_repairs_lose_nothing() {
+    held(Scenario::SecondLoss);
+}
+
+#[test]
+fn a_member_that_was_away_for_hundreds_of_changes_leads_with_the_newest() {
+    held(Scenario::LateLeader);
+}
+
+#[test]
+fn clients_get_their_own_bytes_and_nothing_runs_twice() {
+    held(Scenario::Exchanges);
+}
