--- a/crates/sandtrack-replication/src/chain.rs
+++ b/crates/sandtrack-replication/src/chain.rs
@@ -1,10 +1,18 @@
 //! The chain: entries go down from the head, each member passing on only what is on its own disk, so that
 //! each log is a prefix of its predecessor's. What the tail has synced is on all disks: committed. That goes
 //! back up, and the head answers last.
+use std::collections::BTreeMap;
+
+use crate::alignment::LOT;
 use crate::image::Record;
 use crate::message::{Body, Entry, Status};
 use crate::{Effect, Member, Replica, StateMachine};
 
+/// Bytes that may be passed and not yet acknowledged when more is passed.
+const WINDOW: usize = 4 * LOT;
+/// Bytes for each millisecond of the slowest link: what was passed is on its way for that long before it counts as lost.
+const SLOWEST_LINK: f64 = 600.0;
+
 /// What a member knows of the chain in the epoch of the view on its disk. Lost at a restart, and found again
 /// by the statuses of the neighbours.
 #[derive(Debug, Default)]
@@ -15,11 +23,14 @@
     pub(crate) floor: u64,
     /// The end of the successor's log, once it is known to be in line.
     successor: Option<u64>,
-    /// Up to where the successor was sent entries, and when.
+    /// Up to where the successor was sent entries.
     sent: u64,
-    sent_at: f64,
-    /// Entries from the predecessor that are not on the disk yet.
-    passed: Vec<Entry>,
+    /// Since when the successor has not acknowledged any more of them. Entries that are sent meanwhile don't count:
+    /// while they keep coming, a gap before them would never be filled.
+    unacknowledged_since: f64,
+    /// Entries from the predecessor that are not on the disk yet, by their numbers. Those behind a gap wait for it to be
+    /// filled: in one epoch the predecessor's log only grows.
+    passed: BTreeMap<u64, Entry>,
     /// What was last told to the predecessor.
     acked: Option<(u64, u64)>,
 }
@@ -35,26 +46,23 @@
         if !self.in_line() || self.image.view.predecessor(&self.me) != Some(sender) {
             return;
         }
-        for entry in entries {
-            let next = self.chain.passed.last().map_or(self.image.end(), |entry| entry.at).number + 1;
-            if entry.at.number == next {
-                self.chain.passed.push(entry);
-            }
-        }
+        let end = self.image.end().number;
+        let new = entries.into_iter().filter(|entry| entry.at.number > end);
+        self.chain.passed.extend(new.map(|entry| (entry.at.number, entry)));
     }
 
     pub(crate) fn gather_passed(&mut self, records: &mut Vec<Record>) {
         let end = self.image.end().number;
-        let passed = std::mem::take(&mut self.chain.passed);
+        self.chain.passed.retain(|number, _| *number > end);
         if !self.in_line() {
+            self.chain.passed.clear();
             return;
         }
         let committed = self.committed_in_log();
-        let next = passed.into_iter().filter(|entry| entry.at.number > end);
-        for (number, entry) in (end + 1..).zip(next) {
-            if entry.at.number == number {
-                records.push(Record::Entry { entry, committed });
-            }
+        let mut next = end + 1;
+        while let Some(entry) = self.chain.passed.remove(&next) {
+            records.push(Record::Entry { entry, committed });
+            next += 1;
         }
     }
 
@@ -68,6 +76,9 @@
         if self.chain.successor.is_none() {
             self.chain.sent = synced;
         }
+        if synced > known {
+            self.chain.unacknowledged_since = self.now;
+        }
         self.chain.successor = Some(known.max(synced));
         self.confirm(committed, effects);
         self.chain_moved(effects);
@@ -94,20 +105,35 @@
             self.ack(effects);
             return;
         };
-        if self.chain.successor.is_some() && self.chain.sent < end {
-            self.pass_on(&successor, self.chain.sent, effects);
+        if self.chain.successor.is_some_and(|acknowledged| acknowledged >= self.chain.sent) {
+            self.chain.unacknowledged_since = self.now;
+        }
+        while self.chain.sent < end && self.unacknowledged().is_some_and(|bytes| bytes < WINDOW) {
+            if !self.pass_on(&successor, effects) {
+                return;
+            }
         }
     }
 
-    fn pass_on(&mut self, successor: &Member, after: u64, effects: &mut Vec<Effect>) {
+    /// Bytes that were passed and not acknowledged; None before the successor is known to be in line.
+    fn unacknowledged(&self) -> Option<usize> {
+        Some(self.image.bytes_between(self.chain.successor?, self.chain.sent))
+    }
+
+    /// Passes the next lot; false when the log has none.
+    fn pass_on(&mut self, successor: &Member, effects: &mut Vec<Effect>) -> bool {
+        let after = self.chain.sent;
         if after < self.image.base.number {
             // The successor holds less than the log does: it has to be brought in line again.
-            return;
+            return false;
         }
-        self.chain.sent = self.image.end().number;
-        self.chain.sent_at = self.now;
-        let entries = self.image.after(after);
+        let entries = self.image.lot(after, self.image.end().number, LOT);
+        let Some(last) = entries.last().map(|entry| entry.at.number) else {
+            return false;
+        };
+        self.chain.sent = last;
         self.send(&successor.address, Body::Pass { entries }, effects);
+        true
     }
 
     /// Takes note that all up to `number` is committed.
@@ -154,14 +180,18 @@
 
     /// Passes again what the successor doesn't seem to have got.
     pub(crate) fn chain_tick(&mut self, effects: &mut Vec<Effect>) {
-        if !self.in_line() || self.now - self.chain.sent_at < self.settings.timings.repeat {
+        let (Some(synced), Some(bytes)) = (self.chain.successor, self.unacknowledged()) else {
+            return;
+        };
+        let on_its_way = self.settings.timings.repeat + bytes as f64 / SLOWEST_LINK;
+        if !self.in_line() || self.now - self.chain.unacknowledged_since < on_its_way {
             return;
         }
         let successor = self.image.view.successor(&self.me).cloned();
-        if let (Some(successor), Some(synced)) = (successor, self.chain.successor) {
-            if synced < self.image.end().number {
-                self.pass_on(&successor, synced, effects);
-            }
+        if let Some(successor) = successor.filter(|_| synced < self.image.end().number) {
+            self.chain.sent = synced;
+            self.chain.unacknowledged_since = self.now;
+            self.pass_on(&successor, effects);
         }
     }
 
--- a/crates/sandtrack-rig/src/system/platform.rs
+++ b/crates/sandtrack-rig/src/system/platform.rs
@@ -3,7 +3,7 @@
 use crate::tasks::Spawner;
 use async_io::{Async, Timer};
 use sandtrack_core::message;
-use sandtrack_sidecar::http::Side;
+use sandtrack_net::http::Side;
 use serde_json::{json, Value};
 use std::cell::RefCell;
 use std::io;
--- a/crates/sandtrack-rig/src/system/upstream.rs
+++ b/crates/sandtrack-rig/src/system/upstream.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use sandtrack_core::message::{self, Flow, Message};
-use sandtrack_sidecar::http::Side;
+use sandtrack_net::http::Side;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
