--- a/crates/sandtrack-rig/tests/system.rs
+++ b/crates/sandtrack-rig/tests/system.rs
@@ -1,4 +1,4 @@
-//! The users' points with real control nodes and proxies. Verdicts are by what operators, clients and
+//! The users' five points, and a late order, with real control nodes and proxies. Verdicts are by what operators, clients and
 //! upstreams saw; a slow machine takes longer and comes to the same.
 use sandtrack_rig::system::scenarios::{play, Options, Scenario};
 use std::path::PathBuf;
@@ -39,3 +39,18 @@
 fn clients_get_their_own_bytes_and_nothing_runs_twice() {
     held(Scenario::Exchanges);
 }
+
+#[test]
+fn a_control_machine_that_is_cut_off_confirms_refuses_and_tells_nothing() {
+    held(Scenario::CutOff);
+}
+
+#[test]
+fn a_member_that_leaves_takes_no_needed_copy_with_it() {
+    held(Scenario::LeavingMember);
+}
+
+#[test]
+fn a_late_order_does_not_undo_a_confirmed_one() {
+    held(Scenario::LateOrder);
+}
