Seeded worlds of the whole control plane and its proxies

The real code of both planes (ControlNode, the WAL on a simulated folder, the proxy's balancer and session policy) on simulated TCP links, disks that lose or tear what was not synced and names each by itself, operators that repeat their calls elsewhere, and faults drawn from a seed within what is to be borne. Fourteen rules, one function each. A failing world is made small by leaving out faults, and its replay file is played with its log.

--- /dev/null
+++ b/crates/sandtrack-worlds/src/search.rs
@@ -0,0 +1,97 @@
+//! Plays many worlds, and makes a failing one small.
+use crate::checks::Broken;
+use crate::log_lines;
+use crate::plan::Plan;
+use crate::world::{Outcome, World};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Mutex;
+
+/// Threads at most.
+const THREADS: usize = 4;
+
+/// Plays one world; a panic of the code is a rule broken like any other.
+pub fn play(plan: &Plan) -> Outcome {
+    let played = catch_unwind(AssertUnwindSafe(|| World::new(plan.clone()).play()));
+    played.unwrap_or_else(|panic| {
+        let text = panic.downcast_ref::<String>().cloned();
+        let what = text.or_else(|| panic.downcast_ref::<&str>().map(|text| (*text).to_owned()));
+        let broken = Broken { rule: "no_panic", what: what.unwrap_or_default() };
+        Outcome { broken: vec![broken], ..Outcome::default() }
+    })
+}
+
+/// Plays one world and gives its log too.
+pub fn play_with_log(plan: &Plan) -> (Outcome, Vec<String>) {
+    log_lines::start();
+    let outcome = play(plan);
+    (outcome, log_lines::take())
+}
+
+/// A world that broke a rule.
+#[derive(Clone, Debug)]
+pub struct Failure {
+    pub plan: Plan,
+    pub broken: Broken,
+}
+
+/// What many worlds came to.
+#[derive(Clone, Debug, Default)]
+pub struct Totals {
+    pub worlds: usize,
+    pub calls: u64,
+    pub changes: u64,
+    pub views: u64,
+    pub frames: u64,
+    pub failures: Vec<Failure>,
+}
+
+impl Totals {
+    fn add(&mut self, plan: &Plan, outcome: Outcome) {
+        self.worlds += 1;
+        self.calls += outcome.calls;
+        self.changes += outcome.changes;
+        self.views += outcome.views;
+        self.frames += outcome.frames;
+        let failures = outcome.broken.into_iter();
+        self.failures.extend(failures.map(|broken| Failure { plan: plan.clone(), broken }));
+    }
+}
+
+/// Plays all of them, several side by side; failures come in the order of the plans.
+pub fn play_all(plans: &[Plan]) -> Totals {
+    let next = AtomicUsize::new(0);
+    let totals = Mutex::new(Totals::default());
+    let threads = std::thread::available_parallelism().map_or(2, usize::from).min(THREADS);
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| {
+                while let Some(plan) = plans.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    let outcome = play(plan);
+                    if let Ok(mut totals) = totals.lock() {
+                        totals.add(plan, outcome);
+                    }
+                }
+            });
+        }
+    });
+    let mut totals = totals.into_inner().unwrap_or_default();
+    totals.failures.sort_by_key(|failure| failure.plan.seed);
+    totals
+}
+
+/// Leaves out one fault after the other while the same rule is still broken.
+pub fn shrink(failure: &Failure) -> Failure {
+    let mut small = failure.clone();
+    let mut at = 0;
+    while at < small.plan.faults.len() {
+        let mut plan = small.plan.clone();
+        plan.faults.remove(at);
+        let same = play(&plan).broken.into_iter().find(|broken| broken.rule == small.broken.rule);
+        match same {
+            Some(broken) => small = Failure { plan, broken },
+            None => at += 1,
+        }
+    }
+    small
+}
--- /dev/null
+++ b/crates/sandtrack-worlds/tests/worlds.rs
@@ -0,0 +1,72 @@
+//! Worlds from seeds, in CI some hundred; more with SANDTRACK_WORLDS=COUNT, or by the program (`sandtrack-worlds seeds
+//! COUNT`), which also makes a failing one small and writes its replay file.
+use sandtrack_worlds::checks::OVERTAKEN;
+use sandtrack_worlds::plan::Plan;
+use sandtrack_worlds::search::{play, play_all, Totals};
+use std::sync::OnceLock;
+
+/// Worlds in CI.
+const USUAL: u64 = 120;
+
+/// The worlds of CI are played once for all tests.
+fn worlds() -> &'static Totals {
+    static WORLDS: OnceLock<Totals> = OnceLock::new();
+    WORLDS.get_or_init(|| {
+        let count = std::env::var("SANDTRACK_WORLDS").ok().and_then(|count| count.parse().ok());
+        let plans: Vec<Plan> = (1..=count.unwrap_or(USUAL)).map(Plan::drawn).collect();
+        play_all(&plans)
+    })
+}
+
+/// About a thousand changes each, while machines of the core are restarted, replaced and wiped throughout.
+fn long_worlds() -> &'static Totals {
+    static WORLDS: OnceLock<Totals> = OnceLock::new();
+    WORLDS.get_or_init(|| play_all(&[Plan::long(1), Plan::long(2)]))
+}
+
+fn hold(totals: &Totals, is_meant: impl Fn(&str) -> bool) {
+    let Totals { worlds, calls, changes, views, frames, failures } = totals;
+    println!("{worlds} worlds, {calls} calls, {changes} changes, {views} views, {frames} frames");
+    let failed: Vec<String> = failures
+        .iter()
+        .filter(|failure| is_meant(failure.broken.rule))
+        .map(|failure| {
+            format!("seed {}: {}: {}", failure.plan.seed, failure.broken.rule, failure.broken.what)
+        })
+        .collect();
+    assert!(failed.is_empty(), "{} of {worlds} worlds failed:\n{}", failed.len(), failed.join("\n"));
+}
+
+#[test]
+fn every_rule_but_that_of_overtaken_orders_holds() {
+    hold(worlds(), |rule| rule != OVERTAKEN);
+}
+
+#[test]
+fn no_overtaken_order_takes_effect() {
+    hold(worlds(), |rule| rule == OVERTAKEN);
+}
+
+#[test]
+fn every_rule_but_that_of_overtaken_orders_holds_in_long_worlds() {
+    hold(long_worlds(), |rule| rule != OVERTAKEN);
+}
+
+#[test]
+fn no_overtaken_order_takes_effect_in_long_worlds() {
+    hold(long_worlds(), |rule| rule == OVERTAKEN);
+}
+
+#[test]
+fn a_world_plays_the_same_again() {
+    for seed in [3, 4, 7] {
+        assert_eq!(play(&Plan::drawn(seed)), play(&Plan::drawn(seed)), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_plan_is_the_same_after_a_file() {
+    let plan = Plan::drawn(11);
+    let text = serde_json::to_string(&plan).expect("a text");
+    assert_eq!(serde_json::from_str::<Plan>(&text).expect("a plan"), plan);
+}
