--- a/crates/sandtrack-control/tests/cut_off.rs
+++ b/crates/sandtrack-control/tests/cut_off.rs
@@ -43,10 +43,10 @@
 fn cut(cluster: &mut Cluster, one: usize, way: Way) {
     for other in (1..=3).filter(|other| *other != one) {
         if way != Way::Inward {
-            cluster.cut_way(one, other);
+            cluster.cut_one_way(one, other, true);
         }
         if way != Way::Outward {
-            cluster.cut_way(other, one);
+            cluster.cut_one_way(other, one, true);
         }
     }
 }
