--- a/crates/sandtrack-worlds/src/faults.rs
+++ b/crates/sandtrack-worlds/src/faults.rs
@@ -1,6 +1,6 @@
 //! Faults of a plan, begun and ended in a world.
 use crate::disk::Mode;
-use crate::plan::{Cut, DiskTrouble, Kind, Target};
+use crate::plan::{Cut, DiskTrouble, Kind, Struck, Target};
 use crate::world::{Event, World, RESTART_MS};
 use rand::Rng;
 use sandtrack_control::node::Input;
@@ -11,16 +11,6 @@
 /// A machine that is removed by plan is without power after this (`grace_s`), in ms.
 const GRACE_MS: f64 = 8000.0;
 
-/// What a fault struck.
-#[derive(Clone, Debug)]
-pub(crate) enum Struck {
-    Machines(Vec<usize>),
-    Ways(Vec<(usize, usize)>),
-    /// The machine that comes in another's place.
-    Joins(usize),
-    Nothing,
-}
-
 impl World {
     pub(crate) fn fault_begins(&mut self, fault: usize) {
         let kind = self.plan.faults[fault].kind;
--- a/crates/sandtrack-worlds/src/plan.rs
+++ b/crates/sandtrack-worlds/src/plan.rs
@@ -243,3 +243,13 @@
         _ => 500.0,
     }
 }
+
+/// What a fault struck.
+#[derive(Clone, Debug)]
+pub(crate) enum Struck {
+    Machines(Vec<usize>),
+    Ways(Vec<(usize, usize)>),
+    /// The machine that comes in another's place.
+    Joins(usize),
+    Nothing,
+}
--- a/crates/sandtrack-worlds/src/world.rs
+++ b/crates/sandtrack-worlds/src/world.rs
@@ -165,7 +165,7 @@
     frames: u64,
     incarnations: u64,
     /// What a fault struck, to be undone at its end.
-    pub(crate) struck: BTreeMap<usize, crate::faults::Struck>,
+    pub(crate) struck: BTreeMap<usize, crate::plan::Struck>,
     settled_seen: BTreeMap<String, (bool, u64)>,
     acknowledged_seen: u64,
     /// A call of the calm at the end, and its answer.
