Rig: a client sends an unsafe request once, also when a kept connection ends

Cause of the red test `seeds_may_all_be_down_and_all_may_start_anew_at_once` ("the effect of request 414 ran 2 times, at 20.07 s again"): the rig's own client. Where a kept connection ended before an answer came, it sent the request anew under the same id on a new connection, whatever its kind. A process that was killed after it had passed the request on, and started again at once, then passed on the second copy as well.

Ruled out: a fault of the sidecar. It cannot know of an id that it saw before it was killed, and callers promise that each try of an unsafe request has an id of its own. Skipping the check while a process is killed would have hidden one.

Change: a kept connection that the process has closed is not used; an unsafe request whose connection ends on the way is not sent again, and counts as lost unless its process was killed, stopped or started meanwhile (stricter than before: it used to be tried again whatever had happened). What may be repeated goes once more, as before.

--- a/crates/sandtrack-rig/src/client.rs
+++ b/crates/sandtrack-rig/src/client.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp1};
 use rand_pcg::Pcg64;
-use sandtrack_core::message;
+use sandtrack_core::message::{self, Message};
 use std::cell::RefCell;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -69,24 +69,7 @@
     let began = Instant::now();
     let bytes = request(id, &class, client.address);
     let patience = Duration::from_secs_f64(class.deadline_ms / 1000.0) + SURE;
-    let exchange = async {
-        // A connection that was kept may have been closed meanwhile: then the request goes once more, on a new one.
-        let kept = pool.borrow_mut().pop();
-        if let Some(mut wire) = kept {
-            if wire.write(&bytes).await {
-                if let Some(answer) = wire.read().await {
-                    return Some((answer, wire));
-                }
-            }
-        }
-        let mut wire = Wire::connect(client.address).await?;
-        if !wire.write(&bytes).await {
-            return None;
-        }
-        let answer = wire.read().await?;
-        Some((answer, wire))
-    };
-    let answer = within(patience, exchange).await;
+    let answer = within(patience, exchange(client.address, class.effect, &bytes, &pool)).await;
     let took = began.elapsed().as_secs_f64() * 1000.0;
     let excused = processes.borrow().was_impaired(client.process, began);
     let end = match &answer {
@@ -114,6 +97,36 @@
     }
 }
 
+/// One request and its answer, on a kept connection that still stands or else on a new one. A kept connection may end while
+/// the request is on its way: what may be repeated then goes once more, on a new connection. An unsafe request does not, as
+/// the process may have passed it on before it ended; `None` then says that its outcome is not known.
+pub async fn exchange(
+    to: SocketAddrV4, effect: Effect, bytes: &[u8], pool: &RefCell<Vec<Wire>>,
+) -> Option<(Message, Wire)> {
+    if let Some(wire) = take_live(pool) {
+        let answered = send(wire, bytes).await;
+        if answered.is_some() || effect == Effect::Unsafe {
+            return answered;
+        }
+    }
+    send(Wire::connect(to).await?, bytes).await
+}
+
+/// The connection that was used last, of those that the process has not closed meanwhile.
+fn take_live(pool: &RefCell<Vec<Wire>>) -> Option<Wire> {
+    let mut pool = pool.borrow_mut();
+    pool.retain(|wire| !wire.is_over());
+    pool.pop()
+}
+
+async fn send(mut wire: Wire, bytes: &[u8]) -> Option<(Message, Wire)> {
+    if !wire.write(bytes).await {
+        return None;
+    }
+    let answer = wire.read().await?;
+    Some((answer, wire))
+}
+
 fn request(id: u64, class: &Class, host: SocketAddrV4) -> Vec<u8> {
     let (host, id, budget) =
         (host.to_string(), format!("{id:016x}"), format!("{}", class.deadline_ms as u64));
