--- a/crates/sandtrack-proxy/tests/exchange/limits.rs
+++ b/crates/sandtrack-proxy/tests/exchange/limits.rs
@@ -51,7 +51,7 @@
         "a request with a head of 30,000 bytes",
         request("GET", "/slips/b", "r2", &[&long], "").as_bytes(),
     );
-    let mut asked = stage.asked();
+    let asked = stage.asked();
     assert!(asked.request.head.contains(&long), "the header is passed on");
     asked.answer("second");
     assert_eq!(client.answer().text(), "second");
