Rig: a member that the machine kept from running may say that it was stopped

A member whose timers come 500 ms late doubts itself, and is right to: it had no processor. The rig took it for a fault, though its verdicts are to be the same on a slow machine.

Ruled out: a longer pause in the product, which would hide real stops; leaving the doubt out of the check altogether.

Change: the rig reads the kernel's count of the time that each process was ready and had no processor. A member doubtful for any other reason still fails it.

--- a/crates/sandtrack-rig/src/process.rs
+++ b/crates/sandtrack-rig/src/process.rs
@@ -2,6 +2,7 @@
 //! must never leave one behind: whatever ends the rig ends them.
 use crate::plan::Plan;
 use crate::scenario::{Effect, Scenario};
+use crate::starvation::{parse_waited, Starvation};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 use std::io;
@@ -20,6 +21,7 @@
     /// Its last trouble: killed, ended, or stopped and going on again.
     impaired: Option<Instant>,
     pub starts: u32,
+    starvation: Starvation,
 }
 
 pub struct Processes {
@@ -111,6 +113,7 @@
                 started: None,
                 impaired: None,
                 starts: 0,
+                starvation: Starvation::default(),
             });
         }
         Ok(Processes { all, program, folder, kept: false, wrong: Vec::new() })
@@ -224,6 +227,23 @@
         }
     }
 
+    /// Reads for how long each process had no processor.
+    pub fn note_starvation(&mut self) {
+        for process in &mut self.all {
+            let Some(child) = &process.child else { continue };
+            // Where the kernel keeps no such count, nobody is taken for starved.
+            let read = std::fs::read_to_string(format!("/proc/{}/schedstat", child.id()));
+            if let Some(waited) = read.ok().as_deref().and_then(parse_waited) {
+                process.starvation.note(Instant::now(), waited);
+            }
+        }
+    }
+
+    /// The machine kept it from running for long enough to be taken for stopped.
+    pub fn was_starved(&self, number: usize) -> bool {
+        self.all[number].starvation.is_starved()
+    }
+
     pub fn running(&self) -> Vec<usize> {
         (0..self.all.len()).filter(|number| self.runs(*number)).collect()
     }
--- a/crates/sandtrack-rig/src/run.rs
+++ b/crates/sandtrack-rig/src/run.rs
@@ -10,7 +10,7 @@
 use crate::scenario::{Condition, Scenario, Step, Who};
 use crate::tasks::Spawner;
 use crate::upstream::{self, Upstream};
-use crate::watch::{self, Watch};
+use crate::watch::{self, Seen, Watch};
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
@@ -78,6 +78,10 @@
 
 /// How often processes are reaped and conditions looked at.
 const LOOK: Duration = Duration::from_millis(40);
+/// How often it is read for how long processes had no processor.
+const STARVATION_LOOK: Duration = Duration::from_millis(200);
+/// What a member says of itself whose timers came late (`sandtrack_fleet::view`).
+const STOPPED: &str = "it was stopped a moment ago";
 
 /// Plays a scenario to its end.
 pub fn play(scenario: &Scenario, options: &Options) -> Result<Report, Failed> {
@@ -164,6 +168,14 @@
             }
         };
         spawner.spawn(reap);
+        let watched = processes.clone();
+        let note_starvation = async move {
+            loop {
+                watched.borrow_mut().note_starvation();
+                Timer::after(STARVATION_LOOK).await;
+            }
+        };
+        spawner.spawn(note_starvation);
         Ok(Run {
             scenario,
             plan,
@@ -442,13 +454,21 @@
         };
         let wrong =
             |by: usize, of: usize, state: &str| format!("{} holds {} for {state}", name(by), name(of));
+        // A machine that is too busy to run a process stops it in truth: what it says of that is no fault.
+        let otherwise = |by: usize, seen: &Seen| {
+            if seen.reason == STOPPED && processes.was_starved(by) {
+                format!("{UNSEEN} {} had no processor", name(by))
+            } else {
+                format!("{} is {}: {}", name(by), seen.view, seen.reason)
+            }
+        };
         match is {
             Condition::Whole => {
                 let judged = |number: &usize| !whom.contains(number);
                 for &by in running.iter().filter(|by| judged(by)) {
-                    let view = &seen(by)?.view;
-                    if view != "whole" {
-                        return Err(format!("{} is {view}: {}", name(by), seen(by)?.reason));
+                    let seen = seen(by)?;
+                    if seen.view != "whole" {
+                        return Err(otherwise(by, seen));
                     }
                     for of in (0..processes.all.len()).filter(|of| *of != by && judged(of)) {
                         let state = state(by, of)?;
@@ -494,7 +514,7 @@
                         _ => seen.view != "whole",
                     };
                     if !so {
-                        return Err(format!("{} is {}: {}", name(by), seen.view, seen.reason));
+                        return Err(otherwise(by, seen));
                     }
                 }
             }
