Control node split by concern: dispatch, links, proxies, list, operators, attachment, time, leaving, status

Order of all effects is as before: approved transcripts keep their bytes.

Typed messages in place of tuples and long variants: `PeerFrame::Heartbeat(Heartbeat)` for `Beat { .. }`, `PeerFrame::List(Excerpt)`, `Digest` for (count, sum), `Announced` for how far peers were told.

Renamed: feeds -> may_feed_proxies, look -> tick, step -> carry_out_step, look_at_calls -> advance_calls, carry_out -> carry_out_replica_effects, reach -> update_wanted_peers, heard -> peer_heard, beat_one -> send_heartbeat, tell_peer -> announce_to, tell_peers -> announce_to_all, spread -> announce_news and update_proxies, take_duty -> take_over_reading, order -> reader_candidates, read -> fetch_page_if_due, may_end -> may_exit_after; fields turn -> resolutions, told -> announced, caught_up -> last_caught_up, last -> last_input, leaving -> leaving_since; constants VOTER_MS -> VOTER_PRESENT_MS, LOOK_MS -> TICK_MS, LEAVE_MS -> CALLS_MS, LEAVE_MARGIN_MS -> GRACE_MARGIN_MS.

--- a/crates/sandtrack-control/src/membership.rs
+++ b/crates/sandtrack-control/src/membership.rs
@@ -1,8 +1,8 @@
 //! The membership: who the proxies are. A proxy is a member while its session with a control node stands, and control nodes tell
 //! each other their sessions. It owns what is known of the members; it must never ask a socket.
 use crate::journal::Journal;
-use crate::peer_frames::PeerFrame;
-pub use crate::peer_frames::{Fnv, Member};
+pub use crate::peer_frames::Member;
+use crate::peer_frames::{Digest, PeerFrame};
 use crate::Millis;
 use sandtrack_protocol::frames::{ProxyInfo, ProxyState};
 use sandtrack_replication::Address;
@@ -100,17 +100,15 @@
         PeerFrame::Sessions { whole: false, present, gone: gone.into_iter().cloned().collect() }
     }
 
-    /// How many own members there are, and a digest of them.
-    pub fn digest(&self) -> (u32, u64) {
-        let sum = self.own.values().fold(0, |sum: u64, member| sum.wrapping_add(member.digest()));
-        (self.own.len() as u32, sum)
+    /// Digest of the own members.
+    pub fn digest(&self) -> Digest {
+        digest(self.own.values())
     }
 
-    /// The same of those that another control node told.
-    pub fn digest_of(&self, control_node: &str) -> (u32, u64) {
-        let Some(others) = self.others.get(control_node) else { return (0, 0) };
-        let sum = others.members.values().fold(0, |sum: u64, (member, _)| sum.wrapping_add(member.digest()));
-        (others.members.len() as u32, sum)
+    /// Digest of those that another control node told.
+    pub fn digest_of(&self, control_node: &str) -> Digest {
+        let others = self.others.get(control_node);
+        digest(others.into_iter().flat_map(|others| others.members.values().map(|(member, _)| member)))
     }
 
     /// Another control node tells its members, or what changed of them.
@@ -200,3 +198,10 @@
 fn names(others: &Others) -> Vec<(String, u64)> {
     others.members.iter().map(|(name, (member, _))| (name.clone(), member.info.incarnation)).collect()
 }
+
+fn digest<'a>(members: impl Iterator<Item = &'a Member>) -> Digest {
+    members.fold(Digest::default(), |digest, member| Digest {
+        count: digest.count + 1,
+        sum: digest.sum.wrapping_add(member.digest()),
+    })
+}
--- /dev/null
+++ b/crates/sandtrack-control/src/node/attachment.rs
@@ -0,0 +1,43 @@
+//! Whether a control node is attached: in contact with a majority of the voters of its view, and caught up. Proxies and
+//! the directory are told so, and nothing that was committed is passed on without it.
+use super::ControlNode;
+use crate::Millis;
+use sandtrack_replication::Address;
+
+/// A voter counts as present for this long after something was heard of it, in ms.
+const VOTER_PRESENT_MS: Millis = 1000.0;
+/// A repair of the chain may take this long, in ms, without a proxy having to look for another control node: it would find
+/// the same there.
+const REPAIR_MS: Millis = 2500.0;
+
+impl ControlNode {
+    /// Whether it hears a majority of the voters of its view, and has caught up, or had before a repair of the chain.
+    pub fn is_attached(&self, now: Millis) -> bool {
+        self.hears_majority(now) && self.was_caught_up(now)
+    }
+
+    fn hears_majority(&self, now: Millis) -> bool {
+        let voters = self.voters();
+        let is_present = |voter: &&Address| {
+            **voter == self.peers.me.address || self.peers.is_heard(now, voter, VOTER_PRESENT_MS)
+        };
+        let present = voters.iter().filter(is_present).count();
+        2 * present > voters.len()
+    }
+
+    fn was_caught_up(&self, now: Millis) -> bool {
+        let lately = self.last_caught_up.is_some_and(|at| now - at <= REPAIR_MS);
+        lately || self.replica.is_caught_up()
+    }
+
+    /// Whether proxies may be given configurations and evacuations: what is known here was confirmed within the lease.
+    pub(super) fn may_feed_proxies(&self, now: Millis) -> bool {
+        let epoch = self.replica.view().epoch;
+        self.is_attached(now) && self.contact.is_confirmed(now, &self.peers.me.address, &self.voters(), epoch)
+    }
+
+    /// Addresses of the voters of the view.
+    pub(super) fn voters(&self) -> Vec<Address> {
+        self.replica.view().voters.iter().map(|member| member.address.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/sandtrack-control/src/node/list.rs
@@ -0,0 +1,80 @@
+//! The reading of the platform's list: who of the control nodes reads it, and the calls for its pages.
+use super::{ControlNode, Effect};
+use crate::reader::{self, Claim, HOLDER_SILENT_MS};
+use crate::Millis;
+use sandtrack_replication::Address;
+use std::collections::BTreeSet;
+
+impl ControlNode {
+    /// A peer says who reads the list.
+    pub(super) fn reader_claimed(&mut self, now: Millis, peer: &str, claim: &Claim) {
+        let was_holder = self.duty.is_holder();
+        self.duty.told(now, peer, claim);
+        if was_holder != self.duty.is_holder() {
+            log::info!("the platform's list is read by {}", self.duty.claim().holder);
+            self.reader.stop();
+        }
+    }
+
+    /// Takes over the reading where its holder is silent, or nobody has begun.
+    pub(super) fn take_over_reading(&mut self, now: Millis) {
+        let is_needed = self.duty.is_silent(now) || self.duty.claim().term == 0;
+        if self.leaving_since.is_some() || !is_needed {
+            return;
+        }
+        let candidates = self.reader_candidates();
+        let voters = self.voters();
+        let live = self.peers.live(now, HOLDER_SILENT_MS);
+        if self.duty.tick(now, &candidates, &live, &voters) {
+            log::info!("it reads the platform's list from now on, term {}", self.duty.claim().term);
+        }
+    }
+
+    /// Hands the reading to another control node, if there is one.
+    pub(super) fn hand_over_reading(&mut self, now: Millis) {
+        let candidates = self.reader_candidates();
+        let live = self.peers.live(now, HOLDER_SILENT_MS);
+        if self.duty.leave(&candidates, &live) {
+            log::info!("the platform's list is read by {} from now on", self.duty.claim().holder);
+            self.reader.stop();
+        }
+    }
+
+    /// Who may read the list, in turn: the chain first, then all others that are known of; each once.
+    fn reader_candidates(&self) -> Vec<Address> {
+        let view = self.replica.view();
+        let members = view.chain.iter().chain(&view.voters);
+        let mut candidates: Vec<Address> = members.map(|member| member.address.clone()).collect();
+        if candidates.is_empty() {
+            candidates = super::links::seeds(&self.settings);
+        }
+        let peers = self.peers.all().map(|(address, _, _)| address);
+        let others: BTreeSet<&str> = peers.chain([self.peers.me.address.as_str()]).collect();
+        candidates.extend(others.into_iter().map(str::to_owned));
+        let mut seen = BTreeSet::new();
+        candidates.retain(|address| seen.insert(address.clone()));
+        candidates
+    }
+
+    /// A call to the platform is over: its page is taken in if it is still read here.
+    pub(super) fn platform_answered(&mut self, now: Millis, call: reader::Call, out: &mut Vec<Effect>) {
+        let alone = !self.duty.is_holder();
+        if !self.duty.reads(now) {
+            self.reader.stop();
+        }
+        self.reader.done(now, alone, call, &mut self.upstreams);
+        self.fetch_page_if_due(now, out);
+    }
+
+    /// Calls for the next page of the list, if that is due here.
+    pub(super) fn fetch_page_if_due(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        let has_platform = !self.settings.cloud_api.address.is_empty();
+        if self.leaving_since.is_some() || !has_platform || !self.duty.reads(now) {
+            return;
+        }
+        let alone = !self.duty.is_holder();
+        if let Some(token) = self.reader.due(now, alone, self.settings.cloud_api.rate_per_s) {
+            out.push(Effect::Fetch { token });
+        }
+    }
+}
--- /dev/null
+++ b/crates/sandtrack-control/src/node/replica.rs
@@ -0,0 +1,77 @@
+//! The replica in a control node: inputs are handed to it, and its effects are carried out on the links, the disk and the
+//! operators' calls.
+use super::{ControlNode, Effect};
+use crate::control_state::Command;
+use crate::peers::{LinkOrder, PeerFrame};
+use crate::Millis;
+use sandtrack_protocol::codes;
+use sandtrack_replication::{self as replication, Message, Refusal, View};
+
+/// The result of a call that the replica was given.
+struct Answered {
+    call: u64,
+    result: Result<Vec<u8>, Refusal>,
+}
+
+impl ControlNode {
+    /// Hands an input to the replica and carries out what comes of it.
+    pub(super) fn step_replica(&mut self, now: Millis, input: replication::Input, out: &mut Vec<Effect>) {
+        let mut effects = Vec::new();
+        let refused = self.replica.snapshots_refused();
+        self.replica.handle(now, input, &mut effects);
+        if self.replica.snapshots_refused() > refused {
+            log::warn!("E{} a snapshot was refused: it is fetched anew", codes::SNAPSHOT_REFUSED.0);
+        }
+        self.carry_out_replica_effects(now, effects, out);
+    }
+
+    /// Carries out the replica's effects in order. The answers to calls come last, as they lead to further inputs of the
+    /// replica.
+    pub(super) fn carry_out_replica_effects(
+        &mut self, now: Millis, effects: Vec<replication::Effect>, out: &mut Vec<Effect>,
+    ) {
+        let mut answers = Vec::new();
+        for effect in effects {
+            match effect {
+                replication::Effect::Send { to, message } => self.send_to_replica(&to, message, out),
+                replication::Effect::Write { ticket, records } => out.push(Effect::Write { ticket, records }),
+                replication::Effect::Rewrite { ticket, records } => {
+                    out.push(Effect::Rewrite { ticket, records });
+                }
+                replication::Effect::Applied { number, command, .. } => self.log_applied(number, &command),
+                replication::Effect::Restored { number } => {
+                    log::info!("restored to number {number}: version {}", self.replica.machine().version());
+                }
+                replication::Effect::Answer { call, result } => answers.push(Answered { call, result }),
+                replication::Effect::ViewIs(view) => {
+                    log_view(&view);
+                    self.update_wanted_peers(now);
+                }
+            }
+        }
+        for Answered { call, result } in answers {
+            self.advance_calls(now, out, |calls, known| calls.answer(now, call, result, known));
+        }
+    }
+
+    /// Sends a message to another replica; it is lost where there is no link.
+    fn send_to_replica(&self, to: &str, message: Message, out: &mut Vec<Effect>) {
+        if let Some(link) = self.peers.link_to(to) {
+            let frame = PeerFrame::Replication(message);
+            out.push(Effect::Link(LinkOrder::Send { link, frame }));
+        }
+    }
+
+    fn log_applied(&self, number: u64, command: &[u8]) {
+        let version = self.replica.machine().version();
+        match borsh::from_slice::<Command>(command) {
+            Ok(command) => log::info!("number {number}: version {version}, after {command}"),
+            Err(error) => log::warn!("number {number}: version {version}, unknown: {error}"),
+        }
+    }
+}
+
+fn log_view(view: &View) {
+    let chain: Vec<&str> = view.chain.iter().map(|member| member.address.as_str()).collect();
+    log::info!("view {}: chain {}", view.epoch, chain.join(" "));
+}
--- /dev/null
+++ b/crates/sandtrack-control/src/node/status.rs
@@ -0,0 +1,79 @@
+//! What a control node knows of itself and the others, as JSON for operators.
+use super::ControlNode;
+use crate::control::Reply;
+use crate::membership::Member;
+use crate::Millis;
+use sandtrack_protocol::logs::escape;
+use sandtrack_replication as replication;
+
+fn quote(text: &str) -> String {
+    format!("\"{}\"", escape(text))
+}
+
+fn list(items: impl Iterator<Item = String>) -> String {
+    format!("[{}]", items.collect::<Vec<_>>().join(","))
+}
+
+fn addresses(members: &[replication::Member]) -> String {
+    list(members.iter().map(|member| quote(&member.address)))
+}
+
+impl ControlNode {
+    /// The answer to an operator that asks for the status.
+    pub(super) fn status(&self, now: Millis) -> Reply {
+        let control_state = self.replica.machine();
+        let view = self.replica.view();
+        let body = format!(
+            "{{\"node\":{},\"address\":{},\"attached\":{},\"caught_up\":{},\"version_number\":{},\
+             \"configuration_number\":{},\"evacuated\":{},\"view\":{{\"epoch\":{},\"chain\":{},\"voters\":{}}},\
+             \"postmasters\":{},\"couriers\":{},\"reader\":{},\"readings\":{},\"services\":{}}}",
+            quote(&self.settings.node_name),
+            quote(&self.peers.me.address),
+            self.is_attached(now),
+            self.replica.is_caught_up(),
+            control_state.version(),
+            control_state.configuration_number(),
+            list(control_state.evacuated().map(quote)),
+            view.epoch,
+            addresses(&view.chain),
+            addresses(&view.voters),
+            self.status_of_peers(),
+            self.status_of_proxies(),
+            quote(&self.duty.claim().holder),
+            self.upstreams.round(),
+            self.status_of_services(),
+        );
+        Reply { status: 200, body }
+    }
+
+    fn status_of_peers(&self) -> String {
+        list(self.peers.all().map(|(address, linked, hello)| {
+            let name = hello.map_or("", |hello| hello.node_name.as_str());
+            format!("{{\"address\":{},\"node\":{},\"linked\":{linked}}}", quote(address), quote(name))
+        }))
+    }
+
+    fn status_of_proxies(&self) -> String {
+        list(self.membership.members().into_iter().map(|(name, member)| {
+            let Member { info, state } = member;
+            let here = self.membership.own().contains_key(name);
+            format!(
+                "{{\"node\":{},\"front\":{},\"zone\":{},\"version_number\":{},\"ready\":{},\"leaving\":{},\
+                 \"open\":{},\"here\":{here}}}",
+                quote(name),
+                quote(&info.front),
+                quote(&info.zone),
+                state.version,
+                state.ready,
+                state.leaving,
+                state.open,
+            )
+        }))
+    }
+
+    fn status_of_services(&self) -> String {
+        list(self.upstreams.counts().into_iter().map(|(service, (count, draining))| {
+            format!("{{\"service\":{},\"upstreams\":{count},\"draining\":{draining}}}", quote(service))
+        }))
+    }
+}
--- /dev/null
+++ b/crates/sandtrack-control/src/node/time.rs
@@ -0,0 +1,70 @@
+//! Time in a control node: what is due is done, and a process that did not run for a while is noticed.
+use super::{ControlNode, Effect};
+use crate::reader::HOLDER_SILENT_MS;
+use crate::Millis;
+use sandtrack_replication as replication;
+
+/// A process whose clock went on by more than this without it, in ms, was frozen.
+const FROZEN_MS: Millis = 700.0;
+/// What is due is looked for at least this often, in ms.
+const TICK_MS: Millis = 50.0;
+
+impl ControlNode {
+    /// When it has to be given a tick, on the clock of `now`.
+    pub fn next_due(&self) -> Millis {
+        let calls = self.calls.next_due().into_iter();
+        let reader = self.reader.next_due().filter(|_| self.duty.reads(self.last_input));
+        let due = calls.chain(reader).fold(self.last_input + TICK_MS, Millis::min);
+        due.min(self.replica.next_tick()).max(self.last_input)
+    }
+
+    /// Notices a freeze, as an input comes: what the others said meanwhile is still to be read, and what was believed
+    /// before it no longer counts.
+    pub(super) fn notice_freeze(&mut self, now: Millis) {
+        let gap = now - self.last_input;
+        self.last_input = now;
+        if gap <= FROZEN_MS {
+            return;
+        }
+        log::warn!("this process did not run for {gap:.0} ms");
+        self.peers.woke(now);
+        self.contact.woke(now);
+        self.sessions.woke(now);
+        self.last_caught_up = None;
+        if gap > HOLDER_SILENT_MS {
+            self.duty.woke(now);
+        }
+    }
+
+    /// Does what is due.
+    pub(super) fn tick(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        self.step_replica(now, replication::Input::Tick, out);
+        if self.replica.is_caught_up() {
+            self.last_caught_up = Some(now);
+        }
+        self.tick_peers(now, out);
+        self.tick_sessions(now, out);
+        self.membership.tick(now);
+        self.fetch_page_if_due(now, out);
+        for step in self.calls.late(now) {
+            self.carry_out_step(now, step, out);
+        }
+        self.exit_if_left(now, out);
+    }
+
+    /// Opens and closes links, and sends the heartbeats that are due.
+    fn tick_peers(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        self.update_wanted_peers(now);
+        let mut orders = Vec::new();
+        let (lost, heartbeat_due) = self.peers.tick(now, &mut orders);
+        out.extend(orders.into_iter().map(Effect::Link));
+        for lost in lost {
+            self.peer_heard(now, Some(lost), out);
+        }
+        self.take_over_reading(now);
+        if heartbeat_due {
+            self.announce_to_all(now, out);
+            self.send_heartbeats(now, out);
+        }
+    }
+}
--- a/crates/sandtrack-control/src/peer_frames.rs
+++ b/crates/sandtrack-control/src/peer_frames.rs
@@ -29,37 +29,59 @@
 pub enum PeerFrame {
     /// First frame of a link, from both ends.
     Hello(Hello),
+    /// From replica to replica.
     Replication(Message),
     /// The proxies that have a session with the sender, or what changed of them.
-    Sessions {
-        whole: bool,
-        present: Vec<Member>,
-        gone: Vec<String>,
-    },
+    Sessions { whole: bool, present: Vec<Member>, gone: Vec<String> },
     /// What was told of sessions does not add up: all of them are wanted.
     WantSessions,
     /// The platform's list as it was read, or what changed of it; remaining times are as of this frame.
-    List {
-        whole: bool,
-        round: u64,
-        entries: Vec<UpstreamEntry>,
-        gone: Vec<String>,
-    },
+    List(Excerpt),
+    /// What was told of the list does not add up: all of it is wanted.
     WantList,
-    /// Each [`BEAT_MS`]: that it is there, and what the other end should know of it.
-    Beat {
-        claim: Claim,
-        /// It does not hear the holder of the duty to read.
-        silent: bool,
-        /// How many sessions it has, and their digest.
-        sessions: (u32, u64),
-        /// Readings of the list it knows of; how many upstreams, and their digest.
-        list: (u64, u32, u64),
-        /// It was told to stop.
-        leaving: bool,
-        /// It knows how many proxies there are.
-        settled: bool,
-    },
+    /// Each [`crate::peers::BEAT_MS`].
+    Heartbeat(Heartbeat),
+}
+
+/// That a control node is there, and what the other end should know of it.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Heartbeat {
+    /// Who reads the platform's list, as far as the sender knows.
+    pub claim: Claim,
+    /// It does not hear the holder of the duty to read.
+    pub silent: bool,
+    /// Its own sessions.
+    pub sessions: Digest,
+    /// How many readings of the list it knows of.
+    pub list_round: u64,
+    /// The list as the sender knows it.
+    pub list: Digest,
+    /// It was told to stop.
+    pub leaving: bool,
+    /// It knows how many proxies there are.
+    pub settled: bool,
+}
+
+/// What both ends of a link compare to find out whether they know the same.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Digest {
+    /// How many entries there are.
+    pub count: u32,
+    /// Sum of the digests of all entries, modulo 2^64: it does not depend on their order.
+    pub sum: u64,
+}
+
+/// What is passed on of the platform's list: all of it, or what changed.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Excerpt {
+    /// Whether upstreams that it does not name are gone.
+    pub whole: bool,
+    /// How many readings of the list it rests on.
+    pub round: u64,
+    /// Upstreams that are new or changed; all where it is whole.
+    pub entries: Vec<UpstreamEntry>,
+    /// Identifiers of those that the list no longer shows.
+    pub gone: Vec<String>,
 }
 
 /// Who has the duty: the higher one holds.
--- a/crates/sandtrack-control/src/upstreams.rs
+++ b/crates/sandtrack-control/src/upstreams.rs
@@ -1,7 +1,8 @@
 //! The upstreams as the platform's list shows them. It owns the table and the journal of what changed in it; it must never
 //! ask the platform.
 use crate::journal::Journal;
-use crate::peer_frames::Fnv;
+pub use crate::peer_frames::Excerpt;
+use crate::peer_frames::{Digest, Fnv};
 use crate::Millis;
 use sandtrack_protocol::frames::UpstreamEntry;
 use std::collections::{BTreeMap, BTreeSet};
@@ -72,15 +73,6 @@
     }
 }
 
-/// What is passed on of the list: all of it, or what changed.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Excerpt {
-    pub whole: bool,
-    pub round: u64,
-    pub entries: Vec<UpstreamEntry>,
-    pub gone: Vec<String>,
-}
-
 impl Upstreams {
     /// The list shows an upstream; its remaining times count from `at`.
     pub fn set(&mut self, at: Millis, entry: UpstreamEntry) {
@@ -146,9 +138,9 @@
         self.round
     }
 
-    /// How many there are, and a digest of them.
-    pub fn digest(&self) -> (u32, u64) {
-        (self.table.len() as u32, self.sum)
+    /// What peers compare with theirs.
+    pub fn digest(&self) -> Digest {
+        Digest { count: self.table.len() as u32, sum: self.sum }
     }
 
     pub fn identifiers(&self) -> impl Iterator<Item = &str> {
