--- /dev/null
+++ b/crates/sandtrack-control/src/program/fault.rs
@@ -0,0 +1,28 @@
+//! Why the program can't serve, with its numbered code and its exit code.
+use sandtrack_protocol::codes;
+use sandtrack_protocol::settings::SettingsError;
+use std::process::ExitCode;
+
+/// Why the process can't serve.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum Fault {
+    #[error("{0}")]
+    Settings(#[from] SettingsError),
+    #[error("E{} {address} can't be listened on: {why}", codes::LISTEN.0)]
+    Listen { address: String, why: std::io::Error },
+    #[error("{0}")]
+    System(#[from] std::io::Error),
+    #[error("E{code} {why}", code = codes::WAL_FOREIGN.0)]
+    Wal { why: sandtrack_wal::WalError },
+}
+
+impl Fault {
+    /// What the process ends with: the numbered code where there is one.
+    pub(super) fn exit_code(&self) -> ExitCode {
+        match self {
+            Fault::Settings(error) => ExitCode::from(u8::try_from(error.code().0).unwrap_or(1)),
+            Fault::Listen { .. } => ExitCode::from(u8::try_from(codes::LISTEN.0).unwrap_or(1)),
+            Fault::System(_) | Fault::Wal { .. } => ExitCode::FAILURE,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sandtrack-control/src/program/listeners.rs
@@ -0,0 +1,159 @@
+//! The listening sockets of the process, and the tasks of the connections that they accept.
+use super::fault::Fault;
+use super::runtime::Runtime;
+use crate::arrivals::Arrival;
+use crate::control::Reply;
+use crate::node::Input;
+use crate::operators;
+use crate::peers::PeerFrame;
+use crate::socket;
+use async_io::Async;
+use sandtrack_core::message::Message;
+use sandtrack_protocol::frames::ToControl;
+use sandtrack_protocol::settings::{Settings, PEER_PORT, SESSION_PORT};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+
+/// So many new connections may wait to be accepted.
+const BACKLOG: i32 = 1024;
+
+/// The sockets that a control node listens on.
+pub(super) struct Listeners {
+    /// Operators' calls.
+    control: Async<TcpListener>,
+    /// Clients that ask for proxies.
+    directory: Async<TcpListener>,
+    /// Links of other control nodes.
+    peers: Async<TcpListener>,
+    /// Sessions of proxies.
+    sessions: Async<TcpListener>,
+}
+
+impl Listeners {
+    /// Binds all of them.
+    ///
+    /// # Errors
+    /// Where an address can't be listened on.
+    pub fn bind(settings: &Settings) -> Result<Listeners, Fault> {
+        Ok(Listeners {
+            control: bind(&settings.listen["control"])?,
+            directory: bind(&settings.listen["directory"])?,
+            peers: bind(&internal_listener(settings, "peers", PEER_PORT))?,
+            sessions: bind(&internal_listener(settings, "sessions", SESSION_PORT))?,
+        })
+    }
+
+    /// Accepts connections for as long as the executor runs. `look_again`: see [`operators::listen`].
+    pub fn spawn(self, runtime: &Rc<Runtime<'_>>, look_again: async_channel::Receiver<()>) {
+        spawn_control(runtime, self.control, look_again);
+        spawn_directory(runtime, self.directory);
+        spawn_peers(runtime, self.peers);
+        spawn_sessions(runtime, self.sessions);
+    }
+}
+
+fn bind(address: &str) -> Result<Async<TcpListener>, Fault> {
+    let wrong = |why| Fault::Listen { address: address.to_owned(), why };
+    let parsed: SocketAddr = address
+        .parse()
+        .map_err(|error| wrong(std::io::Error::new(std::io::ErrorKind::InvalidInput, error)))?;
+    let listener = Async::<TcpListener>::bind(parsed).map_err(wrong)?;
+    // The library's own is short: where hundreds come at once, the rest would come again only after a second.
+    if let Err(error) = rustix::net::listen(&listener, BACKLOG) {
+        log::debug!("a queue of new connections stays short: {error}");
+    }
+    Ok(listener)
+}
+
+/// Where it listens for the system's own traffic: at the address that others are told, unless something that passes the
+/// traffic on stands there and `listen_addresses` names another one.
+fn internal_listener(settings: &Settings, name: &str, offset: u16) -> String {
+    let told = || settings.internal_address(&settings.ip_address, offset);
+    settings.listen.get(name).cloned().unwrap_or_else(told)
+}
+
+fn spawn_control(
+    runtime: &Rc<Runtime<'_>>, listener: Async<TcpListener>, look_again: async_channel::Receiver<()>,
+) {
+    let here = runtime.clone();
+    let accept = operators::listen(listener, runtime.clock, look_again, move |stream, arrival| {
+        let runtime = here.clone();
+        let run = async move {
+            let submit = |message| submit(&runtime, arrival, message);
+            operators::serve_call(&stream, runtime.clock, submit).await;
+        };
+        here.executor.spawn(run).detach();
+    });
+    runtime.executor.spawn(accept).detach();
+}
+
+/// Hands an operator's call to the loop and waits for its answer.
+async fn submit(runtime: &Runtime<'_>, arrival: Arrival, message: Message) -> Option<Reply> {
+    let (sender, reply) = async_channel::bounded(1);
+    let call = runtime.control_node.borrow_mut().call_begun(arrival);
+    runtime.calls.borrow_mut().insert(call, sender);
+    runtime.tell(Input::Call { call, message });
+    reply.recv().await.ok()
+}
+
+fn spawn_directory(runtime: &Rc<Runtime<'_>>, listener: Async<TcpListener>) {
+    let here = runtime.clone();
+    let accept = socket::listen(listener, move |stream| {
+        let runtime = here.clone();
+        let run = async move {
+            let answer = |message: &Message| {
+                runtime.control_node.borrow_mut().resolve(runtime.clock.now(), &message.head)
+            };
+            operators::serve_calls(&stream, answer).await;
+        };
+        here.executor.spawn(run).detach();
+    });
+    runtime.executor.spawn(accept).detach();
+}
+
+fn spawn_peers(runtime: &Rc<Runtime<'_>>, listener: Async<TcpListener>) {
+    let here = runtime.clone();
+    let accept = socket::listen(listener, move |stream| {
+        let link = here.control_node.borrow_mut().link_accepted(here.clock.now());
+        let (way, outgoing) = socket::way();
+        here.links.borrow_mut().insert(link, way);
+        let runtime = here.clone();
+        let run = async move { run_link(&runtime, link, &stream, &outgoing).await };
+        here.executor.spawn(run).detach();
+    });
+    runtime.executor.spawn(accept).detach();
+}
+
+/// Carries the frames of a link with another control node until it ends.
+pub(super) async fn run_link(
+    runtime: &Runtime<'_>, link: u64, stream: &Async<TcpStream>, outgoing: &socket::Outgoing,
+) {
+    runtime.tell(Input::LinkOpened { link });
+    let told = |frame: PeerFrame| runtime.tell(Input::LinkFrame { link, frame });
+    socket::carry(stream, outgoing, told).await;
+    runtime.links.borrow_mut().remove(&link);
+    runtime.tell(Input::LinkClosed { link });
+}
+
+fn spawn_sessions(runtime: &Rc<Runtime<'_>>, listener: Async<TcpListener>) {
+    let here = runtime.clone();
+    let accept = socket::listen(listener, move |stream| {
+        let session = here.control_node.borrow_mut().session_accepted(here.clock.now());
+        let (way, outgoing) = socket::way();
+        here.sessions.borrow_mut().insert(session, way);
+        let runtime = here.clone();
+        let run = async move { run_session(&runtime, session, &stream, &outgoing).await };
+        here.executor.spawn(run).detach();
+    });
+    runtime.executor.spawn(accept).detach();
+}
+
+/// Carries the frames of a proxy's session until it ends.
+async fn run_session(
+    runtime: &Runtime<'_>, session: u64, stream: &Async<TcpStream>, outgoing: &socket::Outgoing,
+) {
+    let told = |frame: ToControl| runtime.tell(Input::SessionFrame { session, frame });
+    socket::carry(stream, outgoing, told).await;
+    runtime.sessions.borrow_mut().remove(&session);
+    runtime.tell(Input::SessionClosed { session });
+}
--- /dev/null
+++ b/crates/sandtrack-control/src/program/runtime.rs
@@ -0,0 +1,40 @@
+//! What the loop and the tasks of the process share.
+use crate::control::Reply;
+use crate::disk;
+use crate::node::{ControlNode, Input};
+use crate::platform::Fetch;
+use crate::socket::Way;
+use async_executor::LocalExecutor;
+use sandtrack_net::socket::Clock;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// The control node, and the ways to everything that its effects reach.
+pub(super) struct Runtime<'a> {
+    pub executor: Rc<LocalExecutor<'a>>,
+    pub clock: Clock,
+    /// To the loop.
+    pub inputs: async_channel::Sender<Input>,
+    pub control_node: RefCell<ControlNode>,
+    /// Open links with other control nodes, by number.
+    pub links: RefCell<HashMap<u64, Way>>,
+    /// Open sessions of proxies, by number.
+    pub sessions: RefCell<HashMap<u64, Way>>,
+    /// Operators that wait for an answer, by the number of the call.
+    pub calls: RefCell<HashMap<u64, async_channel::Sender<Reply>>>,
+    /// To the thread that writes the WAL; none where there is no data directory.
+    pub disk: Option<async_channel::Sender<disk::Order>>,
+    /// To the task that calls the platform.
+    pub fetches: async_channel::Sender<Fetch>,
+    /// Address of the platform.
+    pub platform: RefCell<String>,
+}
+
+impl Runtime<'_> {
+    /// Hands an input to the loop.
+    pub fn tell(&self, input: Input) {
+        // It fails only when the process is on its way out.
+        let _ = self.inputs.try_send(input);
+    }
+}
