Control tests: one set-up of a configured cluster and one status of a call in place of three each

`settled` of cut_off.rs and leaving.rs is `Cluster::configured`, `status` of cut_off.rs, late_orders.rs and leaving.rs and its in-line copies are `Cluster::status`. Assertions are as they were.

--- a/crates/sandtrack-control/tests/cluster.rs
+++ b/crates/sandtrack-control/tests/cluster.rs
@@ -19,7 +19,7 @@
     cluster.run(1000.0);
     let call = cluster.call(2, "POST", REPLACE, 0, &good(7));
     cluster.run(500.0);
-    assert_eq!(cluster.answer(call).map(|(_, reply)| reply.status), Some(200));
+    assert_eq!(cluster.status(call), Some(200));
     cluster.connect("c-odori", "odori-hall", "ishikari", 1);
     cluster.connect("c-asahi", "asahi-hall", "kamikawa", 2);
     cluster.connect("c-kita", "kita-hall", "ishikari", 3);
@@ -99,11 +99,7 @@
     cluster.run(5000.0);
     let again = cluster.call(2, "POST", REPLACE, 7, &good(9));
     cluster.run(1000.0);
-    assert_eq!(
-        cluster.answer(again).map(|(_, reply)| reply.status),
-        Some(200),
-        "the same once more is taken"
-    );
+    assert_eq!(cluster.status(again), Some(200), "the same once more is taken");
     let read = cluster.call(3, "GET", READ, 0, "");
     cluster.run(1000.0);
     assert!(cluster.answer(read).is_some_and(|(_, reply)| reply.body.contains("\"version_number\":9")));
@@ -245,14 +241,10 @@
     cluster.terminate(1);
     cluster.run(500.0);
     assert!(cluster.has_exited(1), "at once, as nothing holds it");
-    assert_eq!(
-        cluster.answer(call).map(|(_, reply)| reply.status),
-        Some(200),
-        "calls under way are finished"
-    );
+    assert_eq!(cluster.status(call), Some(200), "calls under way are finished");
     let next = cluster.call(2, "POST", REPLACE, 9, &good(12));
     cluster.run(300.0);
-    assert_eq!(cluster.answer(next).map(|(_, reply)| reply.status), Some(200), "the others go on without it");
+    assert_eq!(cluster.status(next), Some(200), "the others go on without it");
     cluster.run(700.0);
     let proxy = &cluster.proxies["c-odori"];
     assert_eq!(proxy.attached, Some(false), "its proxy goes elsewhere at once");
@@ -276,7 +268,7 @@
     let at = cluster.now;
     let call = cluster.call(1, "POST", "/v1/evacuation/kita-hall/begin", 0, "");
     cluster.run(2000.0);
-    assert_eq!(cluster.answer(call).map(|(_, reply)| reply.status), Some(503));
+    assert_eq!(cluster.status(call), Some(503));
     assert!(cluster.fetches_since(1, at) > 0, "it reads the list for itself");
     let call = cluster.call(2, "POST", REPLACE, 7, &good(9));
     cluster.run(900.0);
@@ -296,7 +288,7 @@
     cluster.run(4000.0);
     let call = cluster.call(2, "POST", REPLACE, 7, &good(9));
     cluster.run(900.0);
-    assert_eq!(cluster.answer(call).map(|(_, reply)| reply.status), Some(200));
+    assert_eq!(cluster.status(call), Some(200));
     cluster.list = Some(vec![upstream("i-2", true)]);
     cluster.run(1000.0);
     let at = cluster.now;
@@ -323,7 +315,7 @@
     let mut cluster = settled();
     let call = cluster.call(1, "POST", REPLACE, 7, &good(9));
     cluster.run(300.0);
-    assert_eq!(cluster.answer(call).map(|(_, reply)| reply.status), Some(200));
+    assert_eq!(cluster.status(call), Some(200));
     cluster.kill(1, true);
     cluster.wipe(1);
     cluster.run(100.0);
@@ -332,7 +324,7 @@
     assert_eq!(cluster.control_node(1).control_state().version(), 9);
     let repeat = cluster.call(1, "POST", REPLACE, 7, &good(9));
     cluster.run(500.0);
-    assert_eq!(cluster.answer(repeat).map(|(_, reply)| reply.status), Some(200));
+    assert_eq!(cluster.status(repeat), Some(200));
 }
 
 #[test]
--- a/crates/sandtrack-control/tests/common/cluster.rs
+++ b/crates/sandtrack-control/tests/common/cluster.rs
@@ -1,6 +1,6 @@
 //! A cluster of control nodes: several of them with links, disks, proxies, callers and a platform, all in one thread on a clock
 //! that is only counted. What is asked of each is carried out after a delay.
-use super::{message, settings};
+use super::{good, message, settings};
 use sandtrack_control::arrivals::Arrival;
 use sandtrack_control::control::Reply;
 use sandtrack_control::node::{ControlNode, Effect, Input, Start};
@@ -100,6 +100,20 @@
         cluster
     }
 
+    /// Control nodes 1 to `count` that hold the configuration of version 7, with a platform that lists one upstream.
+    ///
+    /// # Panics
+    /// Where the configuration is not taken.
+    pub fn configured(count: usize) -> Cluster {
+        let mut cluster = Cluster::start(count);
+        cluster.list = Some(vec![upstream("i-1", false)]);
+        cluster.run(1000.0);
+        let call = cluster.call(2, "POST", "/v1/configuration/replace", 0, &good(7));
+        cluster.run(3000.0);
+        assert_eq!(cluster.status(call), Some(200));
+        cluster
+    }
+
     /// Starts a control node with what its disk holds.
     pub fn boot(&mut self, number: usize, first_start: bool) {
         let mut settings = settings(number);
@@ -429,6 +443,11 @@
         answer.as_ref().map(|(at, reply)| (at - made, reply))
     }
 
+    /// The status that a call was answered with; none where it has no answer yet.
+    pub fn status(&self, call: u64) -> Option<u16> {
+        self.answer(call).map(|(_, reply)| reply.status)
+    }
+
     /// Asks a directory.
     pub fn resolve(&mut self, house: usize, zone: &str) -> String {
         let now = self.now;
--- a/crates/sandtrack-control/tests/cut_off.rs
+++ b/crates/sandtrack-control/tests/cut_off.rs
@@ -1,6 +1,6 @@
 //! A control node that is cut off from the others for twenty seconds while operators call both sides.
 mod common;
-use common::cluster::{upstream, Cluster};
+use common::cluster::Cluster;
 use common::good;
 
 const REPLACE: &str = "/v1/configuration/replace";
@@ -19,20 +19,6 @@
     Inward,
 }
 
-fn settled() -> Cluster {
-    let mut cluster = Cluster::start(3);
-    cluster.list = Some(vec![upstream("i-1", false)]);
-    cluster.run(1000.0);
-    let call = cluster.call(2, "POST", REPLACE, 0, &good(7));
-    cluster.run(3000.0);
-    assert_eq!(status(&cluster, call), Some(200));
-    cluster
-}
-
-fn status(cluster: &Cluster, call: u64) -> Option<u16> {
-    cluster.answer(call).map(|(_, reply)| reply.status)
-}
-
 /// The version that an answer of 412 names.
 fn current_told(cluster: &Cluster, call: u64) -> Option<u64> {
     let (_, reply) = cluster.answer(call).filter(|(_, reply)| reply.status == 412)?;
@@ -54,7 +40,7 @@
 fn play(one: usize, way: Way) {
     let case = format!("{one} is cut off, {way:?}");
     let other = one % 3 + 1;
-    let mut cluster = settled();
+    let mut cluster = Cluster::configured(3);
     cut(&mut cluster, one, way);
     let began = cluster.now;
     let mut version = 7;
@@ -68,7 +54,7 @@
         ];
         let there = cluster.call(other, "POST", REPLACE, version, &good(version + 3));
         cluster.run(CALL_EVERY_MS.max(if at < REPAIRED_MS { 950.0 } else { 0.0 }));
-        if status(&cluster, there) == Some(200) {
+        if cluster.status(there) == Some(200) {
             version += 3;
         } else if let (Way::Inward, Some(current)) = (way, current_told(&cluster, there)) {
             // An order of the deaf one came through, though its caller never hears of it.
@@ -95,7 +81,7 @@
     cluster.run(500.0);
     let newest = format!("\"version_number\":{version}");
     assert!(cluster.answer(read).is_some_and(|(_, reply)| reply.body.contains(&newest)), "{case}");
-    assert_eq!(status(&cluster, order), Some(200), "{case}: afterwards");
+    assert_eq!(cluster.status(order), Some(200), "{case}: afterwards");
 }
 
 #[test]
--- a/crates/sandtrack-control/tests/detached.rs
+++ b/crates/sandtrack-control/tests/detached.rs
@@ -20,7 +20,7 @@
 fn replace(cluster: &mut Cluster, house: usize, based_on: u64, version: u64) {
     let call = cluster.call(house, "POST", REPLACE, based_on, &good(version));
     cluster.run(800.0);
-    let status = cluster.answer(call).map(|(_, reply)| reply.status);
+    let status = cluster.status(call);
     assert_eq!(status, Some(200), "version {version} is taken at {house}");
 }
 
--- a/crates/sandtrack-control/tests/late_orders.rs
+++ b/crates/sandtrack-control/tests/late_orders.rs
@@ -26,10 +26,6 @@
     assert!(evacuated.iter().all(Vec::is_empty), "the confirmed finish stands: {evacuated:?}");
 }
 
-fn status(cluster: &Cluster, call: u64) -> Option<u16> {
-    cluster.answer(call).map(|(_, reply)| reply.status)
-}
-
 #[test]
 fn left_in_the_socket_of_a_frozen_machine() {
     for frozen in 1..=3 {
@@ -43,7 +39,7 @@
         cluster.run(2000.0);
         cluster.freeze(frozen, false);
         assert_not_evacuated(&mut cluster);
-        assert_eq!(status(&cluster, late), Some(503), "at {frozen}: nothing definite");
+        assert_eq!(cluster.status(late), Some(503), "at {frozen}: nothing definite");
     }
 }
 
@@ -62,7 +58,7 @@
             cluster.run(2000.0);
             cluster.freeze(frozen, false);
             assert_not_evacuated(&mut cluster);
-            assert_ne!(status(&cluster, late), Some(404), "{frozen}");
+            assert_ne!(cluster.status(late), Some(404), "{frozen}");
         }
     }
 }
@@ -79,7 +75,7 @@
     cluster.insist(&[3], BEGIN, 0, "");
     cluster.insist(&[2], FINISH, 0, "");
     assert_not_evacuated(&mut cluster);
-    assert_eq!(status(&cluster, late), Some(503));
+    assert_eq!(cluster.status(late), Some(503));
     assert!(cluster.submits.iter().any(|(_, from, _, _)| *from == 4), "it was on its way");
 }
 
@@ -106,7 +102,7 @@
     cluster.insist(&[head], BEGIN, 0, "");
     cluster.insist(&[head], FINISH, 0, "");
     assert_not_evacuated(&mut cluster);
-    assert_ne!(status(&cluster, late), Some(200));
+    assert_ne!(cluster.status(late), Some(200));
 }
 
 #[test]
@@ -116,7 +112,7 @@
     cluster.cut(3, 2, true);
     let late = cluster.call(3, "POST", BEGIN, 0, "");
     cluster.run(1000.0);
-    assert_eq!(status(&cluster, late), Some(503));
+    assert_eq!(cluster.status(late), Some(503));
     cluster.insist(&[1, 2], BEGIN, 0, "");
     cluster.insist(&[2, 1], FINISH, 0, "");
     let answered = cluster.now;
--- a/crates/sandtrack-control/tests/leaving.rs
+++ b/crates/sandtrack-control/tests/leaving.rs
@@ -1,31 +1,16 @@
 //! Control nodes that are told to stop: they end soon where the others have what they hold, and stay where not.
 mod common;
-use common::cluster::{upstream, Cluster};
+use common::cluster::Cluster;
 use common::good;
 
 const REPLACE: &str = "/v1/configuration/replace";
 const READ: &str = "/v1/configuration/read";
 
-/// Control nodes 1 to 3 with the configuration of version 7.
-fn settled() -> Cluster {
-    let mut cluster = Cluster::start(3);
-    cluster.list = Some(vec![upstream("i-1", false)]);
-    cluster.run(1000.0);
-    let call = cluster.call(2, "POST", REPLACE, 0, &good(7));
-    cluster.run(3000.0);
-    assert_eq!(status(&cluster, call), Some(200));
-    cluster
-}
-
-fn status(cluster: &Cluster, call: u64) -> Option<u16> {
-    cluster.answer(call).map(|(_, reply)| reply.status)
-}
-
 /// Orders a change through a control node; whether it was acknowledged within so many ms.
 fn order(cluster: &mut Cluster, number: usize, version: u64, patience: f64) -> Option<u16> {
     let call = cluster.call(number, "POST", REPLACE, version - 1, &good(version));
     cluster.run(patience);
-    status(cluster, call)
+    cluster.status(call)
 }
 
 /// Runs until a control node has ended, for at most so many ms; how long that took.
@@ -41,7 +26,7 @@
 #[test]
 fn where_the_others_are_too_few_it_stays_and_ends_with_the_next() {
     for (leaver, other) in [(1, 2), (2, 1)] {
-        let mut cluster = settled();
+        let mut cluster = Cluster::configured(3);
         cluster.kill(3, true);
         cluster.run(2500.0);
         cluster.terminate(leaver);
@@ -57,7 +42,7 @@
 
 #[test]
 fn the_only_copy_stays_until_others_have_it() {
-    let mut cluster = settled();
+    let mut cluster = Cluster::configured(3);
     cluster.kill(3, true);
     cluster.run(2500.0);
     assert_eq!(order(&mut cluster, 1, 8, 300.0), Some(200));
@@ -79,7 +64,7 @@
 
 #[test]
 fn whoever_needs_it_it_ends_before_its_grace_is_over() {
-    let mut cluster = settled();
+    let mut cluster = Cluster::configured(3);
     cluster.kill(3, true);
     cluster.run(2500.0);
     cluster.terminate(1);
@@ -90,7 +75,7 @@
 #[test]
 fn a_planned_replacement_of_each_goes_through() {
     for leaver in 1..=3 {
-        let mut cluster = settled();
+        let mut cluster = Cluster::configured(3);
         cluster.boot(4, false);
         cluster.run(1500.0);
         cluster.terminate(leaver);
@@ -107,7 +92,7 @@
 
 #[test]
 fn a_restart_of_all_in_turn_goes_through() {
-    let mut cluster = settled();
+    let mut cluster = Cluster::configured(3);
     for leaver in 1..=3 {
         cluster.terminate(leaver);
         assert!(run_until_ended(&mut cluster, leaver, 1000.0) <= 500.0);
