An update that can't be read back whole is refused

The next document is now the one that its text reads as: nothing changes where it certainly reads as itself (cheap, looked at for each change), else it is read anew and checked as such.

Without the mend `an_update_never_leads_to_what_can_not_be_read_back` and `the_first_configuration_builds_on_0` fail.

Tests of the operator's calls that were missing: an update and a replacement under one number, other bytes under the current number, version 0 and malformed `Based-On-Version`, a loser that is sent again while its first copy is under way (20 ms to 2 s), a large body in chunks that comes slowly with `Expect: 100-continue`, bodies that are cut short or over the limit in both framings.

--- a/crates/sandtrack-control/src/control_state.rs
+++ b/crates/sandtrack-control/src/control_state.rs
@@ -10,8 +10,14 @@
 use sandtrack_protocol::document::{Document, Invalid, Update};
 use sandtrack_protocol::frames::{ItemChange, ToProxy};
 use sandtrack_replication::StateMachine;
+use simd_json::prelude::*;
+use simd_json::OwnedValue;
 use std::collections::VecDeque;
 
+/// Lists without which a document can't be read.
+const REQUIRED_LISTS: [&str; 2] = ["routes", "services"];
+/// Where a document has its version.
+const VERSION_FIELD: &str = "version_number";
 /// So many changes are kept to be spread as such, and so many bytes of them.
 const CHANGES_KEPT: usize = 16;
 const CHANGES_BYTES: usize = 256 * 1024;
@@ -129,9 +135,10 @@
                 false => Outcome::Other { current: self.document.version },
             };
         }
-        if let Err(invalid) = self.check_next(&next) {
-            return invalid.into();
-        }
+        let next = match self.check_next(next) {
+            Ok(next) => next,
+            Err(invalid) => return invalid.into(),
+        };
         self.note_change(number, &next);
         let version = next.version;
         (self.document, self.configuration_number) = (next, number);
@@ -146,13 +153,15 @@
         }
     }
 
-    fn check_next(&self, next: &Document) -> Result<(), Invalid> {
-        Configuration::read(next)?;
+    /// The document that comes into force.
+    fn check_next(&self, next: Document) -> Result<Document, Invalid> {
+        let next = as_read_back(next)?;
+        Configuration::read(&next)?;
         if next.version <= self.document.version {
             let place = format!("version_number {}, current {}", next.version, self.document.version);
             return Err(Invalid::new(codes::VERSION_NOT_ABOVE, place));
         }
-        Ok(())
+        Ok(next)
     }
 
     fn run(&mut self, number: u64, command: Command) -> Outcome {
@@ -200,6 +209,27 @@
     }
 }
 
+/// A document as everyone reads it who gets it as text: proxies, and members that restore a snapshot. An update can lead to
+/// one that reads as something else, or not at all.
+fn as_read_back(document: Document) -> Result<Document, Invalid> {
+    if document.list(VERSION_FIELD).is_some() {
+        return Err(Invalid::new(codes::CONFIGURATION_FIELD, VERSION_FIELD));
+    }
+    if reads_back_as_it_is(&document) {
+        return Ok(document);
+    }
+    Document::parse(document.to_json().as_bytes())
+}
+
+/// Whether the text of a document certainly reads as the same document; cheap, as it is asked for each change.
+fn reads_back_as_it_is(document: &Document) -> bool {
+    let reads_as_list = |value: &OwnedValue| {
+        value.as_array().is_some_and(|items| items.iter().all(|item| item.as_object().is_some()))
+    };
+    REQUIRED_LISTS.iter().all(|list| document.list(list).is_some())
+        && !document.fields.iter().any(|(_, value)| reads_as_list(value))
+}
+
 impl StateMachine for ControlState {
     fn apply(&mut self, number: u64, command: &[u8]) -> Vec<u8> {
         let outcome = match borsh::from_slice(command) {
--- a/crates/sandtrack-control/tests/program.rs
+++ b/crates/sandtrack-control/tests/program.rs
@@ -1,7 +1,8 @@
 //! The program as a process on loopback: its command line, its sockets and its ends. It waits for what the process says and
 //! answers, and never sleeps.
 mod common;
-use common::good;
+use common::{configuration, good, route};
+use sandtrack_control::control::BODY_MAX;
 use sandtrack_protocol::frames::{self, ProxyInfo, ProxyState, ToControl, ToProxy};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, TcpStream};
@@ -284,3 +285,113 @@
     assert!(is_evacuated(&place));
     running.end(rustix::process::Signal::TERM);
 }
+
+const REPLACE: &str = "/v1/configuration/replace";
+
+/// The head of an order for the first configuration, with these headers about its body.
+fn replace_head(framing: &str) -> String {
+    format!("POST {REPLACE} HTTP/1.1\r\nHost: x\r\nBased-On-Version: 0\r\n{framing}\r\n\r\n")
+}
+
+/// A configuration that is many times as long as what is read from a socket at once.
+fn large(version: u64) -> String {
+    let routes: Vec<String> = (0..1500)
+        .map(|number| route(&format!("r-{number}"), &format!("/p{number}/"), r#""service":"print""#))
+        .collect();
+    configuration(version, &routes)
+}
+
+impl Place {
+    fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect((self.ip.as_str(), 8166)).expect("a connection");
+        stream.set_read_timeout(Some(Duration::from_secs(20))).expect("a time limit");
+        stream
+    }
+
+    /// Whether there is no configuration yet.
+    fn is_empty(&self) -> bool {
+        self.call_until_taken("GET", "/v1/configuration/read", "").starts_with("HTTP/1.1 404")
+    }
+}
+
+fn rest(stream: &mut TcpStream) -> String {
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    answer
+}
+
+/// Sends an order for the first configuration in chunks, with other calls between them; the chunks end at odd places.
+fn replace_in_chunks(place: &Place, body: &str) -> String {
+    let mut stream = place.connect();
+    let head = replace_head("Transfer-Encoding: chunked\r\nExpect: 100-continue");
+    stream.write_all(head.as_bytes()).expect("written");
+    let mut told = [0; 25];
+    stream.read_exact(&mut told).expect("an interim answer");
+    assert_eq!(&told, b"HTTP/1.1 100 Continue\r\n\r\n");
+    for piece in body.as_bytes().chunks(30_011) {
+        stream.write_all(format!("{:x};a=b\r\n", piece.len()).as_bytes()).expect("written");
+        let (one, other) = piece.split_at(piece.len() / 3);
+        stream.write_all(one).expect("written");
+        assert!(place.call("GET", "/v1/status", "").starts_with("HTTP/1.1 200"));
+        stream.write_all(other).expect("written");
+        stream.write_all(b"\r\n").expect("written");
+    }
+    stream.write_all(b"0\r\n\r\n").expect("written");
+    rest(&mut stream)
+}
+
+#[test]
+fn a_large_body_that_comes_slowly_in_chunks_is_taken() {
+    let place = Place::new("chunks", "127.0.7.6");
+    let running = place.start();
+    assert!(place.is_empty());
+    let body = large(7);
+    // A process that did not run for a while on a busy machine does not carry out what came meanwhile.
+    let answers = std::iter::repeat_with(|| replace_in_chunks(&place, &body)).take(100);
+    let answer = answers.into_iter().find(|answer| !answer.starts_with("HTTP/1.1 503"));
+    let answer = answer.expect("an acknowledgement");
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("\"version_number\":7"), "{answer}");
+    // With a length it is the same order.
+    let again = place.call_until_taken("POST", REPLACE, &body);
+    assert!(again.starts_with("HTTP/1.1 200") && again.contains("\"version_number\":7"), "{again}");
+    let other = place.call_until_taken("POST", REPLACE, &good(7));
+    assert!(other.starts_with("HTTP/1.1 412") && other.contains("current 7"), "{other}");
+    running.end(rustix::process::Signal::TERM);
+}
+
+#[test]
+fn a_body_that_is_cut_short_or_too_long_changes_nothing() {
+    let place = Place::new("body", "127.0.7.7");
+    let running = place.start();
+    assert!(place.is_empty());
+    let body = good(7);
+    let chunk = format!("{:x}\r\n{body}\r\n", body.len());
+    let cut_short = [
+        replace_head(&format!("Content-Length: {}", body.len() + 1)) + &body,
+        replace_head("Transfer-Encoding: chunked") + &chunk,
+        replace_head("Transfer-Encoding: chunked") + &chunk + "0\r\n",
+    ];
+    for text in cut_short {
+        let mut stream = place.connect();
+        stream.write_all(text.as_bytes()).expect("written");
+        stream.shutdown(Shutdown::Write).expect("its end");
+        assert_eq!(rest(&mut stream), "", "nobody waits for an answer");
+    }
+    // One byte more than it takes, in both framings; blanks at its end do no harm in themselves.
+    let long = format!("{body}{}", " ".repeat(BODY_MAX + 1 - body.len()));
+    let chunked = format!("{:x}\r\n{long}\r\n0\r\n\r\n", long.len());
+    let too_long = [
+        replace_head(&format!("Content-Length: {}", long.len())) + &long,
+        replace_head("Transfer-Encoding: chunked") + &chunked,
+    ];
+    for text in too_long {
+        let mut stream = place.connect();
+        // It may stop reading before all is written.
+        let _ = stream.write_all(text.as_bytes());
+        let answer = rest(&mut stream);
+        assert!(answer.starts_with("HTTP/1.1 413") && answer.contains("E301"), "{answer}");
+    }
+    assert!(place.is_empty());
+    assert!(place.call_until_taken("POST", REPLACE, &body).starts_with("HTTP/1.1 200"));
+    running.end(rustix::process::Signal::TERM);
+}
--- a/crates/sandtrack-control/tests/repeats.rs
+++ b/crates/sandtrack-control/tests/repeats.rs
@@ -2,13 +2,14 @@
 //! of two operators that pick one number one wins.
 mod common;
 use common::cluster::Cluster;
-use common::good;
+use common::{good, message, route};
 use sandtrack_control::control;
 use sandtrack_control::control_state::{Command, ControlState, Form, Outcome};
 use sandtrack_control::taken::TAKEN_KEPT;
 use sandtrack_replication::StateMachine;
 
 const REPLACE: &str = "/v1/configuration/replace";
+const PRINT: &str = r#""service":"print""#;
 const BEGIN: &str = "/v1/evacuation/kita-hall/begin";
 const FINISH: &str = "/v1/evacuation/kita-hall/finish";
 
@@ -118,10 +119,8 @@
             cluster.run(gap);
             let second = cluster.call(other, "POST", REPLACE, 7, &theirs);
             cluster.run(300.0);
-            let statuses: Vec<u16> = [first, second]
-                .iter()
-                .filter_map(|call| cluster.answer(*call).map(|(_, reply)| reply.status))
-                .collect();
+            let statuses: Vec<u16> =
+                [first, second].iter().filter_map(|call| cluster.status(*call)).collect();
             assert!(statuses == [200, 412] || statuses == [412, 200], "{one} {other} {gap}: {statuses:?}");
             // Each is sent again, to another node, as if its answer had been lost.
             let repeats = [
@@ -130,7 +129,7 @@
             ];
             cluster.run(300.0);
             for (repeat, status) in repeats.into_iter().zip(statuses) {
-                assert_eq!(cluster.answer(repeat).map(|(_, reply)| reply.status), Some(status));
+                assert_eq!(cluster.status(repeat), Some(status));
             }
         }
     }
@@ -152,7 +151,7 @@
         cluster.insist(&[2], REPLACE, 9, &good(12));
         cluster.run(4000.0);
         for call in [first, begin] {
-            let status = cluster.answer(call).map(|(_, reply)| reply.status);
+            let status = cluster.status(call);
             assert!(matches!(status, Some(200 | 503)), "{delay}: {status:?}");
         }
         for house in 1..=3 {
@@ -192,3 +191,137 @@
         assert!(cluster.evacuated().iter().all(Vec::is_empty));
     }
 }
+
+/// An update and a whole configuration that pick one number: whichever comes first is taken, and each is known again.
+#[test]
+fn an_update_and_a_replacement_under_one_number() {
+    for replaces_first in [true, false] {
+        let mut log = changed(3);
+        let (whole, change) = (good(11), update(11));
+        let send = |log: &mut Log, replaces: bool| match replaces {
+            true => log.replace(10, &whole),
+            false => log.update(10, &change),
+        };
+        assert_eq!(send(&mut log, replaces_first), Outcome::Taken { version: 11 });
+        assert_eq!(send(&mut log, !replaces_first), Outcome::Other { current: 11 });
+        let after = format!("{:?}", log.state.whole());
+        for mut log in [log.restored(), log] {
+            for _ in 0..2 {
+                assert_eq!(send(&mut log, !replaces_first), Outcome::Other { current: 11 });
+                assert_eq!(send(&mut log, replaces_first), Outcome::Taken { version: 11 });
+            }
+            assert_eq!(format!("{:?}", log.state.whole()), after, "repeats change nothing");
+            // With a change on top of it both keep their answers.
+            assert_eq!(log.update(11, &update(13)), Outcome::Taken { version: 13 });
+            assert_eq!(send(&mut log, !replaces_first), Outcome::Other { current: 13 });
+            assert_eq!(send(&mut log, replaces_first), Outcome::Taken { version: 11 });
+            assert_eq!(log.state.version(), 13);
+        }
+    }
+}
+
+/// The number of the current configuration with other bytes, whatever it says that it builds on.
+#[test]
+fn other_bytes_under_the_current_number_are_never_taken() {
+    let mut log = changed(3);
+    let before = log.state.whole();
+    for bytes in [good(10).replace("8000", "5000"), good(10) + "\n"] {
+        assert_eq!(log.replace(9, &bytes), Outcome::Other { current: 10 });
+        assert_eq!(log.replace(0, &bytes), Outcome::Other { current: 10 });
+        assert!(matches!(log.replace(10, &bytes), Outcome::Invalid { code: 207, .. }));
+    }
+    assert_eq!(log.state.whole(), before);
+}
+
+/// Before the first configuration the version is 0.
+#[test]
+fn the_first_configuration_builds_on_0() {
+    let mut log = Log::default();
+    assert_eq!(log.replace(1, &good(7)), Outcome::Other { current: 0 });
+    assert!(matches!(log.replace(0, &good(0)), Outcome::Invalid { .. }), "0 is no version");
+    assert!(matches!(log.update(0, &update(7)), Outcome::Invalid { .. }), "there is nothing to update");
+    assert_eq!(log.state.version(), 0);
+    let (mine, theirs) = (good(7), good(7).replace("8000", "5000"));
+    assert_eq!(log.replace(0, &mine), Outcome::Taken { version: 7 });
+    assert_eq!(log.replace(0, &theirs), Outcome::Other { current: 7 });
+    assert_eq!(log.replace(0, &mine), Outcome::Taken { version: 7 });
+    for header in ["", "-0", "0x0", "0.0", "18446744073709551616"] {
+        let call = message("POST", REPLACE, &[("Based-On-Version", header)], &mine);
+        assert_eq!(control::decode(&call).map_err(|reply| reply.status), Err(400), "`{header}`");
+    }
+}
+
+/// The loser of two operators is sent again while its first copy is still under way, and after that: it is never taken.
+#[test]
+fn a_loser_stays_one_while_its_first_copy_is_still_on_its_way() {
+    for delay in [20.0, 200.0, 600.0, 2000.0] {
+        let mut cluster = Cluster::start(4);
+        cluster.run(1000.0);
+        cluster.insist(&[2], REPLACE, 0, &good(7));
+        cluster.run(1000.0);
+        (1..=3).for_each(|to| cluster.slow(4, to, delay));
+        let (mine, theirs) = (good(9), good(9).replace("8000", "5000"));
+        let mut losers = vec![cluster.call(4, "POST", REPLACE, 7, &mine)];
+        cluster.insist(&[3], REPLACE, 7, &theirs);
+        let taken = cluster.control_node(3).control_state().whole();
+        if cluster.status(losers[0]) == Some(200) {
+            panic!("{delay}: both were acknowledged");
+        }
+        losers.extend((1..=3).map(|house| cluster.call(house, "POST", REPLACE, 7, &mine)));
+        cluster.run(1000.0);
+        for loser in &losers[1..] {
+            assert_eq!(cluster.status(*loser), Some(412), "{delay}");
+        }
+        cluster.run(4000.0);
+        let first = cluster.status(losers[0]);
+        assert!(matches!(first, Some(412 | 503)), "{delay}: {first:?}");
+        for house in 1..=3 {
+            assert_eq!(cluster.control_node(house).control_state().whole(), taken, "{delay}");
+            cluster.insist(&[house], REPLACE, 7, &theirs);
+        }
+    }
+}
+
+/// Whatever an update leads to: it is refused, or a member that gets it as text reads the same.
+#[test]
+fn an_update_never_leads_to_what_can_not_be_read_back() {
+    let body = |more: &str| format!("{{\"version_number\":9,{more}}}");
+    let (first, second) = (route("a", "/a/", PRINT), route("a", "/b/", PRINT));
+    let refused = [
+        (0, r#""remove_names":{"routes":["r-none"]}"#.to_owned()),
+        (0, r#""set_items":{"routes":[]}"#.to_owned()),
+        (7, r#""routes":5"#.to_owned()),
+        (7, r#""services":{}"#.to_owned()),
+        (7, format!(r#""routes":[{first},{second}]"#)),
+        (7, format!(r#""routes":[{}]"#, route("a", "/a/", r#""service":"nobody""#))),
+        (7, r#""tags":[{"no":"name"}]"#.to_owned()),
+        (7, r#""set_items":{"version_number":[{"name":"x"}]}"#.to_owned()),
+    ];
+    for (based_on, more) in refused {
+        let mut log = if based_on == 0 { Log::default() } else { changed(0) };
+        let outcome = log.update(based_on, &body(&more));
+        assert!(matches!(outcome, Outcome::Invalid { .. }), "{more}: {outcome:?}");
+        assert_eq!(log.state.version(), based_on, "{more}");
+    }
+    let taken = [
+        format!(r#""routes":[{first}]"#),
+        r#""tags":[]"#.to_owned(),
+        r#""tags":[{"name":"x"}]"#.to_owned(),
+        r#""tags":["x",{"name":"y"}]"#.to_owned(),
+        r#""limits":{"header_size_bytes":8192}"#.to_owned(),
+    ];
+    for more in taken {
+        let mut log = changed(0);
+        assert_eq!(log.update(7, &body(&more)), Outcome::Taken { version: 9 }, "{more}");
+        let restored = log.restored();
+        assert_eq!(restored.state.whole(), log.state.whole(), "{more}");
+        // Both go on alike.
+        let add =
+            format!(r#"{{"version_number":11,"set_items":{{"routes":[{second}],"tags":[{{"name":"z"}}]}}}}"#);
+        let mut both = [log, restored];
+        for log in &mut both {
+            assert_eq!(log.update(9, &add), Outcome::Taken { version: 11 }, "{more}");
+        }
+        assert_eq!(both[0].state.whole(), both[1].state.whole(), "{more}");
+    }
+}
