A voter that accepted a later view no longer confirms the lease of the one before

Cause: a voter accepts a later view, is cut off before it hears that it was decided, and went on naming the old epoch; a member that the later view leaves out took it for a confirmation and gave proxies that start the state of the old view (by reading until now). Shown on the simulated cluster: 750 ms after the decision, with a newer order acknowledged, a proxy that started was told the old version. Two more ways to the same end showed on the way: a member that knows the later view but has not caught up in it was let through by the time that a repair may take (REPAIR_MS), and voters were compared by address, so one that came back with an empty disk confirmed the view of the voter that it had been.

Ruled out: a promise need not bind, as a decision takes a majority of acceptances.

A voter confirms a view as the member that the view names, and only if it is bound to no later one; a process counts itself by the same rule. Proxies are given configurations only where the state holds all that was acknowledged in the latest view known: as a member of the chain without a break since it was in line, or as far as the source, in line, tells.

--- a/crates/sandtrack-control/src/contact.rs
+++ b/crates/sandtrack-control/src/contact.rs
@@ -2,7 +2,7 @@
 //! was frozen, cut off or away believes an old view; what it hands out on that belief would be an old configuration.
 //! Pure: time is the process's own steady clock.
 use crate::Millis;
-use sandtrack_replication::Address;
+use sandtrack_replication::{Address, Testimony, View};
 use std::collections::BTreeMap;
 
 /// How long a word of a voter counts, in ms. Shorter than a freeze that nobody notices may be (`FROZEN_MS` of `node`),
@@ -15,8 +15,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Word {
     heard: Millis,
-    /// The latest epoch that it named; none before the first message of its replica.
-    epoch: Option<u64>,
+    /// What its replica said last; none before the first message of it.
+    testimony: Option<Testimony>,
 }
 
 /// What the voters said last, as far as it counts.
@@ -27,14 +27,14 @@
 }
 
 impl Contact {
-    /// A frame of a peer came; `epoch` is that of its replica where the frame is of the replica.
-    pub fn heard(&mut self, now: Millis, peer: &str, epoch: Option<u64>) {
+    /// A frame of a peer came; `testimony` is that of its replica where the frame is of the replica.
+    pub fn heard(&mut self, now: Millis, peer: &str, testimony: Option<Testimony>) {
         if now < self.counts_from {
             return;
         }
-        let word = self.words.entry(peer.to_owned()).or_insert(Word { heard: now, epoch });
+        let word = self.words.entry(peer.to_owned()).or_insert(Word { heard: now, testimony });
         word.heard = now;
-        word.epoch = word.epoch.max(epoch);
+        word.testimony = testimony.or(word.testimony);
     }
 
     /// The link with a peer is gone, or is a new one: what it knows is to be heard anew.
@@ -48,15 +48,17 @@
         self.counts_from = now + DRAIN_MS;
     }
 
-    /// Whether a majority of these voters, of the view of `epoch`, was heard within the lease and knows no later view.
-    pub fn is_confirmed(&self, now: Millis, me: &str, voters: &[Address], epoch: u64) -> bool {
-        let agrees = |voter: &&Address| {
-            let word = self.words.get(*voter);
-            **voter == me
-                || word.is_some_and(|word| {
-                    now - word.heard <= LEASE_MS && word.epoch.is_some_and(|known| known <= epoch)
-                })
+    /// Whether a majority of the view's voters was heard within the lease, and neither knows nor accepted a later view.
+    /// This process, at `me`, counts itself by the same rule.
+    pub fn is_confirmed(&self, now: Millis, me: &str, own: Testimony, view: &View) -> bool {
+        let confirms = |address: &str| {
+            if address == me {
+                return own.confirms(address, view);
+            }
+            let word = self.words.get(address).filter(|word| now - word.heard <= LEASE_MS);
+            word.and_then(|word| word.testimony).is_some_and(|testimony| testimony.confirms(address, view))
         };
-        now >= self.counts_from && 2 * voters.iter().filter(agrees).count() > voters.len()
+        let confirming = view.voters.iter().filter(|voter| confirms(&voter.address)).count();
+        now >= self.counts_from && confirming >= view.majority()
     }
 }
--- a/crates/sandtrack-control/src/node.rs
+++ b/crates/sandtrack-control/src/node.rs
@@ -128,6 +128,8 @@
     told: (u64, u64),
     /// When it was caught up last, in this stretch of running.
     caught_up: Option<Millis>,
+    /// The last epoch in which the replica, in the chain, held all that was acknowledged.
+    held_all_in: Option<u64>,
     started: Millis,
     /// It knows how many proxies there are: what holds over all of them may be shared out.
     settled: bool,
@@ -193,6 +195,7 @@
             turn: 0,
             told: (0, 0),
             caught_up: None,
+            held_all_in: None,
             started: now,
             settled: false,
             last: now,
@@ -415,7 +418,7 @@
             PeerFrame::Replication(message) => {
                 let received = replication::Input::Received { from: peer.clone(), message };
                 self.replica(now, received, out);
-                self.contact.heard(now, &peer, self.replica.heard_epoch(&peer));
+                self.contact.heard(now, &peer, self.replica.testimony_of(&peer));
             }
             PeerFrame::Sessions { whole, present, gone } => {
                 self.membership.told(now, &peer, whole, present, &gone);
@@ -506,6 +509,7 @@
         if self.replica.is_caught_up() {
             self.caught_up = Some(now);
         }
+        self.held_all_in = self.held_all_in.max(self.replica.holds_all_in());
         self.reach(now);
         let mut orders = Vec::new();
         let (lost, beat) = self.peers.tick(now, &mut orders);
@@ -603,10 +607,12 @@
         2 * heard > voters.len() && (caught_up || self.replica.is_caught_up())
     }
 
-    /// Whether sessions are given configurations and evacuations: what is known here was confirmed within the lease.
-    fn feeds(&self, now: Millis) -> bool {
-        let epoch = self.replica.view().epoch;
-        self.is_attached(now) && self.contact.is_confirmed(now, &self.peers.me.address, &self.voters(), epoch)
+    /// Whether sessions are given configurations and evacuations: the view was confirmed within the lease, and all that
+    /// was acknowledged in it is known here.
+    pub fn feeds(&self, now: Millis) -> bool {
+        let voter = self.replica.testimony();
+        let is_confirmed = self.contact.is_confirmed(now, &self.peers.me.address, voter, self.replica.view());
+        self.is_attached(now) && is_confirmed && self.replica.holds_all(self.held_all_in)
     }
 
     fn beat_one(&mut self, now: Millis, peer: &str, out: &mut Vec<Effect>) {
--- a/crates/sandtrack-control/tests/common/cluster.rs
+++ b/crates/sandtrack-control/tests/common/cluster.rs
@@ -63,6 +63,12 @@
     cut: BTreeSet<(usize, usize)>,
     /// Ways on which frames take so many ms longer.
     slow: BTreeMap<(usize, usize), f64>,
+    /// The epoch that the replica of each house named last.
+    pub epochs: BTreeMap<usize, u64>,
+    /// What replicas said since a test cleared it: from, to, what.
+    pub said: Vec<(usize, usize, String)>,
+    /// Replicas' messages with these words from one house to another are lost.
+    pub lost_words: Vec<(usize, usize, &'static str)>,
     /// Calls that replicas handed on: when, from, to, what.
     pub submits: Vec<(f64, usize, usize, String)>,
     pub proxies: BTreeMap<String, Proxy>,
@@ -86,6 +92,9 @@
             ends: BTreeMap::new(),
             cut: BTreeSet::new(),
             slow: BTreeMap::new(),
+            epochs: BTreeMap::new(),
+            said: Vec::new(),
+            lost_words: Vec::new(),
             submits: Vec::new(),
             proxies: BTreeMap::new(),
             calls: BTreeMap::new(),
@@ -325,6 +334,11 @@
                 if let Some((to, end)) = self.ends.get(&(number, link)).copied() {
                     if let PeerFrame::Replication(message) = &frame {
                         let said = message.to_string();
+                        self.note_epoch(number, &said);
+                        self.said.push((number, to, said.clone()));
+                        if self.is_lost(number, to, &said) {
+                            return;
+                        }
                         if said.contains(" submit ") {
                             self.submits.push((self.now, number, to, said));
                         }
@@ -352,6 +366,37 @@
         }
     }
 
+    /// A message begins with the epoch of its sender.
+    fn note_epoch(&mut self, number: usize, said: &str) {
+        let named = said.strip_prefix('e').and_then(|rest| rest.split(' ').next());
+        if let Some(epoch) = named.and_then(|epoch| epoch.parse().ok()) {
+            self.epochs.insert(number, epoch);
+        }
+    }
+
+    fn is_lost(&self, from: usize, to: usize, said: &str) -> bool {
+        self.lost_words.iter().any(|lost| (lost.0, lost.1) == (from, to) && said.contains(lost.2))
+    }
+
+    /// Runs until the replica of a house names an epoch, for at most `ms`; whether it does.
+    pub fn run_until_epoch(&mut self, house: usize, epoch: u64, ms: f64) -> bool {
+        let until = self.now + ms;
+        while self.now < until && self.epochs.get(&house) != Some(&epoch) {
+            self.run(1.0);
+        }
+        self.epochs.get(&house) == Some(&epoch)
+    }
+
+    /// Runs until a replica says these words to another, for at most `ms`; whether it does.
+    pub fn run_until_said(&mut self, from: usize, to: usize, words: &str, ms: f64) -> bool {
+        let until = self.now + ms;
+        let is_it = |said: &(usize, usize, String)| (said.0, said.1) == (from, to) && said.2.contains(words);
+        while self.now < until && !self.said.iter().any(is_it) {
+            self.run(1.0);
+        }
+        self.said.iter().any(is_it)
+    }
+
     fn proxy_of(&self, house: usize, session: u64) -> Option<String> {
         let life = self.life(house);
         let mine = |proxy: &&Proxy| proxy.house == house && proxy.session == Some((life, session));
--- a/crates/sandtrack-replication/src/lib.rs
+++ b/crates/sandtrack-replication/src/lib.rs
@@ -24,6 +24,7 @@
 mod reads;
 mod reconfiguration;
 mod replica;
+mod testimony;
 mod transfer;
 mod view;
 
@@ -31,4 +32,5 @@
 pub use fingerprint::DurableFacts;
 pub use message::Message;
 pub use replica::Replica;
+pub use testimony::Testimony;
 pub use view::{Address, Member, View};
--- a/crates/sandtrack-replication/src/message.rs
+++ b/crates/sandtrack-replication/src/message.rs
@@ -15,6 +15,9 @@
     pub(crate) start: u64,
     /// Of the view that the sender has on its disk; the one that the body is about.
     pub(crate) epoch: u64,
+    /// The latest epoch whose view the sender knows, or accepted on its disk. That view may have been decided, so the
+    /// sender speaks for no earlier one.
+    pub(crate) bound: u64,
     pub(crate) body: Box<Body>,
 }
 
--- a/crates/sandtrack-replication/src/peers.rs
+++ b/crates/sandtrack-replication/src/peers.rs
@@ -4,7 +4,7 @@
 use borsh::BorshSerialize;
 
 use crate::message::Status;
-use crate::Address;
+use crate::{Address, Message};
 
 /// Spans in milliseconds; a peer is forgotten after this silence, unless it is in the view.
 const FORGET: f64 = 10_000.0;
@@ -18,6 +18,8 @@
     pub(crate) incarnation: u64,
     pub(crate) start: u64,
     pub(crate) epoch: u64,
+    /// The latest view that it knows or accepted.
+    pub(crate) bound: u64,
     pub(crate) status: Option<Status>,
     /// When it was last sent the view.
     pub(crate) view_sent: f64,
@@ -34,15 +36,15 @@
 
 impl Peers {
     /// Takes note of a message; true when the sender is new or started anew.
-    pub(crate) fn heard(
-        &mut self, now: f64, from: &Address, incarnation: u64, start: u64, epoch: u64,
-    ) -> bool {
+    pub(crate) fn heard(&mut self, now: f64, from: &Address, message: &Message) -> bool {
+        let Message { incarnation, start, epoch, bound, .. } = *message;
         let peer = self.all.entry(from.clone()).or_insert_with(|| Peer {
             heard: now,
             listed: f64::NEG_INFINITY,
             incarnation,
             start: start.wrapping_add(1),
             epoch,
+            bound,
             status: None,
             view_sent: f64::NEG_INFINITY,
             status_sent: f64::NEG_INFINITY,
@@ -54,11 +56,13 @@
             peer.start = start;
             peer.incarnation = incarnation;
             peer.epoch = epoch;
+            peer.bound = bound;
             peer.status = None;
             peer.listed = f64::NEG_INFINITY;
             peer.taught = (0, f64::NEG_INFINITY);
         }
         peer.epoch = peer.epoch.max(epoch);
+        peer.bound = peer.bound.max(bound);
         anew
     }
 
--- a/crates/sandtrack-replication/src/replica.rs
+++ b/crates/sandtrack-replication/src/replica.rs
@@ -156,11 +156,6 @@
         &self.latest
     }
 
-    /// The latest epoch that another process named, since it started.
-    pub fn heard_epoch(&self, address: &str) -> Option<u64> {
-        self.peers.all.get(address).map(|peer| peer.epoch)
-    }
-
     /// Links of the known control processes without this one: chain, voters, observers.
     pub fn peers(&self) -> Vec<Address> {
         let mut all = self.latest.addresses();
@@ -196,6 +191,7 @@
             incarnation: self.me.incarnation,
             start: self.start,
             epoch: self.image.view.epoch,
+            bound: self.bound(),
             body: Box::new(body),
         };
         if *to == self.me.address {
@@ -221,7 +217,7 @@
         if *from == self.me.address {
             return;
         }
-        let anew = self.peers.heard(self.now, from, message.incarnation, message.start, message.epoch);
+        let anew = self.peers.heard(self.now, from, &message);
         if anew {
             self.send_status(from, effects);
         }
--- a/crates/sandtrack-replication/src/view.rs
+++ b/crates/sandtrack-replication/src/view.rs
@@ -73,7 +73,8 @@
         self.chain.get(self.position(member)?.checked_sub(1)?)
     }
 
-    pub(crate) fn majority(&self) -> usize {
+    /// How many of the voters decide.
+    pub fn majority(&self) -> usize {
         self.voters.len() / 2 + 1
     }
 
