--- a/crates/sandtrack-control/src/node.rs
+++ b/crates/sandtrack-control/src/node.rs
@@ -111,6 +111,8 @@
     announced: Announced,
     /// When the replica was caught up last; none since a freeze.
     last_caught_up: Option<Millis>,
+    /// The last epoch in which the replica, in the chain, held all that was acknowledged.
+    held_all_in: Option<u64>,
     started: Millis,
     /// It knows how many proxies there are: what holds over all of them may be shared out.
     settled: bool,
@@ -157,6 +159,7 @@
             resolutions: 0,
             announced: Announced::default(),
             last_caught_up: None,
+            held_all_in: None,
             started: now,
             settled: false,
             last_input: now,
--- a/crates/sandtrack-control/src/node/attachment.rs
+++ b/crates/sandtrack-control/src/node/attachment.rs
@@ -30,10 +30,12 @@
         lately || self.replica.is_caught_up()
     }
 
-    /// Whether proxies may be given configurations and evacuations: what is known here was confirmed within the lease.
-    pub(super) fn may_feed_proxies(&self, now: Millis) -> bool {
-        let epoch = self.replica.view().epoch;
-        self.is_attached(now) && self.contact.is_confirmed(now, &self.peers.me.address, &self.voters(), epoch)
+    /// Whether proxies may be given configurations and evacuations: the view was confirmed within the lease, and all that
+    /// was acknowledged in it is known here.
+    pub fn may_feed_proxies(&self, now: Millis) -> bool {
+        let me = &self.peers.me.address;
+        let is_confirmed = self.contact.is_confirmed(now, me, self.replica.testimony(), self.replica.view());
+        self.is_attached(now) && is_confirmed && self.replica.holds_all(self.held_all_in)
     }
 
     /// Addresses of the voters of the view.
--- a/crates/sandtrack-control/src/node/links.rs
+++ b/crates/sandtrack-control/src/node/links.rs
@@ -130,7 +130,7 @@
     fn replica_message(&mut self, now: Millis, peer: &str, message: Message, out: &mut Vec<Effect>) {
         let received = replication::Input::Received { from: peer.to_owned(), message };
         self.step_replica(now, received, out);
-        self.contact.heard(now, peer, self.replica.heard_epoch(peer));
+        self.contact.heard(now, peer, self.replica.testimony_of(peer));
     }
 
     /// A peer says that it is there, and what it knows: whatever differs from what it told before is asked for.
