Rig: a client asks nothing of a process that was killed before its turn came

The generator looked whether its process serves and handed the request to the executor; the step that kills the process ran in between. The request began after the kill, so that it was not excused by it, and found nobody listening. It could happen before as well: such a request never had an answer to lose.

Change: whether the process serves is looked at when the request begins, in the same turn as its time is taken; whatever is done to the process from then on excuses it. The check that each request is answered is as it was.

--- a/crates/sandtrack-rig/src/client.rs
+++ b/crates/sandtrack-rig/src/client.rs
@@ -61,6 +61,10 @@
     client: Rc<Client>, class: Class, pool: Rc<RefCell<Vec<Wire>>>, book: Rc<RefCell<Book>>,
     processes: Rc<RefCell<Processes>>,
 ) {
+    // It was told to ask before its process was killed, and runs only now.
+    if !processes.borrow().serves(client.process) {
+        return;
+    }
     let (id, sent) = {
         let mut book = book.borrow_mut();
         book.asked();
