Result codes have one written form and one place for their meaning; the log lines' test reads sources in folders

`Code` has Display (`E211`) and `meaning`: five places wrote the form and four looked the meaning up by themselves. Answers keep their bytes: control has `"E211"`, proxies `401`, both on the wire; docs/system/codes.md says so. Logs have the one form everywhere.

That every code stands in the page's table, and the other way round, was tested before (protocol/tests/codes.rs); its written form and meaning are now as well.

`every_log_line_of_the_page_is_logged` read the files of `src` only; since control's modules have folders it reads these too, and looks for the same fragments.

--- a/crates/sandtrack-cli/src/call.rs
+++ b/crates/sandtrack-cli/src/call.rs
@@ -106,7 +106,7 @@
     match code {
         Some(number) => {
             let code = Code(number);
-            let what = text("what").unwrap_or_else(|| crate::error::meaning(code).to_owned());
+            let what = text("what").unwrap_or_else(|| code.meaning().to_owned());
             CliError::Coded { code, place: text("place").unwrap_or_default(), what }
         }
         None => {
--- a/crates/sandtrack-cli/src/error.rs
+++ b/crates/sandtrack-cli/src/error.rs
@@ -1,5 +1,5 @@
 //! What went wrong, with its numbered code, and the exit code that follows from it.
-use sandtrack_protocol::codes::{self, Code};
+use sandtrack_protocol::codes::Code;
 use sandtrack_protocol::document::Invalid;
 use sandtrack_protocol::logs::escape;
 use sandtrack_protocol::settings::SettingsError;
@@ -14,19 +14,14 @@
     #[error("{0}")]
     Usage(String),
     /// With its place, as control tells it and as a check without control finds it.
-    #[error("E{:03} {place}: {what}", code.0)]
+    #[error("{code} {place}: {what}")]
     Coded { code: Code, place: String, what: String },
 }
 
-/// The meaning of a code.
-pub fn meaning(code: Code) -> &'static str {
-    codes::TABLE.iter().find(|(known, _, _)| *known == code).map_or("", |(_, _, text)| *text)
-}
-
 impl CliError {
     /// A code at a place, in the words of the table.
     pub fn coded(code: Code, place: impl Into<String>) -> CliError {
-        CliError::Coded { code, place: place.into(), what: meaning(code).to_owned() }
+        CliError::Coded { code, place: place.into(), what: code.meaning().to_owned() }
     }
 
     /// The hundreds of the code: 1 settings, 2 configuration, 3 control, 4 requests, 5 disk.
@@ -41,8 +36,7 @@
         match self {
             CliError::Usage(what) => format!("{{\"what\":\"{}\"}}", escape(what)),
             CliError::Coded { code, place, what } => format!(
-                "{{\"code\":\"E{:03}\",\"place\":\"{}\",\"what\":\"{}\"}}",
-                code.0,
+                "{{\"code\":\"{code}\",\"place\":\"{}\",\"what\":\"{}\"}}",
                 escape(place),
                 escape(what)
             ),
--- a/crates/sandtrack-cli/tests/pages.rs
+++ b/crates/sandtrack-cli/tests/pages.rs
@@ -60,15 +60,24 @@
     fragments
 }
 
-#[test]
-fn every_log_line_of_the_page_is_logged() {
-    let mut sources = String::new();
-    for package in ["control", "proxy"] {
-        let folder = root().join(format!("crates/sandtrack-{package}/src"));
-        for file in std::fs::read_dir(folder).expect("the sources") {
-            sources.push_str(&std::fs::read_to_string(file.expect("a file").path()).expect("a source"));
+/// The text of all files below a folder.
+fn read_all(folder: &Path) -> String {
+    let mut text = String::new();
+    for entry in std::fs::read_dir(folder).expect("a folder") {
+        let path = entry.expect("an entry").path();
+        if path.is_dir() {
+            text.push_str(&read_all(&path));
+        } else {
+            text.push_str(&std::fs::read_to_string(&path).expect("a source"));
         }
     }
+    text
+}
+
+#[test]
+fn every_log_line_of_the_page_is_logged() {
+    let sources = |package: &str| read_all(&root().join(format!("crates/sandtrack-{package}/src")));
+    let sources = ["control", "proxy"].map(sources).concat();
     let page = page("docs/system/operations.md");
     let rows = page.lines().skip_while(|line| !line.starts_with("| event |")).skip(2);
     let mut events = 0;
--- a/crates/sandtrack-control/src/control.rs
+++ b/crates/sandtrack-control/src/control.rs
@@ -35,13 +35,12 @@
 
 impl Reply {
     pub fn error(status: u16, code: Code, place: &str) -> Reply {
-        let what = codes::TABLE.iter().find(|(known, _, _)| *known == code).map_or("", |(_, _, text)| *text);
-        Reply::told(status, code, place, what)
+        Reply::told(status, code, place, code.meaning())
     }
 
     fn told(status: u16, code: Code, place: &str, what: &str) -> Reply {
         let (place, what) = (escape(place), escape(what));
-        let body = format!("{{\"code\":\"E{:03}\",\"place\":\"{place}\",\"what\":\"{what}\"}}", code.0);
+        let body = format!("{{\"code\":\"{code}\",\"place\":\"{place}\",\"what\":\"{what}\"}}");
         Reply { status, body }
     }
 
--- a/crates/sandtrack-control/src/node/replica.rs
+++ b/crates/sandtrack-control/src/node/replica.rs
@@ -20,7 +20,7 @@
         let refused = self.replica.snapshots_refused();
         self.replica.handle(now, input, &mut effects);
         if self.replica.snapshots_refused() > refused {
-            log::warn!("E{} a snapshot was refused: it is fetched anew", codes::SNAPSHOT_REFUSED.0);
+            log::warn!("{} a snapshot was refused: it is fetched anew", codes::SNAPSHOT_REFUSED);
         }
         self.carry_out_replica_effects(now, effects, out);
     }
--- a/crates/sandtrack-control/src/program.rs
+++ b/crates/sandtrack-control/src/program.rs
@@ -125,7 +125,7 @@
             Done::Written(ticket) => Input::Written { ticket },
             Done::Failed(ticket) => Input::WriteFailed { ticket },
             Done::Unknown => {
-                log::error!("E{}: it starts anew", codes::WAL_FULL.0);
+                log::error!("{}: it starts anew", codes::WAL_FULL);
                 std::process::exit(1);
             }
         };
--- a/crates/sandtrack-control/src/program/fault.rs
+++ b/crates/sandtrack-control/src/program/fault.rs
@@ -8,11 +8,11 @@
 pub(super) enum Fault {
     #[error("{0}")]
     Settings(#[from] SettingsError),
-    #[error("E{} {address} can't be listened on: {why}", codes::LISTEN.0)]
+    #[error("{} {address} can't be listened on: {why}", codes::LISTEN)]
     Listen { address: String, why: std::io::Error },
     #[error("{0}")]
     System(#[from] std::io::Error),
-    #[error("E{code} {why}", code = codes::WAL_FOREIGN.0)]
+    #[error("{} {why}", codes::WAL_FOREIGN)]
     Wal { why: sandtrack_wal::WalError },
 }
 
--- a/crates/sandtrack-protocol/src/codes.rs
+++ b/crates/sandtrack-protocol/src/codes.rs
@@ -1,10 +1,26 @@
 //! Numbered result codes: one table for all that a caller or an operator may be told. docs/system/codes.md lists them;
 //! a test holds the two together.
+use std::fmt;
 
 /// A result code. The hundreds tell the plane: 1xx settings, 2xx configurations, 3xx control, 4xx requests, 5xx disk.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Code(pub u16);
 
+impl Code {
+    /// What it means, in the words of the table; empty for a code of a later program.
+    #[must_use]
+    pub fn meaning(self) -> &'static str {
+        TABLE.iter().find(|(known, _, _)| *known == self).map_or("", |(_, _, meaning)| *meaning)
+    }
+}
+
+/// As it stands in logs and in the answers of control: `E211`.
+impl fmt::Display for Code {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "E{:03}", self.0)
+    }
+}
+
 macro_rules! codes {
     ($($name:ident = $number:literal, $text:literal;)*) => {
         $(#[doc = $text] pub const $name: Code = Code($number);)*
--- a/crates/sandtrack-protocol/src/document.rs
+++ b/crates/sandtrack-protocol/src/document.rs
@@ -7,7 +7,7 @@
 
 /// Why a configuration is not taken, with the place.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("E{:03} {place}: {what}", code.0)]
+#[error("{code} {place}: {what}")]
 pub struct Invalid {
     pub code: Code,
     /// For people: the list, the item and the field.
@@ -17,8 +17,7 @@
 
 impl Invalid {
     pub fn new(code: Code, place: impl Into<String>) -> Invalid {
-        let what = codes::TABLE.iter().find(|(known, _, _)| *known == code).map_or("", |(_, _, text)| *text);
-        Invalid { code, place: place.into(), what: what.to_owned() }
+        Invalid { code, place: place.into(), what: code.meaning().to_owned() }
     }
 }
 
--- a/crates/sandtrack-protocol/src/settings.rs
+++ b/crates/sandtrack-protocol/src/settings.rs
@@ -8,9 +8,9 @@
 /// What is wrong with a settings file.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
-    #[error("E{} the settings file can't be read: {}", self.code().0, .0)]
+    #[error("{} the settings file can't be read: {}", self.code(), .0)]
     Unreadable(String),
-    #[error("E{} settings: field `{}` is missing or has the wrong type", self.code().0, .0)]
+    #[error("{} settings: field `{}` is missing or has the wrong type", self.code(), .0)]
     Field(String),
 }
 
--- a/crates/sandtrack-protocol/tests/codes.rs
+++ b/crates/sandtrack-protocol/tests/codes.rs
@@ -1,12 +1,11 @@
 //! The table of result codes, and the page that lists it.
-use sandtrack_protocol::codes::{Code, TABLE};
+use sandtrack_protocol::codes::{self, Code, TABLE};
 use std::collections::HashSet;
 use std::path::Path;
 
 /// The table of the page.
 fn table() -> String {
-    let row =
-        |(code, name, meaning): &(Code, &str, &str)| format!("| E{:03} | `{name}` | {meaning} |\n", code.0);
+    let row = |(code, name, meaning): &(Code, &str, &str)| format!("| {code} | `{name}` | {meaning} |\n");
     let rows: String = TABLE.iter().map(row).collect();
     format!("| code | name | meaning |\n| --- | --- | --- |\n{rows}")
 }
@@ -29,7 +28,15 @@
     assert_eq!((names.len(), meanings.len()), (TABLE.len(), TABLE.len()));
     for (code, name, meaning) in TABLE {
         assert!((101..600).contains(&code.0), "{name}: the hundreds tell the plane, and are an exit code");
+        assert_eq!(code.meaning(), *meaning);
         let is_plain = !meaning.contains(['|', '"', '\\', '\n']);
         assert!(is_plain, "{name}: the meaning stands in tables and in JSON as it is");
     }
 }
+
+#[test]
+fn a_code_is_told_with_its_letter() {
+    assert_eq!(codes::ANOTHER_VERSION.to_string(), "E211");
+    assert_eq!(Code(7).to_string(), "E007");
+    assert_eq!(Code(999).meaning(), "", "one of a later program");
+}
--- a/crates/sandtrack-proxy/src/answers.rs
+++ b/crates/sandtrack-proxy/src/answers.rs
@@ -3,7 +3,7 @@
 use sandtrack_core::message::{self, Flow, Head};
 use sandtrack_net::ring::Ring;
 use sandtrack_net::socket::write_within;
-use sandtrack_protocol::codes::{self, Code};
+use sandtrack_protocol::codes::Code;
 use sandtrack_tiers::Millis;
 use std::net::TcpStream;
 use std::time::Duration;
@@ -52,8 +52,7 @@
 
     /// An answer of this process's own, with its numbered code. `come_back`: after so many seconds the client may try again.
     pub async fn own(&self, status: u16, id: &str, come_back: Option<&str>, why: Code) -> bool {
-        let text = codes::TABLE.iter().find(|(code, _, _)| *code == why).map_or("", |(_, _, text)| *text);
-        let body = format!("{{\"code\":{},\"what\":\"{text}\"}}", why.0);
+        let body = format!("{{\"code\":{},\"what\":\"{}\"}}", why.0, why.meaning());
         let id = (!id.is_empty()).then_some(("Request-Id", id));
         let again = come_back.map(|seconds| ("Retry-After", seconds));
         let headers = [("Content-Type", "application/json")].into_iter().chain(id).chain(again);
--- a/crates/sandtrack-proxy/src/program.rs
+++ b/crates/sandtrack-proxy/src/program.rs
@@ -70,7 +70,7 @@
     match async_io::block_on(executor.run(serving)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            log::error!("E{} {error}", codes::LISTEN.0);
+            log::error!("{} {error}", codes::LISTEN);
             ExitCode::FAILURE
         }
     }
