Set-up of tests merged: begun streams, odd upstreams, worlds after a calm, histories of the rig

- worlds of the replication: `World::answers_everywhere` and `start_all` in place of a copy in each of troubled.rs and troubled_transfers.rs;
- rig: `Cluster::begin_history`, on top of `begin`, in place of five lines in each of three scenarios.

--- a/crates/sandtrack-proxy/tests/exchange/held.rs
+++ b/crates/sandtrack-proxy/tests/exchange/held.rs
@@ -1,8 +1,7 @@
 //! Nothing is held a quarter of a second past its route's `timeout_ms`, whoever is silent; what has not run by then is told
 //! when to come back.
-use crate::stage::{request, Stage};
+use crate::stage::{printer, request, Stage};
 use crate::upstream::Asked;
-use sandtrack_protocol::frames::UpstreamEntry;
 use std::io::Write;
 use std::net::TcpStream;
 use std::time::Instant;
@@ -97,11 +96,7 @@
         let mut client = stage.client();
         let began = Instant::now();
         client.post(target, &format!("r{}", &target[1..4]), "prompt");
-        let mut asked = stage.asked();
-        asked.begin_stream();
-        asked.event(1, "one");
-        client.stream();
-        client.gets_event(1, "one");
+        let mut asked = stage.begun_stream(&mut client);
         client.stream_is_cut();
         assert_held(began, target);
         asked.until_closed();
@@ -181,15 +176,7 @@
     stage.tell_alone();
     // Connections come up, and nothing is read from them.
     let listener = std::net::TcpListener::bind((stage.ip.as_str(), 0)).unwrap();
-    let entry = UpstreamEntry {
-        identifier: "i-deaf".to_owned(),
-        service: "printer".to_owned(),
-        address: listener.local_addr().unwrap().to_string(),
-        zone: "a".to_owned(),
-        slots: 4,
-        ..UpstreamEntry::default()
-    };
-    stage.list(vec![entry]);
+    stage.list(vec![printer("i-deaf", listener.local_addr().unwrap().to_string())]);
     stage.configure(&routes());
     // More than the buffers of a connection take.
     let body = "x".repeat(1_900_000);
--- a/crates/sandtrack-proxy/tests/exchange/once.rs
+++ b/crates/sandtrack-proxy/tests/exchange/once.rs
@@ -1,7 +1,6 @@
 //! TWICE: what may run once is sent again only where it has not run for certain. REFUSED: no promise where it may have run.
-use crate::stage::{request, Stage};
+use crate::stage::{printer, request, Stage};
 use crate::upstream::seal;
-use sandtrack_protocol::frames::UpstreamEntry;
 
 /// Routes whose requests may run once, with two upstreams a try.
 const TWO_TRIES: [&str; 2] = ["/pay/a", "/letters/a"];
@@ -33,15 +32,7 @@
     let stage = Stage::empty("an_upstream_that_resets_at_once_is_asked_once");
     stage.tell_alone();
     let listener = std::net::TcpListener::bind((stage.ip.as_str(), 0)).unwrap();
-    let entry = UpstreamEntry {
-        identifier: "i-resets".to_owned(),
-        service: "printer".to_owned(),
-        address: listener.local_addr().unwrap().to_string(),
-        zone: "a".to_owned(),
-        slots: 4,
-        ..UpstreamEntry::default()
-    };
-    stage.list(vec![entry]);
+    stage.list(vec![printer("i-resets", listener.local_addr().unwrap().to_string())]);
     stage.settle();
     let mut client = stage.client();
     client.post("/pay/a", "r1", "body");
@@ -106,11 +97,7 @@
     let mut first = stage.asked();
     first.say(&refusal("r1", "503 Full", "Not-Executed: 1\r\n"));
     first.keep();
-    let mut second = stage.asked();
-    second.begin_stream();
-    second.event(1, "one");
-    client.stream();
-    client.gets_event(1, "one");
+    let mut second = stage.begun_stream(&mut client);
     second.end_stream();
     client.stream_is_whole();
     stage.finish();
@@ -157,15 +144,7 @@
     stage.tell_alone();
     // Nothing listens there.
     let address = format!("{}:9", crate::stage::fresh_ip());
-    let dead = UpstreamEntry {
-        identifier: "i-dead".to_owned(),
-        service: "printer".to_owned(),
-        address,
-        zone: "a".to_owned(),
-        slots: 4,
-        ..UpstreamEntry::default()
-    };
-    stage.list(vec![dead]);
+    stage.list(vec![printer("i-dead", address)]);
     stage.settle();
     let mut client = stage.client();
     client.post("/pay/once/a", "r1", "body");
--- a/crates/sandtrack-proxy/tests/exchange/stage.rs
+++ b/crates/sandtrack-proxy/tests/exchange/stage.rs
@@ -90,6 +90,18 @@
     )
 }
 
+/// An upstream of the proxy's zone that is no stand-in, as the list would show it.
+pub fn printer(identifier: &str, address: String) -> UpstreamEntry {
+    UpstreamEntry {
+        identifier: identifier.to_owned(),
+        service: "printer".to_owned(),
+        address,
+        zone: "a".to_owned(),
+        slots: 4,
+        ..UpstreamEntry::default()
+    }
+}
+
 pub struct Stage {
     name: String,
     pub ip: String,
@@ -221,6 +233,16 @@
         Asked::new(arrived, self.transcript.clone())
     }
 
+    /// The next request at any upstream is answered by a stream, of which the client gets the head and the first event.
+    pub fn begun_stream(&self, client: &mut Client) -> Asked {
+        let mut asked = self.asked();
+        asked.begin_stream();
+        asked.event(1, "one");
+        client.stream();
+        client.gets_event(1, "one");
+        asked
+    }
+
     /// Nothing has come up to now.
     pub fn nothing_asked_yet(&self) {
         if let Ok(arrived) = self.arrivals.try_recv() {
--- a/crates/sandtrack-proxy/tests/exchange/stops.rs
+++ b/crates/sandtrack-proxy/tests/exchange/stops.rs
@@ -42,11 +42,7 @@
     let mut stage = Stage::serving("a_stream_in_hand_is_finished", 1);
     let mut client = stage.client();
     client.post("/letters/a", "r1", "body");
-    let mut asked = stage.asked();
-    asked.begin_stream();
-    asked.event(1, "one");
-    client.stream();
-    client.gets_event(1, "one");
+    let mut asked = stage.begun_stream(&mut client);
     stage.proxy.signal("TERM");
     let told = Instant::now();
     stage.control_node.until_state("leaving", |state| state.leaving);
@@ -75,11 +71,7 @@
     stage.serve(1);
     let mut client = stage.client();
     client.post("/letters/a", "r1", "body");
-    let mut asked = stage.asked();
-    asked.begin_stream();
-    asked.event(1, "one");
-    client.stream();
-    client.gets_event(1, "one");
+    let mut asked = stage.begun_stream(&mut client);
     stage.proxy.signal("TERM");
     stage.proxy.ends_within(5.0);
     client.stream_is_cut();
--- a/crates/sandtrack-replication/tests/troubled.rs
+++ b/crates/sandtrack-replication/tests/troubled.rs
@@ -25,29 +25,13 @@
     troubles.writes = [0.5, 0.5, 0.05][(seed / 3 % 3) as usize];
     troubles.play(&mut world, 25_000.0);
     troubles.end_all(&mut world);
-    for index in 0..world.nodes.len() {
-        if world.nodes[index].replica.is_none() && !world.nodes[index].removed {
-            world.start(index, false);
-        }
-    }
+    world.start_all(false);
     world.run(5000.0);
-    answered_after_calm(&mut world);
+    world.answers_everywhere();
     world.checks.nothing_lost(&world.newest());
     world
 }
 
-fn answered_after_calm(world: &mut World) {
-    for index in world.running() {
-        let base = world.newest().version;
-        let calls = [world.submit(index, base), world.read(index)];
-        world.run(3000.0);
-        for call in calls {
-            let outcome = world.outcome(call);
-            assert!(matches!(outcome, Some(Ok(_))), "after a calm, machine {index} answers {outcome:?}");
-        }
-    }
-}
-
 /// Calls answered, views agreed upon, disks lost.
 fn figures(world: &World) -> [u64; 3] {
     let disks = world.nodes.iter().map(|node| node.wipes).sum();
--- a/crates/sandtrack-replication/tests/troubled_transfers.rs
+++ b/crates/sandtrack-replication/tests/troubled_transfers.rs
@@ -21,19 +21,9 @@
     troubles.writes = 0.8;
     troubles.play(&mut world, 25_000.0);
     troubles.end_all(&mut world);
-    for index in 0..world.nodes.len() {
-        if world.nodes[index].replica.is_none() && !world.nodes[index].removed {
-            world.start(index, false);
-        }
-    }
+    world.start_all(false);
     world.run(5000.0);
-    for index in world.running() {
-        let calls = [world.submit(index, world.newest().version), world.read(index)];
-        world.run(3000.0);
-        for call in calls {
-            assert!(matches!(world.outcome(call), Some(Ok(_))), "seed {seed}, machine {index}");
-        }
-    }
+    world.answers_everywhere();
     world.checks.nothing_lost(&world.newest());
     world
 }
--- a/crates/sandtrack-replication/tests/world/mod.rs
+++ b/crates/sandtrack-replication/tests/world/mod.rs
@@ -209,6 +209,7 @@
         index
     }
 
+    /// Starts all that do not run and were not removed.
     pub fn start_all(&mut self, first: bool) {
         for index in 0..self.nodes.len() {
             if self.nodes[index].replica.is_none() && !self.nodes[index].removed {
@@ -217,6 +218,22 @@
         }
     }
 
+    /// Each machine that runs answers a change and a read within three seconds.
+    ///
+    /// # Panics
+    /// Where one does not.
+    pub fn answers_everywhere(&mut self) {
+        for index in self.running() {
+            let base = self.newest().version;
+            let calls = [self.submit(index, base), self.read(index)];
+            self.run(3000.0);
+            for call in calls {
+                let outcome = self.outcome(call);
+                assert!(matches!(outcome, Some(Ok(_))), "after a calm, machine {index} answers {outcome:?}");
+            }
+        }
+    }
+
     pub fn start(&mut self, index: usize, first_start: bool) {
         // After the very first start: the first three of the operator's list as it stands, up or down.
         let there = self.nodes.iter().filter(|node| node.has_disk && !node.removed);
--- a/crates/sandtrack-rig/src/system/cluster.rs
+++ b/crates/sandtrack-rig/src/system/cluster.rs
@@ -228,6 +228,16 @@
         })
     }
 
+    /// Starts without fronts, with the first configuration of a history confirmed.
+    ///
+    /// # Errors
+    /// Where it does not come to that.
+    pub async fn begin_history(&mut self) -> Result<History, Stopped> {
+        let (history, first) = History::begin();
+        self.begin(&first, &[]).await?;
+        Ok(history)
+    }
+
     /// Has some changes confirmed, asking control nodes from `first` on, and says what of the whole history a read lacks.
     ///
     /// # Errors
--- a/crates/sandtrack-rig/src/system/documents.rs
+++ b/crates/sandtrack-rig/src/system/documents.rs
@@ -83,10 +83,10 @@
 }
 
 impl History {
-    /// The history that begins with a configuration of one route, and the order for it.
-    pub fn begin() -> (History, Call) {
+    /// The history that begins with a configuration of one route, and that configuration.
+    pub fn begin() -> (History, Value) {
         let document = configuration(1, &[route("first", Kind::ReadOnly)]);
-        (History { version: 1, routes: vec!["first".to_owned()] }, replace(0, &document))
+        (History { version: 1, routes: vec!["first".to_owned()] }, document)
     }
 
     pub fn version(&self) -> u64 {
--- a/crates/sandtrack-rig/src/system/scenarios/late_leader.rs
+++ b/crates/sandtrack-rig/src/system/scenarios/late_leader.rs
@@ -14,11 +14,8 @@
 const LATE: usize = 2;
 
 pub async fn run(cluster: &mut Cluster) -> Result<(), Stopped> {
-    let (mut history, first) = History::begin();
-    cluster.start(&[])?;
+    let mut history = cluster.begin_history().await?;
     let all = cluster.controls_from(0);
-    cluster.confirm(&first, &all).await?;
-    cluster.until_in_line(&all, 3).await?;
     for _ in 0..BEFORE {
         cluster.confirm(&history.change(), &all).await?;
     }
--- a/crates/sandtrack-rig/src/system/scenarios/leaving_member.rs
+++ b/crates/sandtrack-rig/src/system/scenarios/leaving_member.rs
@@ -1,7 +1,6 @@
 //! A machine has lost its disk and comes back over slow links; at once a member is told to stop for good while the chain needs
 //! its copy. It stays until the other has that copy, or its grace is over; so the next loss finds all that was acknowledged.
 use super::super::cluster::Cluster;
-use super::super::documents::History;
 use super::super::links::End;
 use super::super::report::Stopped;
 use super::super::settings::{CATCH_UP_S, GRACE_S};
@@ -21,11 +20,7 @@
 const LAST: usize = 2;
 
 pub async fn run(cluster: &mut Cluster) -> Result<(), Stopped> {
-    let (mut history, first) = History::begin();
-    cluster.start(&[])?;
-    let all = cluster.controls_from(0);
-    cluster.confirm(&first, &all).await?;
-    cluster.until_in_line(&all, 3).await?;
+    let mut history = cluster.begin_history().await?;
     for other in [LEAVING, LAST] {
         cluster.links.borrow_mut().delay(End::Machine(BACK), End::Machine(other), SLOW);
     }
--- a/crates/sandtrack-rig/src/system/scenarios/second_loss.rs
+++ b/crates/sandtrack-rig/src/system/scenarios/second_loss.rs
@@ -1,7 +1,6 @@
 //! One machine after another is lost with its disk, each as soon as the one before no longer counts as lost. Orders are
 //! acknowledged all the while, and everything acknowledged is read back.
 use super::super::cluster::Cluster;
-use super::super::documents::History;
 use super::super::report::Stopped;
 use super::super::settings::CATCH_UP_S;
 use std::time::{Duration, Instant};
@@ -12,11 +11,7 @@
 const LOSSES: usize = 5;
 
 pub async fn run(cluster: &mut Cluster) -> Result<(), Stopped> {
-    let (mut history, first) = History::begin();
-    cluster.start(&[])?;
-    let all = cluster.controls_from(0);
-    cluster.confirm(&first, &all).await?;
-    cluster.until_in_line(&all, 3).await?;
+    let mut history = cluster.begin_history().await?;
     let mut missing = Vec::new();
     for loss in 0..LOSSES {
         let machine = loss % 3;
