A large configuration that was taken too late is acknowledged when it is sent again

Each copy went along the chain with its whole body, was recognised as taken, and its caller was told 503.

A control node that knows from its committed state that the very order was taken now lets only a read pass along the chain, and acknowledges it then. Where the chain does not answer, the caller is told that it is unclear, never that it is not in force.

The cluster test fails without the change (503 at each attempt).

--- a/crates/sandtrack-control/src/control_state.rs
+++ b/crates/sandtrack-control/src/control_state.rs
@@ -79,6 +79,14 @@
         self.evacuations.last_order(zone)
     }
 
+    /// The version that a configuration made, if it is among those remembered as taken.
+    pub fn version_taken(&self, command: &Command) -> Option<u64> {
+        match command {
+            Command::Configure { form, based_on, body } => self.taken.version_of(*form, *based_on, body),
+            _ => None,
+        }
+    }
+
     /// Whether there ever was an order for the zone.
     pub fn names_zone(&self, zone: &str) -> bool {
         self.evacuations.names(zone)
--- a/crates/sandtrack-control/src/knowledge.rs
+++ b/crates/sandtrack-control/src/knowledge.rs
@@ -1,5 +1,5 @@
 //! What a control node knows of zones as it looks at an operator's call, put together from its parts. Pure.
-use crate::control_state::ControlState;
+use crate::control_state::{Command, ControlState};
 use crate::membership::Membership;
 use crate::operator_calls::Known;
 use crate::peers::Peers;
@@ -26,6 +26,10 @@
         self.control_state.last_order(zone)
     }
 
+    fn version_taken(&self, command: &Command) -> Option<u64> {
+        self.control_state.version_taken(command)
+    }
+
     fn names_zone(&self, zone: &str) -> bool {
         self.settings.zones.contains_key(zone)
             || self.settings.zone == zone
--- a/crates/sandtrack-control/src/operator_calls.rs
+++ b/crates/sandtrack-control/src/operator_calls.rs
@@ -35,6 +35,8 @@
     fn passes_callers_on(&self) -> bool;
     /// Number of the last order for a zone in the committed state here.
     fn last_order(&self, zone: &str) -> u64;
+    /// The version that a configuration made, if it is known in the committed state here that it was taken.
+    fn version_taken(&self, command: &Command) -> Option<u64>;
     /// Whether the settings, or anything that was learned, names the zone.
     fn names_zone(&self, zone: &str) -> bool;
 }
@@ -43,6 +45,10 @@
 #[derive(Clone, Debug, PartialEq)]
 enum Waits {
     Configuration,
+    /// For the chain to answer at all, before a configuration that was taken is acknowledged again.
+    Repeat {
+        version: u64,
+    },
     Evacuation {
         zone: String,
         begin: bool,
@@ -126,10 +132,17 @@
         };
         match order {
             Order::Status => Step::Status { call },
-            Order::Configure(command) => {
-                wait(Waits::Configuration);
-                Step::Submit { call, command }
-            }
+            Order::Configure(command) => match known.version_taken(&command) {
+                // Its body need not pass along the chain again, which may take longer than its caller waits.
+                Some(version) => {
+                    wait(Waits::Repeat { version });
+                    Step::Read { call, question: Question::Contact }
+                }
+                None => {
+                    wait(Waits::Configuration);
+                    Step::Submit { call, command }
+                }
+            },
             Order::Read => {
                 wait(Waits::Read);
                 Step::Read { call, question: Question::Configuration }
@@ -181,6 +194,11 @@
                 let reply = result.map_or_else(control::refused, |_| control::unknown_zone(&zone));
                 Some(self.end(call, reply))
             }
+            Waits::Repeat { version } => {
+                let taken = || control::outcome(Ok(Outcome::Taken { version }));
+                // It is in force: no refusal that says otherwise.
+                Some(self.end(call, result.map_or_else(|_| control::unsure(), |_| taken())))
+            }
             Waits::Configuration => Some(self.end(call, control::outcome(outcome(result)))),
             Waits::Read => {
                 let reply = control::answer(result.map(|bytes| borsh::from_slice(&bytes).ok().flatten()));
--- a/crates/sandtrack-control/tests/late_orders.rs
+++ b/crates/sandtrack-control/tests/late_orders.rs
@@ -139,6 +139,10 @@
         self.0
     }
 
+    fn version_taken(&self, _: &Command) -> Option<u64> {
+        None
+    }
+
     fn names_zone(&self, zone: &str) -> bool {
         zone == "kita-hall"
     }
--- a/crates/sandtrack-control/tests/repeats.rs
+++ b/crates/sandtrack-control/tests/repeats.rs
@@ -2,11 +2,13 @@
 //! of two operators that pick one number one wins.
 mod common;
 use common::cluster::Cluster;
-use common::good;
+use common::{good, message};
+use sandtrack_control::arrivals::Arrival;
 use sandtrack_control::control;
-use sandtrack_control::control_state::{Command, ControlState, Form, Outcome};
+use sandtrack_control::control_state::{Command, ControlState, Form, Outcome, Question};
+use sandtrack_control::operator_calls::{Known, OperatorCalls, Step};
 use sandtrack_control::taken::TAKEN_KEPT;
-use sandtrack_replication::StateMachine;
+use sandtrack_replication::{Refusal, StateMachine};
 
 const REPLACE: &str = "/v1/configuration/replace";
 const BEGIN: &str = "/v1/evacuation/kita-hall/begin";
@@ -192,3 +194,71 @@
         assert!(cluster.evacuated().iter().all(Vec::is_empty));
     }
 }
+
+/// A large configuration takes longer along a chain across regions than its caller waits, each time that it is sent. Once it is
+/// known as taken, only a read has to pass.
+#[test]
+fn one_that_was_taken_too_late_is_acknowledged_when_it_is_sent_again() {
+    let mut cluster = Cluster::start(3);
+    cluster.run(1000.0);
+    cluster.insist(&[2], REPLACE, 0, &good(7));
+    for (from, to) in [(1, 2), (2, 1), (1, 3), (3, 1), (2, 3), (3, 2)] {
+        cluster.slow(from, to, 150.0);
+    }
+    cluster.run(1000.0);
+    let first = cluster.call(3, "POST", REPLACE, 7, &good(9));
+    cluster.run(1200.0);
+    assert_eq!(cluster.answer(first).map(|(_, reply)| reply.status), Some(503), "too late");
+    assert!((1..=3).all(|house| cluster.control_node(house).control_state().version() == 9), "it is taken");
+    let handed_on = cluster.submits.len();
+    for house in [3, 2, 1] {
+        let repeat = cluster.call(house, "POST", REPLACE, 7, &good(9));
+        cluster.run(1200.0);
+        let (_, reply) = cluster.answer(repeat).expect("an answer");
+        assert_eq!((reply.status, reply.body.as_str()), (200, r#"{"version_number":9}"#), "at {house}");
+    }
+    assert_eq!(cluster.submits.len(), handed_on, "it is not passed on once more");
+}
+
+/// A control node that knows that version 9 was taken.
+struct Took;
+
+impl Known for Took {
+    fn passes_callers_on(&self) -> bool {
+        false
+    }
+
+    fn last_order(&self, _: &str) -> u64 {
+        0
+    }
+
+    fn version_taken(&self, command: &Command) -> Option<u64> {
+        matches!(command, Command::Configure { based_on: 7, .. }).then_some(9)
+    }
+
+    fn names_zone(&self, _: &str) -> bool {
+        true
+    }
+}
+
+#[test]
+fn one_that_is_known_as_taken_waits_for_the_chain_and_is_never_told_as_refused() {
+    let contact = borsh::to_vec(&None::<String>).expect("an answer");
+    let unsure = control::unsure();
+    for (result, status, body) in [
+        (Ok(contact), 200, r#"{"version_number":9}"#),
+        (Err(Refusal::TimedOut), 503, unsure.body.as_str()),
+        (Err(Refusal::NoMajority), 503, unsure.body.as_str()),
+        (Err(Refusal::Full), 503, unsure.body.as_str()),
+    ] {
+        let mut calls = OperatorCalls::new(0.0);
+        let call = calls.begin(Arrival::at(10.0));
+        let replace = message("POST", REPLACE, &[("Based-On-Version", "7")], &good(9));
+        let step = calls.call(10.0, call, &replace, &Took);
+        assert_eq!(step, Step::Read { call, question: Question::Contact });
+        let Some(Step::Reply { reply, .. }) = calls.answer(20.0, call, result, &Took) else {
+            panic!("it is answered");
+        };
+        assert_eq!((reply.status, reply.body.as_str()), (status, body));
+    }
+}
