--- a/crates/sandtrack-replication/tests/world/mod.rs
+++ b/crates/sandtrack-replication/tests/world/mod.rs
@@ -3,6 +3,7 @@
 pub mod bandwidth;
 pub mod checks;
 pub mod faults;
+pub mod losses;
 pub mod register;
 
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
