--- a/crates/sandtrack-control/tests/bound_voters.rs
+++ b/crates/sandtrack-control/tests/bound_voters.rs
@@ -75,6 +75,29 @@
     nothing_old_is_told(&mut cluster, "bound by what it accepted");
 }
 
+/// Operators' calls rest on the chain, not on the lease: neither of the two can answer one from what it holds.
+#[test]
+fn neither_of_them_answers_an_operator_definitely() {
+    let mut cluster = accepted_by_a_voter_that_is_cut_off();
+    cluster.insist(&[HEAD], REPLACE, 7, &good(9));
+    for _ in 0..12 {
+        let at = |cluster: &mut Cluster, house| {
+            [
+                cluster.call(house, "GET", "/v1/configuration/read", 0, ""),
+                cluster.call(house, "POST", REPLACE, 7, &good(8)),
+                cluster.call(house, "POST", REPLACE, 5, &good(8)),
+                cluster.call(house, "POST", "/v1/evacuation/kita-hall/begin", 0, ""),
+            ]
+        };
+        let calls = [at(&mut cluster, LEFT_OUT), at(&mut cluster, VOTER)].concat();
+        cluster.run(1000.0);
+        for call in calls {
+            let answer = cluster.answer(call).map(|(_, reply)| reply.status);
+            assert!(matches!(answer, None | Some(503)), "{answer:?}");
+        }
+    }
+}
+
 #[test]
 fn a_member_left_out_of_a_view_that_it_knows_tells_nothing_before_it_has_caught_up() {
     let mut cluster = accepted_by_a_voter_that_is_cut_off();
