--- a/crates/sandtrack-control/tests/repeats.rs
+++ b/crates/sandtrack-control/tests/repeats.rs
@@ -325,6 +325,8 @@
             assert_eq!(log.update(9, &add), Outcome::Taken { version: 11 }, "{more}");
         }
         assert_eq!(both[0].state.whole(), both[1].state.whole(), "{more}");
+    }
+}
 
 /// A large configuration takes longer along a chain across regions than its caller waits, each time that it is sent. Once it is
 /// known as taken, only a read has to pass.
