Control plane: who reads the list is a ReaderElection of its own file; sessions' progress is typed; doc comments

reader.rs had two jobs, whose duty it is to read and how a reading goes; the first is reader_election.rs now. `Sessions::told` was a tuple of four numbers and is `ToldUpTo`. Public items without a doc comment have one (contact.rs and peers.rs apart). An unused `Sessions::next_due` is gone.

Renamed: Duty -> ReaderElection (told -> heard_claim, tick -> take_over, leave -> hand_over, reads -> is_reading), Reader::due -> next_page, Reader::done -> answered, Upstreams::turn -> reading_ended, take -> apply, since -> excerpt_since, News::feeds -> may_feed, Sessions' fresh -> pending. Nothing on the wire or on a disk changes its bytes; transcripts are as they were.

--- a/crates/sandtrack-control/src/arrivals.rs
+++ b/crates/sandtrack-control/src/arrivals.rs
@@ -15,6 +15,7 @@
     /// Before its connection was accepted, the queue of new connections was last seen empty at this time: the connection
     /// has not waited for longer.
     pub queued_since: Millis,
+    /// When its connection was accepted.
     pub accepted: Millis,
 }
 
@@ -48,6 +49,7 @@
         held_up
     }
 
+    /// Since when it has run without being held up.
     pub fn since(&self) -> Millis {
         self.since
     }
--- a/crates/sandtrack-control/src/control.rs
+++ b/crates/sandtrack-control/src/control.rs
@@ -29,11 +29,14 @@
 /// An answer to a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Reply {
+    /// HTTP status.
     pub status: u16,
+    /// JSON text.
     pub body: String,
 }
 
 impl Reply {
+    /// A refusal with a numbered code, at a place, in the words of the table.
     pub fn error(status: u16, code: Code, place: &str) -> Reply {
         Reply::told(status, code, place, code.meaning())
     }
--- a/crates/sandtrack-control/src/control_state.rs
+++ b/crates/sandtrack-control/src/control_state.rs
@@ -72,10 +72,12 @@
         self.configuration_number
     }
 
+    /// Number of the command that last changed which zones are evacuated; 0 before the first.
     pub fn evacuation_number(&self) -> u64 {
         self.evacuations.changed()
     }
 
+    /// The zones that are evacuated.
     pub fn evacuated(&self) -> impl Iterator<Item = &str> {
         self.evacuations.zones()
     }
--- a/crates/sandtrack-control/src/directory.rs
+++ b/crates/sandtrack-control/src/directory.rs
@@ -12,7 +12,9 @@
 /// Where a client says that it is. What it leaves out is empty: it is answered all the same.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Place {
+    /// Its zone.
     pub zone: String,
+    /// Its region.
     pub region: String,
 }
 
--- a/crates/sandtrack-control/src/evacuations.rs
+++ b/crates/sandtrack-control/src/evacuations.rs
@@ -25,6 +25,7 @@
     }
 }
 
+/// The evacuated zones, and what orders for them there were.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Evacuations {
     zones: BTreeSet<String>,
@@ -34,18 +35,22 @@
 }
 
 impl Evacuations {
+    /// As a snapshot holds them.
     pub fn restored(zones: Vec<String>, changed: u64, orders: OrderNumbers) -> Evacuations {
         Evacuations { zones: zones.into_iter().collect(), changed, orders }
     }
 
+    /// The zones that are evacuated.
     pub fn zones(&self) -> impl Iterator<Item = &str> {
         self.zones.iter().map(String::as_str)
     }
 
+    /// Number of the command that last changed which zones are evacuated; 0 before the first.
     pub fn changed(&self) -> u64 {
         self.changed
     }
 
+    /// What a snapshot holds of the orders.
     pub fn orders(&self) -> &OrderNumbers {
         &self.orders
     }
--- a/crates/sandtrack-control/src/journal.rs
+++ b/crates/sandtrack-control/src/journal.rs
@@ -17,6 +17,7 @@
         Journal { first: 0, events: VecDeque::new(), kept }
     }
 
+    /// Adds an event; the oldest one goes where more are kept than the bound.
     pub fn append(&mut self, event: E) {
         self.events.push_back(event);
         while self.events.len() > self.kept {
--- a/crates/sandtrack-control/src/lib.rs
+++ b/crates/sandtrack-control/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod platform;
 pub mod program;
 pub mod reader;
+pub mod reader_election;
 pub mod sessions;
 pub mod socket;
 pub mod taken;
--- a/crates/sandtrack-control/src/membership.rs
+++ b/crates/sandtrack-control/src/membership.rs
@@ -24,6 +24,7 @@
     lost: Option<Millis>,
 }
 
+/// The proxies with a session here, and those that the other control nodes tell of.
 #[derive(Clone, Debug)]
 pub struct Membership {
     own: BTreeMap<String, Member>,
--- a/crates/sandtrack-control/src/node.rs
+++ b/crates/sandtrack-control/src/node.rs
@@ -23,7 +23,7 @@
 use crate::membership::Membership;
 use crate::operator_calls::OperatorCalls;
 use crate::peers::{LinkOrder, PeerFrame, Peers};
-use crate::reader::{self, Duty, Reader};
+use crate::reader::{self, Reader, ReaderElection};
 use crate::sessions::{SessionOrder, Sessions};
 use crate::upstreams::Upstreams;
 use crate::Millis;
@@ -102,7 +102,7 @@
     sessions: Sessions,
     membership: Membership,
     upstreams: Upstreams,
-    duty: Duty,
+    election: ReaderElection,
     reader: Reader,
     calls: OperatorCalls,
     /// Clients that the directory has answered.
@@ -144,7 +144,7 @@
         let (replica, effects) =
             Replica::new(replica_settings, start.recovered, ControlState::default(), now);
         let mut control_node = ControlNode {
-            duty: Duty::new(&me.address, now),
+            election: ReaderElection::new(&me.address, now),
             peers: Peers::new(me, now),
             settings,
             replica,
--- a/crates/sandtrack-control/src/node/links.rs
+++ b/crates/sandtrack-control/src/node/links.rs
@@ -119,8 +119,8 @@
                 self.announce_to(now, link, out);
             }
             PeerFrame::List(excerpt) => {
-                if !self.duty.is_holder() {
-                    self.upstreams.take(now, excerpt);
+                if !self.election.is_holder() {
+                    self.upstreams.apply(now, excerpt);
                 }
             }
             PeerFrame::Heartbeat(heartbeat) => self.heartbeat(now, link, peer, heartbeat, out),
@@ -137,7 +137,7 @@
     fn heartbeat(&mut self, now: Millis, link: u64, peer: &str, heartbeat: Heartbeat, out: &mut Vec<Effect>) {
         let Heartbeat { claim, silent, sessions, list_round, list, leaving, settled } = heartbeat;
         self.reader_claimed(now, peer, &claim);
-        let reads_list = claim.holder == peer && *self.duty.claim() == claim;
+        let reads_list = claim.holder == peer && *self.election.claim() == claim;
         self.peers.report(peer, PeerReport { claim, silent }, leaving, settled);
         if sessions != self.membership.digest_of(peer) {
             out.push(Effect::Link(LinkOrder::Send { link, frame: PeerFrame::WantSessions }));
@@ -146,7 +146,7 @@
             return;
         }
         if list == self.upstreams.digest() {
-            self.upstreams.turn(list_round);
+            self.upstreams.reading_ended(list_round);
         } else {
             out.push(Effect::Link(LinkOrder::Send { link, frame: PeerFrame::WantList }));
         }
@@ -157,8 +157,8 @@
         let Some(link) = self.peers.link_to(peer) else { return };
         self.announce_to(now, link, out);
         let heartbeat = Heartbeat {
-            claim: self.duty.claim().clone(),
-            silent: self.duty.is_silent(now),
+            claim: self.election.claim().clone(),
+            silent: self.election.is_silent(now),
             sessions: self.membership.digest(),
             list_round: self.upstreams.round(),
             list: self.upstreams.digest(),
@@ -193,7 +193,7 @@
     /// Tells the other end of a link what changed of the sessions here, and of the list if it is read here.
     fn announce_to(&mut self, now: Millis, link: u64, out: &mut Vec<Effect>) {
         let ends = Announced { membership: self.membership.end(), list: self.upstreams.end() };
-        let tells_list = self.duty.is_holder() && self.upstreams.round() > 0;
+        let tells_list = self.election.is_holder() && self.upstreams.round() > 0;
         let Some((sessions, list)) = self.peers.told(link) else { return };
         if *sessions != Some(ends.membership) {
             let frame = self.membership.frame_since(*sessions);
@@ -201,7 +201,7 @@
             out.push(Effect::Link(LinkOrder::Send { link, frame }));
         }
         if tells_list && *list != Some(ends.list) {
-            let frame = PeerFrame::List(self.upstreams.since(now, *list));
+            let frame = PeerFrame::List(self.upstreams.excerpt_since(now, *list));
             *list = Some(ends.list);
             out.push(Effect::Link(LinkOrder::Send { link, frame }));
         }
--- a/crates/sandtrack-control/src/node/list.rs
+++ b/crates/sandtrack-control/src/node/list.rs
@@ -8,25 +8,25 @@
 impl ControlNode {
     /// A peer says who reads the list.
     pub(super) fn reader_claimed(&mut self, now: Millis, peer: &str, claim: &Claim) {
-        let was_holder = self.duty.is_holder();
-        self.duty.told(now, peer, claim);
-        if was_holder != self.duty.is_holder() {
-            log::info!("the platform's list is read by {}", self.duty.claim().holder);
+        let was_holder = self.election.is_holder();
+        self.election.heard_claim(now, peer, claim);
+        if was_holder != self.election.is_holder() {
+            log::info!("the platform's list is read by {}", self.election.claim().holder);
             self.reader.stop();
         }
     }
 
     /// Takes over the reading where its holder is silent, or nobody has begun.
     pub(super) fn take_over_reading(&mut self, now: Millis) {
-        let is_needed = self.duty.is_silent(now) || self.duty.claim().term == 0;
+        let is_needed = self.election.is_silent(now) || self.election.claim().term == 0;
         if self.leaving_since.is_some() || !is_needed {
             return;
         }
         let candidates = self.reader_candidates();
         let voters = self.voters();
         let live = self.peers.live(now, HOLDER_SILENT_MS);
-        if self.duty.tick(now, &candidates, &live, &voters) {
-            log::info!("it reads the platform's list from now on, term {}", self.duty.claim().term);
+        if self.election.take_over(now, &candidates, &live, &voters) {
+            log::info!("it reads the platform's list from now on, term {}", self.election.claim().term);
         }
     }
 
@@ -34,8 +34,8 @@
     pub(super) fn hand_over_reading(&mut self, now: Millis) {
         let candidates = self.reader_candidates();
         let live = self.peers.live(now, HOLDER_SILENT_MS);
-        if self.duty.leave(&candidates, &live) {
-            log::info!("the platform's list is read by {} from now on", self.duty.claim().holder);
+        if self.election.hand_over(&candidates, &live) {
+            log::info!("the platform's list is read by {} from now on", self.election.claim().holder);
             self.reader.stop();
         }
     }
@@ -58,22 +58,22 @@
 
     /// A call to the platform is over: its page is taken in if it is still read here.
     pub(super) fn platform_answered(&mut self, now: Millis, call: reader::Call, out: &mut Vec<Effect>) {
-        let alone = !self.duty.is_holder();
-        if !self.duty.reads(now) {
+        let alone = !self.election.is_holder();
+        if !self.election.is_reading(now) {
             self.reader.stop();
         }
-        self.reader.done(now, alone, call, &mut self.upstreams);
+        self.reader.answered(now, alone, call, &mut self.upstreams);
         self.fetch_page_if_due(now, out);
     }
 
     /// Calls for the next page of the list, if that is due here.
     pub(super) fn fetch_page_if_due(&mut self, now: Millis, out: &mut Vec<Effect>) {
         let has_platform = !self.settings.cloud_api.address.is_empty();
-        if self.leaving_since.is_some() || !has_platform || !self.duty.reads(now) {
+        if self.leaving_since.is_some() || !has_platform || !self.election.is_reading(now) {
             return;
         }
-        let alone = !self.duty.is_holder();
-        if let Some(token) = self.reader.due(now, alone, self.settings.cloud_api.rate_per_s) {
+        let alone = !self.election.is_holder();
+        if let Some(token) = self.reader.next_page(now, alone, self.settings.cloud_api.rate_per_s) {
             out.push(Effect::Fetch { token });
         }
     }
--- a/crates/sandtrack-control/src/node/proxies.rs
+++ b/crates/sandtrack-control/src/node/proxies.rs
@@ -70,14 +70,14 @@
             upstreams: &self.upstreams,
             membership: &self.membership,
             attached: false,
-            feeds: self.sessions.is_holding_back() && self.may_feed_proxies(now),
+            may_feed: self.sessions.is_holding_back() && self.may_feed_proxies(now),
             settled: self.settled,
         };
         if !self.sessions.is_due(now, &news) {
             return;
         }
         news.attached = self.is_attached(now);
-        news.feeds = self.may_feed_proxies(now);
+        news.may_feed = self.may_feed_proxies(now);
         let peers = self.peers.all().filter(|(_, linked, _)| *linked);
         let others: Vec<&Hello> = peers.filter_map(|(_, _, hello)| hello).collect();
         let mut orders = Vec::new();
--- a/crates/sandtrack-control/src/node/status.rs
+++ b/crates/sandtrack-control/src/node/status.rs
@@ -39,7 +39,7 @@
             addresses(&view.voters),
             self.status_of_peers(),
             self.status_of_proxies(),
-            quote(&self.duty.claim().holder),
+            quote(&self.election.claim().holder),
             self.upstreams.round(),
             self.status_of_services(),
         );
--- a/crates/sandtrack-control/src/node/time.rs
+++ b/crates/sandtrack-control/src/node/time.rs
@@ -13,7 +13,7 @@
     /// When it has to be given a tick, on the clock of `now`.
     pub fn next_due(&self) -> Millis {
         let calls = self.calls.next_due().into_iter();
-        let reader = self.reader.next_due().filter(|_| self.duty.reads(self.last_input));
+        let reader = self.reader.next_due().filter(|_| self.election.is_reading(self.last_input));
         let due = calls.chain(reader).fold(self.last_input + TICK_MS, Millis::min);
         due.min(self.replica.next_tick()).max(self.last_input)
     }
@@ -32,7 +32,7 @@
         self.sessions.woke(now);
         self.last_caught_up = None;
         if gap > HOLDER_SILENT_MS {
-            self.duty.woke(now);
+            self.election.woke(now);
         }
     }
 
--- a/crates/sandtrack-control/src/operator_calls.rs
+++ b/crates/sandtrack-control/src/operator_calls.rs
@@ -62,6 +62,7 @@
     waits: Waits,
 }
 
+/// The calls under way; each is answered once.
 #[derive(Debug)]
 pub struct OperatorCalls {
     awake: Awake,
@@ -72,6 +73,7 @@
 }
 
 impl OperatorCalls {
+    /// No calls, in a process that starts.
     pub fn new(now: Millis) -> OperatorCalls {
         OperatorCalls { awake: Awake::new(now), next: 0, begun: BTreeMap::new(), pending: BTreeMap::new() }
     }
@@ -83,10 +85,12 @@
         self.next
     }
 
+    /// Since when this process has run without being held up.
     pub fn awake_since(&self) -> Millis {
         self.awake.since()
     }
 
+    /// Whether no call waits for the replica.
     pub fn is_empty(&self) -> bool {
         self.pending.is_empty()
     }
--- a/crates/sandtrack-control/src/peer_frames.rs
+++ b/crates/sandtrack-control/src/peer_frames.rs
@@ -10,15 +10,21 @@
 /// Who a control node is, and where it serves.
 #[derive(Clone, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct Hello {
+    /// [`FORMAT`] of the sender.
     pub format: u16,
     /// Where others open links to it: its name among them.
     pub address: Address,
     /// Drawn at each start of the process.
     pub incarnation: u64,
+    /// `node_name` of its settings.
     pub node_name: String,
+    /// `zone` of its settings.
     pub zone: String,
+    /// `region` of its settings.
     pub region: String,
+    /// Where operators call it, `IP:PORT`.
     pub control: String,
+    /// Where clients ask it for proxies, `IP:PORT`.
     pub directory: String,
     /// Where proxies open their sessions.
     pub session: String,
@@ -48,7 +54,7 @@
 pub struct Heartbeat {
     /// Who reads the platform's list, as far as the sender knows.
     pub claim: Claim,
-    /// It does not hear the holder of the duty to read.
+    /// It does not hear the one who reads the list.
     pub silent: bool,
     /// Its own sessions.
     pub sessions: Digest,
@@ -84,7 +90,7 @@
     pub gone: Vec<String>,
 }
 
-/// Who has the duty: the higher one holds.
+/// Who reads the platform's list: the higher claim holds.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, BorshSerialize, BorshDeserialize)]
 pub struct Claim {
     /// Rises with each change of the holder.
@@ -96,7 +102,9 @@
 /// A proxy and what it tells of itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct Member {
+    /// Who it is.
     pub info: ProxyInfo,
+    /// What it said last of its state.
     pub state: ProxyState,
 }
 
--- a/crates/sandtrack-control/src/platform.rs
+++ b/crates/sandtrack-control/src/platform.rs
@@ -18,7 +18,9 @@
 /// A page that is wanted: of which address, and its token.
 #[derive(Debug)]
 pub struct Fetch {
+    /// Address of the platform, `IP:PORT`.
     pub address: String,
+    /// Token of the page; none for the first.
     pub token: Option<String>,
 }
 
--- a/crates/sandtrack-control/src/program/command_line.rs
+++ b/crates/sandtrack-control/src/program/command_line.rs
@@ -15,6 +15,7 @@
 pub(super) struct CommandLine {
     /// Name of a level of `log`.
     pub log_level: String,
+    /// The subcommand.
     pub verb: Verb,
 }
 
--- a/crates/sandtrack-control/src/program/runtime.rs
+++ b/crates/sandtrack-control/src/program/runtime.rs
@@ -12,10 +12,13 @@
 
 /// The control node, and the ways to everything that its effects reach.
 pub(super) struct Runtime<'a> {
+    /// Runs all tasks, on one thread.
     pub executor: Rc<LocalExecutor<'a>>,
+    /// The steady clock that all inputs are stamped by.
     pub clock: Clock,
     /// To the loop.
     pub inputs: async_channel::Sender<Input>,
+    /// Decides everything.
     pub control_node: RefCell<ControlNode>,
     /// Open links with other control nodes, by number.
     pub links: RefCell<HashMap<u64, Way>>,
--- a/crates/sandtrack-control/src/reader.rs
+++ b/crates/sandtrack-control/src/reader.rs
@@ -1,12 +1,12 @@
-//! The reading of the platform's list: whose duty it is, and the pace and the pages of a reading. It is pure: what it wants
-//! is called elsewhere.
+//! The reading of the platform's list: its pace and its pages. Pure: what it wants is called elsewhere, and who reads is in
+//! `reader_election`.
 pub use crate::peer_frames::Claim;
+pub use crate::reader_election::{PeerReport, ReaderElection, HOLDER_SILENT_MS};
 use crate::upstreams::Upstreams;
 use crate::Millis;
 use sandtrack_protocol::frames::UpstreamEntry;
-use sandtrack_replication::Address;
 use simd_json::prelude::*;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 /// Pause from the begin of one whole reading to the next, in ms.
 const EVERY_MS: Millis = 400.0;
@@ -19,118 +19,6 @@
 /// After a 429 or a failure, in ms: at first, and at most.
 const BACK_OFF_MS: Millis = 200.0;
 const BACK_OFF_MOST_MS: Millis = 800.0;
-/// A holder that says nothing for so long, in ms, has lost the duty.
-pub const HOLDER_SILENT_MS: Millis = 800.0;
-/// One that hears no holder for so long, in ms, and can't get a majority reads for itself.
-const ALONE_MS: Millis = 1600.0;
-
-/// What another control node said last of the duty.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct PeerReport {
-    pub claim: Claim,
-    /// It does not hear the holder either.
-    pub silent: bool,
-}
-
-/// Whose duty it is to read. The holder names its successor when it can; when it can't, a majority of those who agree on
-/// the view does, by saying that they do not hear it.
-#[derive(Clone, Debug)]
-pub struct Duty {
-    me: Address,
-    claim: Claim,
-    /// When the holder was heard last.
-    heard: Millis,
-}
-
-impl Duty {
-    pub fn new(me: &str, now: Millis) -> Duty {
-        Duty { me: me.to_owned(), claim: Claim::default(), heard: now }
-    }
-
-    pub fn claim(&self) -> &Claim {
-        &self.claim
-    }
-
-    pub fn is_holder(&self) -> bool {
-        self.claim.holder == self.me
-    }
-
-    /// Whether the holder was not heard for long.
-    pub fn is_silent(&self, now: Millis) -> bool {
-        !self.is_holder() && now - self.heard > HOLDER_SILENT_MS
-    }
-
-    /// Whether this one is to read: as the holder, or for itself, as it hears nobody who does.
-    pub fn reads(&self, now: Millis) -> bool {
-        self.is_holder() || now - self.heard > ALONE_MS
-    }
-
-    /// Another control node says who holds.
-    pub fn told(&mut self, now: Millis, from: &str, claim: &Claim) {
-        if *claim > self.claim {
-            self.claim = claim.clone();
-            // One that was named by another is given its time to begin.
-            self.heard = now;
-        }
-        if *claim == self.claim && self.claim.holder == from {
-            self.heard = now;
-        }
-    }
-
-    /// This process did not run for a while: what it holds may be another's by now, who has to be heard first.
-    pub fn woke(&mut self, now: Millis) {
-        if self.is_holder() {
-            self.claim.holder = Address::new();
-        }
-        self.heard = now;
-    }
-
-    /// Takes the duty where it is this one's turn: `order` is who may, in turn; `live` what those heard of said last;
-    /// `voters` whose majority it needs, all where there are none.
-    pub fn tick(
-        &mut self, now: Millis, order: &[Address], live: &BTreeMap<Address, PeerReport>, voters: &[Address],
-    ) -> bool {
-        let begins = self.claim.term == 0 && order.first() == Some(&self.me);
-        if !self.is_silent(now) && !begins {
-            return false;
-        }
-        if self.is_holder() || self.successor(order, |one| live.contains_key(one)) != Some(&self.me) {
-            return false;
-        }
-        let agrees = |one: &&Address| {
-            **one == self.me
-                || live.get(*one).is_some_and(|report| report.silent && report.claim <= self.claim)
-        };
-        let agreed = voters.iter().filter(agrees).count();
-        let first = self.claim.term == 0;
-        if !first && 2 * agreed <= voters.len() {
-            return false;
-        }
-        self.claim = Claim { term: self.claim.term + 1, holder: self.me.clone() };
-        true
-    }
-
-    /// The next after the holder that is there; it may be this one.
-    fn successor<'a>(&self, order: &'a [Address], is_live: impl Fn(&str) -> bool) -> Option<&'a Address> {
-        let after = order.iter().position(|one| *one == self.claim.holder).map_or(0, |at| at + 1);
-        let turn = order.iter().cycle().skip(after).take(order.len());
-        turn.into_iter().find(|one| **one != self.claim.holder && (**one == self.me || is_live(one)))
-    }
-
-    /// Names the successor of one that leaves; yes where there is one.
-    pub fn leave(&mut self, order: &[Address], live: &BTreeMap<Address, PeerReport>) -> bool {
-        let next =
-            self.successor(order, |one| live.contains_key(one)).filter(|next| **next != self.me).cloned();
-        match next {
-            Some(holder) if self.is_holder() => {
-                self.claim = Claim { term: self.claim.term + 1, holder };
-                true
-            }
-            _ => false,
-        }
-    }
-}
-
 /// What a call to the platform brought.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Call {
@@ -143,7 +31,9 @@
 /// One page of the list.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Page {
+    /// The upstreams on it.
     pub entries: Vec<UpstreamEntry>,
+    /// Token of the page that follows; none on the last.
     pub next_token: Option<String>,
 }
 
@@ -187,7 +77,7 @@
     })
 }
 
-/// The readings: one page after another, and one reading after another.
+/// The readings: one page after another, and one reading after another. Times are in ms of the steady clock.
 #[derive(Clone, Debug, Default)]
 pub struct Reader {
     /// When the call under way began.
@@ -204,8 +94,9 @@
 }
 
 impl Reader {
-    /// The next page to call for, if one is due: its token, none for the first.
-    pub fn due(&mut self, now: Millis, alone: bool, rate_per_s: f64) -> Option<Option<String>> {
+    /// The next page to call for, if one is due: its token, none for the first. `alone`: it reads for itself, beside the
+    /// holder; `rate_per_s`: calls that the platform takes from all together.
+    pub fn next_page(&mut self, now: Millis, alone: bool, rate_per_s: f64) -> Option<Option<String>> {
         if self.calling.is_some() || now < self.next_call {
             return None;
         }
@@ -224,14 +115,14 @@
         self.calling.is_none().then_some(self.next_call)
     }
 
-    /// It is not this one's duty any more.
+    /// Others read from now on.
     pub fn stop(&mut self) {
         (self.began, self.token) = (None, None);
         self.missed.clear();
     }
 
     /// A call is over. Yes where a whole reading ended with it.
-    pub fn done(&mut self, now: Millis, alone: bool, call: Call, upstreams: &mut Upstreams) -> bool {
+    pub fn answered(&mut self, now: Millis, alone: bool, call: Call, upstreams: &mut Upstreams) -> bool {
         let Some(called) = self.calling.take() else { return false };
         let Some(began) = self.began else { return false };
         let page = match call {
@@ -268,7 +159,7 @@
         let gone = missing.iter().filter(|missing| self.pages == 1 || self.missed.contains(*missing));
         gone.for_each(|gone| upstreams.remove(gone));
         self.missed = missing;
-        upstreams.turn(upstreams.round() + 1);
+        upstreams.reading_ended(upstreams.round() + 1);
         let every = if alone { ALONE_EVERY_MS } else { EVERY_MS };
         self.next_call = self.next_call.max(began + every);
         (self.began, self.token) = (None, None);
--- a/crates/sandtrack-control/src/sessions.rs
+++ b/crates/sandtrack-control/src/sessions.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-/// Bytes of frames, shared by all that get the same.
+/// Encoded frames, shared by all that get the same.
 pub type Bytes = Rc<[u8]>;
 
 /// Changes of who is there are told no more often than this, in ms.
@@ -23,37 +23,67 @@
     configuration: Option<u64>,
     evacuation: Option<u64>,
     list: Option<u64>,
+    /// The census that it was told last.
     census: Option<ToProxy>,
-    /// It was told something since it was looked at.
+    /// It was told the first frame: who is here.
     welcomed: bool,
 }
 
+/// The newest of what is told to all sessions.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct ToldUpTo {
+    /// Number of the configuration.
+    configuration: u64,
+    /// Number of the evacuations.
+    evacuation: u64,
+    /// Place in the journal of the list.
+    list: u64,
+    /// The list was read at least once.
+    list_is_known: bool,
+}
+
+impl ToldUpTo {
+    fn of(news: &News<'_>) -> ToldUpTo {
+        ToldUpTo {
+            configuration: news.control_state.configuration_number(),
+            evacuation: news.control_state.evacuation_number(),
+            list: news.upstreams.end(),
+            list_is_known: news.upstreams.round() > 0,
+        }
+    }
+}
+
 /// What is told to all sessions alike.
 pub struct News<'a> {
+    /// The committed state.
     pub control_state: &'a ControlState,
+    /// The platform's list.
     pub upstreams: &'a Upstreams,
+    /// All proxies.
     pub membership: &'a Membership,
+    /// This control node hears a majority and has caught up.
     pub attached: bool,
     /// Configurations and evacuations may be told: contact with a majority was confirmed within the lease.
-    pub feeds: bool,
+    pub may_feed: bool,
     /// It is known how many proxies there are.
     pub settled: bool,
 }
 
+/// The sessions, and what each was told.
 #[derive(Clone, Debug, Default)]
 pub struct Sessions {
     sessions: BTreeMap<u64, Session>,
     /// The session of each proxy, by name.
     names: BTreeMap<String, u64>,
-    /// Those that want more than what is new to all.
-    fresh: BTreeSet<u64>,
+    /// Those that are to be looked at although nothing is new to all.
+    pending: BTreeSet<u64>,
     /// Those from which a configuration or evacuations are held back until contact with a majority is confirmed.
     held_back: BTreeSet<u64>,
     next_session: u64,
     next_beat: Millis,
     next_census: Millis,
     /// What all were told up to: where nothing changed nothing is looked through.
-    told: (u64, u64, u64, u64),
+    told: ToldUpTo,
     census_round: u64,
     /// The whole configuration as a frame, by its number.
     whole: Option<(u64, Bytes)>,
@@ -136,7 +166,7 @@
         }
         if let Some(known) = self.sessions.get_mut(&session) {
             known.info = Some(info);
-            self.fresh.insert(session);
+            self.pending.insert(session);
             self.census_round = u64::MAX;
         }
     }
@@ -145,13 +175,13 @@
     pub fn want_configuration(&mut self, session: u64) {
         if let Some(known) = self.sessions.get_mut(&session) {
             known.configuration = None;
-            self.fresh.insert(session);
+            self.pending.insert(session);
         }
     }
 
     /// The socket is gone; whose it was, where that is a member by this session.
     pub fn closed(&mut self, session: u64) -> Option<ProxyInfo> {
-        self.fresh.remove(&session);
+        self.pending.remove(&session);
         self.held_back.remove(&session);
         let info = self.sessions.remove(&session)?.info?;
         if self.names.get(&info.node_name) == Some(&session) {
@@ -196,10 +226,6 @@
         }
     }
 
-    pub fn next_due(&self) -> Millis {
-        self.next_beat
-    }
-
     /// Closes all: they go elsewhere.
     pub fn close_all(&mut self, orders: &mut Vec<SessionOrder>) {
         orders.extend(self.sessions.keys().map(|session| SessionOrder::Close { session: *session }));
@@ -218,9 +244,9 @@
 
     /// Whether there is anything to tell.
     pub fn is_due(&self, now: Millis, news: &News<'_>) -> bool {
-        let new = !self.fresh.is_empty()
-            || news.feeds && self.is_holding_back()
-            || state(news.control_state, news.upstreams) != self.told;
+        let new = !self.pending.is_empty()
+            || news.may_feed && self.is_holding_back()
+            || ToldUpTo::of(news) != self.told;
         new || self.census_due(now, news.membership, news.settled)
     }
 
@@ -229,21 +255,21 @@
         &mut self, now: Millis, me: &Hello, others: &[&Hello], news: &News<'_>,
         orders: &mut Vec<SessionOrder>,
     ) {
-        let state = state(news.control_state, news.upstreams);
+        let newest = ToldUpTo::of(news);
         let census = self.census_due(now, news.membership, news.settled);
-        if state != self.told {
-            self.fresh = self.sessions.keys().copied().collect();
-            self.told = state;
+        if newest != self.told {
+            self.pending = self.sessions.keys().copied().collect();
+            self.told = newest;
         }
-        let mut fresh = std::mem::take(&mut self.fresh);
-        if news.feeds {
-            fresh.append(&mut self.held_back);
+        let mut pending = std::mem::take(&mut self.pending);
+        if news.may_feed {
+            pending.append(&mut self.held_back);
         }
         let mut lists: BTreeMap<Option<u64>, Bytes> = BTreeMap::new();
         let mut changes: BTreeMap<u64, Option<Bytes>> = BTreeMap::new();
         let Sessions { sessions, whole, held_back, .. } = self;
         let mut evacuated: Option<Bytes> = None;
-        for number in &fresh {
+        for number in &pending {
             let Some(session) = sessions.get_mut(number).filter(|session| session.info.is_some()) else {
                 continue;
             };
@@ -256,14 +282,15 @@
                     attached: news.attached,
                 }));
             }
-            if news.feeds {
+            if news.may_feed {
                 session.tell_state(news.control_state, whole, &mut changes, &mut evacuated, &mut send);
             } else if session.lacks(news.control_state) {
                 held_back.insert(*number);
             }
             if news.upstreams.round() > 0 && session.list != Some(news.upstreams.end()) {
                 let frame = lists.entry(session.list).or_insert_with(|| {
-                    let Excerpt { whole, round, entries, gone } = news.upstreams.since(now, session.list);
+                    let Excerpt { whole, round, entries, gone } =
+                        news.upstreams.excerpt_since(now, session.list);
                     bytes(&ToProxy::Upstreams { whole, round, entries, gone })
                 });
                 send(frame.clone());
@@ -316,12 +343,6 @@
     all.into_iter().map(|hello| hello.session.clone()).collect()
 }
 
-/// What all sessions are told up to.
-fn state(control_state: &ControlState, upstreams: &Upstreams) -> (u64, u64, u64, u64) {
-    let numbers = (control_state.configuration_number(), control_state.evacuation_number());
-    (numbers.0, numbers.1, upstreams.end(), u64::from(upstreams.round() > 0))
-}
-
 fn steps(control_state: &ControlState, from: u64) -> Option<Bytes> {
     let frames = control_state.changes_since(from)?;
     Some(frames.iter().flat_map(frames::frame).collect::<Vec<u8>>().into())
--- a/crates/sandtrack-control/src/socket.rs
+++ b/crates/sandtrack-control/src/socket.rs
@@ -44,6 +44,7 @@
     waiting: Rc<Cell<usize>>,
 }
 
+/// The two ends of the way out over one connection: the sender's and its task's.
 pub fn way() -> (Way, Outgoing) {
     let (sender, receiver) = async_channel::unbounded();
     let waiting = Rc::new(Cell::new(0));
--- a/crates/sandtrack-control/src/taken.rs
+++ b/crates/sandtrack-control/src/taken.rs
@@ -91,6 +91,7 @@
         }
     }
 
+    /// Those of format 1, for a snapshot.
     pub fn fnv_records(&self) -> Vec<FnvRecord> {
         let record = |(version, digest): &(u64, Digest)| match digest {
             Digest::Fnv(digest) => Some(FnvRecord { version: *version, digest: *digest }),
@@ -99,6 +100,7 @@
         self.records.iter().filter_map(record).collect()
     }
 
+    /// Those of format 2, for a snapshot.
     pub fn sha256_records(&self) -> Vec<Sha256Record> {
         let record = |(version, digest): &(u64, Digest)| match digest {
             Digest::Sha256(digest) => Some(Sha256Record { version: *version, digest: *digest }),
--- a/crates/sandtrack-control/src/upstreams.rs
+++ b/crates/sandtrack-control/src/upstreams.rs
@@ -56,6 +56,7 @@
     }
 }
 
+/// The upstreams by identifier, with their remaining times as moments of the steady clock.
 #[derive(Clone, Debug)]
 pub struct Upstreams {
     table: BTreeMap<String, Kept>,
@@ -94,12 +95,12 @@
     }
 
     /// A reading is over, as the `round` before it at least.
-    pub fn turn(&mut self, round: u64) {
+    pub fn reading_ended(&mut self, round: u64) {
         self.round = self.round.max(round);
     }
 
     /// Another control node passes on what it read.
-    pub fn take(&mut self, now: Millis, excerpt: Excerpt) {
+    pub fn apply(&mut self, now: Millis, excerpt: Excerpt) {
         if excerpt.whole {
             let kept: BTreeSet<&str> =
                 excerpt.entries.iter().map(|entry| entry.identifier.as_str()).collect();
@@ -118,7 +119,7 @@
     }
 
     /// What one is to be told that was told up to `place`; all where it was told nothing yet.
-    pub fn since(&self, now: Millis, place: Option<u64>) -> Excerpt {
+    pub fn excerpt_since(&self, now: Millis, place: Option<u64>) -> Excerpt {
         let Some(events) = place.and_then(|place| self.journal.since(place)) else {
             let entries = self.table.values().map(|kept| kept.now(now)).collect();
             return Excerpt { whole: true, round: self.round, entries, gone: Vec::new() };
@@ -143,6 +144,7 @@
         Digest { count: self.table.len() as u32, sum: self.sum }
     }
 
+    /// Identifiers of all of them.
     pub fn identifiers(&self) -> impl Iterator<Item = &str> {
         self.table.keys().map(String::as_str)
     }
--- a/crates/sandtrack-control/tests/reader.rs
+++ b/crates/sandtrack-control/tests/reader.rs
@@ -1,7 +1,7 @@
 //! Whose duty it is to read the platform's list, and how a reading goes. No platform, no clock.
 mod common;
 use common::approve;
-use sandtrack_control::reader::{Call, Claim, Duty, Page, PeerReport, Reader};
+use sandtrack_control::reader::{Call, Claim, Page, PeerReport, Reader, ReaderElection};
 use sandtrack_control::upstreams::Upstreams;
 use sandtrack_protocol::frames::UpstreamEntry;
 use std::collections::{BTreeMap, BTreeSet};
@@ -33,7 +33,7 @@
     /// Goes on to when the next call is due; gives its token.
     fn due(&mut self) -> Option<String> {
         for _ in 0..10_000 {
-            if let Some(token) = self.reader.due(self.now, false, 50.0) {
+            if let Some(token) = self.reader.next_page(self.now, false, 50.0) {
                 return token;
             }
             self.now += 1.0;
@@ -42,7 +42,7 @@
     }
 
     fn told(&mut self, call: Call) -> bool {
-        self.reader.done(self.now, false, call, &mut self.upstreams)
+        self.reader.answered(self.now, false, call, &mut self.upstreams)
     }
 
     fn known(&self) -> String {
@@ -152,27 +152,27 @@
     upstreams.set(400.0, entry(2600, None));
     upstreams.set(800.0, entry(2300, None));
     assert_eq!(upstreams.end(), place, "as it was to be expected");
-    assert_eq!(upstreams.since(1000.0, None).entries[0].cold_remaining_ms, 2000);
-    assert_eq!(upstreams.since(9000.0, None).entries[0].cold_remaining_ms, 0);
+    assert_eq!(upstreams.excerpt_since(1000.0, None).entries[0].cold_remaining_ms, 2000);
+    assert_eq!(upstreams.excerpt_since(9000.0, None).entries[0].cold_remaining_ms, 0);
     upstreams.set(4000.0, entry(0, None));
     assert_eq!(upstreams.end(), place);
     upstreams.set(5000.0, entry(3000, None));
     assert_eq!(upstreams.end(), place + 1, "cold once more");
     upstreams.set(5400.0, entry(2600, Some(1500)));
-    let told = upstreams.since(5900.0, Some(place + 1));
+    let told = upstreams.excerpt_since(5900.0, Some(place + 1));
     assert_eq!(
         (told.whole, told.entries[0].time_left_ms, told.entries[0].draining),
         (false, Some(1000), true)
     );
     upstreams.remove("a");
-    let told = upstreams.since(6000.0, Some(place));
+    let told = upstreams.excerpt_since(6000.0, Some(place));
     assert_eq!((told.entries.len(), told.gone), (0, vec!["a".to_owned()]));
 }
 
-/// Control nodes that only talk of the duty. Beats go each 150 ms from everyone to all whom it reaches.
+/// Control nodes that only talk of the election. Beats go each 150 ms from everyone to all whom it reaches.
 struct Cluster {
     now: f64,
-    duties: BTreeMap<String, Duty>,
+    elections: BTreeMap<String, ReaderElection>,
     down: BTreeSet<String>,
     cut: BTreeSet<(String, String)>,
     heard: BTreeMap<(String, String), (f64, PeerReport)>,
@@ -181,10 +181,11 @@
 
 impl Cluster {
     fn new(names: &[&str]) -> Cluster {
-        let duties = names.iter().map(|name| ((*name).to_owned(), Duty::new(name, 0.0))).collect();
+        let elections =
+            names.iter().map(|name| ((*name).to_owned(), ReaderElection::new(name, 0.0))).collect();
         Cluster {
             now: 0.0,
-            duties,
+            elections,
             down: BTreeSet::new(),
             cut: BTreeSet::new(),
             heard: BTreeMap::new(),
@@ -193,7 +194,7 @@
     }
 
     fn order(&self) -> Vec<String> {
-        self.duties.keys().cloned().collect()
+        self.elections.keys().cloned().collect()
     }
 
     fn live(&self, name: &str) -> BTreeMap<String, PeerReport> {
@@ -202,14 +203,14 @@
     }
 
     fn beat(&mut self, from: &str) {
-        let duty = &self.duties[from];
-        let report = PeerReport { claim: duty.claim().clone(), silent: duty.is_silent(self.now) };
+        let election = &self.elections[from];
+        let report = PeerReport { claim: election.claim().clone(), silent: election.is_silent(self.now) };
         for to in self.order() {
             let cut = self.cut.contains(&(from.to_owned(), to.clone()));
             if to != from && !cut && !self.down.contains(&to) {
                 self.heard.insert((to.clone(), from.to_owned()), (self.now, report.clone()));
-                if let Some(duty) = self.duties.get_mut(&to) {
-                    duty.told(self.now, from, &report.claim);
+                if let Some(election) = self.elections.get_mut(&to) {
+                    election.heard_claim(self.now, from, &report.claim);
                 }
             }
         }
@@ -222,8 +223,10 @@
             self.now += 50.0;
             for name in order.iter().filter(|name| !self.down.contains(*name)) {
                 let live = self.live(name);
-                let taken =
-                    self.duties.get_mut(name).is_some_and(|duty| duty.tick(self.now, &order, &live, &order));
+                let taken = self
+                    .elections
+                    .get_mut(name)
+                    .is_some_and(|election| election.take_over(self.now, &order, &live, &order));
                 if taken {
                     self.transcript.push_str(&format!("{:>6.0} {name} takes the duty\n", self.now));
                 }
@@ -238,15 +241,15 @@
     }
 
     fn note(&mut self) {
-        let holds = |(name, duty): (&String, &Duty)| {
-            let holder = match duty.claim() {
+        let holds = |(name, election): (&String, &ReaderElection)| {
+            let holder = match election.claim() {
                 Claim { holder, .. } if holder.is_empty() => "nobody",
                 Claim { holder, .. } => holder.as_str(),
             };
-            let reads = if duty.reads(self.now) { ", reads" } else { "" };
-            format!("{name}: {holder} {}{reads}", duty.claim().term)
+            let reads = if election.is_reading(self.now) { ", reads" } else { "" };
+            format!("{name}: {holder} {}{reads}", election.claim().term)
         };
-        let up = self.duties.iter().filter(|(name, _)| !self.down.contains(*name));
+        let up = self.elections.iter().filter(|(name, _)| !self.down.contains(*name));
         let all: Vec<String> = up.map(holds).collect();
         self.transcript.push_str(&format!("{:>6.0} {}\n", self.now, all.join("; ")));
     }
@@ -268,17 +271,17 @@
     cluster.run(1000.0);
     cluster.say("a leaves in order and names its successor");
     let (order, live) = (cluster.order(), cluster.live("a"));
-    assert!(cluster.duties.get_mut("a").is_some_and(|duty| duty.leave(&order, &live)));
+    assert!(cluster.elections.get_mut("a").is_some_and(|election| election.hand_over(&order, &live)));
     cluster.beat("a");
     cluster.down.insert("a".to_owned());
     cluster.run(300.0);
     cluster.say("b dies: a majority lets the next one have it");
     cluster.down.insert("b".to_owned());
     cluster.down.remove("a");
-    cluster.duties.insert("a".to_owned(), Duty::new("a", cluster.now));
+    cluster.elections.insert("a".to_owned(), ReaderElection::new("a", cluster.now));
     cluster.run(1500.0);
     cluster.say("b is back and believes nothing");
-    cluster.duties.insert("b".to_owned(), Duty::new("b", cluster.now));
+    cluster.elections.insert("b".to_owned(), ReaderElection::new("b", cluster.now));
     cluster.down.remove("b");
     cluster.run(600.0);
     cluster.say("c freezes for 3 s");
@@ -286,9 +289,9 @@
     cluster.run(3000.0);
     cluster.say("c wakes");
     let now = cluster.now;
-    if let Some(duty) = cluster.duties.get_mut("c") {
-        duty.woke(now);
-        assert!(!duty.reads(now), "it does not read on belief alone");
+    if let Some(election) = cluster.elections.get_mut("c") {
+        election.woke(now);
+        assert!(!election.is_reading(now), "it does not read on belief alone");
     }
     cluster.down.remove("c");
     cluster.run(600.0);
@@ -312,11 +315,11 @@
     cluster.cut("a", "b");
     cluster.run(3000.0);
     assert_eq!(
-        cluster.duties["b"].claim(),
+        cluster.elections["b"].claim(),
         &Claim { term: 1, holder: "a".to_owned() },
         "{}",
         cluster.transcript
     );
-    assert!(cluster.duties["b"].reads(cluster.now), "but it needs the list all the same");
-    assert!(!cluster.duties["c"].reads(cluster.now));
+    assert!(cluster.elections["b"].is_reading(cluster.now), "but it needs the list all the same");
+    assert!(!cluster.elections["c"].is_reading(cluster.now));
 }
