--- a/crates/sandtrack-proxy/tests/exchange/held.rs
+++ b/crates/sandtrack-proxy/tests/exchange/held.rs
@@ -96,7 +96,7 @@
         let mut client = stage.client();
         let began = Instant::now();
         client.post(target, &format!("r{}", &target[1..4]), "prompt");
-        let mut asked = stage.begun_stream(&mut client);
+        let asked = stage.begun_stream(&mut client);
         client.stream_is_cut();
         assert_held(began, target);
         asked.until_closed();
--- a/crates/sandtrack-proxy/tests/exchange/once.rs
+++ b/crates/sandtrack-proxy/tests/exchange/once.rs
@@ -97,7 +97,7 @@
     let mut first = stage.asked();
     first.say(&refusal("r1", "503 Full", "Not-Executed: 1\r\n"));
     first.keep();
-    let mut second = stage.begun_stream(&mut client);
+    let second = stage.begun_stream(&mut client);
     second.end_stream();
     client.stream_is_whole();
     stage.finish();
--- a/crates/sandtrack-proxy/tests/exchange/stops.rs
+++ b/crates/sandtrack-proxy/tests/exchange/stops.rs
@@ -71,7 +71,7 @@
     stage.serve(1);
     let mut client = stage.client();
     client.post("/letters/a", "r1", "body");
-    let mut asked = stage.begun_stream(&mut client);
+    let _asked = stage.begun_stream(&mut client);
     stage.proxy.signal("TERM");
     stage.proxy.ends_within(5.0);
     client.stream_is_cut();
--- a/crates/sandtrack-proxy/tests/exchange/streams.rs
+++ b/crates/sandtrack-proxy/tests/exchange/streams.rs
@@ -191,7 +191,7 @@
     let stage = Stage::serving("a_stream_taken_up_with_a_failure_is_cut", 2);
     let mut client = stage.client();
     client.post_with("/tags/slow/a", "r1", &[], "prompt");
-    let mut first = stage.begun_stream(&mut client);
+    let first = stage.begun_stream(&mut client);
     first.close();
     let mut second = stage.asked();
     second.say("HTTP/1.1 500 Oops\r\nRequest-Id: r1\r\nServer-Seal: s1\r\nContent-Length: 3\r\n\r\nwhy");
@@ -206,7 +206,7 @@
     let stage = Stage::serving("a_stream_is_not_taken_up_with_another_requests", 2);
     let mut client = stage.client();
     client.post_with("/tags/slow/a", "r1", &[], "prompt");
-    let mut first = stage.begun_stream(&mut client);
+    let first = stage.begun_stream(&mut client);
     first.close();
     let mut second = stage.asked();
     second.say(
@@ -225,7 +225,7 @@
     let stage = Stage::serving("a_silent_stream_is_taken_up_at_another", 2);
     let mut client = stage.client();
     client.post_with("/tags/a", "r1", &[], "prompt");
-    let mut first = stage.begun_stream(&mut client);
+    let first = stage.begun_stream(&mut client);
     let mut second = stage.asked();
     assert_eq!(second.request.header("last-event-id"), Some("1"));
     second.begin_stream();
@@ -261,7 +261,7 @@
     let stage = Stage::serving("a_silent_stream_that_breaks_is_taken_up_by_the_one_that_was_asked", 2);
     let mut client = stage.client();
     client.post_with("/tags/a", "r1", &[], "prompt");
-    let mut first = stage.begun_stream(&mut client);
+    let first = stage.begun_stream(&mut client);
     let mut second = stage.asked();
     first.reset();
     stage.control_node.heard_up_to_now();
@@ -340,7 +340,7 @@
     let stage = Stage::serving("a_silent_stream_that_may_run_once_stays_where_it_is", 3);
     let mut client = stage.client();
     client.send(&request("POST", "/letters/a", "r1", &["Deadline-Remaining: 3000"], "prompt"));
-    let mut asked = stage.begun_stream(&mut client);
+    let asked = stage.begun_stream(&mut client);
     client.stream_is_cut();
     asked.until_closed();
     stage.finish();
@@ -352,7 +352,7 @@
     let stage = Stage::serving("a_client_that_leaves_frees_its_upstream", 1);
     let mut client = stage.client();
     client.post("/letters/a", "r1", "prompt");
-    let mut asked = stage.begun_stream(&mut client);
+    let asked = stage.begun_stream(&mut client);
     client.leave();
     asked.until_closed();
     for (id, target) in [("r2", "/letters/a"), ("r3", "/tags/slow/a"), ("r4", "/pay/a"), ("r5", "/slips/a")] {
@@ -371,7 +371,7 @@
     let stage = Stage::serving("a_stream_past_its_deadline_does_not_look_complete", 1);
     let mut client = stage.client();
     client.post_with("/tags/slow/a", "r1", &["Deadline-Remaining: 1500"], "prompt");
-    let mut asked = stage.begun_stream(&mut client);
+    let asked = stage.begun_stream(&mut client);
     client.stream_is_cut();
     asked.until_closed();
     stage.finish();
