--- a/crates/sandtrack-control/src/operator_calls.rs
+++ b/crates/sandtrack-control/src/operator_calls.rs
@@ -68,6 +68,7 @@
     waits: Waits,
 }
 
+/// The calls under way; each is answered once.
 #[derive(Debug)]
 pub struct OperatorCalls {
     awake: Awake,
@@ -78,6 +79,7 @@
 }
 
 impl OperatorCalls {
+    /// No calls, in a process that starts.
     pub fn new(now: Millis) -> OperatorCalls {
         OperatorCalls { awake: Awake::new(now), next: 0, begun: BTreeMap::new(), pending: BTreeMap::new() }
     }
@@ -89,10 +91,12 @@
         self.next
     }
 
+    /// Since when this process has run without being held up.
     pub fn awake_since(&self) -> Millis {
         self.awake.since()
     }
 
+    /// Whether no call waits for the replica.
     pub fn is_empty(&self) -> bool {
         self.pending.is_empty()
     }
