--- a/crates/sandtrack-replication/tests/guards.rs
+++ b/crates/sandtrack-replication/tests/guards.rs
@@ -1,7 +1,7 @@
 //! Guards of the replica that no world runs into by itself: each test falls when its guard is taken out (`.ci/mutations.list`).
 mod world;
 
-use sandtrack_replication::Refusal;
+use sandtrack_replication::{Member, Refusal, View};
 use world::{DiskMode, World};
 
 fn calm(seeds: usize, observers: usize, borne: usize) -> World {
@@ -169,3 +169,149 @@
     world.run(500.0);
     assert_eq!(world.outcome(call), Some(Ok("won 1".to_string())));
 }
+
+fn addresses(members: &[Member]) -> Vec<&str> {
+    members.iter().map(|member| member.address.as_str()).collect()
+}
+
+fn newest_view(world: &World) -> View {
+    world.checks.newest_view().unwrap().clone()
+}
+
+/// The vote of a machine that is gone passes to another that is ready: then one more may go.
+#[test]
+fn a_voter_that_is_silent_for_long_is_replaced() {
+    let mut world = calm(4, 0, 1);
+    world.kill(2);
+    world.run(6000.0);
+    assert_eq!(addresses(&newest_view(&world).voters), ["m1", "m2", "m4"]);
+    world.kill(0);
+    world.run(4000.0);
+    let call = world.submit(1, 0);
+    world.run(500.0);
+    assert!(matches!(world.outcome(call), Some(Ok(_))));
+}
+
+/// One that is cut off from a single other process keeps its vote, also where that one is who proposes.
+#[test]
+fn a_voter_that_others_hear_is_not_replaced() {
+    let mut world = calm(4, 0, 1);
+    world.kill(2);
+    world.run(1500.0);
+    assert_eq!(addresses(&newest_view(&world).chain), ["m1", "m2", "m4"]);
+    world.start(2, false);
+    world.cut(&[0], &[2]);
+    world.run(8000.0);
+    assert_eq!(addresses(&newest_view(&world).voters), ["m1", "m2", "m3"]);
+}
+
+/// The new identity takes the vote of its former one, not that of a machine that has been away for longer and comes back.
+#[test]
+fn a_wiped_voter_takes_its_own_place() {
+    let mut world = calm(5, 0, 2);
+    assert_eq!(newest_view(&world).voters.len(), 5);
+    world.kill(3);
+    world.run(5000.0);
+    world.wipe(2);
+    world.start(2, false);
+    world.run(2000.0);
+    let voters = newest_view(&world).voters;
+    assert!(voters.contains(world.nodes[2].member.as_ref().unwrap()), "{voters:?}");
+    let mut once = addresses(&voters);
+    once.sort_unstable();
+    assert_eq!(once, ["m1", "m2", "m3", "m4", "m5"]);
+}
+
+/// Two of the first three are in one zone, whose loss would take the majority.
+#[test]
+fn a_voter_that_shares_its_zone_makes_place_for_one_of_another() {
+    let mut world = World::new(3, 4, 0, 1);
+    world.zones_borne = 1;
+    for (machine, zone) in ["a", "a", "b", "c"].into_iter().enumerate() {
+        world.nodes[machine].zone = zone.to_string();
+    }
+    world.start_all(true);
+    world.run(6000.0);
+    let mut voters = newest_view(&world).voter_zones;
+    voters.sort_unstable();
+    assert_eq!(voters, ["a", "b", "c"]);
+}
+
+/// All of a zone is gone. Its vote waits for it: with two of another zone, that one's loss would take the majority.
+#[test]
+fn no_voter_comes_by_whom_a_zone_would_take_the_majority() {
+    let mut world = World::new(3, 6, 0, 1);
+    world.zones_borne = 1;
+    world.start_all(true);
+    world.run(4000.0);
+    world.kill(1);
+    world.kill(4);
+    world.run(8000.0);
+    let view = newest_view(&world);
+    assert!(!addresses(&view.chain).contains(&"m2") && view.chain.len() == 3, "{view}");
+    assert_eq!(addresses(&view.voters), ["m1", "m2", "m3"]);
+}
+
+/// An observer that lost one lot and got the next waits for the first.
+#[test]
+fn what_is_learned_follows_the_state_without_a_gap() {
+    let mut world = calm(3, 1, 1);
+    world.hold =
+        ["m1 -> m4: e1 learn", "m2 -> m4: e1 learn", "m3 -> m4: e1 learn"].map(str::to_string).to_vec();
+    world.submit(0, 0);
+    world.run(20.0);
+    assert!(said(&world, "m4: e1 learn: 1@1"));
+    world.hold.clear();
+    world.submit(0, 1);
+    world.run(2000.0);
+    assert_eq!(world.nodes[3].replica.as_ref().unwrap().machine().applied, 2);
+}
+
+/// The first machine has an entry that was never committed, and learns another one in its place; its disk takes nothing.
+fn with_a_divergent_log() -> World {
+    let mut world = calm(3, 0, 1);
+    world.cut(&[0], &[1, 2]);
+    world.submit(0, 0);
+    world.run(4500.0); // its caller is told that it is not known
+    world.set_disk(0, DiskMode::Full);
+    let call = world.submit(1, 0);
+    world.run(100.0);
+    assert!(matches!(world.outcome(call), Some(Ok(_))));
+    world.heal();
+    world.run(2000.0);
+    let replica = world.nodes[0].replica.as_ref().unwrap();
+    assert_eq!((replica.machine().applied, replica.applied_epoch()), (1, 2));
+    world
+}
+
+/// What it learned is not in its log: there the number belongs to the entry that was never committed.
+#[test]
+fn a_divergent_entry_is_never_marked_as_committed() {
+    let mut world = with_a_divergent_log();
+    world.cut(&[0], &[1, 2]);
+    world.set_disk(0, DiskMode::Well);
+    world.run(600.0); // it tries its disk
+    world.kill(0);
+    world.start(0, false);
+    let replica = world.nodes[0].replica.as_ref().unwrap();
+    assert_eq!(replica.machine().applied, 0, "a lone machine shows what was surely committed");
+    world.heal();
+    world.run(4000.0);
+    assert!(world.is_whole());
+}
+
+/// Its log is no source for others before it is in line.
+#[test]
+fn a_divergent_log_teaches_nothing() {
+    let mut world = with_a_divergent_log();
+    world.hold = vec!["m3 -> m1: e3 in line".to_string()];
+    world.set_disk(0, DiskMode::Well);
+    assert!(world.run_until(3000.0, |world| said(world, "held back: m3 -> m1: e3 in line")));
+    // Each picks a member of the chain by its address: one of three picks the first machine.
+    let observers: Vec<usize> = (0..3).map(|_| world.add(false)).collect();
+    observers.iter().for_each(|observer| world.start(*observer, false));
+    world.run(1500.0);
+    assert!(said(&world, "learns from m1"));
+    let applied = |observer: &usize| world.nodes[*observer].replica.as_ref().unwrap().machine().applied;
+    assert_eq!(observers.iter().map(applied).collect::<Vec<_>>(), [1, 1, 1]);
+}
