--- a/crates/sandtrack-replication/tests/guards.rs
+++ b/crates/sandtrack-replication/tests/guards.rs
@@ -315,3 +315,33 @@
     let applied = |observer: &usize| world.nodes[*observer].replica.as_ref().unwrap().machine().applied;
     assert_eq!(observers.iter().map(applied).collect::<Vec<_>>(), [1, 1, 1]);
 }
+
+/// A member whose disk stalls was asked for a promise in the first epoch, under a ballot whose name the third epoch has as
+/// well. By then it is no voter. Two guards hold this, and either one is enough: what was wanted in an earlier epoch is
+/// dropped, and a proposer counts voters alone.
+#[test]
+fn a_promise_wanted_in_an_earlier_epoch_counts_for_nothing() {
+    let mut world = calm(4, 0, 1);
+    world.set_disk(2, DiskMode::Stalled);
+    world.submit(0, 0);
+    assert!(world.run_until(3000.0, |world| said(world, "m1 -> m3: e1 prepare 1 of m1/0")));
+    world.run(5.0);
+    world.cut(&[2], &[0, 1, 3]);
+    world.run(6000.0);
+    let view = newest_view(&world);
+    assert_eq!((view.epoch, addresses(&view.voters)), (3, vec!["m1", "m2", "m4"]));
+    world.heal();
+    world.run(1000.0);
+    assert!(said(&world, "m3 knows view 3"));
+    world.hold = vec!["m4 -> m1: e3 promise".to_string()];
+    world.kill(1);
+    assert!(world.run_until(3000.0, |world| said(world, "held back: m4 -> m1: e3 promise 1 of m1/0")));
+    world.set_disk(2, DiskMode::Well);
+    world.run(100.0);
+    assert!(!said(&world, "m1 -> m4: e3 accept"), "one voter of three has promised");
+    world.hold.clear();
+    world.run(3000.0);
+    let call = world.submit(0, world.newest().version);
+    world.run(500.0);
+    assert!(matches!(world.outcome(call), Some(Ok(_))));
+}
