--- a/crates/sandtrack-control/tests/guards.rs
+++ b/crates/sandtrack-control/tests/guards.rs
@@ -1,2 +1,93 @@
-//! Guards of the control node that no other test runs into: each test falls when its guard is taken out (`.ci/mutations.list`).
+//! Guards of the control node that no other test runs into: each test falls when its guard is taken out
+//! (`.ci/mutations.list`).
 mod common;
+use common::cluster::{upstream, Cluster};
+use common::good;
+use sandtrack_control::control_state::{Command, ControlState, Form, Outcome};
+use sandtrack_control::reader::{Claim, Duty, PeerReport, HOLDER_SILENT_MS};
+use sandtrack_protocol::frames::ToProxy;
+use sandtrack_replication::StateMachine;
+use std::collections::BTreeMap;
+
+fn counts(cluster: &Cluster, name: &str) -> Vec<u32> {
+    let count = |frame: &ToProxy| match frame {
+        ToProxy::Census { proxies, .. } => Some(*proxies),
+        _ => None,
+    };
+    cluster.proxies[name].frames.iter().filter_map(count).collect()
+}
+
+/// Right after the start of all, a control node would take the first proxies that come for all that there are.
+#[test]
+fn shares_are_told_only_once_all_proxies_are_known() {
+    let mut cluster = Cluster::start(3);
+    cluster.run(300.0);
+    cluster.connect("c-odori", "odori-hall", "ishikari", 1);
+    cluster.run(1200.0);
+    assert!(counts(&cluster, "c-odori").is_empty());
+    cluster.connect("c-asahi", "asahi-hall", "kamikawa", 2);
+    cluster.run(3000.0);
+    assert_eq!(counts(&cluster, "c-odori").first(), Some(&2));
+}
+
+fn claim(term: u64, holder: &str) -> Claim {
+    Claim { term, holder: holder.to_owned() }
+}
+
+/// Whether `b` takes the duty of `a`, which fell silent, when `c` says this.
+fn takes_over(report: PeerReport) -> bool {
+    let names = ["a", "b", "c"].map(str::to_owned);
+    let mut duty = Duty::new("b", 0.0);
+    duty.told(0.0, "a", &claim(1, "a"));
+    let live = BTreeMap::from([("c".to_owned(), report)]);
+    duty.tick(HOLDER_SILENT_MS + 1.0, &names, &live, &names)
+}
+
+#[test]
+fn a_duty_passes_only_with_those_who_miss_the_same_holder() {
+    assert!(takes_over(PeerReport { claim: claim(1, "a"), silent: true }));
+    assert!(!takes_over(PeerReport { claim: claim(1, "a"), silent: false }), "it hears the holder");
+    assert!(!takes_over(PeerReport { claim: claim(2, "c"), silent: true }), "it knows another holder");
+}
+
+/// What a former holder told is still on its way when the next one reads. The one that reads knows better.
+#[test]
+fn a_holder_takes_no_list_of_another() {
+    let mut cluster = Cluster::start(3);
+    cluster.list = Some(vec![upstream("i-1", false)]);
+    cluster.run(3000.0);
+    let former = (1..=3).max_by_key(|house| cluster.fetches_since(*house, 0.0)).expect("one that reads");
+    let others: Vec<usize> = (1..=3).filter(|house| *house != former).collect();
+    others.iter().for_each(|other| cluster.slow(former, *other, 1200.0));
+    cluster.list = Some(vec![upstream("i-1", true)]);
+    cluster.run(600.0);
+    cluster.list = Some(vec![upstream("i-1", false)]);
+    let draining = |cluster: &mut Cluster, house: usize| {
+        cluster.control_node(house).upstreams().counts().get("print").map(|(_, draining)| *draining)
+    };
+    let began = cluster.now;
+    cluster.run(500.0);
+    let next = *others.iter().max_by_key(|house| cluster.fetches_since(**house, began)).expect("another");
+    assert!(cluster.fetches_since(next, began) > 0, "the duty passed");
+    for _ in 0..200 {
+        cluster.run(5.0);
+        assert_eq!(draining(&mut cluster, next), Some(0), "{} ms later", cluster.now - began);
+    }
+}
+
+fn configure(state: &mut ControlState, number: u64, form: Form, based_on: u64, body: &str) -> Outcome {
+    let command = Command::Configure { form, based_on, body: body.as_bytes().to_vec() };
+    let outcome = state.apply(number, &borsh::to_vec(&command).expect("a command"));
+    borsh::from_slice(&outcome).expect("an outcome")
+}
+
+/// Known again is an order of the same kind, on the same version, with the same bytes.
+#[test]
+fn an_order_is_known_again_by_its_kind_and_its_base_too() {
+    let mut state = ControlState::default();
+    let body = good(7);
+    assert_eq!(configure(&mut state, 1, Form::Replace, 0, &body), Outcome::Taken { version: 7 });
+    assert_eq!(configure(&mut state, 2, Form::Replace, 0, &body), Outcome::Taken { version: 7 });
+    assert_eq!(configure(&mut state, 3, Form::Replace, 5, &body), Outcome::Other { current: 7 });
+    assert!(!matches!(configure(&mut state, 4, Form::Update, 0, &body), Outcome::Taken { .. }));
+}
