--- a/crates/sandtrack-replication/tests/guards.rs
+++ b/crates/sandtrack-replication/tests/guards.rs
@@ -345,3 +345,95 @@
     world.run(500.0);
     assert!(matches!(world.outcome(call), Some(Ok(_))));
 }
+
+/// An entry that was never committed, and nothing in its place: what the next head enters has the same number.
+#[test]
+fn an_end_that_the_predecessor_does_not_hold_is_cut() {
+    let mut world = calm(3, 0, 1);
+    world.cut(&[0], &[1, 2]);
+    world.submit(0, 0);
+    world.run(4500.0); // its caller is told that it is not known
+    world.heal();
+    world.run(2000.0);
+    assert!(world.is_whole());
+    let call = world.submit(1, 0);
+    world.run(500.0);
+    assert_eq!(world.outcome(call), Some(Ok("won 1".to_string())));
+    let states = [0, 1, 2].map(|machine| world.nodes[machine].replica.as_ref().unwrap().machine().clone());
+    assert!(states.iter().all(|state| *state == states[0]), "{states:?}");
+}
+
+/// A machine that was alone, started again under settings by which that is not enough: what it acknowledged stands on its
+/// disk, but its process does not know that it was committed.
+fn alone_under_stricter_settings() -> World {
+    let mut world = World::new(3, 1, 0, 0);
+    world.start_all(true);
+    world.run(2000.0);
+    let call = world.submit(0, 0);
+    assert!(world.run_until(100.0, |world| world.outcome(call).is_some()));
+    world.kill(0);
+    world.borne = 1;
+    world.start(0, false);
+    world
+}
+
+#[test]
+fn a_chain_that_is_too_short_commits_nothing() {
+    let mut world = alone_under_stricter_settings();
+    world.run(3000.0);
+    assert_eq!(world.nodes[0].replica.as_ref().unwrap().machine().applied, 0);
+    let joiner = world.add(true);
+    world.start(joiner, false);
+    world.run(3000.0);
+    assert_eq!(world.nodes[0].replica.as_ref().unwrap().machine().applied, 1);
+}
+
+#[test]
+fn a_tail_that_holds_what_it_does_not_know_as_committed_answers_no_read() {
+    let mut world = alone_under_stricter_settings();
+    let read = world.read(0);
+    world.run(5000.0);
+    assert!(matches!(world.outcome(read), Some(Err(_))), "{:?}", world.outcome(read));
+}
+
+/// A copy of a command comes when its entry has gone from the log, by a rewrite.
+#[test]
+fn a_command_that_went_from_the_log_is_known_again() {
+    let mut world = calm(3, 0, 1);
+    world.log = None;
+    let change = |world: &mut World, count: usize| {
+        for _ in 0..count {
+            world.submit(0, world.newest().version);
+            world.run(12.0);
+        }
+    };
+    change(&mut world, 450);
+    world.hold = vec!["m3 -> m1: e1 submit".to_string()];
+    let call = world.submit(2, world.newest().version);
+    world.run(5.0);
+    assert!(world.release("m3 -> m1: e1 submit"));
+    world.run(50.0);
+    assert!(matches!(world.outcome(call), Some(Ok(_))));
+    change(&mut world, 150);
+    assert!(world.nodes[0].disk.len() < 400, "the log was rewritten");
+    assert!(world.release("m3 -> m1: e1 submit"));
+    world.run(500.0);
+    assert_eq!(world.newest().applied, 601);
+}
+
+/// The third one is in the chain, but not in line: with the second one alone there would be one copy.
+#[test]
+fn a_leaver_waits_for_a_member_that_is_not_in_line() {
+    let mut world = calm(3, 0, 1);
+    world.kill(2);
+    world.run(2500.0);
+    world.hold = vec!["m2 -> m3: e3 in line".to_string()];
+    world.start(2, false);
+    assert!(world.run_until(3000.0, |world| said(world, "held back: m2 -> m3: e3 in line")));
+    world.tell_to_stop(0);
+    world.run(1000.0);
+    assert!(world.is_needed(0));
+    world.hold.clear();
+    world.run(1000.0);
+    assert!(!world.is_needed(0));
+}
