--- a/crates/sandtrack-replication/tests/guards.rs
+++ b/crates/sandtrack-replication/tests/guards.rs
@@ -437,3 +437,97 @@
     world.run(1000.0);
     assert!(!world.is_needed(0));
 }
+
+/// Bytes of a change of which four make a log long enough to be rewritten.
+const LARGE: usize = 300 * 1024;
+
+/// The first machine rewrites its log, and starts again with what it finds.
+fn rewrite_and_start_again(world: &mut World) {
+    world.padding = LARGE;
+    for _ in 0..4 {
+        world.submit(0, 0);
+        world.run(5.0);
+    }
+    world.run(20.0);
+    world.kill(0);
+    world.start(0, false);
+}
+
+/// The second machine decides with the first one, and is cut off before anyone hears of it.
+#[test]
+fn a_rewritten_log_keeps_what_was_accepted() {
+    let mut world = calm(3, 0, 1);
+    world.cut(&[2], &[0, 1]);
+    world.hold = vec!["m2 -> m1: e1 new view".to_string()];
+    assert!(world.run_until(3000.0, |world| said(world, "m2 knows view 2")));
+    world.cut(&[1], &[0]);
+    rewrite_and_start_again(&mut world);
+    world.run(1500.0);
+    world.heal();
+    world.cut(&[1], &[0, 2]);
+    // The checks of the world refuse another view 2.
+    assert!(world.run_until(8000.0, |world| said(world, "m1 knows view 2")));
+}
+
+const LOWER: &str = "1 of m2/0";
+const HIGHER: &str = "1 of m3/0";
+
+/// The second and the third machine don't hear each other, and each proposes to go on with the first one alone: the second
+/// one under the lower ballot.
+fn two_proposers(hold: &[&str]) -> World {
+    let mut world = calm(3, 0, 1);
+    world.cut(&[1], &[2]);
+    world.hold = hold.iter().map(|begin| format!("{begin} 1 of m")).collect();
+    world
+}
+
+fn wait_for(world: &mut World, words: &str) {
+    assert!(world.run_until(3000.0, |world| said(world, words)), "`{words}` was never said");
+}
+
+/// The third machine is promised the first one's vote, then what the second one asks of it arrives. Nobody hears of what
+/// the second one decides: the first one still takes part in the same epoch. Two views of it would be refused by the checks of
+/// the world.
+fn the_lower_ballot_decides_nothing(world: &mut World, asked: &str) {
+    assert!(world.release(&format!("m2 -> m1: e1 {asked} {LOWER}")));
+    world.set_disk(0, DiskMode::Well);
+    world.hold = vec!["m2 -> m1:".to_string(), "m3 -> m1: e1 accept".to_string()];
+    world.run(20.0);
+    if asked == "prepare" {
+        world.release(&format!("m2 -> m1: e1 accept {LOWER}"));
+        world.run(20.0);
+    }
+    assert!(world.release(&format!("m3 -> m1: e1 accept {HIGHER}")));
+    world.run(20.0);
+    assert!(said(world, "m3 knows view 2") && !said(world, "m2 knows view 2"));
+}
+
+#[test]
+fn a_rewritten_log_keeps_the_promise() {
+    let mut world = two_proposers(&["m2 -> m1: e1 accept", "m3 -> m1: e1 accept"]);
+    wait_for(&mut world, &format!("held back: m3 -> m1: e1 accept {HIGHER}"));
+    rewrite_and_start_again(&mut world);
+    the_lower_ballot_decides_nothing(&mut world, "accept");
+}
+
+/// The promise of the higher ballot is being written as the lower one is to be accepted.
+#[test]
+fn what_was_promised_meanwhile_is_not_accepted_under_a_lower_ballot() {
+    let mut world = two_proposers(&["m2 -> m1: e1 accept", "m3 -> m1: e1 accept"]);
+    wait_for(&mut world, &format!("held back: m2 -> m1: e1 accept {LOWER}"));
+    world.set_disk(0, DiskMode::Stalled);
+    wait_for(&mut world, &format!("m3 -> m1: e1 prepare {HIGHER}"));
+    world.run(5.0);
+    the_lower_ballot_decides_nothing(&mut world, "accept");
+}
+
+/// The promise of the higher ballot is being written as the lower one asks for one.
+#[test]
+fn what_was_promised_meanwhile_is_not_promised_to_a_lower_ballot() {
+    let mut world = two_proposers(&["m2 -> m1: e1 prepare", "m3 -> m1: e1 accept"]);
+    wait_for(&mut world, &format!("held back: m2 -> m1: e1 prepare {LOWER}"));
+    world.set_disk(0, DiskMode::Stalled);
+    wait_for(&mut world, &format!("m3 -> m1: e1 prepare {HIGHER}"));
+    world.run(5.0);
+    the_lower_ballot_decides_nothing(&mut world, "prepare");
+}
