--- a/crates/sandtrack-replication/tests/guards.rs
+++ b/crates/sandtrack-replication/tests/guards.rs
@@ -531,3 +531,27 @@
     world.run(5.0);
     the_lower_ballot_decides_nothing(&mut world, "prepare");
 }
+
+/// A member with an entry that was never committed comes back, and another one behind it in the chain. Before it is in line
+/// it brings nobody else in line: the entry would be at the tail, and pass for committed.
+#[test]
+fn only_one_that_is_in_line_brings_others_in_line() {
+    let mut world = calm(5, 0, 2);
+    world.cut(&[0], &[1, 2, 3, 4]);
+    world.submit(0, 0);
+    world.run(4500.0); // its caller is told that it is not known
+    world.kill(4);
+    world.run(3000.0);
+    let next = newest_view(&world).epoch + 1;
+    world.hold = vec![format!("m4 -> m1: e{next} in line")];
+    world.start(4, false);
+    world.heal();
+    world.run(2000.0);
+    assert_eq!(addresses(&newest_view(&world).chain), ["m2", "m3", "m4", "m1", "m5"]);
+    assert!(said(&world, &format!("m5 -> m1: e{next} align me")));
+    world.hold.clear();
+    world.run(1000.0);
+    let call = world.submit(1, 0);
+    world.run(500.0);
+    assert_eq!(world.outcome(call), Some(Ok("won 1".to_string())));
+}
