--- a/crates/sandtrack-control/tests/guards.rs
+++ b/crates/sandtrack-control/tests/guards.rs
@@ -2,8 +2,10 @@
 //! (`.ci/mutations.list`).
 mod common;
 use common::cluster::{upstream, Cluster};
-use common::good;
+use common::{good, message};
+use sandtrack_control::arrivals::Arrival;
 use sandtrack_control::control_state::{Command, ControlState, Form, Outcome};
+use sandtrack_control::operator_calls::{Known, OperatorCalls, Step};
 use sandtrack_control::reader::{Claim, Duty, PeerReport, HOLDER_SILENT_MS};
 use sandtrack_protocol::frames::ToProxy;
 use sandtrack_replication::StateMachine;
@@ -91,3 +93,35 @@
     assert_eq!(configure(&mut state, 3, Form::Replace, 5, &body), Outcome::Other { current: 7 });
     assert!(!matches!(configure(&mut state, 4, Form::Update, 0, &body), Outcome::Taken { .. }));
 }
+
+/// A control node that knows no zone.
+struct NoZone;
+
+impl Known for NoZone {
+    fn passes_callers_on(&self) -> bool {
+        false
+    }
+
+    fn last_order(&self, _: &str) -> u64 {
+        0
+    }
+
+    fn names_zone(&self, _: &str) -> bool {
+        false
+    }
+}
+
+/// A configuration that waited in the sockets of a process that stood still: its caller has gone elsewhere. The version that
+/// it builds on would hold it; it is not even tried.
+#[test]
+fn a_configuration_from_before_a_freeze_is_not_carried_out() {
+    let mut calls = OperatorCalls::new(0.0);
+    (0..20).for_each(|at| drop(calls.look(f64::from(at) * 100.0)));
+    calls.look(5000.0);
+    let replace = message("POST", "/v1/configuration/replace", &[("Based-On-Version", "0")], &good(7));
+    for (arrival, is_carried_out) in [(Arrival::at(1890.0), false), (Arrival::at(5001.0), true)] {
+        let call = calls.begin(arrival);
+        let step = calls.call(5002.0, call, &replace, &NoZone);
+        assert_eq!(matches!(step, Step::Submit { .. }), is_carried_out, "{step:?}");
+    }
+}
