--- a/crates/sandtrack-replication/tests/guards.rs
+++ b/crates/sandtrack-replication/tests/guards.rs
@@ -136,6 +136,8 @@
 fn a_call_that_one_head_refused_and_another_may_run_is_not_surely_not_in_force() {
     let mut world = calm(3, 0, 1);
     world.cut(&[0], &[2]);
+    world.run(1500.0); // nobody else is there who could pass it on
+    assert_eq!(world.checks.views(), 1);
     world.hold = vec!["m1 -> m2: e1 submit".to_string()];
     world.set_disk(0, DiskMode::Full);
     let call = world.submit(0, 0);
