--- a/crates/sandtrack-control/tests/guards.rs
+++ b/crates/sandtrack-control/tests/guards.rs
@@ -6,7 +6,8 @@
 use sandtrack_control::arrivals::Arrival;
 use sandtrack_control::control_state::{Command, ControlState, Form, Outcome};
 use sandtrack_control::operator_calls::{Known, OperatorCalls, Step};
-use sandtrack_control::reader::{Claim, Duty, PeerReport, HOLDER_SILENT_MS};
+use sandtrack_control::reader::{Call, Claim, Duty, Page, PeerReport, Reader, HOLDER_SILENT_MS};
+use sandtrack_control::upstreams::Upstreams;
 use sandtrack_protocol::frames::ToProxy;
 use sandtrack_replication::StateMachine;
 use std::collections::BTreeMap;
@@ -125,3 +126,34 @@
         assert_eq!(matches!(step, Step::Submit { .. }), is_carried_out, "{step:?}");
     }
 }
+
+/// The platform's rate holds for all together: one that reads since it hears nobody who does takes a third of the pace.
+#[test]
+fn one_that_reads_for_itself_takes_a_third_of_the_pace() {
+    let pause_between_pages = |alone: bool| {
+        let mut reader = Reader::default();
+        assert!(reader.due(0.0, alone, 50.0).is_some());
+        let page = Page { next_token: Some("p-2".to_owned()), ..Page::default() };
+        reader.done(1.0, alone, Call::Page(page), &mut Upstreams::default());
+        (0..1000).find(|now| reader.due(f64::from(*now), alone, 50.0).is_some())
+    };
+    assert_eq!((pause_between_pages(false), pause_between_pages(true)), (Some(34), Some(100)));
+}
+
+/// Longer than the members of others are kept: what holds over all proxies is still shared out among as many.
+#[test]
+fn one_that_is_cut_off_for_long_tells_of_no_fewer_proxies() {
+    let mut cluster = Cluster::start(3);
+    cluster.run(1000.0);
+    for (house, (name, zone)) in
+        [("c-odori", "odori-hall"), ("c-asahi", "asahi-hall")].into_iter().enumerate()
+    {
+        cluster.connect(name, zone, "ishikari", house + 1);
+    }
+    cluster.run(5000.0);
+    assert_eq!(counts(&cluster, "c-odori").last(), Some(&2));
+    cluster.cut(1, 2, true);
+    cluster.cut(1, 3, true);
+    cluster.run(45_000.0);
+    assert_eq!(counts(&cluster, "c-odori").last(), Some(&2));
+}
--- a/crates/sandtrack-replication/tests/guards.rs
+++ b/crates/sandtrack-replication/tests/guards.rs
@@ -275,12 +275,14 @@
     world.cut(&[0], &[1, 2]);
     world.submit(0, 0);
     world.run(4500.0); // its caller is told that it is not known
-    world.set_disk(0, DiskMode::Full);
     let call = world.submit(1, 0);
     world.run(100.0);
     assert!(matches!(world.outcome(call), Some(Ok(_))));
     world.heal();
+    assert!(world.run_until(3000.0, |world| said(world, "-> m1: e2 prepare")));
+    world.set_disk(0, DiskMode::Full); // so that it is not taken in
     world.run(2000.0);
+    assert_eq!(newest_view(&world).epoch, 2);
     let replica = world.nodes[0].replica.as_ref().unwrap();
     assert_eq!((replica.machine().applied, replica.applied_epoch()), (1, 2));
     world
@@ -608,3 +610,29 @@
     }
     assert!(calls.iter().all(|call| !matches!(world.outcome(*call), Some(Ok(_)))));
 }
+
+/// A voter outside the chain is told to stop as another voter is lost: without it there is no majority, so nobody could go
+/// on. Its vote passes to another process first.
+#[test]
+fn a_voter_stays_while_the_majority_needs_it() {
+    let mut world = calm(4, 0, 1);
+    world.kill(2);
+    world.run(1500.0);
+    world.start(2, false);
+    world.run(1500.0);
+    let view = newest_view(&world);
+    assert_eq!(
+        (addresses(&view.chain), addresses(&view.voters)),
+        (vec!["m1", "m2", "m4"], vec!["m1", "m2", "m3"])
+    );
+    assert!(!world.is_needed(2), "a majority is there without it");
+    world.hold = ["m3 -> m1: e2 promise", "m1 -> m3: e2 promise"].map(str::to_string).to_vec();
+    world.kill(1);
+    world.tell_to_stop(2);
+    world.run(1500.0);
+    assert!(world.is_needed(2));
+    world.hold.clear();
+    world.run(2000.0);
+    assert!(!world.is_needed(2));
+    assert_eq!(addresses(&newest_view(&world).voters), ["m1", "m2", "m4"]);
+}
