--- /dev/null
+++ b/crates/sandtrack-control/tests/guards.rs
@@ -0,0 +1,159 @@
+//! Guards of the control node that no other test runs into: each test falls when its guard is taken out
+//! (`.ci/mutations.list`).
+mod common;
+use common::cluster::{upstream, Cluster};
+use common::{good, message};
+use sandtrack_control::arrivals::Arrival;
+use sandtrack_control::control_state::{Command, ControlState, Form, Outcome};
+use sandtrack_control::operator_calls::{Known, OperatorCalls, Step};
+use sandtrack_control::reader::{Call, Claim, Duty, Page, PeerReport, Reader, HOLDER_SILENT_MS};
+use sandtrack_control::upstreams::Upstreams;
+use sandtrack_protocol::frames::ToProxy;
+use sandtrack_replication::StateMachine;
+use std::collections::BTreeMap;
+
+fn counts(cluster: &Cluster, name: &str) -> Vec<u32> {
+    let count = |frame: &ToProxy| match frame {
+        ToProxy::Census { proxies, .. } => Some(*proxies),
+        _ => None,
+    };
+    cluster.proxies[name].frames.iter().filter_map(count).collect()
+}
+
+/// Right after the start of all, a control node would take the first proxies that come for all that there are.
+#[test]
+fn shares_are_told_only_once_all_proxies_are_known() {
+    let mut cluster = Cluster::start(3);
+    cluster.run(300.0);
+    cluster.connect("c-odori", "odori-hall", "ishikari", 1);
+    cluster.run(1200.0);
+    assert!(counts(&cluster, "c-odori").is_empty());
+    cluster.connect("c-asahi", "asahi-hall", "kamikawa", 2);
+    cluster.run(3000.0);
+    assert_eq!(counts(&cluster, "c-odori").first(), Some(&2));
+}
+
+fn claim(term: u64, holder: &str) -> Claim {
+    Claim { term, holder: holder.to_owned() }
+}
+
+/// Whether `b` takes the duty of `a`, which fell silent, when `c` says this.
+fn takes_over(report: PeerReport) -> bool {
+    let names = ["a", "b", "c"].map(str::to_owned);
+    let mut duty = Duty::new("b", 0.0);
+    duty.told(0.0, "a", &claim(1, "a"));
+    let live = BTreeMap::from([("c".to_owned(), report)]);
+    duty.tick(HOLDER_SILENT_MS + 1.0, &names, &live, &names)
+}
+
+#[test]
+fn a_duty_passes_only_with_those_who_miss_the_same_holder() {
+    assert!(takes_over(PeerReport { claim: claim(1, "a"), silent: true }));
+    assert!(!takes_over(PeerReport { claim: claim(1, "a"), silent: false }), "it hears the holder");
+    assert!(!takes_over(PeerReport { claim: claim(2, "c"), silent: true }), "it knows another holder");
+}
+
+/// What a former holder told is still on its way when the next one reads. The one that reads knows better.
+#[test]
+fn a_holder_takes_no_list_of_another() {
+    let mut cluster = Cluster::start(3);
+    cluster.list = Some(vec![upstream("i-1", false)]);
+    cluster.run(3000.0);
+    let former = (1..=3).max_by_key(|house| cluster.fetches_since(*house, 0.0)).expect("one that reads");
+    let others: Vec<usize> = (1..=3).filter(|house| *house != former).collect();
+    others.iter().for_each(|other| cluster.slow(former, *other, 1200.0));
+    cluster.list = Some(vec![upstream("i-1", true)]);
+    cluster.run(600.0);
+    cluster.list = Some(vec![upstream("i-1", false)]);
+    let draining = |cluster: &mut Cluster, house: usize| {
+        cluster.control_node(house).upstreams().counts().get("print").map(|(_, draining)| *draining)
+    };
+    let began = cluster.now;
+    cluster.run(500.0);
+    let next = *others.iter().max_by_key(|house| cluster.fetches_since(**house, began)).expect("another");
+    assert!(cluster.fetches_since(next, began) > 0, "the duty passed");
+    for _ in 0..200 {
+        cluster.run(5.0);
+        assert_eq!(draining(&mut cluster, next), Some(0), "{} ms later", cluster.now - began);
+    }
+}
+
+fn configure(state: &mut ControlState, number: u64, form: Form, based_on: u64, body: &str) -> Outcome {
+    let command = Command::Configure { form, based_on, body: body.as_bytes().to_vec() };
+    let outcome = state.apply(number, &borsh::to_vec(&command).expect("a command"));
+    borsh::from_slice(&outcome).expect("an outcome")
+}
+
+/// Known again is an order of the same kind, on the same version, with the same bytes.
+#[test]
+fn an_order_is_known_again_by_its_kind_and_its_base_too() {
+    let mut state = ControlState::default();
+    let body = good(7);
+    assert_eq!(configure(&mut state, 1, Form::Replace, 0, &body), Outcome::Taken { version: 7 });
+    assert_eq!(configure(&mut state, 2, Form::Replace, 0, &body), Outcome::Taken { version: 7 });
+    assert_eq!(configure(&mut state, 3, Form::Replace, 5, &body), Outcome::Other { current: 7 });
+    assert!(!matches!(configure(&mut state, 4, Form::Update, 0, &body), Outcome::Taken { .. }));
+}
+
+/// A control node that knows no zone.
+struct NoZone;
+
+impl Known for NoZone {
+    fn passes_callers_on(&self) -> bool {
+        false
+    }
+
+    fn last_order(&self, _: &str) -> u64 {
+        0
+    }
+
+    fn names_zone(&self, _: &str) -> bool {
+        false
+    }
+}
+
+/// A configuration that waited in the sockets of a process that stood still: its caller has gone elsewhere. The version that
+/// it builds on would hold it; it is not even tried.
+#[test]
+fn a_configuration_from_before_a_freeze_is_not_carried_out() {
+    let mut calls = OperatorCalls::new(0.0);
+    (0..20).for_each(|at| drop(calls.look(f64::from(at) * 100.0)));
+    calls.look(5000.0);
+    let replace = message("POST", "/v1/configuration/replace", &[("Based-On-Version", "0")], &good(7));
+    for (arrival, is_carried_out) in [(Arrival::at(1890.0), false), (Arrival::at(5001.0), true)] {
+        let call = calls.begin(arrival);
+        let step = calls.call(5002.0, call, &replace, &NoZone);
+        assert_eq!(matches!(step, Step::Submit { .. }), is_carried_out, "{step:?}");
+    }
+}
+
+/// The platform's rate holds for all together: one that reads since it hears nobody who does takes a third of the pace.
+#[test]
+fn one_that_reads_for_itself_takes_a_third_of_the_pace() {
+    let pause_between_pages = |alone: bool| {
+        let mut reader = Reader::default();
+        assert!(reader.due(0.0, alone, 50.0).is_some());
+        let page = Page { next_token: Some("p-2".to_owned()), ..Page::default() };
+        reader.done(1.0, alone, Call::Page(page), &mut Upstreams::default());
+        (0..1000).find(|now| reader.due(f64::from(*now), alone, 50.0).is_some())
+    };
+    assert_eq!((pause_between_pages(false), pause_between_pages(true)), (Some(34), Some(100)));
+}
+
+/// Longer than the members of others are kept: what holds over all proxies is still shared out among as many.
+#[test]
+fn one_that_is_cut_off_for_long_tells_of_no_fewer_proxies() {
+    let mut cluster = Cluster::start(3);
+    cluster.run(1000.0);
+    for (house, (name, zone)) in
+        [("c-odori", "odori-hall"), ("c-asahi", "asahi-hall")].into_iter().enumerate()
+    {
+        cluster.connect(name, zone, "ishikari", house + 1);
+    }
+    cluster.run(5000.0);
+    assert_eq!(counts(&cluster, "c-odori").last(), Some(&2));
+    cluster.cut(1, 2, true);
+    cluster.cut(1, 3, true);
+    cluster.run(45_000.0);
+    assert_eq!(counts(&cluster, "c-odori").last(), Some(&2));
+}
