--- a/crates/sandtrack-worlds/src/main.rs
+++ b/crates/sandtrack-worlds/src/main.rs
@@ -1,7 +1,7 @@
 //! Plays worlds: `sandtrack-worlds seeds 10000`, `sandtrack-worlds long 3`, `sandtrack-worlds replay FILE`.
 use bpaf::{construct, long, positional, OptionParser, Parser};
 use sandtrack_worlds::plan::Plan;
-use sandtrack_worlds::search::{play_all, play_with_log, shrink, Totals};
+use sandtrack_worlds::search::{digest, play_all_on, play_with_log, shrink, Totals, THREADS};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Instant;
@@ -9,52 +9,77 @@
 /// So many failing worlds are made small and written down.
 const WRITTEN_MOST: usize = 5;
 
+/// Which worlds are played, and how.
+#[derive(Clone, Debug)]
+struct Range {
+    first: u64,
+    folder: PathBuf,
+    threads: usize,
+    count: u64,
+}
+
+impl Range {
+    fn plans(&self, plan: fn(u64) -> Plan) -> Vec<Plan> {
+        (self.first..self.first + self.count).map(plan).collect()
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Verb {
-    Seeds { first: u64, folder: PathBuf, count: u64 },
-    Long { first: u64, folder: PathBuf, count: u64 },
+    Seeds(Range),
+    Long(Range),
+    Digests(Range),
     Replay { file: PathBuf },
 }
 
+fn range() -> impl Parser<Range> {
+    let first = long("first").help("The first seed").argument("SEED").fallback(1);
+    let folder = long("folder").help("Where replay files go").argument("DIR");
+    let folder = folder.fallback(PathBuf::from("target/worlds"));
+    let threads = long("threads").help("Worlds side by side").argument("COUNT").fallback(THREADS);
+    let count = positional::<u64>("COUNT");
+    construct!(Range { first, folder, threads, count })
+}
+
 fn verbs() -> OptionParser<Verb> {
-    let first = || long("first").help("The first seed").argument("SEED").fallback(1);
-    let folder = || {
-        long("folder").help("Where replay files go").argument("DIR").fallback(PathBuf::from("target/worlds"))
-    };
-    let count = || positional::<u64>("COUNT");
-    let (one, two, three) = (first(), folder(), count());
-    let seeds = construct!(Verb::Seeds { first(one), folder(two), count(three) })
-        .to_options()
-        .descr("Plays the worlds of so many seeds")
-        .command("seeds");
-    let (one, two, three) = (first(), folder(), count());
-    let long = construct!(Verb::Long { first(one), folder(two), count(three) })
-        .to_options()
-        .descr("Plays long worlds of about a thousand changes")
-        .command("long");
+    let seeds =
+        range().map(Verb::Seeds).to_options().descr("Plays the worlds of so many seeds").command("seeds");
+    let long = range().map(Verb::Long).to_options();
+    let long = long.descr("Plays long worlds of about a thousand changes").command("long");
+    let digests = range().map(Verb::Digests).to_options();
+    let digests =
+        digests.descr("Prints what each world came to, with a digest of its log").command("digests");
     let file = positional::<PathBuf>("FILE");
     let replay = construct!(Verb::Replay { file })
         .to_options()
         .descr("Plays the world of a replay file, with its log")
         .command("replay");
-    construct!([seeds, long, replay]).to_options().descr("Seeded worlds of control plane and proxies")
+    construct!([seeds, long, digests, replay])
+        .to_options()
+        .descr("Seeded worlds of control plane and proxies")
 }
 
 fn main() -> ExitCode {
     match verbs().run() {
-        Verb::Seeds { first, folder, count } => {
-            report(&(first..first + count).map(Plan::drawn).collect::<Vec<Plan>>(), &folder)
-        }
-        Verb::Long { first, folder, count } => {
-            report(&(first..first + count).map(Plan::long).collect::<Vec<Plan>>(), &folder)
-        }
+        Verb::Seeds(range) => report(&range.plans(Plan::drawn), &range),
+        Verb::Long(range) => report(&range.plans(Plan::long), &range),
+        Verb::Digests(range) => digests(&range.plans(Plan::drawn)),
         Verb::Replay { file } => replay(&file),
     }
 }
 
-fn report(plans: &[Plan], folder: &PathBuf) -> ExitCode {
+/// One line a world, to compare two states of the code.
+fn digests(plans: &[Plan]) -> ExitCode {
+    for plan in plans {
+        let (outcome, lines) = play_with_log(plan);
+        println!("{} {:016x} {outcome:?}", plan.seed, digest(&lines));
+    }
+    ExitCode::SUCCESS
+}
+
+fn report(plans: &[Plan], range: &Range) -> ExitCode {
     let began = Instant::now();
-    let totals = play_all(plans);
+    let totals = play_all_on(plans, range.threads);
     let Totals { worlds, calls, changes, views, frames, failures } = &totals;
     println!(
         "{worlds} worlds, {calls} calls answered, {changes} changes acknowledged, {views} views, {frames} frames, \
@@ -67,9 +92,9 @@
     }
     for failure in failures.iter().take(WRITTEN_MOST) {
         let small = shrink(failure);
-        let path = folder.join(format!("{}-{}.json", small.broken.rule, small.plan.seed));
+        let path = range.folder.join(format!("{}-{}.json", small.broken.rule, small.plan.seed));
         let text = serde_json::to_string_pretty(&small.plan).unwrap_or_default();
-        let written = std::fs::create_dir_all(folder).and_then(|()| std::fs::write(&path, text));
+        let written = std::fs::create_dir_all(&range.folder).and_then(|()| std::fs::write(&path, text));
         match written {
             Ok(()) => println!("{} faults left: {}", small.plan.faults.len(), path.display()),
             Err(error) => println!("{}: {error}", path.display()),
--- a/crates/sandtrack-worlds/src/search.rs
+++ b/crates/sandtrack-worlds/src/search.rs
@@ -7,8 +7,8 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Mutex;
 
-/// Threads at most.
-const THREADS: usize = 4;
+/// Threads, where nothing else is asked for.
+pub const THREADS: usize = 4;
 
 /// Plays one world; a panic of the code is a rule broken like any other.
 pub fn play(plan: &Plan) -> Outcome {
@@ -28,6 +28,16 @@
     (outcome, log_lines::take())
 }
 
+/// FNV-1a, 64 bits: its start and its factor.
+const FNV_START: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// A number that is the same for two plays whose logs are the same, line by line.
+pub fn digest(lines: &[String]) -> u64 {
+    let bytes = lines.iter().flat_map(|line| line.bytes().chain([b'\n']));
+    bytes.fold(FNV_START, |digest, byte| (digest ^ u64::from(byte)).wrapping_mul(FNV_PRIME))
+}
+
 /// A world that broke a rule.
 #[derive(Clone, Debug)]
 pub struct Failure {
@@ -60,9 +70,14 @@
 
 /// Plays all of them, several side by side; failures come in the order of the plans.
 pub fn play_all(plans: &[Plan]) -> Totals {
+    play_all_on(plans, THREADS)
+}
+
+/// The same on so many threads, or as many as there are processors.
+pub fn play_all_on(plans: &[Plan], threads: usize) -> Totals {
     let next = AtomicUsize::new(0);
     let totals = Mutex::new(Totals::default());
-    let threads = std::thread::available_parallelism().map_or(2, usize::from).min(THREADS);
+    let threads = std::thread::available_parallelism().map_or(2, usize::from).min(threads.max(1));
     std::thread::scope(|scope| {
         for _ in 0..threads {
             scope.spawn(|| {
