Worlds: the world is split by concern, with no change of what is played

world.rs (1,170 lines) becomes set_up, event_loop, processes, control_effects, connections, proxies, operator_calls, watch, calm and faults below it; checks.rs is judge.rs, shrink.rs stands beside search.rs.

--- a/crates/sandtrack-worlds/src/lib.rs
+++ b/crates/sandtrack-worlds/src/lib.rs
@@ -1,17 +1,17 @@
 //! Seeded worlds of the whole control plane and its proxies: the real code of both ([`sandtrack_control::node`], the proxy's
 //! balancer and session policy, the WAL) on a simulated network, simulated disks, and operators that repeat their calls.
 //!
-//! [`plan`] draws a world from a seed, [`world`] plays it, [`checks`] holds what must be true in it, [`search`] plays many
-//! and makes a failing one small. The same plan always plays the same.
-pub mod checks;
+//! [`plan`] draws a world from a seed, [`world`] plays it, [`judge`] holds what must be true in it, [`search`] plays many,
+//! [`shrink`] makes a failing one small. The same plan always plays the same.
 pub mod disk;
 mod documents;
-mod faults;
 mod front;
+pub mod judge;
 pub mod log_lines;
 mod machine;
 mod network;
 mod operators;
 pub mod plan;
 pub mod search;
+pub mod shrink;
 pub mod world;
--- a/crates/sandtrack-worlds/src/main.rs
+++ b/crates/sandtrack-worlds/src/main.rs
@@ -1,7 +1,8 @@
 //! Plays worlds: `sandtrack-worlds seeds 10000`, `sandtrack-worlds long 3`, `sandtrack-worlds replay FILE`.
 use bpaf::{construct, long, positional, OptionParser, Parser};
 use sandtrack_worlds::plan::Plan;
-use sandtrack_worlds::search::{digest, play_all_on, play_with_log, shrink, Totals, THREADS};
+use sandtrack_worlds::search::{digest, play_all_on, play_with_log, Totals, THREADS};
+use sandtrack_worlds::shrink::shrink;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Instant;
--- a/crates/sandtrack-worlds/src/operators.rs
+++ b/crates/sandtrack-worlds/src/operators.rs
@@ -1,8 +1,8 @@
 //! Operators: they send changes, evacuations and reads, and repeat them unchanged at another machine until the answer is
 //! clear (PROTOCOL.md, "The operator's API"; LATER.md, "On the wire"). Two of them change the configuration and race now and
 //! then, one for each zone evacuates, one reads: with repeats, up to eight calls are under way.
-use crate::checks::Checks;
 use crate::documents;
+use crate::judge::Checks;
 use crate::plan::{Millis, ZONES};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
--- a/crates/sandtrack-worlds/src/search.rs
+++ b/crates/sandtrack-worlds/src/search.rs
@@ -1,5 +1,5 @@
-//! Plays many worlds, and makes a failing one small.
-use crate::checks::Broken;
+//! Plays many worlds.
+use crate::judge::Broken;
 use crate::log_lines;
 use crate::plan::Plan;
 use crate::world::{Outcome, World};
@@ -94,19 +94,3 @@
     totals.failures.sort_by_key(|failure| failure.plan.seed);
     totals
 }
-
-/// Leaves out one fault after the other while the same rule is still broken.
-pub fn shrink(failure: &Failure) -> Failure {
-    let mut small = failure.clone();
-    let mut at = 0;
-    while at < small.plan.faults.len() {
-        let mut plan = small.plan.clone();
-        plan.faults.remove(at);
-        let same = play(&plan).broken.into_iter().find(|broken| broken.rule == small.broken.rule);
-        match same {
-            Some(broken) => small = Failure { plan, broken },
-            None => at += 1,
-        }
-    }
-    small
-}
--- a/crates/sandtrack-worlds/src/faults.rs
+++ b/crates/sandtrack-worlds/src/world/faults.rs
@@ -1,7 +1,8 @@
 //! Faults of a plan, begun and ended in a world.
+use super::event_loop::Event;
+use super::{World, RESTART_MS};
 use crate::disk::Mode;
 use crate::plan::{Cut, DiskTrouble, Kind, Struck, Target};
-use crate::world::{Event, World, RESTART_MS};
 use rand::Rng;
 use sandtrack_control::node::Input;
 
@@ -12,7 +13,7 @@
 const GRACE_MS: f64 = 8000.0;
 
 impl World {
-    pub(crate) fn fault_begins(&mut self, fault: usize) {
+    pub(super) fn fault_begins(&mut self, fault: usize) {
         let kind = self.plan.faults[fault].kind;
         self.troubled = self.now;
         self.active_faults.insert(fault);
@@ -21,7 +22,7 @@
         self.struck.insert(fault, struck);
     }
 
-    pub(crate) fn fault_ends(&mut self, fault: usize) {
+    pub(super) fn fault_ends(&mut self, fault: usize) {
         let kind = self.plan.faults[fault].kind;
         self.troubled = self.now;
         self.active_faults.remove(&fault);
@@ -82,7 +83,7 @@
         Struck::Ways(ways)
     }
 
-    pub(crate) fn power_off(&mut self, machine: usize) {
+    pub(super) fn power_off(&mut self, machine: usize) {
         self.network.set_dark(self.now, machine, true);
         self.machines[machine].frozen = false;
         self.kill_control(machine, true);
@@ -283,7 +284,7 @@
         self.later(GRACE_MS, Event::Remove { machine });
     }
 
-    pub(crate) fn remove_left(&mut self, machine: usize) {
+    pub(super) fn remove_left(&mut self, machine: usize) {
         if !self.machines[machine].removed {
             self.remove(machine);
         }
--- /dev/null
+++ b/crates/sandtrack-worlds/src/world/processes.rs
@@ -0,0 +1,138 @@
+//! Processes that start and end, and the machines of the core.
+use super::event_loop::Event;
+use super::operator_calls::CLIENT_MS;
+use super::World;
+use crate::disk::Mode;
+use crate::front::Front;
+use crate::log_lines;
+use crate::machine::{settings, Control, WAL_NAME};
+use crate::network::Process;
+use crate::plan::Millis;
+use rand::Rng;
+use sandtrack_control::node::{ControlNode, Start};
+use sandtrack_wal::Wal;
+use std::collections::{BTreeMap, VecDeque};
+
+/// A disk that refuses to open the WAL is tried again after this, in ms.
+const OPEN_AGAIN_MS: Millis = 300.0;
+
+impl World {
+    pub(super) fn running_core(&self) -> Vec<usize> {
+        (0..self.machines.len())
+            .filter(|machine| self.machines[*machine].core && self.machines[*machine].is_running())
+            .collect()
+    }
+
+    pub(super) fn core(&self) -> Vec<usize> {
+        let there = |machine: &usize| self.machines[*machine].core && !self.machines[*machine].removed;
+        (0..self.machines.len()).filter(there).collect()
+    }
+
+    pub(super) fn seeds(&self) -> Vec<usize> {
+        if self.now < 1000.0 {
+            return (0..3).collect();
+        }
+        let listed = self.listed.front().map(|(_, machines)| machines.clone());
+        listed.unwrap_or_else(|| self.core()).into_iter().take(3).collect()
+    }
+
+    pub(super) fn start_control(&mut self, machine: usize) {
+        let mine = &mut self.machines[machine];
+        if mine.removed || mine.control.is_some() || self.network.is_dark(machine) {
+            return;
+        }
+        if mine.frozen || mine.mode == Mode::Stalled {
+            return self.later(OPEN_AGAIN_MS, Event::StartControl { machine });
+        }
+        let Ok((wal, recovered, _)) = Wal::open_in(mine.disk.clone(), WAL_NAME) else {
+            return self.later(OPEN_AGAIN_MS, Event::StartControl { machine });
+        };
+        mine.control_life += 1;
+        mine.runs_since = self.now;
+        let (zone, first_start) = (mine.zone, std::mem::replace(&mut mine.first, false));
+        let settings = settings(machine, zone, true, first_start, &self.seeds());
+        self.incarnations += 1;
+        let start = Start { incarnation: self.incarnations, recovered, disk: true };
+        log_lines::set_machine(machine);
+        let (node, effects) = ControlNode::new(settings, start, self.now);
+        self.say(|| format!("machine {machine}: control starts"));
+        self.machines[machine].control = Some(Control {
+            node,
+            wal,
+            orders: VecDeque::new(),
+            links: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            tick_at: f64::INFINITY,
+            seen: (0, 0),
+        });
+        self.perform(machine, effects);
+        self.after_input(machine);
+    }
+
+    pub(super) fn start_proxy(&mut self, machine: usize) {
+        let mine = &self.machines[machine];
+        if mine.removed || mine.proxy.is_some() || self.network.is_dark(machine) {
+            return;
+        }
+        let settings = settings(machine, mine.zone, mine.core, false, &self.seeds());
+        self.incarnations += 1;
+        let front = Front::new(settings, self.incarnations, self.now);
+        let mine = &mut self.machines[machine];
+        mine.proxy = Some(front);
+        mine.proxy_life += 1;
+        mine.runs_since = self.now;
+        let life = mine.proxy_life;
+        self.later(0.0, Event::ProxyTick { machine, life });
+    }
+
+    /// A process ends at once. With `dark` nobody is told.
+    pub(super) fn kill_control(&mut self, machine: usize, dark: bool) {
+        let Some(mut control) = self.machines[machine].control.take() else { return };
+        self.machines[machine].control_life += 1;
+        if let Some(order) = control.orders.pop_front() {
+            // What the disk was doing is done up to some point.
+            let mine = &self.machines[machine];
+            mine.disk.stop_after(Some(self.random.gen_range(0..8)));
+            let _ = if order.rewrites {
+                control.wal.rewrite(&order.records)
+            } else {
+                control.wal.append(&order.records)
+            };
+            mine.disk.stop_after(None);
+        }
+        self.drop_connections(machine, Process::Control, dark);
+        if !dark {
+            for call in control.calls.into_values() {
+                self.later(CLIENT_MS, Event::CallFailed { call });
+            }
+        }
+        self.forget_inbox(machine, Process::Control);
+    }
+
+    pub(super) fn kill_proxy(&mut self, machine: usize, dark: bool) {
+        if self.machines[machine].proxy.take().is_some() {
+            self.machines[machine].proxy_life += 1;
+            self.machines[machine].proxy_connections.clear();
+            self.drop_connections(machine, Process::Proxy, dark);
+            self.forget_inbox(machine, Process::Proxy);
+        }
+    }
+
+    pub(super) fn forget_inbox(&mut self, machine: usize, dead: Process) {
+        if let Some(inbox) = self.inboxes.get_mut(&machine) {
+            inbox.retain(|event| match event {
+                Event::Deliver { process, .. } => *process != dead,
+                Event::Accept { .. } | Event::OperatorCall { .. } => dead != Process::Control,
+                _ => true,
+            });
+        }
+    }
+
+    pub(super) fn drop_connections(&mut self, machine: usize, process: Process, dark: bool) {
+        for (connection, side) in self.network.of(machine, process) {
+            self.network.close(self.now, connection, side, dark);
+        }
+        self.plan_arrivals();
+    }
+}
--- /dev/null
+++ b/crates/sandtrack-worlds/src/world/watch.rs
@@ -0,0 +1,109 @@
+//! What is looked at now and then: connections that are given up, operators, trouble, and the newest view.
+use super::event_loop::Event;
+use super::operator_calls::CLIENT_MS;
+use super::World;
+use crate::documents;
+use crate::machine::machine_of;
+use crate::network::Item;
+use crate::operators::Outgoing;
+use crate::plan::Millis;
+use sandtrack_control::arrivals::Arrival as CallArrival;
+use sandtrack_control::node::Input;
+
+pub(super) const LOOK_MS: Millis = 50.0;
+/// The operators' list of machines lags by this, in ms.
+const LIST_LAG_MS: Millis = 3000.0;
+
+impl World {
+    pub(super) fn look(&mut self) {
+        let given_up = self.network.give_up(self.now);
+        for (connection, side) in given_up {
+            let Some(known) = self.network.connections.get(&connection) else { continue };
+            let end = known.ends[side].clone();
+            self.network.close(self.now, connection, side, false);
+            let Some(_) = end.number else { continue };
+            self.later(
+                0.0,
+                Event::Deliver {
+                    machine: end.machine,
+                    process: end.process,
+                    life: end.life,
+                    connection,
+                    side,
+                    item: Item::End,
+                },
+            );
+        }
+        self.plan_arrivals();
+        self.watch();
+        // Also those that are down for a while: the list knows nothing of that.
+        let listed = self.core();
+        self.listed.push_back((self.now, listed));
+        while self.listed.front().is_some_and(|(at, _)| self.now - at > LIST_LAG_MS) && self.listed.len() > 1
+        {
+            self.listed.pop_front();
+        }
+        let machines = self.listed.front().map(|(_, machines)| machines.clone()).unwrap_or_default();
+        if self.now > 500.0 {
+            for Outgoing { call, machine, message, about } in
+                self.operators.tick(self.now, &machines, &mut self.checks)
+            {
+                self.say(|| format!("operators: call {call} to machine {machine}, {about}"));
+                let bytes = message.body.len() as f64 / (self.plan.link_mbps * 125.0);
+                self.later(CLIENT_MS + bytes, Event::OperatorCall { machine, call, message, came: None });
+            }
+        }
+        self.later(LOOK_MS, Event::Look);
+    }
+
+    /// Takes note of trouble, and of machines that have no way to a majority.
+    pub(super) fn watch(&mut self) {
+        let core = self.core();
+        let runs = |machine: &usize| self.machines[*machine].is_running() && !self.network.is_dark(*machine);
+        if !self.active_faults.is_empty() || !core.iter().all(runs) {
+            self.troubled = self.now;
+        }
+        let alone: Vec<(usize, bool)> = core
+            .iter()
+            .map(|machine| {
+                let reaches = |other: &&usize| {
+                    *other == machine
+                        || self.network.is_open(*machine, **other) && self.network.is_open(**other, *machine)
+                };
+                (*machine, 2 * core.iter().filter(reaches).count() <= core.len())
+            })
+            .collect();
+        for (machine, is_alone) in alone {
+            let since = &mut self.machines[machine].alone_since;
+            *since = if is_alone { since.or(Some(self.now)) } else { None };
+        }
+    }
+
+    /// Epoch and chain of the newest view that a running machine knows.
+    pub(super) fn newest_view(&mut self) -> Option<(u64, Vec<usize>)> {
+        let mut newest: Option<(u64, Vec<usize>)> = None;
+        for machine in self.running_core() {
+            self.status = None;
+            let number = match self.machines[machine].control.as_mut() {
+                Some(control) => control.node.call_begun(CallArrival::at(self.now)),
+                None => continue,
+            };
+            let message = documents::call("GET", "/v1/status", 0, "");
+            self.input(machine, Input::Call { call: number, message });
+            let view = self.status.take().and_then(|body| view_of(&body));
+            if let Some(view) = view.filter(|view| newest.as_ref().is_none_or(|known| known.0 < view.0)) {
+                newest = Some(view);
+            }
+        }
+        newest
+    }
+}
+
+/// Epoch and chain in the answer of a status call.
+fn view_of(body: &str) -> Option<(u64, Vec<usize>)> {
+    let value: serde_json::Value = serde_json::from_str(body).ok()?;
+    let view = value.get("view")?;
+    let chain = view.get("chain")?.as_array()?;
+    let chain = chain.iter().filter_map(|address| machine_of(address.as_str()?)).collect();
+    Some((view.get("epoch")?.as_u64()?, chain))
+}
