Worlds: closing faults, seed turnover, slow nodes, lost zones and clocks of their own

A closing fault waits, armed, for an acknowledgement or a change that is sent, and strikes all machines at one moment: killed, without power, or as many as tolerated without their disks. Seed lists may name machines that are gone or never were; a slow node takes each input as a step of 5 ms; each machine's steady clock begins by itself and anew after a loss of power. Operators may have eight orders under way and lose connections amid calls. Old plans play as before.

--- a/crates/sandtrack-worlds/src/judge.rs
+++ b/crates/sandtrack-worlds/src/judge.rs
@@ -138,6 +138,38 @@
         }
     }
 
+    /// Every acknowledged change came into force, next after the version that it was based on.
+    pub fn acknowledged_was_in_force(&mut self) {
+        let line: Vec<u64> = self.in_force.values().map(|(version, _)| *version).collect();
+        let winners: Vec<(u64, usize)> =
+            self.winners.iter().map(|(based_on, order)| (*based_on, *order)).collect();
+        for (based_on, order) in winners {
+            let Some(sent) = self.sent.get(&order) else { continue };
+            let version = sent.version;
+            let document = sent.document.clone().unwrap_or_default();
+            let came = self.in_force.values().any(|known| *known == (version, document.clone()));
+            self.hold(came, "acknowledged_was_in_force", || format!("order {order}, version {version}"));
+            let at = line.iter().position(|known| *known == version);
+            let before = at.map_or(0, |at| at.checked_sub(1).map_or(0, |before| line[before]));
+            self.hold(at.is_none() || before == based_on, "one_change_on_a_version", || {
+                format!("order {order}, version {version}, was based on {based_on} and came after {before}")
+            });
+        }
+    }
+
+    /// Where the core has been stable, an order has a clear answer within its time.
+    pub fn answered_when_stable(&mut self, order: usize, waits_ms: Millis, bound_ms: Millis) {
+        self.hold(waits_ms <= bound_ms, "a_stable_core_answers_in_time", || {
+            format!("order {order} has waited for {waits_ms:.0} ms")
+        });
+    }
+
+    /// A control node passes callers on by itself: it sends none elsewhere.
+    pub fn no_redirect(&mut self, machine: usize, status: u16) {
+        let redirects = (300..400).contains(&status);
+        self.hold(!redirects, "no_answer_is_a_redirect", || format!("machine {machine} answered {status}"));
+    }
+
     /// A control node shows evacuations. An order that was overtaken by a later acknowledged one takes no effect.
     pub fn evacuations_in_force(&mut self, machine: usize, number: u64, zones: BTreeSet<String>) {
         let known = self.evacuations.entry(number).or_insert_with(|| zones.clone());
@@ -230,6 +262,11 @@
         self.hold(version >= newest, "acknowledged_is_read_back", || {
             format!("read back {version}, and {newest} was acknowledged")
         });
+        self.read_is_what_was_sent(version, document);
+    }
+
+    /// What is read is, byte for byte, what was acknowledged under its version, or else sent.
+    pub fn read_is_what_was_sent(&mut self, version: u64, document: &str) {
         let candidates: Vec<&Sent> = self.sent.values().filter(|sent| sent.version == version).collect();
         let acknowledged = candidates.iter().find(|sent| sent.acknowledged);
         let matches = |sent: &&Sent| sent.document.as_deref() == Some(document);
--- a/crates/sandtrack-worlds/src/machine.rs
+++ b/crates/sandtrack-worlds/src/machine.rs
@@ -65,6 +65,21 @@
     pub alone_since: Option<Millis>,
     /// When its processes last began, or went on, to run.
     pub runs_since: Millis,
+    /// What its steady clock shows beyond the time of the world, in ms.
+    pub clock_ahead: Millis,
+    pub steps: Steps,
+}
+
+/// Steps of a slow machine: what comes while one is under way waits.
+#[derive(Debug, Default)]
+pub struct Steps {
+    /// What each takes, in ms; 0: no time.
+    pub each_ms: Millis,
+    pub busy_until: Millis,
+    /// The next one has its time.
+    pub planned: bool,
+    /// What happens now is the next one.
+    pub taken: bool,
 }
 
 impl Machine {
@@ -84,6 +99,8 @@
             first,
             alone_since: None,
             runs_since: 0.0,
+            clock_ahead: 0.0,
+            steps: Steps::default(),
         }
     }
 
--- a/crates/sandtrack-worlds/src/main.rs
+++ b/crates/sandtrack-worlds/src/main.rs
@@ -29,6 +29,9 @@
 enum Verb {
     Seeds(Range),
     Long(Range),
+    Closing(Range),
+    Turnover(Range),
+    Harsh(Range),
     Digests(Range),
     Replay { file: PathBuf },
 }
@@ -55,7 +58,13 @@
         .to_options()
         .descr("Plays the world of a replay file, with its log")
         .command("replay");
-    construct!([seeds, long, digests, replay])
+    let closing = range().map(Verb::Closing).to_options();
+    let closing = closing.descr("Plays worlds in which all machines are struck at once").command("closing");
+    let turnover = range().map(Verb::Turnover).to_options();
+    let turnover = turnover.descr("Plays worlds whose machines are all replaced").command("turnover");
+    let harsh = range().map(Verb::Harsh).to_options();
+    let harsh = harsh.descr("Plays worlds of slow nodes, lost zones and full disks").command("harsh");
+    construct!([seeds, long, closing, turnover, harsh, digests, replay])
         .to_options()
         .descr("Seeded worlds of control plane and proxies")
 }
@@ -64,6 +73,9 @@
     match verbs().run() {
         Verb::Seeds(range) => report(&range.plans(Plan::drawn), &range),
         Verb::Long(range) => report(&range.plans(Plan::long), &range),
+        Verb::Closing(range) => report(&range.plans(Plan::closing), &range),
+        Verb::Turnover(range) => report(&range.plans(Plan::turnover), &range),
+        Verb::Harsh(range) => report(&range.plans(Plan::harsh), &range),
         Verb::Digests(range) => digests(&range.plans(Plan::drawn)),
         Verb::Replay { file } => replay(&file),
     }
@@ -81,10 +93,10 @@
 fn report(plans: &[Plan], range: &Range) -> ExitCode {
     let began = Instant::now();
     let totals = play_all_on(plans, range.threads);
-    let Totals { worlds, calls, changes, views, frames, failures } = &totals;
+    let Totals { worlds, calls, changes, views, frames, blows, failures } = &totals;
     println!(
         "{worlds} worlds, {calls} calls answered, {changes} changes acknowledged, {views} views, {frames} frames, \
-         {} rules broken, {:.1} s",
+         {blows} closing faults, {} rules broken, {:.1} s",
         failures.len(),
         began.elapsed().as_secs_f64()
     );
--- a/crates/sandtrack-worlds/src/operators.rs
+++ b/crates/sandtrack-worlds/src/operators.rs
@@ -1,13 +1,14 @@
 //! Operators: they send changes, evacuations and reads, and repeat them unchanged at another machine until the answer is
 //! clear (PROTOCOL.md, "The operator's API"; LATER.md, "On the wire"). Two of them change the configuration and race now and
-//! then, one for each zone evacuates, one reads: with repeats, up to eight calls are under way.
+//! then, one for each zone evacuates, one reads; among busy ones three read, so that eight orders are under way.
 use crate::documents;
 use crate::judge::Checks;
-use crate::plan::{Millis, ZONES};
+use crate::plan::{Acknowledged, Millis, ZONES};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use sandtrack_core::message::Message;
 use sandtrack_protocol::document::Document;
+use std::collections::BTreeMap;
 
 /// A call that is not answered within this is repeated elsewhere.
 const SILENCE_MS: Millis = 1000.0;
@@ -26,6 +27,16 @@
     Read { at_least: u64 },
 }
 
+impl Kind {
+    fn asks(&self) -> Acknowledged {
+        match self {
+            Kind::Change { .. } => Acknowledged::Change,
+            Kind::Evacuate { .. } => Acknowledged::Evacuation,
+            Kind::Read { .. } => Acknowledged::Read,
+        }
+    }
+}
+
 /// What an operator wants, until the answer is clear.
 #[derive(Clone, Debug)]
 struct Order {
@@ -69,22 +80,35 @@
     next_version: u64,
     ballast: usize,
     pace_ms: Millis,
+    /// Up to eight orders are under way, and connections end amid calls.
+    busy: bool,
+    /// What each call asked for.
+    asked: BTreeMap<u64, Acknowledged>,
     /// No new orders.
     pub stopped: bool,
     pub changes_acknowledged: u64,
     pub answered: u64,
 }
 
+/// The first of those that read.
 const READER: usize = 2 + ZONES;
+const READERS: usize = 1;
+/// With these there are eight operators, so eight orders under way.
+const BUSY_READERS: usize = 3;
+/// Operators that don't change the configuration pause so long at least, in ms; busy ones pause as the others.
+const REST_MS: Millis = 400.0;
+/// A busy operator's connection ends with this chance before it hears an answer.
+const BROKEN_CHANCE: f64 = 0.15;
 
 pub fn zone_name(zone: usize) -> String {
     ["odori-hall", "asahi-hall", "kita-hall"][zone].to_owned()
 }
 
 impl Operators {
-    pub fn new(seed: u64, ballast: usize, pace_ms: Millis) -> Operators {
+    pub fn new(seed: u64, ballast: usize, pace_ms: Millis, busy: bool) -> Operators {
+        let readers = if busy { BUSY_READERS } else { READERS };
         let mut operators: Vec<Operator> = Vec::new();
-        operators.resize_with(READER + 1, Operator::default);
+        operators.resize_with(READER + readers, Operator::default);
         operators[1].idle_until = 2500.0;
         operators[2..].iter_mut().for_each(|operator| operator.idle_until = 2500.0);
         Operators {
@@ -96,6 +120,8 @@
             next_version: 0,
             ballast,
             pace_ms,
+            busy,
+            asked: BTreeMap::new(),
             stopped: false,
             changes_acknowledged: 0,
             answered: 0,
@@ -138,7 +164,7 @@
                 Some(kind) => kind,
                 None => return,
             },
-            READER => Kind::Read { at_least: checks.newest_acknowledged() },
+            READER.. => Kind::Read { at_least: checks.newest_acknowledged() },
             _ => {
                 let zone = operator - 2;
                 checks.evacuation_sent(&zone_name(zone));
@@ -243,6 +269,10 @@
         order.tries += 1;
         let machine = machines[self.random.gen_range(0..machines.len())];
         let (message, about) = message(&order.kind);
+        self.asked.insert(self.next_call, order.kind.asks());
+        if self.busy && self.random.gen_bool(BROKEN_CHANCE) {
+            order.call = None;
+        }
         Some(Outgoing { call: self.next_call, machine, message, about: format!("order {number}: {about}") })
     }
 
@@ -252,7 +282,18 @@
         let known = &mut self.operators[operator];
         known.order = None;
         known.lost |= lost;
-        known.idle_until = now + if operator < 2 { pause } else { pause.max(400.0) };
+        known.idle_until = now + if operator < 2 || self.busy { pause } else { pause.max(REST_MS) };
+    }
+
+    /// What a call of an operator asked for.
+    pub fn asked_by(&self, call: u64) -> Option<Acknowledged> {
+        self.asked.get(&call).copied()
+    }
+
+    /// Orders under way, each with when it began.
+    pub fn open(&self) -> Vec<(usize, Millis)> {
+        let orders = self.operators.iter().filter_map(|operator| operator.order);
+        orders.map(|order| (order, self.orders[order].began)).collect()
     }
 
     /// A connection broke before the answer came.
@@ -321,6 +362,9 @@
             _ => Document::default(),
         };
         checks.read_is_fresh(document.version, at_least);
+        if status == 200 {
+            checks.read_is_what_was_sent(document.version, body);
+        }
         if document.version > self.belief.version {
             self.belief = document;
         }
--- a/crates/sandtrack-worlds/src/plan.rs
+++ b/crates/sandtrack-worlds/src/plan.rs
@@ -1,5 +1,8 @@
 //! What a world is made from: its seed, its size and its faults. A plan is drawn from a seed, and can be written to a file
 //! and played again, whole or with faults left out.
+mod harsh;
+mod mixed;
+
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
@@ -9,7 +12,7 @@
 
 /// A machine counts as lost for so long after it is back, in ms (`catch_up_s` of the deployments).
 pub const CATCH_UP_MS: Millis = 4000.0;
-/// A fault that ends here leaves time for the calm at the end, in ms.
+/// Nothing goes wrong before this, in ms.
 const FIRST_FAULT_MS: Millis = 3000.0;
 
 /// Which machine of the core a fault strikes, as the core is at that moment.
@@ -86,8 +89,63 @@
     PlatformDown,
     /// Seven of ten answers to operators are lost.
     AnswersLost,
+    /// Every step of a machine takes ten times as long, its disk 26 times, and its links carry 10 Mbit/s.
+    SlowNode(Target),
+    /// A zone is lost with all its machines.
+    ZoneLoss {
+        zone: usize,
+        back: ZoneBack,
+    },
+    /// SIGHUP, with other seeds in the settings.
+    Reload(Target),
+    /// Waits for a moment while the fault lasts, and strikes all machines then.
+    Closing {
+        moment: Moment,
+        blow: Blow,
+    },
+}
+
+/// How a zone comes back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ZoneBack {
+    WithDisks,
+    EmptyDisks,
+    /// Its machines are gone for good, others come at new addresses.
+    OtherMachines,
+}
+
+/// When a closing fault strikes.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Moment {
+    /// So many ms after a control node sent an acknowledgement.
+    Acknowledged { of: Acknowledged, after_ms: Millis },
+    /// So many ms after an operator sent a change.
+    Sent { after_ms: Millis },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Acknowledged {
+    Change,
+    Evacuation,
+    Read,
+}
+
+/// What strikes all machines at the same moment; each is back by itself within [`BACK_MOST_MS`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Blow {
+    /// All are killed.
+    Kill,
+    /// All lose power.
+    Power,
+    /// One loses its disk; `all`: all others lose power.
+    Disk { target: Target, all: bool },
+    /// A zone loses its disks; `all`: all others lose power.
+    ZoneDisks { zone: usize, all: bool },
 }
 
+/// After a closing fault a machine is back within this, in ms.
+pub const BACK_MOST_MS: Millis = 1500.0;
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Fault {
     /// From the start of the world, in ms.
@@ -120,6 +178,15 @@
     /// Pause between two changes of an operator, in ms at most.
     pub pace_ms: Millis,
     pub faults: Vec<Fault>,
+    /// Each machine has a steady clock of its own, which begins anew at a loss of power.
+    #[serde(default)]
+    pub own_clocks: bool,
+    /// Seed lists name machines that are gone or that never were.
+    #[serde(default)]
+    pub stale_seeds: bool,
+    /// Operators have up to eight orders under way, pause less, and lose connections amid calls.
+    #[serde(default)]
+    pub busy_operators: bool,
 }
 
 /// Three zones, as the deployments have.
@@ -141,7 +208,10 @@
             ballast: if random.gen_bool(0.1) { random.gen_range(20..200) } else { 0 },
             span_ms,
             pace_ms: 1200.0,
-            faults: faults(&mut random, core, span_ms, 1500.0),
+            faults: mixed::faults(&mut random, core, span_ms, 1500.0),
+            own_clocks: false,
+            stale_seeds: false,
+            busy_operators: false,
         }
     }
 
@@ -149,98 +219,31 @@
     pub fn long(seed: u64) -> Plan {
         let mut random = Pcg64Mcg::seed_from_u64(seed);
         let span_ms = 260_000.0;
-        let faults = faults(&mut random, 3, span_ms, 6000.0);
+        let faults = mixed::faults(&mut random, 3, span_ms, 6000.0);
         Plan { pace_ms: 60.0, span_ms, faults, others: 2, core: 3, ..Plan::drawn(seed) }
     }
-}
 
-/// Faults one after the other: those that cost a machine of the core keep the distance within which one is borne.
-fn faults(random: &mut Pcg64Mcg, core: usize, span_ms: Millis, pause_ms: Millis) -> Vec<Fault> {
-    let mut faults = Vec::new();
-    let mut at = FIRST_FAULT_MS;
-    // When the last lost machine of the core counts again.
-    let mut whole_at = 0.0;
-    while at < span_ms {
-        let for_ms = random.gen_range(200.0..7000.0);
-        let kind = if at >= whole_at && random.gen_bool(0.7) {
-            core_fault(random, core)
-        } else {
-            side_fault(random)
-        };
-        let fault = Fault { at: at.round(), for_ms: length(kind, for_ms, random).round(), kind };
-        if costs_a_machine(kind) {
-            whole_at = fault.ends() + extra(kind) + CATCH_UP_MS;
-        }
-        if fault.ends() < span_ms {
-            faults.push(fault);
-        }
-        at += random.gen_range(50.0..pause_ms);
+    /// Closing faults again and again, in the middle and at the end, with others between them.
+    pub fn closing(seed: u64) -> Plan {
+        Plan::harsher(seed, 0x636c_6f73, harsh::closing)
     }
-    faults
-}
 
-fn target(random: &mut Pcg64Mcg, core: usize) -> Target {
-    match random.gen_range(0..6) {
-        0 => Target::Head,
-        1 => Target::Tail,
-        2 => Target::Acknowledged,
-        _ => Target::Number(random.gen_range(0..core)),
+    /// All machines of the core are replaced at new addresses, again and again, and seed lists name the old ones.
+    pub fn turnover(seed: u64) -> Plan {
+        Plan { stale_seeds: true, ..Plan::harsher(seed, 0x7475_726e, harsh::turnover) }
     }
-}
 
-fn core_fault(random: &mut Pcg64Mcg, core: usize) -> Kind {
-    let target = target(random, core);
-    let cut = [Cut::BothWays, Cut::Outward, Cut::Inward][random.gen_range(0..3)];
-    let trouble = [DiskTrouble::Slow, DiskTrouble::Stalled, DiskTrouble::Full][random.gen_range(0..3)];
-    match random.gen_range(0..16) {
-        0 => Kind::Kill(target),
-        1 => Kind::Power(target),
-        2 | 3 => Kind::Freeze(target),
-        4 => Kind::Terminate(target),
-        5 => Kind::Replace { target, planned: random.gen() },
-        6 => Kind::Wipe { target, all: random.gen_bool(0.3) },
-        7 | 8 => Kind::Disk { target, trouble },
-        9 | 10 => Kind::CoreCut { target, cut },
-        11 => Kind::ZoneCut(random.gen_range(0..ZONES)),
-        12 => Kind::ZonePower(random.gen_range(0..ZONES)),
-        13 => Kind::Reset(target),
-        14 => Kind::SlowLinks(target),
-        _ if random.gen() => Kind::HerdKill,
-        _ => Kind::HerdPower,
+    /// Slow nodes, lost zones, full disks and closing faults.
+    pub fn harsh(seed: u64) -> Plan {
+        Plan { stale_seeds: seed.is_multiple_of(2), ..Plan::harsher(seed, 0x6861_7273, harsh::all_kinds) }
     }
-}
-
-/// Faults that cost no machine of the core.
-fn side_fault(random: &mut Pcg64Mcg) -> Kind {
-    match random.gen_range(0..5) {
-        0 => Kind::FrontCut(random.gen_range(0..4)),
-        1 => Kind::FrontKill(random.gen_range(0..4)),
-        2 => Kind::PlatformDown,
-        _ => Kind::AnswersLost,
-    }
-}
-
-fn costs_a_machine(kind: Kind) -> bool {
-    !matches!(kind, Kind::FrontCut(_) | Kind::FrontKill(_) | Kind::PlatformDown | Kind::AnswersLost)
-}
-
-fn length(kind: Kind, for_ms: Millis, random: &mut Pcg64Mcg) -> Millis {
-    match kind {
-        // Back within a second and a half.
-        Kind::HerdKill | Kind::HerdPower => random.gen_range(50.0..1000.0),
-        Kind::ZonePower(_) => random.gen_range(50.0..1500.0),
-        Kind::Reset(_) => 0.0,
-        Kind::Replace { .. } => random.gen_range(300.0..3000.0),
-        _ => for_ms,
-    }
-}
 
-/// What a fault takes beyond its end until the machine is back.
-fn extra(kind: Kind) -> Millis {
-    match kind {
-        Kind::Terminate(_) => 2000.0,
-        Kind::Replace { .. } => 9000.0,
-        _ => 500.0,
+    /// A plan of 40 seconds with busy operators and clocks of their own.
+    fn harsher(seed: u64, salt: u64, faults: fn(&mut Pcg64Mcg, usize, Millis) -> Vec<Fault>) -> Plan {
+        let span_ms = 40_000.0;
+        let plan = Plan::drawn(seed);
+        let faults = faults(&mut Pcg64Mcg::seed_from_u64(seed ^ salt), plan.core, span_ms);
+        Plan { span_ms, faults, pace_ms: 500.0, own_clocks: true, busy_operators: true, ..plan }
     }
 }
 
@@ -251,5 +254,7 @@
     Ways(Vec<(usize, usize)>),
     /// The machine that comes in another's place.
     Joins(usize),
+    /// Those that come in place of a zone's.
+    AllJoin(Vec<usize>),
     Nothing,
 }
--- a/crates/sandtrack-worlds/src/search.rs
+++ b/crates/sandtrack-worlds/src/search.rs
@@ -53,6 +53,7 @@
     pub changes: u64,
     pub views: u64,
     pub frames: u64,
+    pub blows: u64,
     pub failures: Vec<Failure>,
 }
 
@@ -63,6 +64,7 @@
         self.changes += outcome.changes;
         self.views += outcome.views;
         self.frames += outcome.frames;
+        self.blows += outcome.blows;
         let failures = outcome.broken.into_iter();
         self.failures.extend(failures.map(|broken| Failure { plan: plan.clone(), broken }));
     }
--- a/crates/sandtrack-worlds/src/world.rs
+++ b/crates/sandtrack-worlds/src/world.rs
@@ -4,6 +4,7 @@
 //! [`set_up`] begins it, [`event_loop`] plays it, [`faults`] breaks it, [`calm`] ends it; the other parts play what their
 //! names say.
 mod calm;
+mod closing;
 mod connections;
 mod control_effects;
 mod event_loop;
@@ -19,7 +20,7 @@
 use crate::machine::Machine;
 use crate::network::Network;
 use crate::operators::Operators;
-use crate::plan::{Millis, Plan, Struck};
+use crate::plan::{Millis, Moment, Plan, Struck};
 use event_loop::Event;
 use rand_pcg::Pcg64Mcg;
 use sandtrack_control::node::Input;
@@ -42,7 +43,10 @@
     pub changes: u64,
     pub views: u64,
     pub frames: u64,
+    /// Closing faults that found their moment.
+    pub blows: u64,
 }
+
 pub struct World {
     now: Millis,
     plan: Plan,
@@ -69,6 +73,9 @@
     incarnations: u64,
     /// What a fault struck, to be undone at its end.
     struck: BTreeMap<usize, Struck>,
+    /// Closing faults that wait for their moment, and how many have struck.
+    armed: BTreeMap<usize, Moment>,
+    blows: u64,
     settled_seen: BTreeMap<String, (bool, u64)>,
     acknowledged_seen: u64,
     /// A call of the calm at the end, and its answer.
@@ -88,9 +95,15 @@
             changes: self.operators.changes_acknowledged,
             views: self.newest_view().map_or(0, |(epoch, _)| epoch),
             frames: self.frames,
+            blows: self.blows,
         }
     }
 
+    /// What the steady clock of a machine shows.
+    fn clock(&self, machine: usize) -> Millis {
+        self.now + self.machines[machine].clock_ahead
+    }
+
     fn say(&self, what: impl FnOnce() -> String) {
         log_lines::say(what);
     }
--- a/crates/sandtrack-worlds/src/world/calm.rs
+++ b/crates/sandtrack-worlds/src/world/calm.rs
@@ -16,6 +16,7 @@
             self.run(100.0);
         }
         self.checks.versions_rise();
+        self.checks.acknowledged_was_in_force();
         self.checks.nothing_refused_in_force();
         for machine in self.running_core() {
             self.answers_in_calm(machine);
@@ -28,6 +29,7 @@
             self.proxies_evacuated(&zone, begun);
         }
         self.checks.versions_rise();
+        self.checks.acknowledged_was_in_force();
         self.checks.nothing_refused_in_force();
     }
 
--- a/crates/sandtrack-worlds/src/world/connections.rs
+++ b/crates/sandtrack-worlds/src/world/connections.rs
@@ -19,7 +19,8 @@
     }
 
     pub(super) fn dial(&mut self, connection: u64, from: usize, to: usize) {
-        if self.network.is_open(from, to) {
+        let is_there = to < self.machines.len();
+        if is_there && self.network.is_open(from, to) {
             let delay = self.network.delay(from, to);
             self.later(delay, Event::Dialed { connection });
         }
@@ -48,9 +49,8 @@
         let end = known.ends[0].clone();
         let Some(number) = end.number else { return };
         let machine = end.machine;
-        if self.machines[machine].frozen {
-            // The kernel has it; the process hears of it when it runs again.
-            self.inboxes.entry(machine).or_default().push_back(Event::Opened { connection, stands });
+        // The kernel has it; the process hears of it when it runs again.
+        if self.waits(machine, Event::Opened { connection, stands }).is_none() {
             return;
         }
         match end.process {
@@ -72,7 +72,7 @@
             }
             Process::Proxy => {
                 let mut wishes = Vec::new();
-                let now = self.now;
+                let now = self.clock(machine);
                 let mine = &mut self.machines[machine];
                 if mine.proxy_life != end.life || !mine.proxy_connections.contains_key(&number) {
                     return;
@@ -90,7 +90,7 @@
     }
 
     pub(super) fn accept(&mut self, connection: u64, machine: usize, life: u64) {
-        let now = self.now;
+        let now = self.clock(machine);
         let Some(port) = self.network.connections.get(&connection).map(|known| known.port) else { return };
         if self.machines[machine].control_life != life {
             return;
@@ -174,7 +174,7 @@
     }
 
     pub(super) fn deliver_to_proxy(&mut self, machine: usize, number: u64, item: Item) {
-        let now = self.now;
+        let now = self.clock(machine);
         let mut wishes = Vec::new();
         let Some(proxy) = self.machines[machine].proxy.as_mut() else { return };
         let before = proxy.version();
--- a/crates/sandtrack-worlds/src/world/control_effects.rs
+++ b/crates/sandtrack-worlds/src/world/control_effects.rs
@@ -19,7 +19,7 @@
 
 impl World {
     pub(super) fn input(&mut self, machine: usize, input: Input) {
-        let now = self.now;
+        let now = self.clock(machine);
         log_lines::set_machine(machine);
         let Some(control) = self.machines[machine].control.as_mut() else { return };
         let mut effects = Vec::new();
@@ -30,7 +30,7 @@
 
     /// Looks at what it shows now, and plans its next look.
     pub(super) fn after_input(&mut self, machine: usize) {
-        let now = self.now;
+        let now = self.clock(machine);
         let Some(control) = self.machines[machine].control.as_mut() else { return };
         let due = control.node.next_due();
         let plan = due < control.tick_at || control.tick_at <= now;
@@ -179,7 +179,7 @@
         let life = self.machines[machine].control_life;
         match order {
             LinkOrder::Dial { link, address } => {
-                let Some(to) = machine_of(&address).filter(|to| *to < self.machines.len()) else { return };
+                let Some(to) = machine_of(&address) else { return };
                 let connection = self.network.dial((machine, Process::Control, life, link), to, Port::Peer);
                 if let Some(control) = self.machines[machine].control.as_mut() {
                     control.links.insert(link, (connection, 0));
--- a/crates/sandtrack-worlds/src/world/event_loop.rs
+++ b/crates/sandtrack-worlds/src/world/event_loop.rs
@@ -6,6 +6,7 @@
 use sandtrack_control::node::Input;
 use sandtrack_control::reader::Call;
 use sandtrack_core::message::Message;
+use std::collections::VecDeque;
 
 #[derive(Debug)]
 pub(super) enum Event {
@@ -79,6 +80,17 @@
     Remove {
         machine: usize,
     },
+    /// A closing fault's moment has come.
+    Strike {
+        fault: usize,
+    },
+    PowerOn {
+        machine: usize,
+    },
+    /// A slow machine takes its next step.
+    Step {
+        machine: usize,
+    },
     FaultBegins(usize),
     FaultEnds(usize),
     /// Whether proxies have a version, or evacuations, that were acknowledged at a time.
@@ -116,21 +128,71 @@
         self.events.insert((((self.now + after.max(0.0)) * 1000.0) as u64, self.order), event);
     }
 
-    /// Whether it waits for a frozen machine instead.
+    /// Whether it waits for a frozen machine, or for the steps of a slow one, instead.
     pub(super) fn waits(&mut self, machine: usize, event: Event) -> Option<Event> {
         if self.machines[machine].frozen {
             self.inboxes.entry(machine).or_default().push_back(event);
             return None;
         }
-        Some(event)
+        if self.machines[machine].steps.each_ms == 0.0 {
+            return Some(event);
+        }
+        self.waits_for_steps(machine, event)
     }
 
-    pub(super) fn thaw(&mut self, machine: usize) {
-        self.machines[machine].frozen = false;
-        self.machines[machine].runs_since = self.now;
+    fn waits_for_steps(&mut self, machine: usize, event: Event) -> Option<Event> {
+        let inbox = self.inboxes.entry(machine).or_default();
+        let steps = &mut self.machines[machine].steps;
+        let is_next = std::mem::take(&mut steps.taken) || inbox.is_empty() && steps.busy_until <= self.now;
+        if is_next {
+            steps.busy_until = self.now + steps.each_ms;
+            return Some(event);
+        }
+        // One look at what is due is enough.
+        let is_tick = |event: &Event| matches!(event, Event::Tick { .. });
+        if !is_tick(&event) || !inbox.iter().any(is_tick) {
+            inbox.push_back(event);
+        }
+        self.plan_step(machine);
+        None
+    }
+
+    fn plan_step(&mut self, machine: usize) {
+        let steps = &mut self.machines[machine].steps;
+        if !std::mem::replace(&mut steps.planned, true) {
+            let after = steps.busy_until - self.now;
+            self.later(after, Event::Step { machine });
+        }
+    }
+
+    /// A slow machine takes the next of what waits.
+    fn step(&mut self, machine: usize) {
+        let mine = &mut self.machines[machine];
+        mine.steps.planned = false;
+        if mine.frozen || mine.steps.each_ms == 0.0 {
+            return;
+        }
+        let Some(event) = self.inboxes.get_mut(&machine).and_then(VecDeque::pop_front) else { return };
+        mine.steps.taken = true;
+        self.happen(event);
+        let mine = &mut self.machines[machine];
+        mine.steps.taken = false;
+        if self.inboxes.get(&machine).is_some_and(|inbox| !inbox.is_empty()) {
+            self.plan_step(machine);
+        }
+    }
+
+    /// All that waits happens, in its order.
+    pub(super) fn take_what_waits(&mut self, machine: usize) {
         for event in self.inboxes.remove(&machine).unwrap_or_default() {
             self.happen(event);
         }
+    }
+
+    pub(super) fn thaw(&mut self, machine: usize) {
+        self.machines[machine].frozen = false;
+        self.machines[machine].runs_since = self.now;
+        self.take_what_waits(machine);
         let (control, proxy) = (self.machines[machine].control_life, self.machines[machine].proxy_life);
         for (life, input) in self.disk_waits.remove(&machine).unwrap_or_default() {
             if life == control {
@@ -145,7 +207,7 @@
         match event {
             Event::Tick { machine, life } => {
                 let mine = &self.machines[machine];
-                if mine.control_life == life && mine.is_running() {
+                if mine.control_life == life && mine.is_running() && self.waits(machine, event).is_some() {
                     self.input(machine, Input::Tick);
                 }
             }
@@ -196,6 +258,9 @@
             Event::StartControl { machine } => self.start_control(machine),
             Event::StartProxy { machine } => self.start_proxy(machine),
             Event::Remove { machine } => self.remove_left(machine),
+            Event::Strike { fault } => self.strike_all(fault),
+            Event::PowerOn { machine } => self.power_on(machine),
+            Event::Step { machine } => self.step(machine),
             Event::FaultBegins(fault) => self.fault_begins(fault),
             Event::FaultEnds(fault) => self.fault_ends(fault),
             Event::Applied { version, since } => {
--- a/crates/sandtrack-worlds/src/world/faults.rs
+++ b/crates/sandtrack-worlds/src/world/faults.rs
@@ -2,13 +2,18 @@
 use super::event_loop::Event;
 use super::{World, RESTART_MS};
 use crate::disk::Mode;
-use crate::plan::{Cut, DiskTrouble, Kind, Struck, Target};
+use crate::machine::{settings, Steps};
+use crate::plan::{Cut, DiskTrouble, Kind, Struck, Target, ZoneBack};
 use rand::Rng;
 use sandtrack_control::node::Input;
 
 /// A disk in trouble takes so many times as long.
 const SLOWER: f64 = 30.0;
 const SLOW_LINK_MBPS: f64 = 10.0;
+/// The disk of a slow node takes so many times as long.
+const SLOW_NODE_DISK: f64 = 26.0;
+/// A step of a slow node, in ms: ten times what one takes on a small share of a core.
+const SLOW_NODE_STEP_MS: f64 = 5.0;
 /// A machine that is removed by plan is without power after this (`grace_s`), in ms.
 const GRACE_MS: f64 = 8000.0;
 
@@ -17,7 +22,7 @@
         let kind = self.plan.faults[fault].kind;
         self.troubled = self.now;
         self.active_faults.insert(fault);
-        let struck = self.strike(kind);
+        let struck = self.strike(fault, kind);
         self.say(|| format!("fault {fault} begins: {kind:?} on {struck:?}"));
         self.struck.insert(fault, struck);
     }
@@ -26,13 +31,14 @@
         let kind = self.plan.faults[fault].kind;
         self.troubled = self.now;
         self.active_faults.remove(&fault);
+        self.armed.remove(&fault);
         let Some(struck) = self.struck.remove(&fault) else { return };
         self.say(|| format!("fault {fault} ends: {kind:?}"));
         self.undo(kind, struck);
     }
 
     /// The machine of the core that is meant.
-    fn core_machine(&mut self, target: Target) -> Option<usize> {
+    pub(super) fn core_machine(&mut self, target: Target) -> Option<usize> {
         let running = self.running_core();
         let chain = match target {
             Target::Head | Target::Tail => self.newest_view().map(|(_, chain)| chain).unwrap_or_default(),
@@ -47,7 +53,7 @@
         found.filter(|machine| running.contains(machine)).or(running.first().copied())
     }
 
-    fn zone(&self, zone: usize) -> Vec<usize> {
+    pub(super) fn zone(&self, zone: usize) -> Vec<usize> {
         (0..self.machines.len())
             .filter(|machine| self.machines[*machine].zone == zone && !self.machines[*machine].removed)
             .collect()
@@ -90,22 +96,23 @@
         self.kill_proxy(machine, true);
         let disk = self.machines[machine].disk.clone();
         disk.lose_power(&mut self.random);
+        self.set_clock(machine);
     }
 
-    fn power_on(&mut self, machine: usize) {
+    pub(super) fn power_on(&mut self, machine: usize) {
         self.network.set_dark(self.now, machine, false);
         self.plan_arrivals();
         self.restart(machine, 50.0);
     }
 
-    fn restart(&mut self, machine: usize, after: f64) {
+    pub(super) fn restart(&mut self, machine: usize, after: f64) {
         if self.machines[machine].core {
             self.later(after, Event::StartControl { machine });
         }
         self.later(after, Event::StartProxy { machine });
     }
 
-    fn kill(&mut self, machine: usize) {
+    pub(super) fn kill(&mut self, machine: usize) {
         self.machines[machine].frozen = false;
         self.kill_control(machine, false);
         self.kill_proxy(machine, false);
@@ -119,7 +126,7 @@
         }
     }
 
-    fn strike(&mut self, kind: Kind) -> Struck {
+    fn strike(&mut self, fault: usize, kind: Kind) -> Struck {
         match kind {
             Kind::Kill(target)
             | Kind::Power(target)
@@ -130,6 +137,8 @@
             | Kind::CoreCut { target, .. }
             | Kind::Reset(target)
             | Kind::SlowLinks(target)
+            | Kind::SlowNode(target)
+            | Kind::Reload(target)
             | Kind::Replace { target, .. } => match self.core_machine(target) {
                 Some(machine) => self.strike_core(kind, machine),
                 None => Struck::Nothing,
@@ -177,9 +186,58 @@
                 self.answers_lost += 1;
                 Struck::Nothing
             }
+            Kind::ZoneLoss { zone, back } => self.lose_zone(zone, back),
+            Kind::Closing { moment, .. } => {
+                self.armed.insert(fault, moment);
+                Struck::Nothing
+            }
         }
     }
 
+    fn lose_zone(&mut self, zone: usize, back: ZoneBack) -> Struck {
+        let machines = self.zone(zone);
+        for machine in &machines {
+            self.power_off(*machine);
+            if back != ZoneBack::WithDisks {
+                self.machines[*machine].disk.wipe();
+            }
+        }
+        if back != ZoneBack::OtherMachines {
+            return Struck::Machines(machines);
+        }
+        let mut others = Vec::new();
+        for machine in machines {
+            self.machines[machine].removed = true;
+            let core = self.machines[machine].core;
+            others.push(self.add_machine(zone, core, false));
+        }
+        Struck::AllJoin(others)
+    }
+
+    fn slow_down(&mut self, machine: usize) {
+        self.machines[machine].steps.each_ms = SLOW_NODE_STEP_MS;
+        self.set_mode(machine, Mode::Slow(SLOW_NODE_DISK));
+        self.network.set_link(machine, SLOW_LINK_MBPS);
+    }
+
+    fn speed_up(&mut self, machine: usize) {
+        self.machines[machine].steps = Steps::default();
+        self.set_mode(machine, Mode::Well);
+        let mbps = self.plan.link_mbps;
+        self.network.set_link(machine, mbps);
+        if !self.machines[machine].frozen {
+            self.take_what_waits(machine);
+        }
+    }
+
+    /// The settings file was written anew.
+    fn reload(&mut self, machine: usize) {
+        let seeds = self.seeds(machine);
+        let zone = self.machines[machine].zone;
+        let settings = settings(machine, zone, true, false, &seeds);
+        self.input(machine, Input::Reload(Box::new(settings)));
+    }
+
     fn strike_core(&mut self, kind: Kind, machine: usize) -> Struck {
         match kind {
             Kind::Kill(_) => self.kill(machine),
@@ -211,6 +269,8 @@
             }
             Kind::Reset(_) => self.reset(machine),
             Kind::SlowLinks(_) => self.network.set_link(machine, SLOW_LINK_MBPS),
+            Kind::SlowNode(_) => self.slow_down(machine),
+            Kind::Reload(_) => self.reload(machine),
             Kind::Replace { planned, .. } => {
                 let zone = self.machines[machine].zone;
                 let joins = self.add_machine(zone, true, false);
@@ -261,6 +321,9 @@
                 self.plan_arrivals();
             }
             (_, Struck::Joins(machine)) => self.restart(machine, 0.0),
+            (_, Struck::AllJoin(machines)) => {
+                machines.into_iter().for_each(|machine| self.restart(machine, 0.0));
+            }
             (Kind::Replace { planned: true, .. }, Struck::Machines(machines)) => {
                 for machine in machines {
                     self.leave(machine);
@@ -268,6 +331,7 @@
             }
             (Kind::PlatformDown, _) => self.platform_down -= 1,
             (Kind::AnswersLost, _) => self.answers_lost -= 1,
+            (Kind::Closing { .. }, _) => {}
             (kind, Struck::Machines(machines)) => {
                 machines.into_iter().for_each(|machine| self.back(kind, machine));
             }
@@ -292,9 +356,11 @@
 
     fn back(&mut self, kind: Kind, machine: usize) {
         match kind {
-            Kind::Power(_) | Kind::Wipe { .. } | Kind::ZonePower(_) | Kind::HerdPower => {
-                self.power_on(machine)
-            }
+            Kind::Power(_)
+            | Kind::Wipe { .. }
+            | Kind::ZonePower(_)
+            | Kind::ZoneLoss { .. }
+            | Kind::HerdPower => self.power_on(machine),
             Kind::Kill(_) | Kind::HerdKill | Kind::FrontKill(_) => self.restart(machine, 0.0),
             Kind::Freeze(_) => self.thaw(machine),
             Kind::Disk { .. } => self.set_mode(machine, Mode::Well),
@@ -302,6 +368,7 @@
                 let mbps = self.plan.link_mbps;
                 self.network.set_link(machine, mbps);
             }
+            Kind::SlowNode(_) => self.speed_up(machine),
             Kind::Terminate(_) => self.restart(machine, RESTART_MS),
             _ => {}
         }
--- a/crates/sandtrack-worlds/src/world/operator_calls.rs
+++ b/crates/sandtrack-worlds/src/world/operator_calls.rs
@@ -17,10 +17,14 @@
         if self.network.is_dark(machine) {
             return;
         }
+        let arrival = CallArrival {
+            queued_since: came + self.machines[machine].clock_ahead,
+            accepted: self.clock(machine),
+        };
         let Some(control) = self.machines[machine].control.as_mut() else {
             return self.later(CLIENT_MS, Event::CallFailed { call });
         };
-        let number = control.node.call_begun(CallArrival { queued_since: came, accepted: self.now });
+        let number = control.node.call_begun(arrival);
         control.calls.insert(number, call);
         self.input(machine, Input::Call { call: number, message });
     }
@@ -33,8 +37,12 @@
         };
         let alone_ms = self.machines[machine].alone_since.map_or(0.0, |since| self.now - since);
         self.checks.definite_answer(machine, status, alone_ms, ALONE_MOST_MS);
+        self.checks.no_redirect(machine, status);
         if status == 200 {
             self.last_acknowledged = Some(machine);
+            if let Some(what) = self.operators.asked_by(call) {
+                self.acknowledgement_leaves(what);
+            }
         }
         if self.answers_lost > 0 && self.random.gen_bool(0.7) {
             return;
--- a/crates/sandtrack-worlds/src/world/processes.rs
+++ b/crates/sandtrack-worlds/src/world/processes.rs
@@ -15,6 +15,10 @@
 
 /// A disk that refuses to open the WAL is tried again after this, in ms.
 const OPEN_AGAIN_MS: Millis = 300.0;
+/// Addresses in a seed list.
+const SEEDS: usize = 3;
+/// No machine has this number: nobody answers at its address.
+const NOBODY: usize = 230;
 
 impl World {
     pub(super) fn running_core(&self) -> Vec<usize> {
@@ -28,12 +32,39 @@
         (0..self.machines.len()).filter(there).collect()
     }
 
-    pub(super) fn seeds(&self) -> Vec<usize> {
+    /// The seeds in a machine's settings, as it starts or reads them again.
+    pub(super) fn seeds(&mut self, machine: usize) -> Vec<usize> {
         if self.now < 1000.0 {
-            return (0..3).collect();
+            return (0..SEEDS).collect();
         }
         let listed = self.listed.front().map(|(_, machines)| machines.clone());
-        listed.unwrap_or_else(|| self.core()).into_iter().take(3).collect()
+        let listed = listed.unwrap_or_else(|| self.core());
+        if self.plan.stale_seeds {
+            return self.stale_seeds(machine, &listed);
+        }
+        listed.into_iter().take(SEEDS).collect()
+    }
+
+    /// One that serves and is another machine, and any others: gone, or never started.
+    fn stale_seeds(&mut self, machine: usize, listed: &[usize]) -> Vec<usize> {
+        let core = self.core();
+        let serves = |seed: &usize| *seed != machine && core.contains(seed);
+        let serving: Vec<usize> = listed.iter().copied().filter(serves).collect();
+        let mut seeds: Vec<usize> = (1..SEEDS).map(|_| self.any_seed()).collect();
+        if !serving.is_empty() {
+            let at = self.random.gen_range(0..=seeds.len());
+            seeds.insert(at, serving[self.random.gen_range(0..serving.len())]);
+        }
+        seeds
+    }
+
+    /// A machine that has a control node or had one, or an address where there is none.
+    fn any_seed(&mut self) -> usize {
+        if self.random.gen_bool(0.3) {
+            return NOBODY;
+        }
+        let known: Vec<usize> = (0..self.machines.len()).filter(|known| self.machines[*known].core).collect();
+        known[self.random.gen_range(0..known.len())]
     }
 
     pub(super) fn start_control(&mut self, machine: usize) {
@@ -50,11 +81,11 @@
         mine.control_life += 1;
         mine.runs_since = self.now;
         let (zone, first_start) = (mine.zone, std::mem::replace(&mut mine.first, false));
-        let settings = settings(machine, zone, true, first_start, &self.seeds());
+        let settings = settings(machine, zone, true, first_start, &self.seeds(machine));
         self.incarnations += 1;
         let start = Start { incarnation: self.incarnations, recovered, disk: true };
         log_lines::set_machine(machine);
-        let (node, effects) = ControlNode::new(settings, start, self.now);
+        let (node, effects) = ControlNode::new(settings, start, self.clock(machine));
         self.say(|| format!("machine {machine}: control starts"));
         self.machines[machine].control = Some(Control {
             node,
@@ -75,9 +106,10 @@
         if mine.removed || mine.proxy.is_some() || self.network.is_dark(machine) {
             return;
         }
-        let settings = settings(machine, mine.zone, mine.core, false, &self.seeds());
+        let (zone, core) = (mine.zone, mine.core);
+        let settings = settings(machine, zone, core, false, &self.seeds(machine));
         self.incarnations += 1;
-        let front = Front::new(settings, self.incarnations, self.now);
+        let front = Front::new(settings, self.incarnations, self.clock(machine));
         let mine = &mut self.machines[machine];
         mine.proxy = Some(front);
         mine.proxy_life += 1;
--- a/crates/sandtrack-worlds/src/world/proxies.rs
+++ b/crates/sandtrack-worlds/src/world/proxies.rs
@@ -31,9 +31,7 @@
         for wish in wishes {
             match wish {
                 Wish::Dial { number, address } => {
-                    let Some(to) = machine_of(&address).filter(|to| *to < self.machines.len()) else {
-                        continue;
-                    };
+                    let Some(to) = machine_of(&address) else { continue };
                     let dialer = (machine, Process::Proxy, life, number);
                     let connection = self.network.dial(dialer, to, Port::Session);
                     self.machines[machine].proxy_connections.insert(number, (connection, 0));
@@ -57,7 +55,7 @@
     }
 
     pub(super) fn proxy_tick(&mut self, machine: usize, life: u64) {
-        let now = self.now;
+        let now = self.clock(machine);
         let mine = &mut self.machines[machine];
         if mine.proxy_life != life || mine.frozen {
             return;
--- a/crates/sandtrack-worlds/src/world/set_up.rs
+++ b/crates/sandtrack-worlds/src/world/set_up.rs
@@ -5,11 +5,14 @@
 use crate::machine::Machine;
 use crate::network::Network;
 use crate::operators::Operators;
-use crate::plan::{Plan, ZONES};
+use crate::plan::{Millis, Plan, ZONES};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+/// A machine has run for up to this long before the world begins, or shows so much after a loss of power, in ms.
+const CLOCK_MOST_MS: Millis = 1e7;
+
 impl World {
     pub fn new(plan: Plan) -> World {
         let mut world = World {
@@ -17,7 +20,7 @@
             random: Pcg64Mcg::seed_from_u64(plan.seed ^ 0x776f_726c_6473),
             machines: Vec::new(),
             network: Network::default(),
-            operators: Operators::new(plan.seed, plan.ballast, plan.pace_ms),
+            operators: Operators::new(plan.seed, plan.ballast, plan.pace_ms, plan.busy_operators),
             checks: Checks::default(),
             events: BTreeMap::new(),
             order: 0,
@@ -32,6 +35,8 @@
             frames: 0,
             incarnations: plan.seed << 20,
             struck: BTreeMap::new(),
+            armed: BTreeMap::new(),
+            blows: 0,
             settled_seen: BTreeMap::new(),
             acknowledged_seen: 0,
             direct: None,
@@ -62,6 +67,14 @@
         self.machines.push(Machine::new(zone, core, first));
         let far = self.plan.far_zone && zone == 1;
         self.network.add_machine(number, zone, far, self.plan.link_mbps);
+        self.set_clock(number);
         number
     }
+
+    /// The steady clock of a machine begins somewhere, where each has its own.
+    pub(super) fn set_clock(&mut self, machine: usize) {
+        if self.plan.own_clocks {
+            self.machines[machine].clock_ahead = self.random.gen_range(0.0..CLOCK_MOST_MS);
+        }
+    }
 }
--- a/crates/sandtrack-worlds/src/world/watch.rs
+++ b/crates/sandtrack-worlds/src/world/watch.rs
@@ -1,18 +1,20 @@
 //! What is looked at now and then: connections that are given up, operators, trouble, and the newest view.
 use super::event_loop::Event;
 use super::operator_calls::CLIENT_MS;
-use super::World;
+use super::{World, IN_TOUCH_MS};
 use crate::documents;
 use crate::machine::machine_of;
 use crate::network::Item;
-use crate::operators::Outgoing;
-use crate::plan::Millis;
+use crate::operators::{Outgoing, ACKNOWLEDGE_MS};
+use crate::plan::{Acknowledged, Millis};
 use sandtrack_control::arrivals::Arrival as CallArrival;
 use sandtrack_control::node::Input;
 
 pub(super) const LOOK_MS: Millis = 50.0;
 /// The operators' list of machines lags by this, in ms.
 const LIST_LAG_MS: Millis = 3000.0;
+/// Without trouble for so long, the core is stable, in ms.
+const STABLE_MS: Millis = IN_TOUCH_MS;
 
 impl World {
     pub(super) fn look(&mut self) {
@@ -49,13 +51,26 @@
                 self.operators.tick(self.now, &machines, &mut self.checks)
             {
                 self.say(|| format!("operators: call {call} to machine {machine}, {about}"));
+                if self.operators.asked_by(call) == Some(Acknowledged::Change) {
+                    self.change_leaves();
+                }
                 let bytes = message.body.len() as f64 / (self.plan.link_mbps * 125.0);
                 self.later(CLIENT_MS + bytes, Event::OperatorCall { machine, call, message, came: None });
             }
         }
+        self.orders_are_answered_in_time();
         self.later(LOOK_MS, Event::Look);
     }
 
+    /// An order is acknowledged within its time, from when the core was stable.
+    fn orders_are_answered_in_time(&mut self) {
+        let stable = self.troubled + STABLE_MS;
+        for (order, began) in self.operators.open() {
+            let waits_ms = self.now - began.max(stable);
+            self.checks.answered_when_stable(order, waits_ms, ACKNOWLEDGE_MS);
+        }
+    }
+
     /// Takes note of trouble, and of machines that have no way to a majority.
     pub(super) fn watch(&mut self) {
         let core = self.core();
@@ -83,9 +98,10 @@
     pub(super) fn newest_view(&mut self) -> Option<(u64, Vec<usize>)> {
         let mut newest: Option<(u64, Vec<usize>)> = None;
         for machine in self.running_core() {
+            let now = self.clock(machine);
             self.status = None;
             let number = match self.machines[machine].control.as_mut() {
-                Some(control) => control.node.call_begun(CallArrival::at(self.now)),
+                Some(control) => control.node.call_begun(CallArrival::at(now)),
                 None => continue,
             };
             let message = documents::call("GET", "/v1/status", 0, "");
--- a/crates/sandtrack-worlds/tests/worlds.rs
+++ b/crates/sandtrack-worlds/tests/worlds.rs
@@ -25,8 +25,10 @@
 }
 
 fn hold(totals: &Totals, is_meant: impl Fn(&str) -> bool) {
-    let Totals { worlds, calls, changes, views, frames, failures } = totals;
-    println!("{worlds} worlds, {calls} calls, {changes} changes, {views} views, {frames} frames");
+    let Totals { worlds, calls, changes, views, frames, blows, failures } = totals;
+    println!(
+        "{worlds} worlds, {calls} calls, {changes} changes, {views} views, {frames} frames, {blows} closing faults"
+    );
     let failed: Vec<String> = failures
         .iter()
         .filter(|failure| is_meant(failure.broken.rule))
