--- a/crates/sandtrack-worlds/src/lib.rs
+++ b/crates/sandtrack-worlds/src/lib.rs
@@ -3,6 +3,9 @@
 //!
 //! [`plan`] draws a world from a seed, [`world`] plays it, [`judge`] holds what must be true in it, [`search`] plays many,
 //! [`shrink`] makes a failing one small. The same plan always plays the same.
+//!
+//! Plans are mixed ([`plan::Plan::drawn`]), long, or harsher: of closing faults, of seed turnover, or of slow nodes, lost zones
+//! and full disks. docs/system/control.md ("Tests") tells what is in them.
 pub mod disk;
 mod documents;
 mod front;
--- a/crates/sandtrack-worlds/src/plan.rs
+++ b/crates/sandtrack-worlds/src/plan.rs
@@ -146,6 +146,27 @@
 /// After a closing fault a machine is back within this, in ms.
 pub const BACK_MOST_MS: Millis = 1500.0;
 
+impl Kind {
+    /// The one machine of the core that is struck.
+    pub(crate) fn target(&self) -> Option<Target> {
+        match self {
+            Kind::Kill(target)
+            | Kind::Power(target)
+            | Kind::Freeze(target)
+            | Kind::Terminate(target)
+            | Kind::Replace { target, .. }
+            | Kind::Wipe { target, .. }
+            | Kind::Disk { target, .. }
+            | Kind::CoreCut { target, .. }
+            | Kind::Reset(target)
+            | Kind::SlowLinks(target)
+            | Kind::SlowNode(target)
+            | Kind::Reload(target) => Some(*target),
+            _ => None,
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Fault {
     /// From the start of the world, in ms.
--- a/crates/sandtrack-worlds/src/world/control_effects.rs
+++ b/crates/sandtrack-worlds/src/world/control_effects.rs
@@ -62,29 +62,7 @@
             match effect {
                 Effect::Reply { call, reply } => self.reply(machine, call, reply.status, reply.body),
                 Effect::Link(order) => self.link_order(machine, order),
-                Effect::Session(SessionOrder::Send { session, bytes }) => {
-                    let Some(control) = self.machines[machine].control.as_ref() else { return };
-                    if let Some((connection, side)) = control.sessions.get(&session).copied() {
-                        self.network.send(self.now, connection, side, Item::Frame(bytes));
-                    }
-                }
-                Effect::Session(SessionOrder::Close { session }) => {
-                    let Some(control) = self.machines[machine].control.as_mut() else { return };
-                    if let Some((connection, side)) = control.sessions.remove(&session) {
-                        self.network.close(self.now, connection, side, false);
-                        self.later(
-                            0.0,
-                            Event::Deliver {
-                                machine,
-                                process: Process::Control,
-                                life,
-                                connection,
-                                side,
-                                item: Item::End,
-                            },
-                        );
-                    }
-                }
+                Effect::Session(order) => self.session_order(machine, order),
                 Effect::Write { ticket, records } => {
                     self.disk_order(machine, DiskOrder { ticket, records, rewrites: false });
                 }
@@ -103,6 +81,24 @@
         self.plan_arrivals();
     }
 
+    fn session_order(&mut self, machine: usize, order: SessionOrder) {
+        let life = self.machines[machine].control_life;
+        let Some(control) = self.machines[machine].control.as_mut() else { return };
+        match order {
+            SessionOrder::Send { session, bytes } => {
+                if let Some((connection, side)) = control.sessions.get(&session).copied() {
+                    self.network.send(self.now, connection, side, Item::Frame(bytes));
+                }
+            }
+            SessionOrder::Close { session } => {
+                let Some((connection, side)) = control.sessions.remove(&session) else { return };
+                self.network.close(self.now, connection, side, false);
+                let (process, item) = (Process::Control, Item::End);
+                self.later(0.0, Event::Deliver { machine, process, life, connection, side, item });
+            }
+        }
+    }
+
     pub(super) fn fetch(&mut self, machine: usize, life: u64) {
         let call = if self.platform_down > 0 {
             Call::Failed("down".to_owned())
--- a/crates/sandtrack-worlds/src/world/faults.rs
+++ b/crates/sandtrack-worlds/src/world/faults.rs
@@ -127,36 +127,15 @@
     }
 
     fn strike(&mut self, fault: usize, kind: Kind) -> Struck {
-        match kind {
-            Kind::Kill(target)
-            | Kind::Power(target)
-            | Kind::Freeze(target)
-            | Kind::Terminate(target)
-            | Kind::Wipe { target, .. }
-            | Kind::Disk { target, .. }
-            | Kind::CoreCut { target, .. }
-            | Kind::Reset(target)
-            | Kind::SlowLinks(target)
-            | Kind::SlowNode(target)
-            | Kind::Reload(target)
-            | Kind::Replace { target, .. } => match self.core_machine(target) {
+        if let Some(target) = kind.target() {
+            return match self.core_machine(target) {
                 Some(machine) => self.strike_core(kind, machine),
                 None => Struck::Nothing,
-            },
-            Kind::FrontCut(number) => match self.other_machine(number) {
-                Some(machine) => {
-                    let ways = self.ways(&[machine], Cut::BothWays);
-                    let core = |way: &(usize, usize)| self.machines[way.0].core || self.machines[way.1].core;
-                    let ways = ways.into_iter().filter(core).collect();
-                    self.cut(ways)
-                }
-                None => Struck::Nothing,
-            },
-            Kind::FrontKill(number) => match self.other_machine(number) {
-                Some(machine) => {
-                    self.kill_proxy(machine, false);
-                    Struck::Machines(vec![machine])
-                }
+            };
+        }
+        match kind {
+            Kind::FrontCut(number) | Kind::FrontKill(number) => match self.other_machine(number) {
+                Some(machine) => self.strike_front(kind, machine),
                 None => Struck::Nothing,
             },
             Kind::ZoneCut(zone) => {
@@ -168,6 +147,7 @@
                 machines.iter().for_each(|machine| self.power_off(*machine));
                 Struck::Machines(machines)
             }
+            Kind::ZoneLoss { zone, back } => self.lose_zone(zone, back),
             Kind::HerdKill => {
                 let machines = self.running_core();
                 machines.iter().for_each(|machine| self.kill(*machine));
@@ -178,20 +158,33 @@
                 machines.iter().for_each(|machine| self.power_off(*machine));
                 Struck::Machines(machines)
             }
-            Kind::PlatformDown => {
-                self.platform_down += 1;
-                Struck::Nothing
-            }
-            Kind::AnswersLost => {
-                self.answers_lost += 1;
-                Struck::Nothing
-            }
-            Kind::ZoneLoss { zone, back } => self.lose_zone(zone, back),
+            _ => self.strike_around(fault, kind),
+        }
+    }
+
+    /// A machine without a control node.
+    fn strike_front(&mut self, kind: Kind, machine: usize) -> Struck {
+        if let Kind::FrontKill(_) = kind {
+            self.kill_proxy(machine, false);
+            return Struck::Machines(vec![machine]);
+        }
+        let is_core = |machine: usize| self.machines[machine].core;
+        let mut ways = self.ways(&[machine], Cut::BothWays);
+        ways.retain(|(from, to)| is_core(*from) || is_core(*to));
+        self.cut(ways)
+    }
+
+    /// What strikes no machine, or not yet.
+    fn strike_around(&mut self, fault: usize, kind: Kind) -> Struck {
+        match kind {
+            Kind::PlatformDown => self.platform_down += 1,
+            Kind::AnswersLost => self.answers_lost += 1,
             Kind::Closing { moment, .. } => {
                 self.armed.insert(fault, moment);
-                Struck::Nothing
             }
+            _ => {}
         }
+        Struck::Nothing
     }
 
     fn lose_zone(&mut self, zone: usize, back: ZoneBack) -> Struck {
--- a/crates/sandtrack-worlds/src/world/watch.rs
+++ b/crates/sandtrack-worlds/src/world/watch.rs
@@ -13,53 +13,57 @@
 pub(super) const LOOK_MS: Millis = 50.0;
 /// The operators' list of machines lags by this, in ms.
 const LIST_LAG_MS: Millis = 3000.0;
+/// Operators begin after this, in ms.
+const OPERATORS_BEGIN_MS: Millis = 500.0;
 /// Without trouble for so long, the core is stable, in ms.
 const STABLE_MS: Millis = IN_TOUCH_MS;
 
 impl World {
     pub(super) fn look(&mut self) {
-        let given_up = self.network.give_up(self.now);
-        for (connection, side) in given_up {
+        self.give_up_connections();
+        self.watch();
+        let machines = self.machines_listed();
+        if self.now > OPERATORS_BEGIN_MS {
+            for outgoing in self.operators.tick(self.now, &machines, &mut self.checks) {
+                self.call_leaves(outgoing);
+            }
+        }
+        self.orders_are_answered_in_time();
+        self.later(LOOK_MS, Event::Look);
+    }
+
+    fn give_up_connections(&mut self) {
+        for (connection, side) in self.network.give_up(self.now) {
             let Some(known) = self.network.connections.get(&connection) else { continue };
             let end = known.ends[side].clone();
             self.network.close(self.now, connection, side, false);
-            let Some(_) = end.number else { continue };
-            self.later(
-                0.0,
-                Event::Deliver {
-                    machine: end.machine,
-                    process: end.process,
-                    life: end.life,
-                    connection,
-                    side,
-                    item: Item::End,
-                },
-            );
+            if end.number.is_some() {
+                let (machine, process, life, item) = (end.machine, end.process, end.life, Item::End);
+                self.later(0.0, Event::Deliver { machine, process, life, connection, side, item });
+            }
         }
         self.plan_arrivals();
-        self.watch();
-        // Also those that are down for a while: the list knows nothing of that.
-        let listed = self.core();
-        self.listed.push_back((self.now, listed));
+    }
+
+    /// The operators' list, which lags. Also those that are down for a while: it knows nothing of that.
+    fn machines_listed(&mut self) -> Vec<usize> {
+        let core = self.core();
+        self.listed.push_back((self.now, core));
         while self.listed.front().is_some_and(|(at, _)| self.now - at > LIST_LAG_MS) && self.listed.len() > 1
         {
             self.listed.pop_front();
         }
-        let machines = self.listed.front().map(|(_, machines)| machines.clone()).unwrap_or_default();
-        if self.now > 500.0 {
-            for Outgoing { call, machine, message, about } in
-                self.operators.tick(self.now, &machines, &mut self.checks)
-            {
-                self.say(|| format!("operators: call {call} to machine {machine}, {about}"));
-                if self.operators.asked_by(call) == Some(Acknowledged::Change) {
-                    self.change_leaves();
-                }
-                let bytes = message.body.len() as f64 / (self.plan.link_mbps * 125.0);
-                self.later(CLIENT_MS + bytes, Event::OperatorCall { machine, call, message, came: None });
-            }
+        self.listed.front().map(|(_, machines)| machines.clone()).unwrap_or_default()
+    }
+
+    fn call_leaves(&mut self, outgoing: Outgoing) {
+        let Outgoing { call, machine, message, about } = outgoing;
+        self.say(|| format!("operators: call {call} to machine {machine}, {about}"));
+        if self.operators.asked_by(call) == Some(Acknowledged::Change) {
+            self.change_leaves();
         }
-        self.orders_are_answered_in_time();
-        self.later(LOOK_MS, Event::Look);
+        let bytes = message.body.len() as f64 / (self.plan.link_mbps * 125.0);
+        self.later(CLIENT_MS + bytes, Event::OperatorCall { machine, call, message, came: None });
     }
 
     /// An order is acknowledged within its time, from when the core was stable.
