--- a/crates/sandtrack-worlds/tests/worlds.rs
+++ b/crates/sandtrack-worlds/tests/worlds.rs
@@ -1,6 +1,6 @@
 //! Worlds from seeds, in CI some hundred; more with SANDTRACK_WORLDS=COUNT, or by the program (`sandtrack-worlds seeds
 //! COUNT`), which also makes a failing one small and writes its replay file.
-use sandtrack_worlds::checks::OVERTAKEN;
+use sandtrack_worlds::judge::OVERTAKEN;
 use sandtrack_worlds::plan::Plan;
 use sandtrack_worlds::search::{play, play_all, Totals};
 use std::sync::OnceLock;
@@ -25,8 +25,10 @@
 }
 
 fn hold(totals: &Totals, is_meant: impl Fn(&str) -> bool) {
-    let Totals { worlds, calls, changes, views, frames, failures } = totals;
-    println!("{worlds} worlds, {calls} calls, {changes} changes, {views} views, {frames} frames");
+    let Totals { worlds, calls, changes, views, frames, blows, failures } = totals;
+    println!(
+        "{worlds} worlds, {calls} calls, {changes} changes, {views} views, {frames} frames, {blows} closing faults"
+    );
     let failed: Vec<String> = failures
         .iter()
         .filter(|failure| is_meant(failure.broken.rule))
