Long messages between control nodes travel in pieces, and heartbeats pass them

An order of 2 MB to a machine of 10 Mbit/s travelled as one message of 1.7 s, in which no heartbeat came: healthy members were suspected (silence 900 ms), each repeat of a call (250 ms) sent it whole again, and an alignment was asked for each 100 ms while the same lot was still on its way.

Messages with more than 64 KiB of entries, command or answer now go in pieces of 16 KiB, four unacknowledged at most, resumed from the last acknowledged byte; what is under way is not added again. It holds for the chain, members brought in line, observers, calls passed on to the head, and answers. A long call is repeated only where its way stands still, or after the slowest links had time for it. Pieces count as progress of a member that is brought in line.

--- a/crates/sandtrack-replication/src/alignment.rs
+++ b/crates/sandtrack-replication/src/alignment.rs
@@ -66,8 +66,12 @@
             return;
         }
         self.note_progress();
-        let busy = self.transfers.is_fetching() || self.now - self.aligning.asked < ASK_AGAIN;
-        if let Some(predecessor) = self.image.view.predecessor(&self.me).filter(|_| !busy).cloned() {
+        let lately = self.transfers.is_fetching() || self.now - self.aligning.asked < ASK_AGAIN;
+        // What is on its way here, or being written, is not asked for again.
+        let busy = |predecessor: &&Member| {
+            lately || self.disk.is_writing_log() || self.fragments.is_receiving(&predecessor.address)
+        };
+        if let Some(predecessor) = self.image.view.predecessor(&self.me).filter(|it| !busy(it)).cloned() {
             self.aligning.asked = self.now;
             let body = Body::Align { ends: self.image.ends(), applied: self.applied.at };
             self.send(&predecessor.address, body, effects);
@@ -80,7 +84,7 @@
         self.ask_to_be_aligned(effects);
     }
 
-    /// A piece of a snapshot that came is progress; while the predecessor is not in line itself, none can be made.
+    /// A piece of a snapshot, or of entries, that came is progress; while the predecessor is not in line itself, none can be made.
     fn note_progress(&mut self) {
         let epoch = self.image.view.epoch;
         let predecessor = self.image.view.predecessor(&self.me);
@@ -92,7 +96,9 @@
         if !in_line || self.aligning.progress > self.now {
             self.aligning.progress = self.now;
         }
-        self.aligning.progress = self.aligning.progress.max(self.transfers.progress().unwrap_or(0.0));
+        let piece = predecessor.and_then(|member| self.fragments.progress(&member.address));
+        let pieces = [self.transfers.progress(), piece].into_iter().flatten();
+        self.aligning.progress = pieces.fold(self.aligning.progress, f64::max);
         if self.now - self.aligning.progress > NO_PROGRESS {
             self.aligning.gave_up = self.now;
         }
--- a/crates/sandtrack-replication/src/calls.rs
+++ b/crates/sandtrack-replication/src/calls.rs
@@ -4,6 +4,7 @@
 
 use borsh::BorshSerialize;
 
+use crate::chain::SLOWEST_LINK;
 use crate::image::Record;
 use crate::message::{Body, CallId, Entry, Position};
 use crate::{Address, Effect, Member, Refusal, Replica, StateMachine};
@@ -12,6 +13,8 @@
 const FRESH: f64 = 1000.0;
 /// Who waits at the head is forgotten after as many milliseconds.
 const WAITING: f64 = 10_000.0;
+/// Links that a command passes, one after the other, before it is answered: to the head, and down a chain of three.
+const LINKS: f64 = 3.0;
 /// Commands and bytes in one write.
 const BATCH: usize = 64;
 const BATCH_BYTES: usize = 1 << 20;
@@ -47,6 +50,13 @@
 }
 
 impl Pending {
+    /// Milliseconds that it may be on its way before it counts as lost: one that is long travels in pieces, which are
+    /// repeated by themselves.
+    fn on_its_way(&self) -> f64 {
+        let (Kind::Submit(bytes) | Kind::Read(bytes)) = &self.kind;
+        LINKS * bytes.len() as f64 / SLOWEST_LINK
+    }
+
     /// Why there was no answer.
     fn refusal(&self) -> Refusal {
         match &self.kind {
@@ -282,7 +292,12 @@
             if now - pending.began > timings.call {
                 effects.push(Effect::Answer { call: pending.call, result: Err(pending.refusal()) });
                 self.calls.pending.remove(&number);
-            } else if now - pending.tried >= timings.repeat {
+                continue;
+            }
+            let call = CallId { origin: self.me.address.clone(), start: self.start, number };
+            let stuck = self.fragments.is_stuck(&call, now);
+            let on_its_way = if stuck { 0.0 } else { pending.on_its_way() };
+            if now - pending.tried >= timings.repeat + on_its_way {
                 self.route(number, effects);
             }
         }
--- a/crates/sandtrack-replication/src/chain.rs
+++ b/crates/sandtrack-replication/src/chain.rs
@@ -13,7 +13,7 @@
 /// Bytes that may be passed and not yet acknowledged when more is passed.
 const WINDOW: usize = 4 * LOT;
 /// Bytes for each millisecond of the slowest link: what was passed is on its way for that long before it counts as lost.
-const SLOWEST_LINK: f64 = 600.0;
+pub(crate) const SLOWEST_LINK: f64 = 600.0;
 
 /// What a member knows of the chain in the epoch of the view on its disk. Lost at a restart, and found again
 /// by the statuses of the neighbours.
--- a/crates/sandtrack-replication/src/disk.rs
+++ b/crates/sandtrack-replication/src/disk.rs
@@ -94,6 +94,12 @@
         self.accept = None;
     }
 
+    /// Whether the log is being written.
+    pub(crate) fn is_writing_log(&self) -> bool {
+        let of_log = |record: &Record| matches!(record, Record::Entry { .. } | Record::Cut { .. });
+        self.in_flight.as_ref().is_some_and(|write| write.records.iter().any(of_log))
+    }
+
     /// Whether a call's command is being written.
     pub(crate) fn is_writing(&self, call: &CallId) -> bool {
         self.in_flight.as_ref().is_some_and(|write| write.calls.contains(call))
--- a/crates/sandtrack-replication/src/display.rs
+++ b/crates/sandtrack-replication/src/display.rs
@@ -73,6 +73,16 @@
             Self::Piece { id, offset, bytes } => {
                 write!(f, "piece of {id}, {} bytes from byte {offset}", bytes.len())
             }
+            Self::Fragment { id, length, offset, bytes } => {
+                write!(
+                    f,
+                    "fragment of long message {id}, {} bytes from byte {offset} of {length}",
+                    bytes.len()
+                )
+            }
+            Self::FragmentTaken { id, received } => {
+                write!(f, "long message {id} taken up to byte {received}")
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/sandtrack-replication/src/fragments.rs
@@ -0,0 +1,332 @@
+//! Long messages on their way to another replica: they travel in pieces, few of them unacknowledged, so that heartbeats
+//! and what else is short pass between them on a slow link. One long message at a time is on its way to a receiver; it
+//! is repeated from the last acknowledged byte, so a break of the link costs no more than the pieces that were under
+//! way. Snapshots have their own way (`transfer`): they are asked for, and shared by all receivers.
+use std::collections::{BTreeMap, VecDeque};
+
+use borsh::BorshSerialize;
+
+use crate::alignment::LOT;
+use crate::message::{Body, CallId, Entry, Position};
+use crate::{Address, Effect, Member, Message, Replica, StateMachine};
+
+/// Bytes of entries, or of a command, up to which a message travels whole.
+const WHOLE: usize = LOT;
+/// Bytes of a piece: 13 ms on a link of 10 Mbit/s.
+const PIECE: usize = 16 * 1024;
+/// Bytes that may be sent and not acknowledged.
+const WINDOW: u64 = 4 * PIECE as u64;
+/// Bytes of the longest message that is taken, as in the control plane's frames.
+const LONGEST: u64 = 64 << 20;
+/// Bytes that may wait for one receiver when another long message is added.
+const WAITING: usize = 16 << 20;
+/// Milliseconds without an acknowledgement after which pieces are sent again.
+const SEND_AGAIN: f64 = 400.0;
+/// Milliseconds without an acknowledgement, or without a piece, after which a message is given up.
+const GIVEN_UP: f64 = 3000.0;
+
+/// What a long message is about: one that is under way is not added again.
+#[derive(Clone, Debug, PartialEq, BorshSerialize)]
+enum Topic {
+    /// Entries of the log, first to last. They belong to one epoch.
+    Pass {
+        first: Position,
+        last: Position,
+    },
+    /// As above, for a member that is brought in line.
+    InLine {
+        first: Position,
+        last: Position,
+    },
+    /// Committed entries for an observer.
+    Learn {
+        first: Position,
+        last: Position,
+    },
+    Submit(CallId),
+    /// An answer, or a question.
+    Other(CallId),
+}
+
+impl Topic {
+    fn belongs_to_an_epoch(&self) -> bool {
+        matches!(self, Self::Pass { .. } | Self::InLine { .. })
+    }
+}
+
+/// A message that is being sent.
+#[derive(Clone, Debug, BorshSerialize)]
+struct Outgoing {
+    id: u64,
+    epoch: u64,
+    topic: Topic,
+    bytes: Vec<u8>,
+    /// Up to which byte it was sent, and acknowledged.
+    sent: u64,
+    acknowledged: u64,
+    /// When it was last acknowledged, or sent anew.
+    moved: f64,
+    /// When an acknowledgement last brought it forward.
+    progress: f64,
+}
+
+impl Outgoing {
+    /// The pieces to send now, with their offsets.
+    fn next_pieces(&mut self) -> Vec<(u64, Vec<u8>)> {
+        let length = self.bytes.len() as u64;
+        let mut pieces = Vec::new();
+        while self.sent < length.min(self.acknowledged + WINDOW) {
+            let start = self.sent as usize;
+            let end = (start + PIECE).min(self.bytes.len());
+            pieces.push((self.sent, self.bytes[start..end].to_vec()));
+            self.sent = end as u64;
+        }
+        pieces
+    }
+}
+
+/// What comes from one sender.
+#[derive(Clone, Debug, Default, BorshSerialize)]
+struct Incoming {
+    /// The last message that came whole; they are numbered from 1.
+    finished: u64,
+    /// The message that is coming; its bytes up to the first piece that lacks.
+    id: u64,
+    bytes: Vec<u8>,
+    /// Pieces that came before one in front of them.
+    early: BTreeMap<u64, Vec<u8>>,
+    /// When a piece last came.
+    progress: f64,
+}
+
+impl Incoming {
+    fn begin(&mut self, id: u64) {
+        *self = Self { finished: self.finished, id, ..Self::default() };
+    }
+
+    fn received(&self) -> u64 {
+        self.bytes.len() as u64
+    }
+
+    fn is_under_way(&self) -> bool {
+        self.id > self.finished
+    }
+
+    fn take(&mut self, offset: u64, bytes: Vec<u8>) {
+        if offset >= self.received() && offset < self.received() + WINDOW && !bytes.is_empty() {
+            self.early.insert(offset, bytes);
+        }
+        while let Some(bytes) = self.early.remove(&self.received()) {
+            self.bytes.extend(bytes);
+        }
+    }
+}
+
+/// The long messages that are being sent and received.
+#[derive(Clone, Debug, Default, BorshSerialize)]
+pub(crate) struct Fragments {
+    last_id: u64,
+    outgoing: BTreeMap<Address, VecDeque<Outgoing>>,
+    incoming: BTreeMap<Address, Incoming>,
+}
+
+impl Fragments {
+    /// Another process is there under this address: nothing that was under way has a meaning to it.
+    pub(crate) fn forget(&mut self, address: &Address) {
+        self.outgoing.remove(address);
+        self.incoming.remove(address);
+    }
+
+    /// Drops what would be refused, as it belongs to an earlier epoch.
+    pub(crate) fn drop_earlier_epochs(&mut self, epoch: u64) {
+        for queue in self.outgoing.values_mut() {
+            queue.retain(|outgoing| outgoing.epoch == epoch || !outgoing.topic.belongs_to_an_epoch());
+        }
+        self.outgoing.retain(|_, queue| !queue.is_empty());
+    }
+
+    /// Whether a long call waits for a receiver that has acknowledged nothing for a while.
+    pub(crate) fn is_stuck(&self, call: &CallId, now: f64) -> bool {
+        let holds = |queue: &VecDeque<Outgoing>| {
+            queue
+                .iter()
+                .any(|outgoing| matches!(&outgoing.topic, Topic::Submit(it) | Topic::Other(it) if it == call))
+        };
+        let stands = |queue: &VecDeque<Outgoing>| {
+            queue.front().is_some_and(|outgoing| now - outgoing.progress > SEND_AGAIN)
+        };
+        self.outgoing.values().any(|queue| stands(queue) && holds(queue))
+    }
+
+    /// Whether a long message of a process is on its way here.
+    pub(crate) fn is_receiving(&self, from: &Address) -> bool {
+        self.incoming.get(from).is_some_and(Incoming::is_under_way)
+    }
+
+    /// When a piece last came from a process, in milliseconds.
+    pub(crate) fn progress(&self, from: &Address) -> Option<f64> {
+        self.incoming.get(from).map(|incoming| incoming.progress)
+    }
+
+    /// Bytes that are kept for long messages under way.
+    fn bytes(&self) -> usize {
+        let outgoing = self.outgoing.values().flatten().map(|outgoing| outgoing.bytes.len());
+        let incoming = self.incoming.values().map(|incoming| incoming.bytes.len());
+        outgoing.chain(incoming).sum()
+    }
+}
+
+impl Body {
+    /// What a message is about that is too long to travel whole; None for all others.
+    fn long_topic(&self) -> Option<Topic> {
+        let span = |entries: &[Entry]| Some((entries.first()?.at, entries.last()?.at));
+        let is_long = |entries: &[Entry]| entries.iter().map(Entry::size).sum::<usize>() > WHOLE;
+        match self {
+            Self::Pass { entries } if is_long(entries) => {
+                span(entries).map(|(first, last)| Topic::Pass { first, last })
+            }
+            Self::InLine { entries, .. } if is_long(entries) => {
+                span(entries).map(|(first, last)| Topic::InLine { first, last })
+            }
+            Self::Learn { entries, .. } if is_long(entries) => {
+                span(entries).map(|(first, last)| Topic::Learn { first, last })
+            }
+            Self::Submit { call, command, .. } if command.len() > WHOLE => Some(Topic::Submit(call.clone())),
+            Self::Read { call, question: bytes, .. }
+            | Self::ReadPass { call, question: bytes, .. }
+            | Self::ReadOutcome { call, answer: bytes }
+            | Self::Outcome { call, outcome: bytes }
+                if bytes.len() > WHOLE =>
+            {
+                Some(Topic::Other(call.clone()))
+            }
+            _ => None,
+        }
+    }
+}
+
+impl<M: StateMachine> Replica<M> {
+    /// Bytes of long messages under way, to and from here.
+    pub fn fragment_bytes(&self) -> usize {
+        self.fragments.bytes()
+    }
+
+    /// Sends a message, in pieces when it is long.
+    pub(crate) fn transmit(&mut self, to: &Address, message: Message, effects: &mut Vec<Effect>) {
+        let Some(topic) = message.body.long_topic() else {
+            effects.push(Effect::Send { to: to.clone(), message });
+            return;
+        };
+        let queue = self.fragments.outgoing.entry(to.clone()).or_default();
+        let waiting: usize = queue.iter().map(|outgoing| outgoing.bytes.len()).sum();
+        let is_there = queue.iter().any(|outgoing| outgoing.topic == topic);
+        if is_there || waiting > WAITING {
+            return; // whoever wants it sends it again
+        }
+        self.fragments.last_id += 1;
+        queue.push_back(Outgoing {
+            id: self.fragments.last_id,
+            epoch: message.epoch,
+            topic,
+            // Writing into memory can't fail.
+            bytes: borsh::to_vec(&message).unwrap_or_default(),
+            sent: 0,
+            acknowledged: 0,
+            moved: self.now,
+            progress: self.now,
+        });
+        self.send_pieces(to, effects);
+    }
+
+    /// Sends what may be under way of the first message that waits for a receiver.
+    fn send_pieces(&mut self, to: &Address, effects: &mut Vec<Effect>) {
+        let Some(outgoing) = self.fragments.outgoing.get_mut(to).and_then(VecDeque::front_mut) else {
+            return;
+        };
+        let (id, length) = (outgoing.id, outgoing.bytes.len() as u64);
+        for (offset, bytes) in outgoing.next_pieces() {
+            self.send(to, Body::Fragment { id, length, offset, bytes }, effects);
+        }
+    }
+
+    pub(crate) fn take_fragment(
+        &mut self, sender: &Member, id: u64, length: u64, offset: u64, bytes: Vec<u8>,
+        effects: &mut Vec<Effect>,
+    ) {
+        if length > LONGEST {
+            return;
+        }
+        let incoming = self.fragments.incoming.entry(sender.address.clone()).or_default();
+        if id > incoming.finished {
+            if id > incoming.id {
+                incoming.begin(id);
+            }
+            if id < incoming.id {
+                return; // the sender gave it up
+            }
+            incoming.take(offset, bytes);
+            incoming.progress = self.now;
+        }
+        let received = if id > incoming.finished { incoming.received() } else { length };
+        let mut whole = None;
+        if id > incoming.finished && received >= length {
+            incoming.finished = id;
+            whole = Some(std::mem::take(&mut incoming.bytes));
+        }
+        self.send(&sender.address, Body::FragmentTaken { id, received }, effects);
+        let message = whole.and_then(|bytes| borsh::from_slice::<Message>(&bytes).ok());
+        // A message of this kind within another is none of ours.
+        if let Some(message) = message.filter(|message| message.body.long_topic().is_some()) {
+            self.take(sender, message, effects);
+        }
+    }
+
+    pub(crate) fn take_fragment_taken(
+        &mut self, sender: &Member, id: u64, received: u64, effects: &mut Vec<Effect>,
+    ) {
+        let now = self.now;
+        let Some(queue) = self.fragments.outgoing.get_mut(&sender.address) else {
+            return;
+        };
+        let Some(outgoing) = queue.front_mut().filter(|outgoing| outgoing.id == id) else {
+            return;
+        };
+        if received > outgoing.acknowledged {
+            outgoing.acknowledged = received;
+            outgoing.sent = outgoing.sent.max(received);
+            (outgoing.moved, outgoing.progress) = (now, now);
+        }
+        if outgoing.acknowledged >= outgoing.bytes.len() as u64 {
+            queue.pop_front();
+            if let Some(next) = queue.front_mut() {
+                (next.moved, next.progress) = (now, now);
+            }
+        }
+        self.send_pieces(&sender.address, effects);
+    }
+
+    /// Sends again what was not acknowledged, and gives up what gets nowhere.
+    pub(crate) fn fragments_tick(&mut self, effects: &mut Vec<Effect>) {
+        let now = self.now;
+        let is_moving = |queue: &VecDeque<Outgoing>| {
+            queue.front().is_some_and(|outgoing| now - outgoing.progress <= GIVEN_UP)
+        };
+        self.fragments.outgoing.retain(|_, queue| is_moving(queue));
+        for incoming in self.fragments.incoming.values_mut() {
+            if incoming.is_under_way() && now - incoming.progress > GIVEN_UP {
+                incoming.begin(incoming.finished);
+            }
+        }
+        let mut late = Vec::new();
+        for (address, queue) in &mut self.fragments.outgoing {
+            if let Some(outgoing) = queue.front_mut().filter(|outgoing| now - outgoing.moved > SEND_AGAIN) {
+                outgoing.sent = outgoing.acknowledged;
+                outgoing.moved = now;
+                late.push(address.clone());
+            }
+        }
+        for address in late {
+            self.send_pieces(&address, effects);
+        }
+    }
+}
--- a/crates/sandtrack-replication/src/lib.rs
+++ b/crates/sandtrack-replication/src/lib.rs
@@ -5,7 +5,7 @@
 //! Why it is safe is told in `docs/system/control.md`; each rule stands where it is kept:
 //! `agreement` (one view for each epoch), `reconfiguration` (which view to propose), `chain` (passing down, commits
 //! back up), `alignment` (a member is brought in line with its predecessor), `reads`, `calls` (a caller's
-//! submit or read on its way to the head), `learning` (observers), `transfer` (snapshots, piece by piece), `disk` (one write at a time).
+//! submit or read on its way to the head), `learning` (observers), `transfer` (snapshots, piece by piece), `fragments` (long messages, piece by piece), `disk` (one write at a time).
 #![forbid(unsafe_code)]
 mod agreement;
 mod alignment;
@@ -16,6 +16,7 @@
 mod disk;
 mod display;
 mod fingerprint;
+mod fragments;
 mod image;
 mod learning;
 mod message;
--- a/crates/sandtrack-replication/src/message.rs
+++ b/crates/sandtrack-replication/src/message.rs
@@ -112,6 +112,18 @@
         offset: u64,
         bytes: Vec<u8>,
     },
+    /// A piece of the sender's long message `id`, which has `length` bytes.
+    Fragment {
+        id: u64,
+        length: u64,
+        offset: u64,
+        bytes: Vec<u8>,
+    },
+    /// All pieces of a long message up to this byte came.
+    FragmentTaken {
+        id: u64,
+        received: u64,
+    },
 }
 
 /// Which snapshot it is: the same on every member that takes one at that position.
--- a/crates/sandtrack-replication/src/replica.rs
+++ b/crates/sandtrack-replication/src/replica.rs
@@ -9,6 +9,7 @@
 use crate::calls::Calls;
 use crate::chain::ChainState;
 use crate::disk::DiskState;
+use crate::fragments::Fragments;
 use crate::image::Image;
 use crate::message::{Body, DiskHealth, Message, Status};
 use crate::peers::Peers;
@@ -42,6 +43,7 @@
     pub(crate) chain: ChainState,
     pub(crate) aligning: Aligning,
     pub(crate) transfers: Transfers,
+    pub(crate) fragments: Fragments,
     pub(crate) calls: Calls,
     /// Whom this process learns from while it is outside the chain.
     pub(crate) source: Option<Address>,
@@ -85,6 +87,7 @@
             chain: ChainState::default(),
             aligning: Aligning::default(),
             transfers: Transfers::default(),
+            fragments: Fragments::default(),
             calls: Calls::default(),
             source: None,
             unheard_pulse: f64::NEG_INFINITY,
@@ -201,7 +204,7 @@
         if *to == self.me.address {
             self.inward.push_back(message);
         } else {
-            effects.push(Effect::Send { to: to.clone(), message });
+            self.transmit(to, message, effects);
         }
     }
 
@@ -223,6 +226,7 @@
         }
         let anew = self.peers.heard(self.now, from, message.incarnation, message.start, message.epoch);
         if anew {
+            self.fragments.forget(from);
             self.send_status(from, effects);
         }
         self.tell_views(from, &message, effects);
@@ -230,7 +234,7 @@
         self.take(&sender, message, effects);
     }
 
-    fn take(&mut self, sender: &Member, message: Message, effects: &mut Vec<Effect>) {
+    pub(crate) fn take(&mut self, sender: &Member, message: Message, effects: &mut Vec<Effect>) {
         let now_in = message.epoch == self.image.view.epoch && message.epoch == self.latest.epoch;
         match *message.body {
             Body::Status(status) => self.take_status(sender, message.epoch, status, effects),
@@ -246,6 +250,10 @@
             Body::Offer(id) => self.take_offer(sender, id, effects),
             Body::Fetch { id, offset } => self.take_fetch(sender, id, offset, effects),
             Body::Piece { id, offset, bytes } => self.take_piece(sender, id, offset, bytes, effects),
+            Body::Fragment { id, length, offset, bytes } => {
+                self.take_fragment(sender, id, length, offset, bytes, effects);
+            }
+            Body::FragmentTaken { id, received } => self.take_fragment_taken(sender, id, received, effects),
             // What follows belongs to one epoch, and is refused in any other.
             _ if !now_in => {}
             Body::Prepare { ballot } => self.take_prepare(sender, ballot, effects),
@@ -299,6 +307,7 @@
     pub(crate) fn enter(&mut self, effects: &mut Vec<Effect>) {
         self.chain = ChainState::new(self.image.end().number);
         self.aligning.begin_anew();
+        self.fragments.drop_earlier_epochs(self.image.view.epoch);
         self.disk.drop_wanted();
         self.choose_source();
         for address in self.image.view.addresses() {
@@ -361,6 +370,7 @@
         self.choose_source();
         self.ask_to_be_aligned(effects);
         self.transfers_tick(effects);
+        self.fragments_tick(effects);
         self.chain_tick(effects);
         self.agreement_tick(effects);
         self.calls_tick(effects);
--- a/crates/sandtrack-replication/tests/world/mod.rs
+++ b/crates/sandtrack-replication/tests/world/mod.rs
@@ -97,11 +97,31 @@
     /// From, to.
     pub cut: BTreeSet<(usize, usize)>,
     pub bandwidth: Bandwidth,
+    pub heartbeats: Heartbeats,
     /// Messages to a machine with these words are lost, or come with a flipped bit.
     pub lost_words: Option<(usize, &'static str)>,
     pub flipped_words: Option<(usize, &'static str)>,
 }
 
+/// When the last heartbeat of each machine came to each other one, and the longest that one kept another waiting.
+#[derive(Clone, Debug, Default)]
+pub struct Heartbeats {
+    last: BTreeMap<(usize, usize), Time>,
+    pub longest: Time,
+}
+
+impl Heartbeats {
+    fn came(&mut self, now: Time, from: usize, to: usize) {
+        if let Some(before) = self.last.insert((from, to), now) {
+            self.longest = self.longest.max(now - before);
+        }
+    }
+
+    pub fn clear(&mut self) {
+        *self = Self::default();
+    }
+}
+
 /// A call and what came of it.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -159,6 +179,7 @@
                 between_regions: 0.0,
                 cut: BTreeSet::new(),
                 bandwidth: Bandwidth::default(),
+                heartbeats: Heartbeats::default(),
                 lost_words: None,
                 flipped_words: None,
             },
@@ -411,6 +432,9 @@
                     }
                 }
                 self.messages += 1;
+                if message.is_status() {
+                    self.network.heartbeats.came(self.now, from, to);
+                }
                 self.say(|world| format!("{} -> {}: {message}", name(from), world.nodes[to].address));
                 let input = Input::Received { from: self.nodes[from].address.clone(), message };
                 self.input(to, input);
