--- a/crates/sandtrack-control/tests/guards.rs
+++ b/crates/sandtrack-control/tests/guards.rs
@@ -6,7 +6,7 @@
 use sandtrack_control::arrivals::Arrival;
 use sandtrack_control::control_state::{Command, ControlState, Form, Outcome};
 use sandtrack_control::operator_calls::{Known, OperatorCalls, Step};
-use sandtrack_control::reader::{Call, Claim, Duty, Page, PeerReport, Reader, HOLDER_SILENT_MS};
+use sandtrack_control::reader::{Call, Claim, Page, PeerReport, Reader, ReaderElection, HOLDER_SILENT_MS};
 use sandtrack_control::upstreams::Upstreams;
 use sandtrack_protocol::frames::ToProxy;
 use sandtrack_replication::StateMachine;
@@ -40,10 +40,10 @@
 /// Whether `b` takes the duty of `a`, which fell silent, when `c` says this.
 fn takes_over(report: PeerReport) -> bool {
     let names = ["a", "b", "c"].map(str::to_owned);
-    let mut duty = Duty::new("b", 0.0);
-    duty.told(0.0, "a", &claim(1, "a"));
+    let mut election = ReaderElection::new("b", 0.0);
+    election.heard_claim(0.0, "a", &claim(1, "a"));
     let live = BTreeMap::from([("c".to_owned(), report)]);
-    duty.tick(HOLDER_SILENT_MS + 1.0, &names, &live, &names)
+    election.take_over(HOLDER_SILENT_MS + 1.0, &names, &live, &names)
 }
 
 #[test]
@@ -107,6 +107,10 @@
         0
     }
 
+    fn version_taken(&self, _: &Command) -> Option<u64> {
+        None
+    }
+
     fn names_zone(&self, _: &str) -> bool {
         false
     }
@@ -132,10 +136,10 @@
 fn one_that_reads_for_itself_takes_a_third_of_the_pace() {
     let pause_between_pages = |alone: bool| {
         let mut reader = Reader::default();
-        assert!(reader.due(0.0, alone, 50.0).is_some());
+        assert!(reader.next_page(0.0, alone, 50.0).is_some());
         let page = Page { next_token: Some("p-2".to_owned()), ..Page::default() };
-        reader.done(1.0, alone, Call::Page(page), &mut Upstreams::default());
-        (0..1000).find(|now| reader.due(f64::from(*now), alone, 50.0).is_some())
+        reader.answered(1.0, alone, Call::Page(page), &mut Upstreams::default());
+        (0..1000).find(|now| reader.next_page(f64::from(*now), alone, 50.0).is_some())
     };
     assert_eq!((pause_between_pages(false), pause_between_pages(true)), (Some(34), Some(100)));
 }
