Replication: a message that was sent before others that came already is no sign of life

Cause: whatever came of a machine counted as heard when it came, and any status that named this process as heard kept the link two-way. Messages that a network held back for seconds so kept a machine in the chain that was gone, and no order was acknowledged meanwhile.

Change: each message names when it was sent by its sender's steady clock. One that was sent before the latest that came from the same start does not renew the contact, and an older status does not replace a newer one.

--- a/crates/sandtrack-replication/src/message.rs
+++ b/crates/sandtrack-replication/src/message.rs
@@ -18,6 +18,8 @@
     /// The latest epoch whose view the sender knows, or accepted on its disk. That view may have been decided, so the
     /// sender speaks for no earlier one.
     pub(crate) bound: u64,
+    /// When it was sent, in microseconds of the sender's steady clock; it says nothing beside those of another start.
+    pub(crate) sent: u64,
     pub(crate) body: Box<Body>,
 }
 
--- a/crates/sandtrack-replication/src/peers.rs
+++ b/crates/sandtrack-replication/src/peers.rs
@@ -11,10 +11,14 @@
 
 #[derive(Clone, Debug, BorshSerialize)]
 pub(crate) struct Peer {
-    /// The last message of it.
+    /// When a message of it came that was sent no earlier than all before: a late one is no sign of life.
     pub(crate) heard: f64,
-    /// The last status of it that says that it hears this process.
+    /// When a status of it came that says that it hears this process, and was sent no earlier than all statuses before.
     pub(crate) listed: f64,
+    /// Of the message that came last, the latest message, and the latest status: when it was sent.
+    sent: u64,
+    latest_sent: u64,
+    latest_status: u64,
     pub(crate) incarnation: u64,
     pub(crate) start: u64,
     pub(crate) epoch: u64,
@@ -47,10 +51,13 @@
 impl Peers {
     /// Takes note of a message; true when the sender is new or started anew.
     pub(crate) fn heard(&mut self, now: f64, from: &Address, message: &Message) -> bool {
-        let Message { incarnation, start, epoch, bound, .. } = *message;
+        let Message { incarnation, start, epoch, bound, sent, .. } = *message;
         let peer = self.all.entry(from.clone()).or_insert_with(|| Peer {
             heard: now,
             listed: f64::NEG_INFINITY,
+            sent,
+            latest_sent: sent,
+            latest_status: 0,
             incarnation,
             start: start.wrapping_add(1),
             epoch,
@@ -60,7 +67,6 @@
             status_sent: f64::NEG_INFINITY,
             learned: Learned::default(),
         });
-        peer.heard = now;
         let anew = (peer.start, peer.incarnation) != (start, incarnation);
         if anew {
             peer.start = start;
@@ -69,15 +75,23 @@
             peer.bound = bound;
             peer.status = None;
             peer.listed = f64::NEG_INFINITY;
+            peer.latest_sent = sent;
+            peer.latest_status = 0;
             peer.learned = Learned::default();
         }
+        peer.sent = sent;
+        if sent >= peer.latest_sent {
+            peer.latest_sent = sent;
+            peer.heard = now;
+        }
         peer.epoch = peer.epoch.max(epoch);
         peer.bound = peer.bound.max(bound);
         anew
     }
 
     pub(crate) fn status(&mut self, now: f64, from: &Address, me: &Address, status: Status) {
-        if let Some(peer) = self.all.get_mut(from) {
+        if let Some(peer) = self.all.get_mut(from).filter(|peer| peer.sent >= peer.latest_status) {
+            peer.latest_status = peer.sent;
             if status.hears.contains(me) {
                 peer.listed = now;
             }
--- a/crates/sandtrack-replication/src/replica.rs
+++ b/crates/sandtrack-replication/src/replica.rs
@@ -198,6 +198,7 @@
             start: self.start,
             epoch: self.image.view.epoch,
             bound: self.bound(),
+            sent: (self.now * 1000.0) as u64,
             body: Box::new(body),
         };
         if *to == self.me.address {
--- a/crates/sandtrack-replication/tests/rare.rs
+++ b/crates/sandtrack-replication/tests/rare.rs
@@ -289,3 +289,29 @@
         assert_eq!(world.outcome(call), Some(Ok("won 1".to_string())));
     }
 }
+
+/// Messages that a network held back come for seconds after their sender was killed. They were sent before others that came
+/// already: nobody takes them for a sign of life.
+#[test]
+fn late_messages_of_a_machine_that_is_gone_are_no_sign_of_life() {
+    let statuses = ["m3 -> m1: e1 status", "m3 -> m2: e1 status"];
+    let mut world = calm(3, 0, 1);
+    for _ in 0..10 {
+        world.hold = statuses.map(str::to_owned).to_vec();
+        world.run(400.0);
+        world.hold.clear();
+        world.run(600.0);
+    }
+    world.kill(2);
+    for _ in 0..10 {
+        for begin in statuses {
+            assert!(world.release(begin), "a status of it still comes");
+        }
+        world.run(200.0);
+    }
+    let view = world.checks.newest_view().unwrap();
+    assert!(view.chain.iter().all(|member| member.address != "m3"), "it is left out: {view:?}");
+    let call = world.submit(0, 0);
+    world.run(500.0);
+    assert_eq!(world.outcome(call), Some(Ok("won 1".to_string())));
+}
