An evacuation order that was overtaken is never stamped anew

Cause: an order for a zone that the chain refused as overtaken was stamped anew while its call was younger than 400 ms, since its caller would wait for a second. But callers also go on after a failure: one whose connection ended was acknowledged elsewhere, a later order after it, and the first copy then undid that one. A call that waited for its zone to be known got its stamp late in the same way.

Ruled out: watching the caller's connection; its end can be as late as the order.

Change: the stamp is that of when the call was read, for both; an overtaken order is answered with 503 (E307) and comes back under a new stamp when its caller sends it again.

Tests: the test that demanded the stamp anew within 400 ms is replaced by one that allows it never (`an_overtaken_order_is_never_stamped_anew`), and `an_order_that_waited_for_its_zone_to_be_known_keeps_its_stamp` is new.

--- a/crates/sandtrack-control/src/operator_calls.rs
+++ b/crates/sandtrack-control/src/operator_calls.rs
@@ -49,14 +49,13 @@
     Repeat {
         version: u64,
     },
-    Evacuation {
-        zone: String,
-        begin: bool,
-    },
-    /// For the chain to answer at all, before it is said that there is no such zone.
+    Evacuation,
+    /// For the chain to answer at all, before it is said that there is no such zone. `seen` is the stamp of the order, of when
+    /// the call was read.
     Zone {
         zone: String,
         begin: bool,
+        seen: u64,
     },
     Read,
 }
@@ -152,18 +151,19 @@
                 Step::Read { call, question: Question::Configuration }
             }
             Order::Evacuate { zone, begin } if known.names_zone(&zone) => {
-                wait(Waits::Evacuation { zone: zone.clone(), begin });
+                wait(Waits::Evacuation);
                 let seen = known.last_order(&zone);
                 self.order_evacuation(now, call, zone, begin, seen)
             }
             Order::Evacuate { zone, begin } => {
-                wait(Waits::Zone { zone, begin });
+                let seen = known.last_order(&zone);
+                wait(Waits::Zone { zone, begin, seen });
                 Step::Read { call, question: Question::Contact }
             }
         }
     }
 
-    /// Stamps the order with what is known now, unless its caller may have sent it elsewhere by now.
+    /// Submits the order under the stamp that it got when it was read, unless its caller may have sent it elsewhere by now.
     fn order_evacuation(&mut self, now: Millis, call: u64, zone: String, begin: bool, seen: u64) -> Step {
         let recent = |pending: &&Pending| self.awake.is_recent(now, &pending.arrival);
         if self.pending.get(&call).filter(recent).is_none() {
@@ -179,21 +179,15 @@
     ) -> Option<Step> {
         let waits = self.pending.get(&call)?.waits.clone();
         match waits {
-            Waits::Zone { zone, begin } if result.is_ok() && known.names_zone(&zone) => {
+            Waits::Zone { zone, begin, seen } if result.is_ok() && known.names_zone(&zone) => {
                 if let Some(pending) = self.pending.get_mut(&call) {
-                    pending.waits = Waits::Evacuation { zone: zone.clone(), begin };
+                    pending.waits = Waits::Evacuation;
                 }
-                let seen = known.last_order(&zone);
                 Some(self.order_evacuation(now, call, zone, begin, seen))
             }
-            Waits::Evacuation { zone, begin } => match outcome(result) {
-                Ok(Outcome::Superseded { number }) => {
-                    // What is known here may lag behind the chain.
-                    let seen = known.last_order(&zone).max(number);
-                    Some(self.order_evacuation(now, call, zone, begin, seen))
-                }
-                other => Some(self.end(call, control::outcome(other))),
-            },
+            // One that was overtaken is not stamped anew: its caller may have gone on to another control node, and may have
+            // been acknowledged there, and a later order after it.
+            Waits::Evacuation => Some(self.end(call, control::outcome(outcome(result)))),
             Waits::Zone { zone, .. } => {
                 let reply = result.map_or_else(control::refused, |_| control::unknown_zone(&zone));
                 Some(self.end(call, reply))
--- a/crates/sandtrack-control/tests/late_orders.rs
+++ b/crates/sandtrack-control/tests/late_orders.rs
@@ -3,7 +3,7 @@
 use common::cluster::Cluster;
 use common::{good, message};
 use sandtrack_control::arrivals::{Arrival, Awake, ARRIVAL_MS, HELD_UP_MS};
-use sandtrack_control::control_state::{Command, ControlState, Outcome};
+use sandtrack_control::control_state::{Command, ControlState, Outcome, Question};
 use sandtrack_control::operator_calls::{Known, OperatorCalls, Step};
 use sandtrack_replication::StateMachine;
 
@@ -144,6 +144,27 @@
     }
 }
 
+/// A zone that nothing names here yet, with the number of the last order for it.
+struct NoZone(u64);
+
+impl Known for NoZone {
+    fn passes_callers_on(&self) -> bool {
+        false
+    }
+
+    fn last_order(&self, _: &str) -> u64 {
+        self.0
+    }
+
+    fn version_taken(&self, _: &Command) -> Option<u64> {
+        None
+    }
+
+    fn names_zone(&self, _: &str) -> bool {
+        false
+    }
+}
+
 fn begin(calls: &mut OperatorCalls, now: f64, arrival: Arrival) -> (u64, Step) {
     let call = calls.begin(arrival);
     (call, calls.call(now, call, &message("POST", BEGIN, &[], ""), &Zone(4)))
@@ -194,17 +215,31 @@
 }
 
 #[test]
-fn an_overtaken_order_is_stamped_anew_only_while_it_is_recent() {
+fn an_overtaken_order_is_never_stamped_anew() {
     let overtaken = borsh::to_vec(&Outcome::Superseded { number: 6 }).expect("an outcome");
+    for after in [0.0, 1.0, 50.0, ARRIVAL_MS, ARRIVAL_MS + 1.0] {
+        let mut calls = OperatorCalls::new(0.0);
+        (0..20).for_each(|at| drop(calls.look(f64::from(at) * 100.0)));
+        let (call, _) = begin(&mut calls, 1900.0, Arrival::at(1900.0));
+        let step = calls.answer(1900.0 + after, call, Ok(overtaken.clone()), &Zone(4)).expect("a step");
+        assert!(is_refused(&step), "its caller may have gone on {after} ms after it came: {step:?}");
+        let taken = borsh::to_vec(&Outcome::Taken { version: 7 }).expect("an outcome");
+        assert_eq!(calls.answer(2350.0, call, Ok(taken), &Zone(6)), None, "answered once");
+    }
+}
+
+/// A call for a zone that nothing names here yet waits for the chain; its stamp is that of when it was read.
+#[test]
+fn an_order_that_waited_for_its_zone_to_be_known_keeps_its_stamp() {
     let mut calls = OperatorCalls::new(0.0);
     (0..20).for_each(|at| drop(calls.look(f64::from(at) * 100.0)));
-    let (call, _) = begin(&mut calls, 1900.0, Arrival::at(1900.0));
-    let step = calls.answer(1950.0, call, Ok(overtaken.clone()), &Zone(4)).expect("a step");
-    assert!(is_submitted(&step, 6), "as if it were read now: {step:?}");
-    let step = calls.answer(1900.0 + ARRIVAL_MS + 1.0, call, Ok(overtaken), &Zone(6)).expect("a step");
-    assert!(is_refused(&step), "{step:?}");
-    let taken = borsh::to_vec(&Outcome::Taken { version: 7 }).expect("an outcome");
-    assert_eq!(calls.answer(2350.0, call, Ok(taken), &Zone(6)), None, "answered once");
+    let call = calls.begin(Arrival::at(1900.0));
+    let order = message("POST", BEGIN, &[], "");
+    let step = calls.call(1900.0, call, &order, &NoZone(4));
+    assert_eq!(step, Step::Read { call, question: Question::Contact });
+    let contact = borsh::to_vec(&None::<String>).expect("an answer");
+    let step = calls.answer(1950.0, call, Ok(contact), &Zone(6)).expect("a step");
+    assert!(is_submitted(&step, 4), "{step:?}");
 }
 
 #[test]
