Model: the operators' calls are the real ones, world.rs split by concern, rival views, the duty

The control state of the model was given orders of format 1, so that the mend of the late order (the stamp of SetEvacuation and the age of a call) was not modelled. Calls now go through the control node's OperatorCalls (Clone is derived for it) in front of the real replica; an operator waits a second before it goes elsewhere. A control state that ignores the stamp is a third machine. New set-ups: overtaken-order, and rival-views, in which two voters that do not hear each other propose different views. world.rs is split into state, possible actions, steps, network, machines and callers. The duty to read the platform's list has a model over the real Duty.

--- a/crates/sandtrack-control/src/operator_calls.rs
+++ b/crates/sandtrack-control/src/operator_calls.rs
@@ -62,7 +62,7 @@
     waits: Waits,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct OperatorCalls {
     awake: Awake,
     next: u64,
--- a/crates/sandtrack-model/src/checker.rs
+++ b/crates/sandtrack-model/src/checker.rs
@@ -65,7 +65,7 @@
 }
 
 /// The model as the checker wants it.
-pub struct ReplicationModel<M> {
+pub struct ReplicationModel<M: Machine> {
     initial: World<M>,
     /// All where it is `None`.
     only: Option<String>,
--- a/crates/sandtrack-model/src/history.rs
+++ b/crates/sandtrack-model/src/history.rs
@@ -98,7 +98,7 @@
                 let same = shown.version != open.floor.version || shown == open.floor;
                 self.check(fresh && same, Rule::ReadBack);
             }
-            (Order::Change { based_on, version, mark }, Told::Taken { .. }) => {
+            (Order::Change { based_on, version, mark }, Told::Taken) => {
                 let clash = self.acknowledged.iter().filter(|other| **other != place).any(|other| {
                     matches!(script[*other], Order::Change { based_on: theirs, .. } if theirs == based_on)
                 });
@@ -108,7 +108,7 @@
                 }
                 self.acknowledge(place);
             }
-            (Order::Evacuate { .. }, Told::Taken { .. }) => self.acknowledge(place),
+            (Order::Evacuate { .. }, Told::Taken) => self.acknowledge(place),
             (Order::Change { .. }, _) => self.check(!self.taken.contains(&place), Rule::RepeatRefused),
             _ => self.check(false, Rule::RepeatRefused),
         }
--- a/crates/sandtrack-model/src/lib.rs
+++ b/crates/sandtrack-model/src/lib.rs
@@ -4,8 +4,10 @@
 #![forbid(unsafe_code)]
 pub mod action;
 pub mod checker;
+pub mod duty;
 pub mod hashing;
 pub mod history;
+pub mod interface;
 pub mod machine;
 pub mod node;
 pub mod properties;
--- a/crates/sandtrack-model/src/machine.rs
+++ b/crates/sandtrack-model/src/machine.rs
@@ -1,11 +1,13 @@
-//! The state machines that the replicas run in the model: the real control state with tiny documents, and a register
-//! that does the same for a tenth of the time.
+//! The state machines that the replicas run in the model: the real control state with tiny documents, the same without
+//! the check of an order's stamp, and a register that does the same for a tenth of the time.
 use std::collections::VecDeque;
 
-use sandtrack_control::control_state::{Answer, Command, ControlState, Outcome, Question};
+use sandtrack_control::control_state::{Command, ControlState, Form, Outcome};
 use sandtrack_protocol::document::Document;
 use sandtrack_replication::StateMachine;
 
+use crate::interface::{Direct, Interface, Operators};
+
 /// The zone that the orders of the model evacuate.
 pub const ZONE: &str = "z";
 
@@ -24,7 +26,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Told {
     /// 200.
-    Taken { version: u64 },
+    Taken,
     /// 412.
     OtherVersion,
     /// 400.
@@ -43,16 +45,26 @@
 
 /// A state machine that the model can drive.
 pub trait Machine: StateMachine + Clone + Default + Send + Sync + 'static {
-    /// The bytes of a submit; `None` for a read.
-    fn command(order: Order) -> Option<Vec<u8>>;
-    fn question() -> Vec<u8>;
-    /// The answer to an order, decoded.
-    fn told(order: Order, answer: &[u8]) -> Told;
+    /// What callers meet in front of the replica.
+    type Interface: Interface<Self>;
+    /// Ticks for which a replica tries on with a call.
+    const CALL_TICKS: f64;
+
+    /// Place in the script of the first order that a command may come from.
+    fn place_of(script: &[Order], command: &[u8]) -> Option<usize>;
+    /// Whether a command with this outcome is in force.
+    fn is_taken(outcome: &[u8]) -> bool;
     fn shown(&self) -> Shown;
     fn is_evacuated(&self) -> bool;
 }
 
-fn body(version: u64, mark: char) -> Vec<u8> {
+/// A state machine that is a control state.
+pub trait ControlMachine: Machine {
+    fn control_state(&self) -> &ControlState;
+}
+
+/// A configuration's text.
+pub(crate) fn body(version: u64, mark: char) -> Vec<u8> {
     let limits = r#"{"header_size_bytes":1,"body_size_bytes":1,"header_timeout_ms":1,"idle_timeout_ms":1}"#;
     let route = format!(
         r#"{{"name":"{mark}","host":"h","path_prefix":"/","kind":"read_only","timeout_ms":1,"target_latency_ms":1,"priority":0,"attempts":1,"service":"s"}}"#
@@ -64,7 +76,7 @@
 }
 
 /// The version and the mark of a configuration's text; a foreign text has the mark `?`.
-fn shown_in(text: &str) -> Shown {
+pub(crate) fn shown_in(text: &str) -> Shown {
     let Ok(document) = Document::parse(text.as_bytes()) else {
         return Shown { version: 0, mark: '?' };
     };
@@ -73,32 +85,32 @@
     Shown { version: document.version, mark }
 }
 
-impl Machine for ControlState {
-    fn command(order: Order) -> Option<Vec<u8>> {
-        let command = match order {
-            Order::Change { based_on, version, mark } => {
-                Command::Replace { based_on, body: body(version, mark) }
-            }
-            Order::Evacuate { begin } => Command::Evacuate { zone: ZONE.to_owned(), begin },
-            Order::Read => return None,
-        };
-        borsh::to_vec(&command).ok()
+/// Whether a command of the control state, as it is submitted, carries an order.
+fn carries(command: &Command, order: Order) -> bool {
+    match (command, order) {
+        (Command::Configure { form: Form::Replace, based_on, body: text }, Order::Change { .. }) => {
+            let Order::Change { based_on: theirs, version, mark } = order else { return false };
+            *based_on == theirs && *text == body(version, mark)
+        }
+        (Command::SetEvacuation { begin, .. }, Order::Evacuate { begin: theirs }) => *begin == theirs,
+        _ => false,
     }
+}
 
-    fn question() -> Vec<u8> {
-        borsh::to_vec(&Question::Configuration).unwrap_or_default()
+/// A call is tried on with for as long as its caller waits: 850 ms.
+const CONTROL_CALL_TICKS: f64 = 3.0;
+
+impl Machine for ControlState {
+    type Interface = Operators;
+    const CALL_TICKS: f64 = CONTROL_CALL_TICKS;
+
+    fn place_of(script: &[Order], command: &[u8]) -> Option<usize> {
+        let command = borsh::from_slice(command).ok()?;
+        script.iter().position(|order| carries(&command, *order))
     }
 
-    fn told(order: Order, answer: &[u8]) -> Told {
-        if order == Order::Read {
-            let text: Answer = borsh::from_slice(answer).unwrap_or_default();
-            return Told::Read(text.map(|text| shown_in(&text)).unwrap_or_default());
-        }
-        match borsh::from_slice(answer) {
-            Ok(Outcome::Taken { version }) => Told::Taken { version },
-            Ok(Outcome::Other { .. }) => Told::OtherVersion,
-            _ => Told::Invalid,
-        }
+    fn is_taken(outcome: &[u8]) -> bool {
+        matches!(borsh::from_slice(outcome), Ok(Outcome::Taken { .. }))
     }
 
     fn shown(&self) -> Shown {
@@ -113,6 +125,68 @@
     }
 }
 
+impl ControlMachine for ControlState {
+    fn control_state(&self) -> &ControlState {
+        self
+    }
+}
+
+/// The control state for which every evacuation counts as ordered with knowledge of all before it. It shows that the
+/// stamp is needed: with it, a late order undoes a later one.
+#[derive(Clone, Debug, Default)]
+pub struct Unstamped(ControlState);
+
+impl StateMachine for Unstamped {
+    fn apply(&mut self, number: u64, command: &[u8]) -> Vec<u8> {
+        match borsh::from_slice(command) {
+            Ok(Command::SetEvacuation { zone, begin, .. }) => {
+                let unstamped = Command::SetEvacuation { zone, begin, seen: u64::MAX };
+                self.0.apply(number, &borsh::to_vec(&unstamped).unwrap_or_default())
+            }
+            _ => self.0.apply(number, command),
+        }
+    }
+
+    fn query(&self, question: &[u8]) -> Vec<u8> {
+        self.0.query(question)
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        self.0.snapshot()
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> bool {
+        self.0.restore(snapshot)
+    }
+}
+
+impl Machine for Unstamped {
+    type Interface = Operators;
+    const CALL_TICKS: f64 = CONTROL_CALL_TICKS;
+
+    fn place_of(script: &[Order], command: &[u8]) -> Option<usize> {
+        ControlState::place_of(script, command)
+    }
+
+    fn is_taken(outcome: &[u8]) -> bool {
+        ControlState::is_taken(outcome)
+    }
+
+    fn shown(&self) -> Shown {
+        self.0.shown()
+    }
+
+    fn is_evacuated(&self) -> bool {
+        self.0.is_evacuated()
+    }
+}
+
+impl ControlMachine for Unstamped {
+    fn control_state(&self) -> &ControlState {
+        &self.0
+    }
+}
+
 /// The control state without documents. Its evacuations are not conditional and have no identity.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Register {
@@ -173,8 +247,9 @@
     }
 }
 
-impl Machine for Register {
-    fn command(order: Order) -> Option<Vec<u8>> {
+impl Register {
+    /// The bytes of a submit; `None` for a read.
+    pub(crate) fn command(order: Order) -> Option<Vec<u8>> {
         match order {
             Order::Change { based_on, version, mark } => {
                 Some(vec![CHANGE, based_on as u8, version as u8, mark as u8])
@@ -184,20 +259,30 @@
         }
     }
 
-    fn question() -> Vec<u8> {
-        Vec::new()
-    }
-
-    fn told(order: Order, answer: &[u8]) -> Told {
+    /// The answer to an order, decoded.
+    pub(crate) fn told(order: Order, answer: &[u8]) -> Told {
         match answer {
             [version, mark] if order == Order::Read => {
                 Told::Read(Shown { version: u64::from(*version), mark: char::from(*mark) })
             }
-            [TAKEN, version] => Told::Taken { version: u64::from(*version) },
+            [TAKEN, _] => Told::Taken,
             [OTHER, _] => Told::OtherVersion,
             _ => Told::Invalid,
         }
     }
+}
+
+impl Machine for Register {
+    type Interface = Direct;
+    const CALL_TICKS: f64 = 12.0;
+
+    fn place_of(script: &[Order], command: &[u8]) -> Option<usize> {
+        script.iter().position(|order| Self::command(*order).as_deref() == Some(command))
+    }
+
+    fn is_taken(outcome: &[u8]) -> bool {
+        matches!(outcome, [TAKEN, _])
+    }
 
     fn shown(&self) -> Shown {
         self.shown
--- a/crates/sandtrack-model/src/main.rs
+++ b/crates/sandtrack-model/src/main.rs
@@ -7,13 +7,16 @@
 use bpaf::{construct, long, positional, OptionParser, Parser};
 use sandtrack_control::control_state::ControlState;
 use sandtrack_model::checker::{search, Bounds, Report, Search};
-use sandtrack_model::machine::{Machine, Register};
+use sandtrack_model::duty::search::rule_of;
+use sandtrack_model::duty::{self, Budget};
+use sandtrack_model::machine::{Machine, Register, Unstamped};
 use sandtrack_model::setup::Setup;
 use sandtrack_model::trace::{Kind, Trace};
 
 #[derive(Clone, Debug)]
 enum Command {
     Check(Check),
+    Duty { machines: usize, property: Option<String>, states: usize, budget: Budget },
     Replay { file: PathBuf },
     Setups,
 }
@@ -39,9 +42,9 @@
     let setup = long("setup").help("one of `setups`").argument("NAME").fallback("everything".to_owned());
     let property = long("property").help("only this one").argument("NAME").optional();
     let machine = long("machine")
-        .help("register (the fast one) or control (the real control state)")
+        .help("register (the fast one), control (the real control state) or control-unstamped (without the check of the stamp)")
         .argument::<String>("KIND")
-        .parse(|name| Kind::named(&name).ok_or("register or control"))
+        .parse(|name| Kind::named(&name).ok_or("register, control or control-unstamped"))
         .fallback(Kind::Register);
     let search = long("search").help("bfs, dfs or walks").argument("HOW").fallback("bfs".to_owned());
     let seed = long("seed").help("of the walks").argument("N").fallback(1);
@@ -71,12 +74,28 @@
     .map(Command::Check)
 }
 
+fn duty() -> impl Parser<Command> {
+    let machines = long("machines").argument("N").fallback(3);
+    let property = long("property").help("only this one").argument("NAME").optional();
+    let states = long("states").help("0: no bound").argument("N").fallback(500_000);
+    let ticks = long("ticks").argument("N").fallback(12);
+    let deviations = long("deviations").help("all faults together").argument("N").fallback(2);
+    let freezes = long("freezes").argument("N").fallback(1);
+    let cuts = long("cuts").argument("N").fallback(1);
+    let isolations = long("isolations").argument("N").fallback(1);
+    let restarts = long("restarts").argument("N").fallback(1);
+    let leaves = long("leaves").argument("N").fallback(1);
+    let budget = construct!(Budget { ticks, deviations, freezes, cuts, isolations, restarts, leaves });
+    construct!(Command::Duty { machines, property, states, budget })
+}
+
 fn options() -> OptionParser<Command> {
     let check = check().to_options().command("check").help("search a set-up's states");
     let file = positional("FILE");
     let replay = construct!(Command::Replay { file }).to_options().command("replay").help("play a trace");
+    let duty = duty().to_options().command("duty").help("search the states of the duty to read the list");
     let setups = bpaf::pure(Command::Setups).to_options().command("setups").help("list the set-ups");
-    construct!([check, replay, setups]).to_options()
+    construct!([check, duty, replay, setups]).to_options()
 }
 
 fn run_check(check: &Check) -> Result<bool, String> {
@@ -96,6 +115,7 @@
     let report = match check.machine {
         Kind::Register => search::<Register>(&setup, check.property.clone(), how, bounds),
         Kind::Control => search::<ControlState>(&setup, check.property.clone(), how, bounds),
+        Kind::Unstamped => search::<Unstamped>(&setup, check.property.clone(), how, bounds),
     };
     println!("{report}");
     write_traces(check, &setup, &report)?;
@@ -129,12 +149,22 @@
 fn run(command: &Command) -> Result<bool, String> {
     match command {
         Command::Check(check) => run_check(check),
+        Command::Duty { machines, property, states, budget } => {
+            let only = match property {
+                Some(name) => Some(rule_of(name).ok_or("no such property")?),
+                None => None,
+            };
+            let report = duty::search::search(*machines, *budget, only, *states);
+            println!("{report:#?}");
+            Ok(report.fell.is_empty())
+        }
         Command::Replay { file } => {
             let text = std::fs::read_to_string(file).map_err(|error| error.to_string())?;
             let trace = Trace::parse(&text).map_err(|error| error.to_string())?;
             match trace.kind {
                 Kind::Register => play::<Register>(&trace),
                 Kind::Control => play::<ControlState>(&trace),
+                Kind::Unstamped => play::<Unstamped>(&trace),
             }
         }
         Command::Setups => {
--- a/crates/sandtrack-model/src/node.rs
+++ b/crates/sandtrack-model/src/node.rs
@@ -1,10 +1,12 @@
 //! One machine of the model: the process with its replica, its disk with the write under way, and its steady clock.
 use std::hash::{DefaultHasher, Hash, Hasher};
 
+use sandtrack_control::arrivals::Arrival;
 use sandtrack_replication::{Effect, Input, Member, Replica, Settings, Timings};
 
 use crate::hashing::HashWriter;
-use crate::machine::Machine;
+use crate::interface::{Interface, Step};
+use crate::machine::{Machine, Order, Told};
 
 /// Milliseconds between two ticks. The timings of the model are the real ones rounded to whole ticks.
 pub const TICK: f64 = 300.0;
@@ -27,11 +29,20 @@
     Removed,
 }
 
+/// What a step of a process leads to outside of it.
+pub enum Output {
+    /// Of the replica, but for answers.
+    Effect(Effect),
+    /// A caller's answer; `None`: not a definite one.
+    Told { call: u64, told: Option<Told> },
+}
+
 #[derive(Clone)]
-pub struct Node<M> {
+pub struct Node<M: Machine> {
     pub index: usize,
     pub place: Place,
     pub replica: Option<Replica<M>>,
+    interface: M::Interface,
     pub disk: Vec<Vec<u8>>,
     pub write: Option<PendingWrite>,
     /// Whose disk it is, as of the last start.
@@ -48,7 +59,7 @@
     format!("m{}", index + 1)
 }
 
-fn timings() -> Timings {
+fn timings<M: Machine>() -> Timings {
     Timings {
         tick: TICK,
         pulse: TICK,
@@ -58,7 +69,7 @@
         stagger: TICK,
         proposal: 3.0 * TICK,
         replace: 8.0 * TICK,
-        call: 12.0 * TICK,
+        call: M::CALL_TICKS * TICK,
         disk_again: 2.0 * TICK,
     }
 }
@@ -69,6 +80,7 @@
             index,
             place,
             replica: None,
+            interface: M::Interface::new(0.0),
             disk: Vec::new(),
             write: None,
             member: None,
@@ -87,7 +99,7 @@
     }
 
     /// The process starts with what the disk holds. `seeds`: the first three of the operators' list as it stands.
-    pub fn start(&mut self, seeds: &[String], first_start: bool) -> Vec<Effect> {
+    pub fn start(&mut self, seeds: &[String], first_start: bool) -> Vec<Output> {
         self.starts += 1;
         let seeds: Vec<&str> = seeds.iter().map(String::as_str).collect();
         let mut settings = Settings::new(&address(self.index), &seeds);
@@ -95,20 +107,80 @@
         settings.zone = format!("zone-{}", self.index);
         settings.seed = self.index as u64 * 1000 + self.starts;
         settings.incarnation_if_new = self.index as u64 * 1000 + 100 + self.starts;
-        settings.timings = timings();
+        settings.timings = timings::<M>();
         let (replica, effects) = Replica::new(settings, self.disk.clone(), M::default(), self.clock);
         self.member = Some(replica.member().clone());
         self.replica = Some(replica);
-        effects
+        self.interface = M::Interface::new(self.clock);
+        let mut outputs = Vec::new();
+        self.carry(effects, &mut outputs);
+        outputs
     }
 
     /// The process takes an input; nothing where it does not run.
-    pub fn handle(&mut self, input: Input) -> Vec<Effect> {
+    pub fn handle(&mut self, input: Input) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        if self.replica.is_none() {
+            return outputs;
+        }
+        let is_tick = matches!(input, Input::Tick);
+        self.look(&mut outputs);
+        self.give(input, &mut outputs);
+        if is_tick {
+            let late = self.interface.late(self.clock);
+            late.into_iter().for_each(|step| self.step(step, &mut outputs));
+        }
+        outputs
+    }
+
+    /// The process reads a call off its socket; nothing where it does not run.
+    pub fn call(&mut self, call: u64, order: Order, arrival: Arrival) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        if self.replica.is_none() {
+            return outputs;
+        }
+        self.look(&mut outputs);
+        let machine = self.replica.as_ref().map(Replica::machine);
+        let step = machine.and_then(|machine| self.interface.call(self.clock, call, order, arrival, machine));
+        step.into_iter().for_each(|step| self.step(step, &mut outputs));
+        outputs
+    }
+
+    fn look(&mut self, outputs: &mut Vec<Output>) {
+        let steps = self.interface.look(self.clock);
+        steps.into_iter().for_each(|step| self.step(step, outputs));
+    }
+
+    fn step(&mut self, step: Step, outputs: &mut Vec<Output>) {
+        match step {
+            Step::Submit { number, command } => self.give(Input::Submit { call: number, command }, outputs),
+            Step::Read { number, question } => self.give(Input::Read { call: number, question }, outputs),
+            Step::Tell { call, told } => outputs.push(Output::Told { call, told }),
+        }
+    }
+
+    fn give(&mut self, input: Input, outputs: &mut Vec<Output>) {
         let mut effects = Vec::new();
         if let Some(replica) = &mut self.replica {
             replica.handle(self.clock, input, &mut effects);
         }
-        effects
+        self.carry(effects, outputs);
+    }
+
+    /// What an answer leads to comes after all that came with it, as in the control node.
+    fn carry(&mut self, effects: Vec<Effect>, outputs: &mut Vec<Output>) {
+        let mut answers = Vec::new();
+        for effect in effects {
+            match effect {
+                Effect::Answer { call, result } => answers.push((call, result)),
+                other => outputs.push(Output::Effect(other)),
+            }
+        }
+        for (number, result) in answers {
+            let machine = self.replica.as_ref().map(Replica::machine);
+            let step = machine.and_then(|machine| self.interface.answer(self.clock, number, result, machine));
+            step.into_iter().for_each(|step| self.step(step, outputs));
+        }
     }
 
     /// The write under way ends: all of it is on the disk.
@@ -149,6 +221,7 @@
                 // A hasher refuses nothing.
                 let _ = replica.write_state(&mut writer);
                 writer.finish().hash(&mut hasher);
+                self.interface.fingerprint_into(&mut hasher);
                 self.write.as_ref().map(|write| write.ticket).hash(&mut hasher);
             }
             None => (&self.disk, &self.member).hash(&mut hasher),
@@ -157,7 +230,7 @@
     }
 }
 
-impl<M> Node<M> {
+impl<M: Machine> Node<M> {
     /// As of the last change.
     pub fn fingerprint_into(&self, state: &mut impl Hasher) {
         self.fingerprint.hash(state);
--- a/crates/sandtrack-model/src/setup.rs
+++ b/crates/sandtrack-model/src/setup.rs
@@ -53,8 +53,16 @@
     pub statuses_too: bool,
     /// No more events than these are under way in free scheduling; a state with more is not followed.
     pub most_events: usize,
+    /// Two machines that hear nothing of each other: when the run starts, each is about to propose a view without the other.
+    pub apart: Option<(usize, usize)>,
+    /// Ticks after which an operator gives up the call of an evacuation; only then, or once it is answered, it sends the
+    /// next. `None`: several operators order at once.
+    pub patience: Option<u8>,
 }
 
+/// A caller goes elsewhere after a second; in whole ticks.
+const PATIENCE_TICKS: u8 = 4;
+
 fn change(based_on: u64, mark: char) -> Order {
     Order::Change { based_on, version: based_on + 1, mark }
 }
@@ -68,6 +76,16 @@
     vec![change(0, 'a'), Order::Evacuate { begin: true }, Order::Evacuate { begin: false }]
 }
 
+/// The zone is evacuated; the finish may be late, and is overtaken by a begin that finds the zone evacuated still.
+fn overtaking() -> Vec<Order> {
+    vec![
+        change(0, 'a'),
+        Order::Evacuate { begin: true },
+        Order::Evacuate { begin: false },
+        Order::Evacuate { begin: true },
+    ]
+}
+
 impl Setup {
     /// Three machines in line with one change committed; rival changes while a view changes.
     fn base(name: &'static str, budget: Budget) -> Self {
@@ -82,6 +100,8 @@
             calm_between_losses: None,
             statuses_too: false,
             most_events: 24,
+            apart: None,
+            patience: None,
         }
     }
 
@@ -143,6 +163,22 @@
                     Budget { deviations: 1, freezes: 1, holds: 1, ticks: 12, sends: 3, ..none },
                 )
             },
+            Self {
+                script: overtaking(),
+                prepared: 2,
+                patience: Some(PATIENCE_TICKS),
+                ..Self::base(
+                    "overtaken-order",
+                    Budget { deviations: 2, holds: 1, crashes: 1, freezes: 1, ticks: 5, sends: 2, ..none },
+                )
+            },
+            Self {
+                apart: Some((1, 2)),
+                ..Self::base(
+                    "rival-views",
+                    Budget { deviations: 2, crashes: 1, holds: 2, cuts: 1, ticks: 6, ..none },
+                )
+            },
             Self {
                 scheduling: Scheduling::Free,
                 ..Self::base(
--- a/crates/sandtrack-model/src/trace.rs
+++ b/crates/sandtrack-model/src/trace.rs
@@ -14,6 +14,8 @@
     Register,
     /// The control state of `sandtrack-control`.
     Control,
+    /// [`crate::machine::Unstamped`]
+    Unstamped,
 }
 
 impl Kind {
@@ -21,11 +23,12 @@
         match self {
             Self::Register => "register",
             Self::Control => "control",
+            Self::Unstamped => "control-unstamped",
         }
     }
 
     pub fn named(name: &str) -> Option<Self> {
-        [Self::Register, Self::Control].into_iter().find(|kind| kind.name() == name)
+        [Self::Register, Self::Control, Self::Unstamped].into_iter().find(|kind| kind.name() == name)
     }
 }
 
--- /dev/null
+++ b/crates/sandtrack-model/src/world/event.rs
@@ -0,0 +1,102 @@
+//! What is under way: messages, writes and calls.
+use std::sync::Arc;
+
+use sandtrack_control::arrivals::Arrival;
+use sandtrack_replication::Message;
+
+use super::callers::order_of;
+use crate::hashing::{hash_of, hash_of_bytes};
+use crate::node::address;
+
+/// Something that is under way.
+#[derive(Clone, PartialEq)]
+pub enum Event {
+    Message {
+        from: usize,
+        to: usize,
+        message: Message,
+    },
+    /// The disk confirms a write.
+    Written {
+        node: usize,
+        ticket: u64,
+    },
+    /// A call in a machine's socket.
+    Call {
+        node: usize,
+        call: u64,
+        /// As far as it was accepted.
+        arrival: ArrivalTime,
+    },
+}
+
+/// When a call came, on the clock of the machine that it lies at.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ArrivalTime {
+    /// The machine ran, and accepted the connection as it came.
+    Accepted { at: f64 },
+    /// The machine was frozen; the time is when it ran last.
+    Queued { since: f64 },
+}
+
+impl ArrivalTime {
+    /// For a machine that reads the call at `now`.
+    pub fn read(self, now: f64) -> Arrival {
+        match self {
+            Self::Accepted { at } => Arrival::at(at),
+            Self::Queued { since } => Arrival { queued_since: since, accepted: now },
+        }
+    }
+
+    fn bits(self) -> (bool, u64) {
+        match self {
+            Self::Accepted { at } => (true, at.to_bits()),
+            Self::Queued { since } => (false, since.to_bits()),
+        }
+    }
+}
+
+/// An event, and its hash.
+#[derive(Clone)]
+pub struct Queued {
+    pub event: Event,
+    pub(super) hash: u64,
+}
+
+impl Queued {
+    pub(super) fn new(event: Event) -> Arc<Self> {
+        let hash = match &event {
+            Event::Message { from, to, message } => hash_of(&(0, from, to, hash_of_bytes(message))),
+            Event::Written { node, ticket } => hash_of(&(1, node, ticket)),
+            Event::Call { node, call, arrival } => hash_of(&(2, node, call, arrival.bits())),
+        };
+        Arc::new(Self { event, hash })
+    }
+
+    /// Where it happens.
+    pub(super) fn node(&self) -> usize {
+        match self.event {
+            Event::Message { to, .. } => to,
+            Event::Written { node, .. } | Event::Call { node, .. } => node,
+        }
+    }
+
+    /// In one line, for a replay.
+    pub fn describe(&self) -> String {
+        match &self.event {
+            Event::Message { from, to, message } => {
+                format!("{} -> {}: {message}", address(*from), address(*to))
+            }
+            Event::Written { node, .. } => format!("disk of {} is done", address(*node)),
+            Event::Call { node, call, .. } => format!("call {} at {}", order_of(*call), address(*node)),
+        }
+    }
+
+    pub(super) fn is_status(&self) -> bool {
+        matches!(&self.event, Event::Message { message, .. } if message.is_status())
+    }
+
+    pub(super) fn is_write(&self) -> bool {
+        matches!(self.event, Event::Written { .. })
+    }
+}
