--- a/crates/sandtrack-model/src/setup.rs
+++ b/crates/sandtrack-model/src/setup.rs
@@ -179,6 +179,10 @@
                     Budget { deviations: 2, crashes: 1, holds: 2, cuts: 1, ticks: 6, ..none },
                 )
             },
+            Self {
+                apart: Some((1, 2)),
+                ..Self::base("rival-views-wipe", Budget { deviations: 1, wipes: 1, ticks: 6, ..none })
+            },
             Self {
                 scheduling: Scheduling::Free,
                 ..Self::base(
--- a/crates/sandtrack-model/tests/bounded.rs
+++ b/crates/sandtrack-model/tests/bounded.rs
@@ -66,3 +66,19 @@
     let (one, other) = (holds::<Register>(&setup), holds::<Register>(&setup));
     assert_eq!((one.states, one.unique, one.depth), (other.states, other.unique, other.depth));
 }
+
+#[test]
+fn two_voters_that_do_not_hear_each_other_propose_rival_views() {
+    holds::<Register>(&small("rival-views", 1, 0, 2));
+}
+
+/// The first states of the set-up in which a control state without the check of the stamp falls, and the register.
+#[test]
+fn an_overtaken_order_has_no_effect_on_the_real_control_state() {
+    let setup = Setup::named("overtaken-order").expect("a set-up");
+    let bounds = Bounds { depth: 0, states: 30_000, seconds: 0, threads: 1 };
+    let report = search::<ControlState>(&setup, None, Search::DepthFirst, bounds);
+    println!("{report}");
+    assert!(report.fell.is_empty(), "{report}");
+    assert!(report.states >= 30_000, "{report}");
+}
--- /dev/null
+++ b/crates/sandtrack-model/tests/duty.rs
@@ -0,0 +1,25 @@
+//! The duty to read the platform's list: all states with one fault.
+use sandtrack_model::duty::search::{rule_of, search};
+use sandtrack_model::duty::Budget;
+
+/// One of each kind, one of them in all.
+const ONE_FAULT: Budget =
+    Budget { ticks: 12, deviations: 1, freezes: 1, cuts: 1, isolations: 1, restarts: 1, leaves: 1 };
+
+fn holds(machines: usize, budget: Budget, property: &str) {
+    let rule = rule_of(property).expect("a property");
+    let report = search(machines, budget, Some(rule), 0);
+    println!("{report:?}");
+    assert!(report.fell.is_empty(), "{report:?}");
+    assert!(report.whole, "{report:?}");
+}
+
+#[test]
+fn one_machine_holds_under_one_term() {
+    holds(3, ONE_FAULT, "one-holder-a-term");
+}
+
+#[test]
+fn lists_under_one_term_come_from_one_machine() {
+    holds(3, ONE_FAULT, "lists-of-one-holder-a-term");
+}
--- a/crates/sandtrack-model/tests/replay.rs
+++ b/crates/sandtrack-model/tests/replay.rs
@@ -1,6 +1,7 @@
 //! Counterexamples are files that replay.
+use sandtrack_control::control_state::ControlState;
 use sandtrack_model::action::Action;
-use sandtrack_model::machine::Register;
+use sandtrack_model::machine::{Register, Unstamped};
 use sandtrack_model::trace::{Trace, TraceError};
 
 fn counterexample(name: &str) -> Trace {
@@ -34,3 +35,42 @@
     let error = TraceError::NotPossible { step: 1, action: Action::Restart(0) };
     assert_eq!(trace.play::<Register>(|_, _| {}), Err(error));
 }
+
+/// The stamp of an evacuation is needed, and suffices there: with it, the same actions break nothing.
+#[test]
+fn an_overtaken_order_takes_effect_only_without_its_stamp() {
+    let trace = counterexample("overtaken-order-unstamped");
+    let unstamped = trace.play::<Unstamped>(|_, _| {}).expect("it can be played");
+    assert_eq!(unstamped.broken, ["overtaken-order-has-no-effect"]);
+    assert_eq!(unstamped.steps, trace.actions.len());
+    let real = trace.play::<ControlState>(|_, _| {}).expect("it can be played");
+    assert!(real.broken.is_empty(), "{real:?}");
+    assert_eq!(real.steps, trace.actions.len());
+}
+
+/// The register falls on the set-up as well: there the order lay in the socket of a frozen machine.
+#[test]
+fn an_order_that_was_given_up_undoes_a_later_one_on_the_register() {
+    let trace = counterexample("overtaken-order-register");
+    let outcome = trace.play::<Register>(|_, _| {}).expect("it can be played");
+    assert_eq!(outcome.broken, ["overtaken-order-has-no-effect"]);
+}
+
+/// They fall only with their mutation in the code (docs/system/model.md); here they break nothing.
+#[test]
+fn the_counterexamples_of_mutations_break_nothing_without_them() {
+    let names = [
+        "promise-before-disk",
+        "accept-before-disk",
+        "accepted-not-binding",
+        "other-epochs-taken",
+        "wiped-keeps-identity",
+    ];
+    for name in names {
+        let trace = counterexample(&format!("mutated/{name}"));
+        match trace.play::<Register>(|_, _| {}) {
+            Ok(outcome) => assert!(outcome.broken.is_empty(), "{name}: {outcome:?}"),
+            Err(error) => assert!(matches!(error, TraceError::NotPossible { .. }), "{name}: {error}"),
+        }
+    }
+}
