--- a/crates/sandtrack-model/src/world/callers.rs
+++ b/crates/sandtrack-model/src/world/callers.rs
@@ -65,7 +65,7 @@
         let clock = self.nodes[node].clock;
         let arrival = match self.nodes[node].frozen {
             true => ArrivalTime::Queued { since: clock },
-            false => ArrivalTime::Accepted { at: clock },
+            false => ArrivalTime::Accepted { queued_since: clock, at: clock },
         };
         self.queue.push(Queued::new(Event::Call { node, call, arrival }));
     }
@@ -83,6 +83,16 @@
         }
     }
 
+    /// A machine that woke accepts what waits in its socket.
+    pub(super) fn accept_waiting(&mut self, index: usize) {
+        let clock = self.nodes[index].clock;
+        for event in self.queue.iter_mut().chain(&mut self.held) {
+            if let Some(accepted) = event.after_wake(index, clock) {
+                *event = accepted;
+            }
+        }
+    }
+
     pub(super) fn read_call(&mut self, index: usize, call: u64, arrival: ArrivalTime) {
         if !self.nodes[index].is_awake() {
             return;
--- a/crates/sandtrack-model/src/world/steps.rs
+++ b/crates/sandtrack-model/src/world/steps.rs
@@ -71,6 +71,7 @@
                     node.frozen = false;
                     node.clock = node.clock.max(now);
                 });
+                self.accept_waiting(index);
             }
             Action::Cut { from, to } => {
                 self.cuts.insert((from, to));
