--- a/crates/sandtrack-model/src/lib.rs
+++ b/crates/sandtrack-model/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod interface;
 pub mod machine;
 pub mod node;
+pub mod operators;
+pub mod order;
 pub mod properties;
 pub mod setup;
 pub mod trace;
--- a/crates/sandtrack-model/src/machine.rs
+++ b/crates/sandtrack-model/src/machine.rs
@@ -1,47 +1,16 @@
 //! The state machines that the replicas run in the model: the real control state with tiny documents, the same without
 //! the check of an order's stamp, and a register that does the same for a tenth of the time.
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
+use std::hash::Hasher;
 
+use sandtrack_control::arrivals::Arrival;
 use sandtrack_control::control_state::{Command, ControlState, Form, Outcome};
-use sandtrack_protocol::document::Document;
-use sandtrack_replication::StateMachine;
-
-use crate::interface::{Direct, Interface, Operators};
-
-/// The zone that the orders of the model evacuate.
-pub const ZONE: &str = "z";
-
-/// What an operator orders.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Order {
-    /// A configuration that builds on `based_on`; `mark` tells the bytes of two of one version apart.
-    Change { based_on: u64, version: u64, mark: char },
-    /// The zone is evacuated, or is so no longer. Not conditional.
-    Evacuate { begin: bool },
-    /// The configuration is read back.
-    Read,
-}
-
-/// What came of an order, as its caller is told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Told {
-    /// 200.
-    Taken,
-    /// 412.
-    OtherVersion,
-    /// 400.
-    Invalid,
-    /// What was read.
-    Read(Shown),
-}
+use sandtrack_replication::{Refusal, StateMachine};
 
-/// What a configuration looks like from outside.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-pub struct Shown {
-    pub version: u64,
-    /// Of the configuration's bytes; a blank where there is none.
-    pub mark: char,
-}
+use crate::interface::{Interface, Step};
+use crate::operators::{ControlMachine, Operators};
+use crate::order::{body, shown_in};
+pub use crate::order::{Order, Shown, Told, ZONE};
 
 /// A state machine that the model can drive.
 pub trait Machine: StateMachine + Clone + Default + Send + Sync + 'static {
@@ -58,33 +27,6 @@
     fn is_evacuated(&self) -> bool;
 }
 
-/// A state machine that is a control state.
-pub trait ControlMachine: Machine {
-    fn control_state(&self) -> &ControlState;
-}
-
-/// A configuration's text.
-pub(crate) fn body(version: u64, mark: char) -> Vec<u8> {
-    let limits = r#"{"header_size_bytes":1,"body_size_bytes":1,"header_timeout_ms":1,"idle_timeout_ms":1}"#;
-    let route = format!(
-        r#"{{"name":"{mark}","host":"h","path_prefix":"/","kind":"read_only","timeout_ms":1,"target_latency_ms":1,"priority":0,"attempts":1,"service":"s"}}"#
-    );
-    let service =
-        r#"{"name":"s","health_path":"/","connection_limit":1,"cold_start_s":0.0,"cold_rate_s":0.0}"#;
-    format!(r#"{{"version_number":{version},"routes":[{route}],"services":[{service}],"limits":{limits}}}"#)
-        .into_bytes()
-}
-
-/// The version and the mark of a configuration's text; a foreign text has the mark `?`.
-pub(crate) fn shown_in(text: &str) -> Shown {
-    let Ok(document) = Document::parse(text.as_bytes()) else {
-        return Shown { version: 0, mark: '?' };
-    };
-    let name = document.list("routes").and_then(|routes| routes.first()).map(|route| route.name.clone());
-    let mark = name.and_then(|name| name.chars().next()).unwrap_or('?');
-    Shown { version: document.version, mark }
-}
-
 /// Whether a command of the control state, as it is submitted, carries an order.
 fn carries(command: &Command, order: Order) -> bool {
     match (command, order) {
@@ -272,6 +214,46 @@
     }
 }
 
+/// Calls go to the replica as they are, and its answers to the callers.
+#[derive(Clone, Debug)]
+pub struct Direct {
+    open: BTreeMap<u64, Order>,
+}
+
+impl Interface<Register> for Direct {
+    fn new(_now: f64) -> Self {
+        Self { open: BTreeMap::new() }
+    }
+
+    fn look(&mut self, _now: f64) -> Vec<Step> {
+        Vec::new()
+    }
+
+    fn call(
+        &mut self, _now: f64, call: u64, order: Order, _arrival: Arrival, _machine: &Register,
+    ) -> Option<Step> {
+        self.open.insert(call, order);
+        Some(match Register::command(order) {
+            Some(command) => Step::Submit { number: call, command },
+            None => Step::Read { number: call, question: Vec::new() },
+        })
+    }
+
+    fn answer(
+        &mut self, _now: f64, number: u64, result: Result<Vec<u8>, Refusal>, _machine: &Register,
+    ) -> Option<Step> {
+        let order = self.open.remove(&number)?;
+        Some(Step::Tell { call: number, told: result.ok().map(|answer| Register::told(order, &answer)) })
+    }
+
+    fn late(&mut self, _now: f64) -> Vec<Step> {
+        Vec::new()
+    }
+
+    /// The replica knows of the same calls.
+    fn fingerprint_into(&self, _state: &mut impl Hasher) {}
+}
+
 impl Machine for Register {
     type Interface = Direct;
     const CALL_TICKS: f64 = 12.0;
