--- a/crates/sandtrack-control/src/operator_calls.rs
+++ b/crates/sandtrack-control/src/operator_calls.rs
@@ -68,7 +68,7 @@
 }
 
 /// The calls under way; each is answered once.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct OperatorCalls {
     awake: Awake,
     next: u64,
--- a/crates/sandtrack-model/src/lib.rs
+++ b/crates/sandtrack-model/src/lib.rs
@@ -4,10 +4,14 @@
 #![forbid(unsafe_code)]
 pub mod action;
 pub mod checker;
+pub mod duty;
 pub mod hashing;
 pub mod history;
+pub mod interface;
 pub mod machine;
 pub mod node;
+pub mod operators;
+pub mod order;
 pub mod properties;
 pub mod setup;
 pub mod trace;
