Reader of the list: the first claim needs a majority, and lists are taken from the holder that is known

Ruled out: a term on the disk; a process that knows no claim hears of it with the first heartbeat of any that does.

Change: the first claim too needs a majority of the voters, who know of no holder. A list is taken from the holder that is known, or from anyone while none is; the digest in the holder's next heartbeat tells what lacks.

--- a/crates/sandtrack-control/src/node/links.rs
+++ b/crates/sandtrack-control/src/node/links.rs
@@ -119,7 +119,7 @@
                 self.announce_to(now, link, out);
             }
             PeerFrame::List(excerpt) => {
-                if !self.election.is_holder() {
+                if self.election.takes_list_of(peer) {
                     self.upstreams.apply(now, excerpt);
                 }
             }
--- a/crates/sandtrack-control/src/reader_election.rs
+++ b/crates/sandtrack-control/src/reader_election.rs
@@ -45,6 +45,13 @@
         self.claim.holder == self.me
     }
 
+    /// Whether the list is taken that another control node has read: from the holder, or from anyone while no holder is known.
+    /// One that fell silent may have been replaced, and what it sent before comes too late; the digest in the next heartbeat
+    /// of the holder tells what lacks.
+    pub fn takes_list_of(&self, peer: &str) -> bool {
+        self.claim.term == 0 || self.claim.holder == peer
+    }
+
     /// Whether the holder was not heard for long.
     pub fn is_silent(&self, now: Millis) -> bool {
         !self.is_holder() && now - self.heard > HOLDER_SILENT_MS
@@ -76,7 +83,7 @@
     }
 
     /// Claims the role where it is this one's turn: `order` is who may, in turn; `live` what those heard of said last;
-    /// `voters` whose majority it needs, all where there are none.
+    /// `voters` whose majority it needs.
     pub fn take_over(
         &mut self, now: Millis, order: &[Address], live: &BTreeMap<Address, PeerReport>, voters: &[Address],
     ) -> bool {
@@ -87,13 +94,17 @@
         if self.is_holder() || self.successor(order, |one| live.contains_key(one)) != Some(&self.me) {
             return false;
         }
+        // Where there never was a holder, nobody can miss it: a majority that knows of none is enough. A process that starts
+        // while it is cut off knows of none either, and has no majority.
+        let is_first = self.claim.term == 0;
         let agrees = |one: &&Address| {
             **one == self.me
-                || live.get(*one).is_some_and(|report| report.silent && report.claim <= self.claim)
+                || live
+                    .get(*one)
+                    .is_some_and(|report| (is_first || report.silent) && report.claim <= self.claim)
         };
         let agreed = voters.iter().filter(agrees).count();
-        let first = self.claim.term == 0;
-        if !first && 2 * agreed <= voters.len() {
+        if 2 * agreed <= voters.len() {
             return false;
         }
         self.claim = Claim { term: self.claim.term + 1, holder: self.me.clone() };
--- a/crates/sandtrack-model/src/duty.rs
+++ b/crates/sandtrack-model/src/duty.rs
@@ -1,4 +1,4 @@
-//! Model of the singleton duty: who reads the platform's list. The duty is the real [`Duty`] of the control nodes; what the
+//! Model of the singleton duty: who reads the platform's list. The election is the real [`ReaderElection`] of the control nodes; what the
 //! control node does with it on a tick, on a beat of a peer and after a freeze is told again here, in small.
 //!
 //! A beat carries the claim, whether the holder is heard, and, from a holder that has read, the list. Links keep the order
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{Hash, Hasher};
 
-use sandtrack_control::reader::{Claim, Duty, PeerReport, HOLDER_SILENT_MS};
+use sandtrack_control::reader::{Claim, PeerReport, ReaderElection, HOLDER_SILENT_MS};
 
 use crate::node::address;
 
@@ -88,7 +88,7 @@
 
 #[derive(Clone, Debug)]
 struct Process {
-    duty: Duty,
+    election: ReaderElection,
     heard: BTreeMap<String, Heard>,
     clock: f64,
     /// When it ran last.
@@ -102,7 +102,7 @@
 impl Process {
     fn new(index: usize, now: f64) -> Self {
         Self {
-            duty: Duty::new(&address(index), now),
+            election: ReaderElection::new(&address(index), now),
             heard: BTreeMap::new(),
             clock: now,
             last: now,
@@ -115,7 +115,7 @@
     /// Before all else: a process that did not run for long is the holder no more.
     fn begin(&mut self) {
         if self.clock - self.last > HOLDER_SILENT_MS {
-            self.duty.woke(self.clock);
+            self.election.woke(self.clock);
         }
         self.last = self.clock;
     }
@@ -128,7 +128,7 @@
     }
 
     fn has_list(&self) -> bool {
-        self.duty.is_holder() && self.reading >= READING_TICKS
+        self.election.is_holder() && self.reading >= READING_TICKS
     }
 }
 
@@ -163,7 +163,7 @@
 
 impl std::fmt::Debug for DutyWorld {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let claims = self.processes.iter().map(|process| process.duty.claim());
+        let claims = self.processes.iter().map(|process| process.election.claim());
         let claims: Vec<String> = claims.map(|claim| format!("{} {}", claim.term, claim.holder)).collect();
         write!(f, "{:.0} ms, claims {claims:?}", self.now)
     }
@@ -245,7 +245,7 @@
             if budget.freezes > 0 && !process.frozen {
                 actions.push(Action::Freeze(index));
             }
-            if budget.leaves > 0 && !process.frozen && !process.leaving && process.duty.is_holder() {
+            if budget.leaves > 0 && !process.frozen && !process.leaving && process.election.is_holder() {
                 actions.push(Action::Leave(index));
             }
         }
@@ -306,9 +306,9 @@
             process.begin();
             if !process.leaving {
                 let live = process.live();
-                process.duty.tick(process.clock, &order, &live, &order);
+                process.election.take_over(process.clock, &order, &live, &order);
             }
-            let holds = process.duty.is_holder();
+            let holds = process.election.is_holder();
             process.reading = if holds { (process.reading + 1).min(READING_TICKS) } else { 0 };
             self.beat(index);
         }
@@ -316,10 +316,10 @@
 
     fn beat(&mut self, index: usize) {
         let process = &self.processes[index];
-        let claim = process.duty.claim();
+        let claim = process.election.claim();
         let beat = Beat {
             claim: (claim.term, claim.holder.clone()),
-            silent: process.duty.is_silent(process.clock),
+            silent: process.election.is_silent(process.clock),
             leaving: process.leaving,
             list: process.has_list(),
         };
@@ -335,12 +335,12 @@
         let (sender, claim) = (address(from), beat.claim());
         let process = &mut self.processes[to];
         process.begin();
-        process.duty.told(process.clock, &sender, &claim);
+        process.election.heard_claim(process.clock, &sender, &claim);
         let report = PeerReport { claim: claim.clone(), silent: beat.silent };
         process.heard.insert(sender, Heard { at: process.clock, report, leaving: beat.leaving });
-        let takes = beat.list && !process.duty.is_holder();
+        let takes = beat.list && process.election.takes_list_of(&address(from));
         if takes {
-            let older = claim < *process.duty.claim();
+            let older = claim < *process.election.claim();
             self.givers.insert((claim.term, from));
             self.check(!older, Rule::ListOfOlderTerm);
             let givers = self.givers.iter().filter(|(term, _)| *term == claim.term).count();
@@ -355,14 +355,14 @@
         process.begin();
         process.leaving = true;
         let live = process.live();
-        process.duty.leave(&order, &live);
+        process.election.hand_over(&order, &live);
         self.beat(index);
     }
 
     fn note_holders(&mut self) {
         for (index, process) in self.processes.iter().enumerate() {
-            if process.duty.is_holder() {
-                self.holders.insert((process.duty.claim().term, index));
+            if process.election.is_holder() {
+                self.holders.insert((process.election.claim().term, index));
             }
         }
         let terms: BTreeSet<u64> = self.holders.iter().map(|(term, _)| *term).collect();
--- a/crates/sandtrack-model/src/operators.rs
+++ b/crates/sandtrack-model/src/operators.rs
@@ -4,7 +4,7 @@
 
 use sandtrack_control::arrivals::Arrival;
 use sandtrack_control::control::Reply;
-use sandtrack_control::control_state::ControlState;
+use sandtrack_control::control_state::{Command, ControlState};
 use sandtrack_control::operator_calls::{self, Known, OperatorCalls};
 use sandtrack_core::message::{Head, Headers, Message};
 use sandtrack_replication::Refusal;
@@ -38,6 +38,10 @@
         self.0.control_state().last_order(zone)
     }
 
+    fn version_taken(&self, command: &Command) -> Option<u64> {
+        self.0.control_state().version_taken(command)
+    }
+
     fn names_zone(&self, zone: &str) -> bool {
         zone == ZONE
     }
--- a/crates/sandtrack-model/tests/duty.rs
+++ b/crates/sandtrack-model/tests/duty.rs
@@ -6,6 +6,10 @@
 const ONE_FAULT: Budget =
     Budget { ticks: 12, deviations: 1, freezes: 1, cuts: 1, isolations: 1, restarts: 1, leaves: 1 };
 
+/// A machine that is cut off restarts: it knows of no holder.
+const RESTART_CUT_OFF: Budget =
+    Budget { ticks: 10, deviations: 2, freezes: 0, cuts: 0, isolations: 1, restarts: 1, leaves: 0 };
+
 fn holds(machines: usize, budget: Budget, property: &str) {
     let rule = rule_of(property).expect("a property");
     let report = search(machines, budget, Some(rule), 0);
@@ -23,3 +27,14 @@
 fn lists_under_one_term_come_from_one_machine() {
     holds(3, ONE_FAULT, "lists-of-one-holder-a-term");
 }
+
+#[test]
+fn no_list_of_an_older_term_is_taken() {
+    holds(3, ONE_FAULT, "no-list-of-an-older-term");
+}
+
+#[test]
+fn one_that_restarts_while_it_is_cut_off_holds_nothing() {
+    holds(3, RESTART_CUT_OFF, "one-holder-a-term");
+    holds(3, RESTART_CUT_OFF, "lists-of-one-holder-a-term");
+}
