--- a/crates/sandtrack-worlds/tests/time_of_day.rs
+++ b/crates/sandtrack-worlds/tests/time_of_day.rs
@@ -18,7 +18,7 @@
     "clock_gettime",
 ];
 /// The file that looks whether the settings file is another one.
-const WATCHES_SETTINGS: &str = "sandtrack-control/src/program.rs";
+const WATCHES_SETTINGS: &str = "sandtrack-control/src/program/settings_file.rs";
 
 fn sources(folder: &Path, found: &mut Vec<PathBuf>) {
     for entry in fs::read_dir(folder).expect("a folder") {
