--- a/crates/sandtrack-worlds/tests/harsher_worlds.rs
+++ b/crates/sandtrack-worlds/tests/harsher_worlds.rs
@@ -43,6 +43,14 @@
     assert_eq!(play(&Plan::closing(9_100_098)).broken, []);
 }
 
+/// A caller whose connection ended is acknowledged elsewhere, a later order after it; then its first copy reaches the chain.
+#[test]
+fn a_first_copy_that_comes_last_does_not_undo_a_later_order() {
+    for seed in [9_100_178, 9_100_193] {
+        assert_eq!(play(&Plan::closing(seed)).broken, [], "seed {seed}");
+    }
+}
+
 #[test]
 fn a_harsher_world_plays_the_same_again() {
     for plan in [Plan::closing(2), Plan::turnover(2), Plan::harsh(2)] {
