Tests: one calm world, one look at what was said, and one zone of the operators' calls

guards.rs, rare.rs and returns.rs each had their own copy of `said`, the first two of the calm world; late_orders.rs had two stand-ins that differed in one answer. They are `World::said`, `World::calm` and one `Zone` now.

--- a/crates/sandtrack-control/tests/late_orders.rs
+++ b/crates/sandtrack-control/tests/late_orders.rs
@@ -123,51 +123,38 @@
     assert_eq!(later.count(), 0, "a call that was answered is not tried any more");
 }
 
-/// A zone as a member of the chain knows it.
-struct Zone(u64);
-
-impl Known for Zone {
-    fn passes_callers_on(&self) -> bool {
-        false
-    }
-
-    fn last_order(&self, _: &str) -> u64 {
-        self.0
-    }
-
-    fn version_taken(&self, _: &Command) -> Option<u64> {
-        None
-    }
-
-    fn names_zone(&self, zone: &str) -> bool {
-        zone == "kita-hall"
-    }
+/// A zone as a control node knows it: the number of the last order for it, and whether anything names it here.
+struct Zone {
+    last_order: u64,
+    is_named: bool,
 }
 
-/// A zone that nothing names here yet, with the number of the last order for it.
-struct NoZone(u64);
+/// One that is named.
+fn zone(last_order: u64) -> Zone {
+    Zone { last_order, is_named: true }
+}
 
-impl Known for NoZone {
+impl Known for Zone {
     fn passes_callers_on(&self) -> bool {
         false
     }
 
     fn last_order(&self, _: &str) -> u64 {
-        self.0
+        self.last_order
     }
 
     fn version_taken(&self, _: &Command) -> Option<u64> {
         None
     }
 
-    fn names_zone(&self, _: &str) -> bool {
-        false
+    fn names_zone(&self, zone: &str) -> bool {
+        self.is_named && zone == "kita-hall"
     }
 }
 
 fn begin(calls: &mut OperatorCalls, now: f64, arrival: Arrival) -> (u64, Step) {
     let call = calls.begin(arrival);
-    (call, calls.call(now, call, &message("POST", BEGIN, &[], ""), &Zone(4)))
+    (call, calls.call(now, call, &message("POST", BEGIN, &[], ""), &zone(4)))
 }
 
 fn is_submitted(step: &Step, stamp: u64) -> bool {
@@ -221,10 +208,10 @@
         let mut calls = OperatorCalls::new(0.0);
         (0..20).for_each(|at| drop(calls.look(f64::from(at) * 100.0)));
         let (call, _) = begin(&mut calls, 1900.0, Arrival::at(1900.0));
-        let step = calls.answer(1900.0 + after, call, Ok(overtaken.clone()), &Zone(4)).expect("a step");
+        let step = calls.answer(1900.0 + after, call, Ok(overtaken.clone()), &zone(4)).expect("a step");
         assert!(is_refused(&step), "its caller may have gone on {after} ms after it came: {step:?}");
         let taken = borsh::to_vec(&Outcome::Taken { version: 7 }).expect("an outcome");
-        assert_eq!(calls.answer(2350.0, call, Ok(taken), &Zone(6)), None, "answered once");
+        assert_eq!(calls.answer(2350.0, call, Ok(taken), &zone(6)), None, "answered once");
     }
 }
 
@@ -235,10 +222,10 @@
     (0..20).for_each(|at| drop(calls.look(f64::from(at) * 100.0)));
     let call = calls.begin(Arrival::at(1900.0));
     let order = message("POST", BEGIN, &[], "");
-    let step = calls.call(1900.0, call, &order, &NoZone(4));
+    let step = calls.call(1900.0, call, &order, &Zone { last_order: 4, is_named: false });
     assert_eq!(step, Step::Read { call, question: Question::Contact });
     let contact = borsh::to_vec(&None::<String>).expect("an answer");
-    let step = calls.answer(1950.0, call, Ok(contact), &Zone(6)).expect("a step");
+    let step = calls.answer(1950.0, call, Ok(contact), &zone(6)).expect("a step");
     assert!(is_submitted(&step, 4), "{step:?}");
 }
 
--- a/crates/sandtrack-replication/tests/guards.rs
+++ b/crates/sandtrack-replication/tests/guards.rs
@@ -5,16 +5,7 @@
 use world::{DiskMode, World};
 
 fn calm(seeds: usize, observers: usize, borne: usize) -> World {
-    let mut world = World::new(3, seeds, observers, borne);
-    world.network.spread = 0.0;
-    world.start_all(true);
-    world.run(4000.0);
-    world.log = Some(Vec::new());
-    world
-}
-
-fn said(world: &World, words: &str) -> bool {
-    world.log.iter().flatten().any(|line| line.contains(words))
+    World::calm(3, seeds, observers, borne)
 }
 
 /// A chain that can't commit takes no command into its log: there it would wait for the chain to grow, and come into force
@@ -142,7 +133,7 @@
     world.set_disk(0, DiskMode::Full);
     let call = world.submit(0, 0);
     world.run(5000.0);
-    assert!(said(&world, "held back: m1 -> m2: e1 submit"), "the next head is given it");
+    assert!(world.said("held back: m1 -> m2: e1 submit"), "the next head is given it");
     assert_eq!(world.outcome(call), Some(Err(Refusal::TimedOut)));
 }
 
@@ -158,14 +149,14 @@
     let call = world.submit(3, 0);
     world.run(50.0);
     assert!(
-        said(&world, "m2 applied 1") && world.outcome(call).is_none(),
+        world.said("m2 applied 1") && world.outcome(call).is_none(),
         "committed, and the head does not know"
     );
     world.kill(0);
     world.start(2, false);
-    assert!(world.run_until(3000.0, |world| said(world, "held back: m2 -> m3: e4 in line")));
+    assert!(world.run_until(3000.0, |world| world.said("held back: m2 -> m3: e4 in line")));
     world.run(500.0);
-    assert!(said(&world, "m4 -> m2: e4 submit"), "the caller's process asks the new head");
+    assert!(world.said("m4 -> m2: e4 submit"), "the caller's process asks the new head");
     assert_eq!(world.outcome(call), None);
     world.hold.clear();
     world.run(500.0);
@@ -262,7 +253,7 @@
         ["m1 -> m4: e1 learn", "m2 -> m4: e1 learn", "m3 -> m4: e1 learn"].map(str::to_string).to_vec();
     world.submit(0, 0);
     world.run(20.0);
-    assert!(said(&world, "m4: e1 learn: 1@1"));
+    assert!(world.said("m4: e1 learn: 1@1"));
     world.hold.clear();
     world.submit(0, 1);
     world.run(2000.0);
@@ -279,7 +270,7 @@
     world.run(100.0);
     assert!(matches!(world.outcome(call), Some(Ok(_))));
     world.heal();
-    assert!(world.run_until(3000.0, |world| said(world, "-> m1: e2 prepare")));
+    assert!(world.run_until(3000.0, |world| world.said("-> m1: e2 prepare")));
     world.set_disk(0, DiskMode::Full); // so that it is not taken in
     world.run(2000.0);
     assert_eq!(newest_view(&world).epoch, 2);
@@ -310,12 +301,12 @@
     let mut world = with_a_divergent_log();
     world.hold = vec!["m3 -> m1: e3 in line".to_string()];
     world.set_disk(0, DiskMode::Well);
-    assert!(world.run_until(3000.0, |world| said(world, "held back: m3 -> m1: e3 in line")));
+    assert!(world.run_until(3000.0, |world| world.said("held back: m3 -> m1: e3 in line")));
     // Each picks a member of the chain by its address: one of three picks the first machine.
     let observers: Vec<usize> = (0..3).map(|_| world.add(false)).collect();
     observers.iter().for_each(|observer| world.start(*observer, false));
     world.run(1500.0);
-    assert!(said(&world, "learns from m1"));
+    assert!(world.said("learns from m1"));
     let applied = |observer: &usize| world.nodes[*observer].replica.as_ref().unwrap().machine().applied;
     assert_eq!(observers.iter().map(applied).collect::<Vec<_>>(), [1, 1, 1]);
 }
@@ -328,7 +319,7 @@
     let mut world = calm(4, 0, 1);
     world.set_disk(2, DiskMode::Stalled);
     world.submit(0, 0);
-    assert!(world.run_until(3000.0, |world| said(world, "m1 -> m3: e1 prepare 1 of m1/0")));
+    assert!(world.run_until(3000.0, |world| world.said("m1 -> m3: e1 prepare 1 of m1/0")));
     world.run(5.0);
     world.cut(&[2], &[0, 1, 3]);
     world.run(6000.0);
@@ -336,13 +327,13 @@
     assert_eq!((view.epoch, addresses(&view.voters)), (3, vec!["m1", "m2", "m4"]));
     world.heal();
     world.run(1000.0);
-    assert!(said(&world, "m3 knows view 3"));
+    assert!(world.said("m3 knows view 3"));
     world.hold = vec!["m4 -> m1: e3 promise".to_string()];
     world.kill(1);
-    assert!(world.run_until(3000.0, |world| said(world, "held back: m4 -> m1: e3 promise 1 of m1/0")));
+    assert!(world.run_until(3000.0, |world| world.said("held back: m4 -> m1: e3 promise 1 of m1/0")));
     world.set_disk(2, DiskMode::Well);
     world.run(100.0);
-    assert!(!said(&world, "m1 -> m4: e3 accept"), "one voter of three has promised");
+    assert!(!world.said("m1 -> m4: e3 accept"), "one voter of three has promised");
     world.hold.clear();
     world.run(3000.0);
     let call = world.submit(0, world.newest().version);
@@ -433,7 +424,7 @@
     world.run(2500.0);
     world.hold = vec!["m2 -> m3: e3 in line".to_string()];
     world.start(2, false);
-    assert!(world.run_until(3000.0, |world| said(world, "held back: m2 -> m3: e3 in line")));
+    assert!(world.run_until(3000.0, |world| world.said("held back: m2 -> m3: e3 in line")));
     world.tell_to_stop(0);
     world.run(1000.0);
     assert!(world.is_needed(0));
@@ -463,14 +454,14 @@
     let mut world = calm(3, 0, 1);
     world.cut(&[2], &[0, 1]);
     world.hold = vec!["m2 -> m1: e1 new view".to_string()];
-    assert!(world.run_until(3000.0, |world| said(world, "m2 knows view 2")));
+    assert!(world.run_until(3000.0, |world| world.said("m2 knows view 2")));
     world.cut(&[1], &[0]);
     rewrite_and_start_again(&mut world);
     world.run(1500.0);
     world.heal();
     world.cut(&[1], &[0, 2]);
     // The checks of the world refuse another view 2.
-    assert!(world.run_until(8000.0, |world| said(world, "m1 knows view 2")));
+    assert!(world.run_until(8000.0, |world| world.said("m1 knows view 2")));
 }
 
 const LOWER: &str = "1 of m2/0";
@@ -486,7 +477,7 @@
 }
 
 fn wait_for(world: &mut World, words: &str) {
-    assert!(world.run_until(3000.0, |world| said(world, words)), "`{words}` was never said");
+    assert!(world.run_until(3000.0, |world| world.said(words)), "`{words}` was never said");
 }
 
 /// The third machine is promised the first one's vote, then what the second one asks of it arrives. Nobody hears of what
@@ -503,7 +494,7 @@
     }
     assert!(world.release(&format!("m3 -> m1: e1 accept {HIGHER}")));
     world.run(20.0);
-    assert!(said(world, "m3 knows view 2") && !said(world, "m2 knows view 2"));
+    assert!(world.said("m3 knows view 2") && !world.said("m2 knows view 2"));
 }
 
 #[test]
@@ -552,7 +543,7 @@
     world.heal();
     world.run(2000.0);
     assert_eq!(addresses(&newest_view(&world).chain), ["m2", "m3", "m4", "m1", "m5"]);
-    assert!(said(&world, &format!("m5 -> m1: e{next} align me")));
+    assert!(world.said(&format!("m5 -> m1: e{next} align me")));
     world.hold.clear();
     world.run(1000.0);
     let call = world.submit(1, 0);
@@ -570,7 +561,7 @@
     world.network.lost_words = Some((1, "in line after"));
     world.hold = vec!["m2 -> m4: e2 in line".to_string()];
     world.kill(2);
-    assert!(world.run_until(3000.0, |world| said(world, "m1 knows view 2")));
+    assert!(world.run_until(3000.0, |world| world.said("m1 knows view 2")));
     assert_eq!(addresses(&newest_view(&world).chain), ["m1", "m2", "m4"]);
     world.run(500.0);
     world.start(2, false); // a voter outside the chain, which keeps its vote
@@ -579,7 +570,7 @@
     world.run(900.0);
     world.kill(0);
     world.run(1100.0);
-    assert!(said(&world, "m2 -> m4: e2 status aligned 1 synced 1 applied 1, catching up"));
+    assert!(world.said("m2 -> m4: e2 status aligned 1 synced 1 applied 1, catching up"));
     world.start(2, false); // from here a majority of the voters is there
     world
 }
--- a/crates/sandtrack-replication/tests/rare.rs
+++ b/crates/sandtrack-replication/tests/rare.rs
@@ -4,20 +4,7 @@
 use world::{DiskMode, World};
 
 fn calm(seeds: usize, observers: usize, borne: usize) -> World {
-    calm_from(3, seeds, observers, borne)
-}
-
-fn calm_from(seed: u64, seeds: usize, observers: usize, borne: usize) -> World {
-    let mut world = World::new(seed, seeds, observers, borne);
-    world.network.spread = 0.0;
-    world.start_all(true);
-    world.run(4000.0);
-    world.log = Some(Vec::new());
-    world
-}
-
-fn said(world: &World, words: &str) -> bool {
-    world.log.iter().flatten().any(|line| line.contains(words))
+    World::calm(3, seeds, observers, borne)
 }
 
 /// A member whose disk doesn't take the next view learns what that view committed. It tells so under its old epoch,
@@ -52,13 +39,13 @@
     world.kill(2);
     world.run(2500.0);
     world.start(2, false);
-    assert!(world.run_until(3000.0, |world| said(world, "m1 knows view 3")), "the joiner is taken in");
+    assert!(world.run_until(3000.0, |world| world.said("m1 knows view 3")), "the joiner is taken in");
     world.kill(1); // and not brought in line
     let proposed = "m1 -> m3: e3 accept 1 of m1/0: view 4: chain [m1/0 m3/0]";
-    assert!(world.run_until(3000.0, |world| said(world, proposed)), "a proposal");
+    assert!(world.run_until(3000.0, |world| world.said(proposed)), "a proposal");
     world.network.cut.insert((2, 0));
     world.run(2.0); // accepted, but the proposer never hears of it
-    assert!(!said(&world, "knows view 4"));
+    assert!(!world.said("knows view 4"));
     world.kill(0);
     world.start(1, false);
     world.start(0, false);
@@ -185,7 +172,7 @@
     world.run(5.0); // under way on the disk of the last
     world.submit(0, 0);
     world.run(5.0); // waits there
-    assert!(said(&world, "m2 -> m3: e1 pass 2@1"));
+    assert!(world.said("m2 -> m3: e1 pass 2@1"));
     // Nobody hears that its disk was full: it stays in the chain, and tries again.
     world.network.cut.extend([(2, 0), (2, 1)]);
     world.set_disk(2, DiskMode::Full);
@@ -228,15 +215,15 @@
     let mut world = calm(3, 0, 1);
     world.kill(2);
     world.hold = ["m1 -> m2: e1 promise", "m1 -> m2: e1 accepted"].map(str::to_string).to_vec();
-    world.run_until(3000.0, |world| said(world, "held back: m1 -> m2: e1 promise"));
+    world.run_until(3000.0, |world| world.said("held back: m1 -> m2: e1 promise"));
     assert!(world.release("m1 -> m2: e1 promise 1 of m2/0"));
-    world.run_until(500.0, |world| said(world, "held back: m1 -> m2: e1 accepted"));
+    world.run_until(500.0, |world| world.said("held back: m1 -> m2: e1 accepted"));
     assert!(world.release("m1 -> m2: e1 accepted 1 of m2/0"));
     world.run(500.0);
     assert_eq!(world.checks.newest_view().unwrap().epoch, 2);
     // In epoch 2 the same member proposes to take the third in, and hears nobody from then on.
     world.start(2, false);
-    assert!(world.run_until(2000.0, |world| said(world, "m2 -> m3: e2 prepare 1 of m2/0")));
+    assert!(world.run_until(2000.0, |world| world.said("m2 -> m3: e2 prepare 1 of m2/0")));
     world.cut(&[1], &[0, 2]);
     world.run(5.0);
     assert!(world.release("m1 -> m2: e1 promise 1 of m2/0"));
@@ -255,7 +242,7 @@
 #[test]
 fn a_proposer_that_starts_anew_uses_another_ballot() {
     for seed in 0..4 {
-        let mut world = calm_from(seed, 3, 0, 1);
+        let mut world = World::calm(seed, 3, 0, 1);
         world.kill(2);
         world.run(2500.0);
         let view = world.checks.newest_view().unwrap().to_string();
@@ -267,14 +254,14 @@
         world.hold = held.map(str::to_string).to_vec();
         world.set_disk(1, DiskMode::Stalled);
         let first = "m2 -> m3: e2 accept 1 of m2/0: view 3: chain [m1/0 m2/0 m3/0]";
-        assert!(world.run_until(2000.0, |world| said(world, &format!("held back: {first}"))));
+        assert!(world.run_until(2000.0, |world| world.said(&format!("held back: {first}"))));
         world.lose_power(0);
         world.lose_power(1);
         // The second one is another: m1 is gone.
         world.set_disk(1, DiskMode::Well);
         world.start(1, false);
         let second = "held back: m2 -> m3: e2 accept 1 of m2/0: view 3: chain [m2/0 m3/0]";
-        world.run_until(3000.0, |world| said(world, second));
+        world.run_until(3000.0, |world| world.said(second));
         assert!(world.release(first));
         world.network.cut.extend([(1, 0), (1, 2)]); // what m2 takes for decided, nobody else hears
         world.run(5.0);
--- a/crates/sandtrack-replication/tests/returns.rs
+++ b/crates/sandtrack-replication/tests/returns.rs
@@ -28,10 +28,6 @@
     world
 }
 
-fn said(world: &World, words: &str) -> bool {
-    world.log.iter().flatten().any(|line| line.contains(words))
-}
-
 fn won(world: &World, call: u64) -> bool {
     world.outcome(call).is_some_and(|outcome| outcome.is_ok())
 }
@@ -71,7 +67,7 @@
     world.submit(0, 0);
     world.run(100.0);
     leave(&mut world, index, absence);
-    assert!(world.run_until(4000.0, |world| said(world, step)), "{case}: never said");
+    assert!(world.run_until(4000.0, |world| world.said(step)), "{case}: never said");
     world.run(after);
     come_back(&mut world, index, absence);
     // What it believes at that moment is worth nothing: reads must not be old, of two orders at most one wins.
@@ -106,7 +102,7 @@
     let epoch = world.checks.newest_view().unwrap().epoch;
     let prepare = |from: usize, to: usize| format!("m{} -> m{}: e{epoch} prepare", from + 1, to + 1);
     world.hold = (0..machines).flat_map(|to| [prepare(0, to), prepare(1, to)]).collect();
-    let held = |world: &World, from, to| said(world, &format!("held back: {}", prepare(from, to)));
+    let held = |world: &World, from, to| world.said(&format!("held back: {}", prepare(from, to)));
     let both = |world: &World| held(world, 0, 1) && held(world, 1, 0);
     assert!(world.run_until(4000.0, both), "{case}: both propose");
     world.hold.clear();
--- a/crates/sandtrack-replication/tests/world/mod.rs
+++ b/crates/sandtrack-replication/tests/world/mod.rs
@@ -208,6 +208,21 @@
         world
     }
 
+    /// One that has run for four seconds on an even network; from here on it notes what is said.
+    pub fn calm(seed: u64, seeds: usize, observers: usize, borne: usize) -> Self {
+        let mut world = World::new(seed, seeds, observers, borne);
+        world.network.spread = 0.0;
+        world.start_all(true);
+        world.run(4000.0);
+        world.log = Some(Vec::new());
+        world
+    }
+
+    /// Whether these words were noted.
+    pub fn said(&self, words: &str) -> bool {
+        self.log.iter().flatten().any(|line| line.contains(words))
+    }
+
     /// Adds a machine that is not started.
     pub fn add(&mut self, has_disk: bool) -> usize {
         let index = self.nodes.len();
