--- a/crates/sandtrack-cli/src/status.rs
+++ b/crates/sandtrack-cli/src/status.rs
@@ -60,10 +60,10 @@
             epoch: number(view, "epoch"),
             chain: texts(view, "chain"),
             voters: texts(view, "voters"),
-            control_nodes: each(&value, "postmasters", |one| {
+            control_nodes: each(&value, "control_nodes", |one| {
                 (text(one, "address"), text(one, "node"), one.get_bool("linked").unwrap_or(false))
             }),
-            proxies: each(&value, "couriers", |one| Proxy {
+            proxies: each(&value, "proxies", |one| Proxy {
                 node: text(one, "node"),
                 zone: text(one, "zone"),
                 front: text(one, "front"),
--- /dev/null
+++ b/crates/sandtrack-control/src/call_log.rs
@@ -0,0 +1,85 @@
+//! Operators' calls as they are told in the log and counted: what each was, how long it had waited when it was read, and what it
+//! was answered. Pure; the control node owns it.
+use crate::arrivals::Arrival;
+use crate::control::Reply;
+use crate::Millis;
+use sandtrack_core::message::Message;
+use sandtrack_protocol::metrics::{Kind, MetricsText};
+use std::collections::BTreeMap;
+
+/// A call that was read and not answered yet.
+#[derive(Clone, Debug)]
+struct Begun {
+    what: String,
+    /// It changes something, if it is taken.
+    is_order: bool,
+    /// When it was read.
+    read: Millis,
+    /// How long its connection had been accepted when it was read, in ms.
+    on_the_way: Millis,
+}
+
+/// A call that was answered, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Told {
+    pub line: String,
+    /// It is an order, or was refused: worth a line on any day.
+    pub is_notable: bool,
+}
+
+/// The calls under way, and how those before were answered.
+#[derive(Clone, Debug, Default)]
+pub struct CallLog {
+    begun: BTreeMap<u64, Begun>,
+    /// By status and code (empty for a success).
+    answered: BTreeMap<(u16, String), u64>,
+    /// Calls whose caller left before they were made.
+    left: u64,
+}
+
+impl CallLog {
+    /// A call was read whole.
+    pub fn read(&mut self, now: Millis, call: u64, message: &Message, arrival: Option<Arrival>) {
+        let head = &message.head;
+        let based_on = head.headers.get("based-on-version");
+        let based_on = based_on.map_or_else(String::new, |version| format!(" on version {version}"));
+        let what = format!("{} {}{based_on}, {} bytes", head.method, head.target, message.body.len());
+        let on_the_way = arrival.map_or(0.0, |arrival| now - arrival.accepted);
+        self.begun.insert(call, Begun { what, is_order: head.method == "POST", read: now, on_the_way });
+    }
+
+    /// A call is answered; nothing where it was answered before.
+    pub fn answered(&mut self, now: Millis, call: u64, reply: &Reply) -> Option<Told> {
+        let Begun { what, is_order, read, on_the_way } = self.begun.remove(&call)?;
+        let code = reply.code.map_or_else(String::new, |code| code.to_string());
+        *self.answered.entry((reply.status, code.clone())).or_default() += 1;
+        let refusal = match reply.code {
+            Some(code) => format!(" {code} {}", code.meaning()),
+            None => String::new(),
+        };
+        let line = format!(
+            "call {call} ({what}; read {on_the_way:.0} ms after it was accepted) answered {}{refusal} after {:.0} ms",
+            reply.status,
+            now - read,
+        );
+        Some(Told { line, is_notable: is_order || reply.code.is_some() })
+    }
+
+    /// A call was read whose caller has left: it is not made.
+    pub fn caller_left(&mut self) {
+        self.left += 1;
+    }
+
+    /// Appends them to the figures of the process.
+    pub fn tell(&self, text: &mut MetricsText) {
+        const CALLS: &str = "sandtrack_control_calls_total";
+        text.family(CALLS, Kind::Counter, "Operators' calls by how they were answered");
+        for ((status, code), count) in &self.answered {
+            text.figure(CALLS, &[("status", &status.to_string()), ("code", code)], count);
+        }
+        let help = "Calls that were not made, as their caller had left";
+        text.single("sandtrack_control_calls_left_total", Kind::Counter, help, self.left);
+        let help = "Calls that are not answered yet";
+        text.single("sandtrack_control_calls_open", Kind::Gauge, help, self.begun.len());
+    }
+}
--- a/crates/sandtrack-control/src/control.rs
+++ b/crates/sandtrack-control/src/control.rs
@@ -33,9 +33,16 @@
     pub status: u16,
     /// JSON text.
     pub body: String,
+    /// Why it is no success.
+    pub code: Option<Code>,
 }
 
 impl Reply {
+    /// A success.
+    pub fn success(body: String) -> Reply {
+        Reply { status: 200, body, code: None }
+    }
+
     /// A refusal with a numbered code, at a place, in the words of the table.
     pub fn error(status: u16, code: Code, place: &str) -> Reply {
         Reply::told(status, code, place, code.meaning())
@@ -44,7 +51,7 @@
     fn told(status: u16, code: Code, place: &str, what: &str) -> Reply {
         let (place, what) = (escape(place), escape(what));
         let body = format!("{{\"code\":\"{code}\",\"place\":\"{place}\",\"what\":\"{what}\"}}");
-        Reply { status, body }
+        Reply { status, body, code: Some(code) }
     }
 
     /// The answer as it is written; `close`: it is the connection's last.
@@ -102,9 +109,7 @@
 /// The answer to an order for what came of it.
 pub fn outcome(result: Result<Outcome, Refusal>) -> Reply {
     match result {
-        Ok(Outcome::Taken { version }) => {
-            Reply { status: 200, body: format!("{{\"version_number\":{version}}}") }
-        }
+        Ok(Outcome::Taken { version }) => Reply::success(format!("{{\"version_number\":{version}}}")),
         Ok(Outcome::Other { current }) => {
             Reply::error(412, codes::ANOTHER_VERSION, &format!("current {current}"))
         }
@@ -130,7 +135,7 @@
 /// The answer to a read.
 pub fn answer(result: Result<Answer, Refusal>) -> Reply {
     match result {
-        Ok(Some(document)) => Reply { status: 200, body: document },
+        Ok(Some(document)) => Reply::success(document),
         Ok(None) => Reply::error(404, codes::NO_CONFIGURATION, "configuration"),
         Err(refusal) => refused(refusal),
     }
--- a/crates/sandtrack-control/src/control_state.rs
+++ b/crates/sandtrack-control/src/control_state.rs
@@ -5,6 +5,7 @@
 use crate::evacuations::{Evacuations, OrderNumbers};
 use crate::taken::{Digest, FnvRecord, Sha256Record, Taken};
 use borsh::{BorshDeserialize, BorshSerialize};
+use sandtrack_invariants::{check, Invariant};
 use sandtrack_protocol::codes;
 use sandtrack_protocol::configuration::Configuration;
 use sandtrack_protocol::document::{Document, Invalid, Update};
@@ -149,8 +150,10 @@
             Ok(next) => next,
             Err(invalid) => return invalid.into(),
         };
-        self.note_change(number, &next);
         let version = next.version;
+        let rises = version > self.document.version && number > self.configuration_number;
+        check(Invariant::VersionRises, rises, || format!("{version} behind {}", self.document.version));
+        self.note_change(number, &next);
         (self.document, self.configuration_number) = (next, number);
         self.taken.push(version, digest);
         Outcome::Taken { version }
--- a/crates/sandtrack-control/src/directory.rs
+++ b/crates/sandtrack-control/src/directory.rs
@@ -98,5 +98,5 @@
     }
     let addresses: Vec<String> = addresses.iter().map(|address| format!("\"{address}\"")).collect();
     let body = format!("{{\"addresses\":[{}],\"lifetime_s\":{LIFETIME_S}}}", addresses.join(","));
-    Reply { status: 200, body }
+    Reply::success(body)
 }
--- a/crates/sandtrack-control/src/lib.rs
+++ b/crates/sandtrack-control/src/lib.rs
@@ -1,6 +1,7 @@
 //! The control plane: configuration, membership, the list of upstreams, the directory. `control node` puts the parts
 //! together and is pure; `program` carries out what it asks for on sockets, a disk and a clock.
 pub mod arrivals;
+pub mod call_log;
 pub mod commands;
 pub mod contact;
 pub mod control;
--- a/crates/sandtrack-control/src/node.rs
+++ b/crates/sandtrack-control/src/node.rs
@@ -4,8 +4,9 @@
 //! This module has the inputs, the effects and the dispatch. One module for each concern does the work: `replica` (the
 //! replica's effects), `operators` (operators' calls), `links` (the other control nodes), `proxies` (their sessions),
 //! `list` (who reads the platform's list), `attachment` (contact with a majority), `time` (what is due, and freezes),
-//! `leaving` (the way to the end of the process) and `status`.
+//! `leaving` (the way to the end of the process), `status` and `figures`.
 mod attachment;
+mod figures;
 mod leaving;
 mod links;
 mod list;
@@ -16,6 +17,7 @@
 mod time;
 
 use crate::arrivals::Arrival;
+use crate::call_log::CallLog;
 use crate::contact::Contact;
 use crate::control::{self, Reply};
 use crate::control_state::ControlState;
@@ -105,6 +107,7 @@
     election: ReaderElection,
     reader: Reader,
     calls: OperatorCalls,
+    call_log: CallLog,
     /// Clients that the directory has answered.
     resolutions: usize,
     /// How far the peers were told of sessions and the list.
@@ -156,6 +159,7 @@
             upstreams: Upstreams::default(),
             reader: Reader::default(),
             calls: OperatorCalls::new(now),
+            call_log: CallLog::default(),
             resolutions: 0,
             announced: Announced::default(),
             last_caught_up: None,
@@ -186,6 +190,11 @@
         self.calls.begin(arrival)
     }
 
+    /// A call was read whole and is not made: its caller has left.
+    pub fn caller_left(&mut self) {
+        self.call_log.caller_left();
+    }
+
     /// Since when this process has run without being held up.
     pub fn awake_since(&self) -> Millis {
         self.calls.awake_since()
@@ -229,6 +238,7 @@
         match input {
             Input::Tick => self.tick(now, out),
             Input::Call { call, message } => {
+                self.call_log.read(now, call, &message, self.calls.arrival(call));
                 self.advance_calls(now, out, |calls, known| Some(calls.call(now, call, &message, known)));
             }
             Input::LinkOpened { link } => self.link_opened(now, link, out),
--- a/crates/sandtrack-control/src/node/attachment.rs
+++ b/crates/sandtrack-control/src/node/attachment.rs
@@ -5,7 +5,7 @@
 use sandtrack_replication::Address;
 
 /// A voter counts as present for this long after something was heard of it, in ms.
-const VOTER_PRESENT_MS: Millis = 1000.0;
+pub(super) const VOTER_PRESENT_MS: Millis = 1000.0;
 /// A repair of the chain may take this long, in ms, without a proxy having to look for another control node: it would find
 /// the same there.
 const REPAIR_MS: Millis = 2500.0;
--- a/crates/sandtrack-control/src/node/status.rs
+++ b/crates/sandtrack-control/src/node/status.rs
@@ -26,7 +26,7 @@
         let body = format!(
             "{{\"node\":{},\"address\":{},\"attached\":{},\"caught_up\":{},\"version_number\":{},\
              \"configuration_number\":{},\"evacuated\":{},\"view\":{{\"epoch\":{},\"chain\":{},\"voters\":{}}},\
-             \"postmasters\":{},\"couriers\":{},\"reader\":{},\"readings\":{},\"services\":{}}}",
+             \"control_nodes\":{},\"proxies\":{},\"reader\":{},\"readings\":{},\"services\":{}}}",
             quote(&self.settings.node_name),
             quote(&self.peers.me.address),
             self.is_attached(now),
@@ -43,7 +43,7 @@
             self.upstreams.round(),
             self.status_of_services(),
         );
-        Reply { status: 200, body }
+        Reply::success(body)
     }
 
     fn status_of_peers(&self) -> String {
--- a/crates/sandtrack-control/src/operator_calls.rs
+++ b/crates/sandtrack-control/src/operator_calls.rs
@@ -90,6 +90,11 @@
         self.next
     }
 
+    /// When a call came that was begun and not made yet.
+    pub fn arrival(&self, call: u64) -> Option<Arrival> {
+        self.begun.get(&call).copied()
+    }
+
     /// Since when this process has run without being held up.
     pub fn awake_since(&self) -> Millis {
         self.awake.since()
--- a/crates/sandtrack-control/src/operators.rs
+++ b/crates/sandtrack-control/src/operators.rs
@@ -58,16 +58,19 @@
 }
 
 /// Takes one call off an operator's connection, and answers it. A call whose caller has left is not made: it will have been
-/// sent elsewhere.
+/// sent elsewhere; `left` is told of it.
 pub async fn serve_call<F: Future<Output = Option<Reply>>>(
-    stream: &Async<TcpStream>, clock: Clock, submit: impl FnOnce(Message) -> F,
+    stream: &Async<TcpStream>, clock: Clock, submit: impl FnOnce(Message) -> F, left: impl FnOnce(),
 ) {
     let mut input = Ring::new(http::READ_RING);
     let mut parser = http::Parser::new(Side::Request);
     let reply = match read_patiently(stream, &mut input, &mut parser).await {
         None => return,
         Some(Err(status)) => Reply::error(status, codes::BAD_CALL, "not a call"),
-        Some(Ok(_)) if has_left(stream) => return,
+        Some(Ok(message)) if has_left(stream) => {
+            log::info!("{} {} is not made: its caller has left", message.head.method, message.head.target);
+            return left();
+        }
         Some(Ok(message)) => {
             let read = clock.now();
             match submit(message).await {
--- a/crates/sandtrack-control/src/program/effects.rs
+++ b/crates/sandtrack-control/src/program/effects.rs
@@ -7,6 +7,7 @@
 use crate::platform::Fetch;
 use crate::sessions::SessionOrder;
 use crate::socket;
+use sandtrack_invariants::{check, Invariant};
 use sandtrack_protocol::frames;
 use sandtrack_replication::Address;
 use std::ops::ControlFlow;
@@ -22,7 +23,11 @@
     for effect in effects {
         match effect {
             Effect::Reply { call, reply } => {
-                if let Some(caller) = runtime.calls.borrow_mut().remove(&call) {
+                let caller = runtime.calls.borrow_mut().remove(&call);
+                check(Invariant::CallAnsweredOnce, caller.is_some(), || {
+                    format!("call {call}: {}", reply.status)
+                });
+                if let Some(caller) = caller {
                     // The caller's task may be over.
                     let _ = caller.try_send(reply);
                 }
--- a/crates/sandtrack-control/src/program/listeners.rs
+++ b/crates/sandtrack-control/src/program/listeners.rs
@@ -9,7 +9,9 @@
 use crate::socket;
 use async_io::Async;
 use sandtrack_core::message::Message;
+use sandtrack_net::text_server;
 use sandtrack_protocol::frames::ToControl;
+use sandtrack_protocol::metrics;
 use sandtrack_protocol::settings::{Settings, PEER_PORT, SESSION_PORT};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -27,6 +29,8 @@
     peers: Async<TcpListener>,
     /// Sessions of proxies.
     sessions: Async<TcpListener>,
+    /// Scrapers of the figures; a process serves without them too.
+    metrics: Option<Async<TcpListener>>,
 }
 
 impl Listeners {
@@ -40,6 +44,7 @@
             directory: bind(&settings.listen["directory"])?,
             peers: bind(&internal_listener(settings, "peers", PEER_PORT))?,
             sessions: bind(&internal_listener(settings, "sessions", SESSION_PORT))?,
+            metrics: metrics_listener(settings),
         })
     }
 
@@ -49,6 +54,9 @@
         spawn_directory(runtime, self.directory);
         spawn_peers(runtime, self.peers);
         spawn_sessions(runtime, self.sessions);
+        if let Some(metrics) = self.metrics {
+            spawn_metrics(runtime, metrics);
+        }
     }
 }
 
@@ -65,6 +73,21 @@
     Ok(listener)
 }
 
+fn metrics_listener(settings: &Settings) -> Option<Async<TcpListener>> {
+    let address = metrics::address(settings, metrics::CONTROL_PORT);
+    let listener = text_server::listen(&address);
+    listener.inspect_err(|error| log::warn!("no figures at {address}: {error}")).ok()
+}
+
+fn spawn_metrics(runtime: &Rc<Runtime<'_>>, listener: Async<TcpListener>) {
+    let here = runtime.clone();
+    let serving = async move {
+        let text = || here.control_node.borrow().figures(here.clock.now());
+        text_server::serve(listener, metrics::PATH, text).await;
+    };
+    runtime.executor.spawn(serving).detach();
+}
+
 /// Where it listens for the system's own traffic: at the address that others are told, unless something that passes the
 /// traffic on stands there and `listen_addresses` names another one.
 fn internal_listener(settings: &Settings, name: &str, offset: u16) -> String {
@@ -80,7 +103,8 @@
         let runtime = here.clone();
         let run = async move {
             let submit = |message| submit(&runtime, arrival, message);
-            operators::serve_call(&stream, runtime.clock, submit).await;
+            let left = || runtime.control_node.borrow_mut().caller_left();
+            operators::serve_call(&stream, runtime.clock, submit, left).await;
         };
         here.executor.spawn(run).detach();
     });
--- a/crates/sandtrack-control/src/reader_election.rs
+++ b/crates/sandtrack-control/src/reader_election.rs
@@ -2,6 +2,7 @@
 //! and no clock is touched here.
 use crate::peer_frames::Claim;
 use crate::Millis;
+use sandtrack_invariants::{check, Invariant};
 use sandtrack_replication::Address;
 use std::collections::BTreeMap;
 
@@ -65,7 +66,7 @@
     /// Another control node says who holds.
     pub fn heard_claim(&mut self, now: Millis, from: &str, claim: &Claim) {
         if *claim > self.claim {
-            self.claim = claim.clone();
+            self.hold(claim.clone());
             // One that was named by another is given its time to begin.
             self.heard = now;
         }
@@ -74,6 +75,13 @@
         }
     }
 
+    fn hold(&mut self, claim: Claim) {
+        check(Invariant::ReaderTermRises, claim.term >= self.claim.term, || {
+            format!("term {} behind {}", claim.term, self.claim.term)
+        });
+        self.claim = claim;
+    }
+
     /// This process did not run for a while: what it holds may be another's by now, who has to be heard first.
     pub fn woke(&mut self, now: Millis) {
         if self.is_holder() {
@@ -107,7 +115,7 @@
         if 2 * agreed <= voters.len() {
             return false;
         }
-        self.claim = Claim { term: self.claim.term + 1, holder: self.me.clone() };
+        self.hold(Claim { term: self.claim.term + 1, holder: self.me.clone() });
         true
     }
 
@@ -124,7 +132,7 @@
             self.successor(order, |one| live.contains_key(one)).filter(|next| **next != self.me).cloned();
         match next {
             Some(holder) if self.is_holder() => {
-                self.claim = Claim { term: self.claim.term + 1, holder };
+                self.hold(Claim { term: self.claim.term + 1, holder });
                 true
             }
             _ => false,
--- /dev/null
+++ b/crates/sandtrack-control/tests/call_log.rs
@@ -0,0 +1,50 @@
+//! What is told of operators' calls: each once, with why it was not taken.
+use sandtrack_control::arrivals::Arrival;
+use sandtrack_control::call_log::CallLog;
+use sandtrack_control::control::{too_late, Reply};
+use sandtrack_core::message::{Head, Headers, Message};
+use sandtrack_protocol::metrics::MetricsText;
+
+fn call(method: &str, target: &str) -> Message {
+    let head = Head {
+        method: method.to_owned(),
+        target: target.to_owned(),
+        status: 0,
+        headers: Headers::default(),
+        keep_alive: true,
+        chunks: true,
+    };
+    Message { head, body: Vec::new() }
+}
+
+#[test]
+fn a_refused_order_is_told_once_with_its_code_and_its_age() {
+    let mut log = CallLog::default();
+    let begin = call("POST", "/v1/evacuation/kita-hall/begin");
+    log.read(1500.0, 4, &begin, Some(Arrival::at(1000.0)));
+    let told = log.answered(1502.0, 4, &too_late()).expect("told");
+    let expected = "call 4 (POST /v1/evacuation/kita-hall/begin, 0 bytes; read 500 ms after it was accepted) answered 503 \
+        E308 the call may have waited for too long in this process: it was not carried out after 2 ms";
+    assert_eq!(told.line, expected);
+    assert!(told.is_notable);
+    assert_eq!(log.answered(1503.0, 4, &too_late()), None, "a call is told once");
+}
+
+#[test]
+fn a_read_that_is_answered_is_no_news_and_all_are_counted() {
+    let mut log = CallLog::default();
+    log.read(0.0, 1, &call("GET", "/v1/configuration/read"), None);
+    assert!(!log.answered(3.0, 1, &Reply::success("{}".to_owned())).expect("told").is_notable);
+    log.read(5.0, 2, &call("POST", "/v1/evacuation/kita-hall/begin"), None);
+    log.caller_left();
+    let mut text = MetricsText::default();
+    log.tell(&mut text);
+    let text = text.into_text();
+    for line in [
+        "sandtrack_control_calls_total{status=\"200\",code=\"\"} 1",
+        "sandtrack_control_calls_left_total 1",
+        "sandtrack_control_calls_open 1",
+    ] {
+        assert!(text.contains(line), "{line} in {text}");
+    }
+}
--- a/crates/sandtrack-control/tests/operator.rs
+++ b/crates/sandtrack-control/tests/operator.rs
@@ -33,7 +33,7 @@
                     self.control_state.query(&borsh::to_vec(&Question::Configuration).expect("a question"));
                 control::answer(Ok(borsh::from_slice(&answer).expect("an answer")))
             }
-            Ok(Order::Status) => Reply { status: 200, body: "(status)".to_owned() },
+            Ok(Order::Status) => Reply::success("(status)".to_owned()),
         };
         let version = based_on.map_or(String::new(), |version| format!(" (on {version})"));
         self.transcript.push_str(&format!("# {what}\n{method} {target}{version}\n"));
--- a/crates/sandtrack-control/tests/program.rs
+++ b/crates/sandtrack-control/tests/program.rs
@@ -206,7 +206,7 @@
     let body = status.split("\r\n\r\n").nth(1).unwrap_or_default();
     let status = simd_json::to_owned_value(&mut body.as_bytes().to_vec()).expect("JSON");
     assert_eq!(status["version_number"], 7);
-    assert_eq!(status["couriers"][0]["node"], "c");
+    assert_eq!(status["proxies"][0]["node"], "c");
     assert_eq!(running.end(rustix::process::Signal::TERM).code(), Some(0));
     let mut rest = Vec::new();
     let _ = session.read_to_end(&mut rest);
--- a/crates/sandtrack-net/src/lib.rs
+++ b/crates/sandtrack-net/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod http;
 pub mod ring;
 pub mod socket;
+pub mod text_server;
--- a/crates/sandtrack-protocol/src/lib.rs
+++ b/crates/sandtrack-protocol/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod document;
 pub mod frames;
 pub mod logs;
+pub mod metrics;
 pub mod settings;
 pub mod settings_fields;
--- /dev/null
+++ b/crates/sandtrack-protocol/src/metrics.rs
@@ -0,0 +1,72 @@
+//! The figures of a process as text that scrapers read (Prometheus exposition format, version 0.0.4), and where they are served.
+use crate::settings::Settings;
+use std::fmt::{Display, Write};
+
+/// What is asked for.
+pub const PATH: &str = "/metrics";
+/// Port of a proxy's figures where the settings name none (`listen_addresses.metrics`).
+pub const PROXY_PORT: u16 = 9464;
+/// The same of a control node.
+pub const CONTROL_PORT: u16 = 9465;
+
+/// Where a process serves its figures, `IP:PORT`.
+#[must_use]
+pub fn address(settings: &Settings, port: u16) -> String {
+    let told = settings.listen.get("metrics").cloned();
+    told.unwrap_or_else(|| format!("{}:{port}", settings.ip_address))
+}
+
+/// How a figure changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// It only rises, from 0 at the start of the process.
+    Counter,
+    /// It rises and falls.
+    Gauge,
+}
+
+/// Figures, one family after the other.
+#[derive(Clone, Debug, Default)]
+pub struct MetricsText(String);
+
+impl MetricsText {
+    /// Begins a family of figures, with its help line.
+    pub fn family(&mut self, name: &str, kind: Kind, help: &str) {
+        let kind = match kind {
+            Kind::Counter => "counter",
+            Kind::Gauge => "gauge",
+        };
+        // Writing into memory can't fail.
+        let _ = write!(self.0, "# HELP {name} {help}\n# TYPE {name} {kind}\n");
+    }
+
+    /// One figure of the family begun last. Values of labels are escaped.
+    pub fn figure(&mut self, name: &str, labels: &[(&str, &str)], value: impl Display) {
+        let escape = |value: &str| value.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n");
+        let pair = |(label, value): &(&str, &str)| format!("{label}=\"{}\"", escape(value));
+        let pairs: Vec<String> = labels.iter().map(pair).collect();
+        let labels = if pairs.is_empty() { String::new() } else { format!("{{{}}}", pairs.join(",")) };
+        let _ = writeln!(self.0, "{name}{labels} {value}");
+    }
+
+    /// A family of one figure.
+    pub fn single(&mut self, name: &str, kind: Kind, help: &str, value: impl Display) {
+        self.family(name, kind, help);
+        self.figure(name, &[], value);
+    }
+
+    /// How often each invariant was violated in this process.
+    pub fn invariants(&mut self) {
+        const NAME: &str = "sandtrack_invariant_violations_total";
+        self.family(NAME, Kind::Counter, "Violations of each invariant; any is a fault of the program");
+        for invariant in sandtrack_invariants::Invariant::ALL {
+            self.figure(NAME, &[("invariant", invariant.name())], invariant.violations());
+        }
+    }
+
+    /// All of it.
+    #[must_use]
+    pub fn into_text(self) -> String {
+        self.0
+    }
+}
--- a/crates/sandtrack-proxy/src/attempt.rs
+++ b/crates/sandtrack-proxy/src/attempt.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Who it is at.
+    pub fn identifier(&self) -> &str {
+        &self.upstream.identifier
+    }
+
     pub fn place(&self) -> usize {
         self.reported.place
     }
--- a/crates/sandtrack-proxy/src/balancer.rs
+++ b/crates/sandtrack-proxy/src/balancer.rs
@@ -5,6 +5,7 @@
 use crate::upstreams::{Load, Table};
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
+use sandtrack_invariants::{check, Invariant};
 use sandtrack_protocol::configuration::Configuration;
 use sandtrack_protocol::document::Document;
 use sandtrack_protocol::frames::{ProxyState, ToProxy};
@@ -72,6 +73,19 @@
     GivenUp,
 }
 
+impl Ended {
+    /// Its name in logs and figures.
+    pub fn name(self) -> &'static str {
+        match self {
+            Ended::Answered => "answered",
+            Ended::TurnedAway => "turned_away",
+            Ended::Faulty => "faulty",
+            Ended::Broken => "broken",
+            Ended::GivenUp => "given_up",
+        }
+    }
+}
+
 /// What came from the control plane that a proxy must answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Folded {
@@ -214,6 +228,11 @@
         match Configuration::read(&document) {
             Ok(configuration) => {
                 log::info!("configuration {} in force", configuration.version);
+                let before = self.configuration.as_ref().map_or(0, |before| before.version);
+                let forward = configuration.version > before && number > self.number;
+                check(Invariant::GoesForward, forward || before == 0, || {
+                    format!("version {} of number {number} behind {before}", configuration.version)
+                });
                 self.number = number;
                 self.paces
                     .retain(|(name, _), _| configuration.routes.iter().any(|route| route.name == *name));
@@ -270,6 +289,9 @@
     /// A send is over.
     pub fn ended(&mut self, now: Millis, place: usize, ended: Ended) {
         let upstream = self.upstreams.get_mut(place);
+        check(Invariant::SendsAreCounted, upstream.own > 0, || {
+            format!("none is under way at {}", upstream.entry.identifier)
+        });
         upstream.own = upstream.own.saturating_sub(1);
         match ended {
             Ended::Answered => upstream.run.succeeded(),
--- a/crates/sandtrack-proxy/src/carry.rs
+++ b/crates/sandtrack-proxy/src/carry.rs
@@ -1,15 +1,20 @@
 //! Carries one request: does what [`Exchange`] decides, and tells it what happened. It owns the sends that are under way.
 use crate::answers::{come_back_after, Client};
-use crate::attempt::Attempt;
+use crate::attempt::{head_facts, Attempt};
+use crate::balancer::Ended;
+use crate::events::GivenIds;
 use crate::exchange_state::{
-    Action, Exchange, Final, Input, Phase, SendEvent, SendId, Terms, Watched, SENDS,
+    is_promise, Action, AnswerId, Exchange, Final, Input, Phase, SendEvent, SendId, Terms, Watched, SENDS,
 };
+use crate::outcomes::Outcome;
 use crate::placement::{Placed, HOLD};
 use crate::request::ProxyRequest;
+use crate::request_log::RequestLog;
 use crate::shared::Shared;
 use async_io::Timer;
 use futures_lite::future;
 use sandtrack_core::message::Head;
+use sandtrack_invariants::{check, Invariant};
 use sandtrack_tiers::Millis;
 use std::future::Future;
 use std::pin::Pin;
@@ -26,6 +31,9 @@
 /// A client has so long beyond the request's time to take a piece of a stream, in ms.
 const LAST_PIECE: Millis = 100.0;
 
+/// Status of an answer that is relayed as a stream.
+const STREAM_STATUS: u16 = 200;
+
 /// A send that is waiting for what happens next, and comes back with it.
 type Step<'a> = Pin<Box<dyn Future<Output = (Box<Attempt<'a>>, SendEvent)> + 'a>>;
 
@@ -94,6 +102,9 @@
     failure: Option<(Head, Vec<u8>)>,
     /// The answer of the send that was over last, if it came whole.
     whole: Option<(Head, Vec<u8>)>,
+    log: RequestLog<'a>,
+    /// Of the events that the client was given.
+    given: GivenIds,
 }
 
 /// Carries the request and answers on `client`; whether that connection can be used on.
@@ -115,6 +126,8 @@
         watch: None,
         failure: None,
         whole: None,
+        log: RequestLog::new(shared, request),
+        given: GivenIds::default(),
     };
     carried.run().await
 }
@@ -159,7 +172,12 @@
             }
             Action::Relay { send, begins, bytes, ends } => {
                 let patience = self.request.left(self.shared.clock.now()) + LAST_PIECE;
+                let rises = self.given.note(&bytes);
+                check(Invariant::EventsRise, rises, || format!("{} at {:?}", self.request.id, self.given));
                 let head = self.lanes[send].attempt().and_then(Attempt::head).filter(|_| begins);
+                if let Some(head) = head {
+                    self.check_is_own(head);
+                }
                 if !self.client.relay(head, &bytes, ends, patience).await {
                     return Some(false);
                 }
@@ -167,14 +185,14 @@
             Action::KeepFailure(_) => self.failure = self.whole.take(),
             Action::Pool(send, ended) => {
                 if let Some(mut attempt) = self.lanes[send].take() {
-                    self.tried.push(attempt.place());
+                    self.note_over(&attempt, ended);
                     attempt.pool(ended);
                     self.whole = attempt.take_answer();
                 }
             }
             Action::Close(send, ended) => {
                 if let Some(mut attempt) = self.lanes[send].take() {
-                    self.tried.push(attempt.place());
+                    self.note_over(&attempt, ended);
                     self.whole = attempt.take_answer();
                     attempt.close(ended);
                 }
@@ -185,24 +203,48 @@
         None
     }
 
+    fn note_over(&mut self, attempt: &Attempt<'_>, ended: Ended) {
+        self.tried.push(attempt.place());
+        self.log.send_over(attempt.identifier().to_owned(), ended);
+    }
+
     async fn finish(&mut self, answer: Final) -> bool {
         let passed_on = match answer {
             Final::Whole(_) => self.whole.take(),
             Final::KeptFailure => self.failure.take(),
-            Final::StreamEnded => return true,
-            Final::Cut => return false,
+            Final::StreamEnded => {
+                self.log.over(Outcome::Upstream(STREAM_STATUS));
+                return true;
+            }
+            Final::Cut => {
+                self.log.over(Outcome::Cut);
+                return false;
+            }
             Final::Own { status, why, promise } => {
-                log::debug!("request {} given up: E{}", self.request.id, why.0);
+                self.log.over(Outcome::Own(status, why));
                 let come_back = promise.then(|| come_back_after(self.request.route.target_latency_ms));
                 return self.client.own(status, &self.request.id, come_back.as_deref(), why).await;
             }
         };
         match passed_on {
-            Some((head, body)) => self.client.pass_on(&head, &body).await,
+            Some((head, body)) => {
+                self.check_is_own(&head);
+                self.log.over(Outcome::Upstream(head.status));
+                self.client.pass_on(&head, &body).await
+            }
             None => false,
         }
     }
 
+    /// Checks that an upstream's answer that is passed on is one to this request.
+    fn check_is_own(&self, head: &Head) {
+        let facts = head_facts(head, &self.request.id);
+        let is_own = facts.id == AnswerId::Own && (facts.sealed || !facts.is_success());
+        check(Invariant::AnswerIsItsRequests, is_own && !is_promise(facts.status), || {
+            format!("{} gets {facts:?}", self.request.id)
+        });
+    }
+
     /// Where it goes next, waiting for room for a while. Counts a send beyond the first against the budget.
     async fn find_place(&self) -> Input {
         let request = self.request;
--- a/crates/sandtrack-proxy/src/events.rs
+++ b/crates/sandtrack-proxy/src/events.rs
@@ -1,6 +1,9 @@
 //! Pieces of a stream of events (`text/event-stream`): only whole events are passed on, so that a stream that breaks can be
 //! taken up elsewhere, and none comes twice or out of order. Pure.
 
+/// What a line with an event's id begins with.
+const ID: &[u8] = b"id:";
+
 /// Splits a stream into whole events.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Scanner {
@@ -68,6 +71,23 @@
     }
 }
 
+/// The ids of the events that a client was given, to check that they rise.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct GivenIds {
+    last: Option<u64>,
+}
+
+impl GivenIds {
+    /// Takes note of bytes of whole events; no where an id does not rise.
+    pub fn note(&mut self, bytes: &[u8]) -> bool {
+        let ids = bytes.split(|byte| *byte == b'\n').filter_map(id_of_line);
+        ids.into_iter().fold(true, |rises, id| {
+            let before = self.last.replace(id);
+            rises && before.is_none_or(|before| before < id)
+        })
+    }
+}
+
 /// Length of the first event with the empty line that ends it.
 fn end_of_event(bytes: &[u8]) -> Option<usize> {
     let mut from = 0;
@@ -87,7 +107,10 @@
 }
 
 fn id_of(event: &[u8]) -> Option<u64> {
-    let mut lines = event.split(|byte| *byte == b'\n');
-    let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    event.split(|byte| *byte == b'\n').find(|line| line.starts_with(ID)).and_then(id_of_line)
+}
+
+fn id_of_line(line: &[u8]) -> Option<u64> {
+    let value = line.strip_prefix(ID)?;
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
--- a/crates/sandtrack-proxy/src/exchange_state.rs
+++ b/crates/sandtrack-proxy/src/exchange_state.rs
@@ -6,6 +6,7 @@
 //! `docs/system/exchange.md` names the test that falls for each guard here.
 use crate::balancer::Ended;
 use crate::events::{Scanned, Scanner};
+use sandtrack_invariants::{check, Invariant};
 use sandtrack_protocol::codes::{self, Code};
 
 /// Which of the two sends that may be under way.
@@ -330,8 +331,11 @@
 
     fn start(&mut self, place: usize, actions: &mut Vec<Action>) {
         let Some(send) = self.sends.iter().position(Option::is_none) else { return };
+        let is_first = !self.may_have_run && self.sends.iter().all(Option::is_none);
+        check(Invariant::RunsOnce, self.terms.idempotent || is_first, || format!("{self:?}"));
         self.sends[send] = Some(Send { place, reused: false, stage: Stage::Connecting });
         self.sent += 1;
+        check(Invariant::AttemptsBounded, self.sent <= self.terms.attempts.max(1), || format!("{self:?}"));
         let resume = if self.begun { self.scanner.resume_point() } else { None };
         // An idle connection may be closed by its upstream while the request is written.
         actions.push(Action::Start { send, place, reuse: self.terms.idempotent, resume });
@@ -561,6 +565,11 @@
         for id in 0..SENDS {
             self.abandon(id, actions);
         }
+        check(Invariant::OneFinalAnswer, self.phase != Phase::Over, || format!("{answer:?} by {self:?}"));
+        let promises = matches!(answer, Final::Own { promise: true, .. });
+        check(Invariant::PromiseIsTrue, !promises || !self.may_have_run, || {
+            format!("{answer:?} by {self:?}")
+        });
         self.phase = Phase::Over;
         actions.push(Action::Finish(answer));
     }
--- a/crates/sandtrack-proxy/src/lib.rs
+++ b/crates/sandtrack-proxy/src/lib.rs
@@ -4,7 +4,7 @@
 //! (bounds that hold over all proxies), [`exchange_state`] (one request: where it is sent, and what its client gets),
 //! [`events`] (pieces of a stream), [`session_policy`] (which control node). The rest owns sockets, one task each: [`front`] (clients), [`carry`] (one request) with
 //! [`attempt`] (one send of it) and [`answers`], [`exchange`] and [`pool`] (upstream connections), [`probing`], [`session`]
-//! (the control plane), [`program`].
+//! (the control plane), [`outcomes`] and [`request_log`] (how requests ended), [`figures`], [`program`].
 pub mod answers;
 pub mod attempt;
 pub mod balancer;
@@ -13,13 +13,16 @@
 pub mod events;
 pub mod exchange;
 pub mod exchange_state;
+pub mod figures;
 pub mod front;
+pub mod outcomes;
 pub mod placement;
 pub mod pool;
 pub mod probing;
 pub mod program;
 pub mod reading;
 pub mod request;
+pub mod request_log;
 pub mod session;
 pub mod session_policy;
 pub mod shared;
--- a/crates/sandtrack-proxy/src/pool.rs
+++ b/crates/sandtrack-proxy/src/pool.rs
@@ -4,6 +4,7 @@
 use async_io::{Async, Timer};
 use futures_lite::future;
 use sandtrack_core::message::Head;
+use sandtrack_invariants::{check, Invariant};
 use sandtrack_net::http::{Parser, Side, READ_RING};
 use sandtrack_net::ring::Ring;
 use sandtrack_net::socket::{no_delay, read_into};
@@ -95,6 +96,8 @@
         let Some(most) = kept_for(head) else { return };
         // Bytes behind a whole answer belong to no request.
         if connection.input.is_empty() {
+            let is_quiet = !connection.parser.within(&connection.input);
+            check(Invariant::PooledConnectionIsQuiet, is_quiet, || format!("a connection to {identifier}"));
             connection.reused = true;
             let upstream = self.upstreams.entry(identifier.to_owned()).or_default();
             upstream.idle.push(Idle { connection, until: now + most });
--- a/crates/sandtrack-proxy/src/program.rs
+++ b/crates/sandtrack-proxy/src/program.rs
@@ -1,14 +1,16 @@
 //! The proxy's process: settings, listeners, signals, and the tasks that share one thread.
 use crate::balancer::Balancer;
 use crate::shared::Shared;
-use crate::{front, probing, session};
+use crate::{figures, front, probing, session};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use bpaf::{construct, long, OptionParser, Parser};
 use futures_lite::StreamExt;
+use sandtrack_net::text_server;
 use sandtrack_protocol::codes;
 use sandtrack_protocol::logs;
+use sandtrack_protocol::metrics;
 use sandtrack_protocol::settings::Settings;
 use std::collections::hash_map::RandomState;
 use std::hash::{BuildHasher, Hasher};
@@ -92,6 +94,13 @@
     Async::<TcpListener>::bind(address).map(Some)
 }
 
+/// Without its figures a process serves all the same.
+fn metrics_listener(settings: &Settings) -> Option<Async<TcpListener>> {
+    let address = metrics::address(settings, metrics::PROXY_PORT);
+    let listener = text_server::listen(&address);
+    listener.inspect_err(|error| log::warn!("no figures at {address}: {error}")).ok()
+}
+
 async fn serve(
     settings: Settings, path: PathBuf, mut signals: Signals, executor: Rc<LocalExecutor<'static>>,
 ) -> std::io::Result<()> {
@@ -101,6 +110,7 @@
     let grace = settings.bounds.grace_s * 1000.0;
     let listener = bind(&settings, "front")?;
     let checks = bind(&settings, "readiness")?;
+    let scraped = metrics_listener(&settings);
     let balancer = Balancer::new(&settings, seed);
     let shared = Rc::new(Shared::new(settings, balancer, executor.clone(), seed, left));
     if let Some(listener) = listener {
@@ -114,6 +124,12 @@
     if let Some(checks) = checks {
         executor.spawn(front::readiness(shared.clone(), checks)).detach();
     }
+    if let Some(scraped) = scraped {
+        let told = shared.clone();
+        let serving =
+            async move { text_server::serve(scraped, metrics::PATH, || figures::text(&told)).await };
+        executor.spawn(serving).detach();
+    }
     executor.spawn(session::run(shared.clone())).detach();
     executor.spawn(probing::run(shared.clone())).detach();
     log::info!("proxy started");
--- /dev/null
+++ b/crates/sandtrack-proxy/src/request_log.rs
@@ -0,0 +1,71 @@
+//! One request in the log: told where its client did not get an upstream's good answer, with every upstream that it was at.
+//! Lines are bounded, so that an overload is not made worse by its log.
+use crate::balancer::Ended;
+use crate::outcomes::Outcome;
+use crate::request::ProxyRequest;
+use crate::shared::Shared;
+use sandtrack_tiers::Millis;
+use std::fmt::Write;
+
+/// One request on its way: whatever becomes of it is counted once, and told where it is no good end.
+pub struct RequestLog<'a> {
+    shared: &'a Shared,
+    request: &'a ProxyRequest,
+    /// The sends that are over: to whom, how they ended, and when.
+    sends: Vec<(String, Ended, Millis)>,
+    is_over: bool,
+}
+
+impl<'a> RequestLog<'a> {
+    /// A request that begins to be carried.
+    pub fn new(shared: &'a Shared, request: &'a ProxyRequest) -> RequestLog<'a> {
+        RequestLog { shared, request, sends: Vec::new(), is_over: false }
+    }
+
+    /// A send of it is over.
+    pub fn send_over(&mut self, identifier: String, ended: Ended) {
+        self.shared.outcomes.borrow_mut().note_send(ended);
+        self.sends.push((identifier, ended, self.shared.clock.now()));
+    }
+
+    /// It ended.
+    pub fn over(&mut self, outcome: Outcome) {
+        if std::mem::replace(&mut self.is_over, true) {
+            return;
+        }
+        let now = self.shared.clock.now();
+        let mut outcomes = self.shared.outcomes.borrow_mut();
+        outcomes.note(outcome, now - self.request.deadline);
+        if outcome.is_good() {
+            return;
+        }
+        if let Some(left_out) = outcomes.take_line(now) {
+            log::info!("{}", self.line(outcome, now, left_out));
+        }
+    }
+
+    fn line(&self, outcome: Outcome, now: Millis, left_out: u64) -> String {
+        let request = self.request;
+        let mut line = format!(
+            "request {} on {}: {outcome} after {:.0} of {:.0} ms",
+            request.id,
+            request.route.name,
+            now - request.arrived,
+            request.deadline - request.arrived,
+        );
+        for (identifier, ended, at) in &self.sends {
+            // Writing into memory can't fail.
+            let _ = write!(line, "; at {identifier} {} by {:.0}", ended.name(), at - request.arrived);
+        }
+        if left_out > 0 {
+            let _ = write!(line, " ({left_out} lines left out before)");
+        }
+        line
+    }
+}
+
+impl Drop for RequestLog<'_> {
+    fn drop(&mut self) {
+        self.over(Outcome::Left);
+    }
+}
--- a/crates/sandtrack-proxy/src/shared.rs
+++ b/crates/sandtrack-proxy/src/shared.rs
@@ -1,5 +1,6 @@
 //! What the tasks of a proxy share.
 use crate::balancer::Balancer;
+use crate::outcomes::Outcomes;
 use crate::pool::Pool;
 use async_executor::LocalExecutor;
 use sandtrack_net::socket::Clock;
@@ -11,6 +12,8 @@
     pub settings: RefCell<Settings>,
     pub balancer: RefCell<Balancer>,
     pub pool: RefCell<Pool>,
+    /// How requests ended so far.
+    pub outcomes: RefCell<Outcomes>,
     pub clock: Clock,
     pub executor: Rc<LocalExecutor<'static>>,
     pub incarnation: u64,
@@ -33,6 +36,7 @@
             settings: RefCell::new(settings),
             balancer: RefCell::new(balancer),
             pool: RefCell::new(Pool::default()),
+            outcomes: RefCell::default(),
             clock: Clock::start(),
             executor,
             incarnation,
--- a/crates/sandtrack-proxy/tests/events.rs
+++ b/crates/sandtrack-proxy/tests/events.rs
@@ -1,6 +1,6 @@
 //! Streams are passed on by whole events.
 use assert_matches::assert_matches;
-use sandtrack_proxy::events::{Scanned, Scanner};
+use sandtrack_proxy::events::{GivenIds, Scanned, Scanner};
 
 const STREAM: &[u8] = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\r\ndata: c\r\n\r\nid: 4\ndata: d\n\n";
 
@@ -36,3 +36,12 @@
     assert_matches!(resumed.push(b"id: 7\n\n"), Scanned::Events(_));
     assert_matches!(resumed.push(b"id: 3\n\n"), Scanned::Spoilt(good) if good.is_empty());
 }
+
+#[test]
+fn given_ids_have_to_rise_across_pieces() {
+    let mut given = GivenIds::default();
+    assert!(given.note(b"id: 1\ndata: a\n\nid: 2\ndata: id: 1\n\n"));
+    assert!(given.note(b"data: without an id\n\n"));
+    assert!(!given.note(b"id: 2\ndata: again\n\n"));
+    assert!(given.note(b"id: 7\n\n"));
+}
--- /dev/null
+++ b/crates/sandtrack-proxy/tests/outcomes.rs
@@ -0,0 +1,37 @@
+//! How requests ended: counted all, told within bounds.
+use sandtrack_protocol::codes;
+use sandtrack_protocol::metrics::MetricsText;
+use sandtrack_proxy::balancer::Ended;
+use sandtrack_proxy::outcomes::{Outcome, Outcomes};
+
+#[test]
+fn all_ends_are_counted_and_late_ones_apart() {
+    let mut outcomes = Outcomes::default();
+    outcomes.note(Outcome::Upstream(200), -20.0);
+    outcomes.note(Outcome::Own(503, codes::NO_ROOM), -900.0);
+    outcomes.note(Outcome::Own(504, codes::DEADLINE), 251.0);
+    outcomes.note(Outcome::Cut, 0.0);
+    outcomes.note_send(Ended::Broken);
+    assert_eq!(outcomes.count(Outcome::Cut), 1);
+    let mut text = MetricsText::default();
+    outcomes.tell(&mut text);
+    let text = text.into_text();
+    for line in [
+        "sandtrack_proxy_requests_total{status=\"200\",code=\"upstream\"} 1",
+        "sandtrack_proxy_requests_total{status=\"503\",code=\"E403\"} 1",
+        "sandtrack_proxy_requests_total{status=\"cut\",code=\"\"} 1",
+        "sandtrack_proxy_sends_total{ended=\"broken\"} 1",
+        "sandtrack_proxy_late_total 1",
+    ] {
+        assert!(text.contains(line), "{line} in {text}");
+    }
+}
+
+#[test]
+fn lines_of_a_second_are_bounded_and_what_was_left_out_is_told_later() {
+    let mut outcomes = Outcomes::default();
+    let written = (0..50).filter(|_| outcomes.take_line(100.0).is_some()).count();
+    assert_eq!(written, 20);
+    assert_eq!(outcomes.take_line(1100.0), Some(30));
+    assert_eq!(outcomes.take_line(1101.0), Some(0));
+}
--- a/crates/sandtrack-replication/src/applied.rs
+++ b/crates/sandtrack-replication/src/applied.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use borsh::{BorshDeserialize, BorshSerialize};
+use sandtrack_invariants::{check, Invariant};
 
 use crate::message::{CallId, Entry, Position, Snapshot};
 use crate::StateMachine;
@@ -38,6 +39,8 @@
 
     /// Applies the entry after the last one.
     pub(crate) fn apply(&mut self, entry: &Entry) -> Vec<u8> {
+        let follows = entry.at.number == self.at.number + 1 && entry.at.epoch >= self.at.epoch;
+        check(Invariant::AppliedInOrder, follows, || format!("{:?} behind {:?}", entry.at, self.at));
         let outcome = self.machine.apply(entry.at.number, &entry.command);
         self.at = entry.at;
         if self.outcomes.len() == OUTCOMES {
--- a/crates/sandtrack-replication/src/chain.rs
+++ b/crates/sandtrack-replication/src/chain.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 
 use borsh::BorshSerialize;
+use sandtrack_invariants::{check, Invariant};
 
 use crate::alignment::LOT;
 use crate::image::Record;
@@ -141,7 +142,9 @@
 
     /// Takes note that all up to `number` is committed.
     fn confirm(&mut self, number: u64, effects: &mut Vec<Effect>) {
-        let number = number.min(self.image.end().number);
+        let end = self.image.end().number;
+        check(Invariant::CommittedIsDurable, number <= end, || format!("{number} of a log up to {end}"));
+        let number = number.min(end);
         if number <= self.chain.confirmed {
             return;
         }
--- a/crates/sandtrack-replication/src/disk.rs
+++ b/crates/sandtrack-replication/src/disk.rs
@@ -1,6 +1,7 @@
 //! The disk: one write at a time, gathered from all that wants to be on it. What is wanted is judged on the
 //! image, that is on what is durable; when a write is refused, nothing has to be taken back.
 use borsh::BorshSerialize;
+use sandtrack_invariants::{check, Invariant};
 
 use crate::image::Record;
 use crate::message::{Ballot, Body, CallId, DiskHealth, Entry, Position, Snapshot};
@@ -227,6 +228,7 @@
         &mut self, mut records: Vec<Record>, after: Vec<After>, calls: Vec<CallId>, rewrite: bool,
         effects: &mut Vec<Effect>,
     ) {
+        self.check_records(&records);
         let ticket = self.disk.next_ticket;
         self.disk.next_ticket += 1;
         // Writing into memory can't fail.
@@ -251,6 +253,47 @@
         });
     }
 
+    /// Checks what is about to be written against what is on the disk.
+    fn check_records(&self, records: &[Record]) {
+        let committed = self.committed_in_log();
+        let mut end = self.image.end().number;
+        let (mut promised, mut same_epoch) = (None, true);
+        for record in records {
+            match record {
+                Record::Cut { after } => {
+                    check(Invariant::CommittedStays, *after >= committed, || {
+                        format!("cut after {after}, {committed} committed")
+                    });
+                    end = end.min(*after);
+                }
+                Record::Entry { entry, .. } => {
+                    let number = entry.at.number;
+                    check(Invariant::LogHasNoGaps, number <= end + 1, || format!("{number} behind {end}"));
+                    end = number;
+                }
+                Record::Snapshot(snapshot) => {
+                    end = snapshot.at.number;
+                    check(Invariant::CommittedStays, end >= self.image.committed, || {
+                        format!("snapshot at {end}, {} committed", self.image.committed)
+                    });
+                }
+                // A rewrite tells of an acceptance before the promise that may have come behind it.
+                Record::Promise { ballot, .. } | Record::Accepted { ballot, .. } => promised = Some(ballot),
+                Record::View(view) => {
+                    let held = self.image.view.epoch;
+                    check(Invariant::BallotRises, view.epoch >= held, || {
+                        format!("epoch {} behind {held}", view.epoch)
+                    });
+                    same_epoch = view.epoch == held;
+                }
+                Record::Identity(_) | Record::Aligned { .. } | Record::Committed { .. } => {}
+            }
+        }
+        let held = self.image.promised.as_ref().filter(|_| same_epoch);
+        let rises = promised.is_none() || promised >= held;
+        check(Invariant::BallotRises, rises, || format!("{promised:?} behind {held:?}"));
+    }
+
     pub(crate) fn written(&mut self, ticket: u64, effects: &mut Vec<Effect>) {
         let Some(write) = self.disk.in_flight.take_if(|write| write.ticket == ticket) else {
             return;
