Soak of real processes under drawn, overlapping troubles; two tests of its first find, red

Cause: the rig's scenarios follow scripts and never overlap; nothing drew troubles for real processes from a seed. Change: sandtrack-rig soak: three control nodes and six proxies as processes, 27 kinds of trouble in three tracks, a platform that pages, lags and fails, upstreams that drain, crash, change service and spoil answers, clients that send slowly, leave, pipeline, operators that race and evacuate; 20 verdicts by what these saw, beside logs and figures. RLIMIT_FSIZE fills a disk.

--- a/crates/sandtrack-control/tests/program.rs
+++ b/crates/sandtrack-control/tests/program.rs
@@ -395,3 +395,21 @@
     assert!(place.call_until_taken("POST", REPLACE, &body).starts_with("HTTP/1.1 200"));
     running.end(rustix::process::Signal::TERM);
 }
+
+#[test]
+fn a_log_that_takes_nothing_does_not_end_the_process() {
+    let place = Place::new("full-log", "127.0.7.8");
+    let full =
+        || std::fs::File::options().write(true).open("/dev/full").expect("the device that is always full");
+    let child = place.command(&["run"]).stdout(full()).stderr(full()).spawn().expect("a process");
+    let mut running = Running { child };
+    let began = std::time::Instant::now();
+    while TcpStream::connect((place.ip.as_str(), 8166)).is_err() {
+        let ended = running.child.try_wait().expect("its state");
+        assert!(ended.is_none() && began.elapsed() < Duration::from_secs(20), "it ended: {ended:?}");
+        std::thread::yield_now();
+    }
+    let taken = place.call_until_taken("POST", "/v1/configuration/replace", &good(7));
+    assert!(taken.starts_with("HTTP/1.1 200"), "{taken}");
+    assert!(running.end(rustix::process::Signal::TERM).success(), "it ends in order");
+}
--- a/crates/sandtrack-rig/src/http.rs
+++ b/crates/sandtrack-rig/src/http.rs
@@ -13,12 +13,14 @@
     pub stream: Async<TcpStream>,
     input: Ring,
     collector: Collector,
+    /// A part of the message that is read now has come.
+    has_begun: bool,
 }
 
 impl Wire {
     pub fn new(stream: Async<TcpStream>, side: Side) -> Self {
         no_delay(&stream);
-        Wire { stream, input: Ring::new(READ_RING), collector: Collector::new(side) }
+        Wire { stream, input: Ring::new(READ_RING), collector: Collector::new(side), has_begun: false }
     }
 
     pub async fn connect(to: SocketAddrV4) -> Option<Self> {
@@ -29,6 +31,7 @@
     /// The next whole message; `None` at the end of the connection, or where what came is none. A long body is put together.
     pub async fn read(&mut self) -> Option<Message> {
         let mut begun: Option<Message> = None;
+        self.has_begun = false;
         loop {
             match self.collector.next(&mut self.input).ok()? {
                 Some(Taken::Whole(message)) => return Some(message),
@@ -41,7 +44,9 @@
                 }
                 Some(Taken::Over) => return begun,
                 None => {
-                    if read_into(&self.stream, &mut self.input).await.ok()? == 0 {
+                    let read = read_into(&self.stream, &mut self.input).await;
+                    self.has_begun |= begun.is_some() || !self.input.is_empty();
+                    if read.ok()? == 0 {
                         return self.collector.ended(&mut self.input).and(begun);
                     }
                 }
@@ -49,6 +54,11 @@
         }
     }
 
+    /// Whether a part of the message had come that was read last, and was not whole.
+    pub fn has_begun(&self) -> bool {
+        self.has_begun
+    }
+
     /// Bytes have come that were not read as part of a message.
     pub fn has_surplus(&self) -> bool {
         !self.input.is_empty() || self.stream.get_ref().peek(&mut [0]).is_ok_and(|count| count > 0)
--- a/crates/sandtrack-rig/src/lib.rs
+++ b/crates/sandtrack-rig/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod report;
 pub mod run;
 pub mod scenario;
+pub mod soak;
 pub mod starvation;
 pub mod system;
 pub mod tasks;
--- a/crates/sandtrack-rig/src/main.rs
+++ b/crates/sandtrack-rig/src/main.rs
@@ -4,9 +4,12 @@
 use sandtrack_rig::report::Report;
 use sandtrack_rig::run::{play, Options};
 use sandtrack_rig::scenario::{self, Scenario};
+use sandtrack_rig::soak::run as soak;
+use sandtrack_rig::system::process::Programs;
 use sandtrack_rig::system::scenarios::{play as play_system, Options as SystemOptions, Scenario as System};
 use sandtrack_rig::system::settings::Role;
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Command as Process, ExitCode};
@@ -69,6 +72,23 @@
         #[arg(long)]
         keep: Option<PathBuf>,
     },
+    /// Real processes under troubles that are drawn from seeds and overlap, with stand-ins that misbehave.
+    Soak {
+        /// A folder with other builds of the programs than those that the rig was built with.
+        #[arg(long)]
+        programs: Option<PathBuf>,
+        /// The first seed, and how many are played one after the other.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+        /// How long troubles come in each run, in s.
+        #[arg(long, default_value_t = 24.0)]
+        lasts: f64,
+        /// Keeps settings, logs and disks of runs with a broken verdict in folders within this one.
+        #[arg(long)]
+        keep: Option<PathBuf>,
+    },
     /// One process of the program: this is what the rig starts. It ends with the rig, whatever ends that.
     #[command(hide = true)]
     Program {
@@ -92,6 +112,10 @@
             let options = SystemOptions { seed, keep, cut, ..SystemOptions::new(rig, programs) };
             system(scenario, &options)
         }
+        Command::Soak { programs, seed, seeds, lasts, keep } => {
+            let Ok(rig) = std::env::current_exe() else { return input("the rig's own path is not known") };
+            soak(&Programs { rig, builds: programs }, seed..seed + seeds, lasts, keep.as_deref())
+        }
         Command::Demo { html } => match scenario::read(DEMO) {
             Ok(scenario) => finish(run(&scenario, 1, None, None, true), None, html.as_deref(), true),
             Err(fault) => input(&fault.to_string()),
@@ -143,6 +167,26 @@
     }
 }
 
+fn soak(programs: &Programs, seeds: Range<u64>, lasts: f64, keep: Option<&Path>) -> ExitCode {
+    let mut broken = false;
+    for seed in seeds {
+        let folder = keep.map(|keep| keep.join(format!("seed-{seed}")));
+        let options = soak::Options { programs: programs.clone(), seed, lasts, keep: folder.clone() };
+        match soak::play(&options) {
+            Err(error) => return input(&format!("seed {seed}: {error}")),
+            Ok(report) if report.is_kept() => {
+                println!("seed {seed}: held in {:.0} s; {}", report.took.as_secs_f64(), report.notes[0]);
+                let _ = folder.map(std::fs::remove_dir_all);
+            }
+            Ok(report) => {
+                broken = true;
+                println!("seed {seed}: {}{}", report.text(), report.notes.join("\n"));
+            }
+        }
+    }
+    ExitCode::from(u8::from(broken))
+}
+
 /// Where the rig is killed outright, the kernel ends this process too.
 fn end_with_parent() -> Result<(), String> {
     let set = rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL));
--- a/crates/sandtrack-rig/src/system/cluster.rs
+++ b/crates/sandtrack-rig/src/system/cluster.rs
@@ -38,10 +38,12 @@
     pub controls: usize,
     pub machines: usize,
     pub upstreams: usize,
+    /// Whether the platform's list is served, with these upstreams; else somebody else does.
+    pub platform: bool,
 }
 
 pub struct Cluster {
-    pub plan: Plan,
+    pub plan: Rc<Plan>,
     pub machines: Vec<Machine>,
     pub links: SharedLinks,
     /// By machine.
@@ -76,7 +78,7 @@
     pub fn open(
         shape: Shape, seed: u64, folder: &Path, programs: &Programs, spawner: &Spawner<'_>,
     ) -> io::Result<Cluster> {
-        let plan = Plan::take()?;
+        let plan = Rc::new(Plan::take()?);
         let machines = machines(shape);
         let links = Links::shared();
         std::fs::create_dir_all(folder)?;
@@ -112,7 +114,9 @@
             });
             upstreams.push(upstream);
         }
-        platform::open(plan.platform(), &Instances::new(instances.into()), spawner)?;
+        if shape.platform {
+            platform::open(plan.platform(), &Instances::new(instances.into()), spawner)?;
+        }
         Ok(Cluster {
             plan,
             machines,
--- a/crates/sandtrack-rig/src/system/process.rs
+++ b/crates/sandtrack-rig/src/system/process.rs
@@ -1,9 +1,8 @@
 //! One real process of the system: settings file, start, signals, end, disk. It owns the child, and never leaves one behind.
 use super::settings::{node_name, Role};
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
 use serde_json::{json, Value};
 use std::io;
-use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 
@@ -17,18 +16,25 @@
 }
 
 impl Programs {
-    /// The command that starts a program; the kernel ends it with the rig.
-    fn command(&self, role: Role) -> Command {
-        let mut command = Command::new(&self.rig);
+    /// The command that starts a program; the kernel ends it with the rig. A file that is too long for its limit is an error
+    /// to it, as a full disk is, and no signal.
+    fn command(&self, role: Role, folder: &Path) -> io::Result<Command> {
+        let mut command = Command::new("/bin/sh");
+        command.args(["-c", "trap '' XFSZ; exec \"$0\" \"$@\""]);
         match &self.builds {
             None => {
-                command.arg0(role.program());
+                // The rig is all of the programs under their names.
+                let named = folder.join(role.program());
+                if !named.exists() {
+                    std::os::unix::fs::symlink(&self.rig, &named)?;
+                }
+                command.arg(named);
             }
             Some(builds) => {
-                command.args(["program", "--build"]).arg(builds.join(role.program()));
+                command.arg(&self.rig).args(["program", "--build"]).arg(builds.join(role.program()));
             }
         }
-        command
+        Ok(command)
     }
 }
 
@@ -100,10 +106,14 @@
         std::fs::create_dir_all(Process::data(&self.folder, self.role, self.machine))?;
         self.reconfigure(|_| {})?;
         let log = std::fs::File::options().create(true).append(true).open(self.file("log"))?;
-        let mut command = self.programs.command(self.role);
+        let mut command = self.programs.command(self.role, &self.folder)?;
         command.env("SANDTRACK_BOOT", self.file("settings.json"));
-        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
-        self.child = Some(command.spawn()?);
+        // Through a pipe, as a limit on files is meant for the disk alone.
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        let mut child = command.spawn()?;
+        let told = child.stderr.take();
+        self.child = Some(child);
+        std::thread::spawn(move || told.map(|mut told| io::copy(&mut told, &mut &log)));
         self.leaving = false;
         // Only the very first start of the whole system is one.
         self.settings["first_start"] = json!(false);
@@ -155,6 +165,24 @@
         self.signal(Signal::HUP);
     }
 
+    /// Its id while it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// Whether it was told to end and has not yet.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving && self.child.is_some()
+    }
+
+    /// From now on its files can't get longer than this; `None`: as long as they like.
+    pub fn limit_files(&self, most: Option<u64>) {
+        let id = self.child.as_ref().map(Pid::from_child);
+        let limit = Rlimit { current: most, maximum: None };
+        // It fails only where the process has ended, which is found out when it is reaped.
+        let _ = id.map(|id| prlimit(Some(id), Resource::Fsize, limit));
+    }
+
     /// Whether it runs; finds out if it has ended.
     ///
     /// # Errors
--- a/crates/sandtrack-rig/src/system/report.rs
+++ b/crates/sandtrack-rig/src/system/report.rs
@@ -27,6 +27,8 @@
 pub struct Report {
     pub scenario: &'static str,
     pub verdicts: Vec<Verdict>,
+    /// What happened, for whoever looks into a broken verdict.
+    pub notes: Vec<String>,
     pub took: Duration,
 }
 
--- a/crates/sandtrack-rig/src/system/scenarios/mod.rs
+++ b/crates/sandtrack-rig/src/system/scenarios/mod.rs
@@ -70,9 +70,9 @@
 
     fn shape(self) -> Shape {
         match self {
-            Scenario::CutOff => Shape { controls: 3, machines: 4, upstreams: 2 },
-            Scenario::Exchanges => Shape { controls: 3, machines: 3, upstreams: 4 },
-            _ => Shape { controls: 3, machines: 3, upstreams: 1 },
+            Scenario::CutOff => Shape { controls: 3, machines: 4, upstreams: 2, platform: true },
+            Scenario::Exchanges => Shape { controls: 3, machines: 3, upstreams: 4, platform: true },
+            _ => Shape { controls: 3, machines: 3, upstreams: 1, platform: true },
         }
     }
 
