Logs that can't be written end neither a process nor its disk thread

Cause: fern's last resort panics where standard error and output both take nothing, and tracing-subscriber's eprintln does (a full disk under the log, a reader that is gone). Class: an error path that is worse than the error; a thread whose end nobody watches. Ruled out: the WAL itself (its length and the next open were well); a full disk alone (with the log elsewhere the member came back). Change: lines that can't be written are lost and nothing else; the end of the disk thread by a fault is told as an unknown state of the file, on which the process starts anew (E502).

--- a/crates/sandtrack-control/src/disk.rs
+++ b/crates/sandtrack-control/src/disk.rs
@@ -52,7 +52,18 @@
     }
 }
 
-/// Starts the thread; it ends with the way to it.
+/// Tells that the thread has ended by a fault of the program: without it the process would wait for its disk for ever.
+struct EndsByFault<F: Fn(Done)>(F);
+
+impl<F: Fn(Done)> Drop for EndsByFault<F> {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            (self.0)(Done::Unknown);
+        }
+    }
+}
+
+/// Starts the thread; it ends with the way to it. A fault of the program in it is told as [`Done::Unknown`].
 ///
 /// # Errors
 /// Where there is no thread to be had.
@@ -60,12 +71,13 @@
     mut wal: Wal, orders: async_channel::Receiver<Order>, done: impl Fn(Done) + Send + 'static,
 ) -> std::io::Result<()> {
     let work = move || {
+        let done = EndsByFault(done);
         while let Ok(order) = orders.recv_blocking() {
             let (ticket, result) = match order {
                 Order::Append { ticket, records } => (ticket, wal.append(&records)),
                 Order::Rewrite { ticket, records } => (ticket, wal.rewrite(&records)),
             };
-            done(match result {
+            (done.0)(match result {
                 Ok(()) => Done::Written(ticket),
                 Err(error @ WalError::Unknown(_)) => {
                     log::error!("{error}");
--- a/crates/sandtrack-control/src/program.rs
+++ b/crates/sandtrack-control/src/program.rs
@@ -29,6 +29,7 @@
 pub use settings_file::BOOT;
 use std::cell::RefCell;
 use std::hash::{BuildHasher, Hasher, RandomState};
+use std::io::Write;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -60,7 +61,8 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
             log::error!("{fault}");
-            eprintln!("control node: {fault}");
+            // For whoever started it by hand; where it can't be written the exit code tells.
+            let _ = writeln!(std::io::stderr(), "control node: {fault}");
             fault.exit_code()
         }
     }
--- a/crates/sandtrack-protocol/src/logs.rs
+++ b/crates/sandtrack-protocol/src/logs.rs
@@ -1,21 +1,28 @@
 //! Logs: one JSON object a line on standard error, with stable field names: `at` (seconds of the process's own steady
 //! clock), `level`, `node`, `part` (the module) and `event`.
+use std::io::Write;
 use std::time::Instant;
 
 /// Starts logging for this process; `level` is a name as `log` knows them ("info" where it is none).
+///
+/// A line that can't be written is lost, and nothing else: a full disk, or a reader of the log that is gone, must not end a
+/// process or one of its threads, as the last resort of `fern` would.
 pub fn start(node: &str, level: &str) {
     let (node, began) = (escape(node), Instant::now());
     let level = level.parse().unwrap_or(log::LevelFilter::Info);
-    let dispatch =
-        fern::Dispatch::new().level(level).chain(std::io::stderr()).format(move |out, message, record| {
-            out.finish(format_args!(
-                "{{\"at\":{:.3},\"level\":\"{}\",\"node\":\"{node}\",\"part\":\"{}\",\"event\":\"{}\"}}",
-                began.elapsed().as_secs_f64(),
-                record.level(),
-                record.target(),
-                escape(&message.to_string()),
-            ));
-        });
+    let stderr = fern::Output::call(|record| {
+        let line = format!("{}\n", record.args());
+        let _ = std::io::stderr().lock().write_all(line.as_bytes());
+    });
+    let dispatch = fern::Dispatch::new().level(level).chain(stderr).format(move |out, message, record| {
+        out.finish(format_args!(
+            "{{\"at\":{:.3},\"level\":\"{}\",\"node\":\"{node}\",\"part\":\"{}\",\"event\":\"{}\"}}",
+            began.elapsed().as_secs_f64(),
+            record.level(),
+            record.target(),
+            escape(&message.to_string()),
+        ));
+    });
     if dispatch.apply().is_err() {
         log::debug!("logs were started before");
     }
--- a/crates/sandtrack-rig/src/soak/clients.rs
+++ b/crates/sandtrack-rig/src/soak/clients.rs
@@ -27,7 +27,7 @@
 /// A connection that does not come up within this is given up.
 const CONNECT: Duration = Duration::from_secs(1);
 /// Pause between two requests of a client, up to this, in ms.
-const THINK_MS: u64 = 60;
+const THINK_MS: u64 = 40;
 const LONG_BODY: usize = 300 * 1024;
 
 /// How a client sends one request.
--- a/crates/sandtrack-rig/src/soak/run.rs
+++ b/crates/sandtrack-rig/src/soak/run.rs
@@ -25,7 +25,7 @@
 use std::time::{Duration, Instant};
 
 /// Clients at a time.
-const CLIENTS: usize = 16;
+const CLIENTS: usize = 48;
 /// After the last trouble, so long goes by before the last strike, in s: time-bound rules bind all machines again.
 const CALM: Seconds = 9.0;
 /// Pause between two looks at a route that came or goes.
--- a/crates/sandtrack-sidecar/src/program.rs
+++ b/crates/sandtrack-sidecar/src/program.rs
@@ -63,7 +63,9 @@
 pub fn serve_only() -> ExitCode {
     let level = std::env::var("SANDTRACK_LOG").ok().and_then(|level| level.parse().ok());
     let level = level.unwrap_or(tracing::Level::INFO);
-    tracing_subscriber::fmt().with_max_level(level).with_ansi(false).with_writer(std::io::stderr).init();
+    let log = tracing_subscriber::fmt().with_max_level(level).with_ansi(false).with_writer(std::io::stderr);
+    // A line that can't be written is lost; to tell of that where it can't be written either would end the process.
+    log.log_internal_errors(false).init();
     // Before all else: a signal that comes while this process starts would end it, and what waits at its listener.
     let signals = match Signals::new([Signal::Term, Signal::Int, Signal::Hup]) {
         Ok(signals) => signals,
