A share of a bound is lent: a proxy that control does not hear is counted until it has ended

Cause: the census counted proxies with a session at this moment. Class: a share without an end. Change: control counts a silent proxy for 30 s and one whose session broke for 2.5 s, unless it was told to stop; tells the others so, and names it to nobody. A proxy keeps its share for 25 s after a control node that hears a majority was heard, then shares as if there were a hundred. What a proxy finds in its session after it stood still for 2 s is not read. The same cause elsewhere: retries use the same lease; connections do not, as no rule counts those that an upstream resets. Changed: the transcript cluster-proxies held the fault (2 proxies 0.7 s after one fell silent); it shows that nothing is told then, and 2 after 30 s. directory.rs: who is to be gone at once is told to stop first; what breaks off is counted on, and bounded.

--- a/crates/sandtrack-control/src/membership.rs
+++ b/crates/sandtrack-control/src/membership.rs
@@ -8,9 +8,12 @@
 use sandtrack_replication::Address;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// The members of a control node that fell silent are kept for this long, in ms: they come back elsewhere, or are cut off and
-/// go on with their shares of what holds over all.
+/// The members of a control node that fell silent, and proxies that did, are counted for this long, in ms: they come back
+/// elsewhere, or are cut off or frozen and go on with their shares of what holds over all. A proxy gives its share up sooner
+/// (`SHARE_LEASE` of `sandtrack_proxy::balancer`).
 pub const KEPT_MS: Millis = 30_000.0;
+/// A proxy whose session broke is counted for this long, in ms: it opens another one, or was killed.
+const BROKEN_KEPT_MS: Millis = 2500.0;
 /// ... and clients are sent to them for this long; for the longer one where there is nobody else.
 const SHOWN_MS: Millis = 1500.0;
 const SHOWN_ALONE_MS: Millis = 4000.0;
@@ -24,10 +27,21 @@
     lost: Option<Millis>,
 }
 
+/// Why a proxy has no session any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lost {
+    /// It said nothing: it may be frozen or cut off.
+    Silent,
+    /// The connection ended: it has ended, or comes back at once.
+    Broken,
+}
+
 /// The proxies with a session here, and those that the other control nodes tell of.
 #[derive(Clone, Debug)]
 pub struct Membership {
     own: BTreeMap<String, Member>,
+    /// Own members without a session, and until when they are counted. They are told to others as not ready.
+    lost: BTreeMap<String, (Member, Millis)>,
     others: BTreeMap<Address, Others>,
     /// Names of own members of which something changed.
     journal: Journal<String>,
@@ -39,6 +53,7 @@
     fn default() -> Membership {
         Membership {
             own: BTreeMap::new(),
+            lost: BTreeMap::new(),
             others: BTreeMap::new(),
             journal: Journal::new(EVENTS_KEPT),
             round: 0,
@@ -50,10 +65,11 @@
     /// An own session tells of its proxy.
     pub fn set(&mut self, member: Member) {
         let name = member.info.node_name.clone();
+        let was_lost = self.lost.remove(&name).is_some();
         let before = self.own.insert(name.clone(), member);
         let after = &self.own[&name];
-        if before.as_ref().map(Member::marks) != Some(after.marks()) {
-            if before.is_none_or(|before| before.info != after.info) {
+        if was_lost || before.as_ref().map(Member::marks) != Some(after.marks()) {
+            if was_lost || before.is_none_or(|before| before.info != after.info) {
                 self.round += 1;
             }
             self.journal.append(name);
@@ -75,12 +91,28 @@
         }
     }
 
-    /// An own session is over.
-    pub fn gone(&mut self, name: &str) {
-        if self.own.remove(name).is_some() {
-            self.journal.append(name.to_owned());
-            self.round += 1;
+    /// An own session is over. Unless its proxy was told to stop, it is counted on for a while.
+    pub fn gone(&mut self, now: Millis, name: &str, lost: Lost) {
+        let Some(mut member) = self.own.remove(name) else { return };
+        if !member.state.leaving {
+            let kept = match lost {
+                Lost::Silent => KEPT_MS,
+                Lost::Broken => BROKEN_KEPT_MS,
+            };
+            member.state.ready = false;
+            self.lost.insert(name.to_owned(), (member, now + kept));
         }
+        self.journal.append(name.to_owned());
+        self.round += 1;
+    }
+
+    /// Own members as the others are told them: those with a session, and those that are counted on.
+    fn told_to_others(&self) -> impl Iterator<Item = &Member> {
+        self.own.values().chain(self.lost.values().map(|(member, _)| member))
+    }
+
+    fn told_by_name(&self, name: &str) -> Option<&Member> {
+        self.own.get(name).or_else(|| self.lost.get(name).map(|(member, _)| member))
     }
 
     /// Place of the newest event of own members.
@@ -91,19 +123,19 @@
     /// What another control node is to be told that was told up to `place`; all where it was told nothing yet.
     pub fn frame_since(&self, place: Option<u64>) -> PeerFrame {
         let Some(events) = place.and_then(|place| self.journal.since(place)) else {
-            let present = self.own.values().cloned().collect();
+            let present = self.told_to_others().cloned().collect();
             return PeerFrame::Sessions { whole: true, present, gone: Vec::new() };
         };
         let names: BTreeSet<&String> = events.collect();
         let (present, gone): (Vec<&String>, Vec<&String>) =
-            names.into_iter().partition(|name| self.own.contains_key(*name));
-        let present = present.into_iter().filter_map(|name| self.own.get(name).cloned()).collect();
+            names.into_iter().partition(|name| self.told_by_name(name).is_some());
+        let present = present.into_iter().filter_map(|name| self.told_by_name(name).cloned()).collect();
         PeerFrame::Sessions { whole: false, present, gone: gone.into_iter().cloned().collect() }
     }
 
     /// Digest of the own members.
     pub fn digest(&self) -> Digest {
-        digest(self.own.values())
+        digest(self.told_to_others())
     }
 
     /// Digest of those that another control node told.
@@ -143,8 +175,14 @@
         }
     }
 
-    /// Forgets the members of those that have been silent for long; yes where something changed.
+    /// Forgets those that have been lost for long, and the members of control nodes that have.
     pub fn tick(&mut self, now: Millis) {
+        let over = self.lost.iter().filter(|(_, (_, until))| now >= *until);
+        for name in over.map(|(name, _)| name.clone()).collect::<Vec<_>>() {
+            self.lost.remove(&name);
+            self.journal.append(name);
+            self.round += 1;
+        }
         let before = self.others.len();
         self.others.retain(|_, others| others.lost.is_none_or(|lost| now - lost < KEPT_MS));
         self.round += u64::from(self.others.len() != before);
@@ -155,7 +193,8 @@
         self.round
     }
 
-    /// Every member once, by name: as its own session says, else as the control node says to which it came last.
+    /// Every member once, by name: as its own session says, else as the control node says to which it came last, else as it
+    /// was when its session was lost here.
     pub fn members(&self) -> BTreeMap<&str, &Member> {
         self.fold(|_| true)
     }
@@ -172,7 +211,9 @@
             }
         }
         let told = told.into_iter().map(|(name, (_, _, member))| (name, member));
-        told.chain(self.own.iter().map(|(name, member)| (name.as_str(), member))).collect()
+        // One that others tell of has come back there.
+        let lost = self.lost.iter().map(|(name, (member, _))| (name.as_str(), member));
+        lost.chain(told).chain(self.own.iter().map(|(name, member)| (name.as_str(), member))).collect()
     }
 
     /// The proxies that clients may be sent to. What a silent control node told holds a little while; longer where nothing
--- a/crates/sandtrack-control/src/node.rs
+++ b/crates/sandtrack-control/src/node.rs
@@ -245,7 +245,7 @@
             Input::LinkFrame { link, frame } => self.link_frame(now, link, frame, out),
             Input::LinkClosed { link } => self.link_closed(now, link, out),
             Input::SessionFrame { session, frame } => self.session_frame(now, session, frame, out),
-            Input::SessionClosed { session } => self.session_closed(session),
+            Input::SessionClosed { session } => self.session_closed(now, session),
             Input::Written { ticket } => {
                 self.step_replica(now, replication::Input::Written { ticket }, out);
             }
--- a/crates/sandtrack-control/src/node/proxies.rs
+++ b/crates/sandtrack-control/src/node/proxies.rs
@@ -1,6 +1,6 @@
 //! The proxies' sessions with a control node: what proxies say, and what they are told.
 use super::{ControlNode, Effect};
-use crate::membership::Member;
+use crate::membership::{Lost, Member};
 use crate::peers::Hello;
 use crate::sessions::{News, SessionOrder};
 use crate::Millis;
@@ -41,10 +41,10 @@
     }
 
     /// The socket of a session is gone.
-    pub(super) fn session_closed(&mut self, session: u64) {
+    pub(super) fn session_closed(&mut self, now: Millis, session: u64) {
         if let Some(info) = self.sessions.closed(session) {
             log::info!("the session of {} is over", info.node_name);
-            self.membership.gone(&info.node_name);
+            self.membership.gone(now, &info.node_name, Lost::Broken);
         }
     }
 
@@ -58,7 +58,7 @@
         let mut orders = Vec::new();
         for gone in self.sessions.tick(now, attached, &mut orders) {
             log::info!("{} fell silent", gone.node_name);
-            self.membership.gone(&gone.node_name);
+            self.membership.gone(now, &gone.node_name, Lost::Silent);
         }
         out.extend(orders.into_iter().map(Effect::Session));
     }
--- a/crates/sandtrack-control/tests/cluster.rs
+++ b/crates/sandtrack-control/tests/cluster.rs
@@ -164,6 +164,9 @@
     note(&mut cluster);
     cluster.run(300.0);
     cluster.note_proxies();
+    cluster.say("it may be frozen or cut off: its share is given to others only when it has ended");
+    cluster.run(30_000.0);
+    cluster.note_proxies();
     approve("cluster-proxies", &cluster.transcript.clone());
 }
 
--- a/crates/sandtrack-control/tests/directory.rs
+++ b/crates/sandtrack-control/tests/directory.rs
@@ -2,7 +2,7 @@
 mod common;
 use common::{approve, message};
 use sandtrack_control::directory::{choose, decode, reply, Place};
-use sandtrack_control::membership::{Member, Membership};
+use sandtrack_control::membership::{Lost, Member, Membership};
 use sandtrack_control::peers::PeerFrame;
 use sandtrack_protocol::frames::{ProxyInfo, ProxyState};
 
@@ -114,7 +114,7 @@
     assert_eq!(ready(&membership, 0.0), "a b c");
     membership.set(member("a", "odori", LEAVING));
     assert_eq!(ready(&membership, 0.0), "b c");
-    membership.gone("b");
+    membership.gone(0.0, "b", Lost::Broken);
     assert_eq!(ready(&membership, 0.0), "c");
     membership.told(0.0, "other", true, vec![member("e", "kita", READY), member("a", "odori", READY)], &[]);
     assert_eq!(ready(&membership, 0.0), "c e", "its own session says more than another's report");
@@ -134,7 +134,9 @@
     };
     assert_eq!(names(&membership, 2000.0), ("a b".to_owned(), 2));
     assert_eq!(names(&membership, 3000.0), ("a".to_owned(), 2), "still a member, but nobody is sent to it");
-    membership.gone("a");
+    // It was told to stop, and ends: it is counted no more.
+    membership.set(member("a", "odori", LEAVING));
+    membership.gone(3000.0, "a", Lost::Broken);
     assert_eq!(names(&membership, 3000.0), ("b".to_owned(), 1), "better than nobody");
     membership.tick(5000.0);
     assert_eq!(
@@ -177,11 +179,23 @@
     here.set(member("a", "odori", ProxyState { open: 12, ..READY }));
     assert_eq!(here.end(), 2, "how much is in hand is nothing to pass on");
     place = pass(&here, &mut there, place);
-    here.gone("a");
+    here.gone(0.0, "a", Lost::Broken);
     here.set(member("b", "odori", READY));
     place = pass(&here, &mut there, place);
-    here.set(member("c", "odori", READY));
-    here.gone("c");
+    here.set(member("c", "odori", LEAVING));
+    here.gone(0.0, "c", Lost::Broken);
+    place = pass(&here, &mut there, place);
+    let ready = |membership: &Membership| membership.ready(0.0).len();
+    assert_eq!(there.members().keys().collect::<Vec<_>>(), [&"a", &"b"], "one that broke off is counted on");
+    assert_eq!((ready(&there), ready(&here)), (1, 1), "and named by nobody");
+    here.tick(2500.0);
+    place = pass(&here, &mut there, place);
+    assert_eq!(there.members().keys().collect::<Vec<_>>(), [&"b"], "for a while");
+    here.gone(3000.0, "b", Lost::Silent);
+    here.tick(32_999.0);
+    place = pass(&here, &mut there, place);
+    assert_eq!(there.members().len(), 1, "a silent one for longer");
+    here.tick(33_000.0);
     pass(&here, &mut there, place);
-    assert_eq!(there.members().keys().collect::<Vec<_>>(), [&"b"]);
+    assert_eq!(there.members().len(), 0);
 }
--- a/crates/sandtrack-proxy/src/balancer.rs
+++ b/crates/sandtrack-proxy/src/balancer.rs
@@ -16,6 +16,11 @@
 
 /// An upstream that turned a request away or failed one rests for so long, in ms (ours).
 const REST: Millis = 150.0;
+/// For so long after control was heard this proxy keeps its share of the bounds that hold over all proxies, in ms. Control
+/// counts one that it does not hear for longer (`KEPT_MS` of `sandtrack_control::membership`), also with a frame under way.
+const SHARE_LEASE: Millis = 25_000.0;
+/// Among so many a proxy shares that does not know how many there are: more than most fleets have.
+const UNKNOWN: u32 = 100;
 /// Proxies that share an upstream's connections until their number is told, and the part of its limit that is used (ours).
 const USUAL: f64 = 16.0;
 const CONNECTIONS_USED: f64 = 0.9;
@@ -110,6 +115,8 @@
     pub proxies: u32,
     /// It was told how many proxies there are.
     counted: bool,
+    /// When a control node that hears a majority, and so counts this proxy, was heard last.
+    heard_control: Millis,
     pub control_nodes: Vec<String>,
     tiers: HashMap<String, Tiers>,
     retries: HashMap<String, RetryBudget>,
@@ -140,9 +147,9 @@
             listed_once: false,
             evacuated_number: 0,
             evacuated: HashSet::new(),
-            // Until it is told better: more than most fleets have, so that shares are small.
-            proxies: 100,
+            proxies: UNKNOWN,
             counted: false,
+            heard_control: f64::NEG_INFINITY,
             control_nodes: Vec::new(),
             tiers: HashMap::new(),
             retries: HashMap::new(),
@@ -217,9 +224,11 @@
             ToProxy::Census { control_nodes, proxies, .. } => {
                 self.proxies = proxies.max(1);
                 self.counted = true;
+                self.heard_control = now;
                 self.control_nodes = control_nodes;
             }
-            ToProxy::Welcome { .. } | ToProxy::Beat { .. } => {}
+            ToProxy::Beat { attached: true } => self.heard_control = now,
+            ToProxy::Welcome { .. } | ToProxy::Beat { attached: false } => {}
         }
         Folded::Taken
     }
@@ -245,8 +254,16 @@
         Folded::Taken
     }
 
+    /// Among how many proxies a bound over all is shared, as far as this one may rely on it.
+    fn sharers(&self, now: Millis) -> u32 {
+        match now - self.heard_control <= SHARE_LEASE {
+            true => self.proxies,
+            false => self.proxies.max(UNKNOWN),
+        }
+    }
+
     /// Sends a second that a cold upstream gets from this proxy at most.
-    pub fn cold_share(&self, place: usize) -> u32 {
+    pub fn cold_share(&self, now: Millis, place: usize) -> u32 {
         let upstream = self.upstreams.get(place);
         let service = self.configuration.as_ref().and_then(|all| all.service(&upstream.entry.service));
         let rate = service.map_or(0.0, |service| service.cold_rate_s);
@@ -254,7 +271,7 @@
             return u32::MAX;
         }
         let bound = rate * self.bounds.cold_overshoot + self.bounds.cold_slack;
-        share(bound, self.proxies, mix(self.identity ^ upstream.hash))
+        share(bound, self.sharers(now), mix(self.identity ^ upstream.hash))
     }
 
     /// Connections to one upstream that this proxy may hold.
@@ -274,11 +291,12 @@
 
     /// Whether the shared budget has one more send beyond the first; it is counted if so.
     pub fn may_repeat(&mut self, now: Millis, service: &str) -> bool {
+        let sharers = self.sharers(now);
         let bounds = &self.bounds;
         let (span, ratio, slack) =
             (bounds.retry_window_s * 1000.0, bounds.retry_budget_ratio, bounds.retry_budget_slack);
         let budget = self.retries.entry(service.to_owned()).or_default();
-        budget.repeat(now, span, ratio, slack, self.proxies)
+        budget.repeat(now, span, ratio, slack, sharers)
     }
 
     /// A request goes to an upstream.
--- a/crates/sandtrack-proxy/src/placement.rs
+++ b/crates/sandtrack-proxy/src/placement.rs
@@ -123,7 +123,7 @@
 
     /// It does not rest, and bears one more while cold.
     fn may_start(&mut self, now: Millis, place: usize) -> bool {
-        let share = self.cold_share(place);
+        let share = self.cold_share(now, place);
         let upstream = self.upstreams.get_mut(place);
         if now < upstream.rests_until {
             return false;
--- a/crates/sandtrack-proxy/src/session.rs
+++ b/crates/sandtrack-proxy/src/session.rs
@@ -13,7 +13,7 @@
 use std::io::Read;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A control node that does not answer within this time is passed over.
 const CONNECT: Duration = Duration::from_millis(350);
@@ -21,6 +21,10 @@
 const PAUSE: Duration = Duration::from_millis(100);
 /// How often it is seen whether another control node is to be looked for.
 const LOOK_EVERY: Duration = Duration::from_millis(BEAT_MS);
+/// An end that was not heard for so long takes the session for broken.
+const SILENCE: Duration = Duration::from_millis(SILENCE_MS);
+/// A wait for a frame that took so long was no wait: timers of a process that runs go off before.
+const SILENT_FOR_LONG: Duration = Duration::from_millis(2 * SILENCE_MS);
 /// Bytes that are kept for what was read of a session and is not a whole frame yet.
 const HELD_KEPT: usize = 64 * 1024;
 
@@ -61,12 +65,18 @@
                 }
             }
             let late = async {
-                Timer::after(Duration::from_millis(SILENCE_MS)).await;
+                Timer::after(SILENCE).await;
                 None
             };
+            let began = Instant::now();
             let buffer = &mut self.buffer;
             let read = async { Some(stream.read_with(|mut socket| socket.read(buffer)).await) };
-            match future::or(read, late).await {
+            let read = future::or(read, late).await;
+            if began.elapsed() > SILENT_FOR_LONG {
+                // This process stood still: what lies in the socket was said before, and says nothing of now.
+                return None;
+            }
+            match read {
                 Some(Ok(count)) if count > 0 => self.held.extend_from_slice(&self.buffer[..count]),
                 _ => return None,
             }
--- a/crates/sandtrack-proxy/tests/placement.rs
+++ b/crates/sandtrack-proxy/tests/placement.rs
@@ -119,6 +119,31 @@
     assert!(sends.len() >= 8, "{}", sends.len());
 }
 
+/// Control counts one that it does not hear for 30 s; then others get its share.
+#[test]
+fn a_share_ends_where_control_was_not_heard_for_long() {
+    let mut cold = entry("a0", "model", "a");
+    cold.cold_remaining_ms = 120_000;
+    let mut balancer = balancer(vec![cold]);
+    let letter = request(&balancer, "/letters/1", &[]);
+    let mut sent_within = |from: f64| {
+        let steps = (0..1000).map(|step| from + f64::from(step));
+        steps.filter(|now| matches!(balancer.place(*now, &letter, &[]), Placed::Send(_))).count()
+    };
+    assert_eq!(sent_within(20_000.0), 4, "a twelfth of the bound");
+    assert!(sent_within(29_000.0) <= 1, "as if there were a hundred");
+    balancer.fold(40_000.0, ToProxy::Beat { attached: false });
+    let mut sent_within = |from: f64| {
+        let steps = (0..1000).map(|step| from + f64::from(step));
+        steps.filter(|now| matches!(balancer.place(*now, &letter, &[]), Placed::Send(_))).count()
+    };
+    assert!(sent_within(41_000.0) <= 1, "a control node that hears no majority does not know either");
+    balancer.fold(50_000.0, ToProxy::Beat { attached: true });
+    let steps = (0..1000).map(|step| 51_000.0 + f64::from(step));
+    let sent = steps.filter(|now| matches!(balancer.place(*now, &letter, &[]), Placed::Send(_))).count();
+    assert_eq!(sent, 4, "control counts it again");
+}
+
 #[test]
 fn long_shared_parts_go_to_one_upstream_that_all_proxies_agree_on() {
     let mut first = balancer(fleet());
@@ -182,7 +207,7 @@
     };
     assert_eq!(balancer.connection_share(place(&balancer, "a0")), 21);
     assert_eq!(balancer.connection_share(place(&balancer, "p0")), 7);
-    assert!(balancer.cold_share(place(&balancer, "a0")) <= 1);
+    assert!(balancer.cold_share(0.0, place(&balancer, "a0")) <= 1);
     balancer.fold(0.0, ToProxy::Census { control_nodes: Vec::new(), proxies: 39, rank: 0 });
     assert_eq!(balancer.connection_share(place(&balancer, "a0")), 9);
 }
