A stream's event without an end is spoilt, and searched once

Cause: the scanner held whatever an upstream sent without an empty line, without a bound, and searched all of it again at each piece: 64 MiB of one request cost 37 s of the only thread (debug build), and memory up to the process's limit. Class: a buffer without a bound that an upstream fills. Change: an event of over 1 MiB spoils its stream; bytes are searched once. Seen on the way, left open: bodies in hand are bounded each, not in sum. Test: an_event_without_an_end_is_no_event fails before. Runs: events, exchange_states pass.

--- a/crates/sandtrack-proxy/src/events.rs
+++ b/crates/sandtrack-proxy/src/events.rs
@@ -4,10 +4,15 @@
 /// What a line with an event's id begins with.
 const ID: &[u8] = b"id:";
 
+/// An event may be so long, in bytes: many times what one of these services has. What is held of one is bounded by it.
+const EVENT_MAX: usize = 1 << 20;
+
 /// Splits a stream into whole events.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Scanner {
     held: Vec<u8>,
+    /// Of the held bytes so many were searched for the end of the event.
+    searched: usize,
     /// Id of the last event that was passed on and had one.
     last: Option<u64>,
     /// Data without an id was passed on behind it: a run that goes on behind the id would bring it again.
@@ -19,7 +24,7 @@
 pub enum Scanned {
     /// Whole events, to be passed on as they are; may be empty.
     Events(Vec<u8>),
-    /// An id did not rise, or one is missing: the stream is spoilt from here on.
+    /// An id did not rise, or an event has no end: the stream is spoilt from here on.
     Spoilt(Vec<u8>),
 }
 
@@ -28,12 +33,14 @@
     pub fn push(&mut self, bytes: &[u8]) -> Scanned {
         self.held.extend_from_slice(bytes);
         let mut whole = 0;
-        while let Some(end) = end_of_event(&self.held[whole..]) {
+        let mut searched = std::mem::take(&mut self.searched);
+        while let Some(end) = end_of_event(&self.held[whole..], searched) {
+            searched = 0;
             let event = &self.held[whole..whole + end];
             if let Some(id) = id_of(event) {
                 // One that goes on from another upstream's has the next id, whatever step they take.
                 if self.last.is_some_and(|last| id <= last) {
-                    return Scanned::Spoilt(self.held.drain(..whole).collect());
+                    return self.spoilt(whole);
                 }
                 self.last = Some(id);
                 self.unnumbered = false;
@@ -42,9 +49,22 @@
             }
             whole += end;
         }
+        let left = self.held.len() - whole;
+        if left > EVENT_MAX {
+            return self.spoilt(whole);
+        }
+        // The two line breaks that end an event may come in two pieces.
+        self.searched = left.saturating_sub(2);
         Scanned::Events(self.held.drain(..whole).collect())
     }
 
+    /// The events up to `whole` count; nothing behind them is held.
+    fn spoilt(&mut self, whole: usize) -> Scanned {
+        let events = self.held.drain(..whole).collect();
+        self.held = Vec::new();
+        Scanned::Spoilt(events)
+    }
+
     /// Bytes that are no whole event yet.
     pub fn held(&self) -> usize {
         self.held.len()
@@ -52,12 +72,14 @@
 
     /// What is left at the end of the body.
     pub fn rest(&mut self) -> Vec<u8> {
+        self.searched = 0;
         std::mem::take(&mut self.held)
     }
 
     /// The stream goes on from another upstream: what was begun is dropped.
     pub fn resume(&mut self) {
         self.held.clear();
+        self.searched = 0;
     }
 
     /// Id of the last event that was passed on and had one.
@@ -88,9 +110,8 @@
     }
 }
 
-/// Length of the first event with the empty line that ends it.
-fn end_of_event(bytes: &[u8]) -> Option<usize> {
-    let mut from = 0;
+/// Length of the first event with the empty line that ends it; that line begins at `from` at the earliest.
+fn end_of_event(bytes: &[u8], mut from: usize) -> Option<usize> {
     while let Some(at) = bytes[from..].iter().position(|byte| *byte == b'\n') {
         let line_end = from + at + 1;
         match bytes[line_end..] {
--- a/crates/sandtrack-proxy/tests/events.rs
+++ b/crates/sandtrack-proxy/tests/events.rs
@@ -45,3 +45,13 @@
     assert!(!given.note(b"id: 2\ndata: again\n\n"));
     assert!(given.note(b"id: 7\n\n"));
 }
+
+#[test]
+fn an_event_without_an_end_is_no_event() {
+    let mut scanner = Scanner::default();
+    let piece = vec![b'x'; 64 * 1024];
+    let spoilt = (0..1024).find(|_| matches!(scanner.push(&piece), Scanned::Spoilt(_)));
+    let taken = spoilt.map(|pieces| (pieces + 1) * piece.len());
+    assert!(taken.is_some_and(|taken| taken <= 2 << 20), "64 MiB were held, for one request of many");
+    assert_eq!(scanner.held(), 0);
+}
