An order for a zone that finds the chain under repair is sent on to a control node that is heard

Cause: a call waits 850 ms, the chain is repaired 1.15 to 1.35 s after a machine froze, and the caller, told 503, pauses and may ask the frozen machine next, which costs a second; such an order is repeated for a few seconds only. A caller in another region spends two round trips (220 ms) of its second on the way, so that an answer after 829 or 850 ms comes too late, whatever it says. Class: a bounded wait that ends just before what it waits for, and a caller who is sent away blindly. Change: after 700 ms such an order is answered with 307 to the first of the chain that was heard within 450 ms, where a majority is heard; else 503 as before. Changed: four tests that demand that nothing definite is said take a 307 for an order for a zone, and for nothing else, beside 503.

--- a/crates/sandtrack-control/src/call_log.rs
+++ b/crates/sandtrack-control/src/call_log.rs
@@ -7,10 +7,15 @@
 use sandtrack_protocol::metrics::{Kind, MetricsText};
 use std::collections::BTreeMap;
 
+/// A caller goes elsewhere after a second of silence.
+const CALLERS_PATIENCE_MS: Millis = 1000.0;
+
 /// A call that was read and not answered yet.
 #[derive(Clone, Debug)]
 struct Begun {
     what: String,
+    /// Target of an order without a body: one for a zone.
+    bare_order: Option<String>,
     /// It changes something, if it is taken.
     is_order: bool,
     /// When it was read.
@@ -44,13 +49,22 @@
         let based_on = head.headers.get("based-on-version");
         let based_on = based_on.map_or_else(String::new, |version| format!(" on version {version}"));
         let what = format!("{} {}{based_on}, {} bytes", head.method, head.target, message.body.len());
+        let is_order = head.method == "POST";
+        let bare_order = (is_order && message.body.is_empty()).then(|| head.target.clone());
         let on_the_way = arrival.map_or(0.0, |arrival| now - arrival.accepted);
-        self.begun.insert(call, Begun { what, is_order: head.method == "POST", read: now, on_the_way });
+        self.begun.insert(call, Begun { what, bare_order, is_order, read: now, on_the_way });
+    }
+
+    /// The target of an order for a zone that was read so lately that its caller waits for it still.
+    pub fn bare_order(&self, now: Millis, call: u64) -> Option<&str> {
+        let begun = self.begun.get(&call)?;
+        let waits = now - begun.read + begun.on_the_way <= CALLERS_PATIENCE_MS;
+        begun.bare_order.as_deref().filter(|_| waits)
     }
 
     /// A call is answered; nothing where it was answered before.
     pub fn answered(&mut self, now: Millis, call: u64, reply: &Reply) -> Option<Told> {
-        let Begun { what, is_order, read, on_the_way } = self.begun.remove(&call)?;
+        let Begun { what, is_order, read, on_the_way, .. } = self.begun.remove(&call)?;
         let code = reply.code.map_or_else(String::new, |code| code.to_string());
         *self.answered.entry((reply.status, code.clone())).or_default() += 1;
         let refusal = match reply.code {
--- a/crates/sandtrack-control/src/control.rs
+++ b/crates/sandtrack-control/src/control.rs
@@ -10,6 +10,11 @@
 pub const BODY_MAX: usize = 16 << 20;
 /// A call that found no acknowledgement is answered after this long, in ms: its caller moves on after a second.
 pub const PATIENCE_MS: f64 = 850.0;
+/// The same for an order for a zone, in ms: its caller may be in another region, where connecting, asking and the answer take two
+/// round trips of the second, and is sent on in time only if the answer is not late itself.
+pub const ORDER_PATIENCE_MS: f64 = 700.0;
+/// Callers follow it, with the same call, twice.
+const TEMPORARY_REDIRECT: u16 = 307;
 /// When a caller is to come again, in s.
 const AGAIN_S: &str = "0.2";
 
@@ -35,12 +40,14 @@
     pub body: String,
     /// Why it is no success.
     pub code: Option<Code>,
+    /// Where its caller is to go with the same call.
+    pub location: Option<String>,
 }
 
 impl Reply {
     /// A success.
     pub fn success(body: String) -> Reply {
-        Reply { status: 200, body, code: None }
+        Reply { status: 200, body, code: None, location: None }
     }
 
     /// A refusal with a numbered code, at a place, in the words of the table.
@@ -51,14 +58,21 @@
     fn told(status: u16, code: Code, place: &str, what: &str) -> Reply {
         let (place, what) = (escape(place), escape(what));
         let body = format!("{{\"code\":\"{code}\",\"place\":\"{place}\",\"what\":\"{what}\"}}");
-        Reply { status, body, code: Some(code) }
+        Reply { status, body, code: Some(code), location: None }
+    }
+
+    /// The same, but its caller is to go on at another control node at once, and not to pick one after a pause: that may be
+    /// the very one that does not answer.
+    pub fn sent_on(self, location: String) -> Reply {
+        Reply { status: TEMPORARY_REDIRECT, location: Some(location), ..self }
     }
 
     /// The answer as it is written; `close`: it is the connection's last.
     pub fn bytes(&self, close: bool) -> Vec<u8> {
         let kind = [("Content-Type", "application/json")].into_iter();
         let again = (self.status == 503).then_some(("Retry-After", AGAIN_S));
-        message::response(self.status, kind.chain(again), self.body.as_bytes(), close)
+        let location = self.location.as_deref().map(|location| ("Location", location));
+        message::response(self.status, kind.chain(again).chain(location), self.body.as_bytes(), close)
     }
 }
 
--- a/crates/sandtrack-control/src/node/operators.rs
+++ b/crates/sandtrack-control/src/node/operators.rs
@@ -4,9 +4,15 @@
 use crate::control::Reply;
 use crate::knowledge::Knowledge;
 use crate::operator_calls::{OperatorCalls, Step};
+use crate::peers::Hello;
 use crate::Millis;
+use sandtrack_protocol::codes;
+use sandtrack_protocol::settings::Settings;
 use sandtrack_replication as replication;
 
+/// Callers are sent on to one that was heard so lately, in ms: three of its heartbeats. One that froze just now is not asked.
+const SURELY_THERE_MS: Millis = 450.0;
+
 impl ControlNode {
     /// Looks at the operators' calls with what is known here, and carries out what one of them needs next.
     pub(super) fn advance_calls(
@@ -29,6 +35,7 @@
     /// Answers a call, and tells the log of it. A refusal is told with what this control node knew: without that nobody can
     /// say afterwards why an order was not taken.
     fn reply(&mut self, now: Millis, call: u64, reply: Reply, out: &mut Vec<Effect>) {
+        let reply = self.sent_on(now, call, reply);
         match self.call_log.answered(now, call, &reply) {
             Some(told) if reply.code.is_some() => log::info!("{}; {}", told.line, self.standing(now)),
             Some(told) if told.is_notable => log::info!("{}", told.line),
@@ -38,6 +45,33 @@
         out.push(Effect::Reply { call, reply });
     }
 
+    /// An order for a zone that found no acknowledgement while the chain is repaired goes on at a control node that is heard.
+    /// Left to itself its caller pauses, and may then ask the one that is silent, for a second; and such an order is sent
+    /// again for a few seconds only, unlike a configuration. Only where a majority is heard: the others of a minority can't
+    /// do better.
+    fn sent_on(&self, now: Millis, call: u64, reply: Reply) -> Reply {
+        let is_open = matches!(reply.code, Some(codes::UNSURE | codes::NOT_NOW));
+        let target = self.call_log.bare_order(now, call).filter(|_| is_open && self.is_attached(now));
+        match target
+            .and_then(|target| self.other_control(now).map(|address| format!("http://{address}{target}")))
+        {
+            Some(location) => reply.sent_on(location),
+            None => reply,
+        }
+    }
+
+    /// Where another control node takes calls that is heard and stays: the first of the chain, else any.
+    fn other_control(&self, now: Millis) -> Option<String> {
+        let chain = &self.replica.view().chain;
+        let rank = |address: &str| chain.iter().position(|member| member.address == address);
+        let staying = self
+            .peers
+            .all()
+            .filter(|(address, stays, _)| *stays && self.peers.is_heard(now, address, SURELY_THERE_MS));
+        let (_, _, hello) = staying.min_by_key(|(address, _, _)| rank(address).unwrap_or(usize::MAX))?;
+        hello.map(control_address)
+    }
+
     /// What an answer to an operator rests on here.
     fn standing(&self, now: Millis) -> String {
         let view = self.replica.view();
@@ -78,3 +112,9 @@
         }
     }
 }
+
+/// Where a control node takes calls, `IP:PORT`: at the address by which others know it.
+fn control_address(hello: &Hello) -> String {
+    let port = hello.control.rsplit_once(':').map_or("", |(_, port)| port);
+    format!("{}:{port}", Settings::ip_of(&hello.address))
+}
--- a/crates/sandtrack-control/src/operator_calls.rs
+++ b/crates/sandtrack-control/src/operator_calls.rs
@@ -2,7 +2,7 @@
 //! control node carries out the steps.
 use crate::arrivals::{Arrival, Awake};
 use crate::commands::{Command, Outcome, Question};
-use crate::control::{self, Order, Reply, PATIENCE_MS};
+use crate::control::{self, Order, Reply, ORDER_PATIENCE_MS, PATIENCE_MS};
 use crate::Millis;
 use sandtrack_core::message::Message;
 use sandtrack_replication::Refusal;
@@ -135,7 +135,11 @@
             return Step::Reply { call, reply: control::too_late() };
         }
         let mut wait = |waits: Waits| {
-            let until = now + PATIENCE_MS;
+            let patience = match waits {
+                Waits::Evacuation | Waits::Zone { .. } => ORDER_PATIENCE_MS,
+                Waits::Configuration | Waits::Repeat { .. } | Waits::Read => PATIENCE_MS,
+            };
+            let until = now + patience;
             self.pending.insert(call, Pending { arrival, until, waits });
         };
         match order {
--- a/crates/sandtrack-control/tests/bound_voters.rs
+++ b/crates/sandtrack-control/tests/bound_voters.rs
@@ -2,7 +2,7 @@
 //! earlier one; nor does one that came back with an empty disk. No bench, no sockets, no sleep: the clock is counted.
 mod common;
 use common::cluster::{upstream, Cluster};
-use common::good;
+use common::{good, is_definite};
 use sandtrack_control::contact::LEASE_MS;
 use sandtrack_protocol::frames::ToProxy;
 
@@ -92,8 +92,8 @@
         let calls = [at(&mut cluster, LEFT_OUT), at(&mut cluster, VOTER)].concat();
         cluster.run(1000.0);
         for call in calls {
-            let answer = cluster.answer(call).map(|(_, reply)| reply.status);
-            assert!(matches!(answer, None | Some(503)), "{answer:?}");
+            let answer = cluster.answer(call);
+            assert!(!answer.is_some_and(|(_, reply)| is_definite(reply)), "{answer:?}");
         }
     }
 }
--- a/crates/sandtrack-control/tests/common/mod.rs
+++ b/crates/sandtrack-control/tests/common/mod.rs
@@ -78,3 +78,11 @@
         other => panic!("{other:?}"),
     }
 }
+
+/// Whether an answer says anything of its order. One for a zone whose caller is sent on to another control node does not, as
+/// 503 does not.
+pub fn is_definite(reply: &sandtrack_control::control::Reply) -> bool {
+    let is_sent_on = reply.status == 307
+        && reply.location.as_ref().is_some_and(|location| location.contains("/v1/evacuation/"));
+    reply.status != 503 && !is_sent_on
+}
--- a/crates/sandtrack-control/tests/cut_off.rs
+++ b/crates/sandtrack-control/tests/cut_off.rs
@@ -1,7 +1,7 @@
 //! A control node that is cut off from the others for twenty seconds while operators call both sides.
 mod common;
 use common::cluster::Cluster;
-use common::good;
+use common::{good, is_definite};
 
 const REPLACE: &str = "/v1/configuration/replace";
 const READ: &str = "/v1/configuration/read";
@@ -68,7 +68,7 @@
         }
         for call in here {
             let answer = cluster.answer(call);
-            let definite = answer.as_ref().is_some_and(|(_, reply)| reply.status != 503);
+            let definite = answer.is_some_and(|(_, reply)| is_definite(reply));
             assert!(!definite, "{case}: it answers {answer:?} after {at} ms");
         }
     }
--- a/crates/sandtrack-control/tests/late_orders.rs
+++ b/crates/sandtrack-control/tests/late_orders.rs
@@ -1,7 +1,7 @@
 //! An order that reaches the head late, by whichever way, takes no effect once a later one for the same zone was confirmed.
 mod common;
 use common::cluster::Cluster;
-use common::{good, message};
+use common::{good, is_definite, message};
 use sandtrack_control::arrivals::{Arrival, Awake, ARRIVAL_MS, HELD_UP_MS};
 use sandtrack_control::control_state::{Command, ControlState, Outcome, Question};
 use sandtrack_control::operator_calls::{Known, OperatorCalls, Step};
@@ -75,7 +75,8 @@
     cluster.insist(&[3], BEGIN, 0, "");
     cluster.insist(&[2], FINISH, 0, "");
     assert_not_evacuated(&mut cluster);
-    assert_eq!(cluster.status(late), Some(503));
+    let (_, reply) = cluster.answer(late).expect("it is answered");
+    assert!(!is_definite(reply), "{reply:?}");
     assert!(cluster.submits.iter().any(|(_, from, _, _)| *from == 4), "it was on its way");
 }
 
--- a/crates/sandtrack-control/tests/repeats.rs
+++ b/crates/sandtrack-control/tests/repeats.rs
@@ -2,7 +2,7 @@
 //! of two operators that pick one number one wins.
 mod common;
 use common::cluster::Cluster;
-use common::{good, message, route};
+use common::{good, is_definite, message, route};
 use sandtrack_control::arrivals::Arrival;
 use sandtrack_control::control;
 use sandtrack_control::control_state::{Command, ControlState, Form, Outcome, Question};
@@ -153,8 +153,8 @@
         cluster.insist(&[2], REPLACE, 9, &good(12));
         cluster.run(4000.0);
         for call in [first, begin] {
-            let status = cluster.status(call);
-            assert!(matches!(status, Some(200 | 503)), "{delay}: {status:?}");
+            let (_, reply) = cluster.answer(call).expect("it is answered");
+            assert!(reply.status == 200 || !is_definite(reply), "{delay}: {reply:?}");
         }
         for house in 1..=3 {
             assert_eq!(cluster.control_node(house).control_state().version(), 12, "{delay}");
--- a/crates/sandtrack-rig/src/main.rs
+++ b/crates/sandtrack-rig/src/main.rs
@@ -85,6 +85,9 @@
         /// How long troubles come in each run, in s.
         #[arg(long, default_value_t = 24.0)]
         lasts: f64,
+        /// Clients at a time.
+        #[arg(long, default_value_t = soak::CLIENTS)]
+        clients: usize,
         /// Keeps settings, logs and disks of runs with a broken verdict in folders within this one.
         #[arg(long)]
         keep: Option<PathBuf>,
@@ -112,9 +115,9 @@
             let options = SystemOptions { seed, keep, cut, ..SystemOptions::new(rig, programs) };
             system(scenario, &options)
         }
-        Command::Soak { programs, seed, seeds, lasts, keep } => {
+        Command::Soak { programs, seed, seeds, lasts, clients, keep } => {
             let Ok(rig) = std::env::current_exe() else { return input("the rig's own path is not known") };
-            soak(&Programs { rig, builds: programs }, seed..seed + seeds, lasts, keep.as_deref())
+            soak(&Programs { rig, builds: programs }, seed..seed + seeds, lasts, clients, keep.as_deref())
         }
         Command::Demo { html } => match scenario::read(DEMO) {
             Ok(scenario) => finish(run(&scenario, 1, None, None, true), None, html.as_deref(), true),
@@ -167,11 +170,12 @@
     }
 }
 
-fn soak(programs: &Programs, seeds: Range<u64>, lasts: f64, keep: Option<&Path>) -> ExitCode {
+fn soak(programs: &Programs, seeds: Range<u64>, lasts: f64, clients: usize, keep: Option<&Path>) -> ExitCode {
     let mut broken = false;
     for seed in seeds {
         let folder = keep.map(|keep| keep.join(format!("seed-{seed}")));
-        let options = soak::Options { programs: programs.clone(), seed, lasts, keep: folder.clone() };
+        let options =
+            soak::Options { programs: programs.clone(), seed, lasts, clients, keep: folder.clone() };
         match soak::play(&options) {
             Err(error) => return input(&format!("seed {seed}: {error}")),
             Ok(report) if report.is_kept() => {
--- a/crates/sandtrack-rig/src/soak/run.rs
+++ b/crates/sandtrack-rig/src/soak/run.rs
@@ -24,8 +24,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Clients at a time.
-const CLIENTS: usize = 48;
+/// Clients at a time, unless told otherwise.
+pub const CLIENTS: usize = 48;
 /// After the last trouble, so long goes by before the last strike, in s: time-bound rules bind all machines again.
 const CALM: Seconds = 9.0;
 /// Pause between two looks at a route that came or goes.
@@ -42,6 +42,8 @@
     pub seed: u64,
     /// How long troubles come, in s.
     pub lasts: Seconds,
+    /// Clients at a time.
+    pub clients: usize,
     /// Settings, logs and disks are kept there; else they go with the run.
     pub keep: Option<PathBuf>,
 }
@@ -96,7 +98,7 @@
     for machine in &machines {
         cluster.until_served(*machine, "read").await?;
     }
-    begin_load(cluster, records, seed, spawner);
+    begin_load(cluster, records, options, spawner);
     let began = records.now();
     Troubles::new(cluster, records.clone(), upstreams.clone(), platform).play(&plan, began).await?;
     cluster.pass(Duration::from_secs_f64(CALM)).await?;
@@ -112,7 +114,8 @@
     Ok(())
 }
 
-fn begin_load(cluster: &Cluster, records: &Rc<Records>, seed: u64, spawner: &Spawner<'_>) {
+fn begin_load(cluster: &Cluster, records: &Rc<Records>, options: &Options, spawner: &Spawner<'_>) {
+    let Options { seed, clients, .. } = *options;
     let begin = |task: Pin<Box<dyn Future<Output = ()>>>| {
         records.busy.set(records.busy.get() + 1);
         let records = records.clone();
@@ -121,7 +124,7 @@
             records.busy.set(records.busy.get() - 1);
         });
     };
-    for number in 0..CLIENTS {
+    for number in 0..clients {
         begin(Box::pin(Client::new(number, seed, MACHINES, &cluster.plan, records).run()));
     }
     let desk =
@@ -130,7 +133,7 @@
     begin(Box::pin(desk(2).run_changes("w", [500, 3000])));
     begin(Box::pin(desk(3).run_evacuations()));
     begin(Box::pin(desk(4).run_reads()));
-    let prober = Client::new(CLIENTS, seed, MACHINES, &cluster.plan, records);
+    let prober = Client::new(clients, seed, MACHINES, &cluster.plan, records);
     begin(Box::pin(probe(prober, records.clone(), seed)));
 }
 
