--- a/crates/sandtrack-rig/src/soak/judge.rs
+++ b/crates/sandtrack-rig/src/soak/judge.rs
@@ -12,6 +12,9 @@
 
 /// What ids of the rig's own looks begin with: whether a front serves yet.
 const LOOKS: &str = "look-";
+/// A proxy that ended is named by no directory after this, in s: a second of silence, and what a silent control node told
+/// holds for one and a half (the rule has `in_touch_ms` and 3 s).
+const NAMED_S: Seconds = 3.0;
 /// Lines told of one verdict.
 const TOLD_MOST: usize = 6;
 /// An answer may come so long behind a route's time, in s: the rule's half second, and as much for a busy machine.
@@ -110,6 +113,7 @@
     verdict("CONFIG: a read is never older than what was acknowledged", old_reads(&seen, records));
     verdict("CONFIG: requests are answered in time", held(&seen));
     verdict("LOST: no request is lost without a cause", lost(&seen));
+    verdict("DRAIN: the directory names nobody long after it ended", named_absent(&seen, records));
 }
 
 fn mixed(seen: &Seen<'_>) -> Vec<String> {
@@ -452,3 +456,34 @@
     };
     lost.map(told).collect()
 }
+
+/// Answers of a directory whose control node, and the core, stood under no unplanned trouble, and that name a proxy which ended
+/// long before beside one that runs.
+fn named_absent(seen: &Seen<'_>, records: &Records) -> Vec<String> {
+    let absences = records.absences.borrow();
+    let resolutions = records.resolutions.borrow();
+    let mut broken = Vec::new();
+    for resolution in resolutions.iter() {
+        let at = resolution.at;
+        if seen.touched(resolution.asked, at - IN_TOUCH_S, at, |span| !span.planned) {
+            continue;
+        }
+        let is_absent = |machine: &usize| {
+            absences.iter().any(|absence| {
+                absence.machine == *machine && absence.from + NAMED_S < at && at < absence.until
+            })
+        };
+        let runs = |machine: &usize| {
+            !absences
+                .iter()
+                .any(|absence| absence.machine == *machine && absence.from <= at && at < absence.until)
+        };
+        let absent = resolution.named.iter().filter(|machine| is_absent(machine));
+        if resolution.named.iter().any(runs) {
+            broken.extend(
+                absent.map(|machine| format!("machine {machine} by {} at {at:.1} s", resolution.asked)),
+            );
+        }
+    }
+    broken
+}
--- a/crates/sandtrack-rig/src/soak/records.rs
+++ b/crates/sandtrack-rig/src/soak/records.rs
@@ -187,6 +187,14 @@
     pub named: Vec<usize>,
 }
 
+/// A time in which a proxy's process was not there.
+#[derive(Clone, Copy, Debug)]
+pub struct Absence {
+    pub machine: usize,
+    pub from: Seconds,
+    pub until: Seconds,
+}
+
 /// All of it, shared by the tasks of the run.
 pub struct Records {
     began: Instant,
@@ -204,8 +212,8 @@
     pub resolutions: RefCell<Vec<Resolution>>,
     /// Life of each proxy's process: how often it was started.
     pub lives: RefCell<Vec<u32>>,
-    /// When each proxy's process ended for good or until its next start.
-    pub ends: RefCell<Vec<Option<Seconds>>>,
+    /// Times in which a proxy's process was not there.
+    pub absences: RefCell<Vec<Absence>>,
 }
 
 impl Records {
@@ -223,10 +231,27 @@
             spans: RefCell::default(),
             resolutions: RefCell::default(),
             lives: RefCell::new(vec![0; machines]),
-            ends: RefCell::new(vec![None; machines]),
+            absences: RefCell::default(),
         })
     }
 
+    /// The proxy's process of a machine has ended.
+    pub fn proxy_ended(&self, machine: usize) {
+        let absence = Absence { machine, from: self.now(), until: f64::INFINITY };
+        self.absences.borrow_mut().push(absence);
+    }
+
+    /// It is started.
+    pub fn proxy_starts(&self, machine: usize) {
+        self.lives.borrow_mut()[machine] += 1;
+        let now = self.now();
+        let mut absences = self.absences.borrow_mut();
+        let last = absences.iter_mut().rev().find(|absence| absence.machine == machine);
+        if let Some(last) = last {
+            last.until = now;
+        }
+    }
+
     pub fn now(&self) -> Seconds {
         self.began.elapsed().as_secs_f64()
     }
--- a/crates/sandtrack-rig/src/soak/troubles.rs
+++ b/crates/sandtrack-rig/src/soak/troubles.rs
@@ -152,8 +152,7 @@
 
     fn start(&mut self, which: Which) -> Result<(), Stopped> {
         if let Which::Proxy(at) = which {
-            self.records.lives.borrow_mut()[at] += 1;
-            self.records.ends.borrow_mut()[at] = None;
+            self.records.proxy_starts(at);
         }
         self.process(which).start()?;
         Ok(())
@@ -161,7 +160,7 @@
 
     fn kill(&mut self, which: Which) {
         if let Which::Proxy(at) = which {
-            self.records.ends.borrow_mut()[at] = Some(self.records.now());
+            self.records.proxy_ended(at);
         }
         self.process(which).kill();
     }
@@ -184,7 +183,7 @@
         let (at, is_control) = match which {
             Which::Control(at) => (at, true),
             Which::Proxy(at) => {
-                self.records.ends.borrow_mut()[at] = Some(self.records.now());
+                self.records.proxy_ended(at);
                 (at, false)
             }
         };
