Two red tests: a configuration's time that ends every proxy, and a window that grows for ever

Found by reading. An acknowledged configuration with idle_timeout_ms 1e300 ends each proxy as its first connection rests, and again after each start (cannot convert float seconds to Duration). Requests of the retry budget are held until something is repeated: 100,000 of 100 s in the test; 160 bytes a second at the users' size, and nothing gives them back while all goes well.

--- a/crates/sandtrack-proxy/src/balancer.rs
+++ b/crates/sandtrack-proxy/src/balancer.rs
@@ -286,7 +286,8 @@
 
     /// A request for a service came.
     pub fn came(&mut self, now: Millis, request: &ProxyRequest) {
-        self.retries.entry(request.service.clone()).or_default().request(now);
+        let span = self.bounds.retry_window_s * 1000.0;
+        self.retries.entry(request.service.clone()).or_default().request(now, span);
     }
 
     /// Whether the shared budget has one more send beyond the first; it is counted if so.
--- a/crates/sandtrack-proxy/src/budget.rs
+++ b/crates/sandtrack-proxy/src/budget.rs
@@ -46,10 +46,16 @@
 }
 
 impl RetryBudget {
-    pub fn request(&mut self, now: Millis) {
+    /// A request came; those before the window of `span` ms are forgotten.
+    pub fn request(&mut self, now: Millis, _span: Millis) {
         self.requests.note(now);
     }
 
+    /// Events that are held.
+    pub fn remembered(&self) -> usize {
+        self.requests.times.len() + self.repeats.times.len()
+    }
+
     /// Whether one more repeat fits `ratio` x requests + this proxy's part of `slack` in any window of `span` ms;
     /// it is counted if so. Requests are those of the last half window: what came before may not be counted by then.
     pub fn repeat(&mut self, now: Millis, span: Millis, ratio: f64, slack: f64, proxies: u32) -> bool {
--- a/crates/sandtrack-proxy/tests/budget.rs
+++ b/crates/sandtrack-proxy/tests/budget.rs
@@ -21,7 +21,7 @@
         let now = f64::from(step) * 10.0;
         // Busy at first, then quiet: what was earned while busy is gone by then.
         if step < 2000 || step % 50 == 0 {
-            budget.request(now);
+            budget.request(now, 10_000.0);
             requests.push(now);
         }
         if budget.repeat(now, 10_000.0, 0.2, 64.0, 12) {
@@ -32,3 +32,12 @@
     }
     assert!(repeats.len() > 100, "the budget is there to be used");
 }
+
+#[test]
+fn what_is_counted_is_forgotten_with_its_window_whether_or_not_anything_is_repeated() {
+    let mut budget = RetryBudget::default();
+    for step in 0..100_000 {
+        budget.request(f64::from(step), 10_000.0);
+    }
+    assert!(budget.remembered() <= 10_001, "{} requests are held of 100 s", budget.remembered());
+}
--- a/crates/sandtrack-proxy/tests/exchange/limits.rs
+++ b/crates/sandtrack-proxy/tests/exchange/limits.rs
@@ -57,3 +57,21 @@
     assert_eq!(client.answer().text(), "second");
     stage.finish_unwritten();
 }
+
+/// "No limit", as an operator may write it: no clock tells such a time, and no process may end by it.
+#[test]
+fn a_time_that_no_clock_can_tell_is_a_long_one() {
+    let endless = r#"{"header_size_bytes":2048,"body_size_bytes":2000000,"header_timeout_ms":1e300,"idle_timeout_ms":1e300}"#;
+    let stage = with_limits("a_time_that_no_clock_can_tell_is_a_long_one", endless);
+    let mut client = stage.client();
+    client.get("/slips/a", "r1");
+    stage.asked().answer("first");
+    assert_eq!(client.answer().text(), "first");
+    let routes = ROUTES.replace("\"timeout_ms\":60000", "\"timeout_ms\":1e300");
+    assert_ne!(routes, ROUTES, "the routes have such a time");
+    stage.configure_limits(&routes, endless);
+    client.get("/slips/b", "r2");
+    stage.asked().answer("second");
+    assert_eq!(client.answer().text(), "second");
+    stage.finish_unwritten();
+}
