Times of a configuration fit a clock, and the retry budget forgets what is out of its window

Cause: numbers of a configuration were taken as they are; a Duration holds no more than 1.8e19 s, and the conversion panics: one acknowledged configuration (idle_timeout_ms 1e300) ended every proxy of the fleet at its next idle connection, and again after each start. Change: times count as 1e10 ms at most and sizes as 1e9 bytes, the document stays as it was sent; the clock takes any number; a request prunes its window. Windows of cold sends are pruned while cold; journals, peers, sessions and pools have bounds.

--- a/crates/sandtrack-net/src/socket.rs
+++ b/crates/sandtrack-net/src/socket.rs
@@ -15,6 +15,9 @@
 /// Pause of the listener when the process is out of descriptors.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 
+/// No instant of a clock is later than this, in s: some hundred years.
+const LATEST_S: f64 = 3e9;
+
 /// The steady clock: milliseconds since the process began.
 #[derive(Clone, Copy)]
 pub struct Clock(Instant);
@@ -30,9 +33,9 @@
         self.0.elapsed().as_secs_f64() * 1000.0
     }
 
-    /// The instant at which the clock shows this time.
+    /// The instant at which the clock shows this time; of one that no clock tells, one that no process lives to see.
     pub fn at(&self, time: f64) -> Instant {
-        self.0 + Duration::from_secs_f64((time / 1000.0).max(0.0))
+        self.0 + Duration::from_secs_f64((time / 1000.0).clamp(0.0, LATEST_S))
     }
 }
 
--- a/crates/sandtrack-protocol/src/configuration.rs
+++ b/crates/sandtrack-protocol/src/configuration.rs
@@ -57,6 +57,11 @@
     pub stride: u32,
 }
 
+/// A longer time counts as this one, in ms: some four months.
+pub const TIME_MOST_MS: f64 = 1e10;
+/// A larger size counts as this one, in bytes.
+pub const SIZE_MOST: f64 = 1e9;
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     pub name: String,
@@ -94,6 +99,12 @@
     value.get(field).and_then(ValueAsScalar::cast_f64).filter(|number| number.is_finite() && *number >= 0.0)
 }
 
+/// A time in ms. The configuration says how long at most, and a process need not tell times that it does not live to see: the
+/// largest numbers fit no clock.
+fn time(value: &OwnedValue, field: &str) -> Option<f64> {
+    number(value, field).map(|time| time.min(TIME_MOST_MS))
+}
+
 fn route(item: &Item) -> Result<Route, Invalid> {
     let value = &item.value;
     let wrong = |field: &str| bad("routes", item, field);
@@ -102,7 +113,7 @@
     if !prefix.starts_with('/') || !prefix.ends_with('/') {
         return Err(Invalid::new(codes::BAD_PREFIX, format!("routes `{}`.path_prefix", item.name)));
     }
-    let timeout = number(value, "timeout_ms").ok_or_else(|| wrong("timeout_ms"))?;
+    let timeout = time(value, "timeout_ms").ok_or_else(|| wrong("timeout_ms"))?;
     if timeout <= 0.0 {
         return Err(Invalid::new(codes::NO_TIMEOUT, format!("routes `{}`.timeout_ms", item.name)));
     }
@@ -133,13 +144,13 @@
         path_prefix: prefix,
         kind,
         timeout_ms: timeout,
-        target_latency_ms: number(value, "target_latency_ms").unwrap_or(timeout),
+        target_latency_ms: time(value, "target_latency_ms").unwrap_or(timeout),
         priority: number(value, "priority").unwrap_or(5.0) as u32,
         split,
         attempts: (number(value, "attempts").unwrap_or(1.0) as u32).max(1),
         sticky_sessions: value.get_bool("sticky_sessions").unwrap_or(false),
         resumable: value.get_bool("resumable").unwrap_or(false),
-        gap_aim_ms: number(value, "gap_aim_ms"),
+        gap_aim_ms: time(value, "gap_aim_ms"),
         home_regions: homes.filter_map(|home| home.as_str().map(str::to_owned)).collect(),
     })
 }
@@ -192,15 +203,16 @@
         }
         shared_keys(document)?;
         let limits = document.field("limits");
-        let limit =
-            |field: &str, default: f64| limits.and_then(|limits| number(limits, field)).unwrap_or(default);
+        let limit = |field: &str, default: f64, most: f64| {
+            limits.and_then(|limits| number(limits, field)).unwrap_or(default).min(most)
+        };
         Ok(Configuration {
             version: document.version,
             limits: Limits {
-                header_size_bytes: limit("header_size_bytes", 16384.0) as usize,
-                body_size_bytes: limit("body_size_bytes", 4_194_304.0) as usize,
-                header_timeout_ms: limit("header_timeout_ms", 3000.0),
-                idle_timeout_ms: limit("idle_timeout_ms", 15000.0),
+                header_size_bytes: limit("header_size_bytes", 16384.0, SIZE_MOST) as usize,
+                body_size_bytes: limit("body_size_bytes", 4_194_304.0, SIZE_MOST) as usize,
+                header_timeout_ms: limit("header_timeout_ms", 3000.0, TIME_MOST_MS),
+                idle_timeout_ms: limit("idle_timeout_ms", 15000.0, TIME_MOST_MS),
             },
             routes,
             services,
--- a/crates/sandtrack-protocol/tests/documents.rs
+++ b/crates/sandtrack-protocol/tests/documents.rs
@@ -1,7 +1,7 @@
 //! Configurations as documents: reading, reading back, updates, and changes that are spread.
 use assert_matches::assert_matches;
 use sandtrack_protocol::codes;
-use sandtrack_protocol::configuration::{Configuration, Kind};
+use sandtrack_protocol::configuration::{Configuration, Kind, SIZE_MOST, TIME_MOST_MS};
 use sandtrack_protocol::document::{Document, Invalid, Update};
 use sandtrack_protocol::frames::ItemChange;
 use simd_json::prelude::*;
@@ -226,3 +226,19 @@
     assert!(applied.list("tenants").is_none_or(<[_]>::is_empty));
     assert!(applied.field("extra").is_none(), "a field that is no more");
 }
+
+#[test]
+fn numbers_beyond_all_use_are_bounded_and_the_document_stays_as_it_was_sent() {
+    let text = EXAMPLE
+        .replace("\"timeout_ms\":8000", "\"timeout_ms\":1e300")
+        .replace("\"gap_aim_ms\":600", "\"gap_aim_ms\":1e300")
+        .replace("\"idle_timeout_ms\":15000", "\"idle_timeout_ms\":1e300")
+        .replace("\"header_size_bytes\":16384", "\"header_size_bytes\":1e300");
+    let document = document(&text);
+    let configuration = Configuration::read(&document).expect("valid");
+    assert_eq!(configuration.routes[0].timeout_ms, TIME_MOST_MS);
+    assert_eq!(configuration.routes[0].gap_aim_ms, Some(TIME_MOST_MS));
+    assert_eq!(configuration.limits.idle_timeout_ms, TIME_MOST_MS);
+    assert_eq!(configuration.limits.header_size_bytes as f64, SIZE_MOST);
+    assert!(document.to_json().contains("e300"), "what is read back is what was sent");
+}
--- a/crates/sandtrack-proxy/src/budget.rs
+++ b/crates/sandtrack-proxy/src/budget.rs
@@ -47,7 +47,8 @@
 
 impl RetryBudget {
     /// A request came; those before the window of `span` ms are forgotten.
-    pub fn request(&mut self, now: Millis, _span: Millis) {
+    pub fn request(&mut self, now: Millis, span: Millis) {
+        self.requests.count(now, span);
         self.requests.note(now);
     }
 
