--- a/crates/sandtrack-proxy/src/front.rs
+++ b/crates/sandtrack-proxy/src/front.rs
@@ -118,7 +118,7 @@
         let id = head.headers.get("request-id").unwrap_or_default().to_owned();
         let decoded = {
             let mut balancer = shared.balancer.borrow_mut();
-            let draw = balancer.toss();
+            let draw = balancer.draw_fraction();
             match balancer.configuration.clone() {
                 None => Err(Refused(503, codes::NO_CONFIGURATION)),
                 Some(configuration) => ProxyRequest::decode(&configuration, head, body, arrived, draw),
--- a/crates/sandtrack-proxy/src/placement.rs
+++ b/crates/sandtrack-proxy/src/placement.rs
@@ -243,7 +243,7 @@
     }
 
     /// Draws a number from 0 to 1.
-    pub fn toss(&mut self) -> f64 {
+    pub fn draw_fraction(&mut self) -> f64 {
         self.rng.gen()
     }
 }
