--- a/crates/sandtrack-rig/src/soak/judge.rs
+++ b/crates/sandtrack-rig/src/soak/judge.rs
@@ -25,6 +25,8 @@
 const GONE_MOST: usize = 3;
 /// A connection that is closed within this after a request was sent on it crossed the close, in s.
 const CROSSING: Seconds = 0.25;
+/// The route's time counts from a request's first byte, a little before its last, in s.
+const TIMEOUT_MARGIN: Seconds = 0.1;
 /// What a proxy hands to an upstream may be so much longer than what is left, in s.
 const HANDED_SLACK: Seconds = 0.5;
 
@@ -426,6 +428,7 @@
     let lost = seen.requests.iter().filter(|request| {
         let (End::Broke { .. }, Some(sent)) = (&request.end, request.sent) else { return false };
         let arrivals = seen.arrivals_of(request);
+        let is_over = request.ended - sent >= TIMEOUT_S - TIMEOUT_MARGIN;
         let crossed = request.kept && arrivals.is_empty() && request.ended - sent < CROSSING;
         let has_cause =
             arrivals.iter().any(|arrival| arrival.trouble.is_some_and(super::upstreams::Trouble::breaks));
@@ -438,7 +441,7 @@
                     && span.until >= request.begun - 3.0
         });
         let is_untroubled = seen.is_untroubled(request.machine, request.begun, request.ended + 0.1);
-        !crossed && !has_cause && !upstreams_changed && is_untroubled
+        !is_over && !crossed && !has_cause && !upstreams_changed && is_untroubled
     });
     let told = |request: &Request| {
         let arrivals = seen.arrivals_of(request);
--- a/crates/sandtrack-rig/src/soak/records.rs
+++ b/crates/sandtrack-rig/src/soak/records.rs
@@ -245,11 +245,11 @@
     pub fn proxy_starts(&self, machine: usize) {
         self.lives.borrow_mut()[machine] += 1;
         let now = self.now();
+        // One that was told to stop and killed as well has ended twice.
         let mut absences = self.absences.borrow_mut();
-        let last = absences.iter_mut().rev().find(|absence| absence.machine == machine);
-        if let Some(last) = last {
-            last.until = now;
-        }
+        let open =
+            absences.iter_mut().filter(|absence| absence.machine == machine && absence.until.is_infinite());
+        open.for_each(|absence| absence.until = now);
     }
 
     pub fn now(&self) -> Seconds {
