Soak: the rig tells how late its own timers were

Hundreds of upstream connections looked 200 times a second whether their upstream lives; 40 times do. The stand-ins are as slow as the rig's thread, and a report has to say so.

--- a/crates/sandtrack-rig/src/main.rs
+++ b/crates/sandtrack-rig/src/main.rs
@@ -179,7 +179,11 @@
         match soak::play(&options) {
             Err(error) => return input(&format!("seed {seed}: {error}")),
             Ok(report) if report.is_kept() => {
-                println!("seed {seed}: held in {:.0} s; {}", report.took.as_secs_f64(), report.notes[0]);
+                println!(
+                    "seed {seed}: held in {:.0} s; {}",
+                    report.took.as_secs_f64(),
+                    report.notes[..2].join("; ")
+                );
                 let _ = folder.map(std::fs::remove_dir_all);
             }
             Ok(report) => {
--- a/crates/sandtrack-rig/src/soak/records.rs
+++ b/crates/sandtrack-rig/src/soak/records.rs
@@ -200,6 +200,8 @@
     began: Instant,
     /// The load is over: clients end.
     pub is_over: Cell<bool>,
+    /// By how much a timer of the rig itself was late at most: the stand-ins are as slow as that.
+    pub latest_timer: Cell<Seconds>,
     /// Stand-ins that still have something under way.
     pub busy: Cell<usize>,
     pub requests: RefCell<Vec<Request>>,
@@ -221,6 +223,7 @@
         Rc::new(Records {
             began: Instant::now(),
             is_over: Cell::new(false),
+            latest_timer: Cell::new(0.0),
             busy: Cell::new(0),
             requests: RefCell::default(),
             arrivals: RefCell::default(),
--- a/crates/sandtrack-rig/src/soak/run.rs
+++ b/crates/sandtrack-rig/src/soak/run.rs
@@ -32,6 +32,8 @@
 const PROBE_MS: [u64; 2] = [20, 120];
 /// Changes whose routes are probed: the newest.
 const PROBED: usize = 10;
+/// How often the rig's own timers are looked at.
+const TIMER: Duration = Duration::from_millis(10);
 /// What an acknowledgement is followed by comes so soon, in ms.
 const CLOSING_MS: u64 = 4;
 
@@ -73,6 +75,8 @@
             Ok(()) => {}
         }
         report.notes.push(format!("{:?}", tally(&records.requests.borrow())));
+        let late = records.latest_timer.get() * 1000.0;
+        report.notes.push(format!("the rig's own timers were {late:.0} ms late at most"));
         for span in records.spans.borrow().iter() {
             report.notes.push(format!("{:6.2} to {:6.2} s {}", span.from, span.until, span.what));
         }
@@ -116,6 +120,7 @@
 
 fn begin_load(cluster: &Cluster, records: &Rc<Records>, options: &Options, spawner: &Spawner<'_>) {
     let Options { seed, clients, .. } = *options;
+    spawner.spawn(watch_timers(records.clone()));
     let begin = |task: Pin<Box<dyn Future<Output = ()>>>| {
         records.busy.set(records.busy.get() + 1);
         let records = records.clone();
@@ -137,6 +142,15 @@
     begin(Box::pin(probe(prober, records.clone(), seed)));
 }
 
+/// Notes by how much timers of this process are late.
+async fn watch_timers(records: Rc<Records>) {
+    loop {
+        let due = records.now() + TIMER.as_secs_f64();
+        Timer::after(TIMER).await;
+        records.latest_timer.set(records.latest_timer.get().max(records.now() - due));
+    }
+}
+
 /// Asks each machine again and again for routes that were just added or removed.
 async fn probe(mut client: Client, records: Rc<Records>, seed: u64) {
     let mut rng = Pcg64::seed_from_u64(seed.wrapping_add(5));
--- a/crates/sandtrack-rig/src/soak/upstreams.rs
+++ b/crates/sandtrack-rig/src/soak/upstreams.rs
@@ -31,6 +31,8 @@
 const EVENT_EVERY: Duration = Duration::from_millis(20);
 const SURPLUS_AFTER: Duration = Duration::from_millis(15);
 const AGAIN: Duration = Duration::from_millis(5);
+/// How often each connection looks whether its upstream still lives: hundreds of them do.
+const LIFE_LOOK: Duration = Duration::from_millis(25);
 /// Slots of each, as the list shows them.
 pub const SLOTS: u32 = 64;
 
@@ -224,7 +226,7 @@
     };
     let ended = async {
         while place.life.get() == life {
-            Timer::after(AGAIN).await;
+            Timer::after(LIFE_LOOK).await;
         }
     };
     future::or(served, ended).await;
