--- a/crates/sandtrack-proxy/src/carry.rs
+++ b/crates/sandtrack-proxy/src/carry.rs
@@ -158,6 +158,7 @@
         match action {
             Action::Start { send, place, reuse, resume } => {
                 let attempt = Attempt::new(self.shared, self.request, self.terms, place, reuse, resume);
+                self.log.send_begins(attempt.identifier().to_owned());
                 self.lanes[send] = Lane::Paused(Box::new(attempt));
             }
             Action::Heed(send) => {
@@ -205,7 +206,7 @@
 
     fn note_over(&mut self, attempt: &Attempt<'_>, ended: Ended) {
         self.tried.push(attempt.place());
-        self.log.send_over(attempt.identifier().to_owned(), ended);
+        self.log.send_over(attempt.identifier(), ended);
     }
 
     async fn finish(&mut self, answer: Final) -> bool {
--- a/crates/sandtrack-proxy/src/request_log.rs
+++ b/crates/sandtrack-proxy/src/request_log.rs
@@ -11,21 +11,37 @@
 pub struct RequestLog<'a> {
     shared: &'a Shared,
     request: &'a ProxyRequest,
-    /// The sends that are over: to whom, how they ended, and when.
-    sends: Vec<(String, Ended, Millis)>,
+    sends: Vec<Send>,
     is_over: bool,
 }
 
+/// One send of a request.
+struct Send {
+    identifier: String,
+    begun: Millis,
+    /// How it ended, and when; none while it is under way.
+    ended: Option<(Ended, Millis)>,
+}
+
 impl<'a> RequestLog<'a> {
     /// A request that begins to be carried.
     pub fn new(shared: &'a Shared, request: &'a ProxyRequest) -> RequestLog<'a> {
         RequestLog { shared, request, sends: Vec::new(), is_over: false }
     }
 
+    /// It is sent to an upstream.
+    pub fn send_begins(&mut self, identifier: String) {
+        self.sends.push(Send { identifier, begun: self.shared.clock.now(), ended: None });
+    }
+
     /// A send of it is over.
-    pub fn send_over(&mut self, identifier: String, ended: Ended) {
+    pub fn send_over(&mut self, identifier: &str, ended: Ended) {
         self.shared.outcomes.borrow_mut().note_send(ended);
-        self.sends.push((identifier, ended, self.shared.clock.now()));
+        let now = self.shared.clock.now();
+        let mut under_way = self.sends.iter_mut().filter(|send| send.ended.is_none());
+        if let Some(send) = under_way.find(|send| send.identifier == identifier) {
+            send.ended = Some((ended, now));
+        }
     }
 
     /// It ended.
@@ -53,9 +69,13 @@
             now - request.arrived,
             request.deadline - request.arrived,
         );
-        for (identifier, ended, at) in &self.sends {
+        for Send { identifier, begun, ended } in &self.sends {
             // Writing into memory can't fail.
-            let _ = write!(line, "; at {identifier} {} by {:.0}", ended.name(), at - request.arrived);
+            let _ = write!(line, "; at {identifier} from {:.0}", begun - request.arrived);
+            let _ = match ended {
+                Some((ended, at)) => write!(line, " {} by {:.0}", ended.name(), at - request.arrived),
+                None => write!(line, " to the end"),
+            };
         }
         if left_out > 0 {
             let _ = write!(line, " ({left_out} lines left out before)");
