Worlds: callers are sent on, for an order for a zone and to another control node only

Change: the rule is replaced by one as strict for all other answers: a redirect is 307, of an order for a zone, and names another control node; operators go on without a pause.

--- a/crates/sandtrack-worlds/src/operators.rs
+++ b/crates/sandtrack-worlds/src/operators.rs
@@ -14,6 +14,8 @@
 const SILENCE_MS: Millis = 1000.0;
 /// Pauses between two tries grow from the one to the other.
 const PAUSE_MS: Millis = 60.0;
+/// A control node sends a caller on to another one.
+const SENT_ON: u16 = 307;
 const PAUSE_MOST_MS: Millis = 800.0;
 /// An evacuation may be sent again for so long (`acknowledge_ms`).
 pub const ACKNOWLEDGE_MS: Millis = 6000.0;
@@ -311,6 +313,11 @@
         let found = self.operators.iter().enumerate().find_map(|(at, one)| Some((at, waits(one)?)));
         let Some((operator, number)) = found else { return };
         self.orders[number].call = None;
+        if status == SENT_ON {
+            // It goes on elsewhere without a pause.
+            self.orders[number].again_at = now;
+            return;
+        }
         if status >= 500 || status == 408 || status == 429 {
             return;
         }
--- a/crates/sandtrack-worlds/src/world/control_effects.rs
+++ b/crates/sandtrack-worlds/src/world/control_effects.rs
@@ -60,7 +60,7 @@
         let life = self.machines[machine].control_life;
         for effect in effects {
             match effect {
-                Effect::Reply { call, reply } => self.reply(machine, call, reply.status, reply.body),
+                Effect::Reply { call, reply } => self.reply(machine, call, reply),
                 Effect::Link(order) => self.link_order(machine, order),
                 Effect::Session(order) => self.session_order(machine, order),
                 Effect::Write { ticket, records } => {
