--- a/crates/sandtrack-sidecar/tests/reducer.rs
+++ b/crates/sandtrack-sidecar/tests/reducer.rs
@@ -1450,6 +1450,43 @@
     assert_eq!(world.watches, 2, "the first line may take longer");
 }
 
+/// A watch may end in place of telling a drain, which counts as told soon after, and discovery answers calls in turn: the gap
+/// that the settings let a failed call wait came before the place in that queue (short days, `join+brink+mass`).
+#[test]
+fn a_watch_that_told_and_ended_is_asked_for_again_before_the_gap_of_a_failed_call() {
+    let (mut world, _) = World::warm();
+    world.adopt(|settings| settings["rules"]["ask-within"] = 60_000.0.into());
+    world.pass(2000.0);
+    world.feed(Input::WatchBeat { call: world.watch.expect("watching") });
+    world.pass(2000.0);
+    world.watch_ends();
+    world.pass(250.0);
+    assert_eq!(world.watches, 2, "asked at once");
+    // That call fails: a twentieth of `ask-within` goes by at least.
+    world.watch_ends();
+    world.pass(2500.0);
+    assert_eq!(world.watches, 2, "a discovery that is down is not asked over and over");
+    world.pass(2000.0);
+    assert_eq!(world.watches, 3);
+}
+
+/// Calls that are answered and end at once are as far apart as calls that fail.
+#[test]
+fn a_discovery_that_ends_each_watch_behind_its_first_line_is_not_asked_over_and_over() {
+    let (mut world, _) = World::warm();
+    let before = world.watches;
+    for _ in 0..200 {
+        if let Some(call) = world.watch {
+            world.feed(Input::WatchBeat { call });
+            world.watch_ends();
+        }
+        world.pass(50.0);
+    }
+    // In 10 s, a twentieth of 8 s apart.
+    let calls = world.watches - before;
+    assert!((5..=26).contains(&calls), "{calls} calls in 10 s");
+}
+
 /// A reload must not loosen what an open request was taken under: `pay` may run once only, whatever a newer file makes
 /// of its name or its place, and the number of a class or tenant must not come to mean another.
 #[test]
