Sidecar: a watch that told something and ended is called for again in a moment

The gap of a failed call (0.52 to 0.61 s at ask-within 10 s) counts from the watch's end, discovery then answers one call each 0.375 s.

--- a/crates/sandtrack-core/src/reducer.rs
+++ b/crates/sandtrack-core/src/reducer.rs
@@ -79,10 +79,13 @@
 const WATCH_FIRST: Millis = 4500.0;
 /// After a reload it is asked for again sooner: what the new address has to tell counts as told after 4 s.
 const WATCH_RELOADED: Millis = 2000.0;
-/// Where lists are pushed, what is known there counts as told whether or not a watch is open: one that ended is opened
+/// A watch that ended may have ended in place of telling, and pushed lists count as told without one: it is opened
 /// anew within this part of the time that a drain may take to be kept, and in this time at least and at most.
 const REOPEN: f64 = 0.125;
 const REOPEN_RANGE: [Millis; 2] = [25.0, 250.0];
+/// Calls for a list that is asked for are apart by this part of the time that the settings let an asked list age: a discovery
+/// that ends each watch behind its first line is asked as seldom as one that fails.
+const CALLS_APART: f64 = 0.05;
 /// An answer whose length is not told is passed on as it comes when it is not whole this long after its first part: it
 /// may be a large one, which is timed by its first bytes.
 const HOLD: Millis = 20.0;
@@ -391,6 +394,8 @@
     waiting: VecDeque<u32>,
     discovery: SocketAddr,
     watch: Option<CallId>,
+    /// When it was called for.
+    watch_called: Millis,
     /// The watch has told something, if no more than that it lives.
     watch_heard: bool,
     /// Lists are pushed to an agent, which is asked all the same.
@@ -489,6 +494,7 @@
             waiting: VecDeque::new(),
             discovery,
             watch: None,
+            watch_called: Millis::NEG_INFINITY,
             watch_heard: false,
             pushed,
             generation: None,
--- a/crates/sandtrack-core/src/reducer/lists.rs
+++ b/crates/sandtrack-core/src/reducer/lists.rs
@@ -38,7 +38,7 @@
         if self.watch.is_none() {
             self.next_call += 1;
             self.watch = Some(self.next_call);
-            self.watch_heard = false;
+            (self.watch_called, self.watch_heard) = (self.now, false);
             self.timers.clear(Timer::Reopen);
             self.timers.set(Timer::WatchSilent, self.now + WATCH_FIRST);
             let (call, address) = (self.next_call, self.discovery);
@@ -94,8 +94,10 @@
 
     /// The list that it gave serves until another watch tells more. How soon one is opened follows from what counts as
     /// told meanwhile. A watch that fell silent: all that it misses, 6 s after that, so another is opened at once, whatever
-    /// the module's gaps between calls are. Where lists are pushed: all that the agent knows, so at once, or in a moment if
-    /// it turned the call away. Else what is as old as the settings say, and the module keeps its gaps within that.
+    /// the module's gaps between calls are. A watch that told something may have ended in place of telling more, which counts
+    /// as told soon, and discovery comes to a new call in turn: it is called in a moment. Where lists are pushed: all that the
+    /// agent knows, so in a moment too, also if it turned the call away. Else the call failed: what is as old as the settings
+    /// say, and the module keeps its gaps within that.
     pub(super) fn watch_ended(&mut self, call: CallId, how: Broken) {
         if self.watch != Some(call) {
             return;
@@ -106,14 +108,23 @@
         tracing::warn!(how = if silent { "silent" } else { "ended" }, "watch broken");
         if silent && (self.watch_heard || self.pushed) {
             self.subscribe();
-        } else if self.pushed {
-            let gap = (self.settings.rules.drain_grace * REOPEN).clamp(REOPEN_RANGE[0], REOPEN_RANGE[1]);
-            self.timers.set(Timer::Reopen, self.now + gap);
+        } else if self.watch_heard || self.pushed {
+            self.timers.set(Timer::Reopen, self.reopen_at());
         } else {
             self.events.push_back(Event::ListBroken);
         }
     }
 
+    /// When a watch that ended is opened anew.
+    fn reopen_at(&self) -> Millis {
+        let rules = &self.settings.rules;
+        let soon = self.now + (rules.drain_grace * REOPEN).clamp(REOPEN_RANGE[0], REOPEN_RANGE[1]);
+        match self.pushed {
+            true => soon,
+            false => soon.max(self.watch_called + rules.ask_within * CALLS_APART),
+        }
+    }
+
     pub(super) fn list(&mut self, kind: ListKind, instances: Vec<Instance>) {
         let mut before = Vec::new();
         if kind != ListKind::Patch {
--- a/crates/sandtrack-core/src/reducer/tables.rs
+++ b/crates/sandtrack-core/src/reducer/tables.rs
@@ -18,7 +18,7 @@
     Deadline(RequestId),
     Wake,
     WatchSilent,
-    /// A watch on a pushed list that ended is opened anew.
+    /// A watch that ended is opened anew.
     Reopen,
     Ready,
     /// A call at the second address is due whole.
