Rig: an unsafe request goes on no connection that its process is about to close

What may be repeated goes once more on a new connection; an unsafe one may not, and is counted as lost. Sight: a lost request's line now names its class, its time and whether its effect ran.

--- a/crates/sandtrack-rig/src/book.rs
+++ b/crates/sandtrack-rig/src/book.rs
@@ -20,6 +20,17 @@
     Lost,
 }
 
+/// A request as it was sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked<'a> {
+    /// The process that was asked, counted from 0.
+    pub process: usize,
+    pub class: &'a str,
+    pub id: u64,
+    /// Seconds since the run began.
+    pub sent: f64,
+}
+
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub struct Second {
     pub asked: u32,
@@ -96,8 +107,8 @@
     }
 
     /// A request that was sent at this time has ended: it counts in the second in which it was sent.
-    pub fn ended(&mut self, process: usize, sent: f64, end: End, took_ms: f64) {
-        self.count(sent, |second| match end {
+    pub fn ended(&mut self, asked: &Asked<'_>, end: End, took_ms: f64) {
+        self.count(asked.sent, |second| match end {
             End::Served => second.served += 1,
             End::Late => second.late += 1,
             End::Refused => second.refused += 1,
@@ -107,11 +118,13 @@
         });
         if matches!(end, End::Served | End::Late) {
             let _ = self.times.record(took_ms.max(1.0) as u64);
-            self.served_at[process] = self.now();
+            self.served_at[asked.process] = self.now();
         }
         if end == End::Lost {
+            let Asked { process, class, id, sent } = asked;
+            let ran = if self.ran.contains_key(id) { "its effect ran" } else { "no effect of it was noted" };
             self.amiss(format!(
-                "a request of process n{} that was sent at {sent:.2} s got no answer",
+                "a request of process n{} that was sent at {sent:.2} s got no answer ({class}, over after {took_ms:.0} ms, {ran})",
                 process + 1
             ));
         }
@@ -164,7 +177,7 @@
         assert!(!book.runs(3, Effect::Repeatable, 0.0) && !book.runs(3, Effect::Repeatable, 0.0));
         assert!(book.wrong.is_empty());
         book.runs(1, Effect::Unsafe, 0.0);
-        book.ended(0, 0.0, End::Lost, 0.0);
+        book.ended(&Asked { process: 0, class: "pay", id: 5, sent: 0.0 }, End::Lost, 0.0);
         assert!(book.wrong.len() == 2 && book.total.lost == 1, "{:?}", book.wrong);
         book.runs(4, Effect::Keyed, -1.0);
         book.runs(4, Effect::Keyed, -1.0);
--- a/crates/sandtrack-rig/src/client.rs
+++ b/crates/sandtrack-rig/src/client.rs
@@ -1,6 +1,6 @@
 //! Open-loop clients: one generator for each process, which asks whether or not it is answered. It owns its connections, and
 //! must never wait for one answer before the next request is due.
-use crate::book::{Book, End};
+use crate::book::{Asked, Book, End};
 use crate::http::{within, Wire};
 use crate::process::Processes;
 use crate::scenario::{Class, Effect};
@@ -19,6 +19,41 @@
 const SURE: Duration = Duration::from_secs(3);
 /// Connections kept for the next request.
 const POOL: usize = 8;
+/// An unsafe request goes on no connection that has rested for longer: the process closes one that rests for 3 s
+/// (`REST_PATIENCE` of its reducer), and a request that crosses the close can't be sent again.
+const RESTED: Duration = Duration::from_millis(1500);
+
+/// Connections on which the process answered, kept for the next request; that which was used last is used next.
+#[derive(Default)]
+pub struct Pool {
+    kept: Vec<Kept>,
+}
+
+struct Kept {
+    wire: Wire,
+    /// When its last answer had come.
+    since: Instant,
+}
+
+impl Pool {
+    /// Keeps a connection whose last answer had come by then.
+    pub fn keep(&mut self, wire: Wire, since: Instant) {
+        if self.kept.len() < POOL {
+            self.kept.push(Kept { wire, since });
+        }
+    }
+
+    /// A connection for such a request: one that the process has not closed, as far as can be known.
+    fn take(&mut self, effect: Effect) -> Option<Wire> {
+        self.kept.retain(|kept| !kept.wire.is_over());
+        let is_fit = |kept: &mut Kept| effect != Effect::Unsafe || kept.since.elapsed() < RESTED;
+        self.kept.pop_if(is_fit).map(|kept| kept.wire)
+    }
+
+    fn clear(&mut self) {
+        self.kept.clear();
+    }
+}
 
 pub struct Client {
     pub process: usize,
@@ -34,7 +69,7 @@
 ) {
     let mut rng = Pcg64::seed_from_u64(client.seed);
     let client = Rc::new(client);
-    let pool: Rc<RefCell<Vec<Wire>>> = Rc::new(RefCell::new(Vec::new()));
+    let pool: Rc<RefCell<Pool>> = Rc::default();
     let mut next = Instant::now();
     loop {
         let gap: f64 = Exp1.sample(&mut rng);
@@ -58,7 +93,7 @@
 }
 
 async fn once(
-    client: Rc<Client>, class: Class, pool: Rc<RefCell<Vec<Wire>>>, book: Rc<RefCell<Book>>,
+    client: Rc<Client>, class: Class, pool: Rc<RefCell<Pool>>, book: Rc<RefCell<Book>>,
     processes: Rc<RefCell<Processes>>,
 ) {
     // It was told to ask before its process was killed, and runs only now.
@@ -93,11 +128,10 @@
         None if excused => End::Gone,
         None => End::Lost,
     };
-    book.borrow_mut().ended(client.process, sent, end, took);
-    if let Some((answer, wire)) = answer {
-        if answer.head.keep_alive && pool.borrow().len() < POOL {
-            pool.borrow_mut().push(wire);
-        }
+    let asked = Asked { process: client.process, class: &class.name, id, sent };
+    book.borrow_mut().ended(&asked, end, took);
+    if let Some((_, wire)) = answer.filter(|(answer, _)| answer.head.keep_alive) {
+        pool.borrow_mut().keep(wire, Instant::now());
     }
 }
 
@@ -105,9 +139,10 @@
 /// the request is on its way: what may be repeated then goes once more, on a new connection. An unsafe request does not, as
 /// the process may have passed it on before it ended; `None` then says that its outcome is not known.
 pub async fn exchange(
-    to: SocketAddrV4, effect: Effect, bytes: &[u8], pool: &RefCell<Vec<Wire>>,
+    to: SocketAddrV4, effect: Effect, bytes: &[u8], pool: &RefCell<Pool>,
 ) -> Option<(Message, Wire)> {
-    if let Some(wire) = take_live(pool) {
+    let kept = pool.borrow_mut().take(effect);
+    if let Some(wire) = kept {
         let answered = send(wire, bytes).await;
         if answered.is_some() || effect == Effect::Unsafe {
             return answered;
@@ -116,13 +151,6 @@
     send(Wire::connect(to).await?, bytes).await
 }
 
-/// The connection that was used last, of those that the process has not closed meanwhile.
-fn take_live(pool: &RefCell<Vec<Wire>>) -> Option<Wire> {
-    let mut pool = pool.borrow_mut();
-    pool.retain(|wire| !wire.is_over());
-    pool.pop()
-}
-
 async fn send(mut wire: Wire, bytes: &[u8]) -> Option<(Message, Wire)> {
     if !wire.write(bytes).await {
         return None;
