Three red tests: bodies that are bounded each and not in sum; soak: a stream cut at its time needs a cause

Cause: limits.memory_mb is read and used by nobody. 32 bodies of 4 MiB within the operator's limit, from as many clients, took a proxy that may have 64 MB to 143 MB (145 in chunks), 20 answers of 8 MiB to 485 MB; the platform kills such a process with all that it carries. Soak: the judge passed over every request that ended at its route's time; only one that was carried behind another on its connection may have spent its time so.

--- a/crates/sandtrack-proxy/tests/exchange/main.rs
+++ b/crates/sandtrack-proxy/tests/exchange/main.rs
@@ -4,6 +4,7 @@
 mod control_node;
 mod held;
 mod limits;
+mod memory;
 mod mixed;
 mod once;
 mod placing;
--- a/crates/sandtrack-proxy/tests/exchange/process.rs
+++ b/crates/sandtrack-proxy/tests/exchange/process.rs
@@ -101,6 +101,15 @@
         self.child.wait().unwrap()
     }
 
+    /// The most memory that it has had so far, in MB.
+    pub fn peak_memory_mb(&self) -> f64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("the process runs");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
+        let kilobytes: f64 = peak.trim_end_matches("kB").trim().parse().expect("a number");
+        kilobytes / 1024.0
+    }
+
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
--- a/crates/sandtrack-proxy/tests/exchange/stage.rs
+++ b/crates/sandtrack-proxy/tests/exchange/stage.rs
@@ -129,8 +129,18 @@
     }
 
     pub fn with_bounds(name: &str, bounds: &str) -> Stage {
+        Stage::with_settings(name, |ip| settings(ip, true, &[], bounds))
+    }
+
+    /// A proxy whose session stands, that may have so much memory, in MB.
+    pub fn with_memory(name: &str, memory_mb: u32) -> Stage {
+        let own = format!("\"memory_mb\":{memory_mb}");
+        Stage::with_settings(name, |ip| settings(ip, true, &[], BOUNDS).replace("\"memory_mb\":260", &own))
+    }
+
+    fn with_settings(name: &str, settings: impl FnOnce(&str) -> String) -> Stage {
         let (ip, control_node) = control_node(true);
-        let proxy = Proxy::start(name, Some(&settings(&ip, true, &[], bounds)));
+        let proxy = Proxy::start(name, Some(&settings(&ip)));
         let stage = Stage::of(name, &ip, proxy, control_node);
         stage.control_node.until_hello();
         stage
--- a/crates/sandtrack-rig/src/soak/clients.rs
+++ b/crates/sandtrack-rig/src/soak/clients.rs
@@ -169,7 +169,8 @@
         };
         let mut requests = vec![self.request(route, prefix, manner, begun)];
         if manner == Manner::Together {
-            requests.push(self.request(route, prefix, manner, begun));
+            let behind = Request { behind: true, ..self.request(route, prefix, manner, begun) };
+            requests.push(behind);
         }
         for request in &mut requests {
             (request.machine, request.life, request.kept) = (open.machine, open.life, open.used);
@@ -205,6 +206,7 @@
             machine: 0,
             life: 0,
             kept: false,
+            behind: false,
             begun,
             sent: None,
             ended: begun,
--- a/crates/sandtrack-rig/src/soak/judge.rs
+++ b/crates/sandtrack-rig/src/soak/judge.rs
@@ -116,6 +116,15 @@
     verdict("CONFIG: requests are answered in time", held(&seen));
     verdict("LOST: no request is lost without a cause", lost(&seen));
     verdict("DRAIN: the directory names nobody long after it ended", named_absent(&seen, records));
+    let behind = seen.requests.iter().filter(|request| is_over_behind(request)).count();
+    report.notes.push(format!("{behind} requests behind another were cut at their route's time"));
+}
+
+/// Cut at the end of its route's time, part of which it spent behind another on its connection: no stream lasts so long alone.
+fn is_over_behind(request: &Request) -> bool {
+    let took = request.sent.map(|sent| request.ended - sent);
+    let is_over = took.is_some_and(|took| took >= TIMEOUT_S - TIMEOUT_MARGIN);
+    request.behind && is_over && matches!(request.end, End::Broke { .. })
 }
 
 fn mixed(seen: &Seen<'_>) -> Vec<String> {
@@ -428,7 +437,6 @@
     let lost = seen.requests.iter().filter(|request| {
         let (End::Broke { .. }, Some(sent)) = (&request.end, request.sent) else { return false };
         let arrivals = seen.arrivals_of(request);
-        let is_over = request.ended - sent >= TIMEOUT_S - TIMEOUT_MARGIN;
         let crossed = request.kept && arrivals.is_empty() && request.ended - sent < CROSSING;
         let has_cause =
             arrivals.iter().any(|arrival| arrival.trouble.is_some_and(super::upstreams::Trouble::breaks));
@@ -441,12 +449,12 @@
                     && span.until >= request.begun - 3.0
         });
         let is_untroubled = seen.is_untroubled(request.machine, request.begun, request.ended + 0.1);
-        !is_over && !crossed && !has_cause && !upstreams_changed && is_untroubled
+        !is_over_behind(request) && !crossed && !has_cause && !upstreams_changed && is_untroubled
     });
     let told = |request: &Request| {
         let arrivals = seen.arrivals_of(request);
         format!(
-            "{} {} at machine {} from {:.2} to {:.2} s: {:?}, kept {}, {} arrivals",
+            "{} {} at machine {} from {:.2} to {:.2} s: {:?}, kept {}, behind {}, {} arrivals",
             request.id,
             request.target,
             request.machine,
@@ -454,6 +462,7 @@
             request.ended,
             request.end,
             request.kept,
+            request.behind,
             arrivals.len()
         )
     };
--- a/crates/sandtrack-rig/src/soak/records.rs
+++ b/crates/sandtrack-rig/src/soak/records.rs
@@ -88,6 +88,8 @@
     pub life: u32,
     /// It went over a connection that had carried another before.
     pub kept: bool,
+    /// It was sent behind another that was not answered yet: its time counts from then, and it is carried after the other.
+    pub behind: bool,
     /// When it was begun, and when its last byte was written.
     pub begun: Seconds,
     pub sent: Option<Seconds>,
