Bodies of requests and collected answers keep to a quarter of a proxy's memory each, in sum

Cause and class: a bound on each message and none on all of them (as the event without an end); limits.memory_mb was read and used by nobody. A request whose body has no room is answered at once with 503, E408 and Retry-After: as its head says its length, or where a body in chunks outgrows the room. An answer that has no room gives its send up, which is no fault of its upstream. Long bodies are written without a second and third copy. Sight: requests that are answered before they are carried are counted and logged, and what is held is told in the figures. Ruled out: waiting for room with a part of it in hand, as those that wait would hold what the others wait for.

--- a/crates/sandtrack-core/src/message.rs
+++ b/crates/sandtrack-core/src/message.rs
@@ -74,13 +74,20 @@
 pub fn request<'a>(
     method: &str, target: &str, headers: impl Iterator<Item = (&'a str, &'a str)>, body: &[u8],
 ) -> Vec<u8> {
-    // A method that takes no body says nothing of its length.
-    let length = (!body.is_empty() || !matches!(method, "GET" | "DELETE")).then_some(body.len());
-    let mut bytes = write(format!("{method} {target} HTTP/1.1\r\n"), headers, length);
+    let mut bytes = request_head_of(method, target, headers, body.len());
     bytes.extend_from_slice(body);
     bytes
 }
 
+/// The head of a request whose body of this length follows whole.
+pub fn request_head_of<'a>(
+    method: &str, target: &str, headers: impl Iterator<Item = (&'a str, &'a str)>, length: usize,
+) -> Vec<u8> {
+    // A method that takes no body says nothing of its length.
+    let length = (length > 0 || !matches!(method, "GET" | "DELETE")).then_some(length);
+    write(format!("{method} {target} HTTP/1.1\r\n"), headers, length)
+}
+
 pub fn response<'a>(
     status: u16, headers: impl Iterator<Item = (&'a str, &'a str)>, body: &[u8], close: bool,
 ) -> Vec<u8> {
--- a/crates/sandtrack-net/src/socket.rs
+++ b/crates/sandtrack-net/src/socket.rs
@@ -1,9 +1,11 @@
 //! Moves between a socket and a ring buffer, and the clock that the tasks of a process share. It owns no connection.
+use crate::byte_budget::SHORT;
 use crate::http;
 use crate::ring::Ring;
 use async_io::{Async, Timer};
 use futures_lite::future;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use std::future::Future;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::time::{Duration, Instant};
@@ -69,14 +71,45 @@
     Ok(())
 }
 
-/// The same; no when the connection broke, or did not take it all within this time.
+/// Writes a head and the body behind it: a short one in one call, a long one as it is, without a copy.
+///
+/// # Errors
+/// What the socket said.
+pub async fn write_message(stream: &Async<TcpStream>, head: &[u8], body: &[u8]) -> io::Result<()> {
+    let (with_head, mut rest) = if body.len() <= SHORT { (body, &[][..]) } else { (&[][..], body) };
+    let mut output = Ring::new(head.len() + with_head.len());
+    if !(output.push(head) && output.push(with_head)) {
+        return Err(io::ErrorKind::OutOfMemory.into());
+    }
+    write_all(stream, &mut output).await?;
+    while !rest.is_empty() {
+        let count = stream.write_with(|mut socket| socket.write(rest)).await?;
+        if count == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        rest = &rest[count..];
+    }
+    Ok(())
+}
+
+/// Writes all that the buffer holds; no when the connection broke, or did not take it all within this time.
 pub async fn write_within(stream: &Async<TcpStream>, ring: &mut Ring, patience: Duration) -> bool {
-    let write = async { write_all(stream, ring).await.is_ok() };
-    let patience = async {
+    within(patience, async { write_all(stream, ring).await.is_ok() }).await
+}
+
+/// The same of [`write_message`].
+pub async fn write_message_within(
+    stream: &Async<TcpStream>, head: &[u8], body: &[u8], patience: Duration,
+) -> bool {
+    within(patience, async { write_message(stream, head, body).await.is_ok() }).await
+}
+
+async fn within(patience: Duration, write: impl Future<Output = bool>) -> bool {
+    let late = async {
         Timer::after(patience).await;
         false
     };
-    future::or(write, patience).await
+    future::or(write, late).await
 }
 
 /// Sends what is written at once. A socket that can't serves all the same.
--- a/crates/sandtrack-proxy/src/answers.rs
+++ b/crates/sandtrack-proxy/src/answers.rs
@@ -1,8 +1,7 @@
 //! What a client is answered: an upstream's answer as it is, pieces of a stream, or an answer of this process's own.
 use async_io::Async;
 use sandtrack_core::message::{self, Flow, Head};
-use sandtrack_net::ring::Ring;
-use sandtrack_net::socket::write_within;
+use sandtrack_net::socket::write_message_within;
 use sandtrack_protocol::codes::Code;
 use sandtrack_tiers::Millis;
 use std::net::TcpStream;
@@ -23,17 +22,17 @@
 }
 
 impl Client<'_> {
-    /// Writes bytes; whether the client took all within `patience` ms.
-    async fn write(&self, bytes: &[u8], patience: Millis) -> bool {
-        let mut output = Ring::new(bytes.len());
+    /// Writes a head and what is behind it; whether the client took all within `patience` ms.
+    async fn write(&self, head: &[u8], body: &[u8], patience: Millis) -> bool {
         let patience = Duration::from_secs_f64(patience.max(1.0) / 1000.0);
-        output.push(bytes) && write_within(self.stream, &mut output, patience).await
+        write_message_within(self.stream, head, body, patience).await
     }
 
     /// Passes an upstream's answer on.
     pub async fn pass_on(&self, head: &Head, body: &[u8]) -> bool {
-        let bytes = message::response(head.status, head.headers.end_to_end(), body, self.close);
-        self.write(&bytes, CLIENT_PATIENCE).await
+        let flow = Flow::Length(body.len());
+        let head = message::response_head(head.status, head.headers.end_to_end(), flow, self.close);
+        self.write(&head, body, CLIENT_PATIENCE).await
     }
 
     /// Passes a piece of a stream on; `begins`: behind this head; `ends`: nothing follows.
@@ -47,7 +46,7 @@
         if ends {
             out.extend(message::chunk(b""));
         }
-        out.is_empty() || self.write(&out, patience.min(CLIENT_PATIENCE)).await
+        out.is_empty() || self.write(&out, &[], patience.min(CLIENT_PATIENCE)).await
     }
 
     /// An answer of this process's own, with its numbered code. `come_back`: after so many seconds the client may try again.
@@ -57,7 +56,7 @@
         let again = come_back.map(|seconds| ("Retry-After", seconds));
         let headers = [("Content-Type", "application/json")].into_iter().chain(id).chain(again);
         let bytes = message::response(status, headers, body.as_bytes(), self.close);
-        self.write(&bytes, CLIENT_PATIENCE).await
+        self.write(&bytes, &[], CLIENT_PATIENCE).await
     }
 }
 
--- a/crates/sandtrack-proxy/src/attempt.rs
+++ b/crates/sandtrack-proxy/src/attempt.rs
@@ -1,13 +1,14 @@
 //! One send of a request to one upstream: opens or takes a connection, writes the request and reads the answer, a step at a
 //! time. What a step's outcome means is decided in `exchange_state`.
 use crate::balancer::Ended;
-use crate::exchange::{ask, next, written, Asked, Waited};
+use crate::exchange::{ask, next, written_head, Asked, Waited};
 use crate::exchange_state::{AnswerId, Broke, HeadFacts, SendEvent, Terms};
 use crate::pool::{connect, kept_for, Connection};
 use crate::request::ProxyRequest;
 use crate::shared::Shared;
 use crate::upstreams::Load;
 use sandtrack_core::message::Head;
+use sandtrack_net::byte_budget::Held;
 use sandtrack_net::http::Part;
 use sandtrack_tiers::Millis;
 
@@ -56,7 +57,31 @@
     written: bool,
     head: Option<Head>,
     /// The body so far of an answer that is collected.
-    body: Vec<u8>,
+    body: Body,
+}
+
+/// A body that is collected, with its room in the budget of the process.
+pub struct Body {
+    pub bytes: Vec<u8>,
+    held: Held,
+}
+
+impl Body {
+    /// One of which nothing has come.
+    fn of(shared: &Shared) -> Body {
+        Body { bytes: Vec::new(), held: shared.memory.answers.message() }
+    }
+
+    /// Takes a piece; no where it is too long, or the process has no room for it.
+    fn take(&mut self, piece: &[u8]) -> Result<(), Broke> {
+        if self.bytes.len() + piece.len() > ANSWER_MAX {
+            return Err(Broke::Spoilt);
+        }
+        match self.held.extend(&mut self.bytes, piece) {
+            true => Ok(()),
+            false => Err(Broke::NoMemory),
+        }
+    }
 }
 
 impl<'a> Attempt<'a> {
@@ -87,7 +112,7 @@
             asked: None,
             written: false,
             head: None,
-            body: Vec::new(),
+            body: Body::of(shared),
         }
     }
 
@@ -105,8 +130,9 @@
     }
 
     /// The collected answer.
-    pub fn take_answer(&mut self) -> Option<(Head, Vec<u8>)> {
-        self.head.take().map(|head| (head, std::mem::take(&mut self.body)))
+    pub fn take_answer(&mut self) -> Option<(Head, Body)> {
+        let head = self.head.take()?;
+        Some((head, std::mem::replace(&mut self.body, Body::of(self.shared))))
     }
 
     /// The next thing that happens.
@@ -181,8 +207,8 @@
         let now = self.shared.clock.now();
         self.asked = Some(now);
         let left = self.request.left(now);
-        let bytes = written(self.request, &self.upstream.identifier, left, self.resume);
-        match ask(connection, &bytes, left).await {
+        let head = written_head(self.request, &self.upstream.identifier, left, self.resume);
+        match ask(connection, &head, &self.request.body, left).await {
             Asked::Written => {
                 self.written = true;
                 SendEvent::Written
@@ -206,9 +232,8 @@
                 }
                 Waited::Part(Part::Data(data)) if self.is_relayed() => return SendEvent::Data(data),
                 Waited::Part(Part::Data(data)) => {
-                    self.body.extend(data);
-                    if self.body.len() > ANSWER_MAX {
-                        return SendEvent::Broke(Broke::Spoilt);
+                    if let Err(broke) = self.body.take(&data) {
+                        return SendEvent::Broke(broke);
                     }
                 }
             }
--- a/crates/sandtrack-proxy/src/carry.rs
+++ b/crates/sandtrack-proxy/src/carry.rs
@@ -1,6 +1,6 @@
 //! Carries one request: does what [`Exchange`] decides, and tells it what happened. It owns the sends that are under way.
 use crate::answers::{come_back_after, Client};
-use crate::attempt::{head_facts, Attempt};
+use crate::attempt::{head_facts, Attempt, Body};
 use crate::balancer::Ended;
 use crate::events::GivenIds;
 use crate::exchange_state::{
@@ -99,9 +99,9 @@
     tried: Vec<usize>,
     watch: Option<Watch>,
     /// An upstream's own failure, for want of a better answer.
-    failure: Option<(Head, Vec<u8>)>,
+    failure: Option<(Head, Body)>,
     /// The answer of the send that was over last, if it came whole.
-    whole: Option<(Head, Vec<u8>)>,
+    whole: Option<(Head, Body)>,
     log: RequestLog<'a>,
     /// Of the events that the client was given.
     given: GivenIds,
@@ -231,7 +231,7 @@
             Some((head, body)) => {
                 self.check_is_own(&head);
                 self.log.over(Outcome::Upstream(head.status));
-                self.client.pass_on(&head, &body).await
+                self.client.pass_on(&head, &body.bytes).await
             }
             None => false,
         }
--- a/crates/sandtrack-proxy/src/exchange.rs
+++ b/crates/sandtrack-proxy/src/exchange.rs
@@ -7,8 +7,7 @@
 use futures_lite::future;
 use sandtrack_core::message;
 use sandtrack_net::http::Part;
-use sandtrack_net::ring::Ring;
-use sandtrack_net::socket::{write_all, Clock};
+use sandtrack_net::socket::{write_message, Clock};
 use sandtrack_tiers::Millis;
 use std::time::Duration;
 
@@ -35,8 +34,10 @@
     Time,
 }
 
-/// The request as it is written to an upstream: unchanged but for what concerns one connection.
-pub fn written(request: &ProxyRequest, identifier: &str, left: Millis, last_event: Option<u64>) -> Vec<u8> {
+/// The head of the request as it is written to an upstream: unchanged but for what concerns one connection.
+pub fn written_head(
+    request: &ProxyRequest, identifier: &str, left: Millis, last_event: Option<u64>,
+) -> Vec<u8> {
     const OWN: [&str; 4] = ["deadline-remaining", "expected-instance", "priority", "expect"];
     let own = |name: &str| {
         OWN.iter().any(|own| name.eq_ignore_ascii_case(own))
@@ -51,17 +52,13 @@
     let urgency = request.prefix.first().map(|_| ("Priority", priority.as_str()));
     let resumed = last_event.as_deref().map(|id| ("Last-Event-Id", id));
     let headers = kept.chain(added).chain(urgency).chain(resumed);
-    message::request(&request.method, &request.target, headers, &request.body)
+    message::request_head_of(&request.method, &request.target, headers, request.body.len())
 }
 
 /// Writes the request, all of it within `patience` ms.
-pub async fn ask(connection: &Connection, bytes: &[u8], patience: Millis) -> Asked {
-    let mut output = Ring::new(bytes.len());
-    if !output.push(bytes) {
-        return Asked::Broke;
-    }
+pub async fn ask(connection: &Connection, head: &[u8], body: &[u8], patience: Millis) -> Asked {
     let write = async {
-        match write_all(&connection.stream, &mut output).await {
+        match write_message(&connection.stream, head, body).await {
             Ok(()) => Asked::Written,
             Err(_) => Asked::Broke,
         }
--- a/crates/sandtrack-proxy/src/exchange_state.rs
+++ b/crates/sandtrack-proxy/src/exchange_state.rs
@@ -78,6 +78,8 @@
     Connection,
     /// What came is no answer, or not the answer to this request.
     Spoilt,
+    /// This process has no room for the answer.
+    NoMemory,
 }
 
 /// What happened to a send.
@@ -379,6 +381,8 @@
                 let wordless = send.reused && stage == Stage::AwaitingHead;
                 let ended = match broke {
                     Broke::Spoilt => Ended::Faulty,
+                    // It is no fault of its upstream.
+                    Broke::NoMemory => Ended::GivenUp,
                     Broke::Connection if wordless => Ended::GivenUp,
                     Broke::Connection => Ended::Broken,
                 };
--- a/crates/sandtrack-proxy/src/figures.rs
+++ b/crates/sandtrack-proxy/src/figures.rs
@@ -25,12 +25,14 @@
 fn tell_state(shared: &Shared, text: &mut MetricsText) {
     let balancer = shared.balancer.borrow();
     let state = balancer.state();
-    let gauges: [(&str, &str, u64); 8] = [
+    let gauges: [(&str, &str, u64); 10] = [
         ("ready", "Whether it takes traffic", u64::from(state.ready)),
         ("leaving", "Whether it was told to stop", u64::from(state.leaving)),
         ("configuration_version", "Version in force here; 0: none", state.version),
         ("requests_open", "Requests in hand", u64::from(state.open)),
         ("client_connections", "Connections of clients", shared.connections.get() as u64),
+        ("request_bytes_held", "Bodies of requests in hand", shared.memory.requests.held() as u64),
+        ("answer_bytes_held", "Collected answers in hand", shared.memory.answers.held() as u64),
         ("proxies_known", "Proxies among which bounds are shared", u64::from(balancer.proxies)),
         ("zones_evacuated", "Zones that get nothing", balancer.evacuated.len() as u64),
         ("up_seconds", "Since the start of the process", (shared.clock.now() / 1000.0) as u64),
--- a/crates/sandtrack-proxy/src/front.rs
+++ b/crates/sandtrack-proxy/src/front.rs
@@ -4,10 +4,12 @@
 use crate::exchange_state::is_promise;
 use crate::reading::read_some;
 use crate::request::{held_at_most, ProxyRequest, Refused};
+use crate::request_log::refused;
 use crate::shared::Shared;
 use async_io::{Async, Timer};
 use futures_lite::future;
 use sandtrack_core::message::Head;
+use sandtrack_net::byte_budget::Held;
 use sandtrack_net::http::{take_expectation, Bad, Parser, Part, Side, CONTINUE};
 use sandtrack_net::ring::Ring;
 use sandtrack_net::socket::{has_left, linger, no_delay, write_within};
@@ -59,8 +61,8 @@
 
 /// What reading came to.
 enum Came {
-    /// Its head, its body, and when its first byte was there.
-    Request(Head, Vec<u8>, Millis),
+    /// Its head, its body with its room in the budget of the process, and when its first byte was there.
+    Request(Head, Vec<u8>, Held, Millis),
     /// It is refused: with this status, code, and the request's id where it is proper so far.
     Bad(u16, codes::Code, String),
     /// The connection is over.
@@ -105,17 +107,18 @@
     let early = Cell::new(None);
     loop {
         let came = read(&shared, &stream, &mut parser, &mut input, early.take()).await;
-        let (head, body, arrived) = match came {
+        let (head, body, _held, arrived) = match came {
             Came::Ended => return,
             Came::Bad(status, why, id) => {
+                refused(&shared, &id, status, why);
                 let again = is_promise(status).then_some(COME_BACK);
                 Client { stream: &stream, close: true }.own(status, &id, again, why).await;
                 return linger(&stream).await;
             }
-            Came::Request(head, body, arrived) => (head, body, arrived),
+            Came::Request(head, body, held, arrived) => (head, body, held, arrived),
         };
         let close = !head.keep_alive || shared.balancer.borrow().leaving;
-        let id = head.headers.get("request-id").unwrap_or_default().to_owned();
+        let id = request_id(&head);
         let decoded = {
             let mut balancer = shared.balancer.borrow_mut();
             let draw = balancer.draw_fraction();
@@ -126,6 +129,7 @@
         };
         let open = match decoded {
             Err(Refused(status, why)) => {
+                refused(&shared, &id, status, why);
                 let again = is_promise(status).then_some(COME_BACK);
                 Client { stream: &stream, close }.own(status, &id, again, why).await && !close
             }
@@ -204,7 +208,7 @@
     let began = clock.now();
     let mut first_byte = early;
     let mut begun: Option<Begun> = None;
-    let mut body = Vec::new();
+    let (mut body, mut held) = (Vec::new(), shared.memory.requests.message());
     loop {
         if begun.is_none() {
             limits = self::limits(shared);
@@ -213,6 +217,11 @@
         }
         match parser.next(input) {
             Ok(Some(Part::Head(mut next))) => {
+                let told = told_length(&next).filter(|length| *length <= limits.body);
+                if !told.is_none_or(|length| held.grow_to(length)) {
+                    return Came::Bad(503, codes::NO_MEMORY, request_id(&next));
+                }
+                body.reserve_exact(told.unwrap_or(0));
                 if take_expectation(&mut next) {
                     let mut output = Ring::new(CONTINUE.len());
                     if !output.push(CONTINUE) || !write_within(stream, &mut output, LOOK_EVERY).await {
@@ -224,15 +233,17 @@
                 continue;
             }
             Ok(Some(Part::Data(data))) => {
-                body.extend(data);
-                if body.len() > limits.body {
+                if body.len() + data.len() > limits.body {
                     return Came::Bad(413, codes::TOO_LARGE, String::new());
                 }
+                if !held.extend(&mut body, &data) {
+                    return Came::Bad(503, codes::NO_MEMORY, id_of(&begun));
+                }
                 continue;
             }
             Ok(Some(Part::End)) => {
                 return match begun {
-                    Some(Begun { head, arrived, .. }) => Came::Request(head, body, arrived),
+                    Some(Begun { head, arrived, .. }) => Came::Request(head, body, held, arrived),
                     None => Came::Bad(400, codes::MALFORMED, String::new()),
                 };
             }
@@ -286,8 +297,16 @@
 
 /// The id of a request whose head is there.
 fn id_of(begun: &Option<Begun>) -> String {
-    let id = begun.as_ref().and_then(|begun| begun.head.headers.get("request-id"));
-    id.unwrap_or_default().to_owned()
+    begun.as_ref().map(|begun| request_id(&begun.head)).unwrap_or_default()
+}
+
+fn request_id(head: &Head) -> String {
+    head.headers.get("request-id").unwrap_or_default().to_owned()
+}
+
+/// The length of the body that a head announces; none of one in chunks.
+fn told_length(head: &Head) -> Option<usize> {
+    head.headers.get("content-length")?.trim().parse().ok()
 }
 
 /// The platform's own check: whether this process takes traffic.
@@ -308,7 +327,7 @@
 async fn check(shared: Rc<Shared>, stream: Async<TcpStream>) {
     let mut input = Ring::new(HEAD_MAX);
     let mut parser = Parser::new(Side::Request);
-    while let Came::Request(head, _, _) = read(&shared, &stream, &mut parser, &mut input, None).await {
+    while let Came::Request(head, ..) = read(&shared, &stream, &mut parser, &mut input, None).await {
         let ready = shared.balancer.borrow().is_ready();
         let (status, body): (u16, &[u8]) = match (head.target.as_str(), ready) {
             ("/v1/readiness", true) => (200, b"{\"ready\":true}"),
--- a/crates/sandtrack-proxy/src/request_log.rs
+++ b/crates/sandtrack-proxy/src/request_log.rs
@@ -4,6 +4,7 @@
 use crate::outcomes::Outcome;
 use crate::request::ProxyRequest;
 use crate::shared::Shared;
+use sandtrack_protocol::codes::Code;
 use sandtrack_tiers::Millis;
 use std::fmt::Write;
 
@@ -84,6 +85,19 @@
     }
 }
 
+/// Counts and tells a request that this process answers before it carries it.
+pub fn refused(shared: &Shared, id: &str, status: u16, why: Code) {
+    let now = shared.clock.now();
+    let mut outcomes = shared.outcomes.borrow_mut();
+    let outcome = Outcome::Own(status, why);
+    outcomes.note(outcome, 0.0);
+    if let Some(left_out) = outcomes.take_line(now) {
+        let id = if id.is_empty() { "without an id" } else { id };
+        let more = if left_out > 0 { format!(" ({left_out} lines left out before)") } else { String::new() };
+        log::info!("request {id}: {outcome} before it was carried{more}");
+    }
+}
+
 impl Drop for RequestLog<'_> {
     fn drop(&mut self) {
         self.over(Outcome::Left);
--- a/crates/sandtrack-proxy/src/shared.rs
+++ b/crates/sandtrack-proxy/src/shared.rs
@@ -3,15 +3,37 @@
 use crate::outcomes::Outcomes;
 use crate::pool::Pool;
 use async_executor::LocalExecutor;
+use sandtrack_net::byte_budget::ByteBudget;
 use sandtrack_net::socket::Clock;
 use sandtrack_protocol::settings::Settings;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+/// Bodies of requests in hand may take this part of the process's memory, and collected answers as much again (ours).
+const BODIES: f64 = 0.25;
+/// What `limits.memory_mb` counts in, in bytes.
+const MEGABYTE: f64 = 1024.0 * 1024.0;
+
+/// Bounds on what messages take together.
+pub struct Memory {
+    /// Bodies of requests.
+    pub requests: ByteBudget,
+    /// Answers that are collected whole before they are passed on.
+    pub answers: ByteBudget,
+}
+
+impl Memory {
+    fn of(settings: &Settings) -> Memory {
+        let bound = (settings.memory_mb * MEGABYTE * BODIES) as usize;
+        Memory { requests: ByteBudget::new(bound), answers: ByteBudget::new(bound) }
+    }
+}
+
 pub struct Shared {
     pub settings: RefCell<Settings>,
     pub balancer: RefCell<Balancer>,
     pub pool: RefCell<Pool>,
+    pub memory: Memory,
     /// How requests ended so far.
     pub outcomes: RefCell<Outcomes>,
     pub clock: Clock,
@@ -32,7 +54,9 @@
         left: async_channel::Receiver<()>,
     ) -> Shared {
         let (news_sender, news) = async_channel::bounded(1);
+        let memory = Memory::of(&settings);
         Shared {
+            memory,
             settings: RefCell::new(settings),
             balancer: RefCell::new(balancer),
             pool: RefCell::new(Pool::default()),
