--- a/crates/sandtrack-control/tests/program.rs
+++ b/crates/sandtrack-control/tests/program.rs
@@ -413,3 +413,52 @@
     assert!(taken.starts_with("HTTP/1.1 200"), "{taken}");
     assert!(running.end(rustix::process::Signal::TERM).success(), "it ends in order");
 }
+
+/// Callers that each stay within the size of a call: together they were as much as they liked, and a process that passes its
+/// memory is killed.
+#[test]
+fn long_calls_at_once_stay_within_the_memory_and_short_ones_are_answered() {
+    const MEMORY_MB: f64 = 64.0;
+    const BEGUN: usize = 4 << 20;
+    let place = Place::new("long-calls", "127.0.4.31");
+    let limits = format!("\"limits\":{{\"memory_mb\":{MEMORY_MB}}},\"cloud_api\"");
+    place.write(&place.settings().replace("\"cloud_api\"", &limits));
+    let running = place.start();
+    let body = "x".repeat(BEGUN);
+    // Each call is as long as a call may be, and stops within its body.
+    let callers: Vec<TcpStream> = (0..40)
+        .map(|_| {
+            let mut stream = TcpStream::connect((place.ip.as_str(), 8166)).expect("a connection");
+            stream.set_read_timeout(Some(Duration::from_secs(20))).expect("a time limit");
+            let head =
+                "POST /v1/configuration/replace HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+            // One that is refused closes under what still comes.
+            let _ = stream.write_all(format!("{head}{BEGUN:x}\r\n{body}\r\n").as_bytes());
+            stream
+        })
+        .collect();
+    let answer = place.call("GET", "/v1/configuration/read", "");
+    assert!(answer.starts_with("HTTP/1.1 404"), "a short call is answered: {answer}");
+    let peak = peak_memory_mb(&running);
+    assert!(peak < MEMORY_MB, "{peak:.0} MB of {MEMORY_MB}");
+    let refused = callers.into_iter().filter_map(|mut stream| {
+        stream.set_nonblocking(true).expect("a socket");
+        let mut answer = String::new();
+        let _ = stream.read_to_string(&mut answer);
+        (!answer.is_empty()).then_some(answer)
+    });
+    let refused: Vec<String> = refused.collect();
+    assert!(!refused.is_empty(), "some are sent elsewhere");
+    for answer in refused {
+        assert!(answer.starts_with("HTTP/1.1 503") && answer.contains("E408"), "{answer}");
+        assert!(answer.contains("Retry-After"), "{answer}");
+    }
+}
+
+/// The most memory that a process has had so far, in MB.
+fn peak_memory_mb(running: &Running) -> f64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", running.child.id())).expect("it runs");
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
+    let kilobytes: f64 = peak.trim_end_matches("kB").trim().parse().expect("a number");
+    kilobytes / 1024.0
+}
