--- a/crates/sandtrack-control/src/operators.rs
+++ b/crates/sandtrack-control/src/operators.rs
@@ -7,6 +7,7 @@
 use async_io::{Async, Timer};
 use futures_lite::future;
 use sandtrack_core::message::{Head, Message};
+use sandtrack_net::byte_budget::{ByteBudget, Held};
 use sandtrack_net::http::{self, Part, Side, CONTINUE};
 use sandtrack_net::ring::Ring;
 use sandtrack_net::socket::{has_left, linger, read_into, write_within, Clock, ACCEPT_PAUSE};
@@ -60,13 +61,16 @@
 /// Takes one call off an operator's connection, and answers it. A call whose caller has left is not made: it will have been
 /// sent elsewhere; `left` is told of it.
 pub async fn serve_call<F: Future<Output = Option<Reply>>>(
-    stream: &Async<TcpStream>, clock: Clock, submit: impl FnOnce(Message) -> F, left: impl FnOnce(),
+    stream: &Async<TcpStream>, clock: Clock, memory: &ByteBudget, submit: impl FnOnce(Message) -> F,
+    left: impl FnOnce(),
 ) {
     let mut input = Ring::new(http::READ_RING);
     let mut parser = http::Parser::new(Side::Request);
-    let reply = match read_patiently(stream, &mut input, &mut parser).await {
+    // Given back once it is answered.
+    let mut held = memory.message();
+    let reply = match read_patiently(stream, &mut input, &mut parser, &mut held).await {
         None => return,
-        Some(Err(status)) => Reply::error(status, codes::BAD_CALL, "not a call"),
+        Some(Err(unread)) => unread.reply(),
         Some(Ok(message)) if has_left(stream) => {
             log::info!("{} {} is not made: its caller has left", message.head.method, message.head.target);
             return left();
@@ -87,14 +91,15 @@
 }
 
 /// Takes one call after another off a connection and answers each at once.
-pub async fn serve_calls(stream: &Async<TcpStream>, answer: impl Fn(&Message) -> Reply) {
+pub async fn serve_calls(stream: &Async<TcpStream>, memory: &ByteBudget, answer: impl Fn(&Message) -> Reply) {
     let mut input = Ring::new(http::READ_RING);
     let mut output = Ring::new(2 * BODY_MAX);
     let mut parser = http::Parser::new(Side::Request);
     loop {
-        let (reply, close) = match read_patiently(stream, &mut input, &mut parser).await {
+        let mut held = memory.message();
+        let (reply, close) = match read_patiently(stream, &mut input, &mut parser, &mut held).await {
             None => return,
-            Some(Err(status)) => (Reply::error(status, codes::BAD_CALL, "not a call"), true),
+            Some(Err(unread)) => (unread.reply(), true),
             Some(Ok(message)) => (answer(&message), !message.head.keep_alive),
         };
         if !write(stream, &mut output, &reply, close).await {
@@ -112,23 +117,44 @@
 
 /// One call, as `read_call`; `None` as well where none came whole for a long time: nothing happens then.
 async fn read_patiently(
-    stream: &Async<TcpStream>, input: &mut Ring, parser: &mut http::Parser,
-) -> Option<Result<Message, u16>> {
+    stream: &Async<TcpStream>, input: &mut Ring, parser: &mut http::Parser, held: &mut Held,
+) -> Option<Result<Message, Unread>> {
     let idle = async {
         Timer::after(IDLE).await;
         None
     };
-    future::or(read_call(stream, input, parser), idle).await
+    future::or(read_call(stream, input, parser, held), idle).await
 }
 
-/// One call, whole; `None` where the connection ended before, the status where it is no call.
+/// Why a call was not read whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Unread {
+    /// It is no call, or too long a one; with the status that says so.
+    NoCall(u16),
+    /// This process has no room for it beside the others that it holds.
+    NoMemory,
+}
+
+impl Unread {
+    fn reply(self) -> Reply {
+        match self {
+            Unread::NoCall(status) => Reply::error(status, codes::BAD_CALL, "not a call"),
+            Unread::NoMemory => {
+                log::info!("a call is not read: {}", codes::NO_MEMORY.meaning());
+                Reply::error(503, codes::NO_MEMORY, "")
+            }
+        }
+    }
+}
+
+/// One call, whole; `None` where the connection ended before. What it takes is counted in `held`.
 async fn read_call(
-    stream: &Async<TcpStream>, input: &mut Ring, parser: &mut http::Parser,
-) -> Option<Result<Message, u16>> {
+    stream: &Async<TcpStream>, input: &mut Ring, parser: &mut http::Parser, held: &mut Held,
+) -> Option<Result<Message, Unread>> {
     let (mut head, mut body): (Option<Head>, Vec<u8>) = (None, Vec::new());
     loop {
         match parser.next(input) {
-            Err(bad) => return Some(Err(bad.status())),
+            Err(bad) => return Some(Err(Unread::NoCall(bad.status()))),
             Ok(Some(Part::Head(mut read))) => {
                 if http::take_expectation(&mut read) && input.is_empty() {
                     let mut output = Ring::new(CONTINUE.len());
@@ -140,9 +166,11 @@
             }
             Ok(Some(Part::Data(data))) => {
                 if body.len() + data.len() > BODY_MAX {
-                    return Some(Err(413));
+                    return Some(Err(Unread::NoCall(413)));
+                }
+                if !held.extend(&mut body, &data) {
+                    return Some(Err(Unread::NoMemory));
                 }
-                body.extend(data);
             }
             Ok(Some(Part::End)) => return head.map(|head| Ok(Message { head, body })),
             Ok(None) => match read_into(stream, input).await {
--- a/crates/sandtrack-control/src/program.rs
+++ b/crates/sandtrack-control/src/program.rs
@@ -22,6 +22,7 @@
 use futures_lite::{future, StreamExt};
 use listeners::Listeners;
 use runtime::Runtime;
+use sandtrack_net::byte_budget::ByteBudget;
 use sandtrack_net::socket::Clock;
 use sandtrack_protocol::codes;
 use sandtrack_protocol::logs;
@@ -34,6 +35,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// Calls in hand may take this part of the process's memory (ours).
+const CALLS: f64 = 0.25;
 /// Told to end, it gives its connections this long to write what waits.
 const LAST_WRITES: Duration = Duration::from_millis(50);
 
@@ -86,6 +89,7 @@
     let disk = wal.map(|wal| start_disk(wal, inputs.clone())).transpose()?;
     let start = Start { incarnation, recovered, disk: disk.is_some() };
     let platform = settings.cloud_api.address.clone();
+    let calls_memory = ByteBudget::new(settings.memory_part(CALLS));
     log::info!(
         "serving control at {}, directory at {}",
         settings.listen["control"],
@@ -101,6 +105,7 @@
         links: RefCell::default(),
         sessions: RefCell::default(),
         calls: RefCell::default(),
+        calls_memory,
         disk,
         fetches,
         platform: RefCell::new(platform),
--- a/crates/sandtrack-control/src/program/listeners.rs
+++ b/crates/sandtrack-control/src/program/listeners.rs
@@ -104,7 +104,7 @@
         let run = async move {
             let submit = |message| submit(&runtime, arrival, message);
             let left = || runtime.control_node.borrow_mut().caller_left();
-            operators::serve_call(&stream, runtime.clock, submit, left).await;
+            operators::serve_call(&stream, runtime.clock, &runtime.calls_memory, submit, left).await;
         };
         here.executor.spawn(run).detach();
     });
@@ -128,7 +128,7 @@
             let answer = |message: &Message| {
                 runtime.control_node.borrow_mut().resolve(runtime.clock.now(), &message.head)
             };
-            operators::serve_calls(&stream, answer).await;
+            operators::serve_calls(&stream, &runtime.calls_memory, answer).await;
         };
         here.executor.spawn(run).detach();
     });
--- a/crates/sandtrack-control/src/program/runtime.rs
+++ b/crates/sandtrack-control/src/program/runtime.rs
@@ -5,6 +5,7 @@
 use crate::platform::Fetch;
 use crate::socket::Way;
 use async_executor::LocalExecutor;
+use sandtrack_net::byte_budget::ByteBudget;
 use sandtrack_net::socket::Clock;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -26,6 +27,8 @@
     pub sessions: RefCell<HashMap<u64, Way>>,
     /// Operators that wait for an answer, by the number of the call.
     pub calls: RefCell<HashMap<u64, async_channel::Sender<Reply>>>,
+    /// What the calls of operators and of the directory's clients may take together.
+    pub calls_memory: ByteBudget,
     /// To the thread that writes the WAL; none where there is no data directory.
     pub disk: Option<async_channel::Sender<disk::Order>>,
     /// To the task that calls the platform.
--- a/crates/sandtrack-protocol/src/settings.rs
+++ b/crates/sandtrack-protocol/src/settings.rs
@@ -84,7 +84,16 @@
 pub const PEER_PORT: u16 = 0;
 pub const SESSION_PORT: u16 = 1;
 
+/// What `limits.memory_mb` counts in, in bytes.
+const MEGABYTE: f64 = 1024.0 * 1024.0;
+
 impl Settings {
+    /// A part (0 to 1) of the memory that the process may have, in bytes.
+    #[must_use]
+    pub fn memory_part(&self, part: f64) -> usize {
+        (self.memory_mb * MEGABYTE * part) as usize
+    }
+
     /// Reads the file at `path`.
     ///
     /// # Errors
--- a/crates/sandtrack-protocol/src/settings_fields.rs
+++ b/crates/sandtrack-protocol/src/settings_fields.rs
@@ -139,7 +139,12 @@
         Without::None,
         "where a control node has its file; it is no member of the chain without one",
     ),
-    field("limits.memory_mb", Kind::Positive("MB"), Without::Taken("256"), NOT_USED),
+    field(
+        "limits.memory_mb",
+        Kind::Positive("MB"),
+        Without::Taken("256"),
+        "a quarter is for bodies of requests or calls in hand, and a proxy's for collected answers too",
+    ),
     field("limits.file_descriptors", Kind::Positive("descriptors"), Without::Taken("1024"), NOT_USED),
     field(
         "tolerated_losses.machines",
--- a/crates/sandtrack-proxy/src/shared.rs
+++ b/crates/sandtrack-proxy/src/shared.rs
@@ -11,8 +11,6 @@
 
 /// Bodies of requests in hand may take this part of the process's memory, and collected answers as much again (ours).
 const BODIES: f64 = 0.25;
-/// What `limits.memory_mb` counts in, in bytes.
-const MEGABYTE: f64 = 1024.0 * 1024.0;
 
 /// Bounds on what messages take together.
 pub struct Memory {
@@ -24,7 +22,7 @@
 
 impl Memory {
     fn of(settings: &Settings) -> Memory {
-        let bound = (settings.memory_mb * MEGABYTE * BODIES) as usize;
+        let bound = settings.memory_part(BODIES);
         Memory { requests: ByteBudget::new(bound), answers: ByteBudget::new(bound) }
     }
 }
