--- a/crates/sandtrack-proxy/tests/exchange/stage.rs
+++ b/crates/sandtrack-proxy/tests/exchange/stage.rs
@@ -5,13 +5,14 @@
 use crate::upstream::{Arrived, Asked, Upstream};
 use crate::wire::{Chunk, Message, Wire, PATIENCE};
 use sandtrack_protocol::frames::{ToProxy, UpstreamEntry};
+use sandtrack_protocol::metrics::{PATH, PROXY_PORT};
 use std::cell::{Cell, RefCell};
-use std::io::ErrorKind;
+use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Times are long: a busy machine must not look like a slow upstream, and nothing is raced by another upstream before the
 /// test has had its say. Where a short time is meant, a request says so with `Deadline-Remaining`; the routes that begin with
@@ -264,6 +265,28 @@
         asked
     }
 
+    /// Asks for the proxy's figures until this one has that value.
+    pub fn until_figure(&self, name: &str, value: u64) {
+        let (line, began) = (format!("{name} {value}\n"), Instant::now());
+        loop {
+            let figures = self.figures();
+            if figures.contains(&line) {
+                return;
+            }
+            assert!(began.elapsed() < PATIENCE, "never {line}{figures}");
+        }
+    }
+
+    fn figures(&self) -> String {
+        let mut stream = TcpStream::connect((self.ip.as_str(), PROXY_PORT)).expect("it serves its figures");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time limit");
+        let call = format!("GET {PATH} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        stream.write_all(call.as_bytes()).expect("written");
+        let mut figures = String::new();
+        stream.read_to_string(&mut figures).expect("figures");
+        figures
+    }
+
     /// Nothing has come up to now.
     pub fn nothing_asked_yet(&self) {
         if let Ok(arrived) = self.arrivals.try_recv() {
--- a/crates/sandtrack-proxy/tests/exchange/streams.rs
+++ b/crates/sandtrack-proxy/tests/exchange/streams.rs
@@ -365,6 +365,51 @@
     stage.finish();
 }
 
+/// GONE: a request whose client leaves while no upstream has room is sent to none later.
+#[test]
+fn a_client_that_leaves_while_its_request_waits_for_room_costs_no_upstream_anything() {
+    let stage = Stage::serving("a_client_that_leaves_while_its_request_waits", 1);
+    // The slots of the one upstream, and what it queues beyond them.
+    let mut clients: Vec<_> = (0..6).map(|_| stage.client()).collect();
+    let asked: Vec<_> = clients
+        .iter_mut()
+        .enumerate()
+        .map(|(number, client)| {
+            client.get("/slips/a", &format!("r{number}"));
+            stage.asked()
+        })
+        .collect();
+    let mut waiting = stage.client();
+    waiting.get("/slips/a", "waiting");
+    stage.until_figure("sandtrack_proxy_requests_open", 7);
+    stage.nothing_asked_yet();
+    waiting.leave();
+    stage.proxy.until_logged_times("request waiting on slips: its client left", 1);
+    asked.into_iter().for_each(|asked| asked.answer("whole"));
+    clients.iter_mut().for_each(|client| assert_eq!(client.answer().text(), "whole"));
+    let mut next = stage.client();
+    next.get("/slips/b", "next");
+    let asked = stage.asked();
+    assert_eq!(asked.id(), "next", "nobody is asked for the one that left");
+    asked.answer("whole");
+    assert_eq!(next.answer().text(), "whole");
+    stage.finish_unwritten();
+}
+
+/// GONE: both sends of a race end with their client.
+#[test]
+fn a_client_that_leaves_within_a_race_frees_both_upstreams() {
+    let stage = Stage::serving("a_client_that_leaves_within_a_race", 2);
+    let mut client = stage.client();
+    client.get("/quick/a", "r1");
+    let (first, second) = (stage.asked(), stage.asked());
+    assert_eq!((first.id(), second.id()), ("r1", "r1"));
+    client.leave();
+    first.until_closed();
+    second.until_closed();
+    stage.finish_unwritten();
+}
+
 /// The deadline comes in the middle of a stream: it ends there, and does not look complete.
 #[test]
 fn a_stream_past_its_deadline_does_not_look_complete() {
