--- a/crates/sandtrack-control/tests/reader.rs
+++ b/crates/sandtrack-control/tests/reader.rs
@@ -112,6 +112,46 @@
     assert_eq!(desk.due(), Some("p-1".to_owned()), "over the rate: the same page again");
 }
 
+/// A reading that began anew at each failure never came to the later pages of a long list, nor to the drains on them, where
+/// the platform fails one call in four.
+#[test]
+fn a_reading_goes_on_at_the_page_that_failed() {
+    const PAGES: usize = 12;
+    let mut desk = Desk::new();
+    let mut calls = 0;
+    for reading in 0..3 {
+        loop {
+            let token = desk.due();
+            let at: usize = token.as_deref().map_or(0, |token| token.parse().expect("a token"));
+            calls += 1;
+            if calls % 4 == 0 {
+                assert!(!desk.told(Call::Failed("status 500".to_owned())));
+                continue;
+            }
+            let next = (at + 1 < PAGES).then(|| (at + 1).to_string());
+            if desk.told(page(&[&format!("u{at}")], next.as_deref())) {
+                break;
+            }
+            assert!(calls < 60, "reading {reading} is never whole; known: {}", desk.known());
+        }
+    }
+    assert_eq!(desk.upstreams.identifiers().count(), PAGES);
+    assert!(desk.now < 12_000.0, "{} ms", desk.now);
+}
+
+/// A token that the platform does not take any more leads nowhere.
+#[test]
+fn a_page_that_fails_again_and_again_makes_the_reading_begin_anew() {
+    let mut desk = Desk::new();
+    desk.due();
+    desk.told(page(&["a"], Some("p-1")));
+    for _ in 0..3 {
+        assert_eq!(desk.due(), Some("p-1".to_owned()));
+        desk.told(Call::Failed("status 400".to_owned()));
+    }
+    assert_eq!(desk.due(), None, "the first page");
+}
+
 #[test]
 fn a_page_from_before_a_freeze_is_left_out() {
     let mut desk = Desk::new();
