A reading of the platform's list goes on at the page that failed

Cause and class: a retry that begins from the start, so that no failure-free run of the whole length means no progress. The same page is called for again, three times in a row at most (its token may be valid no more); a failure of the first page begins the reading anew as before.

--- a/crates/sandtrack-control/src/reader.rs
+++ b/crates/sandtrack-control/src/reader.rs
@@ -19,6 +19,9 @@
 /// After a 429 or a failure, in ms: at first, and at most.
 const BACK_OFF_MS: Millis = 200.0;
 const BACK_OFF_MOST_MS: Millis = 800.0;
+/// A page that failed so often in a row is given up, and the reading begins anew: its token may be valid no more.
+const PAGE_TRIES: u32 = 3;
+
 /// What a call to the platform brought.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Call {
@@ -91,6 +94,8 @@
     missed: BTreeSet<String>,
     next_call: Millis,
     back_off: Millis,
+    /// How often the page that is wanted failed in a row.
+    failures: u32,
 }
 
 impl Reader {
@@ -121,6 +126,16 @@
         self.missed.clear();
     }
 
+    /// The same page is called for once more, so that each call that comes through brings the reading on.
+    fn page_failed(&mut self) {
+        self.failures += 1;
+        let is_first = self.token.is_none();
+        if is_first || self.failures >= PAGE_TRIES {
+            self.failures = 0;
+            self.stop();
+        }
+    }
+
     /// A call is over. Yes where a whole reading ended with it.
     pub fn answered(&mut self, now: Millis, alone: bool, call: Call, upstreams: &mut Upstreams) -> bool {
         let Some(called) = self.calling.take() else { return false };
@@ -137,12 +152,12 @@
                 self.next_call = self.next_call.max(now + self.back_off);
                 if let Call::Failed(why) = failed {
                     log::debug!("the platform's list: {why}");
-                    self.stop();
+                    self.page_failed();
                 }
                 return false;
             }
         };
-        self.back_off = 0.0;
+        (self.back_off, self.failures) = (0.0, 0);
         self.pages += 1;
         for entry in page.entries {
             self.seen.insert(entry.identifier.clone());
