--- a/crates/sandtrack-rig/src/soak/platform.rs
+++ b/crates/sandtrack-rig/src/soak/platform.rs
@@ -100,18 +100,17 @@
         while past.get(1).is_some_and(|(at, _)| now - at > LAG) {
             past.pop_front();
         }
+        let mut shown = self.records.shown.borrow_mut();
+        for (_, occupant) in past.front().into_iter().flat_map(|(_, entries)| entries) {
+            let shown = shown.entry(occupant.identifier.to_string()).or_default();
+            shown.draining = shown.draining.or(occupant.draining.then_some(now));
+        }
     }
 
     /// The list as it shows now.
     fn list(&self) -> Vec<Entry> {
         let mut list = self.past.borrow().front().map(|(_, entries)| entries.clone()).unwrap_or_default();
         list.sort_by(|one, other| one.1.identifier.cmp(&other.1.identifier));
-        let now = self.records.now();
-        let mut shown = self.records.shown.borrow_mut();
-        for (_, occupant) in &list {
-            let shown = shown.entry(occupant.identifier.to_string()).or_default();
-            shown.draining = shown.draining.or(occupant.draining.then_some(now));
-        }
         list
     }
 
--- a/crates/sandtrack-rig/tests/soak.rs
+++ b/crates/sandtrack-rig/tests/soak.rs
@@ -1,8 +1,12 @@
 //! The soak's short form, and what its plans keep to.
+use sandtrack_rig::soak::judge::judge;
 use sandtrack_rig::soak::plan::{Kind, Plan, Trouble};
+use sandtrack_rig::soak::records::{Arrival, End, Records, Request, Route, Shown, Span};
 use sandtrack_rig::soak::run::{play, Options};
 use sandtrack_rig::system::process::Programs;
+use sandtrack_rig::system::report::Report;
 use std::path::PathBuf;
+use std::rc::Rc;
 
 /// As a program's first thread has it: without optimisation a run takes more than a test's thread.
 const STACK: usize = 8 << 20;
@@ -53,3 +57,101 @@
         .collect();
     assert_eq!(kinds.len(), 24, "{kinds:?}");
 }
+
+/// What a run of one machine saw.
+struct Seen {
+    records: Rc<Records>,
+    report: Report,
+}
+
+impl Seen {
+    fn new() -> Seen {
+        Seen { records: Records::new(1), report: Report::default() }
+    }
+
+    /// A request that was sent at 20 s, and reached an upstream right then.
+    fn request(&self, id: &str, behind: bool, ended: f64, end: End) {
+        let target = format!("/stream/{id}");
+        let request = Request {
+            id: id.to_owned(),
+            route: Some(Route::Stream),
+            method: "POST",
+            target: target.clone(),
+            body: 0,
+            machine: 0,
+            life: 1,
+            kept: behind,
+            behind,
+            begun: 20.0,
+            sent: Some(20.0),
+            ended,
+            patience: 4.0,
+            end,
+        };
+        self.records.requests.borrow_mut().push(request);
+        self.records.arrivals.borrow_mut().push(Arrival {
+            at: 20.01,
+            id: id.to_owned(),
+            upstream: "u1-0".into(),
+            service: "writer",
+            zone: "hall-a".to_owned(),
+            ran: true,
+            trouble: None,
+            method: "POST".to_owned(),
+            target,
+            body: 0,
+            handed: None,
+            was_cold: false,
+        });
+    }
+
+    fn shows_draining(&self, since: f64) {
+        let shown = Shown { draining: Some(since) };
+        self.records.shown.borrow_mut().insert("u1-0".to_owned(), shown);
+    }
+
+    fn platform_trouble(&self, from: f64, until: f64) {
+        let what = "PlatformTrouble".to_owned();
+        let span = Span { what, proxies: Vec::new(), core: false, planned: false, from, until };
+        self.records.spans.borrow_mut().push(span);
+    }
+
+    /// The verdict that begins so holds.
+    fn holds(mut self, what: &str) -> bool {
+        judge(&self.records, &mut self.report);
+        let line = self.report.text().lines().find(|line| line.contains(what)).map(str::to_owned);
+        !line.unwrap_or_else(|| panic!("no verdict {what}")).contains("BROKEN")
+    }
+}
+
+/// The time of a drain runs from when the list shows it, but not while the platform is in trouble.
+#[test]
+fn a_drain_is_judged_by_the_time_in_which_the_platform_served() {
+    for (since, trouble, holds) in [
+        (14.9, None, false),
+        (15.1, None, true),
+        (14.9, Some((15.0, 16.0)), true),
+        (13.9, Some((15.0, 16.0)), false),
+        (14.9, Some((5.0, 14.9)), false),
+    ] {
+        let seen = Seen::new();
+        seen.request("c0-1", false, 20.5, End::Answered(200));
+        seen.shows_draining(since);
+        if let Some((from, until)) = trouble {
+            seen.platform_trouble(from, until);
+        }
+        assert_eq!(seen.holds("DRAIN: nothing reaches"), holds, "shown since {since}, trouble {trouble:?}");
+    }
+}
+
+/// No stream lasts as long as its route's time: one that is cut then needs a cause, as one that was carried behind another has.
+#[test]
+fn a_stream_that_is_cut_at_its_time_needs_a_cause() {
+    for (behind, ended, holds) in
+        [(false, 21.5, false), (true, 21.5, true), (true, 20.9, false), (false, 20.9, false)]
+    {
+        let seen = Seen::new();
+        seen.request("c0-1", behind, ended, End::Broke { begun: true });
+        assert_eq!(seen.holds("LOST: no request"), holds, "behind {behind}, ended at {ended}");
+    }
+}
