--- a/crates/sandtrack-proxy/tests/exchange/stops.rs
+++ b/crates/sandtrack-proxy/tests/exchange/stops.rs
@@ -130,6 +130,29 @@
     stage.finish();
 }
 
+/// The file may change without a signal, and a zone that it names then has a region, also for upstreams that were listed before.
+#[test]
+fn settings_that_change_without_a_signal_are_read() {
+    let stage = Stage::empty("settings_that_change_without_a_signal_are_read");
+    stage.tell_alone();
+    stage.list(vec![stage.upstream("printer", "d")]);
+    stage.settle();
+    let mut client = stage.client();
+    client.get_with("/slips/south/a", "r1", &["Deadline-Remaining: 300"]);
+    assert_eq!(client.answer().status(), 503, "nobody knows yet where zone d is");
+    let path = stage.proxy.settings.clone();
+    let settings = std::fs::read_to_string(&path).unwrap();
+    std::fs::write(&path, "{\"node_name\":").unwrap();
+    stage.proxy.until_logged_times("settings are kept as they were: E101", 1);
+    std::fs::write(&path, settings.replace("\"c\":\"south\"", "\"c\":\"south\",\"d\":\"south\"")).unwrap();
+    stage.proxy.until_logged_times("settings read again", 1);
+    let mut client = stage.client();
+    client.get("/slips/south/a", "r2");
+    stage.asked().answer("served at home");
+    assert_eq!(client.answer().text(), "served at home");
+    stage.finish_unwritten();
+}
+
 /// Settings that are wrong: exit code 2, and the code of what is wrong in the log.
 #[test]
 fn wrong_settings_end_it_with_their_code() {
