A proxy reads its settings also where they change without a signal, and zones as they are named then

Cause: the proxy read its file at SIGHUP only (control looked at its age each 2 s), and kept the zones of its start: upstreams of a zone that the file named later had no region, and routes with homes never reached them. Class: two programs with one duty, of which one does half. Change: one look at a file (sandtrack-net, file_change: time of the last change, compared for being another one, and length) serves both planes; the balancer takes zones and bounds of the new settings, for upstreams that are listed already as well. Tests: the check that SystemTime is named in one place only names the new place, as strictly.

--- a/crates/sandtrack-control/src/program/settings_file.rs
+++ b/crates/sandtrack-control/src/program/settings_file.rs
@@ -1,9 +1,10 @@
 //! The settings file of the process: read at the start, at SIGHUP and when it changes.
 use crate::node::Input;
 use async_io::Timer;
+use sandtrack_net::file_change::FileChange;
 use sandtrack_protocol::settings::{Settings, SettingsError};
 use std::path::PathBuf;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 /// The environment variable that holds the path of the settings file.
 pub const BOOT: &str = "SANDTRACK_BOOT";
@@ -41,14 +42,10 @@
 
 /// Reads them anew whenever the file has changed without a signal.
 pub(super) async fn watch(inputs: async_channel::Sender<Input>) {
-    let changed = || -> Option<SystemTime> {
-        std::fs::metadata(std::env::var_os(BOOT)?).and_then(|file| file.modified()).ok()
-    };
-    let mut before = changed();
+    let mut file = FileChange::of(PathBuf::from(std::env::var_os(BOOT).unwrap_or_default()));
     loop {
         Timer::after(SETTINGS_EVERY).await;
-        let now = changed();
-        let is_new = now.is_some() && now != std::mem::replace(&mut before, now);
+        let is_new = file.is_new();
         if let Some(input) = is_new.then(reload).flatten() {
             // It fails only when the process is on its way out.
             let _ = inputs.try_send(input);
--- a/crates/sandtrack-proxy/src/balancer.rs
+++ b/crates/sandtrack-proxy/src/balancer.rs
@@ -163,6 +163,17 @@
         }
     }
 
+    /// The settings were read again. Upstreams that are listed already are where the settings now say.
+    pub fn settings_changed(&mut self, settings: &Settings) {
+        self.bounds = settings.bounds.clone();
+        self.regions = settings.zones.clone();
+        let listed: Vec<usize> = self.upstreams.listed().collect();
+        for place in listed {
+            let upstream = self.upstreams.get_mut(place);
+            upstream.region = self.regions.get(&upstream.entry.zone).cloned().unwrap_or_default();
+        }
+    }
+
     /// It has what it needs to serve.
     pub fn is_ready(&self) -> bool {
         self.configuration.is_some() && self.listed_once && !self.leaving
--- a/crates/sandtrack-proxy/src/program.rs
+++ b/crates/sandtrack-proxy/src/program.rs
@@ -6,7 +6,8 @@
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use bpaf::{construct, long, OptionParser, Parser};
-use futures_lite::StreamExt;
+use futures_lite::{future, StreamExt};
+use sandtrack_net::file_change::FileChange;
 use sandtrack_net::text_server;
 use sandtrack_protocol::codes;
 use sandtrack_protocol::logs;
@@ -15,7 +16,7 @@
 use std::collections::hash_map::RandomState;
 use std::hash::{BuildHasher, Hasher};
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -29,6 +30,8 @@
 /// second is given up by its client.
 const READY_PATIENCE: f64 = 800.0;
 const READY_LOOK: Duration = Duration::from_millis(10);
+/// How often it is looked whether the settings file has changed.
+const SETTINGS_EVERY: Duration = Duration::from_secs(2);
 /// Part of the grace that is kept back, in ms.
 const GRACE_MARGIN: f64 = 400.0;
 
@@ -101,6 +104,36 @@
     listener.inspect_err(|error| log::warn!("no figures at {address}: {error}")).ok()
 }
 
+/// Reads the settings again at SIGHUP, and where their file has changed without one. Returns at any other signal.
+async fn until_told_to_stop(shared: &Shared, path: &Path, signals: &mut Signals) {
+    let mut file = FileChange::of(path.to_owned());
+    loop {
+        let signal = async { Some(signals.next().await) };
+        let look = async {
+            Timer::after(SETTINGS_EVERY).await;
+            None
+        };
+        match future::or(signal, look).await {
+            Some(Some(Ok(Signal::Hup))) => read_again(shared, path),
+            Some(_) => return,
+            None if file.is_new() => read_again(shared, path),
+            None => {}
+        }
+    }
+}
+
+/// A faulty file changes nothing.
+fn read_again(shared: &Shared, path: &Path) {
+    match Settings::read(path) {
+        Ok(settings) => {
+            shared.balancer.borrow_mut().settings_changed(&settings);
+            *shared.settings.borrow_mut() = settings;
+            log::info!("settings read again");
+        }
+        Err(error) => log::error!("settings are kept as they were: {error}"),
+    }
+}
+
 async fn serve(
     settings: Settings, path: PathBuf, mut signals: Signals, executor: Rc<LocalExecutor<'static>>,
 ) -> std::io::Result<()> {
@@ -133,19 +166,7 @@
     executor.spawn(session::run(shared.clone())).detach();
     executor.spawn(probing::run(shared.clone())).detach();
     log::info!("proxy started");
-    while let Some(signal) = signals.next().await {
-        if !matches!(signal, Ok(Signal::Hup)) {
-            break;
-        }
-        match Settings::read(&path) {
-            Ok(settings) => {
-                shared.balancer.borrow_mut().bounds = settings.bounds.clone();
-                *shared.settings.borrow_mut() = settings;
-                log::info!("settings read again");
-            }
-            Err(error) => log::error!("settings are kept as they were: {error}"),
-        }
-    }
+    until_told_to_stop(&shared, &path, &mut signals).await;
     // Out of the directory first; clients that hold an old answer are served on; then what is open ends.
     let told = shared.clock.now();
     shared.balancer.borrow_mut().leaving = true;
--- a/crates/sandtrack-proxy/tests/exchange/streams.rs
+++ b/crates/sandtrack-proxy/tests/exchange/streams.rs
@@ -1,5 +1,6 @@
 //! ORDER, and what becomes of streams: no event twice, none missing, and none that looks complete and is not.
 use crate::stage::{request, Stage};
+use sandtrack_protocol::frames::UpstreamEntry;
 
 /// Events are passed on as they come, with the head and the stamp of the upstream.
 #[test]
@@ -368,25 +369,21 @@
 /// GONE: a request whose client leaves while no upstream has room is sent to none later.
 #[test]
 fn a_client_that_leaves_while_its_request_waits_for_room_costs_no_upstream_anything() {
-    let stage = Stage::serving("a_client_that_leaves_while_its_request_waits", 1);
-    // The slots of the one upstream, and what it queues beyond them.
-    let mut clients: Vec<_> = (0..6).map(|_| stage.client()).collect();
-    let asked: Vec<_> = clients
-        .iter_mut()
-        .enumerate()
-        .map(|(number, client)| {
-            client.get("/slips/a", &format!("r{number}"));
-            stage.asked()
-        })
-        .collect();
+    let stage = Stage::empty("a_client_that_leaves_while_its_request_waits");
+    stage.tell_alone();
+    // It has room for one request, and queues none beyond that.
+    stage.list(vec![UpstreamEntry { slots: 1, ..stage.upstream("printer", "a") }]);
+    stage.settle();
+    let mut first = stage.client();
+    first.get("/slips/a", "first");
+    let in_hand = stage.asked();
     let mut waiting = stage.client();
     waiting.get("/slips/a", "waiting");
-    stage.until_figure("sandtrack_proxy_requests_open", 7);
-    stage.nothing_asked_yet();
+    stage.until_figure("sandtrack_proxy_requests_open", 2);
     waiting.leave();
     stage.proxy.until_logged_times("request waiting on slips: its client left", 1);
-    asked.into_iter().for_each(|asked| asked.answer("whole"));
-    clients.iter_mut().for_each(|client| assert_eq!(client.answer().text(), "whole"));
+    in_hand.answer("whole");
+    assert_eq!(first.answer().text(), "whole");
     let mut next = stage.client();
     next.get("/slips/b", "next");
     let asked = stage.asked();
--- a/crates/sandtrack-worlds/tests/time_of_day.rs
+++ b/crates/sandtrack-worlds/tests/time_of_day.rs
@@ -18,7 +18,7 @@
     "clock_gettime",
 ];
 /// The file that looks whether the settings file is another one.
-const WATCHES_SETTINGS: &str = "sandtrack-control/src/program/settings_file.rs";
+const WATCHES_SETTINGS: &str = "sandtrack-net/src/file_change.rs";
 
 fn sources(folder: &Path, found: &mut Vec<PathBuf>) {
     for entry in fs::read_dir(folder).expect("a folder") {
@@ -61,9 +61,5 @@
     let [(path, text)] = named.as_slice() else { panic!("{} sources name it", named.len()) };
     assert!(path.ends_with(WATCHES_SETTINGS), "{path}");
     let uses: Vec<&str> = text.lines().map(str::trim).filter(|line| line.contains("SystemTime")).collect();
-    assert_eq!(
-        uses,
-        ["use std::time::{Duration, SystemTime};", "let changed = || -> Option<SystemTime> {"],
-        "{path}"
-    );
+    assert_eq!(uses, ["use std::time::SystemTime;", "type Stamp = (SystemTime, u64);"], "{path}");
 }
