--- a/crates/sandtrack-rig/src/soak/records.rs
+++ b/crates/sandtrack-rig/src/soak/records.rs
@@ -202,8 +202,8 @@
     began: Instant,
     /// The load is over: clients end.
     pub is_over: Cell<bool>,
-    /// By how much a timer of the rig itself was late at most: the stand-ins are as slow as that.
-    pub latest_timer: Cell<Seconds>,
+    /// When a timer of the rig itself went off, and how late it was: the stand-ins are as slow as that.
+    pub late_timers: RefCell<Vec<(Seconds, Seconds)>>,
     /// Stand-ins that still have something under way.
     pub busy: Cell<usize>,
     pub requests: RefCell<Vec<Request>>,
@@ -225,7 +225,7 @@
         Rc::new(Records {
             began: Instant::now(),
             is_over: Cell::new(false),
-            latest_timer: Cell::new(0.0),
+            late_timers: RefCell::default(),
             busy: Cell::new(0),
             requests: RefCell::default(),
             arrivals: RefCell::default(),
@@ -257,6 +257,11 @@
         open.for_each(|absence| absence.until = now);
     }
 
+    /// By how much a timer of the rig was late at most.
+    pub fn latest_timer(&self) -> Seconds {
+        self.late_timers.borrow().iter().map(|(_, late)| *late).fold(0.0, Seconds::max)
+    }
+
     pub fn now(&self) -> Seconds {
         self.began.elapsed().as_secs_f64()
     }
--- a/crates/sandtrack-rig/src/soak/run.rs
+++ b/crates/sandtrack-rig/src/soak/run.rs
@@ -34,6 +34,8 @@
 const PROBED: usize = 10;
 /// How often the rig's own timers are looked at.
 const TIMER: Duration = Duration::from_millis(10);
+/// A timer that is later than this is noted, in s.
+const LATE: Seconds = 0.002;
 /// What an acknowledgement is followed by comes so soon, in ms.
 const CLOSING_MS: u64 = 4;
 
@@ -75,7 +77,7 @@
             Ok(()) => {}
         }
         report.notes.push(format!("{:?}", tally(&records.requests.borrow())));
-        let late = records.latest_timer.get() * 1000.0;
+        let late = records.latest_timer() * 1000.0;
         report.notes.push(format!("the rig's own timers were {late:.0} ms late at most"));
         for span in records.spans.borrow().iter() {
             report.notes.push(format!("{:6.2} to {:6.2} s {}", span.from, span.until, span.what));
@@ -147,7 +149,10 @@
     loop {
         let due = records.now() + TIMER.as_secs_f64();
         Timer::after(TIMER).await;
-        records.latest_timer.set(records.latest_timer.get().max(records.now() - due));
+        let now = records.now();
+        if now - due > LATE {
+            records.late_timers.borrow_mut().push((now, now - due));
+        }
     }
 }
 
