--- a/crates/sandtrack-proxy/src/balancer.rs
+++ b/crates/sandtrack-proxy/src/balancer.rs
@@ -295,6 +295,11 @@
         ((limit * CONNECTIONS_USED / proxies) as usize).max(1)
     }
 
+    /// Services of which requests and repeats are counted.
+    pub fn remembered_services(&self) -> usize {
+        self.retries.len()
+    }
+
     /// A request for a service came.
     pub fn came(&mut self, now: Millis, request: &ProxyRequest) {
         let span = self.bounds.retry_window_s * 1000.0;
--- a/crates/sandtrack-proxy/tests/budget.rs
+++ b/crates/sandtrack-proxy/tests/budget.rs
@@ -1,4 +1,7 @@
 //! Shares of bounds that hold over all proxies.
+mod common;
+use common::{balancer, entry, request, CONFIGURATION};
+use sandtrack_protocol::frames::ToProxy;
 use sandtrack_proxy::budget::{share, RetryBudget};
 
 #[test]
@@ -41,3 +44,24 @@
     }
     assert!(budget.remembered() <= 10_001, "{} requests are held of 100 s", budget.remembered());
 }
+
+/// Services come and go with configurations, thousands of them in a day: those that went are forgotten once their window is over,
+/// and not before, as one that comes back has not earned its repeats anew.
+#[test]
+fn services_that_no_configuration_has_are_forgotten_with_their_window() {
+    let mut balancer = balancer(vec![entry("a1", "printer", "a")]);
+    for change in 0..300 {
+        let now = f64::from(change) * 1000.0;
+        let (number, version) = (u64::from(10 + change as u32), u64::from(10 + change as u32));
+        let document = CONFIGURATION
+            .replace("\"version_number\":7", &format!("\"version_number\":{version}"))
+            .replace("\"printer\"", &format!("\"printer-{change}\""));
+        balancer.fold(now, ToProxy::Configuration { number, version, document });
+        let asked = request(&balancer, "/slips/deep/a", &[]);
+        assert_eq!(asked.service, format!("printer-{change}"));
+        balancer.came(now, &asked);
+    }
+    // Those of the last window of 10 s, and those in force.
+    assert!(balancer.remembered_services() <= 13, "{} services", balancer.remembered_services());
+    assert!(balancer.remembered_services() >= 10, "{} services", balancer.remembered_services());
+}
