What is counted of a service that no configuration has is forgotten with its window

Found by reading the balancer's tables. Change: with each configuration, budgets of services that it does not have go once nothing of their window is left, and their tiers at once.

--- a/crates/sandtrack-proxy/src/balancer.rs
+++ b/crates/sandtrack-proxy/src/balancer.rs
@@ -190,7 +190,7 @@
             ToProxy::Configuration { number, document, .. } => {
                 if self.document.is_none() || number > self.number {
                     match Document::parse(document.as_bytes()) {
-                        Ok(document) => return self.adopt(number, document),
+                        Ok(document) => return self.adopt(now, number, document),
                         Err(invalid) => log::error!("a configuration from control can't be read: {invalid}"),
                     }
                 }
@@ -199,7 +199,7 @@
                 if number > self.number {
                     let held = self.document.as_ref().filter(|_| from_number == self.number);
                     match held.map(|held| held.apply(version, &items, &fields)) {
-                        Some(Ok(document)) => return self.adopt(number, document),
+                        Some(Ok(document)) => return self.adopt(now, number, document),
                         _ => return Folded::WantConfiguration,
                     }
                 }
@@ -244,7 +244,7 @@
         Folded::Taken
     }
 
-    fn adopt(&mut self, number: u64, document: Document) -> Folded {
+    fn adopt(&mut self, now: Millis, number: u64, document: Document) -> Folded {
         match Configuration::read(&document) {
             Ok(configuration) => {
                 log::info!("configuration {} in force", configuration.version);
@@ -259,12 +259,23 @@
                 self.document = Some(document);
                 self.configuration = Some(Rc::new(configuration));
                 self.changed = true;
+                self.forget_services(now);
             }
             Err(invalid) => log::error!("a configuration from control is invalid: {invalid}"),
         }
         Folded::Taken
     }
 
+    /// What is kept of services that the configuration does not have goes; what their requests earned, and the repeats that used it,
+    /// with its window: a service may come back within it.
+    fn forget_services(&mut self, now: Millis) {
+        let Some(configuration) = &self.configuration else { return };
+        let span = self.bounds.retry_window_s * 1000.0;
+        self.retries
+            .retain(|name, budget| configuration.service(name).is_some() || budget.is_used(now, span));
+        self.tiers.retain(|name, _| configuration.service(name).is_some());
+    }
+
     /// Among how many proxies a bound over all is shared, as far as this one may rely on it.
     fn sharers(&self, now: Millis) -> u32 {
         match now - self.heard_control <= SHARE_LEASE {
--- a/crates/sandtrack-proxy/src/budget.rs
+++ b/crates/sandtrack-proxy/src/budget.rs
@@ -52,6 +52,11 @@
         self.requests.note(now);
     }
 
+    /// Whether something in the window of `span` ms is counted; what came before is forgotten.
+    pub fn is_used(&mut self, now: Millis, span: Millis) -> bool {
+        self.requests.count(now, span) + self.repeats.count(now, span) > 0
+    }
+
     /// Events that are held.
     pub fn remembered(&self) -> usize {
         self.requests.times.len() + self.repeats.times.len()
