A reader of the log that stands still holds nobody up: a line that the log does not take now is lost and counted

Cause: lines were written to standard error where requests are served; a full pipe makes the write wait for ever. Class: a blocking call on the thread that serves, to an output whose pace others set. Change: one output of logs (sandtrack-net, log_output) for sidecar, proxy and control: it asks first whether a line is taken now, which costs a system call a line; what is not taken is counted (sandtrack_log_lines_lost_total). Ruled out: a thread that writes, which costs each process memory, and a standard error that does not wait, as that is shared with whoever started the process.

--- a/crates/sandtrack-control/src/node/figures.rs
+++ b/crates/sandtrack-control/src/node/figures.rs
@@ -11,6 +11,7 @@
         self.tell_state(now, &mut text);
         self.tell_list(&mut text);
         text.invariants();
+        text.logs();
         text.into_text()
     }
 
--- a/crates/sandtrack-protocol/src/logs.rs
+++ b/crates/sandtrack-protocol/src/logs.rs
@@ -1,18 +1,19 @@
 //! Logs: one JSON object a line on standard error, with stable field names: `at` (seconds of the process's own steady
 //! clock), `level`, `node`, `part` (the module) and `event`.
+use sandtrack_net::log_output::LogOutput;
 use std::io::Write;
 use std::time::Instant;
 
 /// Starts logging for this process; `level` is a name as `log` knows them ("info" where it is none).
 ///
-/// A line that can't be written is lost, and nothing else: a full disk, or a reader of the log that is gone, must not end a
-/// process or one of its threads, as the last resort of `fern` would.
+/// A line that can't be written now is lost, and nothing else: a full disk, or a reader of the log that is gone or stands still, must
+/// neither end a process or one of its threads, as the last resort of `fern` would, nor hold it up.
 pub fn start(node: &str, level: &str) {
     let (node, began) = (escape(node), Instant::now());
     let level = level.parse().unwrap_or(log::LevelFilter::Info);
     let stderr = fern::Output::call(|record| {
         let line = format!("{}\n", record.args());
-        let _ = std::io::stderr().lock().write_all(line.as_bytes());
+        let _ = LogOutput.write_all(line.as_bytes());
     });
     let dispatch = fern::Dispatch::new().level(level).chain(stderr).format(move |out, message, record| {
         out.finish(format_args!(
--- a/crates/sandtrack-protocol/src/metrics.rs
+++ b/crates/sandtrack-protocol/src/metrics.rs
@@ -1,5 +1,6 @@
 //! The figures of a process as text that scrapers read (Prometheus exposition format, version 0.0.4), and where they are served.
 use crate::settings::Settings;
+use sandtrack_net::log_output::lost_lines;
 use std::fmt::{Display, Write};
 
 /// What is asked for.
@@ -55,6 +56,12 @@
         self.figure(name, &[], value);
     }
 
+    /// How many lines of the log were lost.
+    pub fn logs(&mut self) {
+        const HELP: &str = "Lines that the log did not take when they were written";
+        self.single("sandtrack_log_lines_lost_total", Kind::Counter, HELP, lost_lines());
+    }
+
     /// How often each invariant was violated in this process.
     pub fn invariants(&mut self) {
         const NAME: &str = "sandtrack_invariant_violations_total";
--- a/crates/sandtrack-proxy/src/figures.rs
+++ b/crates/sandtrack-proxy/src/figures.rs
@@ -19,6 +19,7 @@
     tell_state(shared, &mut text);
     tell_upstreams(shared, &mut text);
     text.invariants();
+    text.logs();
     text.into_text()
 }
 
--- a/crates/sandtrack-sidecar/src/program.rs
+++ b/crates/sandtrack-sidecar/src/program.rs
@@ -10,6 +10,7 @@
 use clap::Parser;
 use futures_lite::{future, stream, StreamExt};
 use sandtrack_core::reducer::{CallId, ConnId, Effect, Input, Reducer, Ways};
+use sandtrack_net::log_output::LogOutput;
 use sandtrack_net::socket::Clock;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -63,8 +64,8 @@
 pub fn serve_only() -> ExitCode {
     let level = std::env::var("SANDTRACK_LOG").ok().and_then(|level| level.parse().ok());
     let level = level.unwrap_or(tracing::Level::INFO);
-    let log = tracing_subscriber::fmt().with_max_level(level).with_ansi(false).with_writer(std::io::stderr);
-    // A line that can't be written is lost; to tell of that where it can't be written either would end the process.
+    let log = tracing_subscriber::fmt().with_max_level(level).with_ansi(false).with_writer(|| LogOutput);
+    // A line that can't be written now is lost; to tell of that where it can't be written either would end the process.
     log.log_internal_errors(false).init();
     // Before all else: a signal that comes while this process starts would end it, and what waits at its listener.
     let signals = match Signals::new([Signal::Term, Signal::Int, Signal::Hup]) {
