--- a/crates/sandtrack-proxy/tests/events.rs
+++ b/crates/sandtrack-proxy/tests/events.rs
@@ -55,3 +55,15 @@
     assert!(taken.is_some_and(|taken| taken <= 2 << 20), "64 MiB were held, for one request of many");
     assert_eq!(scanner.held(), 0);
 }
+
+/// An event's id is that of its first line with one, for what is passed on and for the check of it alike: an upstream that writes two is
+/// odd, and no fault of this program.
+#[test]
+fn an_event_with_two_ids_is_no_violation() {
+    let stream = b"id: 5\nid: 3\ndata: a\n\nid: 6\ndata: b\n\n";
+    let mut scanner = Scanner::default();
+    assert_eq!(scanner.push(stream), Scanned::Events(stream.to_vec()));
+    let mut given = GivenIds::default();
+    assert!(given.note(stream), "{given:?}");
+    assert!(!given.note(b"id: 6\ndata: b\n\n"), "twice");
+}
