The invariant events_rise takes an event's id as the scanner does

Cause: the check read every line that begins with id:, the scanner the first of an event; a false alarm is fatal in the soak's and the tests' builds.

--- a/crates/sandtrack-proxy/src/events.rs
+++ b/crates/sandtrack-proxy/src/events.rs
@@ -100,13 +100,18 @@
 }
 
 impl GivenIds {
-    /// Takes note of bytes of whole events; no where an id does not rise.
-    pub fn note(&mut self, bytes: &[u8]) -> bool {
-        let ids = bytes.split(|byte| *byte == b'\n').filter_map(id_of_line);
-        ids.into_iter().fold(true, |rises, id| {
-            let before = self.last.replace(id);
-            rises && before.is_none_or(|before| before < id)
-        })
+    /// Takes note of bytes of whole events; no where an id does not rise. As for the [`Scanner`], an event's id is that of its first line
+    /// with one.
+    pub fn note(&mut self, mut bytes: &[u8]) -> bool {
+        let mut rises = true;
+        while let Some(end) = end_of_event(bytes, 0) {
+            if let Some(id) = id_of(&bytes[..end]) {
+                rises &= self.last.is_none_or(|last| last < id);
+                self.last = Some(id);
+            }
+            bytes = &bytes[end..];
+        }
+        rises
     }
 }
 
