--- a/crates/sandtrack-proxy/tests/exchange/memory.rs
+++ b/crates/sandtrack-proxy/tests/exchange/memory.rs
@@ -1,7 +1,7 @@
 //! The memory that a process may have bounds the bodies that it holds in sum, not only each: one that passes it is killed, with
 //! all requests in hand.
 use crate::stage::{request, Stage, ROUTES};
-use crate::upstream::seal;
+use crate::upstream::{seal, Asked};
 
 const MEMORY_MB: u32 = 64;
 const LIMITS: &str = r#"{"header_size_bytes":2048,"body_size_bytes":4194304,"header_timeout_ms":30000,"idle_timeout_ms":60000}"#;
@@ -21,18 +21,8 @@
     assert!(peak < f64::from(MEMORY_MB), "{peak:.0} MB of {MEMORY_MB}");
 }
 
-/// Each body is within the operator's limit, and so is each client; together they are twice the memory of the process.
-#[test]
-fn long_bodies_at_once_stay_within_the_memory_and_the_rest_is_sent_away_unrun() {
-    const CLIENTS: usize = 32;
-    let stage = serving("long_bodies_at_once", 10);
-    let body = "x".repeat(LONG);
-    let mut clients: Vec<_> = (0..CLIENTS).map(|_| stage.client()).collect();
-    for (number, client) in clients.iter_mut().enumerate() {
-        let bytes = request("POST", "/pay/a", &format!("r{number}"), &[], &body);
-        client.send_bytes("a long body", bytes.as_bytes());
-    }
-    // What is short is served meanwhile.
+/// What is short is served while long bodies are in hand, some of which are carried; these.
+fn carried_while_short_is_served(stage: &Stage) -> Vec<Asked> {
     let mut short = stage.client();
     short.post("/pay/b", "short", "one");
     let mut carried = Vec::new();
@@ -45,8 +35,23 @@
         carried.push(asked);
     }
     assert_eq!(short.answer().text(), "served");
-    assert_memory(&stage);
+    assert_memory(stage);
     assert!(!carried.is_empty(), "some long bodies are carried");
+    carried
+}
+
+/// Each body is within the operator's limit, and so is each client; together they are twice the memory of the process.
+#[test]
+fn long_bodies_at_once_stay_within_the_memory_and_the_rest_is_sent_away_unrun() {
+    const CLIENTS: usize = 32;
+    let stage = serving("long_bodies_at_once", 10);
+    let body = "x".repeat(LONG);
+    let mut clients: Vec<_> = (0..CLIENTS).map(|_| stage.client()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        let bytes = request("POST", "/pay/a", &format!("r{number}"), &[], &body);
+        client.send_bytes("a long body", bytes.as_bytes());
+    }
+    let carried = carried_while_short_is_served(&stage);
     let carried: Vec<String> = carried
         .into_iter()
         .map(|asked| {
@@ -85,20 +90,7 @@
         let head = request("POST", "/pay/a", &id, &["Transfer-Encoding: chunked"], "");
         client.send_bytes("a long body in chunks", format!("{head}{body}").as_bytes());
     }
-    let mut short = stage.client();
-    short.post("/pay/b", "short", "one");
-    let mut carried = Vec::new();
-    loop {
-        let asked = stage.asked();
-        if asked.id() == "short" {
-            asked.answer("served");
-            break;
-        }
-        carried.push(asked);
-    }
-    assert_eq!(short.answer().text(), "served");
-    assert_memory(&stage);
-    assert!(!carried.is_empty(), "some long bodies are carried");
+    let carried = carried_while_short_is_served(&stage);
     carried.into_iter().for_each(|asked| asked.answer("done"));
     let statuses: Vec<u16> = clients.iter_mut().map(|client| client.answer().status()).collect();
     assert!(statuses.iter().all(|status| matches!(status, 200 | 503)), "{statuses:?}");
