--- a/crates/sandtrack-proxy/tests/exchange_states.rs
+++ b/crates/sandtrack-proxy/tests/exchange_states.rs
@@ -326,6 +326,7 @@
         let ends = [SendEvent::End { surplus: false }, SendEvent::End { surplus: true }];
         if !self.terms.relays(head.status) || head.not_run() {
             events.extend(ends);
+            events.push(SendEvent::Broke(Broke::NoMemory));
             return events;
         }
         if side.event < LAST_EVENT {
