Read once more: one end of a line about lines left out, and a reading that stops forgets its failures in one place

No behaviour changed but one detail: a page's failures are forgotten wherever the reading stops, and not where the page gave it up only.

--- a/crates/sandtrack-control/src/reader.rs
+++ b/crates/sandtrack-control/src/reader.rs
@@ -122,16 +122,14 @@
 
     /// Others read from now on.
     pub fn stop(&mut self) {
-        (self.began, self.token) = (None, None);
+        (self.began, self.token, self.failures) = (None, None, 0);
         self.missed.clear();
     }
 
     /// The same page is called for once more, so that each call that comes through brings the reading on.
     fn page_failed(&mut self) {
         self.failures += 1;
-        let is_first = self.token.is_none();
-        if is_first || self.failures >= PAGE_TRIES {
-            self.failures = 0;
+        if self.token.is_none() || self.failures >= PAGE_TRIES {
             self.stop();
         }
     }
--- a/crates/sandtrack-net/src/lib.rs
+++ b/crates/sandtrack-net/src/lib.rs
@@ -1,6 +1,7 @@
 //! Plumbing beneath the sidecar, the control plane, the data plane and the operators' client: an incremental HTTP/1.1
-//! parser (`http`), the buffer between a socket and a parser or writer (`ring`), and moves between sockets and buffers
-//! (`socket`), and the bound on what messages take together (`byte_budget`), whether a file has changed (`file_change`), and the output of logs (`log_output`). It decides nothing and keeps no state of its own.
+//! parser (`http`), the buffer between a socket and a parser or writer (`ring`), moves between sockets and buffers
+//! (`socket`), the bound on what messages take together (`byte_budget`), the look whether a file has changed (`file_change`), and the
+//! output of logs (`log_output`). It decides nothing; what it keeps are counts.
 #![forbid(unsafe_code)]
 pub mod byte_budget;
 pub mod file_change;
--- a/crates/sandtrack-proxy/src/request_log.rs
+++ b/crates/sandtrack-proxy/src/request_log.rs
@@ -78,10 +78,15 @@
                 None => write!(line, " to the end"),
             };
         }
-        if left_out > 0 {
-            let _ = write!(line, " ({left_out} lines left out before)");
-        }
-        line
+        line + &left_out_before(left_out)
+    }
+}
+
+/// The end of a line before which so many were left out.
+fn left_out_before(lines: u64) -> String {
+    match lines {
+        0 => String::new(),
+        lines => format!(" ({lines} lines left out before)"),
     }
 }
 
@@ -93,8 +98,7 @@
     outcomes.note(outcome, 0.0);
     if let Some(left_out) = outcomes.take_line(now) {
         let id = if id.is_empty() { "without an id" } else { id };
-        let more = if left_out > 0 { format!(" ({left_out} lines left out before)") } else { String::new() };
-        log::info!("request {id}: {outcome} before it was carried{more}");
+        log::info!("request {id}: {outcome} before it was carried{}", left_out_before(left_out));
     }
 }
 
