--- a/crates/sandtrack-proxy/src/attempt.rs
+++ b/crates/sandtrack-proxy/src/attempt.rs
@@ -3,6 +3,7 @@
 use crate::balancer::Ended;
 use crate::exchange::{ask, next, written_head, Asked, Waited};
 use crate::exchange_state::{AnswerId, Broke, HeadFacts, SendEvent, Terms};
+use crate::policy::Policy;
 use crate::pool::{connect, kept_for, Connection};
 use crate::request::ProxyRequest;
 use crate::shared::Shared;
@@ -12,8 +13,6 @@
 use sandtrack_net::http::Part;
 use sandtrack_tiers::Millis;
 
-/// A connection that does not come up within this, and twice the upstream's probe time, is given up, in ms (ours).
-const CONNECT_PATIENCE: Millis = 400.0;
 /// A whole answer may be so long; a longer one is no answer of these services.
 const ANSWER_MAX: usize = 8 << 20;
 
@@ -125,6 +124,17 @@
         self.reported.place
     }
 
+    /// When the request was begun to be written.
+    pub fn asked(&self) -> Option<Millis> {
+        self.asked
+    }
+
+    /// Whether its upstream is in another region.
+    pub fn is_far(&self) -> bool {
+        let balancer = self.shared.balancer.borrow();
+        balancer.upstreams.get(self.reported.place).region != balancer.region
+    }
+
     pub fn head(&self) -> Option<&Head> {
         self.head.as_ref()
     }
@@ -179,7 +189,9 @@
     async fn connect(&mut self) -> SendEvent {
         let (shared, clock) = (self.shared, self.shared.clock);
         let identifier = self.upstream.identifier.as_str();
-        let idle = self.reuse.then(|| shared.pool.borrow_mut().take(identifier, clock.now())).flatten();
+        let now = clock.now();
+        let reuse = self.reuse || shared.balancer.borrow().is_proven_alive(now, self.reported.place);
+        let idle = reuse.then(|| shared.pool.borrow_mut().take(identifier, now)).flatten();
         if let Some(connection) = idle {
             let reused = connection.reused;
             self.connection = Some(connection);
@@ -189,7 +201,8 @@
         if full && !shared.pool.borrow_mut().drop_idle(identifier) {
             return SendEvent::NoConnection { share_full: true };
         }
-        let patience = (CONNECT_PATIENCE + 2.0 * self.upstream.average).min(self.request.left(clock.now()));
+        let patience = (shared.policy.connect_patience_ms + 2.0 * self.upstream.average)
+            .min(self.request.left(clock.now()));
         match connect(&shared.pool, identifier, &self.upstream.address, patience).await {
             Ok(connection) => {
                 self.connection = Some(connection);
@@ -207,7 +220,13 @@
         let now = self.shared.clock.now();
         self.asked = Some(now);
         let left = self.request.left(now);
-        let head = written_head(self.request, &self.upstream.identifier, left, self.resume);
+        let head = written_head(
+            self.request,
+            &self.upstream.identifier,
+            left,
+            self.resume,
+            self.shared.policy.urgency,
+        );
         match ask(connection, &head, &self.request.body, left).await {
             Asked::Written => {
                 self.written = true;
@@ -222,7 +241,11 @@
     async fn read(&mut self) -> SendEvent {
         loop {
             let Some(connection) = &mut self.connection else { return SendEvent::Broke(Broke::Connection) };
-            match next(connection, self.shared.clock, self.request.deadline).await {
+            let waited = next(connection, self.shared.clock, self.request.deadline).await;
+            if matches!(waited, Waited::Part(_)) {
+                self.shared.balancer.borrow_mut().heard(self.shared.clock.now(), self.reported.place);
+            }
+            match waited {
                 Waited::Broke(broke) => return SendEvent::Broke(broke),
                 Waited::Time => return SendEvent::TimeOver,
                 Waited::Part(Part::Head(_)) if self.head.is_some() => return SendEvent::Broke(Broke::Spoilt),
@@ -245,7 +268,7 @@
     }
 
     fn took_head(&mut self, head: Head) -> HeadFacts {
-        let facts = head_facts(&head, &self.request.id);
+        let facts = head_facts(&head, &self.request.id, &self.shared.policy);
         let turned_away = facts.not_executed || facts.status == 421;
         let is_anothers = match facts.id {
             AnswerId::Own => false,
@@ -262,7 +285,7 @@
 }
 
 /// What counts of an answer's head for the request of this id.
-pub fn head_facts(head: &Head, request_id: &str) -> HeadFacts {
+pub fn head_facts(head: &Head, request_id: &str, policy: &Policy) -> HeadFacts {
     HeadFacts {
         id: match head.headers.get("request-id") {
             Some(id) if id == request_id => AnswerId::Own,
@@ -272,6 +295,6 @@
         status: head.status,
         not_executed: head.headers.get("not-executed").is_some(),
         sealed: head.headers.get("server-seal").is_some(),
-        keeps_open: kept_for(head).is_some(),
+        keeps_open: kept_for(head, policy).is_some(),
     }
 }
--- a/crates/sandtrack-proxy/src/balancer.rs
+++ b/crates/sandtrack-proxy/src/balancer.rs
@@ -1,8 +1,10 @@
 //! The balancer: what a proxy knows, folded from what the control plane, its probes and its sends tell. Decisions on it are
 //! in `placement`. Pure: time comes in, nothing is read or written here.
 use crate::budget::{share, RetryBudget};
+use crate::policy::Policy;
 use crate::request::{hash, mix, ProxyRequest};
 use crate::upstreams::{Load, Table};
+use crate::zone_outlook::ZoneOutlook;
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 use sandtrack_invariants::{check, Invariant};
@@ -10,12 +12,10 @@
 use sandtrack_protocol::document::Document;
 use sandtrack_protocol::frames::{ProxyState, ToProxy};
 use sandtrack_protocol::settings::{Bounds, Settings};
-use sandtrack_tiers::{next_probe, Millis, Tiers, GAP_MOST};
+use sandtrack_tiers::{next_probe, Millis, Tiers};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
-/// An upstream that turned a request away or failed one rests for so long, in ms (ours).
-const REST: Millis = 150.0;
 /// For so long after control was heard this proxy keeps its share of the bounds that hold over all proxies, in ms. Control
 /// counts one that it does not hear for longer (`KEPT_MS` of `sandtrack_control::membership`), also with a frame under way.
 const SHARE_LEASE: Millis = 25_000.0;
@@ -24,10 +24,6 @@
 /// Proxies that share an upstream's connections until their number is told, and the part of its limit that is used (ours).
 const USUAL: f64 = 16.0;
 const CONNECTIONS_USED: f64 = 0.9;
-/// One that is suspected or unhealthy is probed this often, in ms (ours: two probes tell within a second).
-pub const SUSPECT_EVERY: Millis = 300.0;
-/// A couple of probes a minute short of the design's five seconds, so that timers that run late stay within.
-const PROBE_EVERY: Millis = GAP_MOST - 200.0;
 
 /// What the first part of an answer takes: a mean and a mean deviation, as TCP keeps of round trips (RFC 6298).
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -37,12 +33,6 @@
     count: u32,
 }
 
-/// An answer is overdue after its mean and so many deviations (RFC 6298) ...
-const DEVIATIONS: f64 = 4.0;
-/// ... but not before this, in ms, and after this part of its aim in any case (ours).
-const PATIENCE_LEAST: Millis = 80.0;
-const PATIENCE_MOST: f64 = 0.35;
-
 impl Pace {
     pub fn add(&mut self, elapsed: Millis) {
         if self.count == 0 {
@@ -55,12 +45,12 @@
     }
 
     /// When an answer is overdue, for one that is to be there within `aim` ms.
-    pub fn patience(&self, aim: Millis) -> Millis {
-        let most = (aim * PATIENCE_MOST).max(PATIENCE_LEAST);
+    pub fn patience(&self, aim: Millis, policy: &Policy) -> Millis {
+        let most = (aim * policy.patience_most).max(policy.patience_least_ms);
         if self.count == 0 {
             return most;
         }
-        (self.mean + DEVIATIONS * self.deviation).clamp(PATIENCE_LEAST, most)
+        (self.mean + policy.deviations * self.deviation).clamp(policy.patience_least_ms, most)
     }
 }
 
@@ -100,6 +90,8 @@
 }
 
 pub struct Balancer {
+    /// The constants that decisions go by.
+    pub policy: Rc<Policy>,
     pub zone: String,
     pub region: String,
     regions: std::collections::BTreeMap<String, String>,
@@ -120,6 +112,7 @@
     pub control_nodes: Vec<String>,
     tiers: HashMap<String, Tiers>,
     retries: HashMap<String, RetryBudget>,
+    zones: ZoneOutlook,
     /// By route, and whether the upstream is in another region.
     paces: HashMap<(String, bool), Pace>,
     /// When a request with a long prompt was placed last.
@@ -134,8 +127,15 @@
 }
 
 impl Balancer {
+    /// One that decides by the default policy.
     pub fn new(settings: &Settings, seed: u64) -> Balancer {
+        Balancer::with_policy(settings, seed, Rc::new(Policy::default()))
+    }
+
+    /// One that decides by this policy.
+    pub fn with_policy(settings: &Settings, seed: u64, policy: Rc<Policy>) -> Balancer {
         Balancer {
+            policy,
             zone: settings.zone.clone(),
             region: settings.region.clone(),
             regions: settings.zones.clone(),
@@ -153,6 +153,7 @@
             control_nodes: Vec::new(),
             tiers: HashMap::new(),
             retries: HashMap::new(),
+            zones: ZoneOutlook::default(),
             paces: HashMap::new(),
             long_prompt_at: None,
             rng: Pcg32::seed_from_u64(seed),
@@ -334,6 +335,7 @@
 
     /// A send is over.
     pub fn ended(&mut self, now: Millis, place: usize, ended: Ended) {
+        let rest_until = now + self.policy.rest_ms;
         let upstream = self.upstreams.get_mut(place);
         check(Invariant::SendsAreCounted, upstream.own > 0, || {
             format!("none is under way at {}", upstream.entry.identifier)
@@ -341,12 +343,13 @@
         upstream.own = upstream.own.saturating_sub(1);
         match ended {
             Ended::Answered => upstream.run.succeeded(),
-            Ended::TurnedAway => upstream.rests_until = now + REST,
-            Ended::Faulty => upstream.rests_until = now + REST,
+            Ended::TurnedAway => upstream.rests_until = rest_until,
+            Ended::Faulty => upstream.rests_until = rest_until,
             Ended::Broken => {
                 upstream.run.failed();
-                upstream.rests_until = now + REST;
+                upstream.rests_until = rest_until;
                 upstream.next_probe = now;
+                self.note_failure(now, place);
             }
             Ended::GivenUp => {}
         }
@@ -355,6 +358,41 @@
         }
     }
 
+    /// Bytes of an answer came.
+    pub fn heard(&mut self, now: Millis, place: usize) {
+        let upstream = self.upstreams.get_mut(place);
+        upstream.heard_at = now;
+        self.zones.heard(&upstream.entry.zone);
+    }
+
+    /// An upstream failed. Once its zone looks lost, those in use there are asked at once.
+    fn note_failure(&mut self, now: Millis, place: usize) {
+        let entry = &self.upstreams.get(place).entry;
+        if !self.zones.failed(&entry.zone, &entry.identifier) {
+            return;
+        }
+        let zone = entry.zone.clone();
+        log::info!("nothing is heard of zone {zone}");
+        let listed: Vec<usize> = self.upstreams.listed().collect();
+        for place in listed {
+            let upstream = self.upstreams.get_mut(place);
+            if upstream.entry.zone == zone {
+                upstream.next_probe = upstream.next_probe.min(now);
+            }
+        }
+    }
+
+    /// Whether the zone of this upstream looks lost.
+    pub(crate) fn is_in_silent_zone(&self, place: usize) -> bool {
+        self.policy.zone_outlook && self.zones.is_silent(&self.upstreams.get(place).entry.zone)
+    }
+
+    /// Whether it was heard so lately that an idle connection to it will do for what may run only once.
+    pub fn is_proven_alive(&self, now: Millis, place: usize) -> bool {
+        let upstream = self.upstreams.get(place);
+        upstream.run.is_empty() && now - upstream.heard_at <= self.policy.proven_alive_ms
+    }
+
     /// An answer said how loaded its upstream is, or how long it stays cold.
     pub fn told(&mut self, now: Millis, place: usize, load: Option<Load>, cold_ms: Option<Millis>) {
         let upstream = self.upstreams.get_mut(place);
@@ -376,7 +414,7 @@
     pub fn patience(&self, request: &ProxyRequest, place: usize) -> Millis {
         let far = self.upstreams.get(place).region != self.region;
         let pace = self.paces.get(&(request.route.name.clone(), far)).copied().unwrap_or_default();
-        pace.patience(request.route.target_latency_ms)
+        pace.patience(request.route.target_latency_ms, &self.policy)
     }
 
     /// Something at an upstream takes too long: it is probed at once.
@@ -398,7 +436,8 @@
             let of_it: Vec<usize> = self.upstreams.listed().filter(of_it).collect();
             let (healthy, failed): (Vec<usize>, Vec<usize>) =
                 of_it.into_iter().partition(|place| self.upstreams.get(*place).run.is_empty());
-            watched.extend(self.circle(&healthy));
+            let readers = self.readers(now, &service.name);
+            watched.extend(self.circle(&healthy, &readers));
             watched.extend(failed);
         }
         let is_due = |place: &usize| {
@@ -425,12 +464,21 @@
             Some(elapsed) => {
                 upstream.average.sample(elapsed);
                 upstream.run.succeeded();
+                upstream.failed_probes = 0;
+                upstream.heard_at = now;
+                self.zones.heard(&upstream.entry.zone);
             }
             None => {
                 upstream.run.failed();
+                upstream.failed_probes += 1;
+                self.note_failure(now, place);
             }
         }
-        let gap = if upstream.run.is_empty() { PROBE_EVERY } else { SUSPECT_EVERY };
+        let upstream = self.upstreams.get_mut(place);
+        let gap = match upstream.run.is_empty() {
+            true => self.policy.probe_every_ms,
+            false => self.policy.suspect_gap(upstream.failed_probes),
+        };
         upstream.next_probe = next_probe(&mut self.rng, now, Some(now), gap);
         let service = upstream.entry.service.clone();
         let members: Vec<usize> = self
--- a/crates/sandtrack-proxy/src/carry.rs
+++ b/crates/sandtrack-proxy/src/carry.rs
@@ -7,7 +7,7 @@
     is_promise, Action, AnswerId, Exchange, Final, Input, Phase, SendEvent, SendId, Terms, Watched, SENDS,
 };
 use crate::outcomes::Outcome;
-use crate::placement::{Placed, HOLD};
+use crate::placement::Placed;
 use crate::request::ProxyRequest;
 use crate::request_log::RequestLog;
 use crate::shared::Shared;
@@ -20,14 +20,8 @@
 use std::pin::Pin;
 use std::time::Duration;
 
-/// While no upstream has room it is looked again this often, in ms.
-const LOOK_AGAIN: Millis = 10.0;
-/// A pause of this part of the longest that is in time makes an upstream suspect in the middle of a stream (ours).
-const PAUSE: f64 = 0.6;
 /// The longest pause that is in time where the route does not say, in ms.
 const GAP_AIM: Millis = 500.0;
-/// While an upstream is suspected it is looked this often whether it was found dead, in ms.
-const SUSPECT_LOOK: Millis = 100.0;
 /// A client has so long beyond the request's time to take a piece of a stream, in ms.
 const LAST_PIECE: Millis = 100.0;
 
@@ -105,6 +99,8 @@
     log: RequestLog<'a>,
     /// Of the events that the client was given.
     given: GivenIds,
+    /// When the last piece of a stream was there.
+    last_piece: Millis,
 }
 
 /// Carries the request and answers on `client`; whether that connection can be used on.
@@ -128,6 +124,7 @@
         whole: None,
         log: RequestLog::new(shared, request),
         given: GivenIds::default(),
+        last_piece: request.arrived,
     };
     carried.run().await
 }
@@ -167,6 +164,9 @@
                 }
             }
             Action::NotePace(send) => {
+                if !self.terms.streaming {
+                    self.note_answer_begins(send);
+                }
                 if let Some(attempt) = self.lanes[send].attempt() {
                     attempt.note_pace();
                 }
@@ -175,6 +175,7 @@
                 let patience = self.request.left(self.shared.clock.now()) + LAST_PIECE;
                 let rises = self.given.note(&bytes);
                 check(Invariant::EventsRise, rises, || format!("{} at {:?}", self.request.id, self.given));
+                self.note_piece(send, begins);
                 let head = self.lanes[send].attempt().and_then(Attempt::head).filter(|_| begins);
                 if let Some(head) = head {
                     self.check_is_own(head);
@@ -204,6 +205,25 @@
         None
     }
 
+    /// A piece of a stream goes to the client: its lateness is counted.
+    fn note_piece(&mut self, send: SendId, begins: bool) {
+        let now = self.shared.clock.now();
+        let pause = now - std::mem::replace(&mut self.last_piece, now);
+        if begins {
+            self.note_answer_begins(send);
+        } else if self.request.route.gap_aim_ms.is_some_and(|aim| pause > aim) {
+            self.log.paused(pause);
+        }
+    }
+
+    fn note_answer_begins(&mut self, send: SendId) {
+        if let Some(attempt) = self.lanes[send].attempt() {
+            if let Some(asked) = attempt.asked() {
+                self.log.answer_begins(attempt.identifier(), asked, attempt.is_far());
+            }
+        }
+    }
+
     fn note_over(&mut self, attempt: &Attempt<'_>, ended: Ended) {
         self.tried.push(attempt.place());
         self.log.send_over(attempt.identifier(), ended);
@@ -239,7 +259,7 @@
 
     /// Checks that an upstream's answer that is passed on is one to this request.
     fn check_is_own(&self, head: &Head) {
-        let facts = head_facts(head, &self.request.id);
+        let facts = head_facts(head, &self.request.id, &self.shared.policy);
         let is_own = facts.id == AnswerId::Own && (facts.sealed || !facts.is_success());
         check(Invariant::AnswerIsItsRequests, is_own && !is_promise(facts.status), || {
             format!("{} gets {facts:?}", self.request.id)
@@ -249,7 +269,8 @@
     /// Where it goes next, waiting for room for a while. Counts a send beyond the first against the budget.
     async fn find_place(&self) -> Input {
         let request = self.request;
-        let hold = (request.route.target_latency_ms * HOLD).min(request.left(request.arrived) * HOLD);
+        let hold =
+            (request.route.target_latency_ms).min(request.left(request.arrived)) * self.shared.policy.hold;
         let refuse_at = request.arrived + hold;
         loop {
             let now = self.shared.clock.now();
@@ -261,10 +282,10 @@
                 return if paid { Input::Placed(place) } else { Input::NoBudget };
             }
             let refused = now >= refuse_at && self.exchange.refuses_early();
-            if refused || now + LOOK_AGAIN >= request.deadline {
+            if refused || now + self.shared.policy.look_again_ms >= request.deadline {
                 return Input::NoRoom;
             }
-            sleep(LOOK_AGAIN).await;
+            sleep(self.shared.policy.look_again_ms).await;
         }
     }
 
@@ -309,13 +330,15 @@
         let place = watch.watched.place;
         let healthy = self.shared.balancer.borrow().upstreams.get(place).run.is_healthy();
         if now < watch.silent_at && healthy {
-            watch.look.set_at(self.shared.clock.at(watch.silent_at.min(now + SUSPECT_LOOK)));
+            watch
+                .look
+                .set_at(self.shared.clock.at(watch.silent_at.min(now + self.shared.policy.suspect_look_ms)));
             return None;
         }
         watch.silent_at = now;
-        watch.look.set_at(self.shared.clock.at(now + SUSPECT_LOOK));
+        watch.look.set_at(self.shared.clock.at(now + self.shared.policy.suspect_look_ms));
         self.shared.balancer.borrow_mut().suspect(now, place);
-        if !self.exchange.may_race() {
+        if !self.exchange.may_race() || !self.shared.policy.races {
             return None;
         }
         let mut tried = self.tried.clone();
@@ -344,11 +367,11 @@
         let clock = self.shared.clock;
         let (silent_at, look_at) = if relaying && !relayed {
             // The one that raced it came to nothing: it is silent still.
-            (now, now + SUSPECT_LOOK)
+            (now, now + self.shared.policy.suspect_look_ms)
         } else {
             let silent_at = now + self.patience(relaying, watched.place);
             let healthy = self.shared.balancer.borrow().upstreams.get(watched.place).run.is_healthy();
-            (silent_at, if healthy { silent_at.min(now + SUSPECT_LOOK) } else { now })
+            (silent_at, if healthy { silent_at.min(now + self.shared.policy.suspect_look_ms) } else { now })
         };
         self.watch = Some(Watch { watched, silent_at, look: Timer::at(clock.at(look_at)) });
     }
@@ -367,7 +390,7 @@
 fn longest_pause(shared: &Shared, request: &ProxyRequest, place: usize) -> Millis {
     let aim = request.route.gap_aim_ms.unwrap_or(GAP_AIM);
     let average = shared.balancer.borrow().upstreams.get(place).average.get().unwrap_or(0.0);
-    aim * PAUSE + 2.0 * average
+    aim * shared.policy.pause + 2.0 * average
 }
 
 async fn sleep(time: Millis) {
--- a/crates/sandtrack-proxy/src/exchange.rs
+++ b/crates/sandtrack-proxy/src/exchange.rs
@@ -34,9 +34,10 @@
     Time,
 }
 
-/// The head of the request as it is written to an upstream: unchanged but for what concerns one connection.
+/// The head of the request as it is written to an upstream: unchanged but for what concerns one connection. `urgent`: the
+/// route's priority is told.
 pub fn written_head(
-    request: &ProxyRequest, identifier: &str, left: Millis, last_event: Option<u64>,
+    request: &ProxyRequest, identifier: &str, left: Millis, last_event: Option<u64>, urgent: bool,
 ) -> Vec<u8> {
     const OWN: [&str; 4] = ["deadline-remaining", "expected-instance", "priority", "expect"];
     let own = |name: &str| {
@@ -49,7 +50,7 @@
     let priority = request.route.priority.min(9).to_string();
     let last_event = last_event.map(|id| id.to_string());
     let added = [("Deadline-Remaining", left.as_str()), ("Expected-Instance", identifier)];
-    let urgency = request.prefix.first().map(|_| ("Priority", priority.as_str()));
+    let urgency = request.prefix.first().filter(|_| urgent).map(|_| ("Priority", priority.as_str()));
     let resumed = last_event.as_deref().map(|id| ("Last-Event-Id", id));
     let headers = kept.chain(added).chain(urgency).chain(resumed);
     message::request_head_of(&request.method, &request.target, headers, request.body.len())
--- a/crates/sandtrack-proxy/src/lib.rs
+++ b/crates/sandtrack-proxy/src/lib.rs
@@ -4,7 +4,7 @@
 //! (bounds that hold over all proxies), [`exchange_state`] (one request: where it is sent, and what its client gets),
 //! [`events`] (pieces of a stream), [`session_policy`] (which control node). The rest owns sockets, one task each: [`front`] (clients), [`carry`] (one request) with
 //! [`attempt`] (one send of it) and [`answers`], [`exchange`] and [`pool`] (upstream connections), [`probing`], [`session`]
-//! (the control plane), [`outcomes`] and [`request_log`] (how requests ended), [`figures`], [`program`].
+//! (the control plane), [`outcomes`], [`lateness`] and [`request_log`] (how requests ended), [`figures`], [`program`].
 pub mod answers;
 pub mod attempt;
 pub mod balancer;
@@ -15,8 +15,10 @@
 pub mod exchange_state;
 pub mod figures;
 pub mod front;
+pub mod lateness;
 pub mod outcomes;
 pub mod placement;
+pub mod policy;
 pub mod pool;
 pub mod probing;
 pub mod program;
@@ -27,3 +29,4 @@
 pub mod session_policy;
 pub mod shared;
 pub mod upstreams;
+pub mod zone_outlook;
--- a/crates/sandtrack-proxy/src/outcomes.rs
+++ b/crates/sandtrack-proxy/src/outcomes.rs
@@ -1,5 +1,6 @@
 //! How the requests of a process ended so far: counted all of them. Pure.
 use crate::balancer::Ended;
+use crate::lateness::LateCause;
 use sandtrack_protocol::codes::Code;
 use sandtrack_protocol::metrics::{Kind, MetricsText};
 use sandtrack_tiers::Millis;
@@ -71,6 +72,10 @@
     counts: BTreeMap<Outcome, u64>,
     /// Answers that came after the request's time.
     late: u64,
+    /// Answers that began behind their route's aim, by what took longest.
+    late_first_parts: BTreeMap<LateCause, u64>,
+    /// Pauses within streams that were longer than their route's aim.
+    late_pauses: u64,
     /// Sends to upstreams, by how they ended.
     sends: BTreeMap<&'static str, u64>,
     lines: LineBudget,
@@ -83,6 +88,16 @@
         self.late += u64::from(overtime > LATE);
     }
 
+    /// Counts an answer that began behind its route's aim.
+    pub fn note_late_first_part(&mut self, cause: LateCause) {
+        *self.late_first_parts.entry(cause).or_default() += 1;
+    }
+
+    /// Counts a pause within a stream that was longer than its route's aim.
+    pub fn note_late_pause(&mut self) {
+        self.late_pauses += 1;
+    }
+
     /// Counts a send that is over.
     pub fn note_send(&mut self, ended: Ended) {
         *self.sends.entry(ended.name()).or_default() += 1;
@@ -117,6 +132,13 @@
         for (ended, count) in &self.sends {
             text.figure(SENDS, &[("ended", ended)], count);
         }
+        const FIRST_PARTS: &str = "sandtrack_proxy_late_first_parts_total";
+        text.family(FIRST_PARTS, Kind::Counter, "Answers that began behind their aim by what took longest");
+        for (cause, count) in &self.late_first_parts {
+            text.figure(FIRST_PARTS, &[("cause", cause.name())], count);
+        }
+        let help = "Pauses within streams over their aim";
+        text.single("sandtrack_proxy_late_pauses_total", Kind::Counter, help, self.late_pauses);
         let help = "Requests that ended over 250 ms behind their time";
         text.single("sandtrack_proxy_late_total", Kind::Counter, help, self.late);
     }
--- a/crates/sandtrack-proxy/src/placement.rs
+++ b/crates/sandtrack-proxy/src/placement.rs
@@ -5,30 +5,7 @@
 use crate::request::{mix, ProxyRequest};
 use rand::Rng;
 use sandtrack_tiers::{crowd_limit, ladder, lowest, Millis};
-use std::collections::BTreeSet;
-
-/// A request is offered to an upstream or refused within this part of its aim (RULES.md: a quarter).
-pub const HOLD: f64 = 0.2;
-/// Shared parts of a prompt of this many tokens or more go where they are kept: fewer are read anew in less time than one
-/// request waits for another (ours).
-pub const KEPT_TOKENS: u64 = 1000;
-/// Upstreams of a service that a proxy uses in each region, where there are more: enough for tiers, for a random pick and
-/// for the loss of some; 1,500 proxies are then in 8 x 1,500 / 400 = 30 circles an upstream of a region of 400 (ours).
-const CIRCLE: usize = 8;
-/// Beyond its slots an upstream queues so many times as many again before it is full (ours).
-const QUEUE: f64 = 0.5;
-/// Ways between regions that a request on a new connection takes, and the part of its aim that they may fill (ours).
-const TRIPS: f64 = 3.0;
-const FAR_SHARE: f64 = 0.4;
-/// Weight, as one that keeps long prompts, of an upstream in a region to which more routes are bound than to others (ours).
-const BOUND_WEIGHT: f64 = 0.35;
-/// Own requests at the one that keeps a prompt before the next one is looked at, beyond the mean.
-const HOME_SLACK: f64 = 2.0;
-
-/// Where long prompts have to be read beside requests that are bound to a region, one upstream in so many reads them (ours).
-const READERS: usize = 2;
-/// That is so for this long after the last long prompt, in ms (ours).
-const READING: Millis = 4000.0;
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 /// Where a request goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,14 +48,19 @@
             usable.iter().copied().filter(|place| self.upstreams.get(*place).run.is_healthy()).collect();
         // Where all look bad, the signs are more likely wrong than all of them dead.
         let usable = if healthy.is_empty() { usable } else { healthy };
-        let keeps = request.shared_tokens() >= KEPT_TOKENS;
+        let heard: Vec<usize> =
+            usable.iter().copied().filter(|place| !self.is_in_silent_zone(*place)).collect();
+        let usable = if heard.is_empty() { usable } else { heard };
+        let keeps = request.shared_tokens() >= self.policy.kept_tokens;
         if keeps {
             self.long_prompt_at = Some(now);
         }
-        let circle = if keeps { usable.clone() } else { self.circle(&usable) };
+        let spread = request.shared_tokens() >= self.policy.spread_tokens;
+        let readers = self.readers(now, &request.service);
+        let circle = if keeps || spread { usable.clone() } else { self.circle(&usable, &readers) };
         // Where the circle has no slot free all others are looked at, and only then what queues.
-        for (among, queue) in [(&circle, 0.0), (&usable, 0.0), (&usable, QUEUE)] {
-            if let Some(place) = self.place_among(now, request, among, queue) {
+        for (among, queue) in [(&circle, 0.0), (&usable, 0.0), (&usable, self.policy.queue)] {
+            if let Some(place) = self.place_among(now, request, among, &readers, queue) {
                 return Placed::Send(place);
             }
         }
@@ -88,17 +70,24 @@
     /// Of each region the upstreams that this proxy uses, and probes: with many of them, few connections and probes for
     /// each pair. Drawn by rendezvous hashing, so that each upstream is in as many circles as another, and when one goes
     /// only its place is filled anew.
-    pub fn circle(&self, usable: &[usize]) -> Vec<usize> {
+    ///
+    /// Those that read long prompts (`readers`) come last.
+    pub fn circle(&self, usable: &[usize], readers: &HashSet<usize>) -> Vec<usize> {
         let mut ranked: Vec<usize> = usable.to_vec();
         ranked.sort_unstable_by_key(|place| {
-            std::cmp::Reverse(mix(self.identity ^ self.upstreams.get(*place).hash))
+            let draw = mix(self.identity ^ self.upstreams.get(*place).hash);
+            (readers.contains(place), std::cmp::Reverse(draw))
         });
         let mut taken: Vec<(&str, usize)> = Vec::new();
         let mut circle = Vec::new();
         for place in ranked {
             let region = self.upstreams.get(place).region.as_str();
+            let most = match region == self.region {
+                true => self.policy.circle_near,
+                false => self.policy.circle_far,
+            };
             match taken.iter_mut().find(|(name, _)| *name == region) {
-                Some((_, count)) if *count >= CIRCLE => continue,
+                Some((_, count)) if *count >= most => continue,
                 Some((_, count)) => *count += 1,
                 None => taken.push((region, 1)),
             }
@@ -109,11 +98,11 @@
     }
 
     fn place_among(
-        &mut self, now: Millis, request: &ProxyRequest, among: &[usize], queue: f64,
+        &mut self, now: Millis, request: &ProxyRequest, among: &[usize], readers: &HashSet<usize>, queue: f64,
     ) -> Option<usize> {
         let able: Vec<usize> = among.iter().copied().filter(|place| self.may_start(now, *place)).collect();
         let roomy: Vec<usize> = able.into_iter().filter(|place| self.room(now, *place, queue)).collect();
-        let place = self.draw(now, request, &roomy)?;
+        let place = self.draw(now, request, &roomy, readers)?;
         let upstream = self.upstreams.get_mut(place);
         if upstream.is_cold(now) {
             upstream.cold_sends.note(now);
@@ -133,7 +122,12 @@
 
     fn room(&self, now: Millis, place: usize, queue: f64) -> bool {
         let upstream = self.upstreams.get(place);
-        upstream.load(now) + 1.0 <= upstream.slots() * (1.0 + queue)
+        self.load(now, place) + 1.0 <= upstream.slots() * (1.0 + queue)
+    }
+
+    /// Requests at the upstream, as far as is known.
+    fn load(&self, now: Millis, place: usize) -> f64 {
+        self.upstreams.get(place).load(now, self.policy.load_memory_ms)
     }
 
     /// Regions by how many routes to the service are bound to them: what others can't leave is kept free of what can.
@@ -152,17 +146,17 @@
             let same = |other: &usize| self.upstreams.get(*other).region == upstream.region;
             self.upstreams.listed().filter(same).find_map(|other| self.upstreams.get(other).average.get())
         };
-        let way = upstream.average.get().or_else(alike).map(|average| average * TRIPS);
+        let way = upstream.average.get().or_else(alike).map(|average| average * self.policy.trips);
         upstream.region == self.region
-            || way.is_some_and(|way| way <= request.route.target_latency_ms * FAR_SHARE)
+            || way.is_some_and(|way| way <= request.route.target_latency_ms * self.policy.far_share)
     }
 
     /// The upstreams that read long prompts where no region is free of requests that are bound to it: a long prompt is read
     /// in pieces between the tokens of others, so that spread over all it would hold up every stream of the region. The
     /// same for all proxies, but for what they believe dead. Empty where a region is free, or there are no long prompts.
-    fn readers(&self, now: Millis, service: &str) -> Vec<usize> {
-        if self.long_prompt_at.is_none_or(|at| now - at > READING) {
-            return Vec::new();
+    pub(crate) fn readers(&self, now: Millis, service: &str) -> HashSet<usize> {
+        if self.long_prompt_at.is_none_or(|at| now - at > self.policy.reading_ms) {
+            return HashSet::new();
         }
         let serving = |place: &usize| {
             let upstream = self.upstreams.get(*place);
@@ -173,25 +167,42 @@
         };
         let mut serving: Vec<usize> = self.upstreams.listed().filter(serving).collect();
         let region = |place: &usize| self.upstreams.get(*place).region.as_str();
+        serving.sort_unstable_by_key(|place| std::cmp::Reverse(self.upstreams.get(*place).hash));
+        if self.policy.reader_share > 0.0 {
+            let mut counts: HashMap<&str, usize> = HashMap::new();
+            serving.iter().for_each(|place| *counts.entry(region(place)).or_default() += 1);
+            let mut left: HashMap<&str, usize> = counts
+                .into_iter()
+                .map(|(region, count)| (region, (count as f64 * self.policy.reader_share).round() as usize))
+                .collect();
+            serving.retain(|place| match left.get_mut(region(place)) {
+                Some(left) if *left > 0 => {
+                    *left -= 1;
+                    true
+                }
+                _ => false,
+            });
+            return serving.into_iter().collect();
+        }
         let regions: BTreeSet<&str> = serving.iter().map(region).collect();
         let bounds: Vec<(&str, usize)> =
             regions.into_iter().map(|region| (region, self.bound(service, region))).collect();
         let least = bounds.iter().map(|(_, bound)| *bound).min().unwrap_or(0);
         if least == 0 {
-            return Vec::new();
+            return HashSet::new();
         }
         serving.retain(|place| bounds.contains(&(region(place), least)));
-        serving.sort_unstable_by_key(|place| std::cmp::Reverse(self.upstreams.get(*place).hash));
-        serving.truncate(serving.len() / READERS);
-        serving
+        serving.truncate(serving.len() / self.policy.readers.max(1));
+        serving.into_iter().collect()
     }
 
-    fn draw(&mut self, now: Millis, request: &ProxyRequest, able: &[usize]) -> Option<usize> {
+    fn draw(
+        &mut self, now: Millis, request: &ProxyRequest, able: &[usize], readers: &HashSet<usize>,
+    ) -> Option<usize> {
         if able.is_empty() {
             return None;
         }
-        let readers = self.readers(now, &request.service);
-        let long = request.shared_tokens() >= KEPT_TOKENS;
+        let long = request.shared_tokens() >= self.policy.kept_tokens;
         let apart: Vec<usize> =
             able.iter().copied().filter(|place| readers.contains(place) == long).collect();
         let able = if readers.is_empty() || apart.is_empty() { able } else { &apart };
@@ -199,29 +210,35 @@
             return self.draw_keeper(now, request, able);
         }
         let region = self.region.clone();
-        let upstreams = &self.upstreams;
+        let (upstreams, policy) = (&self.upstreams, &self.policy);
         let rank = |place: usize| {
             let upstream = upstreams.get(place);
-            (upstream.region != region, upstream.average.get().map(|_| upstream.membership.tier))
+            let tier = upstream.average.get().map(|_| upstream.membership.tier);
+            (upstream.region != region, tier.filter(|_| policy.tiers))
+        };
+        let load = |place: usize| upstreams.get(place).load(now, policy.load_memory_ms);
+        let limit = match policy.skip {
+            true => crowd_limit(able.iter().map(|place| load(*place) as usize)),
+            false => f64::INFINITY,
         };
-        let load = |place: usize| upstreams.get(place).load(now);
-        let limit = crowd_limit(able.iter().map(|place| load(*place) as usize));
         let tiers = ladder(able.iter().copied(), rank);
+        let spread = (request.shared_tokens() >= policy.spread_tokens).then(|| request.shared_key());
         lowest(&mut self.rng, &tiers, |members| {
             let near: Vec<usize> = members.iter().copied().filter(|place| load(*place) < limit).collect();
-            if near.is_empty() {
-                members.to_vec()
-            } else {
-                near
+            let mut near = if near.is_empty() { members.to_vec() } else { near };
+            if let Some(key) = spread {
+                near.sort_unstable_by_key(|place| std::cmp::Reverse(mix(key ^ upstreams.get(*place).hash)));
+                near.truncate(policy.spread);
             }
+            near
         })
     }
 
     /// The departure for long shared parts: the same upstream for all proxies, wherever it is, found by rendezvous
     /// hashing; the next one where that is far above the mean. Reading such a part once more costs ten times what the
     /// request costs on its way to another region.
-    fn draw_keeper(&self, now: Millis, request: &ProxyRequest, able: &[usize]) -> Option<usize> {
-        let load = |place: usize| self.upstreams.get(place).load(now);
+    fn draw_keeper(&mut self, now: Millis, request: &ProxyRequest, able: &[usize]) -> Option<usize> {
+        let load = |place: usize| self.load(now, place);
         let near: Vec<usize> =
             able.iter().copied().filter(|place| self.near_enough(request, *place)).collect();
         let able = if near.is_empty() { able } else { &near };
@@ -229,17 +246,36 @@
         let least = able.iter().map(|place| bound(*place)).min()?;
         let key = request.shared_key();
         // Weighted rendezvous hashing: a share of the draws in proportion to the weight, and few move when one goes.
-        let weight = |place: usize| if bound(place) == least { 1.0 } else { BOUND_WEIGHT };
-        let rank = |place: usize| {
+        let weight = |place: usize| if bound(place) == least { 1.0 } else { self.policy.bound_weight };
+        let rank = |key: u64, place: usize| {
             let draw = (mix(key ^ self.upstreams.get(place).hash) >> 11) as f64 / (1u64 << 53) as f64;
             -(draw.max(f64::MIN_POSITIVE)).ln() / weight(place)
         };
-        let mut keepers: Vec<(f64, usize)> = able.iter().map(|place| (rank(*place), *place)).collect();
-        keepers.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
-        let keepers: Vec<usize> = keepers.into_iter().map(|(_, place)| place).collect();
+        let ranked = |key: u64, places: &[usize]| {
+            let mut ranked: Vec<(f64, usize)> =
+                places.iter().map(|place| (rank(key, *place), *place)).collect();
+            ranked.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+            ranked.into_iter().map(|(_, place)| place).collect::<Vec<usize>>()
+        };
+        let keepers = if self.policy.first_part_share < 1.0 {
+            let by_first_part = ranked(request.first_part_key(), able);
+            let share = (able.len() as f64 * self.policy.first_part_share).ceil() as usize;
+            let (own, others) = by_first_part.split_at(share.clamp(1, able.len()));
+            [ranked(key, own), others.to_vec()].concat()
+        } else {
+            ranked(key, able)
+        };
         let mean = keepers.iter().map(|place| load(*place)).sum::<f64>() / keepers.len() as f64;
-        let keeper = keepers.iter().position(|place| load(*place) <= mean * 1.5 + HOME_SLACK).unwrap_or(0);
-        keepers.get(keeper).copied()
+        let limit = mean * self.policy.keeper_factor + self.policy.keeper_slack;
+        let mut roomy: Vec<usize> = keepers.iter().copied().filter(|place| load(*place) <= limit).collect();
+        if roomy.is_empty() {
+            return keepers.first().copied();
+        }
+        roomy.truncate(self.policy.keepers.max(1));
+        let least = roomy.iter().map(|place| load(*place)).fold(f64::INFINITY, f64::min);
+        let least: Vec<usize> = roomy.iter().copied().filter(|place| load(*place) <= least).collect();
+        let drawn = if least.len() > 1 { self.rng.gen_range(0..least.len()) } else { 0 };
+        least.get(drawn).copied()
     }
 
     /// Draws a number from 0 to 1.
--- a/crates/sandtrack-proxy/src/pool.rs
+++ b/crates/sandtrack-proxy/src/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to upstreams that stand idle, and how many are open. It owns idle sockets; one that is handed out belongs to
 //! the exchange until it is given back or dropped.
 use crate::exchange_state::may_use_idle;
+use crate::policy::Policy;
 use async_io::{Async, Timer};
 use futures_lite::future;
 use sandtrack_core::message::Head;
@@ -15,11 +16,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// An idle connection is used again within this time, in ms, unless its upstream names a shorter one (ours): longer than two
-/// probes are apart.
-const IDLE_MOST: Millis = 12_000.0;
-/// It is not used in the last part of the time that its upstream named, in ms: the close may be on its way.
-const IDLE_MARGIN: Millis = 700.0;
 /// Responses' heads may be this long, in bytes.
 const HEAD_MAX: usize = 12 * 1024;
 
@@ -54,12 +50,18 @@
 }
 
 /// Keyed by identifier and not by address: an address may be another service's by now.
-#[derive(Default)]
 pub struct Pool {
+    policy: Rc<Policy>,
     upstreams: HashMap<String, Upstream>,
 }
 
 impl Pool {
+    /// One without connections.
+    #[must_use]
+    pub fn new(policy: Rc<Policy>) -> Pool {
+        Pool { policy, upstreams: HashMap::new() }
+    }
+
     /// An idle connection that is quiet: nothing came on it, and it is not closed. The youngest first.
     pub fn take(&mut self, identifier: &str, now: Millis) -> Option<Connection> {
         let upstream = self.upstreams.get_mut(identifier)?;
@@ -93,7 +95,7 @@
 
     /// Takes a connection back after a whole answer with this head.
     pub fn give(&mut self, identifier: &str, mut connection: Connection, head: &Head, now: Millis) {
-        let Some(most) = kept_for(head) else { return };
+        let Some(most) = kept_for(head, &self.policy) else { return };
         // Bytes behind a whole answer belong to no request.
         if connection.input.is_empty() {
             let is_quiet = !connection.parser.within(&connection.input);
@@ -114,13 +116,15 @@
 }
 
 /// How long a connection may stand idle behind an answer with this head, in ms; `None` where it is to be closed.
-pub fn kept_for(head: &Head) -> Option<Millis> {
+pub fn kept_for(head: &Head, policy: &Policy) -> Option<Millis> {
     let mut told = head.headers.all("keep-alive").flat_map(|value| value.split(','));
     let told = told.find_map(|part| {
         let seconds = part.trim().strip_prefix("timeout=")?;
         seconds.trim().parse::<f64>().ok()
     });
-    let most = told.map_or(IDLE_MOST, |seconds| (seconds * 1000.0 - IDLE_MARGIN).min(IDLE_MOST));
+    let most = told.map_or(policy.idle_most_ms, |seconds| {
+        (seconds * 1000.0 - policy.idle_margin_ms).min(policy.idle_most_ms)
+    });
     (head.keep_alive && most > 0.0).then_some(most)
 }
 
--- a/crates/sandtrack-proxy/src/probing.rs
+++ b/crates/sandtrack-proxy/src/probing.rs
@@ -1,5 +1,4 @@
 //! Health probes: asks upstreams that are due, each in a task of its own.
-use crate::balancer::SUSPECT_EVERY;
 use crate::pool::connect;
 use crate::shared::Shared;
 use crate::upstreams::Load;
@@ -14,9 +13,6 @@
 
 /// How often it is looked which upstreams are due.
 const TICK: Duration = Duration::from_millis(50);
-/// A probe that takes longer has failed, in ms, besides three times the upstream's average: far above what a healthy one
-/// takes, and two fit in a second (ours).
-const PATIENCE: f64 = SUSPECT_EVERY + 100.0;
 
 /// Probes for the life of the process.
 pub async fn run(shared: Rc<Shared>) {
@@ -39,7 +35,7 @@
         (upstream.entry.identifier.clone(), upstream.average.get().unwrap_or(0.0))
     };
     let began = shared.clock.now();
-    let patience = PATIENCE + 3.0 * average;
+    let patience = shared.policy.probe_patience_ms + 3.0 * average;
     let late = async {
         Timer::after(Duration::from_secs_f64(patience / 1000.0)).await;
         None
@@ -54,7 +50,9 @@
     let idle = shared.pool.borrow_mut().take(identifier, shared.clock.now());
     let mut connection = match idle {
         Some(connection) => connection,
-        None => connect(&shared.pool, identifier, address, PATIENCE * 3.0).await.ok()?,
+        None => {
+            connect(&shared.pool, identifier, address, shared.policy.probe_patience_ms * 3.0).await.ok()?
+        }
     };
     let host = [("Host", address)].into_iter();
     let bytes = message::request("GET", path, host, b"");
@@ -63,7 +61,7 @@
     if !output.push(&bytes) || !write_within(&connection.stream, &mut output, Duration::from_secs(1)).await {
         return None;
     }
-    let until = asked + PATIENCE * 4.0;
+    let until = asked + shared.policy.probe_patience_ms * 4.0;
     let mut head = None;
     loop {
         match crate::exchange::next(&mut connection, shared.clock, until).await {
--- a/crates/sandtrack-proxy/src/program.rs
+++ b/crates/sandtrack-proxy/src/program.rs
@@ -1,5 +1,6 @@
 //! The proxy's process: settings, listeners, signals, and the tasks that share one thread.
 use crate::balancer::Balancer;
+use crate::policy::Policy;
 use crate::shared::Shared;
 use crate::{figures, front, probing, session};
 use async_executor::LocalExecutor;
@@ -38,13 +39,28 @@
 struct Options {
     check: bool,
     log_level: String,
+    policy: Policy,
 }
 
 fn options() -> OptionParser<Options> {
     let check = long("check").help("Read and check the settings, and end").switch();
     let log_level = long("log-level").help("error, warn, info or debug").argument("LEVEL");
     let log_level = log_level.fallback("info".to_owned());
-    construct!(Options { check, log_level }).to_options().descr("The data plane of sandtrack")
+    let policy = policy();
+    construct!(Options { check, log_level, policy }).to_options().descr("The data plane of sandtrack")
+}
+
+/// The constants that decisions go by: in a release build always the default.
+#[cfg(not(feature = "ablation"))]
+fn policy() -> impl Parser<Policy> {
+    bpaf::pure(Policy::default())
+}
+
+/// The constants that decisions go by, some of them set anew.
+#[cfg(feature = "ablation")]
+fn policy() -> impl Parser<Policy> {
+    let policy = long("policy").help("Constants set anew: NAME=VALUE,...").argument::<String>("CHANGES");
+    policy.parse(|changes| Policy::with(&changes)).fallback(Policy::default())
 }
 
 /// The program; gives its exit code: 0 after SIGTERM, 1 when it can't listen, 2 when its settings are wrong.
@@ -71,7 +87,7 @@
         }
     };
     let executor = Rc::new(LocalExecutor::new());
-    let serving = serve(settings, path, signals, executor.clone());
+    let serving = serve(settings, options.policy, path, signals, executor.clone());
     match async_io::block_on(executor.run(serving)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -135,7 +151,8 @@
 }
 
 async fn serve(
-    settings: Settings, path: PathBuf, mut signals: Signals, executor: Rc<LocalExecutor<'static>>,
+    settings: Settings, policy: Policy, path: PathBuf, mut signals: Signals,
+    executor: Rc<LocalExecutor<'static>>,
 ) -> std::io::Result<()> {
     let seed = RandomState::new().build_hasher().finish();
     let (leave, left) = async_channel::bounded::<()>(1);
@@ -144,7 +161,7 @@
     let listener = bind(&settings, "front")?;
     let checks = bind(&settings, "readiness")?;
     let scraped = metrics_listener(&settings);
-    let balancer = Balancer::new(&settings, seed);
+    let balancer = Balancer::with_policy(&settings, seed, Rc::new(policy));
     let shared = Rc::new(Shared::new(settings, balancer, executor.clone(), seed, left));
     if let Some(listener) = listener {
         let serving = shared.clone();
--- a/crates/sandtrack-proxy/src/request_log.rs
+++ b/crates/sandtrack-proxy/src/request_log.rs
@@ -1,6 +1,7 @@
 //! One request in the log: told where its client did not get an upstream's good answer, with every upstream that it was at.
 //! Lines are bounded, so that an overload is not made worse by its log.
 use crate::balancer::Ended;
+use crate::lateness::Timeline;
 use crate::outcomes::Outcome;
 use crate::request::ProxyRequest;
 use crate::shared::Shared;
@@ -45,6 +46,48 @@
         }
     }
 
+    /// The first part of its answer is there, of a send that was begun to be written at `asked` to an upstream in another region
+    /// (`far`).
+    pub fn answer_begins(&mut self, identifier: &str, asked: Millis, far: bool) {
+        let now = self.shared.clock.now();
+        let request = self.request;
+        if now - request.arrived <= request.route.target_latency_ms {
+            return;
+        }
+        let begun = |send: &Send| send.begun;
+        let timeline = Timeline {
+            arrived: request.arrived,
+            first_send: self.sends.first().map_or(asked, begun),
+            send: self.sends.iter().rev().find(|send| send.identifier == identifier).map_or(asked, begun),
+            asked,
+            answered: now,
+            far,
+        };
+        let cause = timeline.cause();
+        let mut outcomes = self.shared.outcomes.borrow_mut();
+        outcomes.note_late_first_part(cause);
+        if let Some(left_out) = outcomes.take_line(now) {
+            let mut line = self.ways();
+            let counts = request.tokens.map_or(0, |(prompt, _)| prompt);
+            let shared = request.shared_tokens();
+            // Writing into memory can't fail.
+            let _ = write!(line, "; prompt of {counts} tokens, {shared} of them shared");
+            let what = format!("begins late by {}", cause.name());
+            log::info!("{}{}", self.line(&what, now, &line), left_out_before(left_out));
+        }
+    }
+
+    /// Its stream paused for longer than its route's aim.
+    pub fn paused(&mut self, pause: Millis) {
+        let now = self.shared.clock.now();
+        let mut outcomes = self.shared.outcomes.borrow_mut();
+        outcomes.note_late_pause();
+        if let Some(left_out) = outcomes.take_line(now) {
+            let what = format!("paused for {pause:.0} ms");
+            log::info!("{}{}", self.line(&what, now, &self.ways()), left_out_before(left_out));
+        }
+    }
+
     /// It ended.
     pub fn over(&mut self, outcome: Outcome) {
         if std::mem::replace(&mut self.is_over, true) {
@@ -57,19 +100,26 @@
             return;
         }
         if let Some(left_out) = outcomes.take_line(now) {
-            log::info!("{}", self.line(outcome, now, left_out));
+            let line = self.line(&outcome.to_string(), now, &self.ways());
+            log::info!("{line}{}", left_out_before(left_out));
         }
     }
 
-    fn line(&self, outcome: Outcome, now: Millis, left_out: u64) -> String {
+    fn line(&self, what: &str, now: Millis, ways: &str) -> String {
         let request = self.request;
-        let mut line = format!(
-            "request {} on {}: {outcome} after {:.0} of {:.0} ms",
+        format!(
+            "request {} on {}: {what} after {:.0} of {:.0} ms{ways}",
             request.id,
             request.route.name,
             now - request.arrived,
             request.deadline - request.arrived,
-        );
+        )
+    }
+
+    /// The upstreams that it was at.
+    fn ways(&self) -> String {
+        let request = self.request;
+        let mut line = String::new();
         for Send { identifier, begun, ended } in &self.sends {
             // Writing into memory can't fail.
             let _ = write!(line, "; at {identifier} from {:.0}", begun - request.arrived);
@@ -78,7 +128,7 @@
                 None => write!(line, " to the end"),
             };
         }
-        line + &left_out_before(left_out)
+        line
     }
 }
 
--- a/crates/sandtrack-proxy/src/shared.rs
+++ b/crates/sandtrack-proxy/src/shared.rs
@@ -1,6 +1,7 @@
 //! What the tasks of a proxy share.
 use crate::balancer::Balancer;
 use crate::outcomes::Outcomes;
+use crate::policy::Policy;
 use crate::pool::Pool;
 use async_executor::LocalExecutor;
 use sandtrack_net::byte_budget::ByteBudget;
@@ -28,6 +29,8 @@
 }
 
 pub struct Shared {
+    /// The constants that decisions go by.
+    pub policy: Rc<Policy>,
     pub settings: RefCell<Settings>,
     pub balancer: RefCell<Balancer>,
     pub pool: RefCell<Pool>,
@@ -53,11 +56,13 @@
     ) -> Shared {
         let (news_sender, news) = async_channel::bounded(1);
         let memory = Memory::of(&settings);
+        let policy = balancer.policy.clone();
         Shared {
             memory,
             settings: RefCell::new(settings),
             balancer: RefCell::new(balancer),
-            pool: RefCell::new(Pool::default()),
+            pool: RefCell::new(Pool::new(policy.clone())),
+            policy,
             outcomes: RefCell::default(),
             clock: Clock::start(),
             executor,
--- a/crates/sandtrack-proxy/src/upstreams.rs
+++ b/crates/sandtrack-proxy/src/upstreams.rs
@@ -6,10 +6,6 @@
 use sandtrack_tiers::{FailureRun, Member, Membership, Millis, Smoothed};
 use std::collections::HashMap;
 
-/// A load told by an upstream counts for less with age: after so many ms the part that is not this proxy's own is down
-/// to a third (ours).
-pub const LOAD_MEMORY: Millis = 400.0;
-
 /// `Server-Load`: running and waiting requests and slots, of all callers.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
@@ -47,6 +43,10 @@
     /// It turned a request away, or failed at once: not before this time again.
     pub rests_until: Millis,
     pub cold_sends: Window,
+    /// When bytes of an answer to this proxy came last.
+    pub heard_at: Millis,
+    /// Probes that failed in a row.
+    pub failed_probes: u32,
     pub next_probe: Millis,
     pub probing: bool,
 }
@@ -69,6 +69,8 @@
             told_at: now,
             rests_until: 0.0,
             cold_sends: Window::default(),
+            heard_at: f64::NEG_INFINITY,
+            failed_probes: 0,
             next_probe: now,
             probing: false,
         };
@@ -93,9 +95,10 @@
         now < self.cold_until
     }
 
-    /// Requests at it, as far as is known: own ones, and what is left of the load that it told of.
-    pub fn load(&self, now: Millis) -> f64 {
-        self.own as f64 + self.others * (-(now - self.told_at) / LOAD_MEMORY).exp()
+    /// Requests at it, as far as is known: own ones, and what is left of the load that it told of; of that a third is left
+    /// after `memory` ms.
+    pub fn load(&self, now: Millis, memory: Millis) -> f64 {
+        self.own as f64 + self.others * (-(now - self.told_at) / memory).exp()
     }
 
     pub fn slots(&self) -> f64 {
--- a/crates/sandtrack-proxy/tests/kept_connections.rs
+++ b/crates/sandtrack-proxy/tests/kept_connections.rs
@@ -5,6 +5,7 @@
 use sandtrack_proxy::exchange_state::{
     may_use_idle, Action, AnswerId, Broke, Exchange, Final, HeadFacts, Input, SendEvent, Terms,
 };
+use sandtrack_proxy::policy::Policy;
 use sandtrack_proxy::pool::kept_for;
 
 const READ_ONLY: Terms = Terms { idempotent: true, streaming: false, attempts: 2 };
@@ -18,7 +19,7 @@
 }
 
 fn own_head() -> HeadFacts {
-    head_facts(&head(200, true, &[("Request-Id", "r1"), ("Server-Seal", "s")]), "r1")
+    head_facts(&head(200, true, &[("Request-Id", "r1"), ("Server-Seal", "s")]), "r1", &Policy::default())
 }
 
 /// The exchange was placed, and its request is written on a connection.
@@ -42,7 +43,7 @@
         head(503, true, &[("Not-Executed", "1")]),
     ]
     .iter()
-    .map(|head| head_facts(head, "r2"))
+    .map(|head| head_facts(head, "r2", &Policy::default()))
     .collect()
 }
 
@@ -109,7 +110,8 @@
 
 #[test]
 fn a_connection_is_kept_for_less_than_its_upstream_keeps_it() {
-    let kept = |keep_alive, headers: &[(&str, &str)]| kept_for(&head(200, keep_alive, headers));
+    let kept =
+        |keep_alive, headers: &[(&str, &str)]| kept_for(&head(200, keep_alive, headers), &Policy::default());
     assert_eq!(kept(true, &[("Keep-Alive", "timeout=5, max=100")]), Some(4300.0));
     assert_eq!(kept(true, &[("Keep-Alive", "timeout=60")]), Some(12_000.0));
     assert_eq!(kept(true, &[]), Some(12_000.0));
@@ -119,7 +121,7 @@
 
 #[test]
 fn an_answers_id_tells_whose_it_is() {
-    let id = |headers: &[(&str, &str)]| head_facts(&head(200, true, headers), "r2").id;
+    let id = |headers: &[(&str, &str)]| head_facts(&head(200, true, headers), "r2", &Policy::default()).id;
     assert_eq!(id(&[("Request-Id", "r2")]), AnswerId::Own);
     assert_eq!(id(&[("Request-Id", "r1")]), AnswerId::Other);
     assert_eq!(id(&[("Request-Id", "r22")]), AnswerId::Other);
