--- a/crates/sandtrack-days/src/main.rs
+++ b/crates/sandtrack-days/src/main.rs
@@ -7,6 +7,7 @@
 
 use bpaf::Bpaf;
 use sandtrack_days::draw;
+use sandtrack_days::informed::{informed, Earned};
 use sandtrack_days::site::Site;
 
 #[derive(Debug, Clone, Bpaf)]
@@ -22,6 +23,19 @@
         #[bpaf(argument("SITE.toml"))]
         site: PathBuf,
     },
+    /// Work out what an informed scheduler could have earned on the days of a site file
+    #[bpaf(command)]
+    Informed {
+        /// The site file
+        #[bpaf(argument("SITE.toml"))]
+        site: PathBuf,
+        /// Names of days, joined by commas
+        #[bpaf(argument("DAYS"))]
+        days: String,
+        /// The seed
+        #[bpaf(argument("N"), fallback(1))]
+        seed: u64,
+    },
     /// Read the report and the log lines of a day that was played
     #[bpaf(command)]
     Read {
@@ -40,6 +54,7 @@
 fn main() -> ExitCode {
     let done = match command().run() {
         Command::Draw { seed, site } => draw_one(seed, &site),
+        Command::Informed { site, days, seed } => tell_informed(&site, &days, seed),
         Command::Read { report, log } => hunt::read(&report, &log),
         Command::Hunt(hunt) => hunt.run(),
     };
@@ -57,3 +72,16 @@
     print!("{}", draw::day(seed, &site));
     Ok(())
 }
+
+fn tell_informed(site: &PathBuf, days: &str, seed: u64) -> Result<(), Box<dyn std::error::Error>> {
+    let site = std::fs::read_to_string(site)?;
+    for day in days.split(',') {
+        let earned = informed(&site, day, seed)?;
+        let Earned { whole_day, worst_windows, worst_class, owed, .. } = &earned;
+        println!("{day}: whole day {whole_day:.3}, worst windows {worst_windows:.3}, worst class {worst_class:.3}, owed {owed:.0}");
+        for (class, share) in &earned.classes {
+            println!("  {class} {share:.3}");
+        }
+    }
+    Ok(())
+}
--- a/crates/sandtrack-proxy/src/attempt.rs
+++ b/crates/sandtrack-proxy/src/attempt.rs
@@ -206,6 +206,8 @@
         match connect(&shared.pool, identifier, &self.upstream.address, patience).await {
             Ok(connection) => {
                 self.connection = Some(connection);
+                let elapsed = clock.now() - now;
+                shared.balancer.borrow_mut().note_trip(self.reported.place, elapsed);
                 SendEvent::Connected { reused: false }
             }
             Err(error) => {
@@ -245,6 +247,11 @@
             if matches!(waited, Waited::Part(_)) {
                 self.shared.balancer.borrow_mut().heard(self.shared.clock.now(), self.reported.place);
             }
+            let is_wordless = connection.reused && self.head.is_none();
+            if is_wordless && matches!(waited, Waited::Broke(Broke::Connection)) {
+                let now = self.shared.clock.now();
+                self.shared.balancer.borrow_mut().idle_connection_broke(now, self.reported.place);
+            }
             match waited {
                 Waited::Broke(broke) => return SendEvent::Broke(broke),
                 Waited::Time => return SendEvent::TimeOver,
--- a/crates/sandtrack-proxy/src/balancer.rs
+++ b/crates/sandtrack-proxy/src/balancer.rs
@@ -1,7 +1,11 @@
 //! The balancer: what a proxy knows, folded from what the control plane, its probes and its sends tell. Decisions on it are
 //! in `placement`. Pure: time comes in, nothing is read or written here.
+mod probes;
+
 use crate::budget::{share, RetryBudget};
+use crate::pace::Pace;
 use crate::policy::Policy;
+use crate::prompt_mix::PromptMix;
 use crate::request::{hash, mix, ProxyRequest};
 use crate::upstreams::{Load, Table};
 use crate::zone_outlook::ZoneOutlook;
@@ -12,7 +16,7 @@
 use sandtrack_protocol::document::Document;
 use sandtrack_protocol::frames::{ProxyState, ToProxy};
 use sandtrack_protocol::settings::{Bounds, Settings};
-use sandtrack_tiers::{next_probe, Millis, Tiers};
+use sandtrack_tiers::{Millis, Smoothed, Tiers};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
@@ -25,35 +29,6 @@
 const USUAL: f64 = 16.0;
 const CONNECTIONS_USED: f64 = 0.9;
 
-/// What the first part of an answer takes: a mean and a mean deviation, as TCP keeps of round trips (RFC 6298).
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Pace {
-    mean: Millis,
-    deviation: Millis,
-    count: u32,
-}
-
-impl Pace {
-    pub fn add(&mut self, elapsed: Millis) {
-        if self.count == 0 {
-            (self.mean, self.deviation) = (elapsed, elapsed / 2.0);
-        } else {
-            self.deviation += ((self.mean - elapsed).abs() - self.deviation) / 16.0;
-            self.mean += (elapsed - self.mean) / 32.0;
-        }
-        self.count = self.count.saturating_add(1);
-    }
-
-    /// When an answer is overdue, for one that is to be there within `aim` ms.
-    pub fn patience(&self, aim: Millis, policy: &Policy) -> Millis {
-        let most = (aim * policy.patience_most).max(policy.patience_least_ms);
-        if self.count == 0 {
-            return most;
-        }
-        (self.mean + policy.deviations * self.deviation).clamp(policy.patience_least_ms, most)
-    }
-}
-
 /// How a send ended, as far as the upstream is judged by it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ended {
@@ -112,7 +87,15 @@
     pub control_nodes: Vec<String>,
     tiers: HashMap<String, Tiers>,
     retries: HashMap<String, RetryBudget>,
+    /// By service.
+    pub(crate) prompts: HashMap<String, PromptMix>,
     zones: ZoneOutlook,
+    /// Until when idle connections to a service's upstreams are not trusted, by service.
+    idle_distrusted_until: HashMap<String, Millis>,
+    /// Time of a way to each region and back, of probes and of connections that came up.
+    pub(crate) region_trips: HashMap<String, Smoothed>,
+    /// When a request went by the circle to another region, by service and region.
+    pub(crate) far_used: HashMap<(String, String), Millis>,
     /// By route, and whether the upstream is in another region.
     paces: HashMap<(String, bool), Pace>,
     /// When a request with a long prompt was placed last.
@@ -153,7 +136,11 @@
             control_nodes: Vec::new(),
             tiers: HashMap::new(),
             retries: HashMap::new(),
+            prompts: HashMap::new(),
             zones: ZoneOutlook::default(),
+            idle_distrusted_until: HashMap::new(),
+            region_trips: HashMap::new(),
+            far_used: HashMap::new(),
             paces: HashMap::new(),
             long_prompt_at: None,
             rng: Pcg32::seed_from_u64(seed),
@@ -274,7 +261,10 @@
         let span = self.bounds.retry_window_s * 1000.0;
         self.retries
             .retain(|name, budget| configuration.service(name).is_some() || budget.is_used(now, span));
+        self.idle_distrusted_until.retain(|name, _| configuration.service(name).is_some());
+        self.far_used.retain(|(name, _), _| configuration.service(name).is_some());
         self.tiers.retain(|name, _| configuration.service(name).is_some());
+        self.prompts.retain(|name, _| configuration.service(name).is_some());
     }
 
     /// Among how many proxies a bound over all is shared, as far as this one may rely on it.
@@ -316,6 +306,19 @@
     pub fn came(&mut self, now: Millis, request: &ProxyRequest) {
         let span = self.bounds.retry_window_s * 1000.0;
         self.retries.entry(request.service.clone()).or_default().request(now, span);
+        self.note_prompt(now, request);
+    }
+
+    fn note_prompt(&mut self, now: Millis, request: &ProxyRequest) {
+        let Some((prompt, _)) = request.tokens else { return };
+        let homes = &request.route.home_regions;
+        let mix = self.prompts.entry(request.service.clone()).or_default();
+        if request.shared_tokens() >= self.policy.kept_tokens {
+            let own = prompt.saturating_sub(request.shared_tokens()) as f64;
+            mix.long_prompt(now, own);
+        } else {
+            mix.other_request(now, homes, prompt as f64);
+        }
     }
 
     /// Whether the shared budget has one more send beyond the first; it is counted if so.
@@ -365,6 +368,12 @@
         self.zones.heard(&upstream.entry.zone);
     }
 
+    /// A way to the upstream and back took `elapsed` ms.
+    pub fn note_trip(&mut self, place: usize, elapsed: Millis) {
+        let region = &self.upstreams.get(place).region;
+        self.region_trips.entry(region.clone()).or_default().sample(elapsed);
+    }
+
     /// An upstream failed. Once its zone looks lost, those in use there are asked at once.
     fn note_failure(&mut self, now: Millis, place: usize) {
         let entry = &self.upstreams.get(place).entry;
@@ -390,7 +399,17 @@
     /// Whether it was heard so lately that an idle connection to it will do for what may run only once.
     pub fn is_proven_alive(&self, now: Millis, place: usize) -> bool {
         let upstream = self.upstreams.get(place);
-        upstream.run.is_empty() && now - upstream.heard_at <= self.policy.proven_alive_ms
+        let distrusted = self.idle_distrusted_until.get(&upstream.entry.service);
+        upstream.run.is_empty()
+            && now - upstream.heard_at <= self.policy.proven_alive_ms
+            && distrusted.is_none_or(|until| now >= *until)
+    }
+
+    /// An idle connection to the upstream broke without a word when it was used again: those of its service are not trusted
+    /// with what may run only once for a while.
+    pub fn idle_connection_broke(&mut self, now: Millis, place: usize) {
+        let service = self.upstreams.get(place).entry.service.clone();
+        self.idle_distrusted_until.insert(service, now + self.policy.idle_distrust_ms);
     }
 
     /// An answer said how loaded its upstream is, or how long it stays cold.
@@ -416,79 +435,4 @@
         let pace = self.paces.get(&(request.route.name.clone(), far)).copied().unwrap_or_default();
         pace.patience(request.route.target_latency_ms, &self.policy)
     }
-
-    /// Something at an upstream takes too long: it is probed at once.
-    pub fn suspect(&mut self, now: Millis, place: usize) {
-        let upstream = self.upstreams.get_mut(place);
-        upstream.next_probe = upstream.next_probe.min(now);
-    }
-
-    /// Upstreams to be probed now, with the path to ask; each is taken for being probed.
-    pub fn probes_due(&mut self, now: Millis) -> Vec<(usize, String, String)> {
-        let Some(configuration) = self.configuration.clone() else { return Vec::new() };
-        // Those in use, and those that failed: a success is to restore them.
-        let mut watched = Vec::new();
-        for service in &configuration.services {
-            let of_it = |place: &usize| {
-                let upstream = self.upstreams.get(*place);
-                upstream.entry.service == service.name && !upstream.entry.draining
-            };
-            let of_it: Vec<usize> = self.upstreams.listed().filter(of_it).collect();
-            let (healthy, failed): (Vec<usize>, Vec<usize>) =
-                of_it.into_iter().partition(|place| self.upstreams.get(*place).run.is_empty());
-            let readers = self.readers(now, &service.name);
-            watched.extend(self.circle(&healthy, &readers));
-            watched.extend(failed);
-        }
-        let is_due = |place: &usize| {
-            let upstream = self.upstreams.get(*place);
-            !upstream.probing && upstream.next_probe <= now
-        };
-        let due: Vec<usize> = watched.into_iter().filter(is_due).collect();
-        let mut probes = Vec::new();
-        for place in due {
-            let upstream = self.upstreams.get_mut(place);
-            if let Some(service) = configuration.service(&upstream.entry.service) {
-                upstream.probing = true;
-                probes.push((place, upstream.entry.address.clone(), service.health_path.clone()));
-            }
-        }
-        probes
-    }
-
-    /// A probe was answered after `elapsed` ms, or failed (`None`).
-    pub fn probed(&mut self, now: Millis, place: usize, elapsed: Option<Millis>) {
-        let upstream = self.upstreams.get_mut(place);
-        upstream.probing = false;
-        match elapsed {
-            Some(elapsed) => {
-                upstream.average.sample(elapsed);
-                upstream.run.succeeded();
-                upstream.failed_probes = 0;
-                upstream.heard_at = now;
-                self.zones.heard(&upstream.entry.zone);
-            }
-            None => {
-                upstream.run.failed();
-                upstream.failed_probes += 1;
-                self.note_failure(now, place);
-            }
-        }
-        let upstream = self.upstreams.get_mut(place);
-        let gap = match upstream.run.is_empty() {
-            true => self.policy.probe_every_ms,
-            false => self.policy.suspect_gap(upstream.failed_probes),
-        };
-        upstream.next_probe = next_probe(&mut self.rng, now, Some(now), gap);
-        let service = upstream.entry.service.clone();
-        let members: Vec<usize> = self
-            .upstreams
-            .listed()
-            .filter(|place| self.upstreams.get(*place).entry.service == service)
-            .collect();
-        self.tiers.entry(service).or_default().regroup(self.upstreams.all_mut(), members);
-        if !self.upstreams.get(place).listed {
-            self.upstreams.sweep();
-        }
-    }
 }
--- a/crates/sandtrack-proxy/src/placement.rs
+++ b/crates/sandtrack-proxy/src/placement.rs
@@ -2,10 +2,11 @@
 //! upstream which may take the send, less those far above the mean of own requests. What may take a send is this file's:
 //! home regions, evacuated zones, draining, cold budgets, room, and where a long prompt's shared parts already are. Pure.
 use crate::balancer::Balancer;
+use crate::prompt_mix::{Prior, PromptMix};
 use crate::request::{mix, ProxyRequest};
 use rand::Rng;
 use sandtrack_tiers::{crowd_limit, ladder, lowest, Millis};
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 /// Where a request goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,18 +56,28 @@
         if keeps {
             self.long_prompt_at = Some(now);
         }
-        let spread = request.shared_tokens() >= self.policy.spread_tokens;
         let readers = self.readers(now, &request.service);
-        let circle = if keeps || spread { usable.clone() } else { self.circle(&usable, &readers) };
+        let circle = if keeps { usable.clone() } else { self.circle(&usable, &readers) };
         // Where the circle has no slot free all others are looked at, and only then what queues.
         for (among, queue) in [(&circle, 0.0), (&usable, 0.0), (&usable, self.policy.queue)] {
             if let Some(place) = self.place_among(now, request, among, &readers, queue) {
+                if !keeps {
+                    self.note_far_use(now, place);
+                }
                 return Placed::Send(place);
             }
         }
         Placed::Wait
     }
 
+    fn note_far_use(&mut self, now: Millis, place: usize) {
+        let upstream = self.upstreams.get(place);
+        if upstream.region != self.region {
+            let used = (upstream.entry.service.clone(), upstream.region.clone());
+            self.far_used.insert(used, now);
+        }
+    }
+
     /// Of each region the upstreams that this proxy uses, and probes: with many of them, few connections and probes for
     /// each pair. Drawn by rendezvous hashing, so that each upstream is in as many circles as another, and when one goes
     /// only its place is filled anew.
@@ -140,15 +151,13 @@
     /// Whether a long prompt may as well go to another region: the way there and back, three times with the connection,
     /// leaves most of its aim.
     fn near_enough(&self, request: &ProxyRequest, place: usize) -> bool {
-        let upstream = self.upstreams.get(place);
-        // One that is not probed is as far as others of its region.
-        let alike = || {
-            let same = |other: &usize| self.upstreams.get(*other).region == upstream.region;
-            self.upstreams.listed().filter(same).find_map(|other| self.upstreams.get(other).average.get())
+        let region = &self.upstreams.get(place).region;
+        let trip = self.region_trips.get(region).and_then(|trip| trip.get());
+        // One that was never reached is tried: its connection tells.
+        let is_near = |trip: Millis| {
+            trip * self.policy.trips <= request.route.target_latency_ms * self.policy.far_share
         };
-        let way = upstream.average.get().or_else(alike).map(|average| average * self.policy.trips);
-        upstream.region == self.region
-            || way.is_some_and(|way| way <= request.route.target_latency_ms * self.policy.far_share)
+        *region == self.region || trip.is_none_or(is_near)
     }
 
     /// The upstreams that read long prompts where no region is free of requests that are bound to it: a long prompt is read
@@ -168,22 +177,6 @@
         let mut serving: Vec<usize> = self.upstreams.listed().filter(serving).collect();
         let region = |place: &usize| self.upstreams.get(*place).region.as_str();
         serving.sort_unstable_by_key(|place| std::cmp::Reverse(self.upstreams.get(*place).hash));
-        if self.policy.reader_share > 0.0 {
-            let mut counts: HashMap<&str, usize> = HashMap::new();
-            serving.iter().for_each(|place| *counts.entry(region(place)).or_default() += 1);
-            let mut left: HashMap<&str, usize> = counts
-                .into_iter()
-                .map(|(region, count)| (region, (count as f64 * self.policy.reader_share).round() as usize))
-                .collect();
-            serving.retain(|place| match left.get_mut(region(place)) {
-                Some(left) if *left > 0 => {
-                    *left -= 1;
-                    true
-                }
-                _ => false,
-            });
-            return serving.into_iter().collect();
-        }
         let regions: BTreeSet<&str> = serving.iter().map(region).collect();
         let bounds: Vec<(&str, usize)> =
             regions.into_iter().map(|region| (region, self.bound(service, region))).collect();
@@ -222,60 +215,62 @@
             false => f64::INFINITY,
         };
         let tiers = ladder(able.iter().copied(), rank);
-        let spread = (request.shared_tokens() >= policy.spread_tokens).then(|| request.shared_key());
         lowest(&mut self.rng, &tiers, |members| {
             let near: Vec<usize> = members.iter().copied().filter(|place| load(*place) < limit).collect();
-            let mut near = if near.is_empty() { members.to_vec() } else { near };
-            if let Some(key) = spread {
-                near.sort_unstable_by_key(|place| std::cmp::Reverse(mix(key ^ upstreams.get(*place).hash)));
-                near.truncate(policy.spread);
+            if near.is_empty() {
+                members.to_vec()
+            } else {
+                near
             }
-            near
         })
     }
 
     /// The departure for long shared parts: the same upstream for all proxies, wherever it is, found by rendezvous
     /// hashing; the next one where that is far above the mean. Reading such a part once more costs ten times what the
     /// request costs on its way to another region.
-    fn draw_keeper(&mut self, now: Millis, request: &ProxyRequest, able: &[usize]) -> Option<usize> {
+    fn draw_keeper(&self, now: Millis, request: &ProxyRequest, able: &[usize]) -> Option<usize> {
         let load = |place: usize| self.load(now, place);
         let near: Vec<usize> =
             able.iter().copied().filter(|place| self.near_enough(request, *place)).collect();
         let able = if near.is_empty() { able } else { &near };
-        let bound = |place: usize| self.bound(&request.service, &self.upstreams.get(place).region);
-        let least = able.iter().map(|place| bound(*place)).min()?;
+        let region = |place: usize| self.upstreams.get(place).region.as_str();
+        let weights = self.keeper_weights(now, &request.service, able);
         let key = request.shared_key();
         // Weighted rendezvous hashing: a share of the draws in proportion to the weight, and few move when one goes.
-        let weight = |place: usize| if bound(place) == least { 1.0 } else { self.policy.bound_weight };
-        let rank = |key: u64, place: usize| {
+        let rank = |place: usize| {
             let draw = (mix(key ^ self.upstreams.get(place).hash) >> 11) as f64 / (1u64 << 53) as f64;
-            -(draw.max(f64::MIN_POSITIVE)).ln() / weight(place)
-        };
-        let ranked = |key: u64, places: &[usize]| {
-            let mut ranked: Vec<(f64, usize)> =
-                places.iter().map(|place| (rank(key, *place), *place)).collect();
-            ranked.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
-            ranked.into_iter().map(|(_, place)| place).collect::<Vec<usize>>()
-        };
-        let keepers = if self.policy.first_part_share < 1.0 {
-            let by_first_part = ranked(request.first_part_key(), able);
-            let share = (able.len() as f64 * self.policy.first_part_share).ceil() as usize;
-            let (own, others) = by_first_part.split_at(share.clamp(1, able.len()));
-            [ranked(key, own), others.to_vec()].concat()
-        } else {
-            ranked(key, able)
+            -(draw.max(f64::MIN_POSITIVE)).ln() / weights.get(region(place)).copied().unwrap_or(1.0)
         };
+        let mut keepers: Vec<(f64, usize)> = able.iter().map(|place| (rank(*place), *place)).collect();
+        keepers.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+        let keepers: Vec<usize> = keepers.into_iter().map(|(_, place)| place).collect();
         let mean = keepers.iter().map(|place| load(*place)).sum::<f64>() / keepers.len() as f64;
         let limit = mean * self.policy.keeper_factor + self.policy.keeper_slack;
-        let mut roomy: Vec<usize> = keepers.iter().copied().filter(|place| load(*place) <= limit).collect();
-        if roomy.is_empty() {
-            return keepers.first().copied();
+        let keeper = keepers.iter().position(|place| load(*place) <= limit).unwrap_or(0);
+        keepers.get(keeper).copied()
+    }
+
+    /// Weight of each region's upstreams as keepers. Regions to which as few routes are bound as to any other weigh 1.
+    fn keeper_weights(&self, now: Millis, service: &str, able: &[usize]) -> BTreeMap<&str, f64> {
+        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+        for place in able {
+            *counts.entry(self.upstreams.get(*place).region.as_str()).or_default() += 1;
+        }
+        let least = counts.keys().map(|region| self.bound(service, region)).min().unwrap_or(0);
+        let prior = Prior {
+            weight: self.policy.bound_weight,
+            requests: self.policy.bound_weight_requests,
+            least: self.policy.bound_weight_least,
+        };
+        let nothing_seen = PromptMix::default();
+        let seen = self.prompts.get(service).unwrap_or(&nothing_seen);
+        let mut weights = seen.weights(now, &counts, prior);
+        for (region, weight) in &mut weights {
+            if self.bound(service, region) == least {
+                *weight = 1.0;
+            }
         }
-        roomy.truncate(self.policy.keepers.max(1));
-        let least = roomy.iter().map(|place| load(*place)).fold(f64::INFINITY, f64::min);
-        let least: Vec<usize> = roomy.iter().copied().filter(|place| load(*place) <= least).collect();
-        let drawn = if least.len() > 1 { self.rng.gen_range(0..least.len()) } else { 0 };
-        least.get(drawn).copied()
+        weights
     }
 
     /// Draws a number from 0 to 1.
--- a/crates/sandtrack-proxy/src/policy.rs
+++ b/crates/sandtrack-proxy/src/policy.rs
@@ -55,12 +55,15 @@
     // Which upstreams a proxy uses.
     /// Upstreams of a service that a proxy uses and probes in its own region, where there are more (ours): enough for tiers,
     /// for a random pick and for the loss of some.
-    circle_near: usize = 8,
+    circle_near: usize = 6,
     /// The same in each other region (ours).
-    circle_far: usize = 8,
+    circle_far: usize = 4,
+    /// Upstreams of another region are probed for so long after a request of this proxy went to that region by its circle, in
+    /// ms (ours).
+    far_used_ms: f64 = 10_000.0,
     /// An upstream takes this many times its slots beyond them in its queue before it counts as full (ours).
     queue: f64 = 0.5,
-    /// Where no tier has a slot free in the own region, others are looked at. Off: tiers are not looked at.
+    /// Of those that may take a send the lowest tier is taken (design). Off: all of the nearest region are one tier.
     tiers: bool = true,
     /// One far above the mean of own requests is skipped (design).
     skip: bool = true,
@@ -70,31 +73,26 @@
     load_memory_ms: f64 = 400.0,
 
     /// A zone of which several upstreams failed, with none heard in between, is left out where others can serve (ours).
-    zone_outlook: bool = false,
+    zone_outlook: bool = true,
 
-    // Shared parts of prompts.
-    /// A prompt with this many shared tokens goes to one of few upstreams of its tier; a shorter one to any (ours).
-    spread_tokens: u64 = u64::MAX,
-    /// So many upstreams of a tier share the prompts with one beginning (ours).
-    spread: usize = 2,
+    // Long prompts.
     /// A prompt with this many shared tokens goes where they are kept (ours).
     kept_tokens: u64 = 1000,
     /// Own requests at the keeper of a prompt before the next one is looked at, beyond the mean (ours).
     keeper_slack: f64 = 2.0,
     /// The same as a multiple of the mean (ours).
     keeper_factor: f64 = 1.5,
-    /// Of so many keepers the least loaded is taken (ours).
-    keepers: usize = 1,
-    /// Prompts with the same first part are kept by this part of all upstreams (ours).
-    first_part_share: f64 = 1.0,
-    /// Weight, as a keeper, of an upstream in a region to which more routes are bound than to others (ours).
-    bound_weight: f64 = 0.35,
+    /// Weight, as a keeper, of an upstream in a region with requests bound to it, before enough was seen of what there is to
+    /// read (ours) ...
+    bound_weight: f64 = 0.5,
+    /// ... as if it had been seen of so many requests (ours) ...
+    bound_weight_requests: f64 = 20.0,
+    /// ... and the least that counts as seen: a region that has its part to do besides reads long prompts all the same (ours).
+    bound_weight_least: f64 = 0.35,
     /// Ways between regions that a request on a new connection takes (ours) ...
     trips: f64 = 3.0,
     /// ... and the part of its aim that they may fill (ours).
     far_share: f64 = 0.4,
-    /// Of each region this part of the upstreams reads long prompts, and the others stream; 0: none is set apart (ours).
-    reader_share: f64 = 0.0,
     /// Where long prompts have to be read beside requests bound to a region, one upstream in so many reads them (ours).
     readers: usize = 2,
     /// That is so for this long after the last long prompt, in ms (ours).
@@ -120,7 +118,7 @@
 
     // Connections.
     /// A connection that does not come up within this, and twice the upstream's probe time, is given up, in ms (ours).
-    connect_patience_ms: f64 = 400.0,
+    connect_patience_ms: f64 = 150.0,
     /// An idle connection is used again within this time, in ms, unless its upstream names a shorter one (ours): longer than
     /// two probes are apart.
     idle_most_ms: f64 = 12_000.0,
@@ -128,7 +126,9 @@
     idle_margin_ms: f64 = 700.0,
     /// What may run only once goes on an idle connection where its upstream was heard within so many ms, else on a fresh one
     /// (ours).
-    proven_alive_ms: f64 = 0.0,
+    proven_alive_ms: f64 = 4000.0,
+    /// After an idle connection broke without a word, its service's are not used so for this long, in ms (ours).
+    idle_distrust_ms: f64 = 30_000.0,
 
     // Probes.
     /// One in use is probed this often at most, in ms; the design's bound is five seconds, less what timers run late.
@@ -136,7 +136,7 @@
     /// One that is suspected or unhealthy is probed this often, in ms (ours: two probes tell within a second).
     suspect_every_ms: f64 = 300.0,
     /// The pause between probes of one that goes on failing doubles up to this, in ms (ours).
-    suspect_most_ms: f64 = 300.0,
+    suspect_most_ms: f64 = 1200.0,
     /// A probe that takes longer, besides three times the upstream's average, has failed, in ms (ours).
     probe_patience_ms: f64 = 400.0,
 
--- a/crates/sandtrack-proxy/src/request.rs
+++ b/crates/sandtrack-proxy/src/request.rs
@@ -82,11 +82,6 @@
         self.prefix[..shared].iter().map(|(_, tokens)| tokens).sum()
     }
 
-    /// One number for the first part of the prompt; the same for all proxies.
-    pub fn first_part_key(&self) -> u64 {
-        self.prefix.first().map_or(0, |(id, _)| mix(0x9e37_79b9_7f4a_7c15 ^ id))
-    }
-
     /// One number for the shared parts; the same for all proxies.
     pub fn shared_key(&self) -> u64 {
         let shared = self.prefix.len().saturating_sub(1);
