--- a/crates/sandtrack-days/src/main.rs
+++ b/crates/sandtrack-days/src/main.rs
@@ -1,5 +1,6 @@
 //! `sandtrack-days`: writes the day of a seed, or plays the days of many seeds and keeps those that broke something.
 
+mod ablate;
 mod hunt;
 
 use std::path::PathBuf;
@@ -36,6 +37,9 @@
         #[bpaf(argument("N"), fallback(1))]
         seed: u64,
     },
+    /// Play days with constants of the proxy set anew, and print what each of them earned
+    #[bpaf(command)]
+    Ablate(#[bpaf(external(ablate::ablate))] ablate::Ablate),
     /// Read the report and the log lines of a day that was played
     #[bpaf(command)]
     Read {
@@ -55,6 +59,7 @@
     let done = match command().run() {
         Command::Draw { seed, site } => draw_one(seed, &site),
         Command::Informed { site, days, seed } => tell_informed(&site, &days, seed),
+        Command::Ablate(ablate) => ablate.run(),
         Command::Read { report, log } => hunt::read(&report, &log),
         Command::Hunt(hunt) => hunt.run(),
     };
