--- a/crates/sandtrack-proxy/src/balancer.rs
+++ b/crates/sandtrack-proxy/src/balancer.rs
@@ -377,7 +377,7 @@
     /// An upstream failed. Once its zone looks lost, those in use there are asked at once.
     fn note_failure(&mut self, now: Millis, place: usize) {
         let entry = &self.upstreams.get(place).entry;
-        if !self.zones.failed(&entry.zone, &entry.identifier) {
+        if !self.zones.failed(now, &entry.zone, &entry.identifier) {
             return;
         }
         let zone = entry.zone.clone();
@@ -392,8 +392,8 @@
     }
 
     /// Whether the zone of this upstream looks lost.
-    pub(crate) fn is_in_silent_zone(&self, place: usize) -> bool {
-        self.policy.zone_outlook && self.zones.is_silent(&self.upstreams.get(place).entry.zone)
+    pub(crate) fn is_in_silent_zone(&self, now: Millis, place: usize) -> bool {
+        self.policy.zone_outlook && self.zones.is_silent(now, &self.upstreams.get(place).entry.zone)
     }
 
     /// Whether it was heard so lately that an idle connection to it will do for what may run only once.
--- a/crates/sandtrack-proxy/src/placement.rs
+++ b/crates/sandtrack-proxy/src/placement.rs
@@ -50,7 +50,7 @@
         // Where all look bad, the signs are more likely wrong than all of them dead.
         let usable = if healthy.is_empty() { usable } else { healthy };
         let heard: Vec<usize> =
-            usable.iter().copied().filter(|place| !self.is_in_silent_zone(*place)).collect();
+            usable.iter().copied().filter(|place| !self.is_in_silent_zone(now, *place)).collect();
         let usable = if heard.is_empty() { usable } else { heard };
         let keeps = request.shared_tokens() >= self.policy.kept_tokens;
         if keeps {
--- a/crates/sandtrack-proxy/tests/zone_outlook.rs
+++ b/crates/sandtrack-proxy/tests/zone_outlook.rs
@@ -41,14 +41,14 @@
 #[test]
 fn a_zone_is_silent_once_two_of_it_failed_and_none_was_heard_since() {
     let mut outlook = ZoneOutlook::default();
-    assert!(!outlook.failed("a", "a1"));
-    assert!(!outlook.failed("a", "a1"), "the same one twice is one");
-    assert!(!outlook.failed("b", "b1"), "another zone's do not count");
-    assert!(outlook.failed("a", "a2"));
-    assert!(!outlook.failed("a", "a3"), "it is told once");
-    assert!(outlook.is_silent("a") && !outlook.is_silent("b"));
+    assert!(!outlook.failed(0.0, "a", "a1"));
+    assert!(!outlook.failed(0.0, "a", "a1"), "the same one twice is one");
+    assert!(!outlook.failed(0.0, "b", "b1"), "another zone's do not count");
+    assert!(outlook.failed(0.0, "a", "a2"));
+    assert!(!outlook.failed(0.0, "a", "a3"), "it is told once");
+    assert!(outlook.is_silent(0.0, "a") && !outlook.is_silent(0.0, "b"));
     outlook.heard("a");
-    assert!(!outlook.is_silent("a"));
+    assert!(!outlook.is_silent(0.0, "a"));
 }
 
 #[test]
@@ -84,3 +84,25 @@
     }
     assert_eq!(zones_drawn(&mut balancer, 1300.0).len(), 2);
 }
+
+#[test]
+fn a_failure_counts_until_its_upstream_would_have_been_asked_again() {
+    let mut outlook = ZoneOutlook::default();
+    outlook.failed(0.0, "a", "a1");
+    assert!(!outlook.failed(5001.0, "a", "a2"), "the other failure is too old");
+    assert!(outlook.failed(5002.0, "a", "a3"));
+    assert!(outlook.is_silent(10_001.0, "a") && !outlook.is_silent(10_002.0, "a"));
+}
+
+/// Nothing of the zone is in use, so that none of the others is probed: only time can tell that it is back.
+#[test]
+fn a_zone_whose_failed_ones_are_gone_for_good_is_used_again() {
+    let mut balancer = two_zones();
+    break_one(&mut balancer, 1000.0, "b0");
+    break_one(&mut balancer, 1000.0, "b1");
+    assert_eq!(zones_drawn(&mut balancer, 1200.0).len(), 1);
+    for identifier in ["b0", "b1"] {
+        balancer.upstreams.gone(identifier);
+    }
+    assert_eq!(zones_drawn(&mut balancer, 6001.0).len(), 2);
+}
