--- a/crates/sandtrack-days/src/informed.rs
+++ b/crates/sandtrack-days/src/informed.rs
@@ -94,6 +94,10 @@
     table.get(key).and_then(Value::as_str).unwrap_or_default()
 }
 
+fn texts<'t>(table: &'t Table, key: &str) -> Vec<&'t str> {
+    table.get(key).and_then(Value::as_array).into_iter().flatten().filter_map(Value::as_str).collect()
+}
+
 fn tables<'t>(table: &'t Table, key: &str) -> Vec<&'t Table> {
     table.get(key).and_then(Value::as_array).into_iter().flatten().filter_map(Value::as_table).collect()
 }
@@ -161,9 +165,7 @@
         for (place, upstream) in upstreams.iter_mut().enumerate() {
             let is_out = match text(trouble, "kind") {
                 "region_loss" => places.regions[upstream.zone] == region,
-                "zone_loss" | "evacuate" | "cold_return" => {
-                    Some(upstream.zone) == zone.or(if zone.is_none() { Some(0) } else { None })
-                }
+                "zone_loss" | "evacuate" | "cold_return" => upstream.zone == zone.unwrap_or(0),
                 "srv_crash" | "srv_flap" => of_it && place % step == 0,
                 _ => false,
             };
@@ -220,13 +222,7 @@
         let at = at_s * 1000.0;
         let service_at = services.iter().position(|service| text(service, "name") == text(class, "service"));
         let service_at = service_at.ok_or_else(|| missing("classes.service"))?;
-        let homes: Vec<&str> = class
-            .get("homes")
-            .and_then(Value::as_array)
-            .into_iter()
-            .flatten()
-            .filter_map(Value::as_str)
-            .collect();
+        let homes = texts(class, "homes");
         let worth = number(class, "worth")?;
         let (work, request_size, usual_size) = work(&mut rng, class, services[service_at]);
         let way = |upstream: &Upstream| match (
--- a/crates/sandtrack-proxy/tests/placement.rs
+++ b/crates/sandtrack-proxy/tests/placement.rs
@@ -28,6 +28,12 @@
     drawn
 }
 
+/// Places of the upstreams in the own region.
+fn places_in_north(balancer: &sandtrack_proxy::balancer::Balancer) -> Vec<usize> {
+    let upstreams = &balancer.upstreams;
+    upstreams.listed().filter(|place| upstreams.get(*place).region == "north").collect()
+}
+
 #[test]
 fn a_random_pick_in_the_nearest_tier_of_the_own_region() {
     let mut balancer = balancer(fleet());
@@ -43,11 +49,7 @@
     let mut balancer = balancer(fleet());
     probe_all(&mut balancer, 0.0);
     let (letter, tag) = (request(&balancer, "/letters/1", &[]), request(&balancer, "/tags/1", &[]));
-    let near: Vec<usize> = balancer
-        .upstreams
-        .listed()
-        .filter(|place| balancer.upstreams.get(*place).region == "north")
-        .collect();
+    let near = places_in_north(&balancer);
     near.iter().for_each(|place| (0..4).for_each(|_| balancer.sent(*place)));
     let Placed::Send(place) = balancer.place(1000.0, &letter, &[]) else { panic!("the far region has room") };
     assert_eq!(balancer.upstreams.get(place).region, "south");
@@ -303,11 +305,7 @@
         due.iter().filter(|(place, ..)| balancer.upstreams.get(*place).region == "south").count()
     };
     assert_eq!(far(&mut balancer, 0.0), 0, "nothing goes there");
-    let near: Vec<usize> = balancer
-        .upstreams
-        .listed()
-        .filter(|place| balancer.upstreams.get(*place).region == "north")
-        .collect();
+    let near = places_in_north(&balancer);
     near.iter().for_each(|place| (0..4).for_each(|_| balancer.sent(*place)));
     let letter = request(&balancer, "/letters/1", &[]);
     let Placed::Send(place) = balancer.place(1000.0, &letter, &[]) else { panic!("the far region has room") };
