Time-outs follow the way to a region: any distance is reached

Cause: a connection was given up after 150 ms and two probe times, which nobody has where no connection ever comes up; probes had 400 ms for a connection and an answer. From 75 ms one way on a region could not be reached at all. Ruled out: larger numbers, which would tell the loss of a region later. Change: RegionTrips keeps the round trip to each region; while it is unknown time-outs double with each failure (RFC 6298) and blame no upstream; one upstream of each region is probed until it is known; where all failed for 10 s it is measured anew.

--- a/crates/sandtrack-days/src/main.rs
+++ b/crates/sandtrack-days/src/main.rs
@@ -2,6 +2,7 @@
 
 mod ablate;
 mod hunt;
+mod scratch;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -37,7 +38,7 @@
         #[bpaf(argument("N"), fallback(1))]
         seed: u64,
     },
-    /// Play days with constants of the proxy set anew, and print what each of them earned
+    /// Play days in pairs, with and without changes of the proxy, and print what each change is worth
     #[bpaf(command)]
     Ablate(#[bpaf(external(ablate::ablate))] ablate::Ablate),
     /// Read the report and the log lines of a day that was played
--- a/crates/sandtrack-proxy/src/attempt.rs
+++ b/crates/sandtrack-proxy/src/attempt.rs
@@ -34,8 +34,6 @@
 struct Upstream {
     identifier: String,
     address: String,
-    /// Mean time of a probe.
-    average: Millis,
     /// Connections that this proxy may hold to it.
     connection_share: usize,
 }
@@ -96,7 +94,6 @@
         let upstream = Upstream {
             identifier: known.entry.identifier.clone(),
             address: known.entry.address.clone(),
-            average: known.average.get().unwrap_or(0.0),
             connection_share,
         };
         Attempt {
@@ -201,17 +198,21 @@
         if full && !shared.pool.borrow_mut().drop_idle(identifier) {
             return SendEvent::NoConnection { share_full: true };
         }
-        let patience = (shared.policy.connect_patience_ms + 2.0 * self.upstream.average)
-            .min(self.request.left(clock.now()));
+        let place = self.reported.place;
+        let patience = shared.balancer.borrow().connect_timeout(self.request, place);
+        let patience = patience.min(self.request.left(now));
         match connect(&shared.pool, identifier, &self.upstream.address, patience).await {
             Ok(connection) => {
                 self.connection = Some(connection);
                 let elapsed = clock.now() - now;
-                shared.balancer.borrow_mut().note_trip(self.reported.place, elapsed);
+                shared.balancer.borrow_mut().note_trip(clock.now(), place, elapsed);
                 SendEvent::Connected { reused: false }
             }
             Err(error) => {
                 log::debug!("request {}: no connection to {identifier}: {error}", self.request.id);
+                if error.kind() == std::io::ErrorKind::TimedOut {
+                    shared.balancer.borrow_mut().connect_timed_out(clock.now(), place);
+                }
                 SendEvent::NoConnection { share_full: false }
             }
         }
--- a/crates/sandtrack-proxy/src/balancer.rs
+++ b/crates/sandtrack-proxy/src/balancer.rs
@@ -6,6 +6,7 @@
 use crate::pace::Pace;
 use crate::policy::Policy;
 use crate::prompt_mix::PromptMix;
+use crate::region_trips::RegionTrips;
 use crate::request::{hash, mix, ProxyRequest};
 use crate::upstreams::{Load, Table};
 use crate::zone_outlook::ZoneOutlook;
@@ -16,7 +17,7 @@
 use sandtrack_protocol::document::Document;
 use sandtrack_protocol::frames::{ProxyState, ToProxy};
 use sandtrack_protocol::settings::{Bounds, Settings};
-use sandtrack_tiers::{Millis, Smoothed, Tiers};
+use sandtrack_tiers::{Millis, Tiers};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
@@ -92,8 +93,7 @@
     zones: ZoneOutlook,
     /// Until when idle connections to a service's upstreams are not trusted, by service.
     idle_distrusted_until: HashMap<String, Millis>,
-    /// Time of a way to each region and back, of probes and of connections that came up.
-    pub(crate) region_trips: HashMap<String, Smoothed>,
+    pub(crate) region_trips: RegionTrips,
     /// When a request went by the circle to another region, by service and region.
     pub(crate) far_used: HashMap<(String, String), Millis>,
     /// By route, and whether the upstream is in another region.
@@ -139,7 +139,7 @@
             prompts: HashMap::new(),
             zones: ZoneOutlook::default(),
             idle_distrusted_until: HashMap::new(),
-            region_trips: HashMap::new(),
+            region_trips: RegionTrips::default(),
             far_used: HashMap::new(),
             paces: HashMap::new(),
             long_prompt_at: None,
@@ -348,6 +348,11 @@
             Ended::Answered => upstream.run.succeeded(),
             Ended::TurnedAway => upstream.rests_until = rest_until,
             Ended::Faulty => upstream.rests_until = rest_until,
+            // Where the way is not known yet, a failure says that it was not waited for long enough.
+            Ended::Broken if self.region_trips.get(&upstream.region).is_none() => {
+                upstream.rests_until = rest_until;
+                upstream.next_probe = now;
+            }
             Ended::Broken => {
                 upstream.run.failed();
                 upstream.rests_until = rest_until;
@@ -369,9 +374,35 @@
     }
 
     /// A way to the upstream and back took `elapsed` ms.
-    pub fn note_trip(&mut self, place: usize, elapsed: Millis) {
+    pub fn note_trip(&mut self, now: Millis, place: usize, elapsed: Millis) {
+        let region = &self.upstreams.get(place).region;
+        self.region_trips.sample(now, region, elapsed, &self.policy);
+    }
+
+    /// The smoothed round trip to a region in ms, once it was measured.
+    #[must_use]
+    pub fn region_trip(&self, region: &str) -> Option<Millis> {
+        self.region_trips.get(region)
+    }
+
+    /// A connection to the upstream did not come up in its time.
+    pub fn connect_timed_out(&mut self, now: Millis, place: usize) {
         let region = &self.upstreams.get(place).region;
-        self.region_trips.entry(region.clone()).or_default().sample(elapsed);
+        self.region_trips.timed_out(now, region);
+    }
+
+    /// How long this request waits for a connection to the upstream, in ms.
+    pub fn connect_timeout(&self, request: &ProxyRequest, place: usize) -> Millis {
+        let upstream = self.upstreams.get(place);
+        let own = self.policy.connect_patience_ms + 2.0 * upstream.average.get().unwrap_or(0.0);
+        let aim = request.route.target_latency_ms;
+        self.region_trips.connect_timeout(&upstream.region, aim, &self.policy).max(own)
+    }
+
+    /// How long a probe of the upstream waits for its answer, in ms.
+    pub fn probe_timeout(&self, now: Millis, place: usize) -> Millis {
+        let upstream = self.upstreams.get(place);
+        self.region_trips.probe_timeout(now, &upstream.region, upstream.average.get(), &self.policy)
     }
 
     /// An upstream failed. Once its zone looks lost, those in use there are asked at once.
@@ -433,6 +464,7 @@
     pub fn patience(&self, request: &ProxyRequest, place: usize) -> Millis {
         let far = self.upstreams.get(place).region != self.region;
         let pace = self.paces.get(&(request.route.name.clone(), far)).copied().unwrap_or_default();
-        pace.patience(request.route.target_latency_ms, &self.policy)
+        let trip = self.region_trips.get(&self.upstreams.get(place).region).unwrap_or(0.0);
+        pace.patience(request.route.target_latency_ms, trip, &self.policy)
     }
 }
--- a/crates/sandtrack-proxy/src/balancer/probes.rs
+++ b/crates/sandtrack-proxy/src/balancer/probes.rs
@@ -1,6 +1,7 @@
 //! Which upstreams are probed and when, and what a probe's answer or its failure teaches.
 use super::Balancer;
 use sandtrack_tiers::{next_probe, Millis};
+use std::collections::HashSet;
 
 impl Balancer {
     /// Something at an upstream takes too long: it is probed at once.
@@ -24,7 +25,12 @@
                 of_it.into_iter().partition(|place| self.upstreams.get(*place).run.is_empty());
             let readers = self.readers(now, &service.name);
             let circle = self.circle(&healthy, &readers);
-            watched.extend(circle.into_iter().filter(|place| self.is_used(now, *place)));
+            let mut unmeasured = HashSet::new();
+            watched.extend(circle.into_iter().filter(|place| {
+                let region = self.upstreams.get(*place).region.as_str();
+                let measures = self.region_trips.get(region).is_none() && unmeasured.insert(region);
+                measures || self.is_used(now, *place)
+            }));
             watched.extend(failed);
         }
         let is_due = |place: &usize| {
@@ -64,11 +70,12 @@
                 upstream.failed_probes = 0;
                 upstream.heard_at = now;
                 self.zones.heard(&upstream.entry.zone);
-                self.note_trip(place, elapsed);
+                self.note_trip(now, place, elapsed);
             }
             None => {
                 upstream.run.failed();
                 upstream.failed_probes += 1;
+                self.region_trips.timed_out(now, &upstream.region);
                 self.note_failure(now, place);
             }
         }
--- a/crates/sandtrack-proxy/src/lib.rs
+++ b/crates/sandtrack-proxy/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod program;
 pub mod prompt_mix;
 pub mod reading;
+pub mod region_trips;
 pub mod request;
 pub mod request_log;
 pub mod session;
--- a/crates/sandtrack-proxy/src/pace.rs
+++ b/crates/sandtrack-proxy/src/pace.rs
@@ -2,6 +2,9 @@
 use crate::policy::Policy;
 use sandtrack_tiers::Millis;
 
+/// Round trips of a connection and an answer on it, with one more for what varies (ours).
+const TRIPS: f64 = 3.0;
+
 /// What the first part of an answer takes: a mean and a mean deviation, as TCP keeps of round trips (RFC 6298).
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Pace {
@@ -21,12 +24,14 @@
         self.count = self.count.saturating_add(1);
     }
 
-    /// When an answer is overdue, for one that is to be there within `aim` ms.
-    pub fn patience(&self, aim: Millis, policy: &Policy) -> Millis {
-        let most = (aim * policy.patience_most).max(policy.patience_least_ms);
+    /// When an answer is overdue, for one that is to be there within `aim` ms, from an upstream to which a way and back takes
+    /// `trip` ms: never before a connection and an answer could be there.
+    pub fn patience(&self, aim: Millis, trip: Millis, policy: &Policy) -> Millis {
+        let least = policy.patience_least_ms.max(TRIPS * trip);
+        let most = (aim * policy.patience_most).max(least);
         if self.count == 0 {
             return most;
         }
-        (self.mean + policy.deviations * self.deviation).clamp(policy.patience_least_ms, most)
+        (self.mean + policy.deviations * self.deviation).clamp(least, most)
     }
 }
--- a/crates/sandtrack-proxy/src/placement.rs
+++ b/crates/sandtrack-proxy/src/placement.rs
@@ -152,7 +152,7 @@
     /// leaves most of its aim.
     fn near_enough(&self, request: &ProxyRequest, place: usize) -> bool {
         let region = &self.upstreams.get(place).region;
-        let trip = self.region_trips.get(region).and_then(|trip| trip.get());
+        let trip = self.region_trips.get(region);
         // One that was never reached is tried: its connection tells.
         let is_near = |trip: Millis| {
             trip * self.policy.trips <= request.route.target_latency_ms * self.policy.far_share
--- a/crates/sandtrack-proxy/src/policy.rs
+++ b/crates/sandtrack-proxy/src/policy.rs
@@ -117,8 +117,11 @@
     suspect_look_ms: f64 = 100.0,
 
     // Connections.
-    /// A connection that does not come up within this, and twice the upstream's probe time, is given up, in ms (ours).
+    /// A connection that does not come up within this, and two round trips to its region, is given up, in ms (ours). While the
+    /// round trip is not known this doubles with each failure (RFC 6298, 5.5).
     connect_patience_ms: f64 = 150.0,
+    /// Where all failed for so long, a region's round trip is measured anew, in ms (ours).
+    trip_forgotten_ms: f64 = 10_000.0,
     /// An idle connection is used again within this time, in ms, unless its upstream names a shorter one (ours): longer than
     /// two probes are apart.
     idle_most_ms: f64 = 12_000.0,
@@ -139,6 +142,11 @@
     suspect_most_ms: f64 = 1200.0,
     /// A probe that takes longer, besides three times the upstream's average, has failed, in ms (ours).
     probe_patience_ms: f64 = 400.0,
+    /// The same while the round trip to its region is not known, in ms (RFC 6298, 2.1: one second); it doubles with each
+    /// failure ...
+    first_probe_patience_ms: f64 = 1000.0,
+    /// ... up to this, in ms (ours).
+    probe_patience_most_ms: f64 = 4000.0,
 
     // What a request tells upstreams.
     /// The route's priority is told as urgency.
--- a/crates/sandtrack-proxy/src/probing.rs
+++ b/crates/sandtrack-proxy/src/probing.rs
@@ -8,6 +8,7 @@
 use sandtrack_net::http::Part;
 use sandtrack_net::ring::Ring;
 use sandtrack_net::socket::write_within;
+use sandtrack_tiers::Millis;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -29,30 +30,28 @@
 }
 
 async fn probe(shared: Rc<Shared>, place: usize, address: String, path: String) {
-    let (identifier, average) = {
+    let began = shared.clock.now();
+    let (identifier, patience) = {
         let balancer = shared.balancer.borrow();
-        let upstream = balancer.upstreams.get(place);
-        (upstream.entry.identifier.clone(), upstream.average.get().unwrap_or(0.0))
+        (balancer.upstreams.get(place).entry.identifier.clone(), balancer.probe_timeout(began, place))
     };
-    let began = shared.clock.now();
-    let patience = shared.policy.probe_patience_ms + 3.0 * average;
     let late = async {
         Timer::after(Duration::from_secs_f64(patience / 1000.0)).await;
         None
     };
-    let answered = future::or(ask(&shared, place, &identifier, &address, &path), late).await;
+    let answered = future::or(ask(&shared, place, &identifier, &address, &path, patience), late).await;
     let now = shared.clock.now();
     shared.balancer.borrow_mut().probed(now, place, answered.map(|asked| now - asked.max(began)));
 }
 
 /// When the question was written, if the upstream answers that it is well.
-async fn ask(shared: &Shared, place: usize, identifier: &str, address: &str, path: &str) -> Option<f64> {
+async fn ask(
+    shared: &Shared, place: usize, identifier: &str, address: &str, path: &str, patience: Millis,
+) -> Option<Millis> {
     let idle = shared.pool.borrow_mut().take(identifier, shared.clock.now());
     let mut connection = match idle {
         Some(connection) => connection,
-        None => {
-            connect(&shared.pool, identifier, address, shared.policy.probe_patience_ms * 3.0).await.ok()?
-        }
+        None => connect(&shared.pool, identifier, address, patience).await.ok()?,
     };
     let host = [("Host", address)].into_iter();
     let bytes = message::request("GET", path, host, b"");
@@ -61,7 +60,7 @@
     if !output.push(&bytes) || !write_within(&connection.stream, &mut output, Duration::from_secs(1)).await {
         return None;
     }
-    let until = asked + shared.policy.probe_patience_ms * 4.0;
+    let until = asked + patience;
     let mut head = None;
     loop {
         match crate::exchange::next(&mut connection, shared.clock, until).await {
--- a/crates/sandtrack-proxy/src/session.rs
+++ b/crates/sandtrack-proxy/src/session.rs
@@ -2,7 +2,7 @@
 //! answers and hears a majority of its kind; opened anew elsewhere when that falls silent. What is decided is in
 //! `session_policy`; here are the sockets.
 use crate::balancer::Folded;
-use crate::session_policy::{candidates, judge_welcome, Accepted, Standing};
+use crate::session_policy::{candidates, connect_timeout, judge_welcome, Accepted, Standing};
 use crate::shared::Shared;
 use async_io::{Async, Timer};
 use futures_lite::future;
@@ -15,8 +15,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// A control node that does not answer within this time is passed over.
-const CONNECT: Duration = Duration::from_millis(350);
 /// Pause after all were tried in vain.
 const PAUSE: Duration = Duration::from_millis(100);
 /// How often it is seen whether another control node is to be looked for.
@@ -86,10 +84,10 @@
 
 /// Keeps a session for the life of the process.
 pub async fn run(shared: Rc<Shared>) {
-    let mut vain_rounds = 0;
+    let mut vain_rounds: u32 = 0;
     loop {
         let accepted = Accepted::in_round(shared.balancer.borrow().is_ready(), vain_rounds);
-        let mut session = seek(&shared, accepted, None).await;
+        let mut session = seek(&shared, accepted, connect_timeout(vain_rounds), None).await;
         vain_rounds = if session.is_none() { vain_rounds + 1 } else { 0 };
         if session.is_none() {
             Timer::after(PAUSE).await;
@@ -101,10 +99,12 @@
 }
 
 /// Asks one candidate after the other, but for the one that it is with.
-async fn seek(shared: &Shared, accepted: Accepted, except: Option<&str>) -> Option<Session> {
+async fn seek(
+    shared: &Shared, accepted: Accepted, patience: Duration, except: Option<&str>,
+) -> Option<Session> {
     let tried = candidates(&shared.settings.borrow(), &shared.balancer.borrow().control_nodes);
     for address in tried.iter().filter(|address| Some(address.as_str()) != except) {
-        if let Some(session) = open(shared, address, accepted).await {
+        if let Some(session) = open(shared, address, accepted, patience).await {
             return Some(session);
         }
     }
@@ -112,9 +112,9 @@
 }
 
 /// Opens a session with one control node; none where that does not answer or is not accepted.
-async fn open(shared: &Shared, address: &str, accepted: Accepted) -> Option<Session> {
+async fn open(shared: &Shared, address: &str, accepted: Accepted, patience: Duration) -> Option<Session> {
     let late = async {
-        Timer::after(CONNECT).await;
+        Timer::after(patience).await;
         Err(std::io::ErrorKind::TimedOut.into())
     };
     let connecting = Async::<TcpStream>::connect(address.parse::<SocketAddr>().ok()?);
@@ -168,13 +168,16 @@
 
 /// While its control node hears no majority, asks the others for one that does, and goes on with this one meanwhile.
 async fn look(shared: &Shared, address: &str, standing: &RefCell<Standing>) -> Session {
+    let mut vain_rounds = 0;
     loop {
         Timer::after(LOOK_EVERY).await;
         let due = standing.borrow_mut().take_look(shared.clock.now());
         if due {
-            if let Some(better) = seek(shared, Accepted::Attached, Some(address)).await {
+            let patience = connect_timeout(vain_rounds);
+            if let Some(better) = seek(shared, Accepted::Attached, patience, Some(address)).await {
                 return better;
             }
+            vain_rounds += 1;
         }
     }
 }
--- a/crates/sandtrack-proxy/src/session_policy.rs
+++ b/crates/sandtrack-proxy/src/session_policy.rs
@@ -3,6 +3,7 @@
 use sandtrack_protocol::frames::FORMAT;
 use sandtrack_protocol::settings::{Settings, SESSION_PORT};
 use sandtrack_tiers::Millis;
+use std::time::Duration;
 
 /// With a control node that hears no majority, a better one is looked for this often, in ms.
 pub const DETACHED_LOOK_MS: Millis = 1000.0;
@@ -22,6 +23,18 @@
     all
 }
 
+/// A control node that does not answer within this time, in ms, is passed over in the first round through all candidates ...
+const CONNECT_FIRST_MS: u64 = 350;
+/// ... and within this time in later ones, to which it doubles.
+const CONNECT_MOST_MS: u64 = 2800;
+
+/// How long a connection to a control node is waited for after so many rounds in vain: one far away is reached in the end,
+/// and a dead one does not hold up those that are near.
+pub fn connect_timeout(vain_rounds: u32) -> Duration {
+    let doubled = CONNECT_FIRST_MS << vain_rounds.min(8);
+    Duration::from_millis(doubled.min(CONNECT_MOST_MS))
+}
+
 /// Whose sessions are accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Accepted {
