--- a/crates/sandtrack-replication/src/agreement.rs
+++ b/crates/sandtrack-replication/src/agreement.rs
@@ -12,6 +12,9 @@
 /// A joiner waits for this long, in milliseconds, so that several come in one view.
 const JOIN_WAIT: f64 = 200.0;
 
+/// The time and the pause of a proposal double this often at most.
+const DOUBLINGS_MOST: u32 = 3;
+
 #[derive(Clone, Default, BorshSerialize)]
 pub(crate) struct Proposing {
     /// The change that is wanted, and since when.
@@ -21,6 +24,8 @@
     round: u64,
     proposal: Option<Proposal>,
     jitter: Option<f64>,
+    /// Proposals in a row that came to nothing.
+    failures: u32,
 }
 
 #[derive(Clone, BorshSerialize)]
@@ -38,6 +43,12 @@
     pub(crate) fn drop_all(&mut self) {
         *self = Self { round: 0, ..Self::default() };
     }
+
+    /// Factor of the next proposal's time and of the pause before it: it doubles with each failure, so that voters far from
+    /// each other end a proposal before it is given up, and do not outbid each other for ever.
+    fn backoff(&self) -> f64 {
+        f64::from(1u32 << self.failures.min(DOUBLINGS_MOST))
+    }
 }
 
 impl<M: StateMachine> Replica<M> {
@@ -144,7 +155,8 @@
     fn give_up_proposal(&mut self) {
         self.proposing.proposal = None;
         let wait = self.settings.timings.stagger * (0.5 + 2.0 * self.random.share());
-        self.proposing.quiet_until = self.now + wait;
+        self.proposing.quiet_until = self.now + wait * self.proposing.backoff();
+        self.proposing.failures = self.proposing.failures.saturating_add(1);
     }
 
     /// Proposes what is wanted once it has been wanted for long enough.
@@ -153,7 +165,7 @@
             return;
         }
         if let Some(proposal) = &self.proposing.proposal {
-            if self.now - proposal.started > self.settings.timings.proposal {
+            if self.now - proposal.started > self.settings.timings.proposal * self.proposing.backoff() {
                 self.give_up_proposal();
             } else if self.now - proposal.sent > self.settings.timings.repeat {
                 self.repeat_proposal(effects);
@@ -166,6 +178,7 @@
         let known = self.known();
         let Some((view, reason)) = self.desired_view(&known).or(unfinished) else {
             self.proposing.wanted = None;
+            self.proposing.failures = 0;
             return;
         };
         let since = match &self.proposing.wanted {
