Long prompts by estimated time to a first token, from tokens that all proxies tell of

Change: prefill.rs keeps the tokens still to be read at each upstream and who has read which prefix, from own sends and from those that other proxies tell through control (12 bytes each, 2.4 kB/s at most); among a few by weighted rendezvous the one that has read the prefix and begins in time, else one that begins in time, else the soonest. keeper_slack, keeper_factor and far_share are gone.

--- a/crates/sandtrack-control/src/lib.rs
+++ b/crates/sandtrack-control/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod peers;
 pub mod platform;
 pub mod program;
+pub mod prompt_relay;
 pub mod reader;
 pub mod reader_election;
 pub mod sessions;
--- a/crates/sandtrack-control/src/node.rs
+++ b/crates/sandtrack-control/src/node.rs
@@ -25,6 +25,7 @@
 use crate::membership::Membership;
 use crate::operator_calls::OperatorCalls;
 use crate::peers::{LinkOrder, PeerFrame, Peers};
+use crate::prompt_relay::PromptRelay;
 use crate::reader::{self, Reader, ReaderElection};
 use crate::sessions::{SessionOrder, Sessions};
 use crate::upstreams::Upstreams;
@@ -102,6 +103,7 @@
     peers: Peers,
     contact: Contact,
     sessions: Sessions,
+    prompts: PromptRelay,
     membership: Membership,
     upstreams: Upstreams,
     election: ReaderElection,
@@ -155,6 +157,7 @@
             replica,
             contact: Contact::default(),
             sessions: Sessions::default(),
+            prompts: PromptRelay::default(),
             membership: Membership::default(),
             upstreams: Upstreams::default(),
             reader: Reader::default(),
@@ -232,6 +235,7 @@
         self.dispatch(now, input, out);
         self.announce_news(now, out);
         self.update_proxies(now, out);
+        self.pass_on_prompts(now, out);
     }
 
     fn dispatch(&mut self, now: Millis, input: Input, out: &mut Vec<Effect>) {
--- a/crates/sandtrack-control/src/node/links.rs
+++ b/crates/sandtrack-control/src/node/links.rs
@@ -124,6 +124,7 @@
                 }
             }
             PeerFrame::Heartbeat(heartbeat) => self.heartbeat(now, link, peer, heartbeat, out),
+            PeerFrame::PromptsSent(sent) => self.prompts.from_peer(sent),
         }
     }
 
--- a/crates/sandtrack-control/src/node/proxies.rs
+++ b/crates/sandtrack-control/src/node/proxies.rs
@@ -1,7 +1,7 @@
 //! The proxies' sessions with a control node: what proxies say, and what they are told.
 use super::{ControlNode, Effect};
 use crate::membership::{Lost, Member};
-use crate::peers::Hello;
+use crate::peers::{Hello, LinkOrder, PeerFrame};
 use crate::sessions::{News, SessionOrder};
 use crate::Millis;
 use sandtrack_protocol::frames::{self, ProxyInfo, ProxyState, ToControl, ToProxy};
@@ -20,6 +20,7 @@
             }
             (Some(info), ToControl::State(state)) => self.membership.state(info, state),
             (Some(_), ToControl::WantConfiguration) => self.sessions.want_configuration(session),
+            (Some(_), ToControl::PromptsSent(sent)) => self.prompts.from_session(session, sent),
             (None, _) => {}
         }
     }
@@ -85,6 +86,20 @@
         out.extend(orders.into_iter().map(Effect::Session));
     }
 
+    /// Tells proxies and the other control nodes which long prompts were sent where.
+    pub(super) fn pass_on_prompts(&mut self, now: Millis, out: &mut Vec<Effect>) {
+        let Some(passed) = self.prompts.take_due(now) else { return };
+        if !passed.to_peers.is_empty() {
+            for (link, _) in self.peers.linked() {
+                let frame = PeerFrame::PromptsSent(passed.to_peers.clone());
+                out.push(Effect::Link(LinkOrder::Send { link, frame }));
+            }
+        }
+        let mut orders = Vec::new();
+        self.sessions.pass_on(&passed, &mut orders);
+        out.extend(orders.into_iter().map(Effect::Session));
+    }
+
     /// Sends all proxies to other control nodes.
     pub(super) fn dismiss_proxies(&mut self, out: &mut Vec<Effect>) {
         let mut orders = Vec::new();
--- a/crates/sandtrack-control/src/node/time.rs
+++ b/crates/sandtrack-control/src/node/time.rs
@@ -14,7 +14,8 @@
     pub fn next_due(&self) -> Millis {
         let calls = self.calls.next_due().into_iter();
         let reader = self.reader.next_due().filter(|_| self.election.is_reading(self.last_input));
-        let due = calls.chain(reader).fold(self.last_input + TICK_MS, Millis::min);
+        let prompts = self.prompts.next_due().into_iter();
+        let due = calls.chain(reader).chain(prompts).fold(self.last_input + TICK_MS, Millis::min);
         due.min(self.replica.next_tick()).max(self.last_input)
     }
 
--- a/crates/sandtrack-control/src/peer_frames.rs
+++ b/crates/sandtrack-control/src/peer_frames.rs
@@ -1,11 +1,11 @@
 //! What control nodes say to each other, and the plain data in it. It owns the forms and decides nothing.
 use borsh::{BorshDeserialize, BorshSerialize};
-use sandtrack_protocol::frames::{ProxyInfo, ProxyState, UpstreamEntry};
+use sandtrack_protocol::frames::{PromptSent, ProxyInfo, ProxyState, UpstreamEntry};
 use sandtrack_replication::{Address, Message};
 use std::hash::{Hash, Hasher};
 
 /// The first number of a link: another one is another format, and the link is ended.
-pub const FORMAT: u16 = 2;
+pub const FORMAT: u16 = 3;
 
 /// Who a control node is, and where it serves.
 #[derive(Clone, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
@@ -47,6 +47,8 @@
     WantList,
     /// Each [`crate::peers::BEAT_MS`].
     Heartbeat(Heartbeat),
+    /// Long prompts that the sender's proxies sent.
+    PromptsSent(Vec<PromptSent>),
 }
 
 /// That a control node is there, and what the other end should know of it.
--- a/crates/sandtrack-control/src/sessions.rs
+++ b/crates/sandtrack-control/src/sessions.rs
@@ -3,6 +3,7 @@
 use crate::control_state::ControlState;
 use crate::membership::Membership;
 use crate::peers::Hello;
+use crate::prompt_relay::Passed;
 use crate::upstreams::{Excerpt, Upstreams};
 use crate::Millis;
 use sandtrack_protocol::frames::{self, ProxyInfo, ToProxy};
@@ -226,6 +227,20 @@
         }
     }
 
+    /// Tells each which long prompts others sent.
+    pub fn pass_on(&self, passed: &Passed, orders: &mut Vec<SessionOrder>) {
+        let to_others = bytes(&ToProxy::PromptsSent(passed.to_sessions.clone()));
+        let welcomed = self.sessions.iter().filter(|(_, known)| known.welcomed);
+        for session in welcomed.map(|(session, _)| session) {
+            let bytes = match passed.to_session.get(session) {
+                Some(sent) if sent.is_empty() => continue,
+                Some(sent) => bytes(&ToProxy::PromptsSent(sent.clone())),
+                None => to_others.clone(),
+            };
+            orders.push(SessionOrder::Send { session: *session, bytes });
+        }
+    }
+
     /// Closes all: they go elsewhere.
     pub fn close_all(&mut self, orders: &mut Vec<SessionOrder>) {
         orders.extend(self.sessions.keys().map(|session| SessionOrder::Close { session: *session }));
--- a/crates/sandtrack-control/tests/common/cluster.rs
+++ b/crates/sandtrack-control/tests/common/cluster.rs
@@ -673,6 +673,7 @@
             format!("Census: {proxies} proxies, rank {rank}, control nodes {}", control_nodes.join(" "))
         }
         ToProxy::Beat { attached } => format!("Beat {attached}"),
+        ToProxy::PromptsSent(sent) => format!("PromptsSent {sent:?}"),
     }
 }
 
--- a/crates/sandtrack-days/src/scratch.rs
+++ b/crates/sandtrack-days/src/scratch.rs
@@ -84,7 +84,11 @@
             let said: String = said.trim().chars().take(TOLD_MOST).collect();
             return Err(format!("{}: {said}", output.status).into());
         };
-        Ok(Report::parse(&text)?)
+        let report = Report::parse(&text)?;
+        match report.worth.is_nan() {
+            true => Err("nothing was served".into()),
+            false => Ok(report),
+        }
     }
 }
 
--- a/crates/sandtrack-protocol/src/frames.rs
+++ b/crates/sandtrack-protocol/src/frames.rs
@@ -3,7 +3,7 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 
 /// The first number of a session: another one is another format, and the session is ended.
-pub const FORMAT: u16 = 1;
+pub const FORMAT: u16 = 2;
 /// A frame may be this long: 64 MiB is more than a configuration of the largest deployment.
 pub const FRAME_MAX: usize = 64 << 20;
 /// How often each end of a session says that it is there.
@@ -44,6 +44,19 @@
     State(ProxyState),
     /// A change did not fit what it has: it wants the whole configuration.
     WantConfiguration,
+    /// It sent long prompts to upstreams.
+    PromptsSent(Vec<PromptSent>),
+}
+
+/// A long prompt was sent to an upstream: what others need to know to estimate how much is to be read there, and what is kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct PromptSent {
+    /// A number for the upstream's identifier, the same at every proxy.
+    pub upstream: u32,
+    /// A number for the parts of the prompt that others may share.
+    pub prefix: u32,
+    /// Tokens that are to be read.
+    pub tokens: u32,
 }
 
 /// An upstream as the platform's list shows it.
@@ -98,6 +111,8 @@
     /// Each [`BEAT_MS`]. `attached`: this control node hears a majority of those that agree on the view; a proxy of one
     /// that does not looks for another that does, and stays only if there is none.
     Beat { attached: bool },
+    /// Other proxies sent long prompts.
+    PromptsSent(Vec<PromptSent>),
 }
 
 /// A frame with its length before it.
--- a/crates/sandtrack-proxy/src/attempt.rs
+++ b/crates/sandtrack-proxy/src/attempt.rs
@@ -5,6 +5,7 @@
 use crate::exchange_state::{AnswerId, Broke, HeadFacts, SendEvent, Terms};
 use crate::policy::Policy;
 use crate::pool::{connect, kept_for, Connection};
+use crate::prefill::Estimate;
 use crate::request::ProxyRequest;
 use crate::shared::Shared;
 use crate::upstreams::Load;
@@ -49,6 +50,8 @@
     // Closed before the balancer is told.
     connection: Option<Connection>,
     reported: Reported<'a>,
+    /// How long its prompt was to take there, where it is long.
+    estimate: Option<Estimate>,
     /// When the request was begun to be written.
     asked: Option<Millis>,
     written: bool,
@@ -89,7 +92,11 @@
     ) -> Attempt<'a> {
         let mut balancer = shared.balancer.borrow_mut();
         balancer.sent(place);
+        let estimate = balancer.prompt_sent(shared.clock.now(), request, place);
         let connection_share = balancer.connection_share(place);
+        if estimate.is_some() {
+            shared.tell_news();
+        }
         let known = balancer.upstreams.get(place);
         let upstream = Upstream {
             identifier: known.entry.identifier.clone(),
@@ -105,6 +112,7 @@
             resume,
             connection: None,
             reported: Reported { shared, place, ended: Ended::GivenUp },
+            estimate,
             asked: None,
             written: false,
             head: None,
@@ -165,7 +173,12 @@
     pub fn note_pace(&self) {
         if let Some(asked) = self.asked {
             let elapsed = self.shared.clock.now() - asked;
-            self.shared.balancer.borrow_mut().paced(self.request, self.place(), elapsed);
+            self.shared.balancer.borrow_mut().paced(
+                self.request,
+                self.place(),
+                elapsed,
+                self.estimate.as_ref(),
+            );
         }
     }
 
--- a/crates/sandtrack-proxy/src/balancer.rs
+++ b/crates/sandtrack-proxy/src/balancer.rs
@@ -5,6 +5,7 @@
 use crate::budget::{share, RetryBudget};
 use crate::pace::Pace;
 use crate::policy::Policy;
+use crate::prefill::{Estimate, Prefill};
 use crate::prompt_mix::PromptMix;
 use crate::region_trips::RegionTrips;
 use crate::request::{hash, mix, ProxyRequest};
@@ -15,7 +16,7 @@
 use sandtrack_invariants::{check, Invariant};
 use sandtrack_protocol::configuration::Configuration;
 use sandtrack_protocol::document::Document;
-use sandtrack_protocol::frames::{ProxyState, ToProxy};
+use sandtrack_protocol::frames::{PromptSent, ProxyState, ToProxy};
 use sandtrack_protocol::settings::{Bounds, Settings};
 use sandtrack_tiers::{Millis, Tiers};
 use std::collections::{HashMap, HashSet};
@@ -90,6 +91,7 @@
     retries: HashMap<String, RetryBudget>,
     /// By service.
     pub(crate) prompts: HashMap<String, PromptMix>,
+    pub(crate) prefill: Prefill,
     zones: ZoneOutlook,
     /// Until when idle connections to a service's upstreams are not trusted, by service.
     idle_distrusted_until: HashMap<String, Millis>,
@@ -137,6 +139,7 @@
             tiers: HashMap::new(),
             retries: HashMap::new(),
             prompts: HashMap::new(),
+            prefill: Prefill::default(),
             zones: ZoneOutlook::default(),
             idle_distrusted_until: HashMap::new(),
             region_trips: RegionTrips::default(),
@@ -227,6 +230,7 @@
                 self.control_nodes = control_nodes;
             }
             ToProxy::Beat { attached: true } => self.heard_control = now,
+            ToProxy::PromptsSent(sent) => self.prefill.told(now, &sent, &self.policy),
             ToProxy::Welcome { .. } | ToProxy::Beat { attached: false } => {}
         }
         Folded::Taken
@@ -265,6 +269,7 @@
         self.far_used.retain(|(name, _), _| configuration.service(name).is_some());
         self.tiers.retain(|name, _| configuration.service(name).is_some());
         self.prompts.retain(|name, _| configuration.service(name).is_some());
+        self.prefill.retain_services(|name| configuration.service(name).is_some());
     }
 
     /// Among how many proxies a bound over all is shared, as far as this one may rely on it.
@@ -336,6 +341,17 @@
         self.upstreams.get_mut(place).own += 1;
     }
 
+    /// A request that goes to an upstream has a long prompt: how long that takes to read there; none where it is short.
+    pub fn prompt_sent(&mut self, now: Millis, request: &ProxyRequest, place: usize) -> Option<Estimate> {
+        let is_long = request.shared_tokens() >= self.policy.kept_tokens;
+        is_long.then(|| self.prefill.sent(now, request, self.upstreams.get(place), &self.policy))
+    }
+
+    /// Long prompts that this proxy sent and that control was not told of yet.
+    pub fn take_prompts_sent(&mut self) -> Vec<PromptSent> {
+        self.prefill.take_untold()
+    }
+
     /// A send is over.
     pub fn ended(&mut self, now: Millis, place: usize, ended: Ended) {
         let rest_until = now + self.policy.rest_ms;
@@ -349,7 +365,9 @@
             Ended::TurnedAway => upstream.rests_until = rest_until,
             Ended::Faulty => upstream.rests_until = rest_until,
             // Where the way is not known yet, a failure says that it was not waited for long enough.
-            Ended::Broken if self.region_trips.get(&upstream.region).is_none() => {
+            Ended::Broken
+                if self.region_trips.get(&upstream.region).is_none() && upstream.heard_at.is_infinite() =>
+            {
                 upstream.rests_until = rest_until;
                 upstream.next_probe = now;
             }
@@ -454,9 +472,16 @@
         }
     }
 
-    /// The first part of an answer came after `elapsed` ms.
-    pub fn paced(&mut self, request: &ProxyRequest, place: usize, elapsed: Millis) {
-        let far = self.upstreams.get(place).region != self.region;
+    /// The first part of an answer came after `elapsed` ms; `estimate`: what a long prompt was to take.
+    pub fn paced(
+        &mut self, request: &ProxyRequest, place: usize, elapsed: Millis, estimate: Option<&Estimate>,
+    ) {
+        let region = &self.upstreams.get(place).region;
+        if let Some(estimate) = estimate {
+            let trip = self.region_trips.get(region).unwrap_or(0.0);
+            self.prefill.answered(&request.service, estimate, elapsed - trip, &self.policy);
+        }
+        let far = *region != self.region;
         self.paces.entry((request.route.name.clone(), far)).or_default().add(elapsed);
     }
 
--- a/crates/sandtrack-proxy/src/lib.rs
+++ b/crates/sandtrack-proxy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod placement;
 pub mod policy;
 pub mod pool;
+pub mod prefill;
 pub mod probing;
 pub mod program;
 pub mod prompt_mix;
--- a/crates/sandtrack-proxy/src/policy.rs
+++ b/crates/sandtrack-proxy/src/policy.rs
@@ -78,10 +78,16 @@
     // Long prompts.
     /// A prompt with this many shared tokens goes where they are kept (ours).
     kept_tokens: u64 = 1000,
-    /// Own requests at the keeper of a prompt before the next one is looked at, beyond the mean (ours).
-    keeper_slack: f64 = 2.0,
-    /// The same as a multiple of the mean (ours).
-    keeper_factor: f64 = 1.5,
+    /// Of each prompt so many upstreams are compared, by rendezvous hashing over all and over the own region (ours).
+    keeper_choices: usize = 3,
+    /// One that has this much to read, in ms, counts as idle: the first by rank is taken (ours).
+    busy_ms: f64 = 300.0,
+    /// A first token that is estimated within this part of the aim counts as in time (ours).
+    in_time: f64 = 1.2,
+    /// Tokens a ms that an upstream reads, before it was learned (ours).
+    prefill_rate: f64 = 50.0,
+    /// Proxies tell each other of long prompts that they sent.
+    tells_prompts: bool = true,
     /// Weight, as a keeper, of an upstream in a region with requests bound to it, before enough was seen of what there is to
     /// read (ours) ...
     bound_weight: f64 = 0.5,
@@ -89,10 +95,8 @@
     bound_weight_requests: f64 = 20.0,
     /// ... and the least that counts as seen: a region that has its part to do besides reads long prompts all the same (ours).
     bound_weight_least: f64 = 0.35,
-    /// Ways between regions that a request on a new connection takes (ours) ...
-    trips: f64 = 3.0,
-    /// ... and the part of its aim that they may fill (ours).
-    far_share: f64 = 0.4,
+    /// Round trips that a request on a new connection takes: one for the connection, one for the answer.
+    trips: f64 = 2.0,
     /// Where long prompts have to be read beside requests bound to a region, one upstream in so many reads them (ours).
     readers: usize = 2,
     /// That is so for this long after the last long prompt, in ms (ours).
--- a/crates/sandtrack-proxy/src/session.rs
+++ b/crates/sandtrack-proxy/src/session.rs
@@ -198,6 +198,13 @@
                 return;
             }
         }
+        let sent = shared.balancer.borrow_mut().take_prompts_sent();
+        if shared.policy.tells_prompts
+            && !sent.is_empty()
+            && !write(stream, &ToControl::PromptsSent(sent)).await
+        {
+            return;
+        }
         let now = shared.clock.now();
         let state = shared.balancer.borrow().state();
         let same = |a: &sandtrack_protocol::frames::ProxyState| {
--- a/crates/sandtrack-proxy/tests/exchange/control_node.rs
+++ b/crates/sandtrack-proxy/tests/exchange/control_node.rs
@@ -165,6 +165,7 @@
                 }
                 ToControl::State(state) => Heard::State(state),
                 ToControl::WantConfiguration => Heard::WantConfiguration,
+                ToControl::PromptsSent(_) => continue,
             };
             if sender.send(heard).is_err() {
                 break 'session;
