Work of reading grows with its context; a prefix counts as read once it is; constants into policy.rs

Cause: a prompt of 57,000 tokens took 2.4 s where 14,000 take 0.3; prompts with one prefix that came while it was read were all sent there and read it again each. PromptMix and ZoneOutlook take their constants from the policy.

--- a/crates/sandtrack-proxy/src/balancer.rs
+++ b/crates/sandtrack-proxy/src/balancer.rs
@@ -120,6 +120,7 @@
     /// One that decides by this policy.
     pub fn with_policy(settings: &Settings, seed: u64, policy: Rc<Policy>) -> Balancer {
         Balancer {
+            zones: ZoneOutlook::new(&policy),
             policy,
             zone: settings.zone.clone(),
             region: settings.region.clone(),
@@ -140,7 +141,6 @@
             retries: HashMap::new(),
             prompts: HashMap::new(),
             prefill: Prefill::default(),
-            zones: ZoneOutlook::default(),
             idle_distrusted_until: HashMap::new(),
             region_trips: RegionTrips::default(),
             far_used: HashMap::new(),
@@ -317,7 +317,8 @@
     fn note_prompt(&mut self, now: Millis, request: &ProxyRequest) {
         let Some((prompt, _)) = request.tokens else { return };
         let homes = &request.route.home_regions;
-        let mix = self.prompts.entry(request.service.clone()).or_default();
+        let nothing_seen = || PromptMix::new(&self.policy);
+        let mix = self.prompts.entry(request.service.clone()).or_insert_with(nothing_seen);
         if request.shared_tokens() >= self.policy.kept_tokens {
             let own = prompt.saturating_sub(request.shared_tokens()) as f64;
             mix.long_prompt(now, own);
--- a/crates/sandtrack-proxy/src/placement.rs
+++ b/crates/sandtrack-proxy/src/placement.rs
@@ -312,7 +312,7 @@
             requests: self.policy.bound_weight_requests,
             least: self.policy.bound_weight_least,
         };
-        let nothing_seen = PromptMix::default();
+        let nothing_seen = PromptMix::new(&self.policy);
         let seen = self.prompts.get(service).unwrap_or(&nothing_seen);
         let mut weights = seen.weights(now, &counts, prior);
         for (region, weight) in &mut weights {
--- a/crates/sandtrack-proxy/src/policy.rs
+++ b/crates/sandtrack-proxy/src/policy.rs
@@ -2,6 +2,7 @@
 //! the source's own figure; an RFC; "ours"). A release build runs with the defaults. With the feature `ablation` the program
 //! takes `--policy NAME=VALUE,...`, so that one build measures what each constant and each mechanism is worth
 //! (`docs/system/decisions.md`). The constants of the ordinary path itself are in `sandtrack_tiers`. Pure.
+use sandtrack_tiers::GAP_MOST;
 use thiserror::Error;
 
 /// A policy that can't be read.
@@ -74,6 +75,11 @@
 
     /// A zone of which several upstreams failed, with none heard in between, is left out where others can serve (ours).
     zone_outlook: bool = true,
+    /// Upstreams of a zone that must fail before it is left out (ours): one alone is more likely a fault of its own.
+    zone_failures: usize = 2,
+    /// A failure counts for so long, in ms (design: two probes are no further apart): one that is still listed has been probed
+    /// again by then, one that is gone says no more.
+    zone_failure_ms: f64 = GAP_MOST,
 
     // Long prompts.
     /// A prompt with this many shared tokens goes where they are kept (ours).
@@ -86,6 +92,9 @@
     in_time: f64 = 1.2,
     /// Tokens a ms that an upstream reads, before it was learned (ours).
     prefill_rate: f64 = 50.0,
+    /// With so many tokens before it a token takes twice as long to read as without (ours: where attention and the rest of
+    /// the work meet in dense models of 8 to 70 billion parameters, 30,000 to 60,000).
+    attention_tokens: f64 = 50_000.0,
     /// Proxies tell each other of long prompts that they sent.
     tells_prompts: bool = true,
     /// Weight, as a keeper, of an upstream in a region with requests bound to it, before enough was seen of what there is to
@@ -97,6 +106,9 @@
     bound_weight_least: f64 = 0.35,
     /// Round trips that a request on a new connection takes: one for the connection, one for the answer.
     trips: f64 = 2.0,
+    /// What was seen of prompts counts for a third after this time, in ms (ours): some dozens of requests even at a proxy with
+    /// few.
+    prompt_memory_ms: f64 = 30_000.0,
     /// Where long prompts have to be read beside requests bound to a region, one upstream in so many reads them (ours).
     readers: usize = 2,
     /// That is so for this long after the last long prompt, in ms (ours).
--- a/crates/sandtrack-proxy/src/prefill.rs
+++ b/crates/sandtrack-proxy/src/prefill.rs
@@ -37,10 +37,17 @@
 /// Who has read a prefix, and when it was used last.
 #[derive(Clone, Debug, Default)]
 struct Prefix {
-    upstreams: Vec<u32>,
+    readers: Vec<Reader>,
     used: Millis,
 }
 
+/// An upstream that reads a prefix, and when it is done.
+#[derive(Clone, Copy, Debug)]
+struct Reader {
+    upstream: u32,
+    done_at: Millis,
+}
+
 /// Tokens a ms that an upstream reads, and of how many samples that was learned.
 #[derive(Clone, Copy, Debug)]
 struct Rate {
@@ -51,9 +58,9 @@
 /// What it takes until an upstream has read a prompt.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Estimate {
-    /// Its shared prefix was read there before.
+    /// Its shared prefix was read there before, or is being read.
     pub kept: bool,
-    /// Tokens of it that are to be read.
+    /// Work of reading it, in tokens without context.
     pub tokens: f64,
     /// Time until all before it is read, in ms.
     pub ahead: Millis,
@@ -90,6 +97,14 @@
     request.tokens.map_or(listed, |(prompt, _)| prompt.max(listed)) as f64
 }
 
+/// Work of reading a prompt of which the first `kept` tokens are kept, in tokens without context: each token attends to all
+/// before it.
+fn work(prompt: f64, kept: f64, policy: &Policy) -> f64 {
+    let read = (prompt - kept).max(0.0);
+    let context = (prompt + kept) / 2.0;
+    read * (1.0 + context / policy.attention_tokens)
+}
+
 impl Prefill {
     /// Tokens a ms that upstreams of a service read.
     #[must_use]
@@ -101,7 +116,8 @@
     #[must_use]
     pub fn keeps(&self, request: &ProxyRequest, upstream: &Upstream) -> bool {
         let prefix = self.prefixes.get(&prefix_key(request));
-        prefix.is_some_and(|prefix| prefix.upstreams.contains(&upstream_key(upstream)))
+        let key = upstream_key(upstream);
+        prefix.is_some_and(|prefix| prefix.readers.iter().any(|reader| reader.upstream == key))
     }
 
     /// What it takes until this upstream has read the request's prompt.
@@ -110,9 +126,13 @@
         &self, now: Millis, request: &ProxyRequest, upstream: &Upstream, policy: &Policy,
     ) -> Estimate {
         let key = upstream_key(upstream);
-        let kept = self.keeps(request, upstream);
-        let shared = if kept { request.shared_tokens() as f64 } else { 0.0 };
-        let tokens = (prompt_tokens(request) - shared).max(0.0);
+        let prefix = self.prefixes.get(&prefix_key(request));
+        let reader = prefix.and_then(|prefix| prefix.readers.iter().find(|reader| reader.upstream == key));
+        // While one reads it, a second request that it takes up beside the first reads it as well.
+        let is_read = reader.is_some_and(|reader| now >= reader.done_at);
+        let shared = if is_read { request.shared_tokens() as f64 } else { 0.0 };
+        let tokens = work(prompt_tokens(request), shared, policy);
+        let kept = reader.is_some();
         let rate = self.rate(&request.service, policy);
         let ahead = self.backlogs.get(&key).map_or(0.0, |backlog| backlog.left(now, rate)) / rate;
         Estimate { kept, tokens, ahead, time: ahead + tokens / rate }
@@ -153,11 +173,12 @@
         }
         let backlog = self.backlogs.entry(sent.upstream).or_default();
         *backlog = Backlog { tokens: backlog.left(now, rate) + f64::from(sent.tokens), at: now };
+        let done_at = now + backlog.tokens / rate;
         self.make_room();
         let prefix = self.prefixes.entry(sent.prefix).or_default();
         prefix.used = now;
-        if !prefix.upstreams.contains(&sent.upstream) {
-            prefix.upstreams.push(sent.upstream);
+        if !prefix.readers.iter().any(|reader| reader.upstream == sent.upstream) {
+            prefix.readers.push(Reader { upstream: sent.upstream, done_at });
         }
     }
 
--- a/crates/sandtrack-proxy/src/prompt_mix.rs
+++ b/crates/sandtrack-proxy/src/prompt_mix.rs
@@ -1,12 +1,10 @@
 //! What upstreams of a service have to read: long prompts, which may be read anywhere, beside requests that are bound to
 //! regions. From it follows the weight of each region's upstreams as ones that keep long prompts, so that each upstream reads
 //! about as much as any other. Every proxy observes its own clients only; their mix stands for all. Pure.
+use crate::policy::Policy;
 use sandtrack_tiers::Millis;
 use std::collections::{BTreeMap, HashMap};
 
-/// What was observed counts for a third after this time, in ms (ours): some dozens of requests even at a proxy with few.
-const MEMORY: Millis = 30_000.0;
-
 /// A sum that fades.
 #[derive(Clone, Copy, Debug, Default)]
 struct Fading {
@@ -15,19 +13,21 @@
 }
 
 impl Fading {
-    fn add(&mut self, now: Millis, amount: f64) {
-        self.sum = self.get(now) + amount;
+    fn add(&mut self, now: Millis, amount: f64, memory: Millis) {
+        self.sum = self.get(now, memory) + amount;
         self.at = now;
     }
 
-    fn get(&self, now: Millis) -> f64 {
-        self.sum * (-(now - self.at).max(0.0) / MEMORY).exp()
+    fn get(&self, now: Millis, memory: Millis) -> f64 {
+        self.sum * (-(now - self.at).max(0.0) / memory).exp()
     }
 }
 
 /// Tokens to read for one service, as far as this proxy sees.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct PromptMix {
+    /// See [`Policy::prompt_memory_ms`].
+    memory: Millis,
     long: Fading,
     /// By region, of other requests that are bound to it.
     bound: HashMap<String, Fading>,
@@ -35,18 +35,36 @@
     requests: Fading,
 }
 
+impl Default for PromptMix {
+    fn default() -> PromptMix {
+        PromptMix::new(&Policy::default())
+    }
+}
+
 impl PromptMix {
+    /// One that has seen nothing.
+    #[must_use]
+    pub fn new(policy: &Policy) -> PromptMix {
+        PromptMix {
+            memory: policy.prompt_memory_ms,
+            long: Fading::default(),
+            bound: HashMap::new(),
+            requests: Fading::default(),
+        }
+    }
+
     /// A long prompt came, of which so many tokens are to be read.
     pub fn long_prompt(&mut self, now: Millis, tokens: f64) {
-        self.long.add(now, tokens);
-        self.requests.add(now, 1.0);
+        self.long.add(now, tokens, self.memory);
+        self.requests.add(now, 1.0, self.memory);
     }
 
     /// Another request came, of so many tokens, bound to these regions; none: any may serve it.
     pub fn other_request(&mut self, now: Millis, homes: &[String], tokens: f64) {
-        self.requests.add(now, 1.0);
+        self.requests.add(now, 1.0, self.memory);
         for home in homes {
-            self.bound.entry(home.clone()).or_default().add(now, tokens / homes.len() as f64);
+            let part = tokens / homes.len() as f64;
+            self.bound.entry(home.clone()).or_default().add(now, part, self.memory);
         }
     }
 
@@ -56,10 +74,11 @@
     pub fn weights<'a>(
         &self, now: Millis, upstreams: &BTreeMap<&'a str, usize>, prior: Prior,
     ) -> BTreeMap<&'a str, f64> {
-        let requests = self.requests.get(now);
+        let requests = self.requests.get(now, self.memory);
         let evidence = requests / (requests + prior.requests).max(f64::MIN_POSITIVE);
-        let bound = |region: &str| self.bound.get(region).map_or(0.0, |tokens| tokens.get(now));
-        let total = self.long.get(now) + upstreams.keys().map(|region| bound(region)).sum::<f64>();
+        let bound = |region: &str| self.bound.get(region).map_or(0.0, |tokens| tokens.get(now, self.memory));
+        let total =
+            self.long.get(now, self.memory) + upstreams.keys().map(|region| bound(region)).sum::<f64>();
         let mean = total / upstreams.values().sum::<usize>().max(1) as f64;
         let weight = |region: &str, count: usize| {
             let left = mean - bound(region) / count.max(1) as f64;
--- a/crates/sandtrack-proxy/src/zone_outlook.rs
+++ b/crates/sandtrack-proxy/src/zone_outlook.rs
@@ -1,26 +1,37 @@
 //! Which zones look lost as a whole: where several upstreams of a zone failed of late and none of it was heard since, the
 //! others are taken for lost too, before each has cost a request. Pure; folded from probes and sends.
-use sandtrack_tiers::{Millis, GAP_MOST};
+use crate::policy::Policy;
+use sandtrack_tiers::Millis;
 use std::collections::HashMap;
 
-/// Upstreams of a zone that must fail, with none of it heard in between, before the zone counts as silent (ours): one alone
-/// is more likely a fault of its own.
-const FAILURES: usize = 2;
-/// A failure counts for so long, in ms: one that is still listed has been probed again by then, one that is gone says no more.
-const COUNTS_FOR: Millis = GAP_MOST;
-
 /// When upstreams failed last, by zone and identifier, since any upstream of the zone was heard.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ZoneOutlook {
     failed: HashMap<String, HashMap<String, Millis>>,
+    /// See [`Policy::zone_failures`] and [`Policy::zone_failure_ms`].
+    failures: usize,
+    counts_for: Millis,
+}
+
+impl Default for ZoneOutlook {
+    fn default() -> ZoneOutlook {
+        ZoneOutlook::new(&Policy::default())
+    }
 }
 
 impl ZoneOutlook {
+    /// One that has heard of no failure.
+    #[must_use]
+    pub fn new(policy: &Policy) -> ZoneOutlook {
+        let (failures, counts_for) = (policy.zone_failures, policy.zone_failure_ms);
+        ZoneOutlook { failed: HashMap::new(), failures, counts_for }
+    }
+
     /// A probe or a send to this upstream failed. Whether its zone counts as silent from now on.
     pub fn failed(&mut self, now: Millis, zone: &str, identifier: &str) -> bool {
         let was_silent = self.is_silent(now, zone);
         let failed = self.failed.entry(zone.to_owned()).or_default();
-        failed.retain(|_, at| now - *at <= COUNTS_FOR);
+        failed.retain(|_, at| now - *at <= self.counts_for);
         failed.insert(identifier.to_owned(), now);
         !was_silent && self.is_silent(now, zone)
     }
@@ -33,7 +44,7 @@
     /// Whether the zone looks lost.
     #[must_use]
     pub fn is_silent(&self, now: Millis, zone: &str) -> bool {
-        let counts = |at: &&Millis| now - **at <= COUNTS_FOR;
-        self.failed.get(zone).is_some_and(|failed| failed.values().filter(counts).count() >= FAILURES)
+        let counts = |at: &&Millis| now - **at <= self.counts_for;
+        self.failed.get(zone).is_some_and(|failed| failed.values().filter(counts).count() >= self.failures)
     }
 }
