The platform's list is read as often as draining asks for, not every 400 ms

What drain_ms must hold besides a pause: a holder that dies (0.8 s and an election), a reading, the way to all proxies; 1.5 s at most. Change: 0.175 of drain_ms lies between two readings, 400 to 1,000 ms.

--- a/crates/sandtrack-control/src/reader.rs
+++ b/crates/sandtrack-control/src/reader.rs
@@ -8,10 +8,14 @@
 use simd_json::prelude::*;
 use std::collections::BTreeSet;
 
-/// Pause from the begin of one whole reading to the next, in ms.
-const EVERY_MS: Millis = 400.0;
-/// The same of one that reads for itself, as it hears nobody who reads.
-const ALONE_EVERY_MS: Millis = 800.0;
+/// The part of the time within which draining has to be seen that lies between the begins of two whole readings. Besides that a
+/// change waits for a holder that dies to be replaced, for the reading, and for the way to all proxies: 1.5 s at most.
+const EVERY_SHARE: f64 = 0.175;
+/// The same pause at least and at most, in ms: new upstreams are to be seen soon.
+const EVERY_LEAST_MS: Millis = 400.0;
+const EVERY_MOST_MS: Millis = 1000.0;
+/// One that reads for itself, as it hears nobody who reads, pauses this many times as long.
+const ALONE_FACTOR: f64 = 2.0;
 /// The share of the platform's rate that calls may take; the rest is for the moment in which two read.
 const SHARE: f64 = 0.6;
 /// A page whose call began longer ago, in ms, tells of a time that is over: this process did not run meanwhile.
@@ -83,6 +87,8 @@
 /// The readings: one page after another, and one reading after another. Times are in ms of the steady clock.
 #[derive(Clone, Debug, Default)]
 pub struct Reader {
+    /// Pause from the begin of one whole reading to the next, in ms; never less than [`EVERY_LEAST_MS`].
+    every: Millis,
     /// When the call under way began.
     calling: Option<Millis>,
     /// When the reading under way began; the token of its next page, and how many it has had.
@@ -99,6 +105,12 @@
 }
 
 impl Reader {
+    /// One that reads often enough for draining to be heeded everywhere within `drain_ms`.
+    #[must_use]
+    pub fn within(drain_ms: Millis) -> Reader {
+        Reader { every: (drain_ms * EVERY_SHARE).min(EVERY_MOST_MS), ..Reader::default() }
+    }
+
     /// The next page to call for, if one is due: its token, none for the first. `alone`: it reads for itself, beside the
     /// holder; `rate_per_s`: calls that the platform takes from all together.
     pub fn next_page(&mut self, now: Millis, alone: bool, rate_per_s: f64) -> Option<Option<String>> {
@@ -173,7 +185,7 @@
         gone.for_each(|gone| upstreams.remove(gone));
         self.missed = missing;
         upstreams.reading_ended(upstreams.round() + 1);
-        let every = if alone { ALONE_EVERY_MS } else { EVERY_MS };
+        let every = self.every.max(EVERY_LEAST_MS) * if alone { ALONE_FACTOR } else { 1.0 };
         self.next_call = self.next_call.max(began + every);
         (self.began, self.token) = (None, None);
         self.seen.clear();
--- a/crates/sandtrack-control/tests/reader.rs
+++ b/crates/sandtrack-control/tests/reader.rs
@@ -363,3 +363,21 @@
     assert!(cluster.elections["b"].is_reading(cluster.now), "but it needs the list all the same");
     assert!(!cluster.elections["c"].is_reading(cluster.now));
 }
+
+/// When the second reading of a list of one page begins.
+fn second_reading(reader: Reader, alone: bool) -> f64 {
+    let (mut reader, mut upstreams) = (reader, Upstreams::default());
+    assert!(reader.next_page(0.0, alone, 50.0).is_some());
+    reader.answered(1.0, alone, Call::Page(Page::default()), &mut upstreams);
+    let due = (1..5000).map(f64::from).find(|now| reader.next_page(*now, alone, 50.0).is_some());
+    due.expect("it reads again")
+}
+
+#[test]
+fn the_list_is_read_as_often_as_draining_asks_for() {
+    assert_eq!(second_reading(Reader::within(4000.0), false), 700.0);
+    assert_eq!(second_reading(Reader::within(5000.0), false), 875.0);
+    assert_eq!(second_reading(Reader::within(1000.0), false), 400.0, "no more often than that");
+    assert_eq!(second_reading(Reader::within(60_000.0), false), 1000.0, "new ones are to be seen soon");
+    assert_eq!(second_reading(Reader::within(4000.0), true), 1400.0, "one that reads for itself takes turns");
+}
--- a/crates/sandtrack-protocol/src/settings_fields.rs
+++ b/crates/sandtrack-protocol/src/settings_fields.rs
@@ -160,7 +160,7 @@
     ),
     field("bounds.in_touch_ms", Kind::Number("ms", 0.0), Without::Taken("4000"), NOT_USED),
     field("bounds.acknowledge_ms", Kind::Number("ms", 0.0), Without::Taken("5000"), NOT_USED),
-    field("bounds.drain_ms", Kind::Number("ms", 0.0), Without::Taken("4000"), NOT_USED),
+    field("bounds.drain_ms", Kind::Number("ms", 0.0), Without::Taken("4000"), "0.175 of it lies between two readings of the list"),
     field(
         "bounds.grace_s",
         Kind::Number("s", 0.0),
