--- a/crates/sandtrack-days/src/ablate.rs
+++ b/crates/sandtrack-days/src/ablate.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::error::Error;
 use std::fs;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bpaf::Bpaf;
@@ -178,9 +178,3 @@
         played.ok().map(|report| report.worth)
     }
 }
-
-/// Reads a path as the bench will, which runs in another folder.
-pub fn absolute(path: &Path) -> std::io::Result<PathBuf> {
-    fs::canonicalize(path)
-        .map_err(|error| std::io::Error::new(error.kind(), format!("{}: {error}", path.display())))
-}
--- a/crates/sandtrack-days/src/scratch.rs
+++ b/crates/sandtrack-days/src/scratch.rs
@@ -7,8 +7,6 @@
 
 use sandtrack_days::verdict::Report;
 
-use crate::ablate::absolute;
-
 /// What a scratch copy holds beside the programs.
 const COPIED: [&str; 7] = ["Cargo.toml", "Cargo.lock", "README.md", "LICENSE", "crates", "src", DEPLOY_FILE];
 /// The programs that the deploy file runs.
@@ -108,3 +106,9 @@
     }
     Ok(())
 }
+
+/// Reads a path as the bench will, which runs in another folder.
+fn absolute(path: &Path) -> std::io::Result<PathBuf> {
+    fs::canonicalize(path)
+        .map_err(|error| std::io::Error::new(error.kind(), format!("{}: {error}", path.display())))
+}
