--- a/crates/sandtrack-protocol/src/frames.rs
+++ b/crates/sandtrack-protocol/src/frames.rs
@@ -55,7 +55,7 @@
     pub upstream: u32,
     /// A number for the parts of the prompt that others may share.
     pub prefix: u32,
-    /// Work of reading it, in tokens without context.
+    /// Tokens that are to be read.
     pub tokens: u32,
 }
 
--- a/crates/sandtrack-proxy/src/policy.rs
+++ b/crates/sandtrack-proxy/src/policy.rs
@@ -92,9 +92,6 @@
     in_time: f64 = 1.2,
     /// Tokens a ms that an upstream reads, before it was learned (ours).
     prefill_rate: f64 = 50.0,
-    /// With so many tokens before it a token takes twice as long to read as without (ours: where attention and the rest of
-    /// the work meet in dense models of 8 to 70 billion parameters, 30,000 to 60,000).
-    attention_tokens: f64 = 50_000.0,
     /// Proxies tell each other of long prompts that they sent.
     tells_prompts: bool = true,
     /// Weight, as a keeper, of an upstream in a region with requests bound to it, before enough was seen of what there is to
--- a/crates/sandtrack-proxy/src/prefill.rs
+++ b/crates/sandtrack-proxy/src/prefill.rs
@@ -60,7 +60,7 @@
 pub struct Estimate {
     /// Its shared prefix was read there before, or is being read.
     pub kept: bool,
-    /// Work of reading it, in tokens without context.
+    /// Tokens of it that are to be read.
     pub tokens: f64,
     /// Time until all before it is read, in ms.
     pub ahead: Millis,
@@ -97,14 +97,6 @@
     request.tokens.map_or(listed, |(prompt, _)| prompt.max(listed)) as f64
 }
 
-/// Work of reading a prompt of which the first `kept` tokens are kept, in tokens without context: each token attends to all
-/// before it.
-fn work(prompt: f64, kept: f64, policy: &Policy) -> f64 {
-    let read = (prompt - kept).max(0.0);
-    let context = (prompt + kept) / 2.0;
-    read * (1.0 + context / policy.attention_tokens)
-}
-
 impl Prefill {
     /// Tokens a ms that upstreams of a service read.
     #[must_use]
@@ -131,7 +123,7 @@
         // While one reads it, a second request that it takes up beside the first reads it as well.
         let is_read = reader.is_some_and(|reader| now >= reader.done_at);
         let shared = if is_read { request.shared_tokens() as f64 } else { 0.0 };
-        let tokens = work(prompt_tokens(request), shared, policy);
+        let tokens = (prompt_tokens(request) - shared).max(0.0);
         let kept = reader.is_some();
         let rate = self.rate(&request.service, policy);
         let ahead = self.backlogs.get(&key).map_or(0.0, |backlog| backlog.left(now, rate)) / rate;
