--- a/crates/sandtrack-proxy/src/policy.rs
+++ b/crates/sandtrack-proxy/src/policy.rs
@@ -2,7 +2,7 @@
 //! the source's own figure; an RFC; "ours"). A release build runs with the defaults. With the feature `ablation` the program
 //! takes `--policy NAME=VALUE,...`, so that one build measures what each constant and each mechanism is worth
 //! (`docs/system/decisions.md`). The constants of the ordinary path itself are in `sandtrack_tiers`. Pure.
-use sandtrack_tiers::GAP_MOST;
+use sandtrack_tiers::{Millis, GAP_MOST};
 use thiserror::Error;
 
 /// A policy that can't be read.
@@ -169,13 +169,21 @@
 /// Failed probes in a row from which on the pause between them grows (design: two make an upstream unhealthy).
 const STEADY_PROBES: u32 = 2;
 
+/// Doublings beyond which every time has reached its bound.
+const DOUBLINGS_MOST: u32 = 16;
+
+/// `first` doubled so many times, in ms; the caller bounds it.
+#[must_use]
+pub fn doubled(first: Millis, times: u32) -> Millis {
+    first * f64::from(1u32 << times.min(DOUBLINGS_MOST))
+}
+
 impl Policy {
     /// The pause before the next probe of an upstream of which so many in a row failed, in ms.
     #[must_use]
     pub fn suspect_gap(&self, failed_probes: u32) -> f64 {
-        let doublings = failed_probes.saturating_sub(STEADY_PROBES).min(16);
-        let gap = self.suspect_every_ms * f64::from(1u32 << doublings);
-        gap.min(self.suspect_most_ms.max(self.suspect_every_ms))
+        let doublings = failed_probes.saturating_sub(STEADY_PROBES);
+        doubled(self.suspect_every_ms, doublings).min(self.suspect_most_ms.max(self.suspect_every_ms))
     }
 
     /// The default with some constants set anew: `NAME=VALUE`, joined by commas.
--- a/crates/sandtrack-proxy/src/region_trips.rs
+++ b/crates/sandtrack-proxy/src/region_trips.rs
@@ -4,13 +4,10 @@
 //! retransmission timer does (RFC 6298, 5.5), until something is heard. Once it is known, a loss is told soon after one
 //! round trip. Where nothing was heard for [`Policy::trip_forgotten_ms`] while sends failed, probes treat the way as unknown
 //! again: it may have become longer.
-use crate::policy::Policy;
+use crate::policy::{doubled, Policy};
 use sandtrack_tiers::{Millis, Smoothed};
 use std::collections::HashMap;
 
-/// Doublings beyond which every time-out has reached its bound.
-const DOUBLINGS_MOST: u32 = 16;
-
 /// What is known of the way to one region.
 #[derive(Clone, Copy, Debug, Default)]
 struct Trip {
@@ -82,8 +79,3 @@
         self.failing_since.is_some_and(|since| now - since > policy.trip_forgotten_ms)
     }
 }
-
-/// `first` doubled so many times, in ms.
-fn doubled(first: Millis, times: u32) -> Millis {
-    first * f64::from(1u32 << times.min(DOUBLINGS_MOST))
-}
--- a/crates/sandtrack-proxy/src/session_policy.rs
+++ b/crates/sandtrack-proxy/src/session_policy.rs
@@ -1,5 +1,6 @@
 //! Decisions of the session with the control plane: which control node is asked next, whose session is accepted, and when
 //! another one is looked for. Pure: time comes in, no socket is touched here.
+use crate::policy::doubled;
 use sandtrack_protocol::frames::FORMAT;
 use sandtrack_protocol::settings::{Settings, SESSION_PORT};
 use sandtrack_tiers::Millis;
@@ -24,15 +25,15 @@
 }
 
 /// A control node that does not answer within this time, in ms, is passed over in the first round through all candidates ...
-const CONNECT_FIRST_MS: u64 = 350;
+const CONNECT_FIRST_MS: Millis = 350.0;
 /// ... and within this time in later ones, to which it doubles.
-const CONNECT_MOST_MS: u64 = 2800;
+const CONNECT_MOST_MS: Millis = 2800.0;
 
 /// How long a connection to a control node is waited for after so many rounds in vain: one far away is reached in the end,
 /// and a dead one does not hold up those that are near.
 pub fn connect_timeout(vain_rounds: u32) -> Duration {
-    let doubled = CONNECT_FIRST_MS << vain_rounds.min(8);
-    Duration::from_millis(doubled.min(CONNECT_MOST_MS))
+    let patience = doubled(CONNECT_FIRST_MS, vain_rounds).min(CONNECT_MOST_MS);
+    Duration::from_secs_f64(patience / 1000.0)
 }
 
 /// Whose sessions are accepted.
