--- a/crates/sandtrack-proxy/src/placement/keepers.rs
+++ b/crates/sandtrack-proxy/src/placement/keepers.rs
@@ -71,6 +71,7 @@
         &self, request: &ProxyRequest, able: &[usize], weight: &impl Fn(usize) -> f64,
     ) -> Vec<Candidate> {
         let key = request.shared_key();
+        let keeps = self.prefill.keeps(request);
         // Weighted rendezvous hashing: a share of the draws in proportion to the weight, and few move when one goes.
         let rank = |place: usize| {
             let draw = (mix(key ^ self.upstreams.get(place).hash) >> 11) as f64 / (1u64 << 53) as f64;
@@ -86,7 +87,7 @@
             let is_near = upstream.region == self.region && near_choices < choices;
             near_choices += usize::from(is_near);
             let is_chosen = at < choices;
-            if is_chosen || is_near || self.prefill.keeps(request, upstream) {
+            if is_chosen || is_near || keeps(upstream) {
                 candidates.push(Candidate { place, is_chosen });
             }
         }
--- a/crates/sandtrack-proxy/src/prefill.rs
+++ b/crates/sandtrack-proxy/src/prefill.rs
@@ -104,12 +104,18 @@
         self.rates.get(service).map_or(policy.prefill_rate, |rate| rate.mean)
     }
 
-    /// Whether this upstream is known to have read the shared prefix of this request.
-    #[must_use]
-    pub fn keeps(&self, request: &ProxyRequest, upstream: &Upstream) -> bool {
-        let prefix = self.prefixes.get(&prefix_key(request));
-        let key = upstream_key(upstream);
-        prefix.is_some_and(|prefix| prefix.readers.iter().any(|reader| reader.upstream == key))
+    /// The upstreams that have read the shared prefix of this request, or read it now.
+    fn readers(&self, request: &ProxyRequest) -> &[Reader] {
+        self.prefixes.get(&prefix_key(request)).map_or(&[], |prefix| &prefix.readers)
+    }
+
+    /// Tells of each upstream whether it is known to have read the shared prefix of this request; the prefix is looked up once.
+    pub fn keeps<'a>(&'a self, request: &ProxyRequest) -> impl Fn(&Upstream) -> bool + 'a {
+        let readers = self.readers(request);
+        move |upstream| {
+            let key = upstream_key(upstream);
+            readers.iter().any(|reader| reader.upstream == key)
+        }
     }
 
     /// What it takes until this upstream has read the request's prompt.
@@ -118,8 +124,7 @@
         &self, now: Millis, request: &ProxyRequest, upstream: &Upstream, policy: &Policy,
     ) -> Estimate {
         let key = upstream_key(upstream);
-        let prefix = self.prefixes.get(&prefix_key(request));
-        let reader = prefix.and_then(|prefix| prefix.readers.iter().find(|reader| reader.upstream == key));
+        let reader = self.readers(request).iter().find(|reader| reader.upstream == key);
         // While one reads it, a second request that it takes up beside the first reads it as well.
         let is_read = reader.is_some_and(|reader| now >= reader.done_at);
         let shared = if is_read { request.shared_tokens() as f64 } else { 0.0 };
