The test of a proxy's metrics runs again

Cause: tests/exchange/metrics.rs was in no module since the harness got its names, so nothing held the names of the metrics.

Change: the module is declared, and the test uses the harness of today; its fixture and its assertion are as they were.

--- a/crates/sandtrack-proxy/tests/exchange/main.rs
+++ b/crates/sandtrack-proxy/tests/exchange/main.rs
@@ -10,6 +10,7 @@
 mod lifecycle;
 mod limits;
 mod memory_budget;
+mod metrics;
 mod proxy_process;
 mod response_integrity;
 mod streams;
--- a/crates/sandtrack-proxy/tests/exchange/metrics.rs
+++ b/crates/sandtrack-proxy/tests/exchange/metrics.rs
@@ -1,5 +1,5 @@
 //! The metrics of a proxy keep their names, labels and order: scrapers read them.
-use crate::stage::Stage;
+use crate::harness::Harness;
 
 const FIXTURE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/fixtures/metrics.txt");
 
@@ -15,16 +15,16 @@
 
 #[test]
 fn the_metrics_keep_their_names_labels_and_order() {
-    let stage = Stage::serving("the_metrics_keep_their_names", 2);
-    let mut client = stage.client();
+    let harness = Harness::with_upstreams("the_metrics_keep_their_names_labels_and_order", 2);
+    let mut client = harness.client();
     client.get("/slips/a", "r1");
-    stage.asked().answer("whole");
-    assert_eq!(client.answer().text(), "whole");
-    stage.until_figure("sandtrack_proxy_requests_open", 0);
-    let text = without_values(&stage.figures());
+    harness.next_upstream_request().respond("whole");
+    assert_eq!(client.response().text(), "whole");
+    harness.wait_for_metric("sandtrack_proxy_requests_open", 0);
+    let text = without_values(&harness.figures());
     if std::env::var_os("SANDTRACK_WRITE_FIXTURES").is_some() {
         std::fs::write(FIXTURE, &text).expect("a fixture can be written");
     }
     assert_eq!(text, std::fs::read_to_string(FIXTURE).expect("the fixture"));
-    stage.finish_unwritten();
+    harness.finish();
 }
