Control nodes and proxies tell what of a configuration has no effect in them

Change: protocol::schema lists the fields that the programs read; each configuration is logged with its lists and fields that have no effect, and two gauges count them. Contracts in the settings that are not implemented are logged at the start. No decision changes.

--- a/crates/sandtrack-control/src/node/metrics.rs
+++ b/crates/sandtrack-control/src/node/metrics.rs
@@ -20,7 +20,7 @@
         let control_state = self.replica.machine();
         let linked = self.peers.all().filter(|(_, linked, _)| *linked).count() as u64;
         let ready = self.membership.ready(now).len() as u64;
-        let gauges: [(&str, &str, u64); 14] = [
+        let gauges: [(&str, &str, u64); 15] = [
             (
                 "attached",
                 "Whether it hears a majority and has caught up",
@@ -62,6 +62,11 @@
                 "Version in force; 0: none",
                 control_state.version(),
             ),
+            (
+                "configuration_unread_fields",
+                "Lists and fields of the configuration that have no effect",
+                control_state.unread_fields().len() as u64,
+            ),
             (
                 "zones_evacuated",
                 "Zones that get nothing",
--- a/crates/sandtrack-control/src/node/replica.rs
+++ b/crates/sandtrack-control/src/node/replica.rs
@@ -4,7 +4,7 @@
 use crate::peers::{LinkAction, PeerFrame};
 use crate::state_machine::Command;
 use crate::Millis;
-use sandtrack_protocol::codes;
+use sandtrack_protocol::{codes, schema};
 use sandtrack_replication::{self as replication, CallError, Message, View};
 
 /// The result of a call that the replica was given.
@@ -89,6 +89,11 @@
     fn log_applied(&self, number: u64, command: &[u8]) {
         let version = self.replica.machine().version();
         match borsh::from_slice::<Command>(command) {
+            Ok(command @ Command::Configure { .. }) => {
+                let unread = self.replica.machine().unread_fields();
+                let no_effect = schema::no_effect_text(&unread);
+                log::info!("number {number}: version {version}, after {command}{no_effect}");
+            }
             Ok(command) => log::info!("number {number}: version {version}, after {command}"),
             Err(error) => log::warn!("number {number}: version {version}, unknown: {error}"),
         }
--- a/crates/sandtrack-control/src/program.rs
+++ b/crates/sandtrack-control/src/program.rs
@@ -48,6 +48,9 @@
     let settings = settings_file::read();
     let node = settings.as_ref().map_or("", |settings| &settings.node_name);
     logs::start(node, &command_line.log_level);
+    if let Ok(settings) = &settings {
+        settings.log_unsupported_contracts();
+    }
     let done = match (command_line.verb, settings) {
         (_, Err(error)) => Err(ProgramError::from(error)),
         (Subcommand::Check, Ok(settings)) => {
--- a/crates/sandtrack-control/src/state_machine/control_state.rs
+++ b/crates/sandtrack-control/src/state_machine/control_state.rs
@@ -9,9 +9,11 @@
 use sandtrack_protocol::configuration::Configuration;
 use sandtrack_protocol::document::{ConfigurationError, Document, Update};
 use sandtrack_protocol::frames::ToProxy;
+use sandtrack_protocol::schema;
 use sandtrack_replication::StateMachine;
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
+use std::collections::BTreeSet;
 
 /// Lists that every document has.
 const REQUIRED_LISTS: [&str; 2] = ["routes", "services"];
@@ -35,6 +37,11 @@
         self.document.version
     }
 
+    /// Lists and fields of the configuration that have no effect.
+    pub fn unread_fields(&self) -> BTreeSet<String> {
+        schema::unread_fields(&self.document)
+    }
+
     /// Number of the command that made the configuration what it is; 0 before the first.
     pub fn configuration_number(&self) -> u64 {
         self.configuration_number
--- a/crates/sandtrack-protocol/src/lib.rs
+++ b/crates/sandtrack-protocol/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod frames;
 pub mod logs;
 pub mod metrics;
+pub mod schema;
 pub mod settings;
--- a/crates/sandtrack-protocol/src/settings.rs
+++ b/crates/sandtrack-protocol/src/settings.rs
@@ -121,6 +121,8 @@
     pub first_start: bool,
     /// The machine counts towards the tolerated losses: its proxy prefers a control node on the same machine.
     pub loss_counted: bool,
+    /// Parts of the rules that are in force in the deployment.
+    pub contracts: Vec<String>,
     /// Directory of a control node's WAL; without one it is no member of the chain.
     pub data_directory: Option<String>,
     /// Memory limit of the process, in MiB.
@@ -142,6 +144,12 @@
 /// Offset in [`Settings::internal_ports`] of the port for proxies' sessions.
 pub const SESSION_PORT_OFFSET: u16 = 1;
 
+/// Parts of the rules (`contracts`) that the programs implement.
+const SUPPORTED_CONTRACTS: &[&str] = &[
+    "base", "drain", "config", "cost", "retry", "recover", "health", "pool", "engine", "stream",
+    "places",
+];
+
 /// Unit of `limits.memory_mb`, in bytes.
 const MEGABYTE: f64 = 1024.0 * 1024.0;
 
@@ -180,7 +188,6 @@
             let value = value_at(&value, path).and_then(ValueAsScalar::cast_f64);
             value.unwrap_or_else(|| default_number(path))
         };
-        let seeds = value.get_array("seed_nodes").into_iter().flatten();
         Ok(Settings {
             node_name: text("node_name")?,
             role: text("role").unwrap_or_default(),
@@ -191,11 +198,10 @@
             zones: strings_by_name(&value, "zones"),
             listen: strings_by_name(&value, "listen_addresses"),
             internal_ports: port_range(&value).ok_or_else(|| missing("internal_port_range"))?,
-            seed_nodes: seeds
-                .filter_map(|seed| seed.as_str().map(str::to_owned))
-                .collect(),
+            seed_nodes: strings(&value, "seed_nodes"),
             first_start: value.get_bool("first_start").unwrap_or(false),
             loss_counted: value.get_bool("loss_counted").unwrap_or(false),
+            contracts: strings(&value, "contracts"),
             data_directory: value.get_str("data_directory").map(str::to_owned),
             memory_mb: number("limits.memory_mb"),
             file_descriptors: number("limits.file_descriptors") as usize,
@@ -213,6 +219,21 @@
         })
     }
 
+    /// The parts of the rules in force that the programs do not implement.
+    pub fn unsupported_contracts(&self) -> Vec<&str> {
+        let is_unsupported = |name: &&str| !SUPPORTED_CONTRACTS.contains(name);
+        let contracts = self.contracts.iter().map(String::as_str);
+        contracts.filter(is_unsupported).collect()
+    }
+
+    /// Logs the parts of the rules in force that the programs do not implement.
+    pub fn log_unsupported_contracts(&self) {
+        let unsupported = self.unsupported_contracts();
+        if !unsupported.is_empty() {
+            log::warn!("contracts without effect: {}", unsupported.join(", "));
+        }
+    }
+
     /// The region of a zone; `None` for one that the settings do not name.
     pub fn region_of(&self, zone: &str) -> Option<&str> {
         self.zones.get(zone).map(String::as_str)
@@ -230,6 +251,14 @@
     }
 }
 
+/// The array `name`; values that are no strings are left out.
+fn strings(value: &OwnedValue, name: &str) -> Vec<String> {
+    let array = value.get_array(name).into_iter().flatten();
+    array
+        .filter_map(|value| value.as_str().map(str::to_owned))
+        .collect()
+}
+
 /// The object `name` as a map; values that are no strings are left out.
 fn strings_by_name(value: &OwnedValue, name: &str) -> BTreeMap<String, String> {
     let object = value.get_object(name);
--- a/crates/sandtrack-protocol/src/settings/fields.rs
+++ b/crates/sandtrack-protocol/src/settings/fields.rs
@@ -151,6 +151,12 @@
         IfAbsent::Default("false"),
         "a machine of the core: its proxy looks for a control node at home first",
     ),
+    field(
+        "contracts",
+        FieldKind::Texts,
+        IfAbsent::Default("[]"),
+        "parts of the rules that are in force; those that a program does not implement are logged at its start",
+    ),
     field(
         "data_directory",
         FieldKind::Text,
@@ -237,7 +243,6 @@
     "discovery",
     "entry",
     "heartbeat_interval_ms",
-    "contracts",
     "limits.processor_share",
     "limits.processor_cores",
     "limits.link_speed_mbps",
--- a/crates/sandtrack-proxy/src/metrics.rs
+++ b/crates/sandtrack-proxy/src/metrics.rs
@@ -27,7 +27,7 @@
 fn append_process(context: &ProxyContext, text: &mut MetricsText) {
     let balancer = context.balancer.borrow();
     let state = balancer.state();
-    let gauges: [(&str, &str, u64); 10] = [
+    let gauges: [(&str, &str, u64); 11] = [
         ("ready", "Whether it takes traffic", u64::from(state.ready)),
         (
             "leaving",
@@ -39,6 +39,11 @@
             "Version in force here; 0: none",
             state.version,
         ),
+        (
+            "configuration_unread_fields",
+            "Lists and fields of the configuration that have no effect here",
+            balancer.unread_fields.len() as u64,
+        ),
         (
             "requests_open",
             "Requests in hand",
--- a/crates/sandtrack-proxy/src/placement/balancer.rs
+++ b/crates/sandtrack-proxy/src/placement/balancer.rs
@@ -30,7 +30,7 @@
 use sandtrack_protocol::frames::ProxyState;
 use sandtrack_protocol::settings::{Bounds, Settings};
 use sandtrack_tiers::{Millis, Tiers};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 
 /// State of one proxy's load balancing. Upstreams are named by their index in [`Balancer::upstreams`].
@@ -51,6 +51,8 @@
     document: Option<Document>,
     /// The configuration in force.
     pub configuration: Option<Rc<Configuration>>,
+    /// Lists and fields of the configuration in force that have no effect.
+    pub unread_fields: BTreeSet<String>,
     /// Known upstreams.
     pub upstreams: UpstreamTable,
     /// Whether any list of upstreams was received.
@@ -115,6 +117,7 @@
             configuration_number: 0,
             document: None,
             configuration: None,
+            unread_fields: BTreeSet::new(),
             upstreams: UpstreamTable::default(),
             upstreams_received: false,
             evacuated_number: 0,
--- a/crates/sandtrack-proxy/src/placement/balancer/control_updates.rs
+++ b/crates/sandtrack-proxy/src/placement/balancer/control_updates.rs
@@ -4,6 +4,7 @@
 use sandtrack_protocol::configuration::Configuration;
 use sandtrack_protocol::document::Document;
 use sandtrack_protocol::frames::{ToProxy, UpstreamEntry};
+use sandtrack_protocol::schema;
 use sandtrack_tiers::Millis;
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -92,7 +93,12 @@
                 return;
             }
         };
-        log::info!("configuration {} in force", configuration.version);
+        self.unread_fields = schema::unread_fields(&document);
+        log::info!(
+            "configuration {} in force{}",
+            configuration.version,
+            schema::no_effect_text(&self.unread_fields)
+        );
         let before = self.configuration_version();
         let forward = configuration.version > before && number > self.configuration_number;
         check(Invariant::GoesForward, forward || before == 0, || {
--- a/crates/sandtrack-proxy/src/program.rs
+++ b/crates/sandtrack-proxy/src/program.rs
@@ -66,6 +66,7 @@
 
 fn run(settings: Settings, options: Options, path: PathBuf) -> ExitCode {
     logs::start(&settings.node_name, &options.log_level);
+    settings.log_unsupported_contracts();
     let signals = match Signals::new([Signal::Term, Signal::Int, Signal::Hup]) {
         Ok(signals) => signals,
         Err(error) => {
