--- a/crates/sandtrack-protocol/tests/document.rs
+++ b/crates/sandtrack-protocol/tests/document.rs
@@ -59,3 +59,23 @@
         .to_json();
     assert_eq!(next.matches("\"tags\"").count(), 1, "{next}");
 }
+
+/// Keys are needed wherever there is a list of tenants: whoever gets changes has to know of an empty one.
+#[test]
+fn a_list_that_comes_or_goes_empty_reaches_those_that_get_changes() {
+    let none = r#"{"version_number":1,"routes":[],"services":[]}"#;
+    let empty = r#"{"version_number":2,"routes":[],"services":[],"tenants":[]}"#;
+    let one = r#"{"version_number":3,"routes":[],"services":[],"tenants":[{"name":"t"}]}"#;
+    let text = r#"{"version_number":4,"routes":[],"services":[],"tenants":"x"}"#;
+    for from in [none, empty, one, text] {
+        for to in [none, empty, one, text] {
+            let (from, to) = (document(from), document(to));
+            let (items, fields) = from.changes(&to);
+            let applied = from
+                .apply(to.version, &items, &fields)
+                .expect("changes are JSON");
+            assert_eq!(applied.list("tenants"), to.list("tenants"));
+            assert_eq!(applied.field("tenants"), to.field("tenants"));
+        }
+    }
+}
--- a/crates/sandtrack-proxy/tests/exchange/harness.rs
+++ b/crates/sandtrack-proxy/tests/exchange/harness.rs
@@ -308,6 +308,27 @@
         UpstreamRequest::new(received, self.transcript.clone())
     }
 
+    /// The next request at any upstream, if it comes within this time.
+    pub fn upstream_request_within(&self, time: Duration) -> Option<UpstreamRequest> {
+        let received = self.received_requests.recv_timeout(time).ok()?;
+        Some(UpstreamRequest::new(received, self.transcript.clone()))
+    }
+
+    /// Asks with this key until the request is passed on, and answers it.
+    pub fn wait_until_keys_pass(&self, client: &mut Client, target: &str, key: &str) {
+        let began = Instant::now();
+        loop {
+            client.get_with(target, "again", &[key]);
+            if let Some(request) = self.upstream_request_within(Duration::from_millis(100)) {
+                request.respond("again");
+                assert_eq!(client.response().status(), 200);
+                return;
+            }
+            assert_eq!(client.response().status(), 503);
+            assert!(began.elapsed() < PATIENCE, "the key never passes again");
+        }
+    }
+
     /// The next request at any upstream is answered by a stream, of which the client gets the head and the first event.
     pub fn started_stream(&self, client: &mut Client) -> UpstreamRequest {
         let mut upstream_request = self.next_upstream_request();
