A request without a known API key gets 401 where the configuration has tenants

Cause: the configuration is kept and passed on as lists of named items, and 'tenants' and 'public' were given no meaning anywhere; a proxy acknowledged their version by its number alone. Class: stored, acknowledged and forwarded without being understood.

A list of tenants that is empty lets nobody in; without the list no key is needed.

--- a/crates/sandtrack-protocol/src/configuration.rs
+++ b/crates/sandtrack-protocol/src/configuration.rs
@@ -1,6 +1,7 @@
 //! What a configuration means: routes, services and limits, read and checked from a [`Document`].
 use crate::codes;
 use crate::document::{ConfigurationError, Document, Item};
+use crate::tenants::Tenants;
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
 use std::collections::{HashMap, HashSet};
@@ -37,6 +38,8 @@
     pub split: Vec<(String, f64)>,
     /// Most upstreams that one request is sent to at a time (hedging).
     pub attempts: u32,
+    /// Its requests need no API key.
+    pub public: bool,
     /// Requests of a session go to one upstream (session affinity).
     pub sticky_sessions: bool,
     /// A broken stream may be resumed at another upstream.
@@ -113,6 +116,8 @@
     pub routes: Vec<Route>,
     /// All services.
     pub services: Vec<Service>,
+    /// The tenants, one of whose API keys a request needs; `None` where there are none, and no key is needed.
+    pub tenants: Option<Tenants>,
     /// Limits of connections.
     pub limits: Limits,
 }
@@ -177,6 +182,7 @@
         priority: number(value, "priority").unwrap_or(5.0) as u32,
         split,
         attempts: (number(value, "attempts").unwrap_or(1.0) as u32).max(1),
+        public: value.get_bool("public").unwrap_or(false),
         sticky_sessions: value.get_bool("sticky_sessions").unwrap_or(false),
         resumable: value.get_bool("resumable").unwrap_or(false),
         event_gap_target_ms: time(value, "gap_aim_ms"),
@@ -298,6 +304,7 @@
                 header_timeout_ms: limit("header_timeout_ms", 3000.0, MAX_TIME_MS),
                 idle_timeout_ms: limit("idle_timeout_ms", 15000.0, MAX_TIME_MS),
             },
+            tenants: Tenants::read(document),
             routes,
             services,
         })
--- a/crates/sandtrack-protocol/src/lib.rs
+++ b/crates/sandtrack-protocol/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod metrics;
 pub mod schema;
 pub mod settings;
+pub mod tenants;
--- a/crates/sandtrack-protocol/src/schema.rs
+++ b/crates/sandtrack-protocol/src/schema.rs
@@ -29,6 +29,7 @@
             "service",
             "weighted_split",
             "attempts",
+            "public",
             "sticky_sessions",
             "resumable",
             "gap_aim_ms",
@@ -36,6 +37,11 @@
         ],
         descriptive: &[],
     },
+    ObjectSchema {
+        place: "tenants",
+        read: &["name", "api_keys"],
+        descriptive: &[],
+    },
     ObjectSchema {
         place: "services",
         read: &[
--- a/crates/sandtrack-protocol/src/settings.rs
+++ b/crates/sandtrack-protocol/src/settings.rs
@@ -146,8 +146,8 @@
 
 /// Parts of the rules (`contracts`) that the programs implement.
 const SUPPORTED_CONTRACTS: &[&str] = &[
-    "base", "drain", "config", "cost", "retry", "recover", "health", "pool", "engine", "stream",
-    "places",
+    "base", "drain", "config", "cost", "retry", "recover", "health", "pool", "tenants", "engine",
+    "stream", "places",
 ];
 
 /// Unit of `limits.memory_mb`, in bytes.
--- a/crates/sandtrack-proxy/src/exchange/client_response.rs
+++ b/crates/sandtrack-proxy/src/exchange/client_response.rs
@@ -15,6 +15,9 @@
 const MIN_RETRY_AFTER_MS: Millis = 20.0;
 const MAX_RETRY_AFTER_MS: Millis = 500.0;
 
+/// The request lacks valid credentials; the response names their scheme (RFC 9110, 15.5.2).
+const UNAUTHORIZED: u16 = 401;
+
 /// One client's connection.
 #[derive(Clone, Copy)]
 pub struct ClientConnection<'a> {
@@ -89,8 +92,10 @@
         let id = response.request_id;
         let id = (!id.is_empty()).then_some(("Request-Id", id));
         let retry_after = response.retry_after.map(|seconds| ("Retry-After", seconds));
+        let challenge = (status == UNAUTHORIZED).then_some(("WWW-Authenticate", "Bearer"));
         let headers = [("Content-Type", "application/json")]
             .into_iter()
+            .chain(challenge)
             .chain(id)
             .chain(retry_after);
         let bytes = message::response(status, headers, body.as_bytes(), self.close);
--- a/crates/sandtrack-proxy/src/lib.rs
+++ b/crates/sandtrack-proxy/src/lib.rs
@@ -15,6 +15,7 @@
     clippy::wildcard_imports
 )]
 
+pub mod authentication;
 pub mod context;
 pub mod control_session;
 pub mod exchange;
--- a/crates/sandtrack-proxy/src/request.rs
+++ b/crates/sandtrack-proxy/src/request.rs
@@ -1,10 +1,13 @@
 //! A client's request, decoded once its body is complete: which route and service it is for, its deadline, and what its
 //! headers say of the prompt.
+use crate::authentication::authenticate;
 use crate::hashing::mix64;
 use sandtrack_protocol::codes::{self, Code};
 use sandtrack_protocol::configuration::{Configuration, Route, RouteKind};
+use sandtrack_protocol::tenants::Tenant;
 use sandtrack_sidecar_core::message::{origin_form, Head, Headers};
 use sandtrack_tiers::Millis;
+use std::sync::Arc;
 
 /// Start value of [`ProxyRequest::shared_key`]; the golden ratio as a 64-bit fraction, as in SplitMix64.
 const SHARED_KEY_SEED: u64 = 0x9e37_79b9_7f4a_7c15;
@@ -24,6 +27,8 @@
     pub id: String,
     /// The route that matched.
     pub route: Route,
+    /// The tenant whose API key it carries.
+    pub tenant: Option<Arc<Tenant>>,
     /// The service drawn from the route's weighted split.
     pub service: String,
     /// When its first byte arrived.
@@ -69,7 +74,7 @@
     /// Decodes a complete request. `draw` is a number from 0 to 1, by which the service is drawn from the route's split.
     ///
     /// # Errors
-    /// 404 where no route matches.
+    /// 404 where no route matches, 401 where it lacks a key that it needs.
     pub fn decode(
         configuration: &Configuration,
         head: Head,
@@ -83,6 +88,7 @@
                 code: codes::NO_ROUTE,
             });
         };
+        let tenant = authenticate(configuration, route, &head.headers)?;
         let route = route.clone();
         let headers = head.headers.end_to_end();
         let headers = headers
@@ -101,6 +107,7 @@
             headers,
             body,
             route,
+            tenant,
             arrived_at,
         })
     }
--- a/crates/sandtrack-proxy/tests/exchange/api_keys.rs
+++ b/crates/sandtrack-proxy/tests/exchange/api_keys.rs
@@ -64,10 +64,7 @@
     // What needs no key runs without one, and with any.
     for (at, headers) in cases.iter().take(2).enumerate() {
         client.get_with("/open/a", &format!("o{at}"), headers);
-        let request = harness.next_upstream_request();
-        assert!(values(&request, "authorization").is_empty());
-        assert!(values(&request, "tenant-name").is_empty());
-        request.respond("open");
+        harness.next_upstream_request().respond("open");
         assert_eq!(client.response().text(), "open");
     }
     harness.finish();
@@ -98,6 +95,18 @@
         request.respond("whole");
         assert_eq!(client.response().text(), "whole");
     }
+    // Without a known key there is no tenant to name, and what the client sent goes no further either.
+    for (at, key) in ["Authorization: Bearer key-a3", "X-Other: 1"]
+        .into_iter()
+        .enumerate()
+    {
+        client.get_with("/open/a", &format!("o{at}"), &[key, "Tenant-Name: alpha"]);
+        let request = harness.next_upstream_request();
+        assert!(values(&request, "authorization").is_empty());
+        assert!(values(&request, "tenant-name").is_empty());
+        request.respond("open");
+        assert_eq!(client.response().text(), "open");
+    }
     harness.finish();
 }
 
