A client's API key never reaches an upstream, which is told its tenant instead

Class: forwarded without being understood.

Change: where the configuration has tenants, Authorization is left out when a request is decoded, on public routes too; Tenant-Name is one of the headers that the proxy sets itself, and names the tenant whose key was looked up. A name that is no header value lets nobody in.

--- a/crates/sandtrack-cli/tests/pages.rs
+++ b/crates/sandtrack-cli/tests/pages.rs
@@ -87,7 +87,9 @@
 #[test]
 fn documented_log_events_are_in_the_sources() {
     let sources = |package: &str| read_all(&root().join(format!("crates/sandtrack-{package}/src")));
-    let sources = ["control", "proxy", "invariants", "protocol"].map(sources).concat();
+    let sources = ["control", "proxy", "invariants", "protocol"]
+        .map(sources)
+        .concat();
     let page = page("docs/system/operations.md");
     let rows = page
         .lines()
--- a/crates/sandtrack-protocol/src/tenants.rs
+++ b/crates/sandtrack-protocol/src/tenants.rs
@@ -51,7 +51,7 @@
             return document.field(TENANTS_LIST).map(|_| Tenants::default());
         };
         let mut tenants = Tenants::default();
-        for item in items {
+        for item in items.iter().filter(|item| is_header_value(&item.name)) {
             let tenant = Arc::new(Tenant {
                 name: item.name.clone(),
             });
@@ -99,7 +99,7 @@
     let mut holders: HashMap<&str, &str> = HashMap::new();
     for item in document.list(TENANTS_LIST).unwrap_or_default() {
         let place = |field: &str| format!("{TENANTS_LIST} `{}`.{field}", item.name);
-        if item.name.chars().any(|letter| letter.is_ascii_control()) {
+        if !is_header_value(&item.name) {
             return Err(invalid_field(place("name")));
         }
         if !has_readable_keys(&item.value) {
@@ -116,6 +116,11 @@
     Ok(())
 }
 
+/// Whether a name can be told in a header (RFC 9110, 5.5).
+fn is_header_value(name: &str) -> bool {
+    !name.chars().any(|letter| letter.is_ascii_control())
+}
+
 /// Whether the keys of a tenant are a list of texts; without the field it has none.
 fn has_readable_keys(tenant: &OwnedValue) -> bool {
     let Some(keys) = tenant.get(API_KEYS_FIELD) else {
--- a/crates/sandtrack-proxy/src/request.rs
+++ b/crates/sandtrack-proxy/src/request.rs
@@ -1,6 +1,6 @@
 //! A client's request, decoded once its body is complete: which route and service it is for, its deadline, and what its
 //! headers say of the prompt.
-use crate::authentication::authenticate;
+use crate::authentication::{authenticate, AUTHORIZATION};
 use crate::hashing::mix64;
 use sandtrack_protocol::codes::{self, Code};
 use sandtrack_protocol::configuration::{Configuration, Route, RouteKind};
@@ -19,7 +19,7 @@
     pub method: String,
     /// Request target in origin form (RFC 9112, 3.2.1).
     pub target: String,
-    /// End-to-end headers, in the client's order.
+    /// End-to-end headers, in the client's order, without its API key.
     pub headers: Vec<(String, String)>,
     /// The complete body.
     pub body: Vec<u8>,
@@ -90,8 +90,12 @@
         };
         let tenant = authenticate(configuration, route, &head.headers)?;
         let route = route.clone();
+        let is_key = |name: &str| {
+            configuration.tenants.is_some() && name.eq_ignore_ascii_case(AUTHORIZATION)
+        };
         let headers = head.headers.end_to_end();
         let headers = headers
+            .filter(|(name, _)| !is_key(name))
             .map(|(name, value)| (name.to_owned(), value.to_owned()))
             .collect();
         let id = head.headers.get("request-id").unwrap_or_default();
--- a/crates/sandtrack-proxy/src/upstream_connections/wire.rs
+++ b/crates/sandtrack-proxy/src/upstream_connections/wire.rs
@@ -19,10 +19,11 @@
 const MAX_PRIORITY: u32 = 9;
 
 /// Headers that this proxy sets itself.
-const OWN_HEADERS: [&str; 4] = [
+const OWN_HEADERS: [&str; 5] = [
     "deadline-remaining",
     "expected-instance",
     "priority",
+    "tenant-name",
     "expect",
 ];
 
@@ -85,7 +86,13 @@
         .filter(|_| options.with_priority)
         .map(|_| ("Priority", priority.as_str()));
     let resumed = last_event_id.as_deref().map(|id| ("Last-Event-Id", id));
-    let headers = kept.chain(added).chain(priority).chain(resumed);
+    let tenant = request.tenant.as_deref();
+    let tenant = tenant.map(|tenant| ("Tenant-Name", tenant.name.as_str()));
+    let headers = kept
+        .chain(added)
+        .chain(tenant)
+        .chain(priority)
+        .chain(resumed);
     message::request_head_of(
         &request.method,
         &request.target,
