A configuration whose tenants share an API key is refused, in an update as in a replacement

Operators saw (CONFIG): 200 for a configuration in which one key is two tenants'. Whose request it was would have been a matter of order.

Class: acknowledged without being understood.

Change: Configuration::read_new makes the checks of a document that is to become the configuration. A replacement is checked where it is read, as before. An update is checked before it is submitted, against the document that it is based on: the node's own, or, where that is behind, the newest one, read through the chain. The state machine is left as it is: logs and chains of earlier programs, which accepted such documents, give the same state. There, a key of several tenants lets nobody in.

--- a/crates/sandtrack-cli/src/commands/configuration.rs
+++ b/crates/sandtrack-cli/src/commands/configuration.rs
@@ -95,7 +95,7 @@
     ) -> Result<Precheck, CliError> {
         let current = self.current_configuration()?.document;
         let next = next(&current);
-        Configuration::read(&next)?;
+        Configuration::read_new(&next)?;
         let is_same = next.version == current.version && differences(&current, &next).is_empty();
         if is_same && change.based_on.is_none() {
             // The command was given again, for example after its response was lost.
--- a/crates/sandtrack-cli/src/input_file.rs
+++ b/crates/sandtrack-cli/src/input_file.rs
@@ -24,7 +24,7 @@
         let body = read_file(path, codes::CONFIGURATION_UNREADABLE)?;
         let document =
             Document::parse(&body).map_err(|invalid| with_json_position(&body, invalid.into()))?;
-        let configuration = Configuration::read(&document)?;
+        let configuration = Configuration::read_new(&document)?;
         Ok(ConfigurationFile {
             body,
             document,
--- a/crates/sandtrack-control/src/node/call_context.rs
+++ b/crates/sandtrack-control/src/node/call_context.rs
@@ -2,7 +2,7 @@
 use crate::membership::Membership;
 use crate::operator_api::pending_calls::CallContext;
 use crate::peers::Peers;
-use crate::state_machine::{Command, ControlState};
+use crate::state_machine::{Command, ControlState, Precheck};
 use crate::upstreams::Upstreams;
 use sandtrack_protocol::settings::Settings;
 
@@ -30,6 +30,10 @@
         self.control_state.accepted_version(command)
     }
 
+    fn precheck(&self, command: &Command) -> Precheck {
+        self.control_state.precheck(command)
+    }
+
     fn knows_zone(&self, zone: &str) -> bool {
         self.settings.zones.contains_key(zone)
             || self.settings.zone == zone
--- a/crates/sandtrack-control/src/operator_api/pending_calls.rs
+++ b/crates/sandtrack-control/src/operator_api/pending_calls.rs
@@ -3,8 +3,9 @@
 use super::requests::{self, Request, CALL_TIMEOUT_MS, EVACUATION_TIMEOUT_MS};
 use super::responses::{self, Reply};
 use crate::operator_api::call_age::{Arrival, PauseDetector};
-use crate::state_machine::{Command, Outcome, Query};
+use crate::state_machine::{precheck, Command, Outcome, Precheck, Query, QueryResult};
 use crate::Millis;
+use sandtrack_protocol::document::Document;
 use sandtrack_replication::CallError;
 use sandtrack_sidecar_core::message::Message;
 use std::collections::BTreeMap;
@@ -48,6 +49,8 @@
     fn last_order(&self, zone: &str) -> u64;
     /// The version that a command made, if it is among the configurations accepted last in the committed state here.
     fn accepted_version(&self, command: &Command) -> Option<u64>;
+    /// What the committed state here says of a command before it is submitted.
+    fn precheck(&self, command: &Command) -> Precheck;
     /// Whether the zone is in the settings or in anything that was learned since.
     fn knows_zone(&self, zone: &str) -> bool;
 }
@@ -56,6 +59,10 @@
 #[derive(Clone, Debug, PartialEq)]
 enum Awaiting {
     Configuration,
+    /// An update whose basis has not reached this node: for the newest configuration, to check the update against it.
+    Basis {
+        command: Command,
+    },
     /// A repeated configuration: that the chain responds, before it is acknowledged again.
     Repeat {
         version: u64,
@@ -174,9 +181,10 @@
         let mut wait = |waits: Awaiting| {
             let patience = match waits {
                 Awaiting::Evacuation | Awaiting::Zone { .. } => EVACUATION_TIMEOUT_MS,
-                Awaiting::Configuration | Awaiting::Repeat { .. } | Awaiting::Read => {
-                    CALL_TIMEOUT_MS
-                }
+                Awaiting::Configuration
+                | Awaiting::Basis { .. }
+                | Awaiting::Repeat { .. }
+                | Awaiting::Read => CALL_TIMEOUT_MS,
             };
             let until = now + patience;
             self.pending.insert(
@@ -199,10 +207,23 @@
                         question: Query::Liveness,
                     }
                 }
-                None => {
-                    wait(Awaiting::Configuration);
-                    Step::Submit { call, command }
-                }
+                None => match known.precheck(&command) {
+                    Precheck::Passed => {
+                        wait(Awaiting::Configuration);
+                        Step::Submit { call, command }
+                    }
+                    Precheck::Invalid(invalid) => Step::Reply {
+                        call,
+                        reply: responses::invalid(&invalid),
+                    },
+                    Precheck::NeedsBasis => {
+                        wait(Awaiting::Basis { command });
+                        Step::Read {
+                            call,
+                            question: Query::Configuration,
+                        }
+                    }
+                },
             },
             Request::Read => {
                 wait(Awaiting::Read);
@@ -266,6 +287,7 @@
                 }
                 Some(self.order_evacuation(now, call, zone, begin, seen))
             }
+            Awaiting::Basis { command } => Some(self.submit_on_basis(call, command, result)),
             // One that was overtaken is not stamped anew: its caller may have gone on to another control node, and may have
             // been acknowledged there, and a later order after it.
             Awaiting::Evacuation => {
@@ -296,6 +318,29 @@
         }
     }
 
+    /// Submits an update, unless the newest configuration is its basis and it makes that invalid.
+    fn submit_on_basis(
+        &mut self,
+        call: u64,
+        command: Command,
+        newest: Result<Vec<u8>, CallError>,
+    ) -> Step {
+        let newest = match newest {
+            Ok(newest) => borsh::from_slice::<QueryResult>(&newest).ok().flatten(),
+            Err(refusal) => return self.end(call, responses::refused(refusal)),
+        };
+        let newest = newest.and_then(|newest| Document::parse(newest.as_bytes()).ok());
+        if let Some(Precheck::Invalid(invalid)) =
+            newest.map(|newest| precheck::command(&newest, &command))
+        {
+            return self.end(call, responses::invalid(&invalid));
+        }
+        if let Some(pending) = self.pending.get_mut(&call) {
+            pending.waits = Awaiting::Configuration;
+        }
+        Step::Submit { call, command }
+    }
+
     fn end(&mut self, call: u64, reply: Reply) -> Step {
         self.pending.remove(&call);
         Step::Reply { call, reply }
--- a/crates/sandtrack-control/src/operator_api/requests.rs
+++ b/crates/sandtrack-control/src/operator_api/requests.rs
@@ -1,5 +1,5 @@
 //! Parsing of operators' calls.
-use super::responses::Reply;
+use super::responses::{self, Reply};
 use crate::state_machine::{ChangeKind, Command, ControlState};
 use sandtrack_protocol::codes;
 use sandtrack_sidecar_core::message::{self, Message};
@@ -72,8 +72,7 @@
 /// An invalid replacement is rejected here, without the other control nodes.
 fn parse_replacement(call: &Message) -> Result<Request, Reply> {
     let based_on = based_on_version(call)?;
-    ControlState::check(&call.body)
-        .map_err(|invalid| Reply::with_message(400, invalid.code, &invalid.place, &invalid.what))?;
+    ControlState::check(&call.body).map_err(|invalid| responses::invalid(&invalid))?;
     Ok(configure(ChangeKind::Replace, based_on, &call.body))
 }
 
--- a/crates/sandtrack-control/src/operator_api/responses.rs
+++ b/crates/sandtrack-control/src/operator_api/responses.rs
@@ -1,6 +1,7 @@
 //! Responses to operators' calls.
 use crate::state_machine::{Outcome, QueryResult};
 use sandtrack_protocol::codes::{self, Code};
+use sandtrack_protocol::document::ConfigurationError;
 use sandtrack_protocol::logs::escape;
 use sandtrack_replication::CallError;
 use sandtrack_sidecar_core::message;
@@ -98,6 +99,11 @@
     }
 }
 
+/// The response to a configuration that is invalid.
+pub fn invalid(invalid: &ConfigurationError) -> Reply {
+    Reply::with_message(400, invalid.code, &invalid.place, &invalid.what)
+}
+
 /// The response to a read with this result.
 pub fn query_result(result: Result<QueryResult, CallError>) -> Reply {
     match result {
--- a/crates/sandtrack-control/src/state_machine.rs
+++ b/crates/sandtrack-control/src/state_machine.rs
@@ -6,8 +6,10 @@
 pub mod commands;
 pub mod control_state;
 pub mod evacuations;
+pub mod precheck;
 mod recent_changes;
 mod snapshot;
 
 pub use commands::{ChangeKind, Command, Outcome, Query, QueryResult};
 pub use control_state::ControlState;
+pub use precheck::Precheck;
--- a/crates/sandtrack-control/src/state_machine/control_state.rs
+++ b/crates/sandtrack-control/src/state_machine/control_state.rs
@@ -2,6 +2,7 @@
 use super::accepted_configurations::{AcceptedConfigurations, Digest};
 use super::commands::{ChangeKind, Command, Outcome, Query, QueryResult};
 use super::evacuations::Evacuations;
+use super::precheck::{self, Precheck};
 use super::recent_changes::RecentChanges;
 use super::snapshot::{self, SnapshotBase, SnapshotExtension};
 use sandtrack_invariants::{check, Invariant};
@@ -98,7 +99,12 @@
     /// # Errors
     /// What makes it invalid.
     pub fn check(body: &[u8]) -> Result<(), ConfigurationError> {
-        Configuration::read(&Document::parse(body)?).map(drop)
+        Configuration::read_new(&Document::parse(body)?).map(drop)
+    }
+
+    /// What the committed state here says of a command before it is submitted.
+    pub fn precheck(&self, command: &Command) -> Precheck {
+        precheck::command(&self.document, command)
     }
 
     fn configure(
--- a/crates/sandtrack-control/tests/guards.rs
+++ b/crates/sandtrack-control/tests/guards.rs
@@ -8,7 +8,7 @@
 };
 use sandtrack_control::operator_api::call_age::Arrival;
 use sandtrack_control::operator_api::pending_calls::{CallContext, PendingCalls, Step};
-use sandtrack_control::state_machine::{ChangeKind, Command, ControlState, Outcome};
+use sandtrack_control::state_machine::{ChangeKind, Command, ControlState, Outcome, Precheck};
 use sandtrack_control::upstreams::Upstreams;
 use sandtrack_protocol::frames::ToProxy;
 use sandtrack_replication::StateMachine;
@@ -132,6 +132,9 @@
         None
     }
 
+    fn precheck(&self, _: &Command) -> Precheck {
+        Precheck::Passed
+    }
     fn knows_zone(&self, _: &str) -> bool {
         false
     }
--- a/crates/sandtrack-control/tests/resent_configurations.rs
+++ b/crates/sandtrack-control/tests/resent_configurations.rs
@@ -7,7 +7,9 @@
 use sandtrack_control::operator_api::pending_calls::{CallContext, PendingCalls, Step};
 use sandtrack_control::operator_api::{requests, responses};
 use sandtrack_control::state_machine::accepted_configurations::MAX_ACCEPTED_CONFIGURATIONS;
-use sandtrack_control::state_machine::{ChangeKind, Command, ControlState, Outcome, Query};
+use sandtrack_control::state_machine::{
+    ChangeKind, Command, ControlState, Outcome, Precheck, Query,
+};
 use sandtrack_replication::{CallError, StateMachine};
 
 const REPLACE: &str = "/v1/configuration/replace";
@@ -565,6 +567,9 @@
         matches!(command, Command::Configure { based_on: 7, .. }).then_some(9)
     }
 
+    fn precheck(&self, _: &Command) -> Precheck {
+        Precheck::Passed
+    }
     fn knows_zone(&self, _: &str) -> bool {
         true
     }
--- a/crates/sandtrack-control/tests/stale_evacuation_orders.rs
+++ b/crates/sandtrack-control/tests/stale_evacuation_orders.rs
@@ -6,7 +6,7 @@
     Arrival, PauseDetector, MAX_CALL_AGE_MS, MAX_PAUSE_MS,
 };
 use sandtrack_control::operator_api::pending_calls::{CallContext, PendingCalls, Step};
-use sandtrack_control::state_machine::{Command, ControlState, Outcome, Query};
+use sandtrack_control::state_machine::{Command, ControlState, Outcome, Precheck, Query};
 use sandtrack_replication::StateMachine;
 
 const BEGIN: &str = "/v1/evacuation/kita-hall/begin";
@@ -184,6 +184,9 @@
         None
     }
 
+    fn precheck(&self, _: &Command) -> Precheck {
+        Precheck::Passed
+    }
     fn knows_zone(&self, zone: &str) -> bool {
         self.is_named && zone == "kita-hall"
     }
--- a/crates/sandtrack-protocol/src/configuration.rs
+++ b/crates/sandtrack-protocol/src/configuration.rs
@@ -1,7 +1,7 @@
 //! What a configuration means: routes, services and limits, read and checked from a [`Document`].
 use crate::codes;
 use crate::document::{ConfigurationError, Document, Item};
-use crate::tenants::Tenants;
+use crate::tenants::{check_tenants, Tenants};
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
 use std::collections::{HashMap, HashSet};
@@ -250,7 +250,19 @@
 }
 
 impl Configuration {
-    /// Reads and checks a document.
+    /// Reads a document that is to become the configuration. Its checks include those that a document in force may fail, as
+    /// an earlier program did not make them.
+    ///
+    /// # Errors
+    /// The first thing that makes it invalid, with its place.
+    pub fn read_new(document: &Document) -> Result<Configuration, ConfigurationError> {
+        let configuration = Configuration::read(document)?;
+        check_tenants(document)?;
+        Ok(configuration)
+    }
+
+    /// Reads and checks a document. All control nodes must agree on what is invalid, whatever their program: a new check
+    /// belongs into [`Configuration::read_new`].
     ///
     /// # Errors
     /// The first thing that makes it invalid (PROTOCOL.md), with its place.
--- a/crates/sandtrack-protocol/src/document.rs
+++ b/crates/sandtrack-protocol/src/document.rs
@@ -338,6 +338,14 @@
 }
 
 impl Update {
+    /// Whether it sets or removes items of the list, or sets a field of its name.
+    #[must_use]
+    pub fn touches(&self, list: &str) -> bool {
+        self.set.iter().any(|(name, _)| name == list)
+            || self.remove.iter().any(|(name, _)| name == list)
+            || self.fields.iter().any(|(name, _)| name == list)
+    }
+
     /// Reads a change of named items.
     ///
     /// # Errors
--- a/crates/sandtrack-proxy/src/authentication.rs
+++ b/crates/sandtrack-proxy/src/authentication.rs
@@ -1,6 +1,4 @@
 //! Which tenant a request is of, by its API key (`Authorization: Bearer KEY`, RFC 6750).
-use crate::request::Rejection;
-use sandtrack_protocol::codes;
 use sandtrack_protocol::configuration::{Configuration, Route};
 use sandtrack_protocol::tenants::Tenant;
 use sandtrack_sidecar_core::message::Headers;
@@ -11,24 +9,26 @@
 /// The authentication scheme of keys, in lower case.
 const SCHEME: &str = "bearer";
 
+/// The request needs an API key, and carries none that the configuration has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("no known API key")]
+pub struct UnknownKey;
+
 /// The tenant whose key the request carries; `None` where it needs none and carries none that is known.
 ///
 /// # Errors
-/// 401 where the configuration has tenants, the route is not public, and the request carries no key that it knows.
+/// Where the configuration has tenants, the route is not public, and the request carries no key that it knows.
 pub fn authenticate(
     configuration: &Configuration,
     route: &Route,
     headers: &Headers,
-) -> Result<Option<Arc<Tenant>>, Rejection> {
+) -> Result<Option<Arc<Tenant>>, UnknownKey> {
     let Some(tenants) = &configuration.tenants else {
         return Ok(None);
     };
     let tenant = api_key(headers).and_then(|key| tenants.holder(key));
     if tenant.is_none() && !route.public {
-        return Err(Rejection {
-            status: 401,
-            code: codes::UNKNOWN_KEY,
-        });
+        return Err(UnknownKey);
     }
     Ok(tenant.cloned())
 }
--- a/crates/sandtrack-proxy/src/request.rs
+++ b/crates/sandtrack-proxy/src/request.rs
@@ -1,6 +1,6 @@
 //! A client's request, decoded once its body is complete: which route and service it is for, its deadline, and what its
 //! headers say of the prompt.
-use crate::authentication::{authenticate, AUTHORIZATION};
+use crate::authentication::{authenticate, UnknownKey, AUTHORIZATION};
 use crate::hashing::mix64;
 use sandtrack_protocol::codes::{self, Code};
 use sandtrack_protocol::configuration::{Configuration, Route, RouteKind};
@@ -88,7 +88,11 @@
                 code: codes::NO_ROUTE,
             });
         };
-        let tenant = authenticate(configuration, route, &head.headers)?;
+        let tenant =
+            authenticate(configuration, route, &head.headers).map_err(|UnknownKey| Rejection {
+                status: 401,
+                code: codes::UNKNOWN_KEY,
+            })?;
         let route = route.clone();
         let is_key = |name: &str| {
             configuration.tenants.is_some() && name.eq_ignore_ascii_case(AUTHORIZATION)
