The home regions of a tenant bind its requests as those of the route do

Class: stored and acknowledged without being understood; found by going through the fields that the schema calls unread.

Change: home_regions.rs has the regions of a request, from its route and its tenant; selection and the demand for prefill go by them.

--- a/crates/sandtrack-protocol/src/schema.rs
+++ b/crates/sandtrack-protocol/src/schema.rs
@@ -39,7 +39,7 @@
     },
     ObjectSchema {
         place: "tenants",
-        read: &["name", "api_keys"],
+        read: &["name", "api_keys", "home_regions"],
         descriptive: &[],
     },
     ObjectSchema {
--- a/crates/sandtrack-protocol/src/tenants.rs
+++ b/crates/sandtrack-protocol/src/tenants.rs
@@ -10,12 +10,15 @@
 /// The list of tenants in a document.
 pub const TENANTS_LIST: &str = "tenants";
 const API_KEYS_FIELD: &str = "api_keys";
+const HOME_REGIONS_FIELD: &str = "home_regions";
 
 /// Who sends requests, told by an API key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Tenant {
     /// Its name among the tenants.
     pub name: String,
+    /// Regions whose upstreams may serve its requests; empty: any.
+    pub home_regions: Vec<String>,
 }
 
 /// SHA-256 of an API key.
@@ -54,8 +57,9 @@
         for item in items.iter().filter(|item| is_header_value(&item.name)) {
             let tenant = Arc::new(Tenant {
                 name: item.name.clone(),
+                home_regions: texts(item, HOME_REGIONS_FIELD).map(str::to_owned).collect(),
             });
-            for key in keys(item) {
+            for key in texts(item, API_KEYS_FIELD) {
                 tenants.add_key(KeyDigest::of(key), &tenant);
             }
         }
@@ -81,10 +85,10 @@
     }
 }
 
-/// The keys of a tenant; what is no text is left out.
-fn keys(tenant: &Item) -> impl Iterator<Item = &str> {
-    let keys = tenant.value.get_array(API_KEYS_FIELD).into_iter().flatten();
-    keys.filter_map(|key| key.as_str())
+/// The texts in a list of a tenant; what is no text is left out.
+fn texts<'a>(tenant: &'a Item, field: &str) -> impl Iterator<Item = &'a str> {
+    let values = tenant.value.get_array(field).into_iter().flatten();
+    values.filter_map(|value| value.as_str())
 }
 
 /// Checks the tenants of a document that is to become the configuration. Documents that were accepted before are not checked
@@ -105,7 +109,7 @@
         if !has_readable_keys(&item.value) {
             return Err(invalid_field(place(API_KEYS_FIELD)));
         }
-        for key in keys(item) {
+        for key in texts(item, API_KEYS_FIELD) {
             let holder = holders.insert(key, &item.name);
             if holder.is_some_and(|holder| holder != item.name) {
                 let place = format!("{TENANTS_LIST} `{}`", item.name);
--- a/crates/sandtrack-proxy/src/lib.rs
+++ b/crates/sandtrack-proxy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod exchange;
 pub mod hashing;
 pub mod health_checks;
+pub mod home_regions;
 pub mod listener;
 pub mod metrics;
 pub mod placement;
--- a/crates/sandtrack-proxy/src/placement/balancer/quotas.rs
+++ b/crates/sandtrack-proxy/src/placement/balancer/quotas.rs
@@ -96,7 +96,7 @@
             let own = prompt.saturating_sub(request.shared_tokens()) as f64;
             demand.record_long_prompt(now, own);
         } else {
-            demand.record_bound_request(now, &request.route.home_regions, prompt as f64);
+            demand.record_bound_request(now, &request.home_regions, prompt as f64);
         }
     }
 
--- a/crates/sandtrack-proxy/src/placement/prefill_demand.rs
+++ b/crates/sandtrack-proxy/src/placement/prefill_demand.rs
@@ -1,6 +1,7 @@
 //! Tokens that the upstreams of a service have to prefill: those of long prompts, which may be prefilled anywhere, and those
 //! of requests that are bound to regions. From them follows each region's weight for long prompts, so that every upstream
 //! prefills about as much as any other. A proxy sees its own clients only; their mix stands for all.
+use crate::home_regions::HomeRegions;
 use crate::policy::Policy;
 use sandtrack_tiers::Millis;
 use std::collections::{BTreeMap, HashMap};
@@ -61,12 +62,13 @@
     }
 
     /// Another request arrived, of so many tokens, bound to these regions (to none: any may serve it).
-    pub fn record_bound_request(&mut self, now: Millis, home_regions: &[String], tokens: f64) {
+    pub fn record_bound_request(&mut self, now: Millis, home_regions: &HomeRegions, tokens: f64) {
         self.requests.add(now, 1.0, self.time_constant);
-        for region in home_regions {
-            let part = tokens / home_regions.len() as f64;
+        let regions = home_regions.bound_to();
+        let part = tokens / regions.len() as f64;
+        for region in regions {
             self.bound
-                .entry(region.clone())
+                .entry(region.to_owned())
                 .or_default()
                 .add(now, part, self.time_constant);
         }
--- a/crates/sandtrack-proxy/src/placement/selection.rs
+++ b/crates/sandtrack-proxy/src/placement/selection.rs
@@ -110,16 +110,15 @@
         Placement::Wait
     }
 
-    /// Whether the list, evacuations and the route's home regions let this upstream serve the request.
+    /// Whether the list, evacuations and home regions let this upstream serve the request.
     fn may_serve(&self, request: &ProxyRequest, index: usize) -> bool {
         let upstream = self.upstreams.get(index);
         let entry = &upstream.entry;
-        let homes = &request.route.home_regions;
         upstream.listed
             && !entry.draining
             && entry.service == request.service
             && !self.evacuated_zones.contains(&entry.zone)
-            && (homes.is_empty() || homes.contains(&upstream.region))
+            && request.home_regions.allow(&upstream.region)
             && request
                 .model
                 .as_ref()
--- a/crates/sandtrack-proxy/src/request.rs
+++ b/crates/sandtrack-proxy/src/request.rs
@@ -2,6 +2,7 @@
 //! headers say of the prompt.
 use crate::authentication::{authenticate, UnknownKey, AUTHORIZATION};
 use crate::hashing::mix64;
+use crate::home_regions::HomeRegions;
 use sandtrack_protocol::codes::{self, Code};
 use sandtrack_protocol::configuration::{Configuration, Route, RouteKind};
 use sandtrack_protocol::tenants::Tenant;
@@ -29,6 +30,8 @@
     pub route: Route,
     /// The tenant whose API key it carries.
     pub tenant: Option<Arc<Tenant>>,
+    /// Regions that may serve it.
+    pub home_regions: HomeRegions,
     /// The service drawn from the route's weighted split.
     pub service: String,
     /// When its first byte arrived.
@@ -93,6 +96,9 @@
                 status: 401,
                 code: codes::UNKNOWN_KEY,
             })?;
+        let tenant_homes = tenant
+            .as_deref()
+            .map_or(&[][..], |tenant| &tenant.home_regions);
         let route = route.clone();
         let is_key = |name: &str| {
             configuration.tenants.is_some() && name.eq_ignore_ascii_case(AUTHORIZATION)
@@ -114,6 +120,7 @@
             method: head.method,
             headers,
             body,
+            home_regions: HomeRegions::of(&route.home_regions, tenant_homes),
             route,
             tenant,
             arrived_at,
--- a/crates/sandtrack-proxy/tests/prefill_demand.rs
+++ b/crates/sandtrack-proxy/tests/prefill_demand.rs
@@ -1,4 +1,5 @@
 //! Weights of regions for long prompts, by the demand for prefill.
+use sandtrack_proxy::home_regions::HomeRegions;
 use sandtrack_proxy::placement::prefill_demand::{PrefillDemand, WeightPrior};
 use std::collections::BTreeMap;
 
@@ -14,8 +15,9 @@
     least: 0.35,
 };
 
-fn homes(names: &[&str]) -> Vec<String> {
-    names.iter().map(|name| (*name).to_owned()).collect()
+fn homes(names: &[&str]) -> HomeRegions {
+    let names: Vec<String> = names.iter().map(|name| (*name).to_owned()).collect();
+    HomeRegions::of(&names, &[])
 }
 
 /// So many long prompts of these tokens, and as many requests bound to regions.
