Upstreams are told a priority in which the tenant's comes before the route's

Cause: a tenant's priority had no meaning anywhere; upstreams were told the route's alone. Class: stored and acknowledged without being understood; found by going through the fields of a tenant.

Change: protocol::priorities ranks the pairs of tenant and route priorities of the configuration; with more than ten pairs the ranks are scaled to 0 to 9. Without tenants it is the route's priority, as before.

--- a/crates/sandtrack-protocol/src/configuration.rs
+++ b/crates/sandtrack-protocol/src/configuration.rs
@@ -1,6 +1,7 @@
 //! What a configuration means: routes, services and limits, read and checked from a [`Document`].
 use crate::codes;
 use crate::document::{ConfigurationError, Document, Item};
+use crate::priorities::{priority, Priorities};
 use crate::tenants::{check_tenants, Tenants};
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
@@ -118,6 +119,8 @@
     pub services: Vec<Service>,
     /// The tenants, one of whose API keys a request needs; `None` where there are none, and no key is needed.
     pub tenants: Option<Tenants>,
+    /// The priorities of routes and tenants, by which upstreams are told those of requests.
+    pub priorities: Priorities,
     /// Limits of connections.
     pub limits: Limits,
 }
@@ -179,7 +182,7 @@
         kind,
         timeout_ms: timeout,
         target_latency_ms: time(value, "target_latency_ms").unwrap_or(timeout),
-        priority: number(value, "priority").unwrap_or(5.0) as u32,
+        priority: priority(value),
         split,
         attempts: (number(value, "attempts").unwrap_or(1.0) as u32).max(1),
         public: value.get_bool("public").unwrap_or(false),
@@ -317,6 +320,7 @@
                 idle_timeout_ms: limit("idle_timeout_ms", 15000.0, MAX_TIME_MS),
             },
             tenants: Tenants::read(document),
+            priorities: Priorities::read(document),
             routes,
             services,
         })
--- a/crates/sandtrack-protocol/src/lib.rs
+++ b/crates/sandtrack-protocol/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod frames;
 pub mod logs;
 pub mod metrics;
+pub mod priorities;
 pub mod schema;
 pub mod settings;
 pub mod tenants;
--- a/crates/sandtrack-protocol/src/schema.rs
+++ b/crates/sandtrack-protocol/src/schema.rs
@@ -39,7 +39,7 @@
     },
     ObjectSchema {
         place: "tenants",
-        read: &["name", "api_keys", "home_regions"],
+        read: &["name", "api_keys", "priority", "home_regions"],
         descriptive: &[],
     },
     ObjectSchema {
--- a/crates/sandtrack-protocol/src/tenants.rs
+++ b/crates/sandtrack-protocol/src/tenants.rs
@@ -1,6 +1,7 @@
 //! The tenants of a configuration, and the API keys by which their requests are told apart. Keys are held as digests only.
 use crate::codes;
 use crate::document::{ConfigurationError, Document, Item};
+use crate::priorities::priority;
 use sha2::{Digest as _, Sha256};
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
@@ -17,6 +18,8 @@
 pub struct Tenant {
     /// Its name among the tenants.
     pub name: String,
+    /// 0 is the most urgent; it comes before the route's.
+    pub priority: u32,
     /// Regions whose upstreams may serve its requests; empty: any.
     pub home_regions: Vec<String>,
 }
@@ -57,6 +60,7 @@
         for item in items.iter().filter(|item| is_header_value(&item.name)) {
             let tenant = Arc::new(Tenant {
                 name: item.name.clone(),
+                priority: priority(&item.value),
                 home_regions: texts(item, HOME_REGIONS_FIELD).map(str::to_owned).collect(),
             });
             for key in texts(item, API_KEYS_FIELD) {
--- a/crates/sandtrack-proxy/src/request.rs
+++ b/crates/sandtrack-proxy/src/request.rs
@@ -30,6 +30,8 @@
     pub route: Route,
     /// The tenant whose API key it carries.
     pub tenant: Option<Arc<Tenant>>,
+    /// Its priority among those at an upstream, from 0, the most urgent, to 9.
+    pub priority: u32,
     /// Regions that may serve it.
     pub home_regions: HomeRegions,
     /// The service drawn from the route's weighted split.
@@ -96,6 +98,7 @@
                 status: 401,
                 code: codes::UNKNOWN_KEY,
             })?;
+        let tenant_priority = tenant.as_deref().map(|tenant| tenant.priority);
         let tenant_homes = tenant
             .as_deref()
             .map_or(&[][..], |tenant| &tenant.home_regions);
@@ -120,6 +123,9 @@
             method: head.method,
             headers,
             body,
+            priority: configuration
+                .priorities
+                .of_request(tenant_priority, route.priority),
             home_regions: HomeRegions::of(&route.home_regions, tenant_homes),
             route,
             tenant,
--- a/crates/sandtrack-proxy/src/upstream_connections/wire.rs
+++ b/crates/sandtrack-proxy/src/upstream_connections/wire.rs
@@ -15,9 +15,6 @@
 /// response in the socket, and a response that never ends is no reason to go on.
 const LATE_READ_GRACE_MS: Millis = 100.0;
 
-/// The highest priority value that upstreams know.
-const MAX_PRIORITY: u32 = 9;
-
 /// Headers that this proxy sets itself.
 const OWN_HEADERS: [&str; 5] = [
     "deadline-remaining",
@@ -57,7 +54,7 @@
     pub remaining: Millis,
     /// Ask for the stream behind the event with this id (`Last-Event-Id`).
     pub resume_after: Option<u64>,
-    /// Send the route's priority.
+    /// Send the request's priority.
     pub with_priority: bool,
 }
 
@@ -74,7 +71,7 @@
         .filter(|(name, _)| !is_own(name))
         .map(|(name, value)| (name.as_str(), value.as_str()));
     let remaining = format!("{}", options.remaining.floor().max(1.0));
-    let priority = request.route.priority.min(MAX_PRIORITY).to_string();
+    let priority = request.priority.to_string();
     let last_event_id = options.resume_after.map(|id| id.to_string());
     let added = [
         ("Deadline-Remaining", remaining.as_str()),
