--- a/crates/sandtrack-proxy/tests/exchange/api_keys.rs
+++ b/crates/sandtrack-proxy/tests/exchange/api_keys.rs
@@ -15,6 +15,9 @@
 const ALPHA_KEY: &str = "Authorization: Bearer key-a1";
 const BETA_KEY: &str = "Authorization: Bearer key-b1";
 
+/// Time between requests that are repeated until their answer changes.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
+
 fn routes() -> String {
     format!("{ROUTES},{PUBLIC_ROUTE}")
 }
@@ -238,6 +241,7 @@
     harness.control_node.set_attached(false);
     let (mut status, began) = (200, Instant::now());
     while began.elapsed() < PATIENCE {
+        std::thread::sleep(REQUEST_INTERVAL);
         client.get_with("/slips/a", "r1", &[ALPHA_KEY]);
         match harness.upstream_request_within(Duration::from_millis(100)) {
             Some(request) => request.respond("whole"),
