A list that comes or goes empty reaches the proxies that get changes

Callers would have seen: all routes open at the proxies that had been told by changes, where a configuration came with an empty list of tenants; or 401 for everything at them after a replacement without tenants.

Cause: changes name items, and a list without items has none to name. It did not matter while no list but routes and services, which must be there, had a meaning.

Change: a list that has become empty, or is gone, is among the changed fields, as '[]' or an empty text. Older proxies read both as they did.

--- a/crates/sandtrack-protocol/src/document.rs
+++ b/crates/sandtrack-protocol/src/document.rs
@@ -5,6 +5,9 @@
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
 
+/// JSON of a list without items.
+const EMPTY_LIST: &str = "[]";
+
 /// Why a configuration is invalid.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{code} {place}: {what}")]
@@ -211,6 +214,14 @@
         }
     }
 
+    fn set_empty_list(&mut self, name: &str) {
+        self.fields.retain(|(field, _)| field != name);
+        match self.lists.iter_mut().find(|(list, _)| list == name) {
+            Some((_, items)) => items.clear(),
+            None => self.lists.push((name.to_owned(), Vec::new())),
+        }
+    }
+
     fn set_field(&mut self, name: &str, value: OwnedValue) {
         self.lists.retain(|(list, _)| list != name);
         match self.fields.iter_mut().find(|(field, _)| field == name) {
@@ -219,7 +230,7 @@
         }
     }
 
-    /// The items and fields that lead from `self` to `next`; a field that is no longer there has an empty text.
+    /// The items and fields that lead from `self` to `next`; a list or field that is no longer there has an empty text.
     pub fn changes(&self, next: &Document) -> (Vec<ItemChange>, Vec<(String, String)>) {
         let mut changes = Vec::new();
         for (list, items) in &next.lists {
@@ -283,18 +294,29 @@
                 });
             }
         }
+        (changes, self.field_changes(next))
+    }
+
+    /// The fields that lead from `self` to `next`. A list without items is among them, as no item tells of it.
+    fn field_changes(&self, next: &Document) -> Vec<(String, String)> {
         let changed = |(name, value): &&(String, OwnedValue)| self.field(name) != Some(value);
-        let fields = next
-            .fields
-            .iter()
-            .filter(changed)
-            .map(|(name, value)| (name.clone(), value.encode()));
-        let gone = self
-            .fields
-            .iter()
-            .filter(|(name, _)| next.field(name).is_none());
-        let gone = gone.map(|(name, _)| (name.clone(), String::new()));
-        (changes, fields.chain(gone).collect())
+        let fields = next.fields.iter().filter(changed);
+        let fields = fields.map(|(name, value)| (name.clone(), value.encode()));
+        let emptied = next.lists.iter().filter(|(name, items)| {
+            items.is_empty() && self.list(name).is_none_or(|items| !items.is_empty())
+        });
+        let emptied = emptied.map(|(name, _)| (name.clone(), EMPTY_LIST.to_owned()));
+        let names = self.names();
+        let gone = names.filter(|name| next.names().all(|kept| kept != *name));
+        let gone = gone.map(|name| (name.to_owned(), String::new()));
+        fields.chain(emptied).chain(gone).collect()
+    }
+
+    /// Names of all lists and fields.
+    fn names(&self) -> impl Iterator<Item = &str> {
+        let lists = self.lists.iter().map(|(name, _)| name.as_str());
+        let fields = self.fields.iter().map(|(name, _)| name.as_str());
+        lists.chain(fields)
     }
 
     /// Applies what [`Document::changes`] gave.
@@ -329,6 +351,9 @@
         for (name, json) in fields {
             if json.is_empty() {
                 next.fields.retain(|(field, _)| field != name);
+                next.lists.retain(|(list, _)| list != name);
+            } else if json == EMPTY_LIST {
+                next.set_empty_list(name);
             } else {
                 next.set_field(name, parse(json.as_bytes())?);
             }
