--- a/crates/sandtrack-fault-tests/src/soak/clients.rs
+++ b/crates/sandtrack-fault-tests/src/soak/clients.rs
@@ -1,6 +1,7 @@
 //! Clients: each asks the directory where to go, keeps a connection or opens new ones, and sends one request after the other,
 //! well or badly. Whether an answer is its own it judges byte by byte.
 use super::records::{End, Records, Request, Resolution, Route, Seconds};
+use super::tenants::credentials;
 use super::upstreams::{digest, events_of};
 use super::CONTROLS;
 use crate::http::{call, within, Wire};
@@ -301,10 +302,14 @@
 
     async fn send(&mut self, wire: &Wire, request: &Request, manner: Manner) -> bool {
         let deadline = format!("{:.0}", DEADLINE * 1000.0);
+        let (key, _) = credentials(&request.id, request.route);
+        let authorization = format!("Bearer {key}");
         let headers = [
             ("Host", HOST),
             ("Request-Id", request.id.as_str()),
             ("Deadline-Remaining", deadline.as_str()),
+            ("Authorization", authorization.as_str()),
+            ("Tenant-Name", "another"),
         ];
         if request.method == "GET" || !matches!(manner, Manner::Chunked) {
             let body = if request.method == "GET" {
--- a/crates/sandtrack-fault-tests/src/soak/judge.rs
+++ b/crates/sandtrack-fault-tests/src/soak/judge.rs
@@ -3,6 +3,7 @@
 use super::records::{
     Arrival, Change, End, Evacuation, Outcome, Records, Request, Route, Seconds, Span,
 };
+use super::tenants::{credentials, may_run};
 use super::upstreams::PRINTER;
 use super::{
     APPLY_S, ATTEMPTS, COLD_MOST, DOWNGRADE_S, DRAIN_S, EVACUATION_S, IN_TOUCH_S, RETRY_RATIO,
@@ -174,6 +175,15 @@
         "UNASKED: upstreams run only what was asked, unchanged",
         unasked(&seen),
     );
+    verdict(
+        "UNASKED: upstreams get the tenant's name and no key",
+        named_tenants(&seen),
+    );
+    verdict(
+        "ROUTE: nothing runs without a key that is known",
+        unknown_keys(&seen),
+    );
+    verdict("DENIED: known keys are let in", denied_keys(&seen));
     verdict(
         "ROUTE: a service runs only its own requests",
         other_service(&seen),
@@ -319,6 +329,42 @@
     unasked.collect()
 }
 
+fn named_tenants(seen: &Seen<'_>) -> Vec<String> {
+    let broken = seen.arrivals.iter().filter_map(|arrival| {
+        let request = seen.requested.get(arrival.id.as_str())?;
+        let (_, tenant) = credentials(&request.id, request.route);
+        let is_right = arrival.tenant.as_deref() == tenant && !arrival.has_key;
+        (!is_right).then(|| {
+            format!(
+                "{} of {tenant:?} reached {} as of {:?}, with its key: {}",
+                arrival.id, arrival.upstream, arrival.tenant, arrival.has_key
+            )
+        })
+    });
+    broken.collect()
+}
+
+fn unknown_keys(seen: &Seen<'_>) -> Vec<String> {
+    let requests = seen.requests.iter();
+    let unknown = requests.filter(|request| !may_run(&request.id, request.route));
+    unknown
+        .filter(|request| {
+            let arrived = !seen.arrivals_of(request).is_empty();
+            arrived || matches!(request.end, End::Answered(status) if status < 400)
+        })
+        .map(|request| format!("{} ended {:?}", request.id, request.end))
+        .collect()
+}
+
+fn denied_keys(seen: &Seen<'_>) -> Vec<String> {
+    let requests = seen.requests.iter();
+    requests
+        .filter(|request| request.end == End::Answered(401))
+        .filter(|request| may_run(&request.id, request.route))
+        .map(|request| format!("{} got 401", request.id))
+        .collect()
+}
+
 fn other_service(seen: &Seen<'_>) -> Vec<String> {
     let allows = |arrival: &Arrival| match Route::of_target(&arrival.target) {
         Some(Route::Split) => true,
--- a/crates/sandtrack-fault-tests/src/soak/mod.rs
+++ b/crates/sandtrack-fault-tests/src/soak/mod.rs
@@ -13,6 +13,7 @@
 pub mod processes;
 pub mod records;
 pub mod run;
+pub mod tenants;
 pub mod troubles;
 pub mod upstreams;
 
--- a/crates/sandtrack-fault-tests/src/soak/operators.rs
+++ b/crates/sandtrack-fault-tests/src/soak/operators.rs
@@ -1,8 +1,8 @@
 //! Operators: two that change the configuration, at times on the same version, one that evacuates zones, and one that reads. Each
 //! repeats its calls unchanged, as PROTOCOL.md says.
-use super::records::{Change, Evacuation, Outcome, Read, Records, Seconds};
+use super::records::{Change, Evacuation, Outcome, Read, Records, Route, Seconds};
 use super::upstreams::PRINTER;
-use super::CONTROLS;
+use super::{tenants, CONTROLS};
 use crate::system::cluster::zone;
 use crate::system::documents::{self, Kind, SERVICE};
 use crate::system::operator::Operator;
@@ -34,6 +34,10 @@
         .map(|kind| documents::route(kind.prefix(), kind))
         .to_vec();
     routes.extend([print, split]);
+    for route in &mut routes {
+        let name = route["name"].as_str().unwrap_or_default();
+        route["public"] = json!(Route::of_target(name).is_some_and(tenants::is_public));
+    }
     let mut whole = documents::configuration(1, &routes);
     let service = |name: &str, cold_rate_s: f64| {
         json!({"name": name, "health_path": documents::HEALTH, "connection_limit": 500,
@@ -43,6 +47,7 @@
         service(SERVICE, super::COLD_RATE),
         service(PRINTER, super::COLD_RATE)
     ]);
+    whole["tenants"] = tenants::document();
     whole
 }
 
--- a/crates/sandtrack-fault-tests/src/soak/records.rs
+++ b/crates/sandtrack-fault-tests/src/soak/records.rs
@@ -122,6 +122,10 @@
     /// `Deadline-Remaining` as it was handed, in s.
     pub handed: Option<Seconds>,
     pub was_cold: bool,
+    /// `Tenant-Name`.
+    pub tenant: Option<String>,
+    /// It carries a client's key.
+    pub has_key: bool,
 }
 
 /// What came of an order.
--- a/crates/sandtrack-fault-tests/src/soak/upstreams.rs
+++ b/crates/sandtrack-fault-tests/src/soak/upstreams.rs
@@ -324,6 +324,8 @@
         body: digest(&request.body),
         handed: handed.map(|handed| handed / 1000.0),
         was_cold: cold > 0.0,
+        tenant: headers.get("tenant-name").map(str::to_owned),
+        has_key: headers.get("authorization").is_some(),
     });
     match trouble {
         Some(Trouble::ResetBefore) => return After::Reset,
--- a/crates/sandtrack-fault-tests/tests/soak.rs
+++ b/crates/sandtrack-fault-tests/tests/soak.rs
@@ -3,6 +3,7 @@
 use sandtrack_fault_tests::soak::plan::{Kind, Plan, Trouble};
 use sandtrack_fault_tests::soak::records::{Arrival, End, Records, Request, Route, Shown, Span};
 use sandtrack_fault_tests::soak::run::{play, Options};
+use sandtrack_fault_tests::soak::tenants::{credentials, may_run};
 use sandtrack_fault_tests::system::process::Programs;
 use sandtrack_fault_tests::system::report::Report;
 use std::path::PathBuf;
@@ -130,6 +131,8 @@
             body: 0,
             handed: None,
             was_cold: false,
+            tenant: credentials(id, Some(Route::Stream)).1.map(str::to_owned),
+            has_key: false,
         });
     }
 
@@ -214,3 +217,52 @@
         assert_eq!(seen.holds("LOST: no request"), holds, "{told}");
     }
 }
+
+/// Ids of requests of a stream with a known key, and with an unknown one.
+fn ids_by_key() -> (String, String) {
+    let id = |known: bool| {
+        let mut ids = (1..200).map(|at| format!("c0-{at}"));
+        ids.find(|id| may_run(id, Some(Route::Stream)) == known)
+            .expect("there is one")
+    };
+    (id(true), id(false))
+}
+
+#[test]
+fn a_key_or_another_tenants_name_at_an_upstream_is_found() {
+    const VERDICT: &str = "UNASKED: upstreams get the tenant's name";
+    let (known, _) = ids_by_key();
+    for (tenant, has_key, holds) in [
+        (None, false, true),
+        (None, true, false),
+        (Some("another"), false, false),
+    ] {
+        let seen = Seen::new();
+        seen.request(&known, false, 20.5, End::Answered(200));
+        if let Some(arrival) = seen.records.arrivals.borrow_mut().first_mut() {
+            arrival.has_key = has_key;
+            if let Some(tenant) = tenant {
+                arrival.tenant = Some(tenant.to_owned());
+            }
+        }
+        assert_eq!(seen.holds(VERDICT), holds, "{tenant:?}, {has_key}");
+    }
+}
+
+#[test]
+fn an_unknown_key_that_runs_and_a_known_one_that_does_not_are_found() {
+    let (known, unknown) = ids_by_key();
+    for (id, status, runs, denied) in [
+        (&known, 200, true, true),
+        (&known, 401, true, false),
+        (&unknown, 200, false, true),
+    ] {
+        let found = |verdict: &str| {
+            let seen = Seen::new();
+            seen.request(id, false, 20.5, End::Answered(status));
+            seen.holds(verdict)
+        };
+        assert_eq!(found("ROUTE: nothing runs without"), runs, "{id} {status}");
+        assert_eq!(found("DENIED: known keys"), denied, "{id} {status}");
+    }
+}
