sandtrackctl configuration check names what of a configuration has no effect

Cause: an operator learned of a part that no program acts on from nothing but the behaviour.

Change: the summary of 'configuration check' ends with the lists and fields without effect, in JSON as without_effect; where there are none it is as before.

--- a/crates/sandtrack-cli/src/commands/configuration.rs
+++ b/crates/sandtrack-cli/src/commands/configuration.rs
@@ -5,10 +5,13 @@
 use crate::difference::{differences, Difference};
 use crate::error::CliError;
 use crate::input_file::{read_file, ConfigurationFile, UpdateFile};
+use crate::json::quote;
 use sandtrack_protocol::codes;
 use sandtrack_protocol::configuration::Configuration;
 use sandtrack_protocol::document::{Document, Update};
+use sandtrack_protocol::schema;
 use simd_json::prelude::*;
+use std::collections::BTreeSet;
 use std::path::Path;
 
 /// What a look at the current configuration says about a change.
@@ -60,8 +63,11 @@
             self.print_update_summary(&Update::parse(&body)?);
             return Ok(());
         }
-        let configuration = ConfigurationFile::read(file)?.configuration;
-        self.print_configuration_summary(&configuration);
+        let file = ConfigurationFile::read(file)?;
+        self.print_configuration_summary(
+            &file.configuration,
+            &schema::unread_fields(&file.document),
+        );
         Ok(())
     }
 
@@ -149,13 +155,26 @@
         self.print_result(&text, &json);
     }
 
-    fn print_configuration_summary(&mut self, configuration: &Configuration) {
+    /// `unread`: lists and fields that the programs of this version do not act on.
+    fn print_configuration_summary(
+        &mut self,
+        configuration: &Configuration,
+        unread: &BTreeSet<String>,
+    ) {
         let version = configuration.version;
         let routes = configuration.routes.len();
         let services = configuration.services.len();
-        let text = format!("version {version}: {routes} routes, {services} services, valid");
-        let json =
-            format!("{{\"version_number\":{version},\"routes\":{routes},\"services\":{services}}}");
+        let no_effect = schema::no_effect_text(unread);
+        let text =
+            format!("version {version}: {routes} routes, {services} services, valid{no_effect}");
+        let unread: Vec<String> = unread.iter().map(|path| quote(path)).collect();
+        let unread = match unread.is_empty() {
+            true => String::new(),
+            false => format!(",\"without_effect\":[{}]", unread.join(",")),
+        };
+        let json = format!(
+            "{{\"version_number\":{version},\"routes\":{routes},\"services\":{services}{unread}}}"
+        );
         self.print_result(&text, &json);
     }
 }
