--- a/crates/sandtrack-protocol/tests/common/frame_fixtures.rs
+++ b/crates/sandtrack-protocol/tests/common/frame_fixtures.rs
@@ -1,5 +1,5 @@
 //! Fixture files of frames. The tests of control include this file too, beside `fixtures.rs`.
-use crate::fixtures;
+use super::fixtures;
 use borsh::{BorshDeserialize, BorshSerialize};
 use sandtrack_protocol::frames::{decode, encode};
 use std::fmt::Debug;
