--- a/crates/sandtrack-model-checker/src/control_frontend.rs
+++ b/crates/sandtrack-model-checker/src/control_frontend.rs
@@ -5,7 +5,7 @@
 use sandtrack_control::operator_api::call_age::Arrival;
 use sandtrack_control::operator_api::pending_calls::{self, CallContext, PendingCalls};
 use sandtrack_control::operator_api::Reply;
-use sandtrack_control::state_machine::{Command, ControlState};
+use sandtrack_control::state_machine::{Command, ControlState, Precheck};
 use sandtrack_replication::CallError;
 use sandtrack_sidecar_core::message::{Head, Headers, Message};
 
@@ -45,6 +45,10 @@
         self.0.control_state().accepted_version(command)
     }
 
+    fn precheck(&self, command: &Command) -> Precheck {
+        self.0.control_state().precheck(command)
+    }
+
     fn knows_zone(&self, zone: &str) -> bool {
         zone == ZONE
     }
