Numbers and texts of JSON objects are read by one pair of functions

Cause: 'a finite number that is not negative' stood in configuration and again in priorities; 'the strings of an array' in configuration, tenants and settings. The changes of a document named a list that had become empty, though its removed items tell that.

Change: json_fields::number and json_fields::texts serve all of them; among the changed fields is only an empty list that is new.

--- a/crates/sandtrack-protocol/src/configuration.rs
+++ b/crates/sandtrack-protocol/src/configuration.rs
@@ -1,6 +1,7 @@
 //! What a configuration means: routes, services and limits, read and checked from a [`Document`].
 use crate::codes;
 use crate::document::{ConfigurationError, Document, Item};
+use crate::json_fields::{number, texts};
 use crate::priorities::{priority, Priorities};
 use crate::tenants::{check_tenants, Tenants};
 use simd_json::prelude::*;
@@ -132,13 +133,6 @@
     )
 }
 
-fn number(value: &OwnedValue, field: &str) -> Option<f64> {
-    value
-        .get(field)
-        .and_then(ValueAsScalar::cast_f64)
-        .filter(|number| number.is_finite() && *number >= 0.0)
-}
-
 /// A time in ms. The configuration says how long at most, and a process need not tell times that it does not live to see: the
 /// largest numbers fit no clock.
 fn time(value: &OwnedValue, field: &str) -> Option<f64> {
@@ -170,11 +164,6 @@
     }
     let kind = route_kind(value).ok_or_else(|| wrong("kind"))?;
     let split = weighted_split(item)?;
-    let homes = value
-        .get_array("home_regions")
-        .map(|homes| homes.iter())
-        .into_iter()
-        .flatten();
     Ok(Route {
         name: item.name.clone(),
         host: text("host")?.to_ascii_lowercase(),
@@ -189,9 +178,7 @@
         sticky_sessions: value.get_bool("sticky_sessions").unwrap_or(false),
         resumable: value.get_bool("resumable").unwrap_or(false),
         event_gap_target_ms: time(value, "gap_aim_ms"),
-        home_regions: homes
-            .filter_map(|home| home.as_str().map(str::to_owned))
-            .collect(),
+        home_regions: texts(value, "home_regions").map(str::to_owned).collect(),
     })
 }
 
--- a/crates/sandtrack-protocol/src/document.rs
+++ b/crates/sandtrack-protocol/src/document.rs
@@ -297,19 +297,19 @@
         (changes, self.field_changes(next))
     }
 
-    /// The fields that lead from `self` to `next`. A list without items is among them, as no item tells of it.
+    /// The fields that lead from `self` to `next`. A new list without items is among them, as no item tells of it.
     fn field_changes(&self, next: &Document) -> Vec<(String, String)> {
         let changed = |(name, value): &&(String, OwnedValue)| self.field(name) != Some(value);
         let fields = next.fields.iter().filter(changed);
         let fields = fields.map(|(name, value)| (name.clone(), value.encode()));
-        let emptied = next.lists.iter().filter(|(name, items)| {
-            items.is_empty() && self.list(name).is_none_or(|items| !items.is_empty())
-        });
-        let emptied = emptied.map(|(name, _)| (name.clone(), EMPTY_LIST.to_owned()));
+        let is_new =
+            |(name, items): &&(String, Vec<Item>)| items.is_empty() && self.list(name).is_none();
+        let empty = next.lists.iter().filter(is_new);
+        let empty = empty.map(|(name, _)| (name.clone(), EMPTY_LIST.to_owned()));
         let names = self.names();
         let gone = names.filter(|name| next.names().all(|kept| kept != *name));
         let gone = gone.map(|name| (name.to_owned(), String::new()));
-        fields.chain(emptied).chain(gone).collect()
+        fields.chain(empty).chain(gone).collect()
     }
 
     /// Names of all lists and fields.
--- a/crates/sandtrack-protocol/src/lib.rs
+++ b/crates/sandtrack-protocol/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod configuration;
 pub mod document;
 pub mod frames;
+mod json_fields;
 pub mod logs;
 pub mod metrics;
 pub mod priorities;
--- a/crates/sandtrack-protocol/src/priorities.rs
+++ b/crates/sandtrack-protocol/src/priorities.rs
@@ -1,6 +1,7 @@
 //! The priority that upstreams are told of a request: the tenant's comes first, then the route's.
 use crate::document::Document;
-use simd_json::prelude::*;
+use crate::json_fields::number;
+use simd_json::OwnedValue;
 
 /// Priority of a route or tenant that names none.
 pub const DEFAULT_PRIORITY: u32 = 5;
@@ -54,8 +55,6 @@
 }
 
 /// The priority of a route or tenant, 0 for the most urgent.
-pub fn priority(item: &simd_json::OwnedValue) -> u32 {
-    let priority = item.get("priority").and_then(ValueAsScalar::cast_f64);
-    let priority = priority.filter(|priority| priority.is_finite() && *priority >= 0.0);
-    priority.map_or(DEFAULT_PRIORITY, |priority| priority as u32)
+pub fn priority(item: &OwnedValue) -> u32 {
+    number(item, "priority").map_or(DEFAULT_PRIORITY, |priority| priority as u32)
 }
--- a/crates/sandtrack-protocol/src/settings.rs
+++ b/crates/sandtrack-protocol/src/settings.rs
@@ -2,6 +2,7 @@
 pub mod fields;
 
 use crate::codes::{self, Code};
+use crate::json_fields::texts;
 use fields::{default_number, value_at};
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
@@ -207,10 +208,10 @@
             zones: strings_by_name(&value, "zones"),
             listen: strings_by_name(&value, "listen_addresses"),
             internal_ports: port_range(&value).ok_or_else(|| missing("internal_port_range"))?,
-            seed_nodes: strings(&value, "seed_nodes"),
+            seed_nodes: texts(&value, "seed_nodes").map(str::to_owned).collect(),
             first_start: value.get_bool("first_start").unwrap_or(false),
             loss_counted: value.get_bool("loss_counted").unwrap_or(false),
-            contracts: strings(&value, "contracts"),
+            contracts: texts(&value, "contracts").map(str::to_owned).collect(),
             data_directory: value.get_str("data_directory").map(str::to_owned),
             memory_mb: number("limits.memory_mb"),
             file_descriptors: number("limits.file_descriptors") as usize,
@@ -260,14 +261,6 @@
     }
 }
 
-/// The array `name`; values that are no strings are left out.
-fn strings(value: &OwnedValue, name: &str) -> Vec<String> {
-    let array = value.get_array(name).into_iter().flatten();
-    array
-        .filter_map(|value| value.as_str().map(str::to_owned))
-        .collect()
-}
-
 /// The object `name` as a map; values that are no strings are left out.
 fn strings_by_name(value: &OwnedValue, name: &str) -> BTreeMap<String, String> {
     let object = value.get_object(name);
--- a/crates/sandtrack-protocol/src/tenants.rs
+++ b/crates/sandtrack-protocol/src/tenants.rs
@@ -1,6 +1,7 @@
 //! The tenants of a configuration, and the API keys by which their requests are told apart. Keys are held as digests only.
 use crate::codes;
-use crate::document::{ConfigurationError, Document, Item};
+use crate::document::{ConfigurationError, Document};
+use crate::json_fields::texts;
 use crate::priorities::priority;
 use sha2::{Digest as _, Sha256};
 use simd_json::prelude::*;
@@ -61,9 +62,11 @@
             let tenant = Arc::new(Tenant {
                 name: item.name.clone(),
                 priority: priority(&item.value),
-                home_regions: texts(item, HOME_REGIONS_FIELD).map(str::to_owned).collect(),
+                home_regions: texts(&item.value, HOME_REGIONS_FIELD)
+                    .map(str::to_owned)
+                    .collect(),
             });
-            for key in texts(item, API_KEYS_FIELD) {
+            for key in texts(&item.value, API_KEYS_FIELD) {
                 tenants.add_key(KeyDigest::of(key), &tenant);
             }
         }
@@ -89,12 +92,6 @@
     }
 }
 
-/// The texts in a list of a tenant; what is no text is left out.
-fn texts<'a>(tenant: &'a Item, field: &str) -> impl Iterator<Item = &'a str> {
-    let values = tenant.value.get_array(field).into_iter().flatten();
-    values.filter_map(|value| value.as_str())
-}
-
 /// Checks the tenants of a document that is to become the configuration. Documents that were accepted before are not checked
 /// again: what an earlier program has accepted stays.
 ///
@@ -113,7 +110,7 @@
         if !has_readable_keys(&item.value) {
             return Err(invalid_field(place(API_KEYS_FIELD)));
         }
-        for key in texts(item, API_KEYS_FIELD) {
+        for key in texts(&item.value, API_KEYS_FIELD) {
             let holder = holders.insert(key, &item.name);
             if holder.is_some_and(|holder| holder != item.name) {
                 let place = format!("{TENANTS_LIST} `{}`", item.name);
