--- a/crates/sandtrack-net/src/http.rs
+++ b/crates/sandtrack-net/src/http.rs
@@ -565,5 +565,25 @@
     }
 }
 
+/// What ends the body of a response (RFC 9112, 6.3).
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum BodyDelimiter {
+    /// Its length or its last chunk.
+    Framing,
+    /// Only the end of the connection, so that HTTP does not tell a truncated body from a complete one.
+    ConnectionClose,
+}
+
+impl BodyDelimiter {
+    /// What ends the body of the response with this head.
+    #[must_use]
+    pub fn of(head: &Head) -> BodyDelimiter {
+        match framing(Side::Response, head) {
+            Ok(State::UntilEnd) => BodyDelimiter::ConnectionClose,
+            _ => BodyDelimiter::Framing,
+        }
+    }
+}
+
 /// Tells a client that holds its body back to go on.
 pub const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
--- a/crates/sandtrack-proxy/src/exchange/attempt/steps.rs
+++ b/crates/sandtrack-proxy/src/exchange/attempt/steps.rs
@@ -1,12 +1,13 @@
 //! The steps of an attempt: connect, write the request, read the response.
 use super::{summarize_head, Attempt};
-use crate::exchange::state::{AttemptEvent, HeadSummary, ResponseOwner};
+use crate::exchange::event_stream::ends_within_event;
+use crate::exchange::state::{AttemptEvent, HeadSummary, MediaType, ResponseOwner};
 use crate::upstream_connections::pool::{connect, Connection};
 use crate::upstream_connections::response_error::ResponseError;
 use crate::upstream_connections::wire::{
     read_part, request_head, write_request, RequestHeadOptions, WaitResult, WriteResult,
 };
-use sandtrack_net::http::Part;
+use sandtrack_net::http::{BodyDelimiter, Part};
 use sandtrack_sidecar_core::message::Head;
 use sandtrack_tiers::Millis;
 
@@ -145,6 +146,9 @@
                 WaitResult::Part(Part::Head(head)) => {
                     return AttemptEvent::Head(self.accept_head(head))
                 }
+                WaitResult::Part(Part::End) if self.is_collected_stream_truncated() => {
+                    return AttemptEvent::ResponseFailed(ResponseError::ConnectionLost);
+                }
                 WaitResult::Part(Part::End) => {
                     return AttemptEvent::BodyEnd {
                         trailing_bytes: has_trailing_bytes,
@@ -194,6 +198,18 @@
             .is_some_and(|head| self.params.relays(head.status))
     }
 
+    /// Whether the response is a stream of events that was collected, and whose end with the connection is within an event.
+    fn is_collected_stream_truncated(&self) -> bool {
+        let Some(head) = &self.head else {
+            return false;
+        };
+        let summary = summarize_head(head, &self.request.id, &self.context.policy);
+        !self.is_relayed()
+            && summary.delimiter == BodyDelimiter::ConnectionClose
+            && summary.media_type == MediaType::EventStream
+            && ends_within_event(&self.body.bytes)
+    }
+
     fn accept_head(&mut self, head: Head) -> HeadSummary {
         let summary = summarize_head(&head, &self.request.id, &self.context.policy);
         let is_foreign = match summary.owner {
--- a/crates/sandtrack-proxy/src/exchange/event_stream.rs
+++ b/crates/sandtrack-proxy/src/exchange/event_stream.rs
@@ -18,6 +18,9 @@
     last_id: Option<u64>,
     /// Whether data without an id was relayed after `last_id`; a stream resumed after that id would deliver it again.
     has_unnumbered_tail: bool,
+    /// Whether the stream is known to have an event that has not been completed: its first one, or one of which a part was
+    /// discarded.
+    expects_event: bool,
 }
 
 /// The result of scanning a chunk of a stream.
@@ -30,6 +33,15 @@
 }
 
 impl EventScanner {
+    /// A scanner at the start of a stream; `expects_event`: it has at least one event.
+    #[must_use]
+    pub fn new(expects_event: bool) -> EventScanner {
+        EventScanner {
+            expects_event,
+            ..EventScanner::default()
+        }
+    }
+
     /// Takes a chunk; returns the events that it completes.
     pub fn push(&mut self, bytes: &[u8]) -> ScanResult {
         self.buffer.extend_from_slice(bytes);
@@ -45,8 +57,10 @@
                 }
                 self.last_id = Some(id);
                 self.has_unnumbered_tail = false;
+                self.expects_event = false;
             } else if has_data(event) {
                 self.has_unnumbered_tail = true;
+                self.expects_event = false;
             }
             complete += end;
         }
@@ -78,8 +92,17 @@
         std::mem::take(&mut self.buffer)
     }
 
+    /// Whether a stream that ends here was truncated: within an event, or before one that it is known to have.
+    #[must_use]
+    pub fn is_truncated(&self) -> bool {
+        // A carriage return alone ends a line too. The events of such a stream are not told apart, but its end is one of them.
+        let ends_with_event = self.buffer.ends_with(b"\r\r");
+        !ends_with_event && (self.expects_event || has_incomplete_event(&self.buffer))
+    }
+
     /// Discards an incomplete event, as the stream is resumed at another upstream.
     pub fn restart(&mut self) {
+        self.expects_event |= has_incomplete_event(&self.buffer);
         self.buffer.clear();
         self.searched_bytes = 0;
     }
@@ -133,6 +156,26 @@
     None
 }
 
+/// Whether a whole body of this type, collected, ends within an event.
+#[must_use]
+pub fn ends_within_event(body: &[u8]) -> bool {
+    let mut scanner = EventScanner::default();
+    // A malformed stream is not truncated.
+    matches!(scanner.push(body), ScanResult::Events(_)) && scanner.is_truncated()
+}
+
+/// Whether the bytes behind the last complete event begin another one: with a field, or with a line that is not complete.
+/// Comments and empty lines belong to no event.
+fn has_incomplete_event(bytes: &[u8]) -> bool {
+    bytes
+        .split_inclusive(|byte| *byte == b'\n')
+        .any(|line| !line.ends_with(b"\n") || is_field(line))
+}
+
+fn is_field(line: &[u8]) -> bool {
+    !matches!(line, [b':', ..] | b"\n" | b"\r\n")
+}
+
 fn has_data(event: &[u8]) -> bool {
     event
         .split(|byte| *byte == b'\n')
--- a/crates/sandtrack-proxy/src/exchange/forward.rs
+++ b/crates/sandtrack-proxy/src/exchange/forward.rs
@@ -70,6 +70,7 @@
         idempotent: request.is_idempotent(),
         streaming: request.is_stream(),
         max_attempts: request.route.attempts,
+        client_resumes: request.resumes_stream(),
     };
     let forwarding = Forwarding {
         context,
--- a/crates/sandtrack-proxy/src/exchange/state.rs
+++ b/crates/sandtrack-proxy/src/exchange/state.rs
@@ -14,7 +14,7 @@
 use attempt_state::{AttemptStage, AttemptState};
 pub use messages::{
     indicates_not_executed, Action, AttemptEvent, AttemptId, ExchangeParams, FinalResponse,
-    HeadSummary, Input, ResponseOwner, MAX_CONCURRENT_ATTEMPTS,
+    HeadSummary, Input, MediaType, ResponseOwner, MAX_CONCURRENT_ATTEMPTS,
 };
 use sandtrack_invariants::{check, Invariant};
 use sandtrack_protocol::codes::{self, Code};
@@ -71,7 +71,7 @@
             may_have_executed: false,
             hedged: false,
             stream_started: false,
-            scanner: EventScanner::default(),
+            scanner: EventScanner::new(!params.client_resumes),
             kept_failure: None,
         }
     }
--- a/crates/sandtrack-proxy/src/exchange/state/attempt_events.rs
+++ b/crates/sandtrack-proxy/src/exchange/state/attempt_events.rs
@@ -1,10 +1,13 @@
 //! Handles the events of an attempt: its response is collected or relayed, or the attempt fails.
 use super::attempt_state::{AttemptStage, AttemptState};
-use super::messages::{Action, AttemptEvent, AttemptId, FinalResponse, HeadSummary, ResponseOwner};
+use super::messages::{
+    Action, AttemptEvent, AttemptId, FinalResponse, HeadSummary, MediaType, ResponseOwner,
+};
 use super::{Exchange, Phase};
 use crate::exchange::event_stream::ScanResult;
 use crate::placement::balancer::SendOutcome;
 use crate::upstream_connections::response_error::ResponseError;
+use sandtrack_net::http::BodyDelimiter;
 use sandtrack_protocol::codes;
 
 impl Exchange {
@@ -43,6 +46,12 @@
             (AttemptStage::CollectingBody(head), AttemptEvent::BodyEnd { trailing_bytes }) => {
                 self.on_response_collected(id, head, trailing_bytes, actions);
             }
+            (
+                AttemptStage::AwaitingFirstChunk(head) | AttemptStage::RelayingBody(head),
+                AttemptEvent::BodyEnd { .. },
+            ) if self.is_truncated(head) => {
+                self.fail(id, SendOutcome::ConnectionFailed, actions);
+            }
             (AttemptStage::AwaitingFirstChunk(head), AttemptEvent::BodyChunk(bytes)) => {
                 self.start_relaying(id, head, actions);
                 self.relay(id, &bytes, actions);
@@ -164,6 +173,14 @@
         }
     }
 
+    /// Whether a stream whose body ends now was truncated. Where the body ends with the connection, that of an upstream that
+    /// crashed ends the same way; but a complete stream of events ends behind an event.
+    fn is_truncated(&self, head: HeadSummary) -> bool {
+        head.delimiter == BodyDelimiter::ConnectionClose
+            && head.media_type != MediaType::Other
+            && self.scanner.is_truncated()
+    }
+
     fn end_stream(
         &mut self,
         id: AttemptId,
--- a/crates/sandtrack-proxy/src/exchange/state/messages.rs
+++ b/crates/sandtrack-proxy/src/exchange/state/messages.rs
@@ -1,6 +1,7 @@
 //! Inputs and actions of an exchange: plain data types. No I/O.
 use crate::placement::balancer::SendOutcome;
 use crate::upstream_connections::response_error::ResponseError;
+use sandtrack_net::http::BodyDelimiter;
 use sandtrack_protocol::codes::Code;
 
 /// Index of an attempt in flight; less than [`MAX_CONCURRENT_ATTEMPTS`].
@@ -18,6 +19,8 @@
     pub streaming: bool,
     /// Maximum number of attempts.
     pub max_attempts: u32,
+    /// Whether the client resumes a stream (`Last-Event-Id`), of which it may have the last event already.
+    pub client_resumes: bool,
 }
 
 impl ExchangeParams {
@@ -39,6 +42,17 @@
     Unidentified,
 }
 
+/// What a response's body is, by its `Content-Type`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum MediaType {
+    /// A stream of events (`text/event-stream`).
+    EventStream,
+    /// Something else.
+    Other,
+    /// The response has no `Content-Type`.
+    Unspecified,
+}
+
 /// The parts of a response's head that the exchange depends on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct HeadSummary {
@@ -52,6 +66,10 @@
     pub sealed: bool,
     /// Whether the upstream keeps the connection open after the response.
     pub keep_alive: bool,
+    /// What ends the body.
+    pub delimiter: BodyDelimiter,
+    /// What the body is.
+    pub media_type: MediaType,
 }
 
 impl HeadSummary {
--- a/crates/sandtrack-proxy/src/request.rs
+++ b/crates/sandtrack-proxy/src/request.rs
@@ -10,6 +10,8 @@
 use sandtrack_tiers::Millis;
 use std::sync::Arc;
 
+/// The header by which a client asks for the rest of a stream (WHATWG HTML, 9.2.4).
+pub const LAST_EVENT_ID: &str = "Last-Event-Id";
 /// Initial value of [`ProxyRequest::shared_key`]: the golden ratio as a 64-bit fraction, as in SplitMix64.
 const SHARED_KEY_SEED: u64 = 0x9e37_79b9_7f4a_7c15;
 
@@ -148,6 +150,13 @@
         self.route.kind == RouteKind::Streaming
     }
 
+    /// Whether the client asks for the rest of a stream, behind an event that it has.
+    pub fn resumes_stream(&self) -> bool {
+        self.headers
+            .iter()
+            .any(|(name, _)| name.eq_ignore_ascii_case(LAST_EVENT_ID))
+    }
+
     /// Time until the deadline, in ms; 0 once it has passed.
     pub fn time_left(&self, now: Millis) -> Millis {
         (self.deadline - now).max(0.0)
--- a/crates/sandtrack-proxy/src/upstream_connections/wire.rs
+++ b/crates/sandtrack-proxy/src/upstream_connections/wire.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 for one request on one connection to an upstream: writes the request, and reads the parts of the response.
 use super::pool::Connection;
 use super::response_error::ResponseError;
-use crate::request::ProxyRequest;
+use crate::request::{ProxyRequest, LAST_EVENT_ID};
 use crate::socket_read::read_available;
 use async_io::Timer;
 use futures_lite::future;
@@ -63,7 +63,7 @@
 pub fn request_head(request: &ProxyRequest, options: &RequestHeadOptions<'_>) -> Vec<u8> {
     let is_own = |name: &str| {
         OWN_HEADERS.iter().any(|own| name.eq_ignore_ascii_case(own))
-            || options.resume_after.is_some() && name.eq_ignore_ascii_case("last-event-id")
+            || options.resume_after.is_some() && name.eq_ignore_ascii_case(LAST_EVENT_ID)
     };
     let kept = request
         .headers
@@ -82,7 +82,7 @@
         .first()
         .filter(|_| options.with_priority)
         .map(|_| ("Priority", priority.as_str()));
-    let resumed = last_event_id.as_deref().map(|id| ("Last-Event-Id", id));
+    let resumed = last_event_id.as_deref().map(|id| (LAST_EVENT_ID, id));
     let tenant = request.tenant.as_deref();
     let tenant = tenant.map(|tenant| ("Tenant-Name", tenant.name.as_str()));
     let headers = kept
--- a/crates/sandtrack-proxy/tests/connection_reuse.rs
+++ b/crates/sandtrack-proxy/tests/connection_reuse.rs
@@ -14,11 +14,13 @@
     idempotent: true,
     streaming: false,
     max_attempts: 2,
+    client_resumes: false,
 };
 const MUTATING: ExchangeParams = ExchangeParams {
     idempotent: false,
     streaming: false,
     max_attempts: 2,
+    client_resumes: false,
 };
 
 /// A response's head with these headers.
--- a/crates/sandtrack-proxy/tests/event_stream.rs
+++ b/crates/sandtrack-proxy/tests/event_stream.rs
@@ -80,3 +80,41 @@
     assert!(given.record(stream), "{given:?}");
     assert!(!given.record(b"id: 6\ndata: b\n\n"), "twice");
 }
+
+#[test]
+fn a_stream_is_truncated_within_an_event_or_before_one_that_it_is_known_to_have() {
+    let is_truncated = |expects_event, bytes: &[u8]| {
+        let mut scanner = EventScanner::new(expects_event);
+        assert_matches!(scanner.push(bytes), ScanResult::Events(_));
+        scanner.is_truncated()
+    };
+    for complete in [
+        &b"id: 1\ndata: a\n\n"[..],
+        b"id: 1\r\ndata: a\r\n\r\n",
+        b"id: 1\rdata: a\r\r",
+        b"data: a\n\n\n: the end\n",
+    ] {
+        assert!(!is_truncated(true, complete), "{complete:?}");
+    }
+    for truncated in [
+        &b"id: 1\ndata: a\n\nd"[..],
+        b"id: 1\ndata: a\n",
+        b"id: 1\r\ndata: a\r\n\r",
+        b"id: 1\ndata: a\n\n: the e",
+    ] {
+        assert!(is_truncated(false, truncated), "{truncated:?}");
+    }
+    assert!(is_truncated(true, b""));
+    assert!(is_truncated(true, b": working\n\n"));
+    assert!(!is_truncated(false, b""));
+}
+
+#[test]
+fn a_discarded_event_is_still_expected() {
+    let mut scanner = EventScanner::default();
+    scanner.push(b"id: 1\ndata: a\n\nid: 2\nda");
+    scanner.restart();
+    assert!(scanner.is_truncated());
+    scanner.push(b"id: 2\ndata: b\n\n");
+    assert!(!scanner.is_truncated());
+}
--- a/crates/sandtrack-proxy/tests/exchange/main.rs
+++ b/crates/sandtrack-proxy/tests/exchange/main.rs
@@ -17,5 +17,6 @@
 mod response_integrity;
 mod streams;
 mod transcript;
+mod truncated_streams;
 mod upstream;
 mod upstream_selection;
--- a/crates/sandtrack-proxy/tests/exchange_states.rs
+++ b/crates/sandtrack-proxy/tests/exchange_states.rs
@@ -1,9 +1,10 @@
 //! Every order of what may happen to one exchange, enumerated: upstreams that run or don't, races, breaks at each step, foreign
 //! and surplus answers, streams cut and taken up, clients that leave, time that runs out. A rule is one function; each holds in
 //! every script. What an upstream did is known here and not to the exchange: whether it has run is judged by the worst case.
+use sandtrack_net::http::BodyDelimiter;
 use sandtrack_proxy::exchange::state::{
     indicates_not_executed, Action, AttemptEvent, AttemptId, Exchange, ExchangeParams,
-    FinalResponse, HeadSummary, Input, Phase, ResponseOwner, MAX_CONCURRENT_ATTEMPTS,
+    FinalResponse, HeadSummary, Input, MediaType, Phase, ResponseOwner, MAX_CONCURRENT_ATTEMPTS,
 };
 use sandtrack_proxy::placement::balancer::SendOutcome;
 use sandtrack_proxy::upstream_connections::response_error::ResponseError;
@@ -61,6 +62,14 @@
                     && !self.connection.reused
         })
     }
+
+    /// Its stream ended before its last event.
+    fn is_truncated_stream(&self, params: ExchangeParams) -> bool {
+        let is_stream = self
+            .head
+            .is_some_and(|head| params.relays(head.status) && !head.was_not_executed());
+        is_stream && (self.body.half_event || self.event < LAST_EVENT)
+    }
 }
 
 /// One exchange with all that its surroundings know.
@@ -338,6 +347,8 @@
         not_executed: false,
         sealed: true,
         keep_alive: true,
+        delimiter: BodyDelimiter::Framing,
+        media_type: MediaType::Unspecified,
     };
     let mut heads = vec![
         own,
@@ -390,6 +401,12 @@
     ];
     if params.streaming {
         heads.push(HeadSummary { status: 204, ..own });
+        heads.push(HeadSummary {
+            keep_alive: false,
+            delimiter: BodyDelimiter::ConnectionClose,
+            media_type: MediaType::EventStream,
+            ..own
+        });
     }
     heads
 }
@@ -473,10 +490,11 @@
             events.extend(heads(self.params).into_iter().map(AttemptEvent::Head));
             return events;
         };
+        let end = AttemptEvent::BodyEnd {
+            trailing_bytes: false,
+        };
         let ends = [
-            AttemptEvent::BodyEnd {
-                trailing_bytes: false,
-            },
+            end.clone(),
             AttemptEvent::BodyEnd {
                 trailing_bytes: true,
             },
@@ -487,6 +505,12 @@
             return events;
         }
         if side.event < LAST_EVENT {
+            // A crash ends a body without a length. That it ended between two events nobody can tell.
+            if head.delimiter == BodyDelimiter::ConnectionClose
+                && (side.body.half_event || side.event == 0)
+            {
+                events.push(end);
+            }
             if !side.body.half_event {
                 events.push(AttemptEvent::BodyChunk(event(
                     self.numbered,
@@ -511,7 +535,7 @@
 
     /// What the upstream did when this came of it.
     fn note(&mut self, id: AttemptId, event: &AttemptEvent) {
-        let numbered = self.numbered;
+        let (numbered, params) = (self.numbered, self.params);
         let Some(side) = &mut self.attempts[id] else {
             return;
         };
@@ -539,7 +563,7 @@
                 }
             }
             AttemptEvent::BodyEnd { trailing_bytes } => {
-                side.body.complete = true;
+                side.body.complete = !side.is_truncated_stream(params);
                 side.body.trailing_bytes = *trailing_bytes;
             }
             _ => {}
@@ -618,6 +642,7 @@
             idempotent,
             streaming,
             max_attempts: attempts,
+            client_resumes: false,
         };
         worlds.push(World::new(params, true));
         if streaming {
@@ -735,6 +760,7 @@
     idempotent: true,
     streaming: true,
     max_attempts: 3,
+    client_resumes: false,
 };
 
 /// The inputs of one attempt up to its head.
@@ -785,6 +811,43 @@
     );
 }
 
+/// Guards against a truncated stream that is taken for a complete one where only the end of its connection ended it.
+#[test]
+fn a_close_delimited_stream_truncated_within_an_event_resumes_behind_its_last_event() {
+    let head = HeadSummary {
+        delimiter: BodyDelimiter::ConnectionClose,
+        keep_alive: false,
+        ..heads(RESUMABLE)[0]
+    };
+    let [connected, written, _] = head_came(0);
+    let inputs = [Input::UpstreamSelected(0), connected, written]
+        .into_iter()
+        .chain([
+            Input::Attempt(0, AttemptEvent::Head(head)),
+            Input::Attempt(0, AttemptEvent::BodyChunk(event(true, 1))),
+            Input::Attempt(0, AttemptEvent::BodyChunk(half(true, 2))),
+            Input::Attempt(
+                0,
+                AttemptEvent::BodyEnd {
+                    trailing_bytes: false,
+                },
+            ),
+        ]);
+    assert_eq!(
+        outcome(inputs.clone()),
+        [Action::CloseConnection(0, SendOutcome::ConnectionFailed)]
+    );
+    assert_eq!(
+        outcome(inputs.chain([Input::UpstreamSelected(1)])),
+        [Action::Start {
+            id: 0,
+            upstream: 1,
+            may_reuse_connection: true,
+            resume_after: Some(1)
+        }]
+    );
+}
+
 #[test]
 fn a_broken_stream_resumes_behind_its_last_event() {
     let inputs = [Input::UpstreamSelected(0)]
@@ -842,6 +905,7 @@
         idempotent: false,
         streaming: false,
         max_attempts: 1,
+        client_resumes: false,
     });
     exchange.handle(Input::UpstreamSelected(0));
     exchange.handle(Input::Attempt(
