proxy: a request is sent once at most on one connection (TWICE and REFUSED)

A late surplus copy of the rejection came ahead of the second response and was taken for it: the request ran twice (three attempts), or its client was promised that it had not run (two attempts).

Cause: a response is known as a request's own by Request-Id, which all sends of one request share, and one connection carried two of them. RunsOnce and PromiseIsTrue rest on the same belief.

Change: connections are numbered; an exchange notes those that it returned to the pool, and its next attempts take none of them. They stay in the pool for other requests.

Why it works: on one connection an id now belongs to one send, so that the id tells its response from any other.

Both tests of tests/exchange/repeated_requests.rs failed before (503 for what ran; a third send). Kept connections: an_excluded_connection_stays_in_the_pool.

--- a/crates/sandtrack-proxy/src/exchange/attempt.rs
+++ b/crates/sandtrack-proxy/src/exchange/attempt.rs
@@ -10,7 +10,7 @@
 use crate::placement::prefill_queue::PrefillEstimate;
 use crate::placement::upstreams::ServerLoad;
 use crate::request::ProxyRequest;
-use crate::upstream_connections::pool::Connection;
+use crate::upstream_connections::pool::{Connection, ConnectionId};
 pub use collected_body::CollectedBody;
 pub use head_summary::summarize_head;
 use sandtrack_sidecar_core::message::Head;
@@ -59,6 +59,9 @@
     request: &'a ProxyRequest,
     params: ExchangeParams,
     options: AttemptOptions,
+    /// Connections that carried an earlier attempt of the request. A late copy of a response to that one would be taken for
+    /// the response to this one, as both have the request's id.
+    excluded_connections: Vec<ConnectionId>,
     address: UpstreamAddress,
     // Declared before `outcome`, so that the connection is closed before the outcome is reported to the balancer.
     connection: Option<Connection>,
@@ -74,12 +77,14 @@
 }
 
 impl<'a> Attempt<'a> {
-    /// Creates an attempt and counts it as in flight at its upstream.
+    /// Creates an attempt and counts it as in flight at its upstream. `excluded_connections`: those that carried an earlier
+    /// attempt of the request.
     pub fn new(
         context: &'a ProxyContext,
         request: &'a ProxyRequest,
         params: ExchangeParams,
         options: AttemptOptions,
+        excluded_connections: Vec<ConnectionId>,
     ) -> Attempt<'a> {
         let upstream = options.upstream;
         let mut balancer = context.balancer.borrow_mut();
@@ -100,6 +105,7 @@
             request,
             params,
             options,
+            excluded_connections,
             address,
             connection: None,
             outcome: OutcomeGuard {
@@ -189,15 +195,15 @@
         self.outcome.outcome = outcome;
     }
 
-    /// Ends the attempt and returns its connection to the pool.
-    pub fn release_connection(&mut self, outcome: SendOutcome) {
+    /// Ends the attempt and returns its connection to the pool; returns which one that is.
+    pub fn release_connection(&mut self, outcome: SendOutcome) -> Option<ConnectionId> {
         self.outcome.outcome = outcome;
-        if let (Some(connection), Some(head)) = (self.connection.take(), &self.head) {
-            let now = self.context.clock.now();
-            self.context
-                .pool
-                .borrow_mut()
-                .release(&self.address.identifier, connection, head, now);
-        }
+        let connection = self.connection.take()?;
+        let head = self.head.as_ref()?;
+        let id = connection.id;
+        let now = self.context.clock.now();
+        let mut pool = self.context.pool.borrow_mut();
+        pool.release(&self.address.identifier, connection, head, now);
+        Some(id)
     }
 }
--- a/crates/sandtrack-proxy/src/exchange/attempt/steps.rs
+++ b/crates/sandtrack-proxy/src/exchange/attempt/steps.rs
@@ -63,7 +63,7 @@
         }
     }
 
-    /// Takes an idle connection from the pool, if one may be used for this request.
+    /// Takes an idle connection from the pool, if one may be used for this attempt.
     fn take_idle_connection(&self, now: Millis) -> Option<Connection> {
         let may_reuse = self.options.may_reuse_connection
             || self
@@ -75,7 +75,7 @@
             return None;
         }
         let mut pool = self.context.pool.borrow_mut();
-        pool.take_idle(&self.address.identifier, now)
+        pool.take_idle(&self.address.identifier, &self.excluded_connections, now)
     }
 
     /// Closes an idle connection if the upstream's connection limit is reached; returns whether a new one may be opened.
--- a/crates/sandtrack-proxy/src/exchange/forward.rs
+++ b/crates/sandtrack-proxy/src/exchange/forward.rs
@@ -17,6 +17,7 @@
 use crate::placement::balancer::SendOutcome;
 use crate::request::ProxyRequest;
 use crate::telemetry::outcomes::RequestOutcome;
+use crate::upstream_connections::pool::ConnectionId;
 use attempt_slot::AttemptSlot;
 use futures_lite::future;
 use sandtrack_invariants::{check, Invariant};
@@ -44,6 +45,8 @@
     slots: [AttemptSlot<'a>; MAX_CONCURRENT_ATTEMPTS],
     /// Indexes of the upstreams at which an attempt ended.
     attempted_upstreams: Vec<usize>,
+    /// Connections in the pool that carried an attempt.
+    released_connections: Vec<ConnectionId>,
     silence: Option<SilenceTimer>,
     /// An upstream's error response, kept in case no better response follows.
     kept_failure: Option<CollectedResponse>,
@@ -80,6 +83,7 @@
         exchange: Exchange::new(params),
         slots: [AttemptSlot::Empty, AttemptSlot::Empty],
         attempted_upstreams: Vec::new(),
+        released_connections: Vec::new(),
         silence: None,
         kept_failure: None,
         last_response: None,
@@ -175,7 +179,8 @@
             Action::ReleaseConnection(id, outcome) => {
                 if let Some(mut attempt) = self.slots[id].take() {
                     self.record_attempt_end(&attempt, outcome);
-                    attempt.release_connection(outcome);
+                    self.released_connections
+                        .extend(attempt.release_connection(outcome));
                     self.last_response = attempt.take_response();
                 }
             }
@@ -195,7 +200,8 @@
     }
 
     fn start_attempt(&mut self, id: AttemptId, options: AttemptOptions) {
-        let attempt = Attempt::new(self.context, self.request, self.params, options);
+        let excluded = self.released_connections.clone();
+        let attempt = Attempt::new(self.context, self.request, self.params, options, excluded);
         self.log.attempt_started(attempt.identifier().to_owned());
         self.slots[id] = AttemptSlot::Paused(Box::new(attempt));
     }
--- a/crates/sandtrack-proxy/src/health_checks.rs
+++ b/crates/sandtrack-proxy/src/health_checks.rs
@@ -118,7 +118,7 @@
     let idle = context
         .pool
         .borrow_mut()
-        .take_idle(identifier, context.clock.now());
+        .take_idle(identifier, &[], context.clock.now());
     match idle {
         Some(connection) => Some(connection),
         None => connect(&context.pool, identifier, address, *timeout)
--- a/crates/sandtrack-proxy/src/upstream_connections/pool.rs
+++ b/crates/sandtrack-proxy/src/upstream_connections/pool.rs
@@ -18,8 +18,14 @@
 /// Longest head of a response, in bytes.
 const MAX_HEAD_BYTES: usize = 12 * 1024;
 
+/// Identifies a connection for the life of the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionId(u64);
+
 /// A connection to one upstream, with what was read of it.
 pub struct Connection {
+    /// Which one it is.
+    pub id: ConnectionId,
     /// The socket.
     pub stream: Async<TcpStream>,
     /// Bytes that were read and not parsed yet.
@@ -56,6 +62,8 @@
 pub struct ConnectionPool {
     policy: Rc<Policy>,
     upstreams: HashMap<String, UpstreamConnections>,
+    /// Number of connections that were opened or attempted.
+    connections: u64,
 }
 
 impl ConnectionPool {
@@ -65,18 +73,26 @@
         ConnectionPool {
             policy,
             upstreams: HashMap::new(),
+            connections: 0,
         }
     }
 
-    /// Takes out an idle connection on which nothing came and that is not closed, the one that was used last first.
-    pub fn take_idle(&mut self, identifier: &str, now: Millis) -> Option<Connection> {
+    /// Takes out an idle connection on which nothing came and that is not closed, the one that was used last first, but none
+    /// of `excluded`.
+    pub fn take_idle(
+        &mut self,
+        identifier: &str,
+        excluded: &[ConnectionId],
+        now: Millis,
+    ) -> Option<Connection> {
         let upstream = self.upstreams.get_mut(identifier)?;
         upstream.idle.retain(|idle| idle.expires_at > now);
-        while let Some(IdleConnection {
-            mut connection,
-            expires_at,
-        }) = upstream.idle.pop()
-        {
+        let is_allowed = |idle: &IdleConnection| !excluded.contains(&idle.connection.id);
+        while let Some(position) = upstream.idle.iter().rposition(is_allowed) {
+            let IdleConnection {
+                mut connection,
+                expires_at,
+            } = upstream.idle.remove(position);
             let read = future::poll_once(read_into(&connection.stream, &mut connection.input));
             let is_quiet = future::block_on(read).is_none();
             if is_reusable(is_quiet, now, expires_at) {
@@ -113,6 +129,11 @@
         OpenConnectionGuard(open)
     }
 
+    fn next_connection_id(&mut self) -> ConnectionId {
+        self.connections += 1;
+        ConnectionId(self.connections)
+    }
+
     /// Takes a connection back after a complete response with this head.
     pub fn release(
         &mut self,
@@ -187,6 +208,7 @@
     let address: SocketAddr = address
         .parse()
         .map_err(|_| std::io::ErrorKind::InvalidInput)?;
+    let id = pool.borrow_mut().next_connection_id();
     let count = pool.borrow_mut().count_connection(identifier);
     let timer = async {
         Timer::after(Duration::from_secs_f64(timeout.max(1.0) / 1000.0)).await;
@@ -195,6 +217,7 @@
     let stream = future::or(Async::<TcpStream>::connect(address), timer).await?;
     no_delay(&stream);
     Ok(Connection {
+        id,
         stream,
         input: Ring::new(READ_RING),
         parser: Parser::with_head_max(Side::Response, MAX_HEAD_BYTES),
--- a/crates/sandtrack-proxy/tests/connection_reuse.rs
+++ b/crates/sandtrack-proxy/tests/connection_reuse.rs
@@ -1,4 +1,5 @@
 //! Two exchanges one after the other on one connection: what is left of the first never gets to the second's client.
+use futures_lite::future;
 use sandtrack_proxy::exchange::attempt::summarize_head;
 use sandtrack_proxy::exchange::state::{
     Action, AttemptEvent, Exchange, ExchangeParams, FinalResponse, HeadSummary, Input,
@@ -6,9 +7,14 @@
 };
 use sandtrack_proxy::placement::balancer::SendOutcome;
 use sandtrack_proxy::policy::Policy;
-use sandtrack_proxy::upstream_connections::pool::{idle_timeout, is_reusable};
+use sandtrack_proxy::upstream_connections::pool::{
+    connect, idle_timeout, is_reusable, Connection, ConnectionId, ConnectionPool,
+};
 use sandtrack_proxy::upstream_connections::response_error::ResponseError;
 use sandtrack_sidecar_core::message::{Head, Headers};
+use std::cell::RefCell;
+use std::net::TcpListener;
+use std::rc::Rc;
 
 const READ_ONLY: ExchangeParams = ExchangeParams {
     idempotent: true,
@@ -202,3 +208,45 @@
     assert_eq!(owner(&[("Request-Id", "r22")]), ResponseOwner::OtherRequest);
     assert_eq!(owner(&[]), ResponseOwner::Unidentified);
 }
+
+const UPSTREAM: &str = "i-1";
+const CONNECT_TIMEOUT_MS: f64 = 5000.0;
+
+/// Opens connections to a listener; returns them with it.
+fn open_connections(
+    pool: &RefCell<ConnectionPool>,
+    count: usize,
+) -> (TcpListener, Vec<Connection>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let open = || {
+        let connecting = connect(pool, UPSTREAM, &address, CONNECT_TIMEOUT_MS);
+        future::block_on(connecting).unwrap()
+    };
+    let connections = (0..count).map(|_| open()).collect();
+    (listener, connections)
+}
+
+/// Guards against a second send of a request on the connection of its first one, and against a fix that closes that
+/// connection: it stays in the pool, and the next request takes it.
+#[test]
+fn an_excluded_connection_stays_in_the_pool() {
+    let pool = RefCell::new(ConnectionPool::new(Rc::new(Policy::default())));
+    let (_listener, connections) = open_connections(&pool, 3);
+    let ids: Vec<ConnectionId> = connections.iter().map(|connection| connection.id).collect();
+    let mut pool = pool.into_inner();
+    for connection in connections {
+        pool.release(UPSTREAM, connection, &head(503, true, &[]), 0.0);
+    }
+    let mut take = |excluded: &[ConnectionId]| {
+        let connection = pool.take_idle(UPSTREAM, excluded, 1.0)?;
+        let id = connection.id;
+        pool.release(UPSTREAM, connection, &head(200, true, &[]), 1.0);
+        Some(id)
+    };
+    assert_eq!(take(&[ids[2]]), Some(ids[1]));
+    assert_eq!(take(&ids[..2]), Some(ids[2]));
+    assert_eq!(take(&ids), None);
+    assert_eq!(take(&[]), Some(ids[2]));
+    assert_eq!(pool.open_connections(UPSTREAM), 3);
+}
--- a/crates/sandtrack-proxy/tests/exchange/main.rs
+++ b/crates/sandtrack-proxy/tests/exchange/main.rs
@@ -14,6 +14,7 @@
 mod memory_budget;
 mod metrics;
 mod proxy_process;
+mod repeated_requests;
 mod response_integrity;
 mod streams;
 mod transcript;
--- a/crates/sandtrack-proxy/tests/exchange/upstream.rs
+++ b/crates/sandtrack-proxy/tests/exchange/upstream.rs
@@ -230,13 +230,20 @@
         read(&self.state, self.connection, self.earlier_requests + 1);
     }
 
-    /// As [`UpstreamRequest::respond`]; returns the connection for further writes.
-    pub fn respond_and_keep_writer(self, body: &str) -> TcpStream {
+    /// As [`UpstreamRequest::keep_open`]; returns the connection for further writes.
+    pub fn keep_open_and_keep_writer(self) -> TcpStream {
         let stream = self.connection.stream.try_clone().unwrap();
-        self.respond(body);
+        self.keep_open();
         stream
     }
 
+    /// As [`UpstreamRequest::respond`]; returns the connection for further writes.
+    pub fn respond_and_keep_writer(mut self, body: &str) -> TcpStream {
+        let text = response_text(self.id(), body);
+        self.send(&text);
+        self.keep_open_and_keep_writer()
+    }
+
     /// The connection, for raw writes.
     pub fn into_stream(self) -> TcpStream {
         self.connection.stream.try_clone().unwrap()
