--- a/crates/sandtrack-replication/src/calls/mod.rs
+++ b/crates/sandtrack-replication/src/calls/mod.rs
@@ -35,7 +35,7 @@
     attempts: u32,
     /// The heads that it was given to, or sent towards.
     offered_to_heads: BTreeSet<Member>,
-    /// Those whose disk was too full for the command. They refuse it for good.
+    /// Those whose disk was too full for the command. Their processes refuse it for good.
     full_heads: BTreeSet<Member>,
     /// It was sent to another process to forward, which may know of other heads.
     relayed: bool,
@@ -128,6 +128,13 @@
         }
     }
 
+    /// The process at this address started again: it does not know what the one before refused, and may have room.
+    pub(crate) fn forget_refusals_of(&mut self, address: &Address) {
+        for pending in self.calls.pending.values_mut() {
+            pending.full_heads.retain(|head| head.address != *address);
+        }
+    }
+
     /// To all other processes that gave the call to this one.
     fn reply(&mut self, call: &CallId, body: &Body, effects: &mut Vec<Effect>) {
         let Some((mut waiters, _)) = self.calls.waiters.remove(call) else {
--- a/crates/sandtrack-replication/src/dispatch.rs
+++ b/crates/sandtrack-replication/src/dispatch.rs
@@ -56,6 +56,7 @@
         let is_new_process = self.peers.on_message(self.now, from, &message);
         if is_new_process {
             self.fragments.remove(from);
+            self.forget_refusals_of(from);
             self.send_status(from, effects);
         }
         self.exchange_views(from, &message, effects);
--- a/crates/sandtrack-replication/tests/directed_scenarios.rs
+++ b/crates/sandtrack-replication/tests/directed_scenarios.rs
@@ -132,6 +132,23 @@
     assert_eq!(applied_after_recovery(&mut simulation), 0);
 }
 
+/// Guards against a refusal of one send that is taken for that of a later one: the head that had no room for the command
+/// starts again with room, and knows nothing of what it refused. Its caller was told that the command surely is not in force.
+#[test]
+fn a_refusal_of_an_earlier_send_does_not_refuse_a_later_one() {
+    let mut simulation = of_three_two_are_left(0);
+    simulation.set_disk(0, DiskMode::Full);
+    let call = simulation.submit(2, 0);
+    simulation.run(50.0);
+    simulation.kill(0);
+    simulation.set_disk(0, DiskMode::Well);
+    simulation.start(0, false);
+    simulation.hold = vec!["m1 -> m3: e2 outcome".to_string()];
+    simulation.run(5000.0);
+    assert_eq!(simulation.outcome(call), Some(Err(CallError::TimedOut)));
+    assert_eq!(applied_after_recovery(&mut simulation), 1);
+}
+
 /// Whom the other process gave it to is not known here.
 #[test]
 fn a_call_that_another_passed_on_is_never_definitely_not_applied() {
