--- a/crates/sandtrack-proxy/src/health_checks.rs
+++ b/crates/sandtrack-proxy/src/health_checks.rs
@@ -92,7 +92,10 @@
         return None;
     }
     let deadline = written_at + health_check.timeout;
-    let head = read_response(context, &mut connection, deadline).await?;
+    let HealthResponse {
+        head,
+        follows_surplus,
+    } = read_response(context, &mut connection, deadline).await?;
     let now = context.clock.now();
     apply_load_report(context, now, health_check.upstream, &head);
     let identifier = health_check.identifier.as_str();
@@ -101,10 +104,10 @@
         .get("instance-id")
         .is_none_or(|instance| instance == identifier);
     let is_healthy = head.status == 200 && is_expected_instance;
-    context
-        .pool
-        .borrow_mut()
-        .release(identifier, connection, &head, now);
+    if !follows_surplus {
+        let mut pool = context.pool.borrow_mut();
+        pool.release(identifier, connection, &head, now);
+    }
     is_healthy.then_some(written_at)
 }
 
@@ -127,18 +130,43 @@
     }
 }
 
-/// Reads a whole response; returns its head.
+/// The response to a health check.
+struct HealthResponse {
+    head: Head,
+    /// Whether a surplus response to an earlier request came before it.
+    follows_surplus: bool,
+}
+
+/// Whether a response on a connection that health checks share with requests is a late one to a request: only that has a
+/// request's id, and only a health check's names the upstream.
+fn is_surplus(head: &Head) -> bool {
+    head.headers
+        .get("request-id")
+        .is_some_and(|id| !id.is_empty())
+        && head.headers.get("instance-id").is_none()
+}
+
+/// Reads the response to the health check to its end, behind surplus ones to earlier requests.
 async fn read_response(
     context: &ProxyContext,
     connection: &mut Connection,
     deadline: Millis,
-) -> Option<Head> {
+) -> Option<HealthResponse> {
     let mut head = None;
+    let mut follows_surplus = false;
     loop {
         match read_part(connection, context.clock, deadline).await {
             WaitResult::Part(Part::Head(received)) => head = Some(received),
             WaitResult::Part(Part::Data(_)) => {}
-            WaitResult::Part(Part::End) => return head,
+            WaitResult::Part(Part::End) => match head.take() {
+                Some(head) if is_surplus(&head) => follows_surplus = true,
+                head => {
+                    return head.map(|head| HealthResponse {
+                        head,
+                        follows_surplus,
+                    })
+                }
+            },
             WaitResult::Failed(_) | WaitResult::TimedOut => return None,
         }
     }
--- a/crates/sandtrack-proxy/tests/exchange/main.rs
+++ b/crates/sandtrack-proxy/tests/exchange/main.rs
@@ -8,6 +8,7 @@
 mod deadlines;
 mod forwarding;
 mod harness;
+mod health_responses;
 mod http_connection;
 mod lifecycle;
 mod limits;
