--- a/crates/sandtrack-control/src/platform_client.rs
+++ b/crates/sandtrack-control/src/platform_client.rs
@@ -60,14 +60,11 @@
     kept: &mut Option<(String, Async<TcpStream>)>,
     fetch: &Fetch,
 ) -> Result<PageResult, String> {
-    let (_, stream) = match kept.take() {
-        Some(kept) => kept,
-        None => {
-            let stream = frame_connection::connect(&fetch.address, PATIENCE)
-                .await
-                .map_err(|error| error.to_string())?;
-            (fetch.address.clone(), stream)
-        }
+    let stream = match take_quiet(kept).await {
+        Some(stream) => stream,
+        None => frame_connection::connect(&fetch.address, PATIENCE)
+            .await
+            .map_err(|error| error.to_string())?,
     };
     let target = match &fetch.token {
         Some(token) => format!("/instances?page_token={}", escape(token)),
@@ -117,6 +114,14 @@
     }
 }
 
+/// Takes the kept connection, if nothing came on it while it was idle: that, or its end, belongs to no call.
+async fn take_quiet(kept: &mut Option<(String, Async<TcpStream>)>) -> Option<Async<TcpStream>> {
+    let (_, stream) = kept.take()?;
+    let mut input = Ring::new(http::READ_RING);
+    let came = future::poll_once(read_into(&stream, &mut input)).await;
+    came.is_none().then_some(stream)
+}
+
 /// A token as a value of a query.
 fn escape(token: &str) -> String {
     let mut escaped = String::with_capacity(token.len());
