proxy: a response's head is summarized once an attempt

The check for a truncated collected stream summarized the head a second time at the end of each collected response, with its headers read and its framing decided anew. The attempt now keeps the summary that it made when the head came. Behaviour is the same.

--- a/crates/sandtrack-proxy/src/exchange/attempt.rs
+++ b/crates/sandtrack-proxy/src/exchange/attempt.rs
@@ -5,7 +5,7 @@
 mod steps;
 
 use crate::context::ProxyContext;
-use crate::exchange::state::ExchangeParams;
+use crate::exchange::state::{ExchangeParams, HeadSummary};
 use crate::placement::balancer::SendOutcome;
 use crate::placement::prefill_queue::PrefillEstimate;
 use crate::placement::upstreams::ServerLoad;
@@ -72,6 +72,8 @@
     write_started_at: Option<Millis>,
     request_written: bool,
     head: Option<Head>,
+    /// Summary of `head`.
+    head_summary: Option<HeadSummary>,
     /// What has been received of the body, if the response is collected.
     body: CollectedBody,
 }
@@ -117,6 +119,7 @@
             write_started_at: None,
             request_written: false,
             head: None,
+            head_summary: None,
             body: CollectedBody::new(context),
         }
     }
--- a/crates/sandtrack-proxy/src/exchange/attempt/steps.rs
+++ b/crates/sandtrack-proxy/src/exchange/attempt/steps.rs
@@ -200,14 +200,11 @@
 
     /// Whether the response is a stream of events that was collected, and whose end with the connection is within an event.
     fn is_collected_stream_truncated(&self) -> bool {
-        let Some(head) = &self.head else {
-            return false;
-        };
-        let summary = summarize_head(head, &self.request.id, &self.context.policy);
-        !self.is_relayed()
-            && summary.delimiter == BodyDelimiter::ConnectionClose
-            && summary.media_type == MediaType::EventStream
-            && ends_within_event(&self.body.bytes)
+        let is_close_delimited_stream = self.head_summary.is_some_and(|summary| {
+            summary.delimiter == BodyDelimiter::ConnectionClose
+                && summary.media_type == MediaType::EventStream
+        });
+        is_close_delimited_stream && !self.is_relayed() && ends_within_event(&self.body.bytes)
     }
 
     fn accept_head(&mut self, head: Head) -> HeadSummary {
@@ -225,6 +222,7 @@
             );
         }
         self.head = Some(head);
+        self.head_summary = Some(summary);
         summary
     }
 }
