--- a/crates/sandtrack-control/src/node.rs
+++ b/crates/sandtrack-control/src/node.rs
@@ -4,7 +4,7 @@
 //! This module has the inputs, the effects and the dispatch; one module for each concern does the work: `replica` (the
 //! replica's effects), `operator_calls` and `call_context` (operators' calls), `peer_links` (the other control nodes),
 //! `proxy_sessions`, `endpoint_polling` (the platform's list), `quorum` (contact with a majority), `timers` (what is due, and
-//! pauses of the process), `shutdown`, `status` and `metrics`.
+//! pauses of the process), `rules_agreement`, `shutdown`, `status` and `metrics`.
 mod call_context;
 mod endpoint_polling;
 mod metrics;
@@ -12,8 +12,8 @@
 mod peer_links;
 mod proxy_sessions;
 mod quorum;
-
 mod replica;
+mod rules_agreement;
 mod shutdown;
 mod status;
 mod timers;
@@ -176,6 +176,8 @@
     last_input: Millis,
     /// When it was told to stop.
     leaving_since: Option<Millis>,
+    /// From when on it may propose rules (again).
+    next_rules_proposal: Millis,
 }
 
 fn replica_settings(settings: &Settings, address: &str, start: &Start) -> replication::Settings {
@@ -233,6 +235,7 @@
             knows_all_proxies: false,
             last_input: now,
             leaving_since: None,
+            next_rules_proposal: now,
         };
         let mut out = Vec::new();
         control_node.carry_out_replica_effects(now, effects, &mut out);
--- a/crates/sandtrack-control/src/node/metrics.rs
+++ b/crates/sandtrack-control/src/node/metrics.rs
@@ -20,7 +20,7 @@
         let control_state = self.replica.machine();
         let linked = self.peers.all().filter(|(_, linked, _)| *linked).count() as u64;
         let ready = self.membership.ready(now).len() as u64;
-        let gauges: [(&str, &str, u64); 15] = [
+        let gauges: [(&str, &str, u64); 17] = [
             (
                 "attached",
                 "Whether it hears a majority and has caught up",
@@ -67,6 +67,16 @@
                 "Lists and fields of the configuration that have no effect",
                 control_state.unread_fields().len() as u64,
             ),
+            (
+                "configuration_invalid",
+                "Whether the configuration in force is invalid, as an earlier program accepted it",
+                u64::from(control_state.fault().is_some()),
+            ),
+            (
+                "rules_version",
+                "Version of the rules by which commands are decided",
+                u64::from(control_state.rules().number()),
+            ),
             (
                 "zones_evacuated",
                 "Zones that get nothing",
--- a/crates/sandtrack-control/src/node/peer_links.rs
+++ b/crates/sandtrack-control/src/node/peer_links.rs
@@ -3,6 +3,7 @@
 use crate::endpoint_poller::PeerReport;
 use crate::peer_frames::Heartbeat;
 use crate::peers::{Hello, LinkAction, LinkEvent, PeerFrame, FORMAT};
+use crate::state_machine::RulesVersion;
 use crate::Millis;
 use sandtrack_protocol::settings::{Settings, PEER_PORT_OFFSET, SESSION_PORT_OFFSET};
 use sandtrack_replication::{self as replication, Address, Message};
@@ -33,7 +34,7 @@
         zone: settings.zone.clone(),
         region: settings.region.clone(),
         control: listen("control"),
-        directory: listen("directory"),
+        features: RulesVersion::LATEST.to_string(),
         session: settings.internal_address(&settings.ip_address, SESSION_PORT_OFFSET),
     }
 }
--- a/crates/sandtrack-control/src/node/replica.rs
+++ b/crates/sandtrack-control/src/node/replica.rs
@@ -42,6 +42,7 @@
         out: &mut Vec<Effect>,
     ) {
         let mut answers = Vec::new();
+        let mut has_new_state = false;
         for effect in effects {
             match effect {
                 replication::Effect::Send { to, message } => {
@@ -55,12 +56,17 @@
                 }
                 replication::Effect::Applied {
                     number, command, ..
-                } => self.log_applied(number, &command),
+                } => {
+                    has_new_state = true;
+                    self.log_applied(number, &command);
+                }
                 replication::Effect::Restored { number } => {
+                    has_new_state = true;
                     log::info!(
                         "restored to number {number}: version {}",
                         self.replica.machine().version()
                     );
+                    self.log_fault();
                 }
                 replication::Effect::Answer { call, result } => {
                     answers.push(Answered { call, result });
@@ -71,6 +77,9 @@
                 }
             }
         }
+        if has_new_state {
+            self.enforce_rules(now, out);
+        }
         for Answered { call, result } in answers {
             self.advance_calls(now, out, |calls, known| {
                 calls.complete(now, call, result, known)
@@ -93,11 +102,21 @@
                 let unread = self.replica.machine().unread_fields();
                 let no_effect = schema::no_effect_text(&unread);
                 log::info!("number {number}: version {version}, after {command}{no_effect}");
+                self.log_fault();
             }
             Ok(command) => log::info!("number {number}: version {version}, after {command}"),
             Err(error) => log::warn!("number {number}: version {version}, unknown: {error}"),
         }
     }
+
+    /// Operators are told of an invalid configuration in force, which an earlier program has accepted.
+    fn log_fault(&self) {
+        let control_state = self.replica.machine();
+        if let Some(fault) = control_state.fault() {
+            let version = control_state.version();
+            log::warn!("version {version}, which is in force, is invalid: {fault}");
+        }
+    }
 }
 
 fn log_view(view: &View) {
--- a/crates/sandtrack-control/src/node/status.rs
+++ b/crates/sandtrack-control/src/node/status.rs
@@ -23,10 +23,12 @@
     pub(super) fn status(&self, now: Millis) -> Reply {
         let control_state = self.replica.machine();
         let view = self.replica.view();
+        let fault = control_state.fault().map(ToString::to_string);
         let body = format!(
             "{{\"node\":{},\"address\":{},\"attached\":{},\"caught_up\":{},\"version_number\":{},\
              \"configuration_number\":{},\"evacuated\":{},\"view\":{{\"epoch\":{},\"chain\":{},\"voters\":{}}},\
-             \"control_nodes\":{},\"proxies\":{},\"reader\":{},\"readings\":{},\"services\":{}}}",
+             \"control_nodes\":{},\"proxies\":{},\"reader\":{},\"readings\":{},\"services\":{},\
+             \"rules_version\":{},\"configuration_fault\":{}}}",
             quote(&self.settings.node_name),
             quote(&self.peers.me.address),
             self.has_quorum(now),
@@ -42,6 +44,8 @@
             quote(&self.election.lease().holder),
             self.upstreams.last_poll(),
             self.status_of_services(),
+            control_state.rules().number(),
+            quote(&fault.unwrap_or_default()),
         );
         Reply::success(body)
     }
--- a/crates/sandtrack-control/src/node/timers.rs
+++ b/crates/sandtrack-control/src/node/timers.rs
@@ -53,6 +53,7 @@
             .complete_in_epoch
             .max(self.replica.fully_applied_epoch());
         self.tick_peers(now, out);
+        self.propose_rules(now, out);
         self.tick_sessions(now, out);
         self.membership.tick(now);
         self.fetch_page_if_due(now, out);
--- a/crates/sandtrack-control/src/operator_api/pending_calls.rs
+++ b/crates/sandtrack-control/src/operator_api/pending_calls.rs
@@ -62,6 +62,13 @@
     /// An update whose basis has not reached this node: for the newest configuration, to check the update against it.
     BaseVersion {
         command: Command,
+        /// The read followed a barrier: what was ahead of that in the log is in the configuration.
+        is_behind_barrier: bool,
+    },
+    /// An update whose basis is not in the newest configuration that was read: for all that is ahead in the log, as the
+    /// basis may be on its way down the chain.
+    Barrier {
+        command: Command,
     },
     /// A repeated configuration: that the chain responds, before it is acknowledged again.
     Repeat {
@@ -183,6 +190,7 @@
                 Awaiting::Evacuation | Awaiting::Zone { .. } => EVACUATION_TIMEOUT_MS,
                 Awaiting::Configuration
                 | Awaiting::BaseVersion { .. }
+                | Awaiting::Barrier { .. }
                 | Awaiting::Repeat { .. }
                 | Awaiting::Read => CALL_TIMEOUT_MS,
             };
@@ -217,7 +225,10 @@
                         reply: responses::invalid(&invalid),
                     },
                     Precheck::NeedsBaseVersion => {
-                        wait(Awaiting::BaseVersion { command });
+                        wait(Awaiting::BaseVersion {
+                            command,
+                            is_behind_barrier: false,
+                        });
                         Step::Read {
                             call,
                             query: Query::Configuration,
@@ -294,14 +305,14 @@
                 begin,
                 last_known,
             } if result.is_ok() && known.is_known_zone(&zone) => {
-                if let Some(pending) = self.pending.get_mut(&call) {
-                    pending.awaiting = Awaiting::Evacuation;
-                }
+                self.await_next(call, Awaiting::Evacuation);
                 Some(self.submit_evacuation(now, call, zone, begin, last_known))
             }
-            Awaiting::BaseVersion { command } => {
-                Some(self.submit_on_base_version(call, command, result))
-            }
+            Awaiting::BaseVersion {
+                command,
+                is_behind_barrier,
+            } => Some(self.submit_on_base_version(call, command, is_behind_barrier, result)),
+            Awaiting::Barrier { command } => Some(self.read_behind_barrier(call, command, &result)),
             // One that was overtaken is not stamped anew: its caller may have gone on to another control node, and may have
             // been acknowledged there, and a later order after it.
             Awaiting::Evacuation => {
@@ -332,27 +343,64 @@
         }
     }
 
-    /// Submits an update, unless the newest configuration is its basis and it makes that invalid.
+    /// Submits an update once it was checked against its basis, or once another version is the newest: the chain says so
+    /// then. While the newest configuration is older than the basis, that may be in the log and not committed yet.
     fn submit_on_base_version(
         &mut self,
         call: u64,
         command: Command,
+        is_behind_barrier: bool,
         newest: Result<Vec<u8>, CallError>,
     ) -> Step {
         let newest = match newest {
-            Ok(newest) => borsh::from_slice::<QueryResult>(&newest).ok().flatten(),
+            Ok(newest) => configuration_of(&newest),
             Err(refusal) => return self.end(call, responses::refused(refusal)),
         };
-        let newest = newest.and_then(|newest| Document::parse(newest.as_bytes()).ok());
-        if let Some(Precheck::Invalid(invalid)) =
-            newest.map(|newest| precheck::check_command(&newest, &command))
-        {
-            return self.end(call, responses::invalid(&invalid));
+        match precheck::check_command(&newest, &command) {
+            Precheck::Invalid(invalid) => self.end(call, responses::invalid(&invalid)),
+            Precheck::Passed => {
+                self.await_next(call, Awaiting::Configuration);
+                Step::Submit { call, command }
+            }
+            Precheck::NeedsBaseVersion if is_behind_barrier => {
+                self.end(call, responses::version_conflict(newest.version))
+            }
+            Precheck::NeedsBaseVersion => {
+                self.await_next(call, Awaiting::Barrier { command });
+                let command = Command::barrier();
+                Step::Submit { call, command }
+            }
+        }
+    }
+
+    /// Reads the newest configuration again, now that all that was ahead in the log has been applied.
+    fn read_behind_barrier(
+        &mut self,
+        call: u64,
+        command: Command,
+        barrier: &Result<Vec<u8>, CallError>,
+    ) -> Step {
+        if barrier.is_err() {
+            // The update itself was not submitted.
+            return self.end(call, responses::refused(CallError::NoMajority));
         }
+        self.await_next(
+            call,
+            Awaiting::BaseVersion {
+                command,
+                is_behind_barrier: true,
+            },
+        );
+        Step::Read {
+            call,
+            query: Query::Configuration,
+        }
+    }
+
+    fn await_next(&mut self, call: u64, awaiting: Awaiting) {
         if let Some(pending) = self.pending.get_mut(&call) {
-            pending.awaiting = Awaiting::Configuration;
+            pending.awaiting = awaiting;
         }
-        Step::Submit { call, command }
     }
 
     fn end(&mut self, call: u64, reply: Reply) -> Step {
@@ -370,6 +418,13 @@
     }
 }
 
+/// The configuration in the result of a query; the empty one before the first.
+fn configuration_of(result: &[u8]) -> Document {
+    let text = borsh::from_slice::<QueryResult>(result).ok().flatten();
+    text.and_then(|text| Document::parse(text.as_bytes()).ok())
+        .unwrap_or_default()
+}
+
 fn outcome(result: Result<Vec<u8>, CallError>) -> Result<Outcome, CallError> {
     // What can't be read is of a later program: it may be in force.
     result.and_then(|bytes| borsh::from_slice(&bytes).map_err(|_| CallError::TimedOut))
--- a/crates/sandtrack-control/src/operator_api/responses.rs
+++ b/crates/sandtrack-control/src/operator_api/responses.rs
@@ -85,9 +85,7 @@
         Ok(Outcome::Accepted { version }) => {
             Reply::success(format!("{{\"version_number\":{version}}}"))
         }
-        Ok(Outcome::VersionConflict { current }) => {
-            Reply::error(412, codes::ANOTHER_VERSION, &format!("current {current}"))
-        }
+        Ok(Outcome::VersionConflict { current }) => version_conflict(current),
         Ok(Outcome::Invalid { code, place, what }) => {
             Reply::with_message(400, Code(code), &place, &what)
         }
@@ -99,6 +97,11 @@
     }
 }
 
+/// The response to a change that is based on another version than the current one.
+pub fn version_conflict(current: u64) -> Reply {
+    Reply::error(412, codes::ANOTHER_VERSION, &format!("current {current}"))
+}
+
 /// The response to a configuration that is invalid.
 pub fn invalid(invalid: &ConfigurationError) -> Reply {
     Reply::with_message(400, invalid.code, &invalid.place, &invalid.what)
--- a/crates/sandtrack-control/src/peer_frames.rs
+++ b/crates/sandtrack-control/src/peer_frames.rs
@@ -1,5 +1,6 @@
 //! The frames between control nodes, and the data in them. Their borsh forms are on the wire: variants and fields keep their
 //! places.
+use crate::state_machine::RulesVersion;
 use borsh::{BorshDeserialize, BorshSerialize};
 use sandtrack_protocol::frames::{PromptSent, ProxyInfo, ProxyState, UpstreamEntry};
 use sandtrack_replication::{Address, Message};
@@ -25,12 +26,20 @@
     pub region: String,
     /// Where operators call it, `IP:PORT`.
     pub control: String,
-    /// Where clients ask it for proxies, `IP:PORT`.
-    pub directory: String,
+    /// What its program supports: see [`RulesVersion::supported_by`]. Earlier programs give the address of their directory
+    /// here, which no program reads.
+    pub features: String,
     /// Where proxies open their sessions.
     pub session: String,
 }
 
+impl Hello {
+    /// The latest version of the rules that the sender supports.
+    pub fn supported_rules(&self) -> RulesVersion {
+        RulesVersion::supported_by(&self.features)
+    }
+}
+
 /// What control nodes say to each other.
 #[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
 pub enum PeerFrame {
--- a/crates/sandtrack-control/src/peers.rs
+++ b/crates/sandtrack-control/src/peers.rs
@@ -3,6 +3,7 @@
 //! [`crate::program`] owns the sockets.
 use crate::endpoint_poller::PeerReport;
 pub use crate::peer_frames::{Hello, PeerFrame, FORMAT};
+use crate::state_machine::RulesVersion;
 use crate::Millis;
 use sandtrack_protocol::codes;
 use sandtrack_replication::Address;
@@ -79,6 +80,9 @@
     known: BTreeMap<Address, Peer>,
     next_link: u64,
     next_heartbeat: Millis,
+    /// The version of the rules that is in force: links with peers that do not support it are refused, as they would apply
+    /// the log otherwise.
+    required_rules: RulesVersion,
 }
 
 /// A change of the link with a peer.
@@ -99,6 +103,7 @@
             known: BTreeMap::new(),
             next_link: 0,
             next_heartbeat: now,
+            required_rules: RulesVersion::INITIAL,
         }
     }
 
@@ -193,6 +198,11 @@
             self.drop_link(now, link, actions);
             return None;
         }
+        if hello.supported_rules() < self.required_rules {
+            warn_of_earlier_program(&address, self.required_rules);
+            self.drop_link(now, link, actions);
+            return None;
+        }
         let (me, wanted) = (&self.me.address, &address);
         let preferred = if dialed_here {
             me < wanted
@@ -230,6 +240,40 @@
         Some(LinkEvent::Established(address))
     }
 
+    /// A version of the rules is in force: the links with peers that do not support it are closed, and refused from now on.
+    pub fn require_rules(
+        &mut self,
+        now: Millis,
+        rules: RulesVersion,
+        actions: &mut Vec<LinkAction>,
+    ) -> Vec<LinkEvent> {
+        if rules <= self.required_rules {
+            return Vec::new();
+        }
+        self.required_rules = rules;
+        let is_earlier = |hello: &Hello| hello.supported_rules() < rules;
+        let earlier = self.known.iter().filter_map(|(address, known)| {
+            let link = known.link?;
+            let is_earlier = known.hello.as_ref().is_some_and(is_earlier);
+            is_earlier.then(|| (link, address.clone()))
+        });
+        let earlier: Vec<(u64, Address)> = earlier.collect();
+        let mut lost = Vec::new();
+        for (link, address) in earlier {
+            warn_of_earlier_program(&address, rules);
+            lost.extend(self.drop_link(now, link, actions));
+        }
+        lost
+    }
+
+    /// Whether each known peer is linked with a process that supports this version of the rules.
+    pub fn all_support(&self, rules: RulesVersion) -> bool {
+        self.known.values().all(|known| {
+            let supports = |hello: &Hello| hello.supported_rules() >= rules;
+            known.link.is_some() && known.hello.as_ref().is_some_and(supports)
+        })
+    }
+
     /// The connection of a link is closed.
     pub fn closed(&mut self, now: Millis, link: u64) -> Option<LinkEvent> {
         let gone = self.links.remove(&link)?;
@@ -382,3 +426,8 @@
         })
     }
 }
+
+fn warn_of_earlier_program(address: &str, required: RulesVersion) {
+    let code = codes::EARLIER_PROGRAM;
+    log::warn!("{code} a link with {address} is ended: its program does not support {required}");
+}
--- a/crates/sandtrack-control/src/state_machine.rs
+++ b/crates/sandtrack-control/src/state_machine.rs
@@ -8,8 +8,10 @@
 pub mod evacuations;
 pub mod precheck;
 mod recent_changes;
+pub mod rules;
 mod snapshot;
 
 pub use commands::{ChangeKind, Command, Outcome, Query, QueryResult};
 pub use control_state::ControlState;
 pub use precheck::Precheck;
+pub use rules::RulesVersion;
--- a/crates/sandtrack-control/src/state_machine/commands.rs
+++ b/crates/sandtrack-control/src/state_machine/commands.rs
@@ -1,5 +1,6 @@
 //! Commands and queries of the replicated state machine, and their results. Their borsh forms are on disks and on the wire:
 //! variants and fields keep their places, and new ones are added at the end.
+use super::rules::RulesVersion;
 use borsh::{BorshDeserialize, BorshSerialize};
 use sandtrack_protocol::document::ConfigurationError;
 use std::fmt;
@@ -49,6 +50,18 @@
     },
 }
 
+impl Command {
+    /// A command that changes nothing under any rules, as it is an update without a version. Once it has an outcome, all
+    /// commands that were ahead of it in the log have been applied.
+    pub fn barrier() -> Command {
+        Command::Configure {
+            kind: ChangeKind::Update,
+            based_on: 0,
+            body: b"{}".to_vec(),
+        }
+    }
+}
+
 /// How the body of a configuration command is applied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum ChangeKind {
@@ -82,6 +95,9 @@
             Command::Evacuate { zone, begin } => {
                 write!(f, "evacuation of {zone} {}", evacuation(begin))
             }
+            Command::SetEvacuation { zone, .. } if RulesVersion::agreed_by_zone(zone).is_some() => {
+                write!(f, "agreement on {zone}")
+            }
             Command::SetEvacuation {
                 zone,
                 begin,
--- a/crates/sandtrack-control/src/state_machine/control_state.rs
+++ b/crates/sandtrack-control/src/state_machine/control_state.rs
@@ -4,6 +4,7 @@
 use super::evacuations::Evacuations;
 use super::precheck::{self, Precheck};
 use super::recent_changes::RecentChanges;
+use super::rules::RulesVersion;
 use super::snapshot::{self, SnapshotBase, SnapshotExtension};
 use sandtrack_invariants::{check, Invariant};
 use sandtrack_protocol::codes;
@@ -11,6 +12,7 @@
 use sandtrack_protocol::document::{ConfigurationError, Document, Update};
 use sandtrack_protocol::frames::ToProxy;
 use sandtrack_protocol::schema;
+use sandtrack_protocol::tenants::{check_tenants, TENANTS_LIST};
 use sandtrack_replication::StateMachine;
 use simd_json::prelude::*;
 use simd_json::OwnedValue;
@@ -30,6 +32,21 @@
     accepted: AcceptedConfigurations,
     evacuations: Evacuations,
     recent_changes: RecentChanges,
+    /// What is wrong with the configuration, which a program without that check has accepted. It follows from the document.
+    fault: Option<ConfigurationError>,
+}
+
+/// What a configuration command makes of the current document.
+struct NextDocument {
+    document: Document,
+    /// Its tenants may differ from the current ones.
+    changes_tenants: bool,
+}
+
+/// A document that is to replace the current one.
+struct CheckedDocument {
+    document: Document,
+    fault: Option<ConfigurationError>,
 }
 
 impl ControlState {
@@ -43,6 +60,23 @@
         schema::unread_fields(&self.document)
     }
 
+    /// The version of the rules that is in force.
+    pub fn rules(&self) -> RulesVersion {
+        self.evacuations.rules()
+    }
+
+    /// Whether a later version of the rules than the one in force would decide commands otherwise: only with tenants.
+    pub fn needs_later_rules(&self) -> bool {
+        let has_tenants = self.document.list(TENANTS_LIST).is_some()
+            || self.document.field(TENANTS_LIST).is_some();
+        has_tenants && self.rules() < RulesVersion::LATEST
+    }
+
+    /// Why the configuration in force is invalid. Only an earlier program can have accepted such a one.
+    pub fn fault(&self) -> Option<&ConfigurationError> {
+        self.fault.as_ref()
+    }
+
     /// Number of the command that made the configuration what it is; 0 before the first.
     pub fn configuration_number(&self) -> u64 {
         self.configuration_number
@@ -102,9 +136,17 @@
         Configuration::read_new(&Document::parse(body)?).map(drop)
     }
 
-    /// What the committed state here says of a command before it is submitted.
+    /// What the committed state here says of a command before it is submitted. Under rules that check tenants where the
+    /// command is applied, one whose basis is not known here needs no check before.
     pub fn precheck(&self, command: &Command) -> Precheck {
-        precheck::check_command(&self.document, command)
+        match precheck::check_command(&self.document, command) {
+            Precheck::NeedsBaseVersion if self.checks_tenants() => Precheck::Passed,
+            precheck => precheck,
+        }
+    }
+
+    fn checks_tenants(&self) -> bool {
+        self.rules() >= RulesVersion::CHECKED_TENANTS
     }
 
     fn configure(
@@ -136,6 +178,11 @@
             Ok(next) => next,
             Err(invalid) => return invalid.into(),
         };
+        self.check_next_is_valid(&next);
+        let CheckedDocument {
+            document: next,
+            fault,
+        } = next;
         let version = next.version;
         let rises = version > self.document.version && number > self.configuration_number;
         check(Invariant::VersionRises, rises, || {
@@ -145,21 +192,46 @@
         self.recent_changes
             .record(from_number, &self.document, number, &next);
         (self.document, self.configuration_number) = (next, number);
+        self.fault = fault;
         self.accepted.push(version, digest);
         Outcome::Accepted { version }
     }
 
-    fn next_document(&self, kind: ChangeKind, body: &[u8]) -> Result<Document, ConfigurationError> {
+    fn next_document(
+        &self,
+        kind: ChangeKind,
+        body: &[u8],
+    ) -> Result<NextDocument, ConfigurationError> {
         match kind {
-            ChangeKind::Replace => Document::parse(body),
-            ChangeKind::Update => Update::parse(body).map(|update| self.document.updated(&update)),
+            ChangeKind::Replace => Ok(NextDocument {
+                document: Document::parse(body)?,
+                changes_tenants: true,
+            }),
+            ChangeKind::Update => {
+                let update = Update::parse(body)?;
+                Ok(NextDocument {
+                    document: self.document.updated(&update),
+                    changes_tenants: update.touches(TENANTS_LIST),
+                })
+            }
         }
     }
 
-    /// Checks a document that is to replace the current one, and gives it as it is read back.
-    fn validate_next(&self, next: Document) -> Result<Document, ConfigurationError> {
-        let next = reparsed(next)?;
+    /// Checks a document that is to replace the current one, and gives it as it is read back. A change that leaves the
+    /// tenants as they are is not held up by what is wrong with them.
+    fn validate_next(&self, next: NextDocument) -> Result<CheckedDocument, ConfigurationError> {
+        let NextDocument {
+            document,
+            changes_tenants,
+        } = next;
+        let next = reparsed(document)?;
         Configuration::read(&next)?;
+        let fault = check_tenants(&next).err();
+        if let Some(fault) = &fault {
+            if changes_tenants && self.checks_tenants() {
+                return Err(fault.clone());
+            }
+        }
         if next.version <= self.document.version {
             let place = format!(
                 "version_number {}, current {}",
@@ -167,7 +239,23 @@
             );
             return Err(ConfigurationError::new(codes::VERSION_NOT_ABOVE, place));
         }
-        Ok(next)
+        Ok(CheckedDocument {
+            document: next,
+            fault,
+        })
+    }
+
+    /// Under rules that check tenants, no change makes a valid configuration invalid.
+    fn check_next_is_valid(&self, next: &CheckedDocument) {
+        let holds = next.fault.is_none() || self.fault.is_some() || !self.checks_tenants();
+        check(Invariant::ConfigurationIsValid, holds, || {
+            let fault = next.fault.as_ref().map(ToString::to_string);
+            format!(
+                "version {}: {}",
+                next.document.version,
+                fault.unwrap_or_default()
+            )
+        });
     }
 
     fn execute(&mut self, number: u64, command: Command) -> Outcome {
@@ -300,6 +388,7 @@
             return false;
         };
         *self = ControlState {
+            fault: check_tenants(&document).err(),
             document,
             configuration_number: base.configuration_number,
             accepted: AcceptedConfigurations::from_snapshot(base.accepted, sha256_records),
--- a/crates/sandtrack-control/src/state_machine/evacuations.rs
+++ b/crates/sandtrack-control/src/state_machine/evacuations.rs
@@ -1,6 +1,6 @@
 //! The evacuated zones, and the number of the last order for each zone: an order that was superseded before it was applied
 //! has no effect.
-use crate::state_machine::Outcome;
+use crate::state_machine::{Outcome, RulesVersion};
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -80,6 +80,11 @@
         self.command_numbers.by_zone.contains_key(zone) || self.zones.contains(zone)
     }
 
+    /// The version of the rules that is in force.
+    pub fn rules(&self) -> RulesVersion {
+        RulesVersion::latest_agreed(self.command_numbers.by_zone.keys().map(String::as_str))
+    }
+
     /// An order of format 1, which does not tell what its control node knew.
     pub fn set_format_1(&mut self, number: u64, zone: &str, begin: bool) {
         if self.change(number, zone, begin) {
--- a/crates/sandtrack-control/src/state_machine/precheck.rs
+++ b/crates/sandtrack-control/src/state_machine/precheck.rs
@@ -1,5 +1,6 @@
-//! Checks of a command before it is submitted. The chain does not repeat them: the control nodes must agree on the outcome of
-//! each command in the log, also where an earlier program has accepted what these checks refuse.
+//! Checks of a command before it is submitted: they refuse early what the chain would refuse. Under
+//! [`RulesVersion::INITIAL`](super::RulesVersion::INITIAL) the chain does not make them, as earlier programs in it do not, so
+//! that there a command may be submitted only once it was checked against its basis.
 use super::commands::{ChangeKind, Command};
 use sandtrack_protocol::document::{ConfigurationError, Document, Update};
 use sandtrack_protocol::tenants::{check_tenants, TENANTS_LIST};
@@ -12,7 +13,7 @@
     Passed,
     /// It makes an invalid configuration.
     Invalid(ConfigurationError),
-    /// It is based on a later version, which is needed for the check.
+    /// It is based on a later version, which is needed for the check. It must not be submitted unchecked.
     NeedsBaseVersion,
 }
 
--- a/crates/sandtrack-control/tests/common/cluster.rs
+++ b/crates/sandtrack-control/tests/common/cluster.rs
@@ -76,6 +76,8 @@
     next_call: u64,
     /// When each call was made, and the answer with its time.
     pub answers: BTreeMap<u64, (f64, Option<(f64, Reply)>)>,
+    /// Machines whose control node introduces itself as one of the program before there were versions of the rules.
+    pub earlier_programs: BTreeSet<usize>,
     /// The platform's list; none: it is down.
     pub list: Option<Vec<UpstreamEntry>>,
     pub transcript: String,
@@ -100,6 +102,7 @@
             calls: BTreeMap::new(),
             next_call: 0,
             answers: BTreeMap::new(),
+            earlier_programs: BTreeSet::new(),
             list: Some(Vec::new()),
             transcript: String::new(),
         };
@@ -155,6 +158,20 @@
         self.perform(number, effects);
     }
 
+    /// Starts a control node on a machine whose disk holds these records.
+    pub fn boot_on(&mut self, number: usize, wal: Vec<Vec<u8>>) {
+        let machine = Machine {
+            control_node: None,
+            incarnation: 1,
+            wal,
+            frozen: false,
+            exited: false,
+            fetches: Vec::new(),
+        };
+        self.machines.insert(number, machine);
+        self.boot(number, false);
+    }
+
     /// Ends a process at once. `quiet`: nobody is told, as at a loss of power; else its connections are reset.
     pub fn kill(&mut self, number: usize, quiet: bool) {
         let mine: Vec<((usize, u64), (usize, u64))> = self
@@ -426,7 +443,12 @@
                     );
                 }
             }
-            LinkAction::Send { link, frame } => {
+            LinkAction::Send { link, mut frame } => {
+                if let PeerFrame::Hello(hello) = &mut frame {
+                    if self.earlier_programs.contains(&number) {
+                        hello.features = format!("10.{number}.0.1:8164");
+                    }
+                }
                 if let Some((to, end)) = self.ends.get(&(number, link)).copied() {
                     if let PeerFrame::Replication(message) = &frame {
                         let said = message.to_string();
--- a/crates/sandtrack-control/tests/frame_bytes.rs
+++ b/crates/sandtrack-control/tests/frame_bytes.rs
@@ -25,7 +25,7 @@
         zone: "odori-hall".to_owned(),
         region: "ishikari".to_owned(),
         control: "10.1.0.1:8166".to_owned(),
-        directory: "10.1.0.1:8164".to_owned(),
+        features: "10.1.0.1:8164".to_owned(),
         session: "10.1.0.1:7721".to_owned(),
     }
 }
--- a/crates/sandtrack-control/tests/shared_api_keys.rs
+++ b/crates/sandtrack-control/tests/shared_api_keys.rs
@@ -22,6 +22,32 @@
     format!(r#"{{"version_number":{version},"set_items":{{"tenants":[{tenants}]}}}}"#)
 }
 
+/// A configuration and three control nodes that hold it: in the first the rules are agreed on, as it has tenants, in the
+/// second they are not.
+fn with_agreed_rules_and_without() -> [(Cluster, u64); 2] {
+    let mut agreed = Cluster::configured(3);
+    let delta = with_tenants(9, r#"{"name":"delta","api_keys":["key-4"]}"#);
+    assert_eq!(status(&mut agreed, 1, REPLACE, 7, &delta), 200);
+    agreed.run(1000.0);
+    [(agreed, 9), (Cluster::configured(3), 7)]
+}
+
+/// Two changes, the second built on the first, that are under way at once, as the last of the chain stands still for a
+/// moment; their statuses.
+fn under_way_at_once(cluster: &mut Cluster, version: u64, changes: [&str; 2]) -> [Option<u16>; 2] {
+    cluster.freeze(3, true);
+    cluster.run(50.0);
+    let first = set_tenants(version + 2, changes[0]);
+    let first = cluster.call(1, "POST", UPDATE, version, &first);
+    cluster.run(80.0);
+    let second = set_tenants(version + 4, changes[1]);
+    let second = cluster.call(2, "POST", UPDATE, version + 2, &second);
+    cluster.run(270.0);
+    cluster.freeze(3, false);
+    cluster.run(1500.0);
+    [first, second].map(|call| cluster.status(call))
+}
+
 const ALPHA: &str = r#"{"name":"alpha","api_keys":["key-1","key-2"]}"#;
 const BETA: &str = r#"{"name":"beta","api_keys":["key-3","key-2"]}"#;
 const BETA_ALONE: &str = r#"{"name":"beta","api_keys":["key-3"]}"#;
@@ -59,6 +85,47 @@
     assert_eq!(status(&mut cluster, 3, UPDATE, 12, &moved), 200);
 }
 
+/// CONFIG (review/3): the check of a change whose basis was still on its way down the chain was left out.
+#[test]
+fn a_key_that_a_change_under_way_gives_is_not_given_to_another_tenant() {
+    for (mut cluster, version) in with_agreed_rules_and_without() {
+        let statuses = under_way_at_once(&mut cluster, version, [ALPHA, BETA]);
+        assert_eq!(statuses, [Some(200), Some(400)], "on version {version}");
+        for machine in 1..=3 {
+            let state = cluster.control_node(machine).control_state();
+            assert_eq!((state.version(), state.fault()), (version + 2, None));
+        }
+    }
+}
+
+/// A change that is valid only by one that is still under way is taken: the first frees a key, the second gives it.
+#[test]
+fn a_key_that_a_change_under_way_frees_is_given_to_another_tenant() {
+    for (mut cluster, version) in with_agreed_rules_and_without() {
+        let first = set_tenants(version + 2, ALPHA);
+        assert_eq!(status(&mut cluster, 1, UPDATE, version, &first), 200);
+        let freed = r#"{"name":"alpha","api_keys":["key-1"]}"#;
+        let statuses = under_way_at_once(&mut cluster, version + 2, [freed, BETA]);
+        assert_eq!(statuses, [Some(200), Some(200)], "on version {version}");
+    }
+}
+
+/// 412 stays what it is, also where no such version is on its way.
+#[test]
+fn a_change_of_tenants_on_a_version_that_there_is_not_is_a_conflict() {
+    for (mut cluster, version) in with_agreed_rules_and_without() {
+        let ahead = set_tenants(version + 4, ALPHA);
+        let call = cluster.call(2, "POST", UPDATE, version + 2, &ahead);
+        cluster.run(1500.0);
+        let (_, reply) = cluster.answer(call).expect("an answer");
+        let current = format!("current {version}");
+        assert!(
+            reply.status == 412 && reply.body.contains(&current),
+            "{reply:?}"
+        );
+    }
+}
+
 /// A control node whose committed state is this.
 struct Committed(ControlState);
 
--- a/crates/sandtrack-invariants/src/lib.rs
+++ b/crates/sandtrack-invariants/src/lib.rs
@@ -62,6 +62,8 @@
     BallotRises = "ballot_rises",
     /// Each configuration that is taken has a higher version than the one before.
     VersionRises = "version_rises",
+    /// Under rules that check it, no change makes a valid configuration invalid.
+    ConfigurationIsValid = "configuration_is_valid",
     /// The term of the reader of the list only rises.
     PollerTermRises = "reader_term_rises",
     /// Each call of an operator is answered once.
--- a/crates/sandtrack-protocol/src/codes.rs
+++ b/crates/sandtrack-protocol/src/codes.rs
@@ -54,6 +54,7 @@
     PEER_FORMAT = 306, "another process of the system speaks another format: the link is ended";
     OVERTAKEN = 307, "a later order for the same zone came first: this one was not carried out";
     TOO_LATE = 308, "the call may have waited for too long in this process: it was not carried out";
+    EARLIER_PROGRAM = 309, "another control node's program does not support the rules in force: the link is ended";
     NO_ROUTE = 401, "no route matches the host and path";
     NO_CONFIGURATION = 402, "no configuration has reached this process yet";
     NO_ROOM = 403, "no upstream has room for the request in the time that it has";
