sandtrackctl: status and follow tell of an invalid configuration in force

What operators saw: nothing. A configuration that an earlier program accepted, in which two tenants share a key, was told nowhere.

Change: the status's configuration_fault is a line of `status` and a fact of `follow`.

--- a/crates/sandtrack-cli/src/status.rs
+++ b/crates/sandtrack-cli/src/status.rs
@@ -63,6 +63,8 @@
     pub version: u64,
     /// Number of committed changes (`configuration_number`).
     pub change_number: u64,
+    /// Why the configuration in force is invalid (`configuration_fault`); empty where it is valid.
+    pub configuration_fault: String,
     /// Zones that are evacuated (`evacuated`).
     pub evacuated_zones: Vec<String>,
     /// Epoch of the view: the chain's configuration.
@@ -95,6 +97,7 @@
             caught_up: value.get_bool("caught_up").unwrap_or(true),
             version: value.get_u64("version_number")?,
             change_number: number(&value, "configuration_number"),
+            configuration_fault: text(&value, "configuration_fault"),
             evacuated_zones: texts(&value, "evacuated"),
             epoch: number(view, "epoch"),
             chain: texts(view, "chain"),
--- a/crates/sandtrack-cli/src/status/facts.rs
+++ b/crates/sandtrack-cli/src/status/facts.rs
@@ -28,6 +28,9 @@
                 link_text(true).to_owned(),
             ),
         ]);
+        if !self.configuration_fault.is_empty() {
+            facts.insert("invalid".to_owned(), self.configuration_fault.clone());
+        }
         for other in &self.control_nodes {
             let name = format!("control node {}", other.address);
             facts.insert(name, link_text(other.linked).to_owned());
--- a/crates/sandtrack-cli/src/status/report.rs
+++ b/crates/sandtrack-cli/src/status/report.rs
@@ -21,6 +21,9 @@
             format!("reader      {}", self.endpoint_poller_text()),
             format!("evacuated   {}", self.evacuated_zones_text()),
         ];
+        if !self.configuration_fault.is_empty() {
+            lines.push(format!("invalid     {}", self.configuration_fault));
+        }
         if let Some(warning) = self.staleness_warning() {
             lines.push(format!("warning     {warning}"));
         }
