--- a/crates/sandtrack-control/src/operator_api/pending_calls.rs
+++ b/crates/sandtrack-control/src/operator_api/pending_calls.rs
@@ -251,13 +251,13 @@
             Request::Evacuate { zone, begin } => {
                 let last_known = known.last_evacuation_command(&zone);
                 wait(Awaiting::Zone {
-                    zone,
+                    zone: zone.clone(),
                     begin,
                     last_known,
                 });
                 Step::Read {
                     call,
-                    query: Query::Liveness,
+                    query: Query::KnownZone { zone },
                 }
             }
         }
@@ -304,7 +304,7 @@
                 zone,
                 begin,
                 last_known,
-            } if result.is_ok() && known.is_known_zone(&zone) => {
+            } if is_known_to_chain(&result) || result.is_ok() && known.is_known_zone(&zone) => {
                 self.await_next(call, Awaiting::Evacuation);
                 Some(self.submit_evacuation(now, call, zone, begin, last_known))
             }
@@ -425,6 +425,12 @@
         .unwrap_or_default()
 }
 
+/// Whether the chain has applied an order for the zone that it was asked about. This node may not have.
+fn is_known_to_chain(result: &Result<Vec<u8>, CallError>) -> bool {
+    let answer = result.as_deref().map(borsh::from_slice::<QueryResult>);
+    matches!(answer, Ok(Ok(Some(_))))
+}
+
 fn outcome(result: Result<Vec<u8>, CallError>) -> Result<Outcome, CallError> {
     // What can't be read is of a later program: it may be in force.
     result.and_then(|bytes| borsh::from_slice(&bytes).map_err(|_| CallError::TimedOut))
--- a/crates/sandtrack-control/src/state_machine/commands.rs
+++ b/crates/sandtrack-control/src/state_machine/commands.rs
@@ -161,7 +161,12 @@
     Configuration,
     /// Nothing: only whether the chain responds at this moment. Its result is empty.
     Liveness,
+    /// Whether there ever was an order for the zone: then its name. Earlier programs give an empty result in any case.
+    KnownZone {
+        /// Name of the zone.
+        zone: String,
+    },
 }
 
-/// The newest configuration as JSON text; `None` before the first.
+/// The result of a query: the newest configuration as JSON text, or the name of a zone; `None` where there is none.
 pub type QueryResult = Option<String>;
--- a/crates/sandtrack-control/src/state_machine/control_state.rs
+++ b/crates/sandtrack-control/src/state_machine/control_state.rs
@@ -352,6 +352,7 @@
             Ok(Query::Configuration) => {
                 (self.configuration_number > 0).then(|| self.document.to_json())
             }
+            Ok(Query::KnownZone { zone }) => self.is_known_zone(&zone).then_some(zone),
             Ok(Query::Liveness) | Err(_) => None,
         };
         borsh::to_vec(&answer).unwrap_or_default()
--- a/crates/sandtrack-control/tests/frame_bytes.rs
+++ b/crates/sandtrack-control/tests/frame_bytes.rs
@@ -8,7 +8,9 @@
 use sandtrack_control::peer_frames::{
     Digest, EndpointUpdate, Heartbeat, Hello, Member, PeerFrame, PollerLease, FORMAT,
 };
-use sandtrack_control::state_machine::{ChangeKind, Command, Outcome, Query, QueryResult};
+use sandtrack_control::state_machine::{
+    ChangeKind, Command, Outcome, Query, QueryResult, RulesVersion,
+};
 use sandtrack_protocol::frames::{PromptSent, ProxyInfo, ProxyState, UpstreamEntry};
 use sandtrack_replication::Message;
 
@@ -153,6 +155,7 @@
                 last_known: 9,
             },
         ),
+        ("rules_agreement", RulesVersion::CHECKED_TENANTS.agreement()),
     ];
     frame_fixtures::compare(PACKAGE, "commands.hex", &values);
 }
@@ -180,6 +183,12 @@
         &[
             ("configuration", Query::Configuration),
             ("contact", Query::Liveness),
+            (
+                "known_zone",
+                Query::KnownZone {
+                    zone: "kita-hall".to_owned(),
+                },
+            ),
         ],
     );
     frame_fixtures::compare::<QueryResult>(
--- a/crates/sandtrack-control/tests/stale_evacuation_orders.rs
+++ b/crates/sandtrack-control/tests/stale_evacuation_orders.rs
@@ -6,7 +6,9 @@
     Arrival, PauseDetector, MAX_CALL_AGE_MS, MAX_PAUSE_MS,
 };
 use sandtrack_control::operator_api::pending_calls::{CallContext, PendingCalls, Step};
-use sandtrack_control::state_machine::{Command, ControlState, Outcome, Precheck, Query};
+use sandtrack_control::state_machine::{
+    Command, ControlState, Outcome, Precheck, Query, QueryResult,
+};
 use sandtrack_replication::StateMachine;
 
 const BEGIN: &str = "/v1/evacuation/kita-hall/begin";
@@ -289,6 +291,45 @@
     }
 }
 
+/// What a call for a zone that nothing names here is answered or leads to, once the chain has said whether it knows the zone.
+fn step_for_zone_known_to_chain(known: Option<&str>) -> Step {
+    let mut calls = PendingCalls::new(0.0);
+    (0..20).for_each(|at| drop(calls.check_for_pause(f64::from(at) * 100.0)));
+    let call = calls.register(Arrival::at(1900.0));
+    let unnamed = Zone {
+        last_evacuation_command: 4,
+        is_named: false,
+    };
+    calls.handle(1900.0, call, &message("POST", BEGIN, &[], ""), &unnamed);
+    let answer = borsh::to_vec(&known).expect("an answer");
+    calls
+        .complete(1950.0, call, Ok(answer), &unnamed)
+        .expect("a step")
+}
+
+/// CONFIG: an order for a zone was refused as unknown by a control node that had not applied the order in force for it.
+#[test]
+fn an_order_for_a_zone_that_only_the_chain_knows_is_submitted() {
+    let step = step_for_zone_known_to_chain(Some("kita-hall"));
+    assert!(is_submitted(&step, 4), "{step:?}");
+    let step = step_for_zone_known_to_chain(None);
+    assert!(matches!(&step, Step::Reply { reply, .. } if reply.status == 404));
+}
+
+#[test]
+fn the_control_state_tells_whether_there_was_an_order_for_a_zone() {
+    let mut state = ControlState::default();
+    let known_zone = |state: &ControlState| {
+        let zone = "kita-hall".to_owned();
+        let query = borsh::to_vec(&Query::KnownZone { zone }).expect("a query");
+        borsh::from_slice::<QueryResult>(&state.query(&query)).expect("a result")
+    };
+    assert_eq!(known_zone(&state), None);
+    order(&mut state, 1, true, 0);
+    order(&mut state, 2, false, 1);
+    assert_eq!(known_zone(&state).as_deref(), Some("kita-hall"));
+}
+
 /// A call for a zone that nothing names here yet waits for the chain; its stamp is that of when it was read.
 #[test]
 fn an_order_that_waited_for_its_zone_to_be_known_keeps_its_stamp() {
@@ -309,7 +350,9 @@
         step,
         Step::Read {
             call,
-            query: Query::Liveness
+            query: Query::KnownZone {
+                zone: "kita-hall".to_owned()
+            }
         }
     );
     let contact = borsh::to_vec(&None::<String>).expect("an answer");
