--- a/crates/sandtrack-control/src/operator_api/pending_calls.rs
+++ b/crates/sandtrack-control/src/operator_api/pending_calls.rs
@@ -59,7 +59,8 @@
 #[derive(Clone, Debug, PartialEq)]
 enum Awaiting {
     Configuration,
-    /// An update whose basis has not reached this node: for the newest configuration, to check the update against it.
+    /// An update whose basis has not reached this node, or that is invalid there: for the newest configuration, to check the
+    /// update against it.
     BaseVersion {
         command: Command,
         /// The read followed a barrier: what was ahead of that in the log is in the configuration.
@@ -220,11 +221,8 @@
                         wait(Awaiting::Configuration);
                         Step::Submit { call, command }
                     }
-                    Precheck::Invalid(invalid) => Step::Reply {
-                        call,
-                        reply: responses::invalid(&invalid),
-                    },
-                    Precheck::NeedsBaseVersion => {
+                    // This node may be cut off: the chain tells whether the basis is the newest configuration.
+                    Precheck::Invalid(_) | Precheck::NeedsBaseVersion => {
                         wait(Awaiting::BaseVersion {
                             command,
                             is_behind_barrier: false,
--- a/crates/sandtrack-control/tests/shared_api_keys.rs
+++ b/crates/sandtrack-control/tests/shared_api_keys.rs
@@ -126,6 +126,29 @@
     }
 }
 
+/// A control node that is cut off knows only what was: it refuses nothing for good. Once it is back, the change is refused for
+/// what it is there: another version is current.
+#[test]
+fn a_control_node_that_is_cut_off_refuses_no_change_of_tenants_for_good() {
+    let mut cluster = Cluster::configured(3);
+    let alpha = with_tenants(9, ALPHA);
+    assert_eq!(status(&mut cluster, 1, REPLACE, 7, &alpha), 200);
+    cluster.cut(3, 1, true);
+    cluster.cut(3, 2, true);
+    let shared = set_tenants(11, BETA);
+    assert_eq!(status(&mut cluster, 3, UPDATE, 9, &shared), 503);
+    cluster.run(3000.0);
+    let other = set_tenants(11, BETA_ALONE);
+    cluster.submit_until_accepted(&[1, 2], UPDATE, 9, &other);
+    cluster.cut(3, 1, false);
+    cluster.cut(3, 2, false);
+    let back = cluster.call(3, "POST", UPDATE, 9, &shared);
+    cluster.run(50.0);
+    assert_ne!(cluster.status(back), Some(400));
+    cluster.run(8000.0);
+    assert_eq!(status(&mut cluster, 3, UPDATE, 9, &shared), 412);
+}
+
 /// A control node whose committed state is this.
 struct Committed(ControlState);
 
