model-checker: two changes under way at once, the second invalid by the first

The set-up dependent-changes gives one API key to each of two tenants, the second on top of the first, with held messages, a crash and a freeze. New property: no-invalid-configuration-in-force. New machine control-latest-rules, with the check in the chain; it shares its code with control-unstamped.

--- a/crates/sandtrack-model-checker/src/checker.rs
+++ b/crates/sandtrack-model-checker/src/checker.rs
@@ -145,6 +145,9 @@
             Property::always("old-view-confirms-nothing", |_, cluster| {
                 properties::old_view_confirms_nothing(cluster)
             }),
+            Property::always("no-invalid-configuration-in-force", |_, cluster| {
+                properties::no_invalid_configuration_in_force(cluster)
+            }),
             Property::always("one-history", |_, cluster| properties::one_history(cluster)),
             Property::always("no-answer-without-majority", |_, cluster| {
                 properties::no_answer_without_majority(cluster)
--- a/crates/sandtrack-model-checker/src/control_frontend.rs
+++ b/crates/sandtrack-model-checker/src/control_frontend.rs
@@ -11,7 +11,7 @@
 
 use crate::call_frontend::{CallFrontend, FrontendStep};
 use crate::operation::{
-    body, visible_configuration_in, CallOutcome, Operation, VisibleConfiguration, ZONE,
+    body, key_update, visible_configuration_in, CallOutcome, Operation, VisibleConfiguration, ZONE,
 };
 
 /// A state machine that holds a control state.
@@ -153,15 +153,22 @@
             based_on,
             version,
             mark,
-        } => {
-            let headers = vec![("Based-On-Version".to_owned(), based_on.to_string())];
-            (
-                "POST",
-                "/v1/configuration/replace".to_owned(),
-                headers,
-                body(version, mark),
-            )
-        }
+        } => (
+            "POST",
+            "/v1/configuration/replace".to_owned(),
+            based_on_header(based_on),
+            body(version, mark),
+        ),
+        Operation::GiveKey {
+            based_on,
+            version,
+            tenant,
+        } => (
+            "POST",
+            "/v1/configuration/update".to_owned(),
+            based_on_header(based_on),
+            key_update(version, tenant),
+        ),
         Operation::Evacuate { begin } => {
             let verb = if begin { "begin" } else { "finish" };
             (
@@ -189,6 +196,10 @@
     Message { head, body }
 }
 
+fn based_on_header(version: u64) -> Vec<(String, String)> {
+    vec![("Based-On-Version".to_owned(), version.to_string())]
+}
+
 /// The outcome in a reply; `None` if it is not definite.
 fn call_outcome(operation: Operation, reply: &Reply) -> Option<CallOutcome> {
     match (operation, reply.status) {
--- a/crates/sandtrack-model-checker/src/history.rs
+++ b/crates/sandtrack-model-checker/src/history.rs
@@ -130,12 +130,21 @@
                     based_on,
                     version,
                     mark,
+                }
+                | Operation::GiveKey {
+                    based_on,
+                    version,
+                    tenant: mark,
                 },
                 CallOutcome::Accepted,
             ) => {
-                let clash = self.acknowledged.iter().filter(|other| **other != script_index).any(|other| {
-                    matches!(script[*other], Operation::Change { based_on: theirs, .. } if theirs == based_on)
-                });
+                let others = self
+                    .acknowledged
+                    .iter()
+                    .filter(|other| **other != script_index);
+                let clash = others
+                    .map(|other| script[*other].based_on())
+                    .any(|theirs| theirs == Some(based_on));
                 self.check(!clash, Rule::OneChangeOnAVersion);
                 if version > self.newest.version {
                     self.newest = VisibleConfiguration { version, mark };
@@ -143,7 +152,7 @@
                 self.acknowledge(script_index);
             }
             (Operation::Evacuate { .. }, CallOutcome::Accepted) => self.acknowledge(script_index),
-            (Operation::Change { .. }, _) => self.check(
+            (Operation::Change { .. } | Operation::GiveKey { .. }, _) => self.check(
                 !self.accepted_changes.contains(&script_index),
                 Rule::ResubmissionRejected,
             ),
--- a/crates/sandtrack-model-checker/src/machine.rs
+++ b/crates/sandtrack-model-checker/src/machine.rs
@@ -1,5 +1,5 @@
 //! The state machines that the replicas run in the model: the real control state with tiny documents, the same without the
-//! check of an operation's stamp, and a register that does the same in a tenth of the time.
+//! check of an operation's stamp or with the latest rules in force, and a register that does the same in a tenth of the time.
 use sandtrack_replication::StateMachine;
 
 use crate::call_frontend::CallFrontend;
@@ -8,7 +8,7 @@
 mod control;
 mod register;
 
-pub use control::Unstamped;
+pub use control::{LatestRules, Unstamped};
 pub use register::{DirectFrontend, Register};
 
 /// A state machine that the model can drive.
@@ -24,6 +24,8 @@
     fn is_accepted(outcome: &[u8]) -> bool;
     /// The configuration that callers see.
     fn visible_configuration(&self) -> VisibleConfiguration;
+    /// Whether the configuration in force is valid.
+    fn has_valid_configuration(&self) -> bool;
     /// Whether [`ZONE`] is evacuated.
     fn is_evacuated(&self) -> bool;
 }
--- a/crates/sandtrack-model-checker/src/machine/control.rs
+++ b/crates/sandtrack-model-checker/src/machine/control.rs
@@ -1,10 +1,13 @@
-//! The real control state as a machine of the model, with and without the check of stamps.
-use sandtrack_control::state_machine::{ChangeKind, Command, ControlState, Outcome};
+//! The real control state as a machine of the model, as it is and with variations.
+use std::fmt::Debug;
+use std::marker::PhantomData;
+
+use sandtrack_control::state_machine::{ChangeKind, Command, ControlState, Outcome, RulesVersion};
 use sandtrack_replication::StateMachine;
 
 use super::{Machine, Operation, VisibleConfiguration, ZONE};
 use crate::control_frontend::{ControlFrontend, HasControlState};
-use crate::operation::{body, visible_configuration_in};
+use crate::operation::{body, key_update, visible_configuration_in};
 
 /// Whether a command of the control state submits an operation.
 fn submits(command: &Command, operation: Operation) -> bool {
@@ -27,6 +30,18 @@
             };
             *based_on == theirs && *text == body(version, mark)
         }
+        (
+            Command::Configure {
+                kind: ChangeKind::Update,
+                based_on,
+                body: text,
+            },
+            Operation::GiveKey {
+                based_on: theirs,
+                version,
+                tenant,
+            },
+        ) => *based_on == theirs && *text == key_update(version, tenant),
         (Command::SetEvacuation { begin, .. }, Operation::Evacuate { begin: theirs }) => {
             *begin == theirs
         }
@@ -61,6 +76,10 @@
         }
     }
 
+    fn has_valid_configuration(&self) -> bool {
+        self.fault().is_none()
+    }
+
     fn is_evacuated(&self) -> bool {
         self.evacuated_zones().any(|zone| zone == ZONE)
     }
@@ -72,41 +91,96 @@
     }
 }
 
-/// The control state, with every evacuation stamped as if its sender knew of all before it. It shows that the stamp is
-/// needed: without it, a late operation undoes a later one.
+/// How a machine differs from the real control state.
+pub trait Variation: Clone + Debug + Default + Send + Sync + 'static {
+    /// The state before the first command.
+    fn initial() -> ControlState {
+        ControlState::default()
+    }
+
+    /// A command as it is applied.
+    fn applied(command: Command) -> Command {
+        command
+    }
+}
+
+/// Every evacuation is stamped as if its sender knew of all before it. It shows that the stamp is needed: without it, a late
+/// operation undoes a later one.
 #[derive(Clone, Debug, Default)]
-pub struct Unstamped(ControlState);
+pub struct WithoutStamps;
+
+impl Variation for WithoutStamps {
+    fn applied(command: Command) -> Command {
+        match command {
+            Command::SetEvacuation { zone, begin, .. } => Command::SetEvacuation {
+                zone,
+                begin,
+                last_known: u64::MAX,
+            },
+            other => other,
+        }
+    }
+}
+
+/// The latest rules are in force from the start.
+#[derive(Clone, Debug, Default)]
+pub struct WithLatestRules;
+
+impl Variation for WithLatestRules {
+    fn initial() -> ControlState {
+        let mut state = ControlState::default();
+        let agreement = RulesVersion::LATEST.agreement();
+        state.apply(0, &borsh::to_vec(&agreement).unwrap_or_default());
+        state
+    }
+}
+
+/// A control state with a variation.
+#[derive(Clone, Debug)]
+pub struct Varied<V> {
+    state: ControlState,
+    variation: PhantomData<V>,
+}
+
+/// The control state without the check of stamps.
+pub type Unstamped = Varied<WithoutStamps>;
+/// The control state with the latest rules in force.
+pub type LatestRules = Varied<WithLatestRules>;
+
+impl<V: Variation> Default for Varied<V> {
+    fn default() -> Self {
+        Self {
+            state: V::initial(),
+            variation: PhantomData,
+        }
+    }
+}
 
-impl StateMachine for Unstamped {
+impl<V: Variation> StateMachine for Varied<V> {
     fn apply(&mut self, number: u64, command: &[u8]) -> Vec<u8> {
         match borsh::from_slice(command) {
-            Ok(Command::SetEvacuation { zone, begin, .. }) => {
-                let unstamped = Command::SetEvacuation {
-                    zone,
-                    begin,
-                    last_known: u64::MAX,
-                };
-                self.0
-                    .apply(number, &borsh::to_vec(&unstamped).unwrap_or_default())
+            Ok(command) => {
+                let applied = borsh::to_vec(&V::applied(command)).unwrap_or_default();
+                self.state.apply(number, &applied)
             }
-            _ => self.0.apply(number, command),
+            Err(_) => self.state.apply(number, command),
         }
     }
 
     fn query(&self, question: &[u8]) -> Vec<u8> {
-        self.0.query(question)
+        self.state.query(question)
     }
 
     fn snapshot(&self) -> Vec<u8> {
-        self.0.snapshot()
+        self.state.snapshot()
     }
 
     fn restore(&mut self, snapshot: &[u8]) -> bool {
-        self.0.restore(snapshot)
+        self.state.restore(snapshot)
     }
 }
 
-impl Machine for Unstamped {
+impl<V: Variation> Machine for Varied<V> {
     type Frontend = ControlFrontend;
     const CALL_TICKS: f64 = CONTROL_CALL_TICKS;
 
@@ -119,16 +193,20 @@
     }
 
     fn visible_configuration(&self) -> VisibleConfiguration {
-        self.0.visible_configuration()
+        self.state.visible_configuration()
+    }
+
+    fn has_valid_configuration(&self) -> bool {
+        self.state.has_valid_configuration()
     }
 
     fn is_evacuated(&self) -> bool {
-        self.0.is_evacuated()
+        self.state.is_evacuated()
     }
 }
 
-impl HasControlState for Unstamped {
+impl<V: Variation> HasControlState for Varied<V> {
     fn control_state(&self) -> &ControlState {
-        &self.0
+        &self.state
     }
 }
--- a/crates/sandtrack-model-checker/src/machine/register.rs
+++ b/crates/sandtrack-model-checker/src/machine/register.rs
@@ -93,6 +93,11 @@
                 version,
                 mark,
             } => Some(vec![CHANGE, based_on as u8, version as u8, mark as u8]),
+            Operation::GiveKey {
+                based_on,
+                version,
+                tenant,
+            } => Some(vec![CHANGE, based_on as u8, version as u8, tenant as u8]),
             Operation::Evacuate { begin } => Some(vec![if begin { BEGIN } else { FINISH }]),
             Operation::Read => None,
         }
@@ -194,6 +199,11 @@
         self.shown
     }
 
+    /// Its changes have no content that could be invalid.
+    fn has_valid_configuration(&self) -> bool {
+        true
+    }
+
     fn is_evacuated(&self) -> bool {
         self.evacuated
     }
--- a/crates/sandtrack-model-checker/src/main.rs
+++ b/crates/sandtrack-model-checker/src/main.rs
@@ -6,7 +6,7 @@
 use bpaf::{construct, long, positional, OptionParser, Parser};
 use sandtrack_control::state_machine::ControlState;
 use sandtrack_model_checker::checker::{search, Bounds, Report, Search};
-use sandtrack_model_checker::machine::{Machine, Register, Unstamped};
+use sandtrack_model_checker::machine::{LatestRules, Machine, Register, Unstamped};
 use sandtrack_model_checker::poller_election::search::rule_of;
 use sandtrack_model_checker::poller_election::{self, ElectionBudget};
 use sandtrack_model_checker::setup::Setup;
@@ -54,9 +54,9 @@
         .argument("NAME")
         .optional();
     let machine = long("machine")
-        .help("register (the fast one), control (the real control state) or control-unstamped (without the check of the stamp)")
+        .help("register (the fast one), control (the real control state), control-unstamped (without the check of the stamp) or control-latest-rules")
         .argument::<String>("KIND")
-        .parse(|name| MachineKind::by_name(&name).ok_or("register, control or control-unstamped"))
+        .parse(|name| MachineKind::by_name(&name).ok_or("register, control, control-unstamped or control-latest-rules"))
         .fallback(MachineKind::Register);
     let search = long("search")
         .help("bfs, dfs or walks")
@@ -187,6 +187,9 @@
         MachineKind::Register => search::<Register>(&setup, check.property.clone(), how, bounds),
         MachineKind::Control => search::<ControlState>(&setup, check.property.clone(), how, bounds),
         MachineKind::Unstamped => search::<Unstamped>(&setup, check.property.clone(), how, bounds),
+        MachineKind::LatestRules => {
+            search::<LatestRules>(&setup, check.property.clone(), how, bounds)
+        }
     };
     println!("{report}");
     write_traces(check, &setup, &report)?;
@@ -250,6 +253,7 @@
                 MachineKind::Register => play::<Register>(&trace),
                 MachineKind::Control => play::<ControlState>(&trace),
                 MachineKind::Unstamped => play::<Unstamped>(&trace),
+                MachineKind::LatestRules => play::<LatestRules>(&trace),
             }
         }
         Command::Setups => {
--- a/crates/sandtrack-model-checker/src/operation.rs
+++ b/crates/sandtrack-model-checker/src/operation.rs
@@ -16,6 +16,16 @@
         /// Distinguishes its document from others of the same version.
         mark: char,
     },
+    /// An update that gives the one API key of the model to a tenant. It makes a configuration invalid in which another tenant
+    /// has the key.
+    GiveKey {
+        /// The version that it updates.
+        based_on: u64,
+        /// The version that it makes.
+        version: u64,
+        /// Name of the tenant, and mark of the document that it makes.
+        tenant: char,
+    },
     /// The evacuation of [`ZONE`] begins or ends, unconditionally.
     Evacuate {
         /// Whether it begins.
@@ -25,6 +35,18 @@
     Read,
 }
 
+impl Operation {
+    /// The version that a change of the configuration builds on; `None` for other operations.
+    pub fn based_on(self) -> Option<u64> {
+        match self {
+            Operation::Change { based_on, .. } | Operation::GiveKey { based_on, .. } => {
+                Some(based_on)
+            }
+            Operation::Evacuate { .. } | Operation::Read => None,
+        }
+    }
+}
+
 /// The definite outcome of a call, as its caller sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum CallOutcome {
@@ -59,7 +81,13 @@
         .into_bytes()
 }
 
-/// The version and the mark of a document; the mark of an unknown one is `?`.
+/// The update that gives the key to a tenant.
+pub(crate) fn key_update(version: u64, tenant: char) -> Vec<u8> {
+    let tenant = format!(r#"{{"name":"{tenant}","api_keys":["k"]}}"#);
+    format!(r#"{{"version_number":{version},"set_items":{{"tenants":[{tenant}]}}}}"#).into_bytes()
+}
+
+/// The version and the mark of a document: its last tenant, else its first route; that of an unknown one is `?`.
 pub(crate) fn visible_configuration_in(text: &str) -> VisibleConfiguration {
     let Ok(document) = Document::parse(text.as_bytes()) else {
         return VisibleConfiguration {
@@ -67,10 +95,9 @@
             mark: '?',
         };
     };
-    let name = document
-        .list("routes")
-        .and_then(|routes| routes.first())
-        .map(|route| route.name.clone());
+    let tenant = document.list("tenants").and_then(|tenants| tenants.last());
+    let route = document.list("routes").and_then(|routes| routes.first());
+    let name = tenant.or(route).map(|item| item.name.clone());
     let mark = name.and_then(|name| name.chars().next()).unwrap_or('?');
     VisibleConfiguration {
         version: document.version,
--- a/crates/sandtrack-model-checker/src/properties.rs
+++ b/crates/sandtrack-model-checker/src/properties.rs
@@ -78,6 +78,17 @@
         .contains(&Rule::OvertakenOperationTookEffect)
 }
 
+/// CONFIG: no process shows an invalid configuration, whatever is under way at once.
+pub fn no_invalid_configuration_in_force<M: Machine>(cluster: &Cluster<M>) -> bool {
+    let replicas = cluster
+        .nodes
+        .iter()
+        .filter_map(|node| node.replica.as_ref());
+    replicas
+        .map(|replica| replica.machine())
+        .all(Machine::has_valid_configuration)
+}
+
 /// DEPLOY, `tolerated_losses`: while losses keep their distance, a majority of the newest view's voters is alive, and a
 /// complete member with all committed commands. Checks nothing in set-ups without that distance.
 pub fn majority_and_complete_member<M: Machine>(cluster: &Cluster<M>) -> bool {
--- a/crates/sandtrack-model-checker/src/setup.rs
+++ b/crates/sandtrack-model-checker/src/setup.rs
@@ -93,6 +93,24 @@
     ]
 }
 
+/// Each of two tenants is given the same key, the second on top of the first: that is invalid, and the first is not.
+fn shared_key() -> Vec<Operation> {
+    vec![
+        change(0, 'a'),
+        Operation::GiveKey {
+            based_on: 1,
+            version: 2,
+            tenant: 't',
+        },
+        Operation::GiveKey {
+            based_on: 2,
+            version: 3,
+            tenant: 'u',
+        },
+        Operation::Read,
+    ]
+}
+
 fn evacuation() -> Vec<Operation> {
     vec![
         change(0, 'a'),
@@ -136,6 +154,7 @@
             Self::single_fault_setups(),
             Self::combined_fault_setups(),
             Self::overtaking_setups(),
+            Self::dependent_change_setups(),
             Self::rival_view_setups(),
             Self::free_setups(),
         ]
@@ -306,6 +325,23 @@
         ]
     }
 
+    /// Changes under way at once, of which the later ones are valid or not by the earlier ones.
+    fn dependent_change_setups() -> Vec<Self> {
+        let budget = Budget {
+            deviations: 2,
+            holds: 2,
+            crashes: 1,
+            freezes: 1,
+            ticks: 6,
+            sends: 3,
+            ..Budget::default()
+        };
+        vec![Self {
+            script: shared_key(),
+            ..Self::base("dependent-changes", budget)
+        }]
+    }
+
     /// Two partitioned machines propose rival views.
     fn rival_view_setups() -> Vec<Self> {
         let none = Budget::default();
--- a/crates/sandtrack-model-checker/src/trace.rs
+++ b/crates/sandtrack-model-checker/src/trace.rs
@@ -16,6 +16,8 @@
     Control,
     /// [`crate::machine::Unstamped`]
     Unstamped,
+    /// [`crate::machine::LatestRules`]
+    LatestRules,
 }
 
 impl MachineKind {
@@ -25,14 +27,20 @@
             Self::Register => "register",
             Self::Control => "control",
             Self::Unstamped => "control-unstamped",
+            Self::LatestRules => "control-latest-rules",
         }
     }
 
     /// The kind with this name.
     pub fn by_name(name: &str) -> Option<Self> {
-        [Self::Register, Self::Control, Self::Unstamped]
-            .into_iter()
-            .find(|kind| kind.name() == name)
+        [
+            Self::Register,
+            Self::Control,
+            Self::Unstamped,
+            Self::LatestRules,
+        ]
+        .into_iter()
+        .find(|kind| kind.name() == name)
     }
 }
 
--- a/crates/sandtrack-model-checker/tests/bounded.rs
+++ b/crates/sandtrack-model-checker/tests/bounded.rs
@@ -1,7 +1,7 @@
 //! The bounded run: all states of small set-ups, the same in every run, within a minute.
 use sandtrack_control::state_machine::ControlState;
 use sandtrack_model_checker::checker::{search, Bounds, Report, Search};
-use sandtrack_model_checker::machine::{Machine, Register};
+use sandtrack_model_checker::machine::{LatestRules, Machine, Register};
 use sandtrack_model_checker::setup::Setup;
 
 /// A set-up with smaller budgets.
@@ -80,6 +80,18 @@
     holds::<Register>(&small("rival-views", 1, 0, 2));
 }
 
+/// Two changes under way at once, the second invalid by the first. The chain does not check the second: a barrier comes first.
+#[test]
+fn two_changes_that_share_a_key_are_under_way_at_once() {
+    holds::<ControlState>(&small("dependent-changes", 1, 2, 1));
+}
+
+/// The same with the check where the chain applies a change.
+#[test]
+fn two_changes_that_share_a_key_are_checked_by_the_chain() {
+    holds::<LatestRules>(&small("dependent-changes", 1, 2, 1));
+}
+
 /// The first states of the set-up in which a control state without the check of the stamp falls, and the register.
 #[test]
 fn an_overtaken_operation_has_no_effect_on_the_real_control_state() {
