fault-tests: control nodes are replaced in place with dependent changes under way

The scenario upgrade starts control nodes of another build (--programs) or of this one, and replaces them one after the other on their disks, killed or told to end, with changes under way. Pairs of changes, the second valid or invalid by the first, are sent while the tail stands still.

--- a/crates/sandtrack-fault-tests/src/system/process.rs
+++ b/crates/sandtrack-fault-tests/src/system/process.rs
@@ -16,6 +16,14 @@
 }
 
 impl Programs {
+    /// The builds of the rig itself.
+    pub fn own(&self) -> Programs {
+        Programs {
+            rig: self.rig.clone(),
+            builds: None,
+        }
+    }
+
     /// The command that starts a program; the kernel ends it with the rig. A file that is too long for its limit is an error
     /// to it, as a full disk is, and no signal.
     fn command(&self, role: Role, folder: &Path) -> io::Result<Command> {
@@ -106,6 +114,11 @@
         std::fs::rename(new, self.file("settings.json"))
     }
 
+    /// From its next start on it is of these builds.
+    pub fn use_programs(&mut self, programs: &Programs) {
+        self.programs = programs.clone();
+    }
+
     /// # Errors
     /// Where files or the process can't be made.
     pub fn start(&mut self) -> io::Result<()> {
--- a/crates/sandtrack-fault-tests/src/system/scenarios/mod.rs
+++ b/crates/sandtrack-fault-tests/src/system/scenarios/mod.rs
@@ -7,6 +7,7 @@
 mod leaving_member;
 mod second_loss;
 mod two_operators;
+mod upgrade;
 
 use super::cluster::{Cluster, Shape};
 use super::process::Programs;
@@ -35,6 +36,8 @@
     Exchanges,
     /// An order that a frozen process finds when it wakes.
     LateOrder,
+    /// Control nodes are replaced by those of this program, with changes under way that depend on each other.
+    Upgrade,
 }
 
 /// How a scenario is played.
@@ -70,6 +73,7 @@
             Scenario::LateLeader => "late-leader",
             Scenario::Exchanges => "exchanges",
             Scenario::LateOrder => "late-order",
+            Scenario::Upgrade => "upgrade",
         }
     }
 
@@ -105,6 +109,10 @@
             Scenario::LateLeader => late_leader::run(cluster).await,
             Scenario::Exchanges => exchanges::run(cluster).await,
             Scenario::LateOrder => late_order::run(cluster).await,
+            Scenario::Upgrade => {
+                let later = options.programs.own();
+                upgrade::run(cluster, &later, options.seed).await
+            }
         }
     }
 }
--- a/crates/sandtrack-fault-tests/tests/system.rs
+++ b/crates/sandtrack-fault-tests/tests/system.rs
@@ -59,3 +59,9 @@
 fn a_late_order_does_not_undo_a_confirmed_one() {
     held(Scenario::LateOrder);
 }
+
+/// A rolling restart here, as there is no other build: pairs of changes that depend on each other are under way.
+#[test]
+fn control_nodes_are_replaced_with_dependent_changes_under_way() {
+    held(Scenario::Upgrade);
+}
