control: calls that change the configuration have a module of their own

The steps of configuration calls are in pending_calls/configuration.rs, those of orders for zones in a function. A link with an earlier program is logged once for each process, as it dials ten times a second.

--- a/crates/sandtrack-control/src/operator_api/pending_calls.rs
+++ b/crates/sandtrack-control/src/operator_api/pending_calls.rs
@@ -1,11 +1,12 @@
 //! Operators' calls in flight: each is parsed, submitted to the replica, and answered exactly once, within its time-out. The
-//! control node carries out the steps.
+//! control node carries out the steps. The submodule `configuration` has those of calls that change the configuration.
+mod configuration;
+
 use super::requests::{self, Request, CALL_TIMEOUT_MS, EVACUATION_TIMEOUT_MS};
 use super::responses::{self, Reply};
 use crate::operator_api::call_age::{Arrival, PauseDetector};
-use crate::state_machine::{precheck, Command, Outcome, Precheck, Query, QueryResult};
+use crate::state_machine::{Command, Outcome, Precheck, Query, QueryResult};
 use crate::Millis;
-use sandtrack_protocol::document::Document;
 use sandtrack_replication::CallError;
 use sandtrack_sidecar_core::message::Message;
 use std::collections::BTreeMap;
@@ -86,6 +87,20 @@
     Read,
 }
 
+impl Awaiting {
+    /// How long it is waited for, in ms.
+    fn timeout(&self) -> Millis {
+        match self {
+            Awaiting::Evacuation | Awaiting::Zone { .. } => EVACUATION_TIMEOUT_MS,
+            Awaiting::Configuration
+            | Awaiting::BaseVersion { .. }
+            | Awaiting::Barrier { .. }
+            | Awaiting::Repeat { .. }
+            | Awaiting::Read => CALL_TIMEOUT_MS,
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq)]
 struct Pending {
     arrival: Arrival,
@@ -186,81 +201,60 @@
                 reply: responses::too_old(),
             };
         }
-        let mut wait = |awaiting: Awaiting| {
-            let timeout = match awaiting {
-                Awaiting::Evacuation | Awaiting::Zone { .. } => EVACUATION_TIMEOUT_MS,
-                Awaiting::Configuration
-                | Awaiting::BaseVersion { .. }
-                | Awaiting::Barrier { .. }
-                | Awaiting::Repeat { .. }
-                | Awaiting::Read => CALL_TIMEOUT_MS,
-            };
-            let until = now + timeout;
-            self.pending.insert(
-                call,
-                Pending {
-                    arrival,
-                    until,
-                    awaiting,
-                },
-            );
-        };
         match order {
             Request::Status => Step::Status { call },
-            Request::Configure(command) => match known.accepted_version(&command) {
-                // Its body need not pass along the chain again, which may take longer than its caller awaiting.
-                Some(version) => {
-                    wait(Awaiting::Repeat { version });
-                    Step::Read {
-                        call,
-                        query: Query::Liveness,
-                    }
-                }
-                None => match known.precheck(&command) {
-                    Precheck::Passed => {
-                        wait(Awaiting::Configuration);
-                        Step::Submit { call, command }
-                    }
-                    // This node may be cut off: the chain tells whether the basis is the newest configuration.
-                    Precheck::Invalid(_) | Precheck::NeedsBaseVersion => {
-                        wait(Awaiting::BaseVersion {
-                            command,
-                            is_behind_barrier: false,
-                        });
-                        Step::Read {
-                            call,
-                            query: Query::Configuration,
-                        }
-                    }
-                },
-            },
+            Request::Configure(command) => self.configure(now, call, arrival, command, known),
             Request::Read => {
-                wait(Awaiting::Read);
+                self.wait(now, call, arrival, Awaiting::Read);
                 Step::Read {
                     call,
                     query: Query::Configuration,
                 }
             }
-            Request::Evacuate { zone, begin } if known.is_known_zone(&zone) => {
-                wait(Awaiting::Evacuation);
-                let last_known = known.last_evacuation_command(&zone);
-                self.submit_evacuation(now, call, zone, begin, last_known)
-            }
             Request::Evacuate { zone, begin } => {
-                let last_known = known.last_evacuation_command(&zone);
-                wait(Awaiting::Zone {
-                    zone: zone.clone(),
-                    begin,
-                    last_known,
-                });
-                Step::Read {
-                    call,
-                    query: Query::KnownZone { zone },
-                }
+                self.evacuate(now, call, arrival, zone, begin, known)
             }
         }
     }
 
+    /// The call waits for the replica from now on, for as long as its caller does.
+    fn wait(&mut self, now: Millis, call: u64, arrival: Arrival, awaiting: Awaiting) {
+        let until = now + awaiting.timeout();
+        let pending = Pending {
+            arrival,
+            until,
+            awaiting,
+        };
+        self.pending.insert(call, pending);
+    }
+
+    /// An order for a zone. One for a zone that nothing names here is refused only if the chain does not know the zone either.
+    fn evacuate(
+        &mut self,
+        now: Millis,
+        call: u64,
+        arrival: Arrival,
+        zone: String,
+        begin: bool,
+        known: &impl CallContext,
+    ) -> Step {
+        let last_known = known.last_evacuation_command(&zone);
+        if known.is_known_zone(&zone) {
+            self.wait(now, call, arrival, Awaiting::Evacuation);
+            return self.submit_evacuation(now, call, zone, begin, last_known);
+        }
+        let awaiting = Awaiting::Zone {
+            zone: zone.clone(),
+            begin,
+            last_known,
+        };
+        self.wait(now, call, arrival, awaiting);
+        Step::Read {
+            call,
+            query: Query::KnownZone { zone },
+        }
+    }
+
     /// Submits the order under the stamp that it got when it was read, unless its caller may have sent it elsewhere by now.
     fn submit_evacuation(
         &mut self,
@@ -341,60 +335,6 @@
         }
     }
 
-    /// Submits an update once it was checked against its basis, or once another version is the newest: the chain says so
-    /// then. While the newest configuration is older than the basis, that may be in the log and not committed yet.
-    fn submit_on_base_version(
-        &mut self,
-        call: u64,
-        command: Command,
-        is_behind_barrier: bool,
-        newest: Result<Vec<u8>, CallError>,
-    ) -> Step {
-        let newest = match newest {
-            Ok(newest) => configuration_of(&newest),
-            Err(refusal) => return self.end(call, responses::refused(refusal)),
-        };
-        match precheck::check_command(&newest, &command) {
-            Precheck::Invalid(invalid) => self.end(call, responses::invalid(&invalid)),
-            Precheck::Passed => {
-                self.await_next(call, Awaiting::Configuration);
-                Step::Submit { call, command }
-            }
-            Precheck::NeedsBaseVersion if is_behind_barrier => {
-                self.end(call, responses::version_conflict(newest.version))
-            }
-            Precheck::NeedsBaseVersion => {
-                self.await_next(call, Awaiting::Barrier { command });
-                let command = Command::barrier();
-                Step::Submit { call, command }
-            }
-        }
-    }
-
-    /// Reads the newest configuration again, now that all that was ahead in the log has been applied.
-    fn read_behind_barrier(
-        &mut self,
-        call: u64,
-        command: Command,
-        barrier: &Result<Vec<u8>, CallError>,
-    ) -> Step {
-        if barrier.is_err() {
-            // The update itself was not submitted.
-            return self.end(call, responses::refused(CallError::NoMajority));
-        }
-        self.await_next(
-            call,
-            Awaiting::BaseVersion {
-                command,
-                is_behind_barrier: true,
-            },
-        );
-        Step::Read {
-            call,
-            query: Query::Configuration,
-        }
-    }
-
     fn await_next(&mut self, call: u64, awaiting: Awaiting) {
         if let Some(pending) = self.pending.get_mut(&call) {
             pending.awaiting = awaiting;
@@ -416,13 +356,6 @@
     }
 }
 
-/// The configuration in the result of a query; the empty one before the first.
-fn configuration_of(result: &[u8]) -> Document {
-    let text = borsh::from_slice::<QueryResult>(result).ok().flatten();
-    text.and_then(|text| Document::parse(text.as_bytes()).ok())
-        .unwrap_or_default()
-}
-
 /// Whether the chain has applied an order for the zone that it was asked about. This node may not have.
 fn is_known_to_chain(result: &Result<Vec<u8>, CallError>) -> bool {
     let answer = result.as_deref().map(borsh::from_slice::<QueryResult>);
--- a/crates/sandtrack-control/src/peers.rs
+++ b/crates/sandtrack-control/src/peers.rs
@@ -83,6 +83,8 @@
     /// The version of the rules that is in force: links with peers that do not support it are refused, as they would apply
     /// the log otherwise.
     required_rules: RulesVersion,
+    /// The processes whose links were refused for that, by address: each is logged once, however often it dials.
+    refused: BTreeMap<Address, u64>,
 }
 
 /// A change of the link with a peer.
@@ -104,6 +106,7 @@
             next_link: 0,
             next_heartbeat: now,
             required_rules: RulesVersion::INITIAL,
+            refused: BTreeMap::new(),
         }
     }
 
@@ -199,7 +202,7 @@
             return None;
         }
         if hello.supported_rules() < self.required_rules {
-            warn_of_earlier_program(&address, self.required_rules);
+            self.warn_of_earlier_program(&address, hello.incarnation);
             self.drop_link(now, link, actions);
             return None;
         }
@@ -254,18 +257,29 @@
         let is_earlier = |hello: &Hello| hello.supported_rules() < rules;
         let earlier = self.known.iter().filter_map(|(address, known)| {
             let link = known.link?;
-            let is_earlier = known.hello.as_ref().is_some_and(is_earlier);
-            is_earlier.then(|| (link, address.clone()))
+            let hello = known.hello.as_ref().filter(|hello| is_earlier(hello))?;
+            Some((link, address.clone(), hello.incarnation))
         });
-        let earlier: Vec<(u64, Address)> = earlier.collect();
+        let earlier: Vec<(u64, Address, u64)> = earlier.collect();
         let mut lost = Vec::new();
-        for (link, address) in earlier {
-            warn_of_earlier_program(&address, rules);
+        for (link, address, incarnation) in earlier {
+            self.warn_of_earlier_program(&address, incarnation);
             lost.extend(self.drop_link(now, link, actions));
         }
         lost
     }
 
+    fn warn_of_earlier_program(&mut self, address: &str, incarnation: u64) {
+        if self.refused.insert(address.to_owned(), incarnation) == Some(incarnation) {
+            return;
+        }
+        let code = codes::EARLIER_PROGRAM;
+        let required = self.required_rules;
+        log::warn!(
+            "{code} a link with {address} is ended: its program does not support {required}"
+        );
+    }
+
     /// Whether each known peer is linked with a process that supports this version of the rules.
     pub fn all_support(&self, rules: RulesVersion) -> bool {
         self.known.values().all(|known| {
@@ -426,8 +440,3 @@
         })
     }
 }
-
-fn warn_of_earlier_program(address: &str, required: RulesVersion) {
-    let code = codes::EARLIER_PROGRAM;
-    log::warn!("{code} a link with {address} is ended: its program does not support {required}");
-}
