--- a/crates/sandtrack-fault-tests/src/soak/judge.rs
+++ b/crates/sandtrack-fault-tests/src/soak/judge.rs
@@ -218,6 +218,10 @@
         "CONFIG: what was refused is never in force",
         refused_in_force(&seen),
     );
+    verdict(
+        "CONFIG: no change is taken that is invalid by one under way",
+        invalid_taken(&seen),
+    );
     verdict("CONFIG: no process goes back", went_back(&seen));
     verdict(
         "CONFIG: of two changes on one version one is taken",
@@ -609,6 +613,26 @@
         .collect()
 }
 
+fn invalid_taken(seen: &Seen<'_>) -> Vec<String> {
+    let invalid = seen.changes.iter().filter(|change| !change.is_valid);
+    let acknowledged = invalid.filter(|change| change.outcome == Outcome::Acknowledged);
+    let mut broken: Vec<String> = acknowledged
+        .map(|change| {
+            format!(
+                "{} of version {} is acknowledged",
+                change.adds, change.version
+            )
+        })
+        .collect();
+    let served = probes(seen)
+        .filter(|(_, _, status, change)| !change.is_valid && (200..300).contains(status));
+    broken.extend(
+        served
+            .map(|(request, _, _, change)| format!("{}: {} is in force", request.id, change.adds)),
+    );
+    broken
+}
+
 fn went_back(seen: &Seen<'_>) -> Vec<String> {
     let mut newest: BTreeMap<(usize, u32), Vec<(Seconds, u64)>> = BTreeMap::new();
     for (request, _, status, change) in probes(seen) {
--- a/crates/sandtrack-fault-tests/src/soak/operators.rs
+++ b/crates/sandtrack-fault-tests/src/soak/operators.rs
@@ -7,6 +7,7 @@
 use crate::system::documents::{self, Kind, SERVICE};
 use crate::system::operator::Operator;
 use async_io::Timer;
+use futures_lite::future;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -19,6 +20,10 @@
 const REPEAT: Duration = Duration::from_secs(15);
 /// An order for a zone is sent again for `acknowledge_ms`.
 const REPEAT_ORDER: Duration = Duration::from_secs(6);
+/// The second change of a pair is sent so long after the first at most, in ms.
+const PAIR_MS: u64 = 120;
+/// The first of a pair raises the version by this at least, so that no other operator makes the version that the second builds on.
+const PAIR_STEP: u64 = 50;
 /// Routes of its own that an operator lets stand.
 const ROUTES_KEPT: usize = 5;
 
@@ -51,6 +56,12 @@
     whole
 }
 
+/// An update under way, and what it is to be noted as once it has an outcome.
+struct Draft {
+    call: Call,
+    change: Change,
+}
+
 /// One operator's means.
 pub struct Desk {
     pub operator: Rc<Operator>,
@@ -105,6 +116,19 @@
     pub async fn change(&mut self, name: &str, document: &Value) -> Change {
         let based_on = document["version_number"].as_u64().unwrap_or(0);
         let version = based_on + self.rng.gen_range(1..4);
+        let draft = self.draft(name, document, [based_on, version], None);
+        let ended = self.order(&draft.call, REPEAT).await;
+        self.note(draft, ended)
+    }
+
+    /// An update of that kind, from the first of these versions to the second; `tenant` is set too.
+    fn draft(
+        &mut self,
+        name: &str,
+        document: &Value,
+        [based_on, version]: [u64; 2],
+        tenant: Option<Value>,
+    ) -> Draft {
         self.sent += 1;
         let adds = format!("{name}-{}-{version}", self.sent);
         let routes = document["routes"].as_array().cloned().unwrap_or_default();
@@ -116,25 +140,73 @@
         };
         let own: Vec<String> = routes.iter().filter_map(own).collect();
         let removes = (own.len() >= ROUTES_KEPT).then(|| own[0].clone());
-        let body = json!({"version_number": version,
+        let mut body = json!({"version_number": version,
             "set_items": {"routes": [documents::route(&adds, Kind::ReadOnly)]},
             "remove_names": {"routes": removes.iter().collect::<Vec<_>>()}});
-        let call = Call::update(based_on, body.to_string().into_bytes());
+        if let Some(tenant) = tenant {
+            body["set_items"]["tenants"] = json!([tenant]);
+        }
         let sent = self.records.now();
-        let (outcome, ended) = self.order(&call, REPEAT).await;
         let change = Change {
             based_on,
             version,
             adds,
             removes,
+            is_valid: true,
             sent,
-            ended,
+            ended: sent,
+            outcome: Outcome::Unclear,
+        };
+        Draft {
+            call: Call::update(based_on, body.to_string().into_bytes()),
+            change,
+        }
+    }
+
+    fn note(&self, draft: Draft, (outcome, ended): (Outcome, Seconds)) -> Change {
+        let change = Change {
             outcome,
+            ended,
+            ..draft.change
         };
         self.records.changes.borrow_mut().push(change.clone());
         change
     }
 
+    /// Two changes under way at once, the second on top of the first: a key moves from one tenant to another, or is given to
+    /// the second one although the first has it.
+    async fn change_in_pair(&mut self, other: &mut Desk, name: &str, document: &Value) {
+        let holder = tenants::holder_of_pair(document);
+        let is_valid = self.rng.gen_bool(0.5);
+        let first = tenants::of_pair(holder, !is_valid);
+        let second = tenants::of_pair(1 - holder, true);
+        let based_on = document["version_number"].as_u64().unwrap_or(0);
+        let version = based_on + PAIR_STEP + self.rng.gen_range(0..PAIR_STEP);
+        let first = self.draft(name, document, [based_on, version], Some(first));
+        let pause = Duration::from_millis(self.rng.gen_range(0..PAIR_MS));
+        let second_name = format!("{name}{name}");
+        let mut second = other.draft(&second_name, document, [version, version + 1], Some(second));
+        second.change.is_valid = is_valid;
+        let second_sent = async {
+            Timer::after(pause).await;
+            other.order(&second.call, REPEAT).await
+        };
+        let (first_ended, second_ended) =
+            future::zip(self.order(&first.call, REPEAT), second_sent).await;
+        self.note(first, first_ended);
+        other.note(second, second_ended);
+    }
+
+    /// Sends pairs of changes that depend on each other, again and again.
+    pub async fn run_pairs(mut self, mut other: Desk, name: &'static str) {
+        while !self.records.is_over.get() {
+            self.pause(200, 1200).await;
+            if let Some(document) = self.read().await {
+                self.change_in_pair(&mut other, name, &document).await;
+            }
+        }
+    }
+
     /// Changes the configuration again and again.
     pub async fn run_changes(mut self, name: &'static str, pauses_ms: [u64; 2]) {
         while !self.records.is_over.get() {
--- a/crates/sandtrack-fault-tests/src/soak/processes.rs
+++ b/crates/sandtrack-fault-tests/src/soak/processes.rs
@@ -10,6 +10,11 @@
 const PATIENCE: Duration = Duration::from_secs(5);
 /// A process may have this at its peak, in kB: half of the users' 260 MB.
 const PEAK_MOST_KB: u64 = 130 * 1024;
+/// What figures that must be 0 begin with.
+const ZERO_FIGURES: [&str; 2] = [
+    "sandtrack_invariant_violations_total{",
+    "sandtrack_control_configuration_invalid ",
+];
 /// What no log may hold.
 const FAULTS: [&str; 2] = ["invariant ", "panicked at"];
 
@@ -25,9 +30,11 @@
         return vec![format!("{name} tells no figures")];
     };
     let text = String::from_utf8_lossy(&body).into_owned();
-    let violated = text.lines().filter(|line| {
-        line.starts_with("sandtrack_invariant_violations_total{") && !line.ends_with(" 0")
-    });
+    let is_zero_expected = |line: &&str| ZERO_FIGURES.iter().any(|name| line.starts_with(name));
+    let violated = text
+        .lines()
+        .filter(is_zero_expected)
+        .filter(|line| !line.ends_with(" 0"));
     violated.map(|line| format!("{name}: {line}")).collect()
 }
 
--- a/crates/sandtrack-fault-tests/src/soak/records.rs
+++ b/crates/sandtrack-fault-tests/src/soak/records.rs
@@ -147,6 +147,8 @@
     /// The route that it adds, which names it.
     pub adds: String,
     pub removes: Option<String>,
+    /// Whether it is valid on top of its basis.
+    pub is_valid: bool,
     pub sent: Seconds,
     pub ended: Seconds,
     pub outcome: Outcome,
--- a/crates/sandtrack-fault-tests/src/soak/run.rs
+++ b/crates/sandtrack-fault-tests/src/soak/run.rs
@@ -179,6 +179,7 @@
     begin(Box::pin(desk(2).run_changes("w", [500, 3000])));
     begin(Box::pin(desk(3).run_evacuations()));
     begin(Box::pin(desk(4).run_reads()));
+    begin(Box::pin(desk(5).run_pairs(desk(6), "u")));
     let prober = Client::new(clients, seed, MACHINES, &cluster.plan, records);
     begin(Box::pin(probe(prober, records.clone(), seed)));
 }
--- a/crates/sandtrack-fault-tests/src/soak/tenants.rs
+++ b/crates/sandtrack-fault-tests/src/soak/tenants.rs
@@ -13,6 +13,25 @@
 /// One request in so many is sent with a key that no configuration has.
 const UNKNOWN_KEY_EVERY: usize = 16;
 
+/// Two tenants of the operators alone, between which a key moves.
+pub const PAIR: [&str; 2] = ["pair-one", "pair-two"];
+/// The key that moves between them.
+const PAIR_KEY: &str = "key-of-the-pair-03c8";
+
+/// One of the two tenants of a pair, with the key or without any.
+pub fn of_pair(which: usize, has_key: bool) -> Value {
+    let keys: &[&str] = if has_key { &[PAIR_KEY] } else { &[] };
+    json!({"name": PAIR[which], "api_keys": keys, "priority": 1, "home_regions": []})
+}
+
+/// Which of the two has the key in a configuration; the first where none has.
+pub fn holder_of_pair(document: &Value) -> usize {
+    let tenants = document["tenants"].as_array().cloned().unwrap_or_default();
+    let has_key = |tenant: &Value| tenant["api_keys"][0] == PAIR_KEY;
+    let second = tenants.iter().find(|tenant| tenant["name"] == PAIR[1]);
+    usize::from(second.is_some_and(has_key))
+}
+
 /// The tenants as a configuration has them.
 pub fn document() -> Value {
     let tenant =
