control: a change of tenants reads the newest configuration before it, also under the later rules

Where the chain checks tenants, a change on a basis that this node lacks was submitted at once. The read stays, and no barrier follows it.

--- a/crates/sandtrack-control/src/operator_api/pending_calls.rs
+++ b/crates/sandtrack-control/src/operator_api/pending_calls.rs
@@ -64,8 +64,7 @@
     /// update against it.
     BaseVersion {
         command: Command,
-        /// The read followed a barrier: what was ahead of that in the log is in the configuration.
-        is_behind_barrier: bool,
+        if_missing: IfMissing,
     },
     /// An update whose basis is not in the newest configuration that was read: for all that is ahead in the log, as the
     /// basis may be on its way down the chain.
@@ -87,6 +86,17 @@
     Read,
 }
 
+/// What follows where the newest configuration that was read is older than the basis of an update.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum IfMissing {
+    /// The basis may be on its way down the chain: a barrier is submitted, and the configuration is read again behind it.
+    Barrier,
+    /// What was ahead of the barrier in the log has been applied: there is no such version.
+    Conflict,
+    /// The update is submitted, as the chain checks it.
+    Submit,
+}
+
 impl Awaiting {
     /// How long it is waited for, in ms.
     fn timeout(&self) -> Millis {
@@ -302,8 +312,8 @@
             }
             Awaiting::BaseVersion {
                 command,
-                is_behind_barrier,
-            } => Some(self.submit_on_base_version(call, command, is_behind_barrier, result)),
+                if_missing,
+            } => Some(self.submit_on_base_version(call, command, if_missing, result)),
             Awaiting::Barrier { command } => Some(self.read_behind_barrier(call, command, &result)),
             // One that was overtaken is not stamped anew: its caller may have gone on to another control node, and may have
             // been acknowledged there, and a later order after it.
--- a/crates/sandtrack-control/src/operator_api/pending_calls/configuration.rs
+++ b/crates/sandtrack-control/src/operator_api/pending_calls/configuration.rs
@@ -1,7 +1,7 @@
-//! Calls that change the configuration. A change is submitted at once where nothing speaks against it here, or where the chain
-//! checks it. Else the newest configuration is read through the chain first.
+//! Calls that change the configuration. A change is submitted at once where nothing speaks against it here. Else the newest
+//! configuration is read through the chain first, which also gives its basis time to get there.
 use super::super::responses;
-use super::{Awaiting, CallContext, PendingCalls, Step};
+use super::{Awaiting, CallContext, IfMissing, PendingCalls, Step};
 use crate::operator_api::call_age::Arrival;
 use crate::state_machine::{precheck, Command, Precheck, Query, QueryResult};
 use crate::Millis;
@@ -31,24 +31,38 @@
             }
             // This node may be cut off: the chain tells whether the basis is the newest configuration.
             Precheck::Invalid(_) | Precheck::NeedsBaseVersion => {
-                let awaiting = Awaiting::BaseVersion {
-                    command,
-                    is_behind_barrier: false,
-                };
-                self.wait(now, call, arrival, awaiting);
-                let query = Query::Configuration;
-                Step::Read { call, query }
+                self.read_base_version(now, call, arrival, command, IfMissing::Barrier)
+            }
+            Precheck::CheckedByChain => {
+                self.read_base_version(now, call, arrival, command, IfMissing::Submit)
             }
         }
     }
 
+    fn read_base_version(
+        &mut self,
+        now: Millis,
+        call: u64,
+        arrival: Arrival,
+        command: Command,
+        if_missing: IfMissing,
+    ) -> Step {
+        let awaiting = Awaiting::BaseVersion {
+            command,
+            if_missing,
+        };
+        self.wait(now, call, arrival, awaiting);
+        let query = Query::Configuration;
+        Step::Read { call, query }
+    }
+
     /// Submits an update once it was checked against its basis, or once another version is the newest: the chain says so
     /// then. While the newest configuration is older than the basis, that may be in the log and not committed yet.
     pub(super) fn submit_on_base_version(
         &mut self,
         call: u64,
         command: Command,
-        is_behind_barrier: bool,
+        if_missing: IfMissing,
         newest: Result<Vec<u8>, CallError>,
     ) -> Step {
         let newest = match newest {
@@ -57,21 +71,24 @@
         };
         match precheck::check_command(&newest, &command) {
             Precheck::Invalid(invalid) => self.end(call, responses::invalid(&invalid)),
-            Precheck::Passed => {
-                self.await_next(call, Awaiting::Configuration);
-                Step::Submit { call, command }
-            }
-            Precheck::NeedsBaseVersion if is_behind_barrier => {
-                self.end(call, responses::version_conflict(newest.version))
-            }
-            Precheck::NeedsBaseVersion => {
-                self.await_next(call, Awaiting::Barrier { command });
-                let command = Command::barrier();
-                Step::Submit { call, command }
-            }
+            Precheck::Passed => self.submit(call, command),
+            Precheck::NeedsBaseVersion | Precheck::CheckedByChain => match if_missing {
+                IfMissing::Submit => self.submit(call, command),
+                IfMissing::Conflict => self.end(call, responses::version_conflict(newest.version)),
+                IfMissing::Barrier => {
+                    self.await_next(call, Awaiting::Barrier { command });
+                    let command = Command::barrier();
+                    Step::Submit { call, command }
+                }
+            },
         }
     }
 
+    fn submit(&mut self, call: u64, command: Command) -> Step {
+        self.await_next(call, Awaiting::Configuration);
+        Step::Submit { call, command }
+    }
+
     /// Reads the newest configuration again, now that all that was ahead in the log has been applied.
     pub(super) fn read_behind_barrier(
         &mut self,
@@ -87,7 +104,7 @@
             call,
             Awaiting::BaseVersion {
                 command,
-                is_behind_barrier: true,
+                if_missing: IfMissing::Conflict,
             },
         );
         Step::Read {
--- a/crates/sandtrack-control/src/state_machine/control_state.rs
+++ b/crates/sandtrack-control/src/state_machine/control_state.rs
@@ -136,11 +136,10 @@
         Configuration::read_new(&Document::parse(body)?).map(drop)
     }
 
-    /// What the committed state here says of a command before it is submitted. Under rules that check tenants where the
-    /// command is applied, one whose basis is not known here needs no check before.
+    /// What the committed state here says of a command before it is submitted.
     pub fn precheck(&self, command: &Command) -> Precheck {
         match precheck::check_command(&self.document, command) {
-            Precheck::NeedsBaseVersion if self.checks_tenants() => Precheck::Passed,
+            Precheck::NeedsBaseVersion if self.checks_tenants() => Precheck::CheckedByChain,
             precheck => precheck,
         }
     }
--- a/crates/sandtrack-control/src/state_machine/precheck.rs
+++ b/crates/sandtrack-control/src/state_machine/precheck.rs
@@ -15,6 +15,8 @@
     Invalid(ConfigurationError),
     /// It is based on a later version, which is needed for the check. It must not be submitted unchecked.
     NeedsBaseVersion,
+    /// It is based on a later version, and is checked where it is applied.
+    CheckedByChain,
 }
 
 /// Checks a command against a committed configuration. The check is exact: there is one document of each version. What the
