--- a/crates/sandtrack-control/tests/common/cluster.rs
+++ b/crates/sandtrack-control/tests/common/cluster.rs
@@ -40,6 +40,19 @@
     fetches: Vec<f64>,
 }
 
+impl Machine {
+    fn new(control_node: Option<ControlNode>, incarnation: u64, wal: Vec<Vec<u8>>) -> Machine {
+        Machine {
+            control_node,
+            incarnation,
+            wal,
+            frozen: false,
+            exited: false,
+            fetches: Vec::new(),
+        }
+    }
+}
+
 /// A proxy as a test sees it: its session, and what came over it without the beats.
 pub struct Proxy {
     info: ProxyInfo,
@@ -146,29 +159,14 @@
             disk: true,
         };
         let (control_node, effects) = ControlNode::new(settings, start, self.now);
-        let machine = Machine {
-            control_node: Some(control_node),
-            incarnation,
-            wal,
-            frozen: false,
-            exited: false,
-            fetches: Vec::new(),
-        };
+        let machine = Machine::new(Some(control_node), incarnation, wal);
         self.machines.insert(number, machine);
         self.perform(number, effects);
     }
 
     /// Starts a control node on a machine whose disk holds these records.
     pub fn boot_on(&mut self, number: usize, wal: Vec<Vec<u8>>) {
-        let machine = Machine {
-            control_node: None,
-            incarnation: 1,
-            wal,
-            frozen: false,
-            exited: false,
-            fetches: Vec::new(),
-        };
-        self.machines.insert(number, machine);
+        self.machines.insert(number, Machine::new(None, 1, wal));
         self.boot(number, false);
     }
 
--- a/crates/sandtrack-control/tests/common/mod.rs
+++ b/crates/sandtrack-control/tests/common/mod.rs
@@ -1,8 +1,10 @@
 //! What the tests share: approved transcripts, and the example of a configuration from the protocol's page.
 #![allow(dead_code)]
+use sandtrack_control::state_machine::{ChangeKind, Command, ControlState, Outcome};
 use sandtrack_net::http::{Collector, Side, Taken};
 use sandtrack_net::ring::Ring;
 use sandtrack_protocol::settings::Settings;
+use sandtrack_replication::StateMachine;
 use sandtrack_sidecar_core::message::Message;
 use std::path::Path;
 
@@ -101,3 +103,20 @@
             .is_some_and(|location| location.contains("/v1/evacuation/"));
     reply.status != 503 && !is_sent_on
 }
+
+/// Applies a change of the configuration as an entry of the log, and gives its outcome.
+pub fn configure(
+    state: &mut ControlState,
+    number: u64,
+    kind: ChangeKind,
+    based_on: u64,
+    body: &str,
+) -> Outcome {
+    let command = Command::Configure {
+        kind,
+        based_on,
+        body: body.as_bytes().to_vec(),
+    };
+    let outcome = state.apply(number, &borsh::to_vec(&command).expect("a command"));
+    borsh::from_slice(&outcome).expect("an outcome")
+}
--- a/crates/sandtrack-control/tests/guards.rs
+++ b/crates/sandtrack-control/tests/guards.rs
@@ -2,7 +2,7 @@
 //! (`.ci/mutations.list`).
 mod common;
 use common::cluster::Cluster;
-use common::{message, valid_configuration};
+use common::{configure, message, valid_configuration};
 use sandtrack_control::endpoint_poller::{
     EndpointPoller, Page, PageResult, PeerReport, PollerElection, PollerLease, HOLDER_TIMEOUT_MS,
 };
@@ -11,7 +11,6 @@
 use sandtrack_control::state_machine::{ChangeKind, Command, ControlState, Outcome, Precheck};
 use sandtrack_control::upstreams::Upstreams;
 use sandtrack_protocol::frames::ToProxy;
-use sandtrack_replication::StateMachine;
 use std::collections::BTreeMap;
 
 fn counts(cluster: &Cluster, name: &str) -> Vec<u32> {
@@ -77,22 +76,6 @@
     );
 }
 
-fn configure(
-    state: &mut ControlState,
-    number: u64,
-    kind: ChangeKind,
-    based_on: u64,
-    body: &str,
-) -> Outcome {
-    let command = Command::Configure {
-        kind,
-        based_on,
-        body: body.as_bytes().to_vec(),
-    };
-    let outcome = state.apply(number, &borsh::to_vec(&command).expect("a command"));
-    borsh::from_slice(&outcome).expect("an outcome")
-}
-
 /// CallContext again is an order of the same kind, on the same version, with the same bytes.
 #[test]
 fn an_order_is_known_again_by_its_kind_and_its_base_too() {
--- a/crates/sandtrack-control/tests/rules.rs
+++ b/crates/sandtrack-control/tests/rules.rs
@@ -3,9 +3,9 @@
 //! by the program before there were versions.
 mod common;
 use common::cluster::Cluster;
-use common::valid_configuration;
+use common::{configure, valid_configuration};
 use sandtrack_control::state_machine::{
-    ChangeKind, Command, ControlState, Outcome, Query, QueryResult, RulesVersion,
+    ChangeKind, ControlState, Outcome, Query, QueryResult, RulesVersion,
 };
 use sandtrack_replication::StateMachine;
 
@@ -32,13 +32,7 @@
 }
 
 fn update(state: &mut ControlState, number: u64, based_on: u64, body: &str) -> Outcome {
-    let command = Command::Configure {
-        kind: ChangeKind::Update,
-        based_on,
-        body: body.as_bytes().to_vec(),
-    };
-    let outcome = state.apply(number, &borsh::to_vec(&command).expect("a command"));
-    borsh::from_slice(&outcome).expect("an outcome")
+    configure(state, number, ChangeKind::Update, based_on, body)
 }
 
 /// CONFIG: a log with an invalid change, from before the check, must be decided as the earlier program decides it.
--- a/crates/sandtrack-fault-tests/src/system/cluster.rs
+++ b/crates/sandtrack-fault-tests/src/system/cluster.rs
@@ -220,6 +220,14 @@
         Ok(())
     }
 
+    /// One more operator, who keeps tries of its own.
+    pub fn second_operator(&self) -> Rc<Operator> {
+        let address = |machine| self.plan.announced(machine, CONTROL);
+        Rc::new(Operator::new(
+            (0..self.controls.len()).map(address).collect(),
+        ))
+    }
+
     /// Has an order confirmed, asking these control nodes in turn.
     ///
     /// # Errors
--- a/crates/sandtrack-fault-tests/src/system/scenarios/two_operators.rs
+++ b/crates/sandtrack-fault-tests/src/system/scenarios/two_operators.rs
@@ -33,7 +33,7 @@
 
 pub async fn run(cluster: &mut Cluster) -> Result<(), Stopped> {
     cluster.begin(&document(1, "begin"), &[]).await?;
-    let operators = [cluster.operator.clone(), second_operator(cluster)];
+    let operators = [cluster.operator.clone(), cluster.second_operator()];
     let (mut winners, mut repeated, mut read) = (Vec::new(), Vec::new(), Vec::new());
     let mut version = 1;
     for round in 0..ROUNDS {
@@ -76,17 +76,6 @@
     Ok(())
 }
 
-fn second_operator(cluster: &Cluster) -> Rc<Operator> {
-    let address = |machine| {
-        cluster
-            .plan
-            .announced(machine, super::super::settings::CONTROL)
-    };
-    Rc::new(Operator::new(
-        (0..cluster.controls.len()).map(address).collect(),
-    ))
-}
-
 fn document(version: u64, mark: &str) -> Value {
     configuration(version, &[route(mark, Kind::ReadOnly)])
 }
--- a/crates/sandtrack-fault-tests/src/system/scenarios/upgrade.rs
+++ b/crates/sandtrack-fault-tests/src/system/scenarios/upgrade.rs
@@ -6,7 +6,7 @@
 use super::super::operator::Operator;
 use super::super::process::Programs;
 use super::super::report::Stopped;
-use super::super::settings::{CONTROL, PEERS};
+use super::super::settings::PEERS;
 use async_io::Timer;
 use futures_lite::future;
 use sandtrack_cli::call::Call;
@@ -46,7 +46,7 @@
     let mut first = configuration(1, &[route("first", Kind::ReadOnly)]);
     first["tenants"] = json!([tenant("mover-0", &[MOVING_KEY]), tenant("mover-1", &[])]);
     cluster.begin(&first, &[]).await?;
-    let operators = [cluster.operator.clone(), second_operator(cluster)];
+    let operators = [cluster.operator.clone(), cluster.second_operator()];
     let mut upgrade = Upgrade {
         version: 1,
         operators,
@@ -114,13 +114,6 @@
     json!({"name": name, "api_keys": keys, "priority": 1, "home_regions": []})
 }
 
-fn second_operator(cluster: &Cluster) -> Rc<Operator> {
-    let address = |machine| cluster.plan.announced(machine, CONTROL);
-    Rc::new(Operator::new(
-        (0..cluster.controls.len()).map(address).collect(),
-    ))
-}
-
 /// An update of one item.
 fn set(based_on: u64, list: &str, item: &Value) -> Call {
     let update = json!({"version_number": based_on + 1, "set_items": {list: [item]}});
